Whole path, thin: platform and engine stand-ins, daemon, tool, load, demo

A request travels from a caller through a daemon to an engine and back, all as separate processes over TCP on loopback: settings from the platform, slots from the engine's owner over Cap'n Proto RPC, tokens streamed directly.

Ruled out on the way: closures and aggregates as temporaries of co_await expressions.

--- /dev/null
+++ b/apps/cartsailctl/status_command.cc
@@ -0,0 +1,79 @@
+// cartsailctl status, and waiting until a revision is in force.
+#include <fmt/format.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "cartsail/net/http_client.h"
+#include "command.h"
+
+namespace cartsail::ctl {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kNodeTimeout = seconds(2);
+constexpr Duration kPollInterval = milliseconds(10);
+
+asio::awaitable<absl::StatusOr<json::object>> NodeStatus(asio::io_context& context, Endpoint node) {
+  HttpRequest request;
+  request.target = "/status";
+  const absl::StatusOr<HttpResponse> response =
+      co_await Fetch(context.get_executor(), node, std::move(request), kNodeTimeout);
+  if (!response.ok()) co_return response.status();
+  co_return ParseJsonObject(response->body);
+}
+
+}  // namespace
+
+asio::awaitable<absl::StatusOr<CommandResult>> RunStatusCommand(asio::io_context& context,
+                                                                CommandOptions options) {
+  if (options.nodes.empty()) co_return Usage("status needs --nodes ADMIN,ADMIN,...");
+  CommandResult result;
+  json::array array;
+  for (const Endpoint& node : options.nodes) {
+    absl::StatusOr<json::object> status = co_await NodeStatus(context, node);
+    if (!status.ok()) {
+      result.exit_code = kExitFailed;
+      result.text += fmt::format("{} does not answer\n", node.ToString());
+      array.push_back(json::object{{"address", node.ToString()}, {"error", "unreachable"}});
+      continue;
+    }
+    const json::array* owned = GetArray(*status, "owned_engines");
+    const json::array* members = GetArray(*status, "members");
+    result.text += fmt::format(
+        "{:<12} zone {:<8} {:<9} revision {:<6} owns {} engines, {} members, platform {}\n",
+        GetString(*status, "node"), GetString(*status, "zone"),
+        GetBool(*status, "ready") ? "ready" : "not ready", GetInt(*status, "revision"),
+        owned == nullptr ? 0 : owned->size(), members == nullptr ? 0 : members->size() + 1,
+        GetBool(*status, "platform_reachable") ? "reachable" : "out of reach");
+    array.push_back(std::move(*status));
+  }
+  result.object = std::move(array);
+  co_return result;
+}
+
+asio::awaitable<absl::StatusOr<Duration>> AwaitRevision(asio::io_context& context,
+                                                        const CommandOptions& options,
+                                                        int64_t revision) {
+  const TimePoint start = Now();
+  while (true) {
+    std::string lagging;
+    for (const Endpoint& node : options.nodes) {
+      const absl::StatusOr<json::object> status = co_await NodeStatus(context, node);
+      if (status.ok() && GetInt(*status, "revision") >= revision) continue;
+      lagging += " " + node.ToString();
+    }
+    if (lagging.empty()) co_return Now() - start;
+    if (Now() - start > options.wait_timeout) {
+      co_return MakeError(
+          ErrorKind::kTimeout,
+          fmt::format("revision {} is written but not in force on{}", revision, lagging));
+    }
+    asio::steady_timer timer(context);
+    timer.expires_after(kPollInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+}  // namespace cartsail::ctl
--- /dev/null
+++ b/apps/emulator/subcommands.h
@@ -0,0 +1,18 @@
+// The subcommands of cartsail-emulator: each parses its flags and runs to its end.
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <string>
+#include <vector>
+
+namespace cartsail::emulator {
+
+absl::Status RunPlatformCommand(const std::vector<std::string>& arguments);
+absl::Status RunEngineCommand(const std::vector<std::string>& arguments);
+absl::Status RunServiceCommand(const std::vector<std::string>& arguments);
+absl::Status RunLoadCommand(const std::vector<std::string>& arguments);
+// One question, streamed to standard output.
+absl::Status RunAskCommand(const std::vector<std::string>& arguments);
+
+}  // namespace cartsail::emulator
--- /dev/null
+++ b/libs/base/include/cartsail/base/counters.h
@@ -0,0 +1,73 @@
+// The process's own counters. Every counter is named and documented here and nowhere else;
+// docs/OPERATIONS.md repeats the table and a test holds the two together.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace cartsail {
+
+// X(name, kind, help): kind is `counter` (only grows) or `gauge`.
+#define CARTSAIL_COUNTERS(X)                                                                 \
+  X(requests_total, counter, "Requests received from callers")                               \
+  X(requests_completed_total, counter, "Requests answered completely")                       \
+  X(requests_not_run_total, counter, "Requests answered with outcome not_run")               \
+  X(requests_unknown_total, counter, "Requests answered with outcome unknown")               \
+  X(requests_partial_total, counter, "Requests answered with outcome partial")               \
+  X(requests_in_flight, gauge, "Requests being handled now")                                 \
+  X(requests_malformed_total, counter, "Requests refused as malformed or too large")         \
+  X(callers_gone_total, counter, "Callers that disconnected before the end of their answer") \
+  X(streams_resumed_total, counter, "Streams resumed by a caller")                           \
+  X(continuations_total, counter, "Cut answers continued on another engine")                 \
+  X(retries_total, counter, "Requests tried again on another back end")                      \
+  X(retries_denied_total, counter, "Retries refused by the retry budget")                    \
+  X(tokens_delivered_total, counter, "Tokens passed on to callers")                          \
+  X(engine_cancels_total, counter, "Streams cancelled at an engine")                         \
+  X(grants_total, counter, "Slots granted by this node as owner")                            \
+  X(sheds_total, counter, "Requests given up by this node as owner")                         \
+  X(queue_timeouts_total, counter, "Requests that waited longer than their class allows")    \
+  X(preemptions_total, counter, "Running requests preempted by this node as owner")          \
+  X(acquire_failovers_total, counter, "Waiting requests moved because their owner was lost") \
+  X(grants_announced_total, counter, "Running grants announced to a new owner")              \
+  X(grants_adopted_total, counter, "Running grants taken over from an earlier owner")        \
+  X(claims_won_total, counter, "Idempotency keys claimed by this node")                      \
+  X(claims_lost_total, counter, "Idempotency keys that were already claimed")                \
+  X(claims_undecided_total, counter, "Claims given up because the platform did not answer")  \
+  X(claim_batches_total, counter, "Claim transactions sent to the platform")                 \
+  X(platform_calls_total, counter, "Calls made to the platform's key-value service")         \
+  X(platform_errors_total, counter, "Platform calls that failed or timed out")               \
+  X(platform_reachable, gauge, "1 if the last platform call succeeded")                      \
+  X(config_revision, gauge, "Configuration revision in force")                               \
+  X(config_stale_total, counter, "Configurations refused because they were older")           \
+  X(config_invalid_total, counter, "Configuration documents refused as invalid")             \
+  X(members_live, gauge, "Nodes this node believes live, itself included")                   \
+  X(members_suspected_total, counter, "Times a member became suspected")                     \
+  X(engines_owned, gauge, "Engines this node owns")                                          \
+  X(peer_messages_sent_total, counter, "Messages sent to other nodes")                       \
+  X(peer_bytes_sent_total, counter, "Bytes sent to other nodes")                             \
+  X(peer_bytes_received_total, counter, "Bytes received from other nodes")                   \
+  X(control_cpu_microseconds, gauge, "Processor time used by the control thread")            \
+  X(ready, gauge, "1 if this node asks the balancer for traffic")
+
+// Kinds used by the table above.
+struct Counter {
+  std::atomic<int64_t> value{0};
+  void Add(int64_t amount = 1) { value.fetch_add(amount, std::memory_order_relaxed); }
+  void Set(int64_t amount) { value.store(amount, std::memory_order_relaxed); }
+  int64_t Get() const { return value.load(std::memory_order_relaxed); }
+};
+
+struct Counters {
+#define CARTSAIL_DECLARE_COUNTER(name, kind, help) Counter name;
+  CARTSAIL_COUNTERS(CARTSAIL_DECLARE_COUNTER)
+#undef CARTSAIL_DECLARE_COUNTER
+};
+
+// The counters of this process. Thread-safe.
+Counters& GlobalCounters();
+
+// All counters in the text exposition format, each prefixed `cartsail_`.
+std::string RenderCounters(const Counters& counters);
+
+}  // namespace cartsail
