--- a/apps/emulator/engine_server.cc
+++ b/apps/emulator/engine_server.cc
@@ -138,7 +138,7 @@
     } else if (path == "/admin/stats") {
       co_await Send(exchange, 200, StatsObject());
     } else if (path == "/admin/starts") {
-      co_await Send(exchange, 200, StartsObject(std::string(request.QueryParameter("id"))));
+      co_await Send(exchange, 200, StartsObject(std::string(request.QueryParameter("seed"))));
     } else if (path == "/admin/faults") {
       SetFaults(request.body);
       co_await Send(exchange, 200, json::object());
@@ -188,6 +188,7 @@
     streams_[id] = stream;
     ids_[stream->sequence] = id;
     ++starts_[id];
+    ++starts_by_seed_[std::to_string(stream->seed)];
     ++stats_.accepted;
     stats_.last_start = Now();
     SequenceRequest sequence;
@@ -389,9 +390,9 @@
 
   static std::string SupersededEvent() { return FormatSse({"", "superseded", "{}"}); }
 
-  json::object StartsObject(const std::string& id) const {
-    const auto found = starts_.find(id);
-    return {{"starts", found == starts_.end() ? 0 : found->second}};
+  json::object StartsObject(const std::string& seed) const {
+    const auto found = starts_by_seed_.find(seed);
+    return {{"starts", found == starts_by_seed_.end() ? 0 : found->second}};
   }
 
   json::object StatsObject() const {
@@ -455,6 +456,7 @@
   std::map<std::string, StreamPtr> streams_;
   std::unordered_map<uint64_t, std::string> ids_;
   std::map<std::string, int64_t> starts_;
+  std::map<std::string, int64_t> starts_by_seed_;
   Stats stats_;
   json::object load_report_;
   bool leaving_ = false;
--- a/apps/emulator/engine_server.h
+++ b/apps/emulator/engine_server.h
@@ -8,7 +8,7 @@
 //   POST   /admin/faults  {"speed", "leaving": bool, "crash": bool, "hang_accept": bool,
 //                          "drop_before_reply": N, "drop_after_tokens": N, "refuse": bool}
 //   GET    /admin/stats              what truly ran
-//   GET    /admin/starts?id=ID       how often a request id was started
+//   GET    /admin/starts?seed=SEED   how often a prompt with this answer seed was started
 //
 // Answers are a function of the prompt, so a caller can check every token: token i of a prompt is
 // ExpectedToken(seed, i).
--- a/apps/emulator/load.cc
+++ b/apps/emulator/load.cc
@@ -21,6 +21,8 @@
 constexpr int kCharactersPerToken = 4;
 constexpr Duration kStatsTimeout = seconds(2);
 constexpr double kShortestGapSeconds = 1e-6;
+constexpr Duration kReadinessTimeout = milliseconds(200);
+constexpr Duration kReadinessInterval = milliseconds(20);
 
 class LoadRun {
  public:
@@ -45,6 +47,9 @@
       asio::co_spawn(context_, Generate(workload_.classes[i], options_.seed * 1000 + i),
                      asio::detached);
     }
+    for (size_t i = 0; i < options_.readiness.size(); ++i) {
+      asio::co_spawn(context_, WatchReadiness(i), asio::detached);
+    }
     const TimePoint limit = Now() + options_.duration + options_.settle;
     while ((generators_ > 0 || in_flight_ > 0) && Now() < limit) {
       co_await Sleep(milliseconds(20));
@@ -59,6 +64,32 @@
     co_await timer.async_wait(asio::use_awaitable);
   }
 
+  asio::awaitable<void> WatchReadiness(size_t target) {
+    while (true) {
+      HttpRequest request;
+      request.target = "/readyz";
+      const absl::StatusOr<HttpResponse> response =
+          co_await Fetch(context_.get_executor(), options_.readiness[target], std::move(request),
+                         kReadinessTimeout);
+      unready_[target] = !response.ok() || response->status != 200;
+      co_await Sleep(kReadinessInterval);
+    }
+  }
+
+  // All targets from a random one on, those that are not ready last.
+  std::vector<Endpoint> OrderTargets(std::mt19937_64& random) {
+    std::uniform_int_distribution<size_t> draw(0, options_.targets.size() - 1);
+    const size_t first = draw(random);
+    std::vector<Endpoint> ready;
+    std::vector<Endpoint> others;
+    for (size_t i = 0; i < options_.targets.size(); ++i) {
+      const size_t target = (first + i) % options_.targets.size();
+      (unready_[target] ? others : ready).push_back(options_.targets[target]);
+    }
+    ready.insert(ready.end(), others.begin(), others.end());
+    return ready;
+  }
+
   asio::awaitable<void> Generate(const TrafficClass& traffic, uint64_t seed) {
     std::mt19937_64 random(seed);
     const TimePoint start = Now();
@@ -84,11 +115,7 @@
   CallerRequest MakeCall(const TrafficClass& traffic, uint64_t seed, int64_t number,
                          std::mt19937_64& random) {
     CallerRequest call;
-    std::uniform_int_distribution<size_t> draw(0, options_.targets.size() - 1);
-    const size_t first = draw(random);
-    for (size_t i = 0; i < options_.targets.size(); ++i) {
-      call.targets.push_back(options_.targets[(first + i) % options_.targets.size()]);
-    }
+    call.targets = OrderTargets(random);
     std::uniform_int_distribution<size_t> key(0, options_.api_keys.size() - 1);
     call.api_key = options_.api_keys[key(random)];
     call.service = traffic.service;
@@ -133,6 +160,7 @@
   const LoadOptions& options_;
   asio::io_context context_{1};
   Measures measures_;
+  std::vector<char> unready_ = std::vector<char>(options_.targets.size());
   int generators_ = 0;
   int64_t in_flight_ = 0;
   int64_t computed_tokens_ = 0;
--- a/apps/emulator/load.h
+++ b/apps/emulator/load.h
@@ -14,6 +14,8 @@
 
 struct LoadOptions {
   std::vector<Endpoint> targets;
+  // Admin endpoints, one per target: like a balancer, the load then skips nodes that are not ready.
+  std::vector<Endpoint> readiness;
   std::vector<Endpoint> engines;  // for computed tokens; may be empty
   std::vector<std::string> api_keys;
   Duration duration = seconds(10);
--- a/apps/emulator/main.cc
+++ b/apps/emulator/main.cc
@@ -22,6 +22,7 @@
     {"service", cartsail::emulator::RunServiceCommand},
     {"load", cartsail::emulator::RunLoadCommand},
     {"ask", cartsail::emulator::RunAskCommand},
+    {"scenario", cartsail::emulator::RunScenarioCommand},
 };
 
 int PrintUsage() {
--- a/apps/emulator/measures.cc
+++ b/apps/emulator/measures.cc
@@ -3,12 +3,14 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cartsail::emulator {
 
 double Quantile(std::vector<double> values, double quantile) {
   if (values.empty()) return 0;
-  const auto index = static_cast<size_t>(quantile * static_cast<double>(values.size() - 1) + 0.5);
+  const auto index =
+      static_cast<size_t>(std::lround(quantile * static_cast<double>(values.size() - 1)));
   std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index),
                    values.end());
   return values[index];
--- a/apps/emulator/platform_server.cc
+++ b/apps/emulator/platform_server.cc
@@ -125,7 +125,7 @@
       co_await Send(exchange, 400, MessageObject("not JSON"));
       co_return;
     }
-    const bool is_read = path == "/v3/kv/range";
+    const bool is_read = path == "/v3/kv/range" || (path == "/v3/kv/txn" && OnlyReads(*body));
     ++(is_read ? stats_.reads : stats_.writes);
     const double limit = is_read ? faults_.reads_per_second : faults_.writes_per_second;
     if (!(is_read ? reads_ : writes_).Take(limit, Now())) {
@@ -147,6 +147,16 @@
     co_await Send(exchange, 200, *reply);
   }
 
+  static bool OnlyReads(const json::object& body) {
+    const TxnRequest request = DecodeTxnRequest(body);
+    for (const auto* branch : {&request.success, &request.failure}) {
+      for (const Operation& operation : *branch) {
+        if (operation.kind != Operation::Kind::kRange) return false;
+      }
+    }
+    return true;
+  }
+
   Reply Execute(const std::string& path, const json::object& body) {
     if (path == "/v3/kv/range") {
       const PlatformStore& source = faults_.stale_reads ? stale_store_ : store_;
--- a/apps/emulator/subcommands.h
+++ b/apps/emulator/subcommands.h
@@ -14,5 +14,6 @@
 absl::Status RunLoadCommand(const std::vector<std::string>& arguments);
 // One question, streamed to standard output.
 absl::Status RunAskCommand(const std::vector<std::string>& arguments);
+absl::Status RunScenarioCommand(const std::vector<std::string>& arguments);
 
 }  // namespace cartsail::emulator
--- a/libs/backend/include/cartsail/backend/engine_stream.h
+++ b/libs/backend/include/cartsail/backend/engine_stream.h
@@ -35,7 +35,7 @@
   // may not run twice use a new one.
   bool fresh_connection = false;
   Duration connect_timeout = milliseconds(500);
-  Duration head_timeout = seconds(30);  // to the engine's acceptance
+  Duration head_timeout = seconds(5);  // to the engine's acceptance
 };
 
 struct EngineEvent {
--- a/libs/daemon/src/node.cc
+++ b/libs/daemon/src/node.cc
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -33,6 +34,7 @@
 constexpr Duration kReconcileInterval = seconds(10);
 constexpr Duration kMeterInterval = seconds(1);
 constexpr Duration kDrainPoll = milliseconds(20);
+constexpr Duration kSettleTime = seconds(2);
 // Up to so many nodes everyone sends heartbeats to everyone; beyond, zones speak through relays.
 constexpr size_t kFullMeshLimit = 32;
 
@@ -100,7 +102,7 @@
 
   // ControlPlane: from any thread.
   ConfigSnapshotPtr Config() const override { return config_.Current(); }
-  bool HasConfig() const override { return config_.Current()->Revision() > 0; }
+  bool HasConfig() const override { return settled_.load(std::memory_order_relaxed); }
 
   void AcquireSlot(SlotRequest request, std::function<void(SlotDecision)> done) override {
     asio::post(context_, [this, request = std::move(request), done = std::move(done)]() mutable {
@@ -171,6 +173,8 @@
       slots_.OnMembershipChanged();
     }
     slots_.OnHeartbeat(heartbeat);
+    newest_heard_ = std::max(newest_heard_, heartbeat.config_revision);
+    peer_heard_ = true;
     config_.OnPeerRevision(heartbeat.address, heartbeat.config_revision);
     machines_.OnPeerVersion(heartbeat.address, heartbeat.machine_version);
   }
@@ -233,8 +237,20 @@
     Repeat(meter_timer_, kMeterInterval, [this] { Meter(); });
   }
 
+  // A starting node serves only with the newest of what the platform and its peers have: the
+  // platform may answer with an old state. Peers that stay silent are not waited for.
+  void Settle(TimePoint now) {
+    if (settled_ || config_.Current()->Revision() == 0) return;
+    const bool alone = members_.Peers().empty() && options_.seed_peers.empty();
+    const bool heard_enough = peer_heard_ || alone || now - started_ > kSettleTime;
+    if (!heard_enough || config_.Current()->Revision() < newest_heard_) return;
+    settled_ = true;
+    Log(LogLevel::kInfo, "settled", {{"revision", std::to_string(newest_heard_)}});
+  }
+
   void Tick() {
     const TimePoint now = Now();
+    Settle(now);
     const std::vector<std::string> suspects = members_.Tick(now);
     if (members_.WasPaused()) {
       Log(LogLevel::kWarning, "process_was_paused");
@@ -415,6 +431,10 @@
   asio::steady_timer reconcile_timer_;
   asio::steady_timer meter_timer_;
   asio::steady_timer drain_timer_;
+  std::atomic<bool> settled_{false};
+  TimePoint started_ = Now();
+  bool peer_heard_ = false;
+  int64_t newest_heard_ = 0;  // configuration revision of any peer
   bool draining_ = false;
   TimePoint drain_deadline_{};
   absl::Status drain_status_;
--- a/libs/gateway/src/chat_session.cc
+++ b/libs/gateway/src/chat_session.cc
@@ -146,6 +146,7 @@
   call.owner = caller_.OwnerTag();
   call.priority = work_.Policy().tier;
   call.fresh_connection = !work_.Policy().repeatable;
+  call.head_timeout = std::min(call.head_timeout, work_.TimeLeft());
   signals_->stream = &stream;
   absl::Status status = co_await stream.Open(call);
   if (status.ok()) status = co_await ReadAnswer(stream, meter);
--- a/libs/net/include/cartsail/net/http_server.h
+++ b/libs/net/include/cartsail/net/http_server.h
@@ -17,8 +17,8 @@
 namespace cartsail {
 
 struct HttpServerLimits {
-  uint32_t header_bytes = 16 * 1024;
-  uint64_t body_bytes = 1024 * 1024;
+  uint32_t header_bytes = 1 << 14;
+  uint64_t body_bytes = 1 << 20;
   Duration idle_timeout = seconds(75);   // between requests and while one arrives
   Duration write_timeout = seconds(30);  // a reader that takes nothing for so long is cut
 };
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -18,7 +18,7 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = 1 << 14;
 
 absl::Status LostError(const beast::error_code& error) {
   if (error == beast::error::timeout) return MakeError(ErrorKind::kTimeout, "no answer in time");
--- a/libs/operations/src/config_store.cc
+++ b/libs/operations/src/config_store.cc
@@ -192,7 +192,8 @@
     read.range.range_end = PrefixEnd(std::string(kBranchPrefix));
     txn.success.push_back(read);
   }
-  const absl::StatusOr<TxnResult> result = co_await store_.Txn(std::move(txn));
+  absl::StatusOr<TxnResult> result = co_await store_.Txn(txn);
+  for (int i = 1; i < kCommitTries && !result.ok(); ++i) result = co_await store_.Txn(txn);
   if (!result.ok()) co_return result.status();
   for (const RangeResult& range : result->ranges) {
     for (const KeyValue& kv : range.kvs) {
--- a/libs/peer/src/asio_kj.cc
+++ b/libs/peer/src/asio_kj.cc
@@ -14,7 +14,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr size_t kReadBytes = 32 * 1024;
+constexpr size_t kReadBytes = 1 << 15;
 
 kj::Exception Disconnected(const boost::system::error_code& error) {
   return kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__,
--- a/libs/peer/src/peer_network.cc
+++ b/libs/peer/src/peer_network.cc
@@ -5,7 +5,9 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <set>
 #include <unordered_map>
+#include <utility>
 
 #include "asio_kj.h"
 #include "cartsail/base/counters.h"
@@ -21,6 +23,8 @@
 
 constexpr Duration kReconnectPause = milliseconds(200);
 constexpr Duration kConnectTimeout = seconds(1);
+// Calls that carry a whole tree or machine list may take longer than others.
+constexpr int kBulkFactor = 5;
 
 RejectReason DecodeReason(uint8_t reason) {
   return reason <= static_cast<uint8_t>(RejectReason::kNotOwner) ? static_cast<RejectReason>(reason)
@@ -123,21 +127,21 @@
   PeerLink(asio::io_context& context, std::string address)
       : context_(context), address_(std::move(address)) {}
 
-  // A client for calls; they fail at once while the link is known to be down.
+  // A client for calls. The same one for the connection's life: a second bootstrap on a connection
+  // that has broken would start a connection state on a stream that is shut down, which throws.
   wire::Peer::Client Client() {
-    if (client_.get() == nullptr) Connect();
-    return client_->bootstrap().castAs<wire::Peer>();
+    if (peer_ == nullptr) Connect();
+    return KJ_ASSERT_NONNULL(peer_);
   }
 
-  bool Usable() const { return client_.get() != nullptr || Now() >= next_connect_; }
+  bool Usable() const { return peer_ != nullptr || Now() >= next_connect_; }
 
   void Drop() {
+    peer_ = nullptr;
     client_ = nullptr;
     next_connect_ = Now() + kReconnectPause;
   }
 
-  bool heartbeat_pending = false;
-
  private:
   // The stream is a promise of a connection; calls made meanwhile wait for it.
   void Connect() {
@@ -166,6 +170,7 @@
         });
     stream_ = kj::newPromisedStream(kj::mv(paf.promise));
     client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
+    peer_ = client_->bootstrap().castAs<wire::Peer>();
   }
 
   tcp::endpoint ParseAddress() const {
@@ -180,6 +185,7 @@
   std::string address_;
   kj::Own<kj::AsyncIoStream> stream_;
   kj::Own<capnp::TwoPartyClient> client_;  // uses stream_
+  kj::Maybe<wire::Peer::Client> peer_;     // uses client_
   TimePoint next_connect_{};
 };
 
@@ -214,99 +220,107 @@
 
   void Acquire(const std::string& address, const AcquireRequest& request,
                PeerCallback<AcquireReply> done) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return FailLater<AcquireReply>(done);
-    auto call = link->Client().acquireRequest();
-    call.setEngine(request.engine);
-    Encode(request.item, call.initItem());
-    Send<AcquireReply>(address, call.send(), Duration(0), std::move(done), [](auto&& results) {
-      return AcquireReply{results.getGranted(), DecodeReason(results.getReason()),
-                          FromMicros(results.getRetryAfterUs()), Decode(results.getDigest())};
-    });
+    Call<AcquireReply>(
+        address, Duration(0), std::move(done),
+        [&request](wire::Peer::Client client) {
+          auto call = client.acquireRequest();
+          call.setEngine(request.engine);
+          Encode(request.item, call.initItem());
+          return call.send();
+        },
+        [](auto&& results) {
+          return AcquireReply{results.getGranted(), DecodeReason(results.getReason()),
+                              FromMicros(results.getRetryAfterUs()), Decode(results.getDigest())};
+        });
   }
 
   void Cancel(const std::string& address, const std::string& engine, RequestId id) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return;
-    auto call = link->Client().cancelRequest();
-    call.setEngine(engine);
-    call.setId(id);
-    SendAndForget(address, call.send());
+    Tell(address, [&](wire::Peer::Client client) {
+      auto call = client.cancelRequest();
+      call.setEngine(engine);
+      call.setId(id);
+      return call.send();
+    });
   }
 
   void Release(const std::string& address, const std::string& engine, RequestId id,
                const ServiceReport& report, PeerCallback<QueueDigest> done) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return FailLater<QueueDigest>(done);
-    auto call = link->Client().releaseRequest();
-    call.setEngine(engine);
-    call.setId(id);
-    Encode(report, call.initReport());
-    Send<QueueDigest>(address, call.send(), options_.call_timeout, std::move(done),
-                      [](auto&& results) { return Decode(results.getDigest()); });
+    Call<QueueDigest>(
+        address, options_.call_timeout, std::move(done),
+        [&](wire::Peer::Client client) {
+          auto call = client.releaseRequest();
+          call.setEngine(engine);
+          call.setId(id);
+          Encode(report, call.initReport());
+          return call.send();
+        },
+        [](auto&& results) { return Decode(results.getDigest()); });
   }
 
   void SendHeartbeat(const std::string& address, const Heartbeat& heartbeat) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr || link->heartbeat_pending) return;
-    link->heartbeat_pending = true;
-    auto call = link->Client().heartbeatRequest();
-    Encode(heartbeat, call.initHeartbeat());
-    Send<bool>(
-        address, call.send(), options_.call_timeout,
+    if (!heartbeats_pending_.insert(address).second) return;
+    Call<bool>(
+        address, options_.call_timeout,
         [this, address](const absl::StatusOr<bool>& /*result*/) {
-          const auto found = links_.find(address);
-          if (found != links_.end()) found->second->heartbeat_pending = false;
+          heartbeats_pending_.erase(address);
+        },
+        [&heartbeat](wire::Peer::Client client) {
+          auto call = client.heartbeatRequest();
+          Encode(heartbeat, call.initHeartbeat());
+          return call.send();
         },
         [](auto&& /*results*/) { return true; });
   }
 
   void FetchConfig(const std::string& address, int64_t since,
                    PeerCallback<ConfigDelta> done) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return FailLater<ConfigDelta>(done);
-    auto call = link->Client().fetchConfigRequest();
-    call.setSince(since);
-    Send<ConfigDelta>(address, call.send(), options_.call_timeout * 5, std::move(done),
-                      [](auto&& results) { return Decode(results.getDelta()); });
+    Call<ConfigDelta>(
+        address, options_.call_timeout * kBulkFactor, std::move(done),
+        [since](wire::Peer::Client client) {
+          auto call = client.fetchConfigRequest();
+          call.setSince(since);
+          return call.send();
+        },
+        [](auto&& results) { return Decode(results.getDelta()); });
   }
 
   void Claim(const std::string& address, const ClaimCall& claim,
              PeerCallback<ClaimResult> done) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return FailLater<ClaimResult>(done);
-    auto call = link->Client().claimRequest();
-    Encode(claim, call.initClaim());
-    Send<ClaimResult>(address, call.send(), claim.timeout + options_.call_timeout, std::move(done),
-                      [](auto&& results) { return Decode(results.getResult()); });
+    Call<ClaimResult>(
+        address, claim.timeout + options_.call_timeout, std::move(done),
+        [&claim](wire::Peer::Client client) {
+          auto call = client.claimRequest();
+          Encode(claim, call.initClaim());
+          return call.send();
+        },
+        [](auto&& results) { return Decode(results.getResult()); });
   }
 
   void Preempt(const std::string& address, const std::string& engine, RequestId id) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return;
-    auto call = link->Client().preemptRequest();
-    call.setEngine(engine);
-    call.setId(id);
-    SendAndForget(address, call.send());
+    Tell(address, [&](wire::Peer::Client client) {
+      auto call = client.preemptRequest();
+      call.setEngine(engine);
+      call.setId(id);
+      return call.send();
+    });
   }
 
   void Announce(const std::string& address, const std::string& engine, const std::string& node,
                 const std::vector<WorkItem>& running) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return;
-    auto call = link->Client().announceRequest();
-    call.setEngine(engine);
-    call.setNode(node);
-    Encode(running, call.initRunning(static_cast<unsigned>(running.size())));
-    SendAndForget(address, call.send());
+    Tell(address, [&](wire::Peer::Client client) {
+      auto call = client.announceRequest();
+      call.setEngine(engine);
+      call.setNode(node);
+      Encode(running, call.initRunning(static_cast<unsigned>(running.size())));
+      return call.send();
+    });
   }
 
   void FetchMachines(const std::string& address, PeerCallback<MachineListText> done) override {
-    PeerLink* link = UsableLink(address);
-    if (link == nullptr) return FailLater<MachineListText>(done);
-    Send<MachineListText>(
-        address, link->Client().fetchMachinesRequest().send(), options_.call_timeout * 5,
-        std::move(done), [](auto&& results) {
+    Call<MachineListText>(
+        address, options_.call_timeout * kBulkFactor, std::move(done),
+        [](wire::Peer::Client client) { return client.fetchMachinesRequest().send(); },
+        [](auto&& results) {
           return MachineListText{results.getVersion(), results.getMachines().cStr()};
         });
   }
@@ -320,30 +334,39 @@
   PeerLink* UsableLink(const std::string& address) {
     auto& link = links_[address];
     if (link == nullptr) link = std::make_unique<PeerLink>(context_, address);
-    if (!link->Usable()) return nullptr;
-    GlobalCounters().peer_messages_sent_total.Add();
-    return link.get();
+    return link->Usable() ? link.get() : nullptr;
   }
 
-  // Never calls back from inside the call: callers may hold references into their own state.
-  template <typename T>
-  void FailLater(PeerCallback<T> done) {
-    asio::post(context_, [done = std::move(done)] {
-      done(MakeError(ErrorKind::kPeerUnavailable, "the node cannot be reached"));
-    });
-  }
-
-  // Passes the results of `promise` through `decode` to `done`; a broken call drops the link.
-  template <typename T, typename Promise, typename DecodeFunction>
-  void Send(const std::string& address, Promise promise, Duration timeout, PeerCallback<T> done,
+  // Makes a call with `send` and passes its decoded results to `done`, once: also after `timeout`
+  // (0: none) or when the link is down. Never calls back from inside: callers may hold references
+  // into their own state.
+  template <typename T, typename SendFunction, typename DecodeFunction>
+  void Call(const std::string& address, Duration timeout, PeerCallback<T> done, SendFunction send,
             DecodeFunction decode) {
     auto shared = std::make_shared<PeerCallback<T>>(std::move(done));
     auto finish = [shared](absl::StatusOr<T> result) {
       if (!*shared) return;
-      PeerCallback<T> callback = std::move(*shared);
-      *shared = nullptr;
+      const PeerCallback<T> callback = std::exchange(*shared, nullptr);
       callback(std::move(result));
     };
+    PeerLink* link = UsableLink(address);
+    if (link == nullptr) {
+      FailLater(finish, "the node cannot be reached");
+      return;
+    }
+    GlobalCounters().peer_messages_sent_total.Add();
+    // A connection that has just been shut down throws at once instead of failing the promise.
+    try {
+      Track(address, send(link->Client()), timeout, finish, decode);
+    } catch (const kj::Exception& exception) {
+      DropLater(address);
+      FailLater(finish, exception.getDescription().cStr());
+    }
+  }
+
+  template <typename Promise, typename Finish, typename DecodeFunction>
+  void Track(const std::string& address, Promise promise, Duration timeout, Finish finish,
+             DecodeFunction decode) {
     std::shared_ptr<asio::steady_timer> timer;
     if (timeout > Duration(0)) {
       timer = std::make_shared<asio::steady_timer>(context_);
@@ -364,13 +387,20 @@
         }));
   }
 
-  template <typename Promise>
-  void SendAndForget(const std::string& address, Promise promise) {
-    Send<bool>(
-        address, std::move(promise), Duration(0), [](const absl::StatusOr<bool>& /*result*/) {},
+  template <typename SendFunction>
+  void Tell(const std::string& address, SendFunction send) {
+    Call<bool>(
+        address, Duration(0), [](const absl::StatusOr<bool>& /*result*/) {}, send,
         [](auto&& /*results*/) { return true; });
   }
 
+  template <typename Finish>
+  void FailLater(Finish finish, std::string reason) {
+    asio::post(context_, [finish, reason = std::move(reason)] {
+      finish(MakeError(ErrorKind::kPeerUnavailable, reason));
+    });
+  }
+
   // A link may not be destroyed from inside one of its own promises.
   void DropLater(const std::string& address) {
     asio::post(context_, [this, address] { DropNode(address); });
@@ -400,6 +430,7 @@
   tcp::acceptor acceptor_;
   capnp::TwoPartyServer server_;
   std::unordered_map<std::string, std::unique_ptr<PeerLink>> links_;
+  std::set<std::string> heartbeats_pending_;  // addresses with one unanswered
   kj::TaskSet tasks_;
 };
 
--- a/libs/scheduler/include/cartsail/scheduler/engine_queue.h
+++ b/libs/scheduler/include/cartsail/scheduler/engine_queue.h
@@ -60,7 +60,7 @@
   int Waiting() const { return static_cast<int>(waiting_index_.size()); }
 
  private:
-  struct Waiting_ {
+  struct WaitingItem {
     WorkItem item;
     TimePoint arrival;
   };
@@ -74,7 +74,7 @@
   };
   // Waiting requests of a tier by start deadline, then id.
   using WaitingKey = std::pair<TimePoint, RequestId>;
-  using TierQueue = std::map<WaitingKey, Waiting_>;
+  using TierQueue = std::map<WaitingKey, WaitingItem>;
 
   bool Admit(const WorkItem& item, TimePoint now, QueueActions& actions);
   bool EvictLowerThan(int tier, QueueActions& actions);
@@ -86,7 +86,7 @@
   void Preempt(TimePoint now, QueueActions& actions);
   bool PreemptOneFor(int tier, QueueActions& actions);
   void Expire(TimePoint now, QueueActions& actions);
-  std::optional<TimePoint> PreemptTime(const Waiting_& waiting) const;
+  std::optional<TimePoint> PreemptTime(const WaitingItem& waiting) const;
   void EraseWaiting(int tier, TierQueue::iterator position);
   void EraseRunning(RequestId id);
   void NoteDemand(TimePoint now);
--- a/libs/scheduler/src/engine_queue.cc
+++ b/libs/scheduler/src/engine_queue.cc
@@ -23,6 +23,8 @@
 // Retry-After bounds.
 constexpr Duration kShortestRetryAfter = seconds(1);
 constexpr Duration kLongestRetryAfter = seconds(30);
+constexpr double kSmallestRate = 1e-6;
+constexpr double kLongestEstimateSeconds = 1e6;
 constexpr Duration kUnknownWait = Duration::max();
 
 QueueAction Reject(RequestId id, const std::string& node, RejectReason reason,
@@ -48,7 +50,7 @@
   if (!Admit(item, now, actions)) return actions;
   const TimePoint arrival = now - item.waited;
   const WaitingKey key{arrival + item.max_wait, item.id};
-  waiting_[item.tier].emplace(key, Waiting_{item, arrival});
+  waiting_[item.tier].emplace(key, WaitingItem{item, arrival});
   waiting_index_.emplace(item.id, std::make_pair(item.tier, key));
   NoteDemand(now);
   Dispatch(now, actions);
@@ -86,21 +88,23 @@
   return false;
 }
 
-// Expected wait of a newcomer at `tier`: the requests ahead of it over the rate of starts that
-// higher tiers leave, at least the tier's guaranteed share.
+// Expected wait of a newcomer at `tier`, the shorter of two ways to a start: behind all that wait
+// at its tier and above, at the rate that higher tiers leave; or by the tier's guaranteed share,
+// behind its own tier only.
 Duration EngineQueue::EstimateWait(int tier, TimePoint now) const {
   if (InFlight() < window_ - headroom_[tier] && waiting_[tier].empty()) return Duration(0);
   const double total_rate = releases_.PerSecond(now);
   if (total_rate <= 0) return kUnknownWait;
-  double higher_rate = 0;
-  double ahead = 1;
+  const auto own = static_cast<double>(waiting_[tier].size()) + 1;
+  double ahead = own;
+  double rate_left = total_rate;
   for (int higher = 0; higher < tier; ++higher) {
-    higher_rate += arrivals_[higher].PerSecond(now);
+    rate_left -= arrivals_[higher].PerSecond(now);
     ahead += static_cast<double>(waiting_[higher].size());
   }
-  ahead += static_cast<double>(waiting_[tier].size());
-  const double rate = std::max(policy_.tier_shares[tier] * total_rate, total_rate - higher_rate);
-  return FromSeconds(std::min(ahead / rate, 1e6));
+  double wait = own / std::max(policy_.tier_shares[tier] * total_rate, kSmallestRate);
+  if (rate_left > 0) wait = std::min(wait, ahead / rate_left);
+  return FromSeconds(std::min(wait, kLongestEstimateSeconds));
 }
 
 bool EngineQueue::CanPreemptFor(int tier) const {
@@ -295,7 +299,7 @@
   }
 }
 
-std::optional<TimePoint> EngineQueue::PreemptTime(const Waiting_& waiting) const {
+std::optional<TimePoint> EngineQueue::PreemptTime(const WaitingItem& waiting) const {
   if (policy_.preempt_after < 0) return std::nullopt;
   return waiting.arrival + FromSeconds(ToSeconds(waiting.item.ttft_target) * policy_.preempt_after);
 }
--- a/libs/scheduler/src/engine_selector.cc
+++ b/libs/scheduler/src/engine_selector.cc
@@ -117,13 +117,11 @@
     }
     if (LoadOf(*home, request.tier) < ToSeconds(policy_.affinity_wait)) return home->info.id;
   }
-  const Engine* chosen = nullptr;
   std::uniform_int_distribution<size_t> draw(0, candidates.size() - 1);
-  for (int i = 0; i < policy_.choices; ++i) {
+  const Engine* chosen = candidates[draw(random)];
+  for (int i = 1; i < policy_.choices; ++i) {
     const Engine* candidate = candidates[draw(random)];
-    if (chosen == nullptr || LoadOf(*candidate, request.tier) < LoadOf(*chosen, request.tier)) {
-      chosen = candidate;
-    }
+    if (LoadOf(*candidate, request.tier) < LoadOf(*chosen, request.tier)) chosen = candidate;
   }
   return chosen->info.id;
 }
--- a/libs/scheduler/tests/engine_queue_test.cc
+++ b/libs/scheduler/tests/engine_queue_test.cc
@@ -165,6 +165,23 @@
   cr_assert(low_started >= 15 && low_started <= 40, "%d of 1000", low_started);
 }
 
+// The wait by a guaranteed share does not depend on how many of higher tiers wait.
+Test(engine_queue, a_low_tier_is_admitted_under_a_flood_of_higher_ones) {
+  EngineQueuePolicy policy = SmallPolicy(4);
+  policy.preempt_after = -1;
+  policy.tier_shares.fill(0.05);
+  EngineQueue queue(policy, kStart);
+  TimePoint now = kStart;
+  RequestId next = 1;
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(50);
+    for (int burst = 0; burst < 3; ++burst) queue.Submit(Item(next++, 1), now);
+    queue.Release(static_cast<RequestId>(i) + 1, {}, now);
+  }
+  cr_assert(queue.Waiting() > 20, "%d wait", queue.Waiting());
+  cr_assert(queue.Submit(Item(100000, 5), now).empty(), "tier 5 may wait for its share");
+}
+
 // A burst of tier 0 leaves room behind it: tier 4 may not take the whole window again.
 Test(engine_queue, headroom_follows_recent_demand_of_higher_tiers) {
   EngineQueuePolicy policy = SmallPolicy(8);
