--- a/apps/emulator/engine_model.cc
+++ b/apps/emulator/engine_model.cc
@@ -129,12 +129,19 @@
     next = prefilling->prefill_left / (options_.prefill_tokens_per_second * speed_);
   }
   const double step = StepSeconds();
+  int decoding = 0;
   for (const Sequence& sequence : running_) {
     if (sequence.prefill_left > 0) continue;
+    ++decoding;
     const double target =
         sequence.started ? static_cast<double>(sequence.request.output_tokens) : 1.0;
     next = std::min(next, std::max(0.0, target - sequence.generated) * step);
   }
+  // The KV memory is full one token after the last that fits.
+  if (decoding > 0 && running_.size() > 1) {
+    const auto room = static_cast<double>(options_.kv_tokens - KvInUse() + 1);
+    next = std::min(next, std::max(room, 1.0) / decoding * step);
+  }
   return next;
 }
 
--- a/apps/emulator/load.cc
+++ b/apps/emulator/load.cc
@@ -71,7 +71,8 @@
       const absl::StatusOr<HttpResponse> response =
           co_await Fetch(context_.get_executor(), options_.readiness[target], std::move(request),
                          kReadinessTimeout);
-      unready_[target] = !response.ok() || response->status != 200;
+      const bool ready = response.ok() && response->status == 200;
+      unready_[target] = ready ? 0 : 1;
       co_await Sleep(kReadinessInterval);
     }
   }
@@ -84,7 +85,7 @@
     std::vector<Endpoint> others;
     for (size_t i = 0; i < options_.targets.size(); ++i) {
       const size_t target = (first + i) % options_.targets.size();
-      (unready_[target] ? others : ready).push_back(options_.targets[target]);
+      (unready_[target] != 0 ? others : ready).push_back(options_.targets[target]);
     }
     ready.insert(ready.end(), others.begin(), others.end());
     return ready;
--- a/apps/emulator/main.cc
+++ b/apps/emulator/main.cc
@@ -23,6 +23,7 @@
     {"load", cartsail::emulator::RunLoadCommand},
     {"ask", cartsail::emulator::RunAskCommand},
     {"scenario", cartsail::emulator::RunScenarioCommand},
+    {"fleet", cartsail::emulator::RunFleetCommand},
 };
 
 int PrintUsage() {
--- a/apps/emulator/subcommands.h
+++ b/apps/emulator/subcommands.h
@@ -15,5 +15,6 @@
 // One question, streamed to standard output.
 absl::Status RunAskCommand(const std::vector<std::string>& arguments);
 absl::Status RunScenarioCommand(const std::vector<std::string>& arguments);
+absl::Status RunFleetCommand(const std::vector<std::string>& arguments);
 
 }  // namespace cartsail::emulator
--- a/libs/claims/include/cartsail/claims/claim_batcher.h
+++ b/libs/claims/include/cartsail/claims/claim_batcher.h
@@ -44,14 +44,20 @@
 
 struct ClaimBatcherPolicy {
   size_t batch_limit = 128;              // creates per transaction
-  Duration interval = milliseconds(10);  // least time between transactions
+  Duration interval = milliseconds(10);  // least time between transactions of this node
   Duration retry_pause = milliseconds(200);
 };
 
+// The interval at which a zone's batching node writes, so that all zones together stay within a
+// bounded number of transactions a second.
+Duration ClaimInterval(int zones);
+
 class ClaimBatcher {
  public:
   explicit ClaimBatcher(ClaimBatcherPolicy policy = {}) : policy_(policy) {}
 
+  void SetInterval(Duration interval) { policy_.interval = interval; }
+
   void Add(ClaimRequest request);
 
   // The claims to send in one transaction now, or nothing. One transaction is out at a time; each
--- a/libs/claims/src/claim_batcher.cc
+++ b/libs/claims/src/claim_batcher.cc
@@ -9,6 +9,19 @@
 
 namespace cartsail {
 
+namespace {
+
+// The platform bears some hundred writes a second; claims of the whole fleet take this part of it.
+constexpr int kFleetTransactionsPerSecond = 150;
+constexpr Duration kShortestInterval = milliseconds(10);
+
+}  // namespace
+
+Duration ClaimInterval(int zones) {
+  const Duration share = Duration(seconds(1)) * zones / kFleetTransactionsPerSecond;
+  return std::max(share, kShortestInterval);
+}
+
 void ClaimBatcher::Add(ClaimRequest request) { queue_.push_back(std::move(request)); }
 
 std::vector<ClaimRequest> ClaimBatcher::TakeBatch(TimePoint now) {
--- a/libs/claims/tests/claim_batcher_test.cc
+++ b/libs/claims/tests/claim_batcher_test.cc
@@ -20,6 +20,24 @@
   cr_assert(batcher.TakeBatch(kStart).empty(), "one transaction is out at a time");
 }
 
+// 17 zones together write no more often than the platform bears.
+Test(claims, the_interval_grows_with_the_number_of_zones) {
+  cr_assert(ClaimInterval(1) == milliseconds(10));
+  cr_assert(ToSeconds(ClaimInterval(17)) * 150 > 16.99);
+  ClaimBatcher batcher;
+  batcher.SetInterval(ClaimInterval(17));
+  int transactions = 0;
+  for (uint64_t i = 0; i < 1000; ++i) {
+    batcher.Add(Request(i, "k" + std::to_string(i), "a"));
+    const TimePoint now = kStart + milliseconds(i);
+    const std::vector<ClaimRequest> batch = batcher.TakeBatch(now);
+    if (batch.empty()) continue;
+    ++transactions;
+    batcher.OnReply(std::vector<ClaimRecord>(batch.size(), {"a", ""}));
+  }
+  cr_assert(transactions <= 10, "%d in a second of one zone", transactions);
+}
+
 Test(claims, the_record_that_stands_decides) {
   ClaimBatcher batcher;
   batcher.Add(Request(1, "k1", "mine"));
--- a/libs/config/src/schema.cc
+++ b/libs/config/src/schema.cc
@@ -43,7 +43,7 @@
     SettingSpec{"tier_shares", SettingType::kFractions, "0.02,0.02,0.02,0.02,0.02,0.02",
                 kSmallestTierShare, kLargestShareSum, kRootLevel,
                 "Guaranteed share of starts of each tier"},
-    SettingSpec{"headroom_limit", SettingType::kFraction, "0.25", 0, 0.9, kRootLevel,
+    SettingSpec{"headroom_limit", SettingType::kFraction, "0", 0, 0.9, kRootLevel,
                 "Largest share of an engine's window kept free for higher tiers"},
     SettingSpec{"queue_limit", SettingType::kInteger, "256", 1, 100000, kRootLevel,
                 "Requests that may wait for one engine"},
--- a/libs/daemon/include/cartsail/daemon/options.h
+++ b/libs/daemon/include/cartsail/daemon/options.h
@@ -30,7 +30,7 @@
   Duration isolation_limit = seconds(15);
   Duration config_poll = seconds(30);
   int64_t initial_window = 16;
-  int64_t max_window = 64;
+  int64_t max_window = 16;
   int64_t max_body_bytes = 1 << 20;
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/libs/daemon/src/claim_service.h
+++ b/libs/daemon/src/claim_service.h
@@ -24,6 +24,8 @@
   ClaimService(boost::asio::io_context& context, KeyValueStore& store, MemberTable& members);
 
   void SetNetwork(PeerNetwork* network) { network_ = network; }
+  // The number of zones with nodes, which share the platform's rate.
+  void SetZones(int zones) { batcher_.SetInterval(ClaimInterval(zones)); }
   void SetRetention(Duration retention) { retention_ = retention; }
 
   // Decides a claim within `timeout`, or kUndecided.
--- a/libs/daemon/src/node.cc
+++ b/libs/daemon/src/node.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <random>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -303,14 +304,17 @@
 
   void OnMachines(const std::vector<Machine>& machines) {
     std::vector<Member> nodes;
+    std::set<std::string> zones = {options_.zone};
     for (const Machine& machine : machines) {
       if (machine.kind != MachineKind::kNode) continue;
+      zones.insert(machine.zone);
       Member member;
       member.id = machine.id;
       member.zone = machine.zone;
       member.address = machine.address.ToString();
       nodes.push_back(std::move(member));
     }
+    claims_.SetZones(static_cast<int>(zones.size()));
     members_.SetListed(nodes);
     slots_.SetMachines(machines);
     SendHeartbeats();
--- a/libs/daemon/src/options.cc
+++ b/libs/daemon/src/options.cc
@@ -91,7 +91,7 @@
               &options.isolation_limit);
   AddDuration(flags, "config-poll", "Time between reads of the configuration's head",
               &options.config_poll);
-  flags.Integer("initial-window", "Requests at an engine at once, before measurements",
+  flags.Integer("initial-window", "Requests at an engine at once: the size of its batch",
                 &options.initial_window, 1, 100000);
   flags.Integer("max-window", "Most requests at an engine at once", &options.max_window, 1, 100000);
   flags.Integer("max-body-bytes", "Largest request body", &options.max_body_bytes, 1024, 64 << 20);
--- a/libs/gateway/src/backend_work.cc
+++ b/libs/gateway/src/backend_work.cc
@@ -11,8 +11,6 @@
 namespace cartsail {
 namespace {
 
-namespace asio = boost::asio;
-
 constexpr int kAttemptIdBytes = 12;
 constexpr Duration kClaimTimeout = seconds(2);
 constexpr Duration kPlatformRetryAfter = seconds(2);
@@ -30,7 +28,7 @@
 
 }  // namespace
 
-BackendWork::BackendWork(asio::any_io_executor executor, ControlPlane& control,
+BackendWork::BackendWork(boost::asio::any_io_executor executor, ControlPlane& control,
                          const Caller& caller, std::string model, uint64_t prefix_hash)
     : executor_(std::move(executor)),
       control_(control),
@@ -46,8 +44,8 @@
   if (admitted_) control_.EndRequest(caller_.tenant);
 }
 
-asio::awaitable<absl::Status> BackendWork::Acquire(SlotPurpose purpose,
-                                                   std::function<void()> on_preempt) {
+boost::asio::awaitable<absl::Status> BackendWork::Acquire(SlotPurpose purpose,
+                                                          std::function<void()> on_preempt) {
   if (caller_gone_) co_return MakeError(ErrorKind::kCancelled, "the caller has gone");
   SlotRequest request;
   request.id = NewRequestId();
@@ -59,7 +57,7 @@
   request.excluded = excluded_;
   if (on_preempt) {
     request.on_preempt = [executor = executor_, on_preempt = std::move(on_preempt)] {
-      asio::post(executor, on_preempt);
+      boost::asio::post(executor, on_preempt);
     };
   }
   pending_id_ = request.id;
@@ -82,7 +80,7 @@
   co_return absl::OkStatus();
 }
 
-asio::awaitable<absl::Status> BackendWork::PrepareAttempt() {
+boost::asio::awaitable<absl::Status> BackendWork::PrepareAttempt() {
   if (caller_.policy->repeatable) {
     attempt_ = RandomHex(kAttemptIdBytes);
     co_return absl::OkStatus();
@@ -92,7 +90,7 @@
   co_return co_await Claim();
 }
 
-asio::awaitable<absl::Status> BackendWork::Claim() {
+boost::asio::awaitable<absl::Status> BackendWork::Claim() {
   const std::string key = ClaimKey(caller_.tenant, caller_.idempotency_key);
   const ClaimRecord record{attempt_, slot_.engine};
   std::function<void(std::function<void(ClaimResult)>)> start =
--- a/libs/scheduler/include/cartsail/scheduler/engine_queue.h
+++ b/libs/scheduler/include/cartsail/scheduler/engine_queue.h
@@ -8,7 +8,9 @@
 //    or, when preemption is on, a preemptible running slot;
 //  - every tier with waiting requests gets its guaranteed share of starts;
 //  - otherwise the higher tier starts first, and inside a tier the earliest start deadline;
-//  - a lower tier leaves headroom free that recent demand of higher tiers calls for.
+//  - a lower tier leaves headroom free that recent demand of higher tiers calls for, where the
+//  policy
+//    asks for it.
 #pragma once
 
 #include <cstdint>
--- a/libs/scheduler/include/cartsail/scheduler/types.h
+++ b/libs/scheduler/include/cartsail/scheduler/types.h
@@ -76,12 +76,16 @@
   int min_window = 2;
   int max_window = 256;
   int queue_limit = 256;
-  // Largest share of the window kept free from lower tiers; 0 turns headroom off.
-  double headroom_limit = 0.25;
+  // Largest share of the window kept free from lower tiers; 0 turns headroom off. See
+  // docs/design/0002: preemption serves the top tier as well and leaves no slot idle.
+  double headroom_limit = 0;
   // Time constant with which a past peak of demand is forgotten.
   Duration headroom_memory = seconds(20);
   // Guaranteed share of starts per tier.
   PerTier<double> tier_shares{0.02, 0.02, 0.02, 0.02, 0.02, 0.02};
+  // A newcomer's wait is estimated with at least this share of the engine's rate left to its tier,
+  // although higher tiers take more just now: their burst may end while it waits.
+  double admission_floor = 0.1;
   // A waiting request preempts after this share of its first-token target; negative: never.
   double preempt_after = 0.3;
   // Whether the window follows measured token intervals.
--- a/libs/scheduler/src/engine_queue.cc
+++ b/libs/scheduler/src/engine_queue.cc
@@ -103,6 +103,7 @@
     ahead += static_cast<double>(waiting_[higher].size());
   }
   double wait = own / std::max(policy_.tier_shares[tier] * total_rate, kSmallestRate);
+  rate_left = std::max(rate_left, policy_.admission_floor * total_rate);
   if (rate_left > 0) wait = std::min(wait, ahead / rate_left);
   return FromSeconds(std::min(wait, kLongestEstimateSeconds));
 }
@@ -385,7 +386,8 @@
     strictest = std::max(strictest, pace_ratio_[t]);
   }
   if (strictest > kShrinkAbove) {
-    window_ = std::max(policy_.min_window, static_cast<int>(window_ * kShrinkFactor));
+    const int least = std::min(policy_.min_window, policy_.max_window);
+    window_ = std::max(least, static_cast<int>(window_ * kShrinkFactor));
   } else if (strictest > 0 && strictest < kGrowBelow && saturated_) {
     window_ = std::min(policy_.max_window, window_ + 1);
   }
