--- a/apps/cartsailctl/command.h
+++ b/apps/cartsailctl/command.h
@@ -34,6 +34,8 @@
   bool wait = false;
   Duration wait_timeout = seconds(10);
   int64_t if_revision = -1;  // -1: not given
+  int64_t engines = 1;       // replay: engines per model
+  int64_t window = 16;       // replay: requests at an engine at once
 };
 
 struct CommandResult {
@@ -57,6 +59,14 @@
 boost::asio::awaitable<absl::StatusOr<CommandResult>> RunStatusCommand(
     boost::asio::io_context& context, CommandOptions options);
 
+absl::StatusOr<CommandResult> RunCheckCommand(const Words& words);
+absl::StatusOr<CommandResult> RunPlanCommand(const Words& words);
+boost::asio::awaitable<absl::StatusOr<CommandResult>> RunReplayCommand(
+    boost::asio::io_context& context, CommandOptions options, Words words);
+
+// A file's content; a usage error when it cannot be read.
+absl::StatusOr<std::string> ReadWholeFile(const std::string& path);
+
 // Polls the nodes until all have at least `revision` in force. Returns the time it took, or
 // kTimeout naming the nodes that lag.
 boost::asio::awaitable<absl::StatusOr<Duration>> AwaitRevision(boost::asio::io_context& context,
--- a/apps/cartsailctl/config_commands.cc
+++ b/apps/cartsailctl/config_commands.cc
@@ -4,8 +4,6 @@
 #include <fmt/format.h>
 
 #include <chrono>
-#include <fstream>
-#include <sstream>
 
 #include "cartsail/base/hash.h"
 #include "cartsail/operations/config_store.h"
@@ -276,11 +274,9 @@
   // {"edits": [{"path", "setting", "value"}], "add": [PATH], "remove": [PATH],
   //  "keys": [{"tenant", "id", "key"}]}
   static absl::StatusOr<ConfigChange> ReadChangeFile(const std::string& path) {
-    std::ifstream file(path);
-    if (!file) return Usage(fmt::format("cannot read {}", path));
-    std::ostringstream text;
-    text << file.rdbuf();
-    const absl::StatusOr<json::object> object = ParseJsonObject(text.str());
+    const absl::StatusOr<std::string> text = ReadWholeFile(path);
+    if (!text.ok()) return text.status();
+    const absl::StatusOr<json::object> object = ParseJsonObject(*text);
     if (!object.ok()) return Usage(fmt::format("{}: not a JSON object", path));
     ConfigChange change;
     absl::Status status = ReadPaths(*object, "add", &change.added);
--- a/apps/cartsailctl/main.cc
+++ b/apps/cartsailctl/main.cc
@@ -23,7 +23,8 @@
     "config get PATH [SETTING] | config set PATH NAME=VALUE... | config unset PATH NAME... | "
     "config add PATH | config remove PATH | config import FILE | config validate FILE | "
     "config explain PATH | config history [COUNT] | config diff FROM TO | "
-    "key add TENANT ID [KEY] | key remove TENANT ID | status. "
+    "key add TENANT ID [KEY] | key remove TENANT ID | status | check FILE | plan FILE | "
+    "replay [FILE]. "
     "PATH is root, TENANT, TENANT/SERVICE or TENANT/SERVICE/CLASS. "
     "Example: cartsailctl --nodes 127.0.0.1:8081 --wait config set airport/assistant/gate-change "
     "tier=0 ttft_target=500ms";
@@ -67,6 +68,8 @@
                  options->wait_timeout = FromSeconds(value);
                  return true;
                });
+  flags.Integer("engines", "replay: engines per model", &options->engines, 1, 100000);
+  flags.Integer("window", "replay: requests at an engine at once", &options->window, 1, 100000);
   flags.Words("command", "Command and its arguments", words);
   return flags.Parse(std::vector<std::string>(argv + 1, argv + argc), exit_now);
 }
@@ -97,6 +100,11 @@
   if (command == "key") {
     co_return co_await RunKeyCommand(context, std::move(options), std::move(words));
   }
+  if (command == "check") co_return RunCheckCommand(words);
+  if (command == "plan") co_return RunPlanCommand(words);
+  if (command == "replay") {
+    co_return co_await RunReplayCommand(context, std::move(options), std::move(words));
+  }
   if (command == "status") co_return co_await RunStatusCommand(context, std::move(options));
   co_return Usage(fmt::format("unknown command {}; see --help", command));
 }
--- a/apps/emulator/fleet.cc
+++ b/apps/emulator/fleet.cc
@@ -21,6 +21,7 @@
 constexpr Duration kSameZoneLatency = std::chrono::microseconds(100);
 constexpr Duration kEngineLatency = std::chrono::microseconds(300);
 constexpr Duration kHeartbeatInterval = milliseconds(250);
+constexpr uint64_t kHeartbeatsPerDigest = 4;
 constexpr Duration kTickInterval = milliseconds(20);
 constexpr Duration kReportInterval = seconds(1);
 constexpr Duration kPlatformLatency = milliseconds(3);
@@ -109,6 +110,8 @@
     const Topology& topology = workload_.topology;
     EngineModelOptions model;
     model.batch_limit = topology.batch_limit;
+    model.base_step = topology.base_step;
+    model.per_sequence_step = topology.per_sequence_step;
     engine.model = std::make_unique<EngineModel>(model, events_.Time());
     engine.up = true;
     const int slow = static_cast<int>(topology.slow_engine_share * topology.engines);
@@ -244,15 +247,19 @@
   void ScheduleHeartbeat(size_t index, uint64_t incarnation, Duration delay) {
     events_.After(delay, [this, index, incarnation] {
       if (!IsUp(index, incarnation)) return;
-      SendHeartbeats(index);
-      ScheduleHeartbeat(index, incarnation, kHeartbeatInterval);
+      SendHeartbeats(index, ++nodes_[index]->heartbeats % kHeartbeatsPerDigest == 0);
+      ScheduleHeartbeat(index, incarnation, IntervalOf(index));
     });
   }
 
-  void SendHeartbeats(size_t index) {
+  Duration IntervalOf(size_t index) const {
+    return HeartbeatInterval(kHeartbeatInterval, nodes_[index]->members.Peers().size());
+  }
+
+  void SendHeartbeats(size_t index, bool with_digests) {
     HollowNode& node = *nodes_[index];
-    auto digests = std::make_shared<std::vector<OwnedDigest>>(
-        Decide([&] { return node.owned.Digests(events_.Time()); }));
+    auto digests = std::make_shared<std::vector<OwnedDigest>>();
+    if (with_digests) *digests = Decide([&] { return node.owned.Digests(events_.Time()); });
     for (const OwnedDigest& owned : *digests) {
       node.entry.Selector().UpdateDigest(owned.engine, owned.digest);
     }
@@ -266,7 +273,7 @@
           for (const OwnedDigest& owned : *digests) {
             receiver.entry.Selector().UpdateDigest(owned.engine, owned.digest);
           }
-          return receiver.members.Heard(sender, zone, "", false, events_.Time());
+          return receiver.members.Heard(sender, zone, "", false, events_.Time(), IntervalOf(index));
         });
         if (changed) RefreshOwners(to);
       });
--- a/apps/emulator/fleet.h
+++ b/apps/emulator/fleet.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "cartsail/operations/workload.h"
 #include "cartsail/scheduler/types.h"
 #include "measures.h"
-#include "workload.h"
 
 namespace cartsail::emulator {
 
--- a/apps/emulator/fleet_node.h
+++ b/apps/emulator/fleet_node.h
@@ -29,6 +29,7 @@
   MemberTable members;
   ClaimBatcher claims;
   uint64_t claim_timer = 0;
+  uint64_t heartbeats = 0;
 
   // engine -> owner, as this node sees it.
   std::unordered_map<std::string, std::string> owners;
--- a/apps/emulator/load.h
+++ b/apps/emulator/load.h
@@ -8,7 +8,7 @@
 
 #include "cartsail/base/json.h"
 #include "cartsail/net/http_types.h"
-#include "workload.h"
+#include "cartsail/operations/workload.h"
 
 namespace cartsail::emulator {
 
--- a/apps/emulator/scenario.cc
+++ b/apps/emulator/scenario.cc
@@ -249,6 +249,14 @@
   return 1;
 }
 
+// hold(NODE, BYTES): a caller that never reads its answer.
+int Hold(lua_State* lua) {
+  size_t length = 0;
+  const char* bytes = luaL_checklstring(lua, 2, &length);
+  ScriptOf(lua).world->HoldConnection(luaL_checkstring(lua, 1), std::string(bytes, length));
+  return 0;
+}
+
 int Clock(lua_State* lua) {
   lua_pushnumber(lua, ToSeconds(Now() - ScriptOf(lua).start));
   return 1;
@@ -305,6 +313,7 @@
     {"load", Load},
     {"load_result", LoadResult},
     {"raw", Raw},
+    {"hold", Hold},
     {"clock", Clock},
     {"pause", Pause},
     {"note", Note},
@@ -367,6 +376,12 @@
   return sum
 end
 
+function errors_of(class)
+  local text = ""
+  for kind, count in pairs(class.errors) do text = text .. kind .. " " .. count .. " " end
+  return text
+end
+
 function in_force(nodes, revision)
   for _, id in ipairs(nodes) do
     if (status(id).revision or 0) < revision then return false end
--- a/apps/emulator/world.cc
+++ b/apps/emulator/world.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <signal.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
@@ -25,6 +26,7 @@
 constexpr Duration kHttpTimeout = seconds(2);
 constexpr Duration kPoll = milliseconds(10);
 constexpr int kLogLines = 15;
+constexpr int kHeldReceiveBytes = 4096;
 
 Endpoint Loopback(uint16_t port) { return {"127.0.0.1", port}; }
 
@@ -71,6 +73,7 @@
 }
 
 World::~World() {
+  for (const int descriptor : held_) close(descriptor);
   for (auto& [name, program] : programs_) {
     if (program.process == nullptr) continue;
     program.process->Signal(SIGKILL);
@@ -336,6 +339,23 @@
   return answer;
 }
 
+void World::HoldConnection(const std::string& node, const std::string& bytes) {
+  const absl::StatusOr<Program*> program = Find(node);
+  if (!program.ok()) return;
+  asio::io_context context{1};
+  asio::ip::tcp::socket socket(context);
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
+                                         (*program)->caller.port);
+  socket.open(asio::ip::tcp::v4(), error);
+  // A small window fills soon.
+  socket.set_option(asio::socket_base::receive_buffer_size(kHeldReceiveBytes), error);
+  socket.connect(endpoint, error);
+  if (error) return;
+  asio::write(socket, asio::buffer(bytes), error);
+  held_.push_back(socket.release());
+}
+
 std::vector<Endpoint> World::CallerEndpoints(const json::object& call) {
   std::vector<Endpoint> endpoints;
   const json::array* names = GetArray(call, "to");
--- a/apps/emulator/world.h
+++ b/apps/emulator/world.h
@@ -65,6 +65,9 @@
   // Bytes as sent to a node's port for callers; the answer until the node closes or is silent.
   std::string SendRaw(const std::string& node, const std::string& bytes, double seconds);
 
+  // Sends `bytes` and keeps the connection open without ever reading from it.
+  void HoldConnection(const std::string& node, const std::string& bytes);
+
   int Ask(const json::object& call);  // a handle
   // The result of a call; nullopt while it goes on.
   std::optional<json::object> AskResult(int handle);
@@ -108,6 +111,7 @@
   std::map<int, std::future<CallerResult>> asks_;
   std::map<int, std::future<json::object>> loads_;
   int next_handle_ = 1;
+  std::vector<int> held_;  // file descriptors
 };
 
 }  // namespace cartsail::emulator
--- a/libs/daemon/include/cartsail/daemon/options.h
+++ b/libs/daemon/include/cartsail/daemon/options.h
@@ -32,6 +32,7 @@
   int64_t initial_window = 16;
   int64_t max_window = 16;
   int64_t max_body_bytes = 1 << 20;
+  int64_t request_log = 4096;  // recent requests kept for replay
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/libs/daemon/src/admin.cc
+++ b/libs/daemon/src/admin.cc
@@ -27,7 +27,8 @@
     response.body = json::serialize(sources.status());
     return response;
   }
-  return Text(404, "no such path: /livez, /readyz, /metrics, /status\n");
+  if (path == "/requests") return Text(200, sources.requests());
+  return Text(404, "no such path: /livez, /readyz, /metrics, /status, /requests\n");
 }
 
 }  // namespace
--- a/libs/daemon/src/admin.h
+++ b/libs/daemon/src/admin.h
@@ -1,4 +1,4 @@
-// The operators' HTTP port: /livez, /readyz, /metrics, /status.
+// The operators' HTTP port: /livez, /readyz, /metrics, /status, /requests.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +13,7 @@
 struct AdminSources {
   std::function<bool()> ready;
   std::function<json::object()> status;
+  std::function<std::string()> requests;  // the request log
 };
 
 std::unique_ptr<HttpServer> MakeAdminServer(boost::asio::io_context& context, Endpoint endpoint,
--- a/libs/daemon/src/config_service.cc
+++ b/libs/daemon/src/config_service.cc
@@ -16,7 +16,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::string_view kRelayRole = "relay";
 constexpr size_t kRelaysPerZone = 2;
 constexpr int64_t kPageLimit = 1000;
 constexpr Duration kShortestPause = milliseconds(200);
--- a/libs/daemon/src/config_service.h
+++ b/libs/daemon/src/config_service.h
@@ -18,6 +18,9 @@
 
 namespace cartsail {
 
+// The role, in rendezvous order, of the nodes that watch the platform for their zone.
+inline constexpr std::string_view kRelayRole = "relay";
+
 class ConfigService {
  public:
   ConfigService(boost::asio::io_context& context, const NodeOptions& options, KeyValueStore& store,
--- a/libs/daemon/src/node.cc
+++ b/libs/daemon/src/node.cc
@@ -38,6 +38,9 @@
 constexpr Duration kSettleTime = seconds(2);
 // Up to so many nodes everyone sends heartbeats to everyone; beyond, zones speak through relays.
 constexpr size_t kFullMeshLimit = 32;
+// Answers to asks and releases refresh digests too, so that heartbeats carry them only now and
+// then.
+constexpr uint64_t kHeartbeatsPerDigest = 4;
 
 // One traffic thread: its own event loop, server and gateway.
 struct TrafficThread {
@@ -167,7 +170,7 @@
 
   void OnHeartbeat(const Heartbeat& heartbeat) override {
     const bool changed = members_.Heard(heartbeat.node, heartbeat.zone, heartbeat.address,
-                                        heartbeat.draining, Now());
+                                        heartbeat.draining, Now(), heartbeat.interval);
     if (changed) {
       Log(LogLevel::kInfo, "member_live",
           {{"node", heartbeat.node}, {"draining", heartbeat.draining ? "true" : "false"}});
@@ -185,6 +188,7 @@
     AdminSources sources;
     sources.ready = [this] { return IsReady(); };
     sources.status = [this] { return Status(); };
+    sources.requests = [this] { return slots_.RequestLogText(); };
     admin_ = MakeAdminServer(context_, options_.admin, std::move(sources));
     return admin_->Start();
   }
@@ -233,7 +237,7 @@
 
   void ArmTimers() {
     Repeat(tick_timer_, kTickInterval, [this] { Tick(); });
-    Repeat(heartbeat_timer_, options_.heartbeat_interval, [this] { SendHeartbeats(); });
+    ArmHeartbeat();
     Repeat(reconcile_timer_, kReconcileInterval, [this] { slots_.Reconcile(Now()); });
     Repeat(meter_timer_, kMeterInterval, [this] { Meter(); });
   }
@@ -266,7 +270,33 @@
     slots_.Tick(now);
   }
 
-  Heartbeat MakeHeartbeat() const {
+  void ArmHeartbeat() {
+    heartbeat_timer_.expires_after(CurrentInterval());
+    heartbeat_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      SendHeartbeats(++heartbeat_number_ % kHeartbeatsPerDigest == 0);
+      ArmHeartbeat();
+    });
+  }
+
+  Duration CurrentInterval() const {
+    return HeartbeatInterval(options_.heartbeat_interval, HeartbeatTargets().size());
+  }
+
+  // Whom this node sends heartbeats to: everyone in a small fleet; in a large one its own zone and,
+  // from a relay, one node of each other zone.
+  std::vector<const Member*> HeartbeatTargets() const {
+    std::vector<const Member*> peers = members_.Peers();
+    if (peers.size() < kFullMeshLimit) return peers;
+    std::erase_if(peers, [this](const Member* peer) {
+      const bool same_zone = peer->zone == options_.zone || peer->zone.empty();
+      const bool across = config_.IsRelay() && members_.OwnerOf(kRelayRole, peer->zone) == peer->id;
+      return !same_zone && !across;
+    });
+    return peers;
+  }
+
+  Heartbeat MakeHeartbeat(bool with_digests) const {
     Heartbeat heartbeat;
     heartbeat.node = options_.node_id;
     heartbeat.zone = options_.zone;
@@ -274,20 +304,16 @@
     heartbeat.draining = draining_;
     heartbeat.config_revision = config_.Current()->Revision();
     heartbeat.machine_version = machines_.Version();
-    heartbeat.engines = slots_.Digests(Now());
+    heartbeat.interval = CurrentInterval();
+    if (with_digests) heartbeat.engines = slots_.Digests(Now());
     return heartbeat;
   }
 
-  void SendHeartbeats() {
-    const Heartbeat heartbeat = MakeHeartbeat();
+  void SendHeartbeats(bool with_digests = false) {
+    const Heartbeat heartbeat = MakeHeartbeat(with_digests);
     slots_.OnHeartbeat(heartbeat);
-    const std::vector<const Member*> peers = members_.Peers();
-    const bool full_mesh = peers.size() < kFullMeshLimit;
-    for (const Member* peer : peers) {
-      const bool same_zone = peer->zone == options_.zone || peer->zone.empty();
-      const bool across = config_.IsRelay() && members_.OwnerOf("relay", peer->zone) == peer->id;
-      if (full_mesh || same_zone || across) network_->SendHeartbeat(peer->address, heartbeat);
-    }
+    const std::vector<const Member*> peers = HeartbeatTargets();
+    for (const Member* peer : peers) network_->SendHeartbeat(peer->address, heartbeat);
     // A start while the platform is out: nobody is listed yet.
     if (!peers.empty()) return;
     for (const std::string& seed : options_.seed_peers) {
@@ -439,6 +465,7 @@
   TimePoint started_ = Now();
   bool peer_heard_ = false;
   int64_t newest_heard_ = 0;  // configuration revision of any peer
+  uint64_t heartbeat_number_ = 0;
   bool draining_ = false;
   TimePoint drain_deadline_{};
   absl::Status drain_status_;
--- a/libs/daemon/src/options.cc
+++ b/libs/daemon/src/options.cc
@@ -95,6 +95,8 @@
                 &options.initial_window, 1, 100000);
   flags.Integer("max-window", "Most requests at an engine at once", &options.max_window, 1, 100000);
   flags.Integer("max-body-bytes", "Largest request body", &options.max_body_bytes, 1024, 64 << 20);
+  flags.Integer("request-log", "Recent requests kept for replay (0: none)", &options.request_log, 0,
+                1 << 20);
   flags.Parsed(
       "log-level", "Least level logged", "info", "debug, info, warning, error or off",
       [&options](const std::string& text) { return ParseLogLevel(text, &options.log_level); });
--- a/libs/daemon/src/slot_service.cc
+++ b/libs/daemon/src/slot_service.cc
@@ -95,7 +95,42 @@
       options_(options),
       members_(members),
       entry_(options.node_id, SelectorPolicy(), std::random_device{}()),
-      owned_(QueuePolicy(FleetPolicy())) {}
+      owned_(QueuePolicy(FleetPolicy())),
+      log_(static_cast<size_t>(options.request_log)) {}
+
+void SlotService::NoteAsked(const SlotRequest& request) {
+  if (request.purpose != SlotPurpose::kFirst || options_.request_log == 0) return;
+  OpenRecord& open = open_records_[request.id];
+  open.arrival = request.arrival;
+  open.record.at_ms = ToMillis(request.arrival - started_);
+  open.record.tenant = request.policy->tenant;
+  open.record.service = request.policy->service;
+  open.record.class_name = request.policy->class_name;
+  open.record.model = request.model;
+  open.record.tier = request.policy->tier;
+}
+
+void SlotService::NoteDecided(RequestId id, const SlotDecision& decision) {
+  const auto found = open_records_.find(id);
+  if (found == open_records_.end()) return;
+  OpenRecord& open = found->second;
+  open.granted = Now();
+  open.record.granted = decision.status.ok();
+  open.record.wait_ms = ToMillis(open.granted - open.arrival);
+  if (decision.status.ok()) return;
+  open.record.refusal = ErrorKindName(KindOf(decision.status));
+  log_.Add(std::move(open.record));
+  open_records_.erase(found);
+}
+
+void SlotService::NoteReleased(RequestId id) {
+  const auto found = open_records_.find(id);
+  if (found == open_records_.end()) return;
+  OpenRecord& open = found->second;
+  open.record.service_ms = ToMillis(Now() - open.granted);
+  log_.Add(std::move(open.record));
+  open_records_.erase(found);
+}
 
 EngineQueuePolicy SlotService::QueuePolicy(const FleetPolicy& fleet) const {
   EngineQueuePolicy policy;
@@ -115,6 +150,7 @@
   waiting_[request.id] = std::move(done);
   preempt_[request.id] = request.on_preempt;
   if (request.purpose == SlotPurpose::kRetry) GlobalCounters().retries_total.Add();
+  NoteAsked(request);
   Run(entry_.Acquire(ToEntryRequest(request, members_.LiveCount()), Now()));
 }
 
@@ -128,6 +164,7 @@
 
 void SlotService::Release(RequestId id, SlotEnd end, const ServiceReport& report) {
   preempt_.erase(id);
+  NoteReleased(id);
   Run(entry_.Release(id, ToEnd(end), report, Now()));
 }
 
@@ -148,6 +185,7 @@
   const std::function<void(SlotDecision)> done = std::move(found->second);
   waiting_.erase(found);
   if (!decision.status.ok()) preempt_.erase(id);
+  NoteDecided(id, decision);
   decision.id = id;
   done(std::move(decision));
 }
--- a/libs/daemon/src/slot_service.h
+++ b/libs/daemon/src/slot_service.h
@@ -14,6 +14,7 @@
 #include "cartsail/daemon/options.h"
 #include "cartsail/gateway/control_plane.h"
 #include "cartsail/membership/member_table.h"
+#include "cartsail/operations/request_log.h"
 #include "cartsail/peer/peer_network.h"
 #include "cartsail/platform/machine_list.h"
 #include "cartsail/scheduler/entry_scheduler.h"
@@ -57,6 +58,9 @@
   // does not hold or free a slot for good.
   void Reconcile(TimePoint now);
 
+  // The recent requests, one JSON object per line.
+  std::string RequestLogText() const { return FormatRequestLog(log_.Records()); }
+
   std::vector<EngineDigest> Digests(TimePoint now) const;
   size_t EnginesKnown() const { return engines_.size(); }
   size_t EnginesOwned() const { return owned_.Size(); }
@@ -105,6 +109,19 @@
   std::unordered_map<uint64_t, AskTarget> asks_;
   std::unordered_map<RequestId, uint64_t> local_asks_;  // asks of this node to itself
   std::map<ReplyKey, std::function<void(AcquireReply)>> remote_asks_;
+  // What is known of a request until its record is complete.
+  struct OpenRecord {
+    RequestRecord record;
+    TimePoint arrival{};
+    TimePoint granted{};
+  };
+  void NoteAsked(const SlotRequest& request);
+  void NoteDecided(RequestId id, const SlotDecision& decision);
+  void NoteReleased(RequestId id);
+
+  TimePoint started_ = Now();
+  RequestLog log_;
+  std::unordered_map<RequestId, OpenRecord> open_records_;
   std::set<std::string> announced_;  // engines announced with grants at the last Reconcile()
 };
 
--- a/libs/membership/include/cartsail/membership/member_table.h
+++ b/libs/membership/include/cartsail/membership/member_table.h
@@ -27,11 +27,13 @@
   std::string address;
   MemberState state = MemberState::kUnheard;
   TimePoint last_heard{};
+  Duration interval{};  // of its heartbeats
 };
 
 struct MemberTableOptions {
   std::string self;
   std::string zone;
+  // Silence that makes a suspect; at least kSuspectIntervals of the member's own intervals.
   Duration suspect_after = milliseconds(1500);
   // A gap between ticks longer than this means that this process was paused.
   Duration pause_threshold = milliseconds(1000);
@@ -39,6 +41,10 @@
   Duration forget_after = seconds(30);
 };
 
+// The time between a node's heartbeats: `base` up to a few peers, longer with more, so that the
+// number of heartbeats that a node sends per second stays bounded.
+Duration HeartbeatInterval(Duration base, size_t peers);
+
 class MemberTable {
  public:
   MemberTable(MemberTableOptions options, TimePoint now);
@@ -46,9 +52,11 @@
   // The machine list's nodes: `listed` replaces the earlier list.
   void SetListed(const std::vector<Member>& listed);
 
-  // A heartbeat. Returns true when the set of owners changed.
+  static constexpr int kSuspectIntervals = 4;
+
+  // A heartbeat; the next one is due after `interval`. Returns true when the set of owners changed.
   bool Heard(const std::string& id, const std::string& zone, const std::string& address,
-             bool draining, TimePoint now);
+             bool draining, TimePoint now, Duration interval = Duration(0));
 
   // Time has passed. Returns the ids that became suspect.
   std::vector<std::string> Tick(TimePoint now);
--- a/libs/membership/src/member_table.cc
+++ b/libs/membership/src/member_table.cc
@@ -6,6 +6,17 @@
 
 namespace cartsail {
 
+namespace {
+
+constexpr size_t kPeersAtBaseInterval = 8;
+
+}  // namespace
+
+Duration HeartbeatInterval(Duration base, size_t peers) {
+  if (peers <= kPeersAtBaseInterval) return base;
+  return base * static_cast<int64_t>(peers) / static_cast<int64_t>(kPeersAtBaseInterval);
+}
+
 MemberTable::MemberTable(MemberTableOptions options, TimePoint now)
     : options_(std::move(options)), last_tick_(now) {
   Member self;
@@ -31,7 +42,7 @@
 }
 
 bool MemberTable::Heard(const std::string& id, const std::string& zone, const std::string& address,
-                        bool draining, TimePoint now) {
+                        bool draining, TimePoint now, Duration interval) {
   if (id == options_.self) return false;
   Member& member = members_[id];
   const MemberState before = member.state;
@@ -39,6 +50,7 @@
   member.zone = zone;
   member.address = address;
   member.last_heard = now;
+  member.interval = interval;
   member.state = draining ? MemberState::kDraining : MemberState::kLive;
   const bool changed = before != member.state;
   if (changed) ++epoch_;
@@ -54,7 +66,8 @@
     if (id == options_.self) continue;
     // Heartbeats that came while this process slept are still unread: do not blame the sender.
     if (was_paused_) member.last_heard += gap;
-    const bool silent = now - member.last_heard > options_.suspect_after;
+    const Duration patience = std::max(options_.suspect_after, member.interval * kSuspectIntervals);
+    const bool silent = now - member.last_heard > patience;
     const bool counted =
         member.state == MemberState::kLive || member.state == MemberState::kDraining;
     if (!silent || !counted) continue;
--- a/libs/membership/tests/member_table_test.cc
+++ b/libs/membership/tests/member_table_test.cc
@@ -42,6 +42,19 @@
   cr_assert(table.LiveCount() == 2);
 }
 
+// With many peers heartbeats are rarer; a member is judged by the interval that it told.
+Test(members, patience_follows_the_interval_told) {
+  cr_assert(HeartbeatInterval(milliseconds(250), 7) == milliseconds(250));
+  cr_assert(HeartbeatInterval(milliseconds(250), 28) == milliseconds(875));
+  MemberTable table = MakeTable();
+  table.Heard("n2", "z1", "a:1", false, kStart, milliseconds(875));
+  TimePoint now = kStart;
+  while (now < kStart + milliseconds(3400)) cr_assert(table.Tick(now += milliseconds(100)).empty());
+  std::vector<std::string> suspects;
+  while (suspects.empty()) suspects = table.Tick(now += milliseconds(100));
+  cr_assert(now < kStart + milliseconds(3800));
+}
+
 // A process that was paused must not take everyone else for lost.
 Test(members, after_a_pause_of_its_own_a_node_suspects_nobody) {
   MemberTable table = MakeTable();
--- a/apps/emulator/workload.h
+++ b/libs/operations/include/cartsail/operations/workload.h
@@ -1,5 +1,5 @@
-// A workload file: the classes of traffic, their rates and bursts, and (for the virtual fleet) the
-// machines. Shared by `load`, `fleet` and the scenarios.
+// A workload file: the classes of traffic, their rates and bursts, and the machines. Read by
+// `cartsailctl plan` and by the emulator's load, virtual fleet and scenarios.
 #pragma once
 
 #include <absl/status/statusor.h>
@@ -12,7 +12,7 @@
 #include "cartsail/base/clock.h"
 #include "cartsail/base/json.h"
 
-namespace cartsail::emulator {
+namespace cartsail {
 
 struct Burst {
   double period_seconds = 0;  // 0: no bursts
@@ -43,7 +43,7 @@
   int64_t DrawOutputTokens(std::mt19937_64& random) const;
 };
 
-// Machines of the virtual fleet.
+// The machines before which the traffic comes.
 struct Topology {
   int zones = 1;
   int nodes = 2;
@@ -52,6 +52,9 @@
   double slow_engine_share = 0;  // of the engines, at `slow_speed`
   double slow_speed = 0.6;
   Duration zone_latency = std::chrono::microseconds(500);
+  // Decode step of an engine: base plus a part per sequence in the batch.
+  Duration base_step = milliseconds(10);
+  Duration per_sequence_step = std::chrono::microseconds(500);
 };
 
 struct Workload {
@@ -68,4 +71,4 @@
 // A file's content; kInvalidArgument when it cannot be read.
 absl::StatusOr<std::string> ReadFile(const std::string& path);
 
-}  // namespace cartsail::emulator
+}  // namespace cartsail
--- a/apps/emulator/workload.cc
+++ b/libs/operations/src/workload.cc
@@ -1,4 +1,4 @@
-#include "workload.h"
+#include "cartsail/operations/workload.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 
 #include "cartsail/base/status.h"
 
-namespace cartsail::emulator {
+namespace cartsail {
 namespace {
 
 Duration Millis(const json::object& object, std::string_view key, Duration fallback) {
@@ -54,6 +54,8 @@
   topology.slow_engine_share = GetDouble(object, "slow_engine_share");
   topology.slow_speed = GetDouble(object, "slow_speed", 0.6);
   topology.zone_latency = Millis(object, "zone_latency_ms", topology.zone_latency);
+  topology.base_step = Millis(object, "base_step_ms", topology.base_step);
+  topology.per_sequence_step = Millis(object, "sequence_step_ms", topology.per_sequence_step);
   return topology;
 }
 
@@ -116,4 +118,4 @@
   return text.str();
 }
 
-}  // namespace cartsail::emulator
+}  // namespace cartsail
--- a/libs/peer/include/cartsail/peer/messages.h
+++ b/libs/peer/include/cartsail/peer/messages.h
@@ -28,7 +28,7 @@
   bool leaving = false;
 };
 
-// Sent by every node to its peers at a fixed interval.
+// Sent by every node to its peers. Only every few heartbeats carry digests.
 struct Heartbeat {
   std::string node;
   std::string zone;
@@ -36,7 +36,8 @@
   bool draining = false;
   int64_t config_revision = 0;
   int64_t machine_version = 0;        // of the machine list the sender knows
-  std::vector<EngineDigest> engines;  // those it owns
+  Duration interval{};                // until the next one
+  std::vector<EngineDigest> engines;  // those it owns; empty when this one carries no digests
 };
 
 // The platform's machine list, handed on between nodes.
--- a/libs/peer/src/peer.capnp
+++ b/libs/peer/src/peer.capnp
@@ -24,12 +24,12 @@
 }
 
 struct QueueDigest {
-  inFlight @0 :Int32;
-  window @1 :Int32;
-  waiting @2 :List(Int32);
-  running @3 :List(Int32);
-  headroom @4 :List(Int32);
-  releaseRate @5 :Float32;
+  inFlight @0 :UInt16;
+  window @1 :UInt16;
+  releaseRate @2 :Float32;
+  # Six tiers each: waiting (two bytes, little-endian), then running and headroom (one byte each).
+  # Larger values are sent as the largest that fits.
+  tiers @3 :Data;
 }
 
 struct EngineDigest {
@@ -46,6 +46,8 @@
   configRevision @4 :Int64;
   engines @5 :List(EngineDigest);
   machineVersion @6 :Int64;
+  # Time until the next one; silence is judged by it.
+  intervalMs @7 :UInt32;
 }
 
 struct BranchDocument {
--- a/libs/peer/src/peer.capnp.h
+++ b/libs/peer/src/peer.capnp.h
@@ -99,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(974eae546afe9d5e, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(974eae546afe9d5e, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -734,21 +734,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getInFlight() const;
+  inline  ::uint16_t getInFlight() const;
 
-  inline  ::int32_t getWindow() const;
-
-  inline bool hasWaiting() const;
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWaiting() const;
-
-  inline bool hasRunning() const;
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRunning() const;
-
-  inline bool hasHeadroom() const;
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeadroom() const;
+  inline  ::uint16_t getWindow() const;
 
   inline float getReleaseRate() const;
 
+  inline bool hasTiers() const;
+  inline  ::capnp::Data::Reader getTiers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -777,39 +771,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getInFlight();
-  inline void setInFlight( ::int32_t value);
-
-  inline  ::int32_t getWindow();
-  inline void setWindow( ::int32_t value);
+  inline  ::uint16_t getInFlight();
+  inline void setInFlight( ::uint16_t value);
 
-  inline bool hasWaiting();
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWaiting();
-  inline void setWaiting( ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setWaiting(::kj::ArrayPtr<const  ::int32_t> value);
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWaiting(unsigned int size);
-  inline void adoptWaiting(::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>> disownWaiting();
-
-  inline bool hasRunning();
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRunning();
-  inline void setRunning( ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRunning(::kj::ArrayPtr<const  ::int32_t> value);
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRunning(unsigned int size);
-  inline void adoptRunning(::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>> disownRunning();
-
-  inline bool hasHeadroom();
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeadroom();
-  inline void setHeadroom( ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setHeadroom(::kj::ArrayPtr<const  ::int32_t> value);
-  inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeadroom(unsigned int size);
-  inline void adoptHeadroom(::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>> disownHeadroom();
+  inline  ::uint16_t getWindow();
+  inline void setWindow( ::uint16_t value);
 
   inline float getReleaseRate();
   inline void setReleaseRate(float value);
 
+  inline bool hasTiers();
+  inline  ::capnp::Data::Builder getTiers();
+  inline void setTiers( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initTiers(unsigned int size);
+  inline void adoptTiers(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownTiers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -968,6 +945,8 @@
 
   inline  ::int64_t getMachineVersion() const;
 
+  inline  ::uint32_t getIntervalMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1033,6 +1012,9 @@
   inline  ::int64_t getMachineVersion();
   inline void setMachineVersion( ::int64_t value);
 
+  inline  ::uint32_t getIntervalMs();
+  inline void setIntervalMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3249,162 +3231,82 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t QueueDigest::Reader::getInFlight() const {
-  return _reader.getDataField< ::int32_t>(
+inline  ::uint16_t QueueDigest::Reader::getInFlight() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t QueueDigest::Builder::getInFlight() {
-  return _builder.getDataField< ::int32_t>(
+inline  ::uint16_t QueueDigest::Builder::getInFlight() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QueueDigest::Builder::setInFlight( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
+inline void QueueDigest::Builder::setInFlight( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t QueueDigest::Reader::getWindow() const {
-  return _reader.getDataField< ::int32_t>(
+inline  ::uint16_t QueueDigest::Reader::getWindow() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t QueueDigest::Builder::getWindow() {
-  return _builder.getDataField< ::int32_t>(
+inline  ::uint16_t QueueDigest::Builder::getWindow() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QueueDigest::Builder::setWindow( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float QueueDigest::Reader::getReleaseRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float QueueDigest::Builder::getReleaseRate() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void QueueDigest::Builder::setWindow( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
+inline void QueueDigest::Builder::setReleaseRate(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QueueDigest::Reader::hasWaiting() const {
+inline bool QueueDigest::Reader::hasTiers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QueueDigest::Builder::hasWaiting() {
+inline bool QueueDigest::Builder::hasTiers() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader QueueDigest::Reader::getWaiting() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader QueueDigest::Reader::getTiers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueDigest::Builder::getWaiting() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder QueueDigest::Builder::getTiers() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QueueDigest::Builder::setWaiting( ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void QueueDigest::Builder::setWaiting(::kj::ArrayPtr<const  ::int32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void QueueDigest::Builder::setTiers( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueDigest::Builder::initWaiting(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder QueueDigest::Builder::initTiers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void QueueDigest::Builder::adoptWaiting(
-    ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void QueueDigest::Builder::adoptTiers(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>> QueueDigest::Builder::disownWaiting() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> QueueDigest::Builder::disownTiers() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool QueueDigest::Reader::hasRunning() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool QueueDigest::Builder::hasRunning() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader QueueDigest::Reader::getRunning() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueDigest::Builder::getRunning() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void QueueDigest::Builder::setRunning( ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void QueueDigest::Builder::setRunning(::kj::ArrayPtr<const  ::int32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueDigest::Builder::initRunning(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void QueueDigest::Builder::adoptRunning(
-    ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>> QueueDigest::Builder::disownRunning() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool QueueDigest::Reader::hasHeadroom() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool QueueDigest::Builder::hasHeadroom() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader QueueDigest::Reader::getHeadroom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueDigest::Builder::getHeadroom() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void QueueDigest::Builder::setHeadroom( ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void QueueDigest::Builder::setHeadroom(::kj::ArrayPtr<const  ::int32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueDigest::Builder::initHeadroom(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void QueueDigest::Builder::adoptHeadroom(
-    ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>> QueueDigest::Builder::disownHeadroom() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline float QueueDigest::Reader::getReleaseRate() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline float QueueDigest::Builder::getReleaseRate() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void QueueDigest::Builder::setReleaseRate(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool EngineDigest::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3670,6 +3572,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Heartbeat::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Heartbeat::Builder::getIntervalMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setIntervalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BranchDocument::Reader::hasTenant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/peer/src/wire.cc
+++ b/libs/peer/src/wire.cc
@@ -9,17 +9,33 @@
 
 std::string Text(::capnp::Text::Reader in) { return {in.cStr(), in.size()}; }
 
-void EncodeTiers(const PerTier<int>& values, ::capnp::List<int32_t>::Builder out) {
+constexpr size_t kTierBytes = 4;  // two for waiting, one each for running and headroom
+constexpr int kByteLimit = 0xff;
+constexpr int kWordLimit = 0xffff;
+
+int Clamp(int value, int limit) { return std::clamp(value, 0, limit); }
+
+std::string EncodeTiers(const QueueDigest& digest) {
+  std::string bytes;
+  bytes.reserve(kSchedulerTiers * kTierBytes);
   for (int tier = 0; tier < kSchedulerTiers; ++tier) {
-    out.set(static_cast<unsigned>(tier), values[tier]);
+    const int waiting = Clamp(digest.waiting[tier], kWordLimit);
+    bytes.push_back(static_cast<char>(waiting & kByteLimit));
+    bytes.push_back(static_cast<char>(waiting >> 8));
+    bytes.push_back(static_cast<char>(Clamp(digest.running[tier], kByteLimit)));
+    bytes.push_back(static_cast<char>(Clamp(digest.headroom[tier], kByteLimit)));
   }
+  return bytes;
 }
 
-PerTier<int> DecodeTiers(::capnp::List<int32_t>::Reader in) {
-  PerTier<int> values{};
-  const unsigned count = std::min<unsigned>(in.size(), kSchedulerTiers);
-  for (unsigned tier = 0; tier < count; ++tier) values[tier] = in[tier];
-  return values;
+void DecodeTiers(::capnp::Data::Reader bytes, QueueDigest* digest) {
+  const int tiers = std::min<int>(static_cast<int>(bytes.size() / kTierBytes), kSchedulerTiers);
+  for (int tier = 0; tier < tiers; ++tier) {
+    const size_t at = static_cast<size_t>(tier) * kTierBytes;
+    digest->waiting[tier] = bytes[at] | (bytes[at + 1] << 8);
+    digest->running[tier] = bytes[at + 2];
+    digest->headroom[tier] = bytes[at + 3];
+  }
 }
 
 // A tier from another node is never trusted as an index.
@@ -76,22 +92,19 @@
 }
 
 void Encode(const QueueDigest& digest, wire::QueueDigest::Builder out) {
-  out.setInFlight(digest.in_flight);
-  out.setWindow(digest.window);
-  EncodeTiers(digest.waiting, out.initWaiting(kSchedulerTiers));
-  EncodeTiers(digest.running, out.initRunning(kSchedulerTiers));
-  EncodeTiers(digest.headroom, out.initHeadroom(kSchedulerTiers));
+  out.setInFlight(static_cast<uint16_t>(Clamp(digest.in_flight, kWordLimit)));
+  out.setWindow(static_cast<uint16_t>(Clamp(digest.window, kWordLimit)));
   out.setReleaseRate(static_cast<float>(digest.release_rate));
+  const std::string tiers = EncodeTiers(digest);
+  out.setTiers({reinterpret_cast<const unsigned char*>(tiers.data()), tiers.size()});
 }
 
 QueueDigest Decode(wire::QueueDigest::Reader in) {
   QueueDigest digest;
   digest.in_flight = in.getInFlight();
   digest.window = in.getWindow();
-  digest.waiting = DecodeTiers(in.getWaiting());
-  digest.running = DecodeTiers(in.getRunning());
-  digest.headroom = DecodeTiers(in.getHeadroom());
   digest.release_rate = in.getReleaseRate();
+  DecodeTiers(in.getTiers(), &digest);
   return digest;
 }
 
@@ -102,6 +115,7 @@
   out.setDraining(heartbeat.draining);
   out.setConfigRevision(heartbeat.config_revision);
   out.setMachineVersion(heartbeat.machine_version);
+  out.setIntervalMs(static_cast<uint32_t>(ToMillis(heartbeat.interval)));
   auto engines = out.initEngines(static_cast<unsigned>(heartbeat.engines.size()));
   for (unsigned i = 0; i < heartbeat.engines.size(); ++i) {
     engines[i].setEngine(heartbeat.engines[i].engine);
@@ -118,6 +132,7 @@
   heartbeat.draining = in.getDraining();
   heartbeat.config_revision = in.getConfigRevision();
   heartbeat.machine_version = in.getMachineVersion();
+  heartbeat.interval = milliseconds(in.getIntervalMs());
   for (const auto engine : in.getEngines()) {
     heartbeat.engines.push_back(
         {Text(engine.getEngine()), Decode(engine.getDigest()), engine.getLeaving()});
--- a/scenarios/planned_stop.lua
+++ b/scenarios/planned_stop.lua
@@ -17,7 +17,8 @@
   action()
   local class = load_report(handle).classes.answer
   expect(class.completed == class.requests,
-         class.requests - class.completed .. " of " .. class.requests .. " were cut or refused")
+         class.requests - class.completed .. " of " .. class.requests ..
+         " were cut or refused: " .. errors_of(class))
   expect(class.wrong_answers == 0, "every answer is whole")
   expect(class.resumes == 0, "no stream had to be resumed")
   return class
