--- a/apps/emulator/platform_server.cc
+++ b/apps/emulator/platform_server.cc
@@ -29,6 +29,7 @@
   Outage outage = Outage::kNone;
   int lose_replies = 0;
   bool stale_reads = false;
+  bool stale_watches = false;
   double writes_per_second = 0;
   double reads_per_second = 0;
 };
@@ -200,7 +201,7 @@
     exchange.WatchPeer([&gone] { gone = true; });
     while (status.ok() && !gone && faults_.outage == Outage::kNone) {
       const std::vector<WatchEvent> events = store_.ChangesSince(key, end, next);
-      if (!events.empty()) {
+      if (!events.empty() && !faults_.stale_watches) {
         co_await Sleep(faults_.latency);
         next = store_.Revision() + 1;
         const std::string text = EncodeEvents(events);
@@ -300,6 +301,7 @@
       faults_.stale_reads = GetBool(body, "stale_reads");
       if (faults_.stale_reads) stale_store_ = store_;
     }
+    faults_.stale_watches = GetBool(body, "stale_watches", faults_.stale_watches);
     faults_.writes_per_second = GetDouble(body, "writes_per_second", faults_.writes_per_second);
     faults_.reads_per_second = GetDouble(body, "reads_per_second", faults_.reads_per_second);
     return absl::OkStatus();
--- a/apps/emulator/platform_server.h
+++ b/apps/emulator/platform_server.h
@@ -4,7 +4,8 @@
 //   POST /v3/kv/range, /v3/kv/txn, /v3/lease/grant, /v3/lease/keepalive, /v3/lease/revoke,
 //   /v3/watch GET  /machines?since=VERSION POST /admin/faults    {"latency_ms", "outage":
 //   "none"|"refuse"|"hang", "lose_replies": N,
-//                          "stale_reads": bool, "writes_per_second", "reads_per_second"}
+//                          "stale_reads": bool, "stale_watches": bool, "writes_per_second",
+//                          "reads_per_second"}
 //   POST /admin/machines  one machine, or {"id", "remove": true}
 //   GET  /admin/stats     calls by kind
 #pragma once
--- a/scenarios/configuration.lua
+++ b/scenarios/configuration.lua
@@ -99,6 +99,7 @@
 local newer = set("25s")
 wait_until(function() observe() return in_force({"n1", "n2", "n3"}, newer.revision) end, 10,
            "the change through watches")
+faults("platform", {stale_watches = true})
 cut("n2-peer")
 restart("n2")
 local silent_until = clock() + 1
@@ -108,6 +109,6 @@
 observe()
 expect(status("n2").revision == newer.revision, "n2 started with revision " ..
        status("n2").revision .. " instead of " .. newer.revision)
-faults("platform", {stale_reads = false})
+faults("platform", {stale_reads = false, stale_watches = false})
 everywhere(newer.revision, 4, "the end")
 note(string.format("slowest change in force everywhere after %.0f ms", slowest * 1000))
