--- a/apps/emulator/engine_server.cc
+++ b/apps/emulator/engine_server.cc
@@ -18,6 +18,7 @@
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_server.h"
 #include "cartsail/net/sse.h"
+#include "json_reply.h"
 
 namespace cartsail::emulator {
 namespace {
@@ -135,16 +136,16 @@
     } else if (path.starts_with("/v1/streams/")) {
       co_await HandleStream(exchange, path.substr(std::string_view("/v1/streams/").size()));
     } else if (path == "/load") {
-      co_await Send(exchange, 200, load_report_);
+      co_await SendJson(exchange, 200, load_report_);
     } else if (path == "/admin/stats") {
-      co_await Send(exchange, 200, StatsObject());
+      co_await SendJson(exchange, 200, StatsObject());
     } else if (path == "/admin/starts") {
-      co_await Send(exchange, 200, StartsObject(std::string(request.QueryParameter("seed"))));
+      co_await SendJson(exchange, 200, StartsObject(std::string(request.QueryParameter("seed"))));
     } else if (path == "/admin/faults") {
       SetFaults(request.body);
-      co_await Send(exchange, 200, json::object());
+      co_await SendJson(exchange, 200, json::object());
     } else {
-      co_await Send(exchange, 404, json::object());
+      co_await SendJson(exchange, 404, json::object());
     }
   }
 
@@ -164,7 +165,7 @@
     if (id.empty()) id = RandomHex(8);
     if (streams_.contains(id)) {
       ++stats_.duplicates;
-      co_await Send(exchange, 409, ErrorObject("duplicate"));
+      co_await SendJson(exchange, 409, ErrorObject("duplicate"));
       co_return;
     }
     const StreamPtr stream = StartStream(id, *prompt, request);
@@ -213,13 +214,13 @@
     const bool held = found != streams_.end() && !found->second->cancelled;
     const bool resumes = exchange.Request().method != "DELETE";
     if (!held || (resumes && found->second->owner != exchange.Request().Header("X-Stream-Owner"))) {
-      co_await Send(exchange, 404, ErrorObject("unknown_stream"));
+      co_await SendJson(exchange, 404, ErrorObject("unknown_stream"));
       co_return;
     }
     const StreamPtr stream = found->second;
     if (!resumes) {
       CancelStream(id, stream);
-      co_await Send(exchange, 200, json::object());
+      co_await SendJson(exchange, 200, json::object());
       co_return;
     }
     ++stats_.resumed;
@@ -437,23 +438,6 @@
     }
   }
 
-  static asio::awaitable<void> Send(HttpExchange& exchange, int status, json::object body) {
-    HttpResponse response;
-    response.status = status;
-    response.headers = {{"Content-Type", "application/json"}};
-    response.body = json::serialize(body);
-    co_await exchange.Respond(std::move(response));
-  }
-
-  static asio::awaitable<void> SendRefusal(HttpExchange& exchange, int status,
-                                           std::string_view kind) {
-    HttpResponse response;
-    response.status = status;
-    response.headers = {{"Content-Type", "application/json"}, {"X-Not-Started", "true"}};
-    response.body = json::serialize(ErrorObject(kind));
-    co_await exchange.Respond(std::move(response));
-  }
-
   asio::io_context& context_;
   EngineServerOptions options_;
   EngineModel model_;
--- a/apps/emulator/fleet_baseline.cc
+++ b/apps/emulator/fleet_baseline.cc
@@ -18,7 +18,7 @@
   });
 }
 
-void Fleet::SendAlone(const RequestPtr& request, EntryPurpose purpose) {
+void Fleet::SendAlone(const RequestPtr& request, SlotPurpose purpose) {
   HollowNode& node = *nodes_[request->node];
   std::vector<int> visible;
   for (int i = 0; i < engines_.Count(); ++i) {
--- a/apps/emulator/fleet_claims.cc
+++ b/apps/emulator/fleet_claims.cc
@@ -82,7 +82,7 @@
     StartOnEngine(request);
     return;
   }
-  ReleaseSlot(request, EntryEnd::kCancelled, {.started = false});
+  ReleaseSlot(request, SlotEnd::kCancelled, {.started = false});
   Fail(request, "platform_unavailable");
 }
 
--- a/apps/emulator/fleet_faults.cc
+++ b/apps/emulator/fleet_faults.cc
@@ -55,7 +55,7 @@
     return;
   }
   ++retries_;
-  events_.After(kBlindRetryPause, [this, request] { Acquire(request, EntryPurpose::kRetry); });
+  events_.After(kBlindRetryPause, [this, request] { Acquire(request, SlotPurpose::kRetry); });
 }
 
 void Fleet::KillNode(size_t index, Duration length) {
@@ -77,7 +77,7 @@
       if (running) {
         Resume(request);
       } else {
-        Enter(request, EntryPurpose::kFirst);
+        Enter(request, SlotPurpose::kFirst);
       }
     });
   }
--- a/apps/emulator/fleet_run.h
+++ b/apps/emulator/fleet_run.h
@@ -108,8 +108,8 @@
   void ScheduleArrival(size_t class_index, TimePoint from);
   void Arrive(size_t class_index);
   // A request comes to a random live node, as from a balancer.
-  void Enter(const RequestPtr& request, EntryPurpose purpose);
-  void Acquire(const RequestPtr& request, EntryPurpose purpose);
+  void Enter(const RequestPtr& request, SlotPurpose purpose);
+  void Acquire(const RequestPtr& request, SlotPurpose purpose);
   void RunEntry(size_t node, const EntryActions& actions);
   void RunEntryAction(size_t node, const EntryAction& action);
   void Ask(size_t node, const EntryAction& action);
@@ -133,13 +133,13 @@
   void OnStarted(uint64_t sequence);
   void OnFinished(uint64_t sequence);
   void Finish(const RequestPtr& request);
-  void ReleaseSlot(const RequestPtr& request, EntryEnd end, const ServiceReport& report);
+  void ReleaseSlot(const RequestPtr& request, SlotEnd end, const ServiceReport& report);
   void OnPreempt(RequestId id);
   // The engine broke off or was not there.
   void EngineFailed(const RequestPtr& request, bool ran);
 
   void ScheduleReport(size_t index, uint64_t incarnation);
-  void SendAlone(const RequestPtr& request, EntryPurpose purpose);
+  void SendAlone(const RequestPtr& request, SlotPurpose purpose);
 
   void Apply(const FleetFault& fault);
   void CrashEngine(int index, Duration length);
--- a/apps/emulator/fleet_traffic.cc
+++ b/apps/emulator/fleet_traffic.cc
@@ -31,10 +31,10 @@
         1 + class_index * 1000 + random_() % static_cast<uint64_t>(request->traffic->prefixes);
   }
   ++requests_;
-  Enter(request, EntryPurpose::kFirst);
+  Enter(request, SlotPurpose::kFirst);
 }
 
-void Fleet::Enter(const RequestPtr& request, EntryPurpose purpose) {
+void Fleet::Enter(const RequestPtr& request, SlotPurpose purpose) {
   std::vector<size_t>& ready = ready_nodes_;
   ready.clear();
   for (size_t i = 0; i < nodes_.size(); ++i) {
@@ -48,7 +48,7 @@
   Acquire(request, purpose);
 }
 
-void Fleet::Acquire(const RequestPtr& request, EntryPurpose purpose) {
+void Fleet::Acquire(const RequestPtr& request, SlotPurpose purpose) {
   if (!options_.policy.owners) {
     SendAlone(request, purpose);
     return;
@@ -69,8 +69,8 @@
   entry.retry_ratio = std::max(0.0, options_.policy.retry_ratio);
   entry.limits = {1e9, 1e9};
   // Without a budget a retry counts like the continuation of a preempted request.
-  if (options_.policy.retry_ratio < 0 && purpose == EntryPurpose::kRetry) {
-    entry.purpose = EntryPurpose::kContinuation;
+  if (options_.policy.retry_ratio < 0 && purpose == SlotPurpose::kRetry) {
+    entry.purpose = SlotPurpose::kContinuation;
   }
   by_id_[entry.id] = request;
   const size_t node = request->node;
@@ -283,10 +283,10 @@
   report.tokens = result.tokens;
   report.token_interval = result.token_interval;
   report.interval_target = request->traffic->interval_target;
-  ReleaseSlot(request, EntryEnd::kServed, report);
+  ReleaseSlot(request, SlotEnd::kServed, report);
 }
 
-void Fleet::ReleaseSlot(const RequestPtr& request, EntryEnd end, const ServiceReport& report) {
+void Fleet::ReleaseSlot(const RequestPtr& request, SlotEnd end, const ServiceReport& report) {
   by_id_.erase(request->id);
   if (!options_.policy.owners || !IsUp(request->node)) return;
   const size_t node = request->node;
@@ -303,20 +303,20 @@
   if (running_.erase(request->sequence) == 0) return;
   const std::optional<int64_t> generated = engines_.Cancel(request->engine, request->sequence);
   if (options_.policy.continuation) request->delivered += generated.value_or(0);
-  ReleaseSlot(request, EntryEnd::kCancelled, {});
-  Acquire(request, EntryPurpose::kContinuation);
+  ReleaseSlot(request, SlotEnd::kCancelled, {});
+  Acquire(request, SlotPurpose::kContinuation);
 }
 
 void Fleet::EngineFailed(const RequestPtr& request, bool ran) {
   if (request->done) return;
-  ReleaseSlot(request, EntryEnd::kFailed, {.started = ran});
+  ReleaseSlot(request, SlotEnd::kFailed, {.started = ran});
   if (!IsUp(request->node)) return;
   if (ran && !request->traffic->repeatable) {
     Fail(request, "backend_failed");
     return;
   }
   if (ran) ++retries_;
-  Acquire(request, ran ? EntryPurpose::kRetry : EntryPurpose::kContinuation);
+  Acquire(request, ran ? SlotPurpose::kRetry : SlotPurpose::kContinuation);
 }
 
 }  // namespace cartsail::emulator
--- a/apps/emulator/platform_server.cc
+++ b/apps/emulator/platform_server.cc
@@ -12,6 +12,7 @@
 #include "cartsail/net/http_server.h"
 #include "cartsail/platform/etcd_json.h"
 #include "cartsail/platform/machine_list.h"
+#include "json_reply.h"
 #include "platform_store.h"
 
 namespace cartsail::emulator {
@@ -123,7 +124,7 @@
   asio::awaitable<void> HandleCall(HttpExchange& exchange, const std::string& path) {
     const absl::StatusOr<json::object> body = ParseJsonObject(exchange.Request().body);
     if (!body.ok()) {
-      co_await Send(exchange, 400, MessageObject("not JSON"));
+      co_await SendJson(exchange, 400, MessageObject("not JSON"));
       co_return;
     }
     const bool is_read = path == "/v3/kv/range" || (path == "/v3/kv/txn" && OnlyReads(*body));
@@ -131,13 +132,13 @@
     const double limit = is_read ? faults_.reads_per_second : faults_.writes_per_second;
     if (!(is_read ? reads_ : writes_).Take(limit, Now())) {
       ++stats_.throttled;
-      co_await Send(exchange, 429, MessageObject("too many requests"));
+      co_await SendJson(exchange, 429, MessageObject("too many requests"));
       co_return;
     }
     store_.ExpireLeases(Now());
     const Reply reply = Execute(path, *body);
     if (!reply.ok()) {
-      co_await Send(exchange, 404, MessageObject("no such call"));
+      co_await SendJson(exchange, 404, MessageObject("no such call"));
       co_return;
     }
     if (!is_read && faults_.lose_replies > 0) {
@@ -145,7 +146,7 @@
       exchange.Abort();
       co_return;
     }
-    co_await Send(exchange, 200, *reply);
+    co_await SendJson(exchange, 200, *reply);
   }
 
   static bool OnlyReads(const json::object& body) {
@@ -186,7 +187,7 @@
     const absl::StatusOr<json::object> body = ParseJsonObject(exchange.Request().body);
     const json::object* create = body.ok() ? GetObject(*body, "create_request") : nullptr;
     if (create == nullptr) {
-      co_await Send(exchange, 400, MessageObject("no create_request"));
+      co_await SendJson(exchange, 400, MessageObject("no create_request"));
       co_return;
     }
     ++stats_.watches;
@@ -242,23 +243,25 @@
     ++stats_.reads;
     if (!reads_.Take(faults_.reads_per_second, Now())) {
       ++stats_.throttled;
-      co_await Send(exchange, 429, MessageObject("too many requests"));
+      co_await SendJson(exchange, 429, MessageObject("too many requests"));
       co_return;
     }
     RevealMachines();
     if (exchange.Request().QueryParameter("since") == std::to_string(machines_version_)) {
-      co_await Send(exchange, 304, json::object());
+      HttpResponse unchanged;
+      unchanged.status = 304;
+      co_await exchange.Respond(std::move(unchanged));
       co_return;
     }
     json::array array;
     for (const auto& [id, machine] : machines_) array.push_back(EncodeMachine(machine));
     json::object list{{"version", machines_version_}, {"machines", std::move(array)}};
-    co_await Send(exchange, 200, std::move(list));
+    co_await SendJson(exchange, 200, std::move(list));
   }
 
   asio::awaitable<void> HandleAdmin(HttpExchange& exchange, const std::string& path) {
     if (path == "/admin/stats") {
-      co_await Send(exchange, 200, Stats());
+      co_await SendJson(exchange, 200, Stats());
       co_return;
     }
     const absl::StatusOr<json::object> body = ParseJsonObject(exchange.Request().body);
@@ -266,10 +269,10 @@
     if (body.ok() && path == "/admin/faults") status = SetFaults(*body);
     if (body.ok() && path == "/admin/machines") status = SetMachine(*body);
     if (!status.ok()) {
-      co_await Send(exchange, 400, MessageObject(std::string(status.message())));
+      co_await SendJson(exchange, 400, MessageObject(std::string(status.message())));
       co_return;
     }
-    co_await Send(exchange, 200, json::object());
+    co_await SendJson(exchange, 200, json::object());
   }
 
   static json::object MessageObject(std::string_view message) { return {{"message", message}}; }
@@ -323,14 +326,6 @@
     return absl::OkStatus();
   }
 
-  static asio::awaitable<void> Send(HttpExchange& exchange, int status, json::object body) {
-    HttpResponse response;
-    response.status = status;
-    response.headers = {{"Content-Type", "application/json"}};
-    if (status != 304) response.body = json::serialize(body);
-    co_await exchange.Respond(std::move(response));
-  }
-
   asio::io_context& context_;
   PlatformOptions options_;
   std::unique_ptr<HttpServer> server_;
--- a/apps/emulator/scenario.cc
+++ b/apps/emulator/scenario.cc
@@ -48,10 +48,10 @@
   return Finish(lua, ScriptOf(lua).world->StartPlatform(Argument(lua, 1)));
 }
 int Engine(lua_State* lua) {
-  return Finish(lua, ScriptOf(lua).world->StartEngine(Argument(lua, 1)));
+  return Finish(lua, ScriptOf(lua).world->StartBackEnd("engine", Argument(lua, 1)));
 }
 int Service(lua_State* lua) {
-  return Finish(lua, ScriptOf(lua).world->StartService(Argument(lua, 1)));
+  return Finish(lua, ScriptOf(lua).world->StartBackEnd("service", Argument(lua, 1)));
 }
 int Node(lua_State* lua) { return Finish(lua, ScriptOf(lua).world->StartNode(Argument(lua, 1))); }
 int Machine(lua_State* lua) {
--- a/apps/emulator/service_server.cc
+++ b/apps/emulator/service_server.cc
@@ -9,6 +9,7 @@
 #include "cartsail/base/hash.h"
 #include "cartsail/base/json.h"
 #include "cartsail/net/http_server.h"
+#include "json_reply.h"
 
 namespace cartsail::emulator {
 namespace {
@@ -31,14 +32,14 @@
     const std::string path(request.Path());
     if (path == "/admin/stats") {
       json::object stats{{"calls", calls_}, {"refused", refused_}};
-      co_await Send(exchange, 200, std::move(stats));
+      co_await SendJson(exchange, 200, std::move(stats));
     } else if (path == "/admin/starts") {
       const auto found = starts_.find(std::string(request.QueryParameter("id")));
       json::object starts{{"starts", found == starts_.end() ? 0 : found->second}};
-      co_await Send(exchange, 200, std::move(starts));
+      co_await SendJson(exchange, 200, std::move(starts));
     } else if (path == "/admin/faults") {
       SetFaults(request.body);
-      co_await Send(exchange, 200, json::object());
+      co_await SendJson(exchange, 200, json::object());
     } else {
       co_await HandleCall(exchange, path);
     }
@@ -47,11 +48,7 @@
   asio::awaitable<void> HandleCall(HttpExchange& exchange, std::string path) {
     if (leaving_) {
       ++refused_;
-      HttpResponse response;
-      response.status = 503;
-      response.headers = {{"X-Not-Started", "true"}};
-      response.body = R"({"error":{"kind":"leaving"}})";
-      co_await exchange.Respond(std::move(response));
+      co_await SendRefusal(exchange, 503, "leaving");
       co_return;
     }
     ++calls_;
@@ -66,7 +63,7 @@
     }
     const std::string body_hash = fmt::format("{:016x}", Hash64(exchange.Request().body));
     json::object answer{{"service", options_.id}, {"path", path}, {"body_hash", body_hash}};
-    co_await Send(exchange, 200, std::move(answer));
+    co_await SendJson(exchange, 200, std::move(answer));
   }
 
   void SetFaults(const std::string& body) {
@@ -79,14 +76,6 @@
     drop_before_reply_ = static_cast<int>(GetInt(*faults, "drop_before_reply", drop_before_reply_));
   }
 
-  static asio::awaitable<void> Send(HttpExchange& exchange, int status, json::object body) {
-    HttpResponse response;
-    response.status = status;
-    response.headers = {{"Content-Type", "application/json"}};
-    response.body = json::serialize(body);
-    co_await exchange.Respond(std::move(response));
-  }
-
   asio::io_context& context_;
   ServiceServerOptions options_;
   std::unique_ptr<HttpServer> server_;
--- a/apps/emulator/tests/docs_test.cc
+++ b/apps/emulator/tests/docs_test.cc
@@ -18,7 +18,7 @@
 
 Test(docs, every_counter_is_described) {
   const std::string page = ReadPage();
-#define CARTSAIL_CHECK_COUNTER(name, kind, help)                                             \
+#define CARTSAIL_CHECK_COUNTER(name, kind, help)                                               \
   cr_expect(page.find("| `cartsail_" #name "` | " #kind " | " help " |") != std::string::npos, \
             #name);
   CARTSAIL_COUNTERS(CARTSAIL_CHECK_COUNTER)
--- a/apps/emulator/tests/property_test.cc
+++ b/apps/emulator/tests/property_test.cc
@@ -125,7 +125,7 @@
         cr_assert(item.tier > waiting_[submitted].tier, "only a lower tier is evicted");
         cr_assert(LowestWaiting() <= item.tier, "and the lowest first");
       }
-      if (action.reason == RejectReason::kOverloaded && queue_full_matters_) {
+      if (action.reason == RejectReason::kOverloaded) {
         cr_assert(action.id == submitted);
       }
     }
@@ -156,7 +156,6 @@
   std::mt19937_64 random_;
   TimePoint now_ = TimePoint(seconds(100));
   bool preempts_ = false;
-  bool queue_full_matters_ = true;
   int limit_ = 0;
   EngineQueue queue_;
   RequestId next_ = 1;
@@ -169,21 +168,6 @@
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) QueueModel(seed).Run();
 }
 
-Operation CreateIfAbsent(const ClaimRequest& claim) {
-  Compare absent;
-  absent.key = claim.key;
-  absent.target = Compare::Target::kCreateRevision;
-  Operation put;
-  put.kind = Operation::Kind::kPut;
-  put.put = {claim.key, SerializeClaim(claim.record), 0};
-  Operation read;
-  read.range.key = claim.key;
-  Operation operation;
-  operation.kind = Operation::Kind::kTxn;
-  operation.nested.push_back({{absent}, {put}, {read}});
-  return operation;
-}
-
 // Several nodes claim the same keys through their own batchers; writes are lost, replies are lost.
 Test(properties, one_winner_per_key_in_every_schedule) {
   constexpr int kNodes = 3;
@@ -212,7 +196,8 @@
         continue;
       }
       TxnRequest txn;
-      for (const ClaimRequest& claim : batch) txn.success.push_back(CreateIfAbsent(claim));
+      for (const ClaimRequest& claim : batch)
+        txn.success.push_back(CreateIfAbsent({claim.key, SerializeClaim(claim.record), 0}));
       const TxnResult result = store.Txn(txn);
       if (Draw(random, 4) == 0) {  // its reply is lost
         batcher.OnFailure(now);
--- a/apps/emulator/world.cc
+++ b/apps/emulator/world.cc
@@ -136,32 +136,19 @@
                      {"at_once", true}});
 }
 
-absl::Status World::StartEngine(const json::object& options) {
+absl::Status World::StartBackEnd(const std::string& kind, const json::object& options) {
   const std::string id = GetString(options, "id");
   const Endpoint listen = Loopback(FreePort());
   Program program;
   program.admin = listen;
   program.arguments = {
-      bin_ + "/cartsail-emulator", "engine", "--id", id, "--listen", listen.ToString()};
+      bin_ + "/cartsail-emulator", kind, "--id", id, "--listen", listen.ToString()};
   AddFlags(options, &program.arguments);
   const absl::Status status = Launch(id, std::move(program), "/admin/stats");
   if (!status.ok()) return status;
   // "direct": no relay in the link, for measurements.
   const bool direct = GetBool(options, "direct");
-  return Register("engine", options, direct ? listen : AddRelay(id, listen));
-}
-
-absl::Status World::StartService(const json::object& options) {
-  const std::string id = GetString(options, "id");
-  const Endpoint listen = Loopback(FreePort());
-  Program program;
-  program.admin = listen;
-  program.arguments = {
-      bin_ + "/cartsail-emulator", "service", "--id", id, "--listen", listen.ToString()};
-  AddFlags(options, &program.arguments);
-  const absl::Status status = Launch(id, std::move(program), "/admin/stats");
-  if (!status.ok()) return status;
-  return Register("service", options, AddRelay(id, listen));
+  return Register(kind, options, direct ? listen : AddRelay(id, listen));
 }
 
 // Links of a node: "ID-platform" (to the platform) and "ID-peer" (from other nodes).
--- a/apps/emulator/world.h
+++ b/apps/emulator/world.h
@@ -32,8 +32,8 @@
   World& operator=(const World&) = delete;
 
   absl::Status StartPlatform(const json::object& options);
-  absl::Status StartEngine(const json::object& options);
-  absl::Status StartService(const json::object& options);
+  // `kind`: "engine" or "service".
+  absl::Status StartBackEnd(const std::string& kind, const json::object& options);
   absl::Status StartNode(const json::object& options);
 
   absl::Status Signal(const std::string& name, int signal);
--- a/libs/daemon/src/claim_service.cc
+++ b/libs/daemon/src/claim_service.cc
@@ -19,22 +19,6 @@
 constexpr Duration kWithdrawPause = milliseconds(500);
 constexpr Duration kLongestWithdrawPause = seconds(10);
 
-// Creates the record if absent, else reads the one that stands.
-Operation CreateIfAbsent(const ClaimRequest& claim, int64_t lease) {
-  Compare absent;
-  absent.key = claim.key;
-  absent.target = Compare::Target::kCreateRevision;
-  Operation put;
-  put.kind = Operation::Kind::kPut;
-  put.put = {claim.key, SerializeClaim(claim.record), lease};
-  Operation read;
-  read.range.key = claim.key;
-  Operation operation;
-  operation.kind = Operation::Kind::kTxn;
-  operation.nested.push_back({{absent}, {put}, {read}});
-  return operation;
-}
-
 ClaimRecord HolderOf(const TxnResult& result, const ClaimRequest& claim) {
   if (result.succeeded) return claim.record;
   if (result.ranges.empty() || result.ranges.front().kvs.empty()) return {};
@@ -125,7 +109,7 @@
   }
   TxnRequest request;
   for (const ClaimRequest& claim : batch) {
-    request.success.push_back(CreateIfAbsent(claim, *lease));
+    request.success.push_back(CreateIfAbsent({claim.key, SerializeClaim(claim.record), *lease}));
   }
   const absl::StatusOr<TxnResult> result = co_await store_.Txn(std::move(request));
   if (!result.ok() || result->nested.size() != batch.size()) {
--- a/libs/daemon/src/slot_service.cc
+++ b/libs/daemon/src/slot_service.cc
@@ -16,34 +16,6 @@
 // Pause before asking again when an owner cannot be reached or views of ownership differ.
 constexpr Duration kAskAgainPause = milliseconds(50);
 
-EntryPurpose ToPurpose(SlotPurpose purpose) {
-  switch (purpose) {
-    case SlotPurpose::kRetry:
-      return EntryPurpose::kRetry;
-    case SlotPurpose::kContinuation:
-      return EntryPurpose::kContinuation;
-    case SlotPurpose::kFirst:
-      break;
-  }
-  return EntryPurpose::kFirst;
-}
-
-EntryEnd ToEnd(SlotEnd end) {
-  switch (end) {
-    case SlotEnd::kServed:
-      return EntryEnd::kServed;
-    case SlotEnd::kCancelled:
-      return EntryEnd::kCancelled;
-    case SlotEnd::kLeaving:
-      return EntryEnd::kLeaving;
-    case SlotEnd::kRefused:
-      return EntryEnd::kRefused;
-    case SlotEnd::kFailed:
-      break;
-  }
-  return EntryEnd::kFailed;
-}
-
 absl::Status RefusalStatus(EntryRefusal refusal) {
   switch (refusal) {
     case EntryRefusal::kUnknownModel:
@@ -75,7 +47,7 @@
   entry.preemptible = policy.preemptible;
   entry.prefix_hash = request.prefix_hash;
   entry.arrival = request.arrival;
-  entry.purpose = ToPurpose(request.purpose);
+  entry.purpose = request.purpose;
   entry.retry_ratio = policy.retry_budget;
   entry.limits.rate = static_cast<double>(policy.rate_limit) / live_nodes;
   entry.limits.max_in_flight = static_cast<double>(policy.max_in_flight) / live_nodes;
@@ -96,41 +68,7 @@
       members_(members),
       entry_(options.node_id, SelectorPolicy(), std::random_device{}()),
       owned_(QueuePolicy(FleetPolicy())),
-      log_(static_cast<size_t>(options.request_log)) {}
-
-void SlotService::NoteAsked(const SlotRequest& request) {
-  if (request.purpose != SlotPurpose::kFirst || options_.request_log == 0) return;
-  OpenRecord& open = open_records_[request.id];
-  open.arrival = request.arrival;
-  open.record.at_ms = ToMillis(request.arrival - started_);
-  open.record.tenant = request.policy->tenant;
-  open.record.service = request.policy->service;
-  open.record.class_name = request.policy->class_name;
-  open.record.model = request.model;
-  open.record.tier = request.policy->tier;
-}
-
-void SlotService::NoteDecided(RequestId id, const SlotDecision& decision) {
-  const auto found = open_records_.find(id);
-  if (found == open_records_.end()) return;
-  OpenRecord& open = found->second;
-  open.granted = Now();
-  open.record.granted = decision.status.ok();
-  open.record.wait_ms = ToMillis(open.granted - open.arrival);
-  if (decision.status.ok()) return;
-  open.record.refusal = ErrorKindName(KindOf(decision.status));
-  log_.Add(std::move(open.record));
-  open_records_.erase(found);
-}
-
-void SlotService::NoteReleased(RequestId id) {
-  const auto found = open_records_.find(id);
-  if (found == open_records_.end()) return;
-  OpenRecord& open = found->second;
-  open.record.service_ms = ToMillis(Now() - open.granted);
-  log_.Add(std::move(open.record));
-  open_records_.erase(found);
-}
+      recorder_(static_cast<size_t>(options.request_log)) {}
 
 EngineQueuePolicy SlotService::QueuePolicy(const FleetPolicy& fleet) const {
   EngineQueuePolicy policy;
@@ -150,7 +88,7 @@
   waiting_[request.id] = std::move(done);
   preempt_[request.id] = request.on_preempt;
   if (request.purpose == SlotPurpose::kRetry) GlobalCounters().retries_total.Add();
-  NoteAsked(request);
+  recorder_.Asked(request);
   Run(entry_.Acquire(ToEntryRequest(request, members_.LiveCount()), Now()));
 }
 
@@ -164,8 +102,8 @@
 
 void SlotService::Release(RequestId id, SlotEnd end, const ServiceReport& report) {
   preempt_.erase(id);
-  NoteReleased(id);
-  Run(entry_.Release(id, ToEnd(end), report, Now()));
+  recorder_.Released(id);
+  Run(entry_.Release(id, end, report, Now()));
 }
 
 void SlotService::Adopt(RequestId id, const std::string& engine, const WorkItem& item) {
@@ -185,7 +123,7 @@
   const std::function<void(SlotDecision)> done = std::move(found->second);
   waiting_.erase(found);
   if (!decision.status.ok()) preempt_.erase(id);
-  NoteDecided(id, decision);
+  recorder_.Decided(id, decision);
   decision.id = id;
   done(std::move(decision));
 }
@@ -208,7 +146,7 @@
       const std::optional<Endpoint> endpoint = Locate(action.engine);
       if (!endpoint.has_value()) {
         decision.status = MakeError(ErrorKind::kNoBackend, "the back end has gone");
-        Run(entry_.Release(action.id, EntryEnd::kRefused, {.started = false}, Now()));
+        Run(entry_.Release(action.id, SlotEnd::kRefused, {.started = false}, Now()));
       } else {
         decision.endpoint = *endpoint;
       }
--- a/libs/daemon/src/slot_service.h
+++ b/libs/daemon/src/slot_service.h
@@ -14,11 +14,11 @@
 #include "cartsail/daemon/options.h"
 #include "cartsail/gateway/control_plane.h"
 #include "cartsail/membership/member_table.h"
-#include "cartsail/operations/request_log.h"
 #include "cartsail/peer/peer_network.h"
 #include "cartsail/platform/machine_list.h"
 #include "cartsail/scheduler/entry_scheduler.h"
 #include "cartsail/scheduler/owner_table.h"
+#include "request_recorder.h"
 
 namespace cartsail {
 
@@ -59,7 +59,7 @@
   void Reconcile(TimePoint now);
 
   // The recent requests, one JSON object per line.
-  std::string RequestLogText() const { return FormatRequestLog(log_.Records()); }
+  std::string RequestLogText() const { return recorder_.Text(); }
 
   std::vector<EngineDigest> Digests(TimePoint now) const;
   size_t EnginesKnown() const { return engines_.size(); }
@@ -109,19 +109,7 @@
   std::unordered_map<uint64_t, AskTarget> asks_;
   std::unordered_map<RequestId, uint64_t> local_asks_;  // asks of this node to itself
   std::map<ReplyKey, std::function<void(AcquireReply)>> remote_asks_;
-  // What is known of a request until its record is complete.
-  struct OpenRecord {
-    RequestRecord record;
-    TimePoint arrival{};
-    TimePoint granted{};
-  };
-  void NoteAsked(const SlotRequest& request);
-  void NoteDecided(RequestId id, const SlotDecision& decision);
-  void NoteReleased(RequestId id);
-
-  TimePoint started_ = Now();
-  RequestLog log_;
-  std::unordered_map<RequestId, OpenRecord> open_records_;
+  RequestRecorder recorder_;
   std::set<std::string> announced_;  // engines announced with grants at the last Reconcile()
 };
 
--- a/libs/gateway/include/cartsail/gateway/control_plane.h
+++ b/libs/gateway/include/cartsail/gateway/control_plane.h
@@ -19,12 +19,6 @@
 
 using ClassPolicyPtr = std::shared_ptr<const ClassPolicy>;
 
-enum class SlotPurpose {
-  kFirst,         // first try of a request: counts against the tenant's limits
-  kRetry,         // after a failure: takes from the class's retry budget
-  kContinuation,  // after a preemption or a refusal: the slot was taken through no fault of its own
-};
-
 struct SlotRequest {
   RequestId id = 0;  // new for each request for a slot
   ClassPolicyPtr policy;
@@ -45,15 +39,6 @@
   Endpoint endpoint;
 };
 
-// How the use of a slot ended, for the choice of back ends.
-enum class SlotEnd {
-  kServed,
-  kCancelled,  // by the caller or by preemption
-  kLeaving,    // the back end said that it takes no new work
-  kRefused,    // the back end did not start it
-  kFailed,     // the back end broke off or could not be reached
-};
-
 class ControlPlane {
  public:
   virtual ~ControlPlane() = default;
--- a/libs/operations/src/replay.cc
+++ b/libs/operations/src/replay.cc
@@ -136,10 +136,10 @@
     } else {
       ++measures.recorded_refused;
     }
-    Ask(id, EntryPurpose::kFirst);
+    Ask(id, SlotPurpose::kFirst);
   }
 
-  void Ask(RequestId id, EntryPurpose purpose) {
+  void Ask(RequestId id, SlotPurpose purpose) {
     const Job& job = jobs_[id];
     const ClassPolicy policy = PolicyOf(*job.record);
     EntryRequest request;
@@ -212,7 +212,7 @@
     At(now_ + FromSeconds(job.left_ms / 1e3), [this, id, run] {
       const auto found = jobs_.find(id);
       if (found == jobs_.end() || found->second.run != run) return;
-      Run(entry_.Release(id, EntryEnd::kServed, {}, now_));
+      Run(entry_.Release(id, SlotEnd::kServed, {}, now_));
       End(id);
     });
   }
@@ -224,8 +224,8 @@
     ++report_.classes[job.key].preempted;
     job.left_ms = std::max(1.0, job.left_ms - ToMillis(now_ - job.granted));
     ++job.run;
-    Run(entry_.Release(id, EntryEnd::kCancelled, {}, now_));
-    Ask(id, EntryPurpose::kContinuation);
+    Run(entry_.Release(id, SlotEnd::kCancelled, {}, now_));
+    Ask(id, SlotPurpose::kContinuation);
   }
 
   void End(RequestId id) {
--- a/libs/platform/include/cartsail/platform/key_value_store.h
+++ b/libs/platform/include/cartsail/platform/key_value_store.h
@@ -101,6 +101,10 @@
       std::function<void(std::vector<WatchEvent>, int64_t revision)> on_events) = 0;
 };
 
+// Creates `put` if its key does not exist, else reads the record that stands: a nested transaction
+// whose result has one range when the key existed.
+Operation CreateIfAbsent(PutRequest put);
+
 // The end of the range that holds every key with `prefix`.
 std::string PrefixEnd(std::string prefix);
 
--- a/libs/platform/src/etcd_client.cc
+++ b/libs/platform/src/etcd_client.cc
@@ -147,6 +147,21 @@
   return std::make_unique<EtcdClient>(std::move(executor), std::move(options));
 }
 
+Operation CreateIfAbsent(PutRequest put) {
+  Compare absent;
+  absent.key = put.key;
+  absent.target = Compare::Target::kCreateRevision;
+  Operation read;
+  read.range.key = put.key;
+  Operation create;
+  create.kind = Operation::Kind::kPut;
+  create.put = std::move(put);
+  Operation operation;
+  operation.kind = Operation::Kind::kTxn;
+  operation.nested.push_back({{absent}, {create}, {read}});
+  return operation;
+}
+
 std::string PrefixEnd(std::string prefix) {
   while (!prefix.empty()) {
     if (static_cast<unsigned char>(prefix.back()) < 0xff) {
--- a/libs/scheduler/include/cartsail/scheduler/entry_scheduler.h
+++ b/libs/scheduler/include/cartsail/scheduler/entry_scheduler.h
@@ -18,8 +18,6 @@
 
 namespace cartsail {
 
-enum class EntryPurpose { kFirst, kRetry, kContinuation };
-
 // A request for a slot as its entry node describes it.
 struct EntryRequest {
   RequestId id = 0;
@@ -32,7 +30,7 @@
   bool preemptible = false;
   uint64_t prefix_hash = 0;
   TimePoint arrival{};
-  EntryPurpose purpose = EntryPurpose::kFirst;
+  SlotPurpose purpose = SlotPurpose::kFirst;
   double retry_ratio = 0;
   TenantLimiter::Limits limits;
   std::set<std::string> excluded;
@@ -78,8 +76,6 @@
   bool has_digest = false;
 };
 
-enum class EntryEnd { kServed, kCancelled, kLeaving, kRefused, kFailed };
-
 class EntryScheduler {
  public:
   EntryScheduler(std::string node, SelectorPolicy policy, uint64_t seed);
@@ -93,7 +89,7 @@
   // The requester has gone; no kRefused follows.
   EntryActions Cancel(RequestId id);
 
-  EntryActions Release(RequestId id, EntryEnd end, const ServiceReport& report, TimePoint now);
+  EntryActions Release(RequestId id, SlotEnd end, const ServiceReport& report, TimePoint now);
 
   // The owner of these engines has changed: what waits there is asked again.
   EntryActions OnOwnerChanged(const std::string& engine, TimePoint now);
--- a/libs/scheduler/include/cartsail/scheduler/types.h
+++ b/libs/scheduler/include/cartsail/scheduler/types.h
@@ -40,6 +40,22 @@
   Duration interval_target{};  // of the request's class
 };
 
+// Why a slot is asked for.
+enum class SlotPurpose {
+  kFirst,         // first try of a request: counts against the tenant's limits
+  kRetry,         // after a failure: takes from the class's retry budget
+  kContinuation,  // after a preemption or a refusal: the slot was taken through no fault of its own
+};
+
+// How the use of a slot ended, for the choice of back ends.
+enum class SlotEnd {
+  kServed,
+  kCancelled,  // by the caller or by preemption
+  kLeaving,    // the back end said that it takes no new work
+  kRefused,    // the back end did not start it
+  kFailed,     // the back end broke off or could not be reached
+};
+
 enum class RejectReason {
   kOverloaded,    // the pool is full at this tier
   kQueueTimeout,  // waited max_wait
--- a/libs/scheduler/src/entry_scheduler.cc
+++ b/libs/scheduler/src/entry_scheduler.cc
@@ -29,7 +29,7 @@
   Entry entry;
   entry.request = request;
   entry.tried = request.excluded;
-  if (request.purpose == EntryPurpose::kFirst) {
+  if (request.purpose == SlotPurpose::kFirst) {
     if (limiter_.Admit(request.tenant, request.limits, now) != TenantLimiter::Verdict::kAdmitted) {
       entry.retry_after = TenantLimiter::RetryAfter(request.limits);
       return Refuse(entry, EntryRefusal::kRateLimited);
@@ -39,7 +39,7 @@
     // Its wait is over once it has started: a later slot is waited for anew.
     entry.request.arrival = now;
   }
-  if (request.purpose == EntryPurpose::kRetry && !budget_.TakeRetry(request.class_key)) {
+  if (request.purpose == SlotPurpose::kRetry && !budget_.TakeRetry(request.class_key)) {
     return Refuse(entry, EntryRefusal::kRetryDenied);
   }
   if (!selector_.Serves(request.model)) return Refuse(entry, EntryRefusal::kUnknownModel);
@@ -69,10 +69,15 @@
   return item;
 }
 
-// Asks the best engine not yet tried; when all were tried because they failed rather than refused,
-// they are tried again, since a quarantined engine is better than none.
+// Asks the best engine not yet tried. A retry, which its class's budget bounds, may go to an engine
+// that failed before when no other is left: in a small fleet a second failure is soon met.
 EntryActions EntryScheduler::AskNext(Entry& entry, TimePoint now) {
   std::optional<std::string> engine = selector_.Choose(SelectFor(entry), now, random_);
+  if (!engine.has_value() && entry.request.purpose == SlotPurpose::kRetry) {
+    for (const std::string& failed : entry.request.excluded) entry.tried.erase(failed);
+    entry.request.excluded.clear();
+    engine = selector_.Choose(SelectFor(entry), now, random_);
+  }
   if (!engine.has_value()) return Refuse(entry, EntryRefusal::kNoBackend);
   return Ask(entry, *engine, now);
 }
@@ -152,7 +157,7 @@
   return {action};
 }
 
-EntryActions EntryScheduler::Release(RequestId id, EntryEnd end, const ServiceReport& report,
+EntryActions EntryScheduler::Release(RequestId id, SlotEnd end, const ServiceReport& report,
                                      TimePoint now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return {};
@@ -162,16 +167,16 @@
   entries_.erase(found);
   selector_.NoteDone(engine);
   switch (end) {
-    case EntryEnd::kServed:
+    case SlotEnd::kServed:
       selector_.NoteSuccess(engine);
       break;
-    case EntryEnd::kCancelled:
+    case SlotEnd::kCancelled:
       break;
-    case EntryEnd::kLeaving:
+    case SlotEnd::kLeaving:
       selector_.MarkLeaving(engine, now);
       break;
-    case EntryEnd::kRefused:
-    case EntryEnd::kFailed:
+    case SlotEnd::kRefused:
+    case SlotEnd::kFailed:
       selector_.NoteFailure(engine, now);
       break;
   }
