--- a/apps/emulator/fleet.h
+++ b/apps/emulator/fleet.h
@@ -23,6 +23,9 @@
   bool prefix_affinity = true;
   bool continuation = true;  // a cut answer is continued, not begun again
   double retry_ratio = 0.1;  // negative: retries without a budget
+  // Baseline only: a request without a first token after twice its target is sent to another
+  // engine, while the first goes on computing.
+  bool impatient = false;
   bool adapt_window = true;
   double tier_share = 0.02;
   double admission_floor = 0.1;
--- a/apps/emulator/fleet_baseline.cc
+++ b/apps/emulator/fleet_baseline.cc
@@ -18,6 +18,24 @@
   });
 }
 
+void Fleet::SendAgainLater(const RequestPtr& request, SlotPurpose purpose) {
+  const TrafficClass& traffic = *request->traffic;
+  const double ratio = options_.policy.retry_ratio;
+  if (purpose == SlotPurpose::kFirst) {
+    retry_budget_.NoteFirstTry(traffic.name, std::max(0.0, ratio));
+  }
+  if (!traffic.repeatable) return;
+  const int attempt = request->attempt;
+  events_.After(traffic.ttft_target * 2, [this, request, attempt, ratio] {
+    if (request->done || request->first_token != TimePoint() || request->attempt != attempt) return;
+    if (ratio >= 0 && !retry_budget_.TakeRetry(request->traffic->name)) return;
+    ++retries_;
+    // The engine is not told: what it computes from here on is for nobody.
+    running_.erase(request->sequence);
+    SendAlone(request, SlotPurpose::kRetry);
+  });
+}
+
 void Fleet::SendAlone(const RequestPtr& request, SlotPurpose purpose) {
   HollowNode& node = *nodes_[request->node];
   std::vector<int> visible;
@@ -33,6 +51,7 @@
   request->granted = events_.Time();
   const int attempt = ++request->attempt;
   StartOnEngine(request);
+  if (options_.policy.impatient) SendAgainLater(request, purpose);
   // Given up when it has waited as long as its class allows.
   events_.At(request->arrival + request->traffic->max_wait, [this, request, attempt] {
     if (request->done || request->first_token != TimePoint() || request->attempt != attempt) {
--- a/apps/emulator/fleet_run.h
+++ b/apps/emulator/fleet_run.h
@@ -140,6 +140,8 @@
 
   void ScheduleReport(size_t index, uint64_t incarnation);
   void SendAlone(const RequestPtr& request, SlotPurpose purpose);
+  // Sends a request that waits too long to another engine, as the retry budget allows.
+  void SendAgainLater(const RequestPtr& request, SlotPurpose purpose);
 
   void Apply(const FleetFault& fault);
   void CrashEngine(int index, Duration length);
@@ -170,6 +172,7 @@
   uint64_t next_ticket_ = 1;
   bool platform_out_ = false;
   double first_fault_ = -1;
+  RetryBudget retry_budget_;  // of the impatient baseline
   int64_t requests_ = 0;
   int64_t messages_ = 0;
   int64_t heartbeats_ = 0;
--- a/libs/gateway/src/chat_session.cc
+++ b/libs/gateway/src/chat_session.cc
@@ -96,6 +96,12 @@
       work_.Release(SlotEnd::kCancelled, {.started = false});
       co_return status;
     }
+    if (signals_->preempted) {
+      // Taken back while the grant was still on its way here: nothing was sent yet.
+      work_.Release(SlotEnd::kCancelled, {.started = false});
+      purpose = SlotPurpose::kContinuation;
+      continue;
+    }
     status = co_await RunAttempt();
     if (status.ok()) co_return status;
     const std::optional<SlotPurpose> next = NextPurpose(status);
