--- a/apps/cartsailctl/config_commands.cc
+++ b/apps/cartsailctl/config_commands.cc
@@ -7,7 +7,7 @@
 
 #include "cartsail/base/hash.h"
 #include "cartsail/operations/config_store.h"
-#include "cartsail/platform/etcd_client.h"
+#include "cartsail/store/etcd_client.h"
 #include "command.h"
 
 namespace cartsail::ctl {
--- a/apps/cartsailctl/toolbox_commands.cc
+++ b/apps/cartsailctl/toolbox_commands.cc
@@ -9,7 +9,7 @@
 #include "cartsail/operations/deployment.h"
 #include "cartsail/operations/plan.h"
 #include "cartsail/operations/request_log.h"
-#include "cartsail/platform/etcd_client.h"
+#include "cartsail/store/etcd_client.h"
 #include "command.h"
 
 namespace cartsail::ctl {
--- a/apps/emulator/platform_server.cc
+++ b/apps/emulator/platform_server.cc
@@ -10,8 +10,8 @@
 #include "cartsail/base/json.h"
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_server.h"
-#include "cartsail/platform/etcd_json.h"
-#include "cartsail/platform/machine_list.h"
+#include "cartsail/store/etcd_json.h"
+#include "cartsail/store/machine_list.h"
 #include "json_reply.h"
 #include "platform_store.h"
 
--- a/apps/emulator/platform_store.h
+++ b/apps/emulator/platform_store.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
-#include "cartsail/platform/key_value_store.h"
+#include "cartsail/store/key_value_store.h"
 
 namespace cartsail::emulator {
 
--- a/apps/emulator/world.cc
+++ b/apps/emulator/world.cc
@@ -14,7 +14,7 @@
 
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_client.h"
-#include "cartsail/platform/etcd_client.h"
+#include "cartsail/store/etcd_client.h"
 #include "engine_server.h"
 
 namespace cartsail::emulator {
--- a/libs/base/include/cartsail/base/status.h
+++ b/libs/base/include/cartsail/base/status.h
@@ -43,6 +43,7 @@
   kNotReady,             // the node has no configuration yet
   kDraining,             // the node is stopping
   kPeerUnavailable,      // another node does not answer
+  kHistoryLost,          // the store no longer has the changes asked for
   kStaleRevision,        // an older configuration revision than the one in force
   kCancelled,            // the caller has gone
 };
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -59,7 +59,8 @@
     line += fmt::format(" {}={}", field.key, value);
   }
   line.push_back('\n');
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  std::fwrite(line.data(), 1, line.size(), stdout);
+  std::fflush(stdout);
 }
 
 }  // namespace cartsail
--- a/libs/base/src/status.cc
+++ b/libs/base/src/status.cc
@@ -55,6 +55,7 @@
     KindInfo{ErrorKind::kNotReady, "not_ready", 503, absl::StatusCode::kUnavailable},
     KindInfo{ErrorKind::kDraining, "draining", 503, absl::StatusCode::kUnavailable},
     KindInfo{ErrorKind::kPeerUnavailable, "peer_unavailable", 503, absl::StatusCode::kUnavailable},
+    KindInfo{ErrorKind::kHistoryLost, "history_lost", 503, absl::StatusCode::kOutOfRange},
     KindInfo{ErrorKind::kStaleRevision, "stale_revision", 409,
              absl::StatusCode::kFailedPrecondition},
     KindInfo{ErrorKind::kCancelled, "cancelled", 499, absl::StatusCode::kCancelled},
--- a/libs/daemon/src/claim_service.h
+++ b/libs/daemon/src/claim_service.h
@@ -13,7 +13,7 @@
 #include "cartsail/claims/claim_batcher.h"
 #include "cartsail/membership/member_table.h"
 #include "cartsail/peer/peer_network.h"
-#include "cartsail/platform/key_value_store.h"
+#include "cartsail/store/key_value_store.h"
 
 namespace cartsail {
 
--- a/libs/daemon/src/config_service.h
+++ b/libs/daemon/src/config_service.h
@@ -14,7 +14,7 @@
 #include "cartsail/daemon/options.h"
 #include "cartsail/membership/member_table.h"
 #include "cartsail/peer/peer_network.h"
-#include "cartsail/platform/key_value_store.h"
+#include "cartsail/store/key_value_store.h"
 
 namespace cartsail {
 
--- a/libs/daemon/src/machine_service.h
+++ b/libs/daemon/src/machine_service.h
@@ -9,7 +9,7 @@
 
 #include "cartsail/daemon/options.h"
 #include "cartsail/peer/peer_network.h"
-#include "cartsail/platform/machine_list.h"
+#include "cartsail/store/machine_list.h"
 
 namespace cartsail {
 
--- a/libs/daemon/src/node.cc
+++ b/libs/daemon/src/node.cc
@@ -20,7 +20,7 @@
 #include "cartsail/base/status.h"
 #include "cartsail/gateway/gateway.h"
 #include "cartsail/net/http_server.h"
-#include "cartsail/platform/etcd_client.h"
+#include "cartsail/store/etcd_client.h"
 #include "claim_service.h"
 #include "config_service.h"
 #include "machine_service.h"
--- /dev/null
+++ b/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
@@ -0,0 +1,41 @@
+// How one attempt at a back end ended, and what may be done next. Pure.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "cartsail/routing/routing_document.h"
+
+namespace cartsail {
+
+enum class AttemptOutcome {
+  kAnswered,       // a whole answer that is passed on
+  kFailedAnswer,   // a whole answer that tells a failure of a request that ran
+  kNotSent,        // no connection: nothing was sent
+  kRefused,        // the back end says that it did not run the request
+  kWrongInstance,  // another start of a back end has the address; it did not run the request
+  kCut,            // the connection broke after bytes may have been sent
+  kSpoilt,         // bytes that are no answer to this request
+  kSilent,         // nothing came for too long
+  kTimedOut,       // the request's own time ended
+  kCallerGone,
+};
+
+std::string_view AttemptOutcomeName(AttemptOutcome outcome);
+
+// True when the back end provably did not run the request.
+bool ProvablyNotRun(AttemptOutcome outcome);
+
+// What one request has used so far.
+struct AttemptHistory {
+  int64_t attempts = 0;      // back ends that bytes of the request were sent to
+  int64_t may_have_run = 0;  // of these, those that did not say that they refused
+  int64_t connects_failed = 0;
+  bool output_delivered = false;  // the caller has seen part of an answer
+};
+
+// True when the request may go to one more back end after `outcome`. Not for the time left or the
+// retry budget, which the caller checks.
+bool MayTryAgain(const RouteRule& route, AttemptOutcome outcome, const AttemptHistory& history);
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/include/cartsail/dispatch/backend_health.h
@@ -0,0 +1,45 @@
+// What recent requests tell about a back end's health: failures weigh against it, lost connections
+// suspend it for a growing time. No probes. Pure.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "cartsail/base/clock.h"
+#include "cartsail/dispatch/attempt_outcome.h"
+
+namespace cartsail {
+
+class BackendHealth {
+ public:
+  void Note(std::string_view backend, AttemptOutcome outcome, TimePoint now);
+
+  // Time to the first output against what was expected of it, 1 being as expected.
+  void NotePace(std::string_view backend, double ratio);
+
+  bool IsSuspended(std::string_view backend, TimePoint now) const;
+
+  // Share of failures among recent attempts, 0 to 1; it fades with time.
+  double FailureShare(std::string_view backend, TimePoint now) const;
+
+  // How many times longer than expected it takes, at least 1.
+  double Slowness(std::string_view backend) const;
+
+  void Forget(std::string_view backend);
+
+ private:
+  struct Record {
+    double failure_share = 0;
+    double slowness = 1;
+    int consecutive_losses = 0;
+    TimePoint updated;
+    TimePoint suspended_until;
+  };
+
+  const Record* Find(std::string_view backend) const;
+
+  std::unordered_map<std::string, Record> records_;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/include/cartsail/dispatch/load_ledger.h
@@ -0,0 +1,61 @@
+// Work outstanding at each back end: this node's own, counted exactly, and that of its peers as
+// they last told it. Pure.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cartsail/base/clock.h"
+
+namespace cartsail {
+
+// Requests at one back end that have not ended.
+struct BackendLoad {
+  double reading_ms = 0;     // expected time to read the prompts that wait for their first output
+  int64_t requests = 0;      // all
+  int64_t even_streams = 0;  // of these, streams that need even pauses
+
+  BackendLoad& operator+=(const BackendLoad& other);
+};
+
+struct BackendLoadEntry {
+  std::string backend;
+  BackendLoad load;
+};
+
+class LoadLedger {
+ public:
+  // What a peer told is forgotten after `peer_lifetime`.
+  explicit LoadLedger(Duration peer_lifetime) : peer_lifetime_(peer_lifetime) {}
+
+  void Begin(std::string_view backend, double reading_ms, bool even_stream);
+  void FirstOutput(std::string_view backend, double reading_ms);
+  void End(std::string_view backend, bool even_stream);
+
+  // Replaces all that `node` told before.
+  void SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads, TimePoint now);
+
+  BackendLoad Own(std::string_view backend) const;
+  BackendLoad Total(std::string_view backend, TimePoint now) const;
+
+  // This node's own, without back ends that have nothing.
+  std::vector<BackendLoadEntry> OwnLoads() const;
+
+  // Peers heard within the lifetime.
+  int64_t PeersHeard(TimePoint now) const;
+
+ private:
+  struct PeerLoads {
+    TimePoint heard;
+    std::unordered_map<std::string, BackendLoad> loads;
+  };
+
+  Duration peer_lifetime_;
+  std::unordered_map<std::string, BackendLoad> own_;
+  std::unordered_map<std::string, PeerLoads> peers_;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -0,0 +1,31 @@
+// The figures by which placement weighs back ends against each other, as one plain struct. All
+// costs are in milliseconds of a request's time. Pure.
+#pragma once
+
+#include <cstdint>
+
+#include "cartsail/base/clock.h"
+
+namespace cartsail {
+
+struct PlacementPolicy {
+  double read_tokens_per_ms = 60;       // prompt tokens that an engine reads in a millisecond
+  double attention_ms_per_million = 0.3;  // for each million of (new token, earlier token) pairs
+  double move_tokens_per_ms = 150;      // prompt memory taken over from another engine
+  double move_setup_ms = 4;
+  double reread_price_ms = 0.5;         // a token read although another engine holds it
+  double move_price_ms = 0.028;         // a token taken over
+  Duration prefix_lifetime = seconds(20);
+  // Requests whose first output may take at least this long are the patient ones: they read long
+  // prompts and are kept off the engines whose streams need even pauses.
+  Duration patient_goal = seconds(1);
+  double patient_share = 0.5;           // of a service's engines, set aside for patient requests
+  double patient_elsewhere_ms = 600;    // a patient request outside that share
+  double urgent_elsewhere_ms = 150;     // an urgent request inside it
+  double stream_cost_ms = 3;            // each running request slows the others
+  double plain_request_ms = 60;         // expected work of a plain service's request
+  double other_zone_ms = 1;
+  double failure_cost_ms = 4000;        // times the share of recent failures
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
@@ -0,0 +1,54 @@
+// Which back ends hold which parts of prompts, as far as this node and its peers have placed
+// requests there. An estimate: back ends drop parts that nobody used for long. Pure.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cartsail/base/clock.h"
+#include "cartsail/dispatch/request_profile.h"
+
+namespace cartsail {
+
+class PrefixDirectory {
+ public:
+  // A part that nobody used for `lifetime` is taken for dropped.
+  explicit PrefixDirectory(Duration lifetime) : lifetime_(lifetime) {}
+
+  // `backend` reads or has read the part.
+  void Note(uint64_t part, std::string_view backend, TimePoint now);
+
+  // Tokens at the start of `parts` that `backend` holds.
+  int64_t HeldTokens(const std::vector<PromptPart>& parts, std::string_view backend,
+                     TimePoint now) const;
+
+  // True when some back end holds the part.
+  bool AnyHolds(uint64_t part, TimePoint now) const;
+
+  // The back end is gone, and so is what it held.
+  void Forget(std::string_view backend);
+
+  // All back ends that hold something, each once.
+  std::vector<std::string> Backends() const;
+
+  // Drops what has expired. To be called about once a second.
+  void Expire(TimePoint now);
+
+  size_t Size() const { return holders_.size(); }
+
+ private:
+  struct Holder {
+    std::string backend;
+    TimePoint last_use;
+  };
+
+  bool Holds(uint64_t part, std::string_view backend, TimePoint now) const;
+
+  Duration lifetime_;
+  std::unordered_map<uint64_t, std::vector<Holder>> holders_;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/src/attempt_outcome.cc
@@ -0,0 +1,58 @@
+#include "cartsail/dispatch/attempt_outcome.h"
+
+namespace cartsail {
+namespace {
+
+// Back ends that one request is offered to at most, refusals and failed connections included.
+constexpr int64_t kMostOffers = 4;
+
+bool MayRunTwice(const RouteRule& route) {
+  if (route.kind == RequestKind::kRepeatable) return true;
+  return route.kind == RequestKind::kStream && route.resumable;
+}
+
+}  // namespace
+
+std::string_view AttemptOutcomeName(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kAnswered:
+      return "answered";
+    case AttemptOutcome::kFailedAnswer:
+      return "failed_answer";
+    case AttemptOutcome::kNotSent:
+      return "not_sent";
+    case AttemptOutcome::kRefused:
+      return "refused";
+    case AttemptOutcome::kWrongInstance:
+      return "wrong_instance";
+    case AttemptOutcome::kCut:
+      return "cut";
+    case AttemptOutcome::kSpoilt:
+      return "spoilt";
+    case AttemptOutcome::kSilent:
+      return "silent";
+    case AttemptOutcome::kTimedOut:
+      return "timed_out";
+    case AttemptOutcome::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+bool ProvablyNotRun(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kRefused ||
+         outcome == AttemptOutcome::kWrongInstance;
+}
+
+bool MayTryAgain(const RouteRule& route, AttemptOutcome outcome, const AttemptHistory& history) {
+  if (outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kTimedOut ||
+      outcome == AttemptOutcome::kCallerGone) {
+    return false;
+  }
+  if (history.attempts + history.connects_failed >= kMostOffers) return false;
+  if (history.may_have_run >= route.max_attempts) return false;
+  if (history.may_have_run > 0 && !MayRunTwice(route)) return false;
+  return ProvablyNotRun(outcome) || MayRunTwice(route);
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/src/backend_health.cc
@@ -0,0 +1,77 @@
+#include "cartsail/dispatch/backend_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cartsail {
+namespace {
+
+constexpr double kFailureWeight = 0.25;     // of one attempt in the moving share
+constexpr double kSlownessWeight = 0.1;     // of one measurement
+constexpr double kMostSlowness = 10;
+constexpr Duration kFadeTime = seconds(4);  // the share falls to a third in this time
+constexpr Duration kFirstSuspension = milliseconds(250);
+constexpr Duration kLongestSuspension = seconds(3);
+
+bool IsLoss(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kSilent;
+}
+
+bool CountsAsFailure(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::kAnswered && outcome != AttemptOutcome::kCallerGone;
+}
+
+Duration SuspensionAfter(int losses) {
+  Duration suspension = kFirstSuspension;
+  for (int i = 1; i < losses && suspension < kLongestSuspension; ++i) suspension *= 2;
+  return std::min(suspension, kLongestSuspension);
+}
+
+}  // namespace
+
+const BackendHealth::Record* BackendHealth::Find(std::string_view backend) const {
+  const auto record = records_.find(std::string(backend));
+  return record == records_.end() ? nullptr : &record->second;
+}
+
+void BackendHealth::Note(std::string_view backend, AttemptOutcome outcome, TimePoint now) {
+  if (outcome == AttemptOutcome::kCallerGone) return;
+  const double faded = FailureShare(backend, now);
+  Record& record = records_[std::string(backend)];
+  const double failed = CountsAsFailure(outcome) ? 1 : 0;
+  record.failure_share = faded + kFailureWeight * (failed - faded);
+  record.updated = now;
+  if (!IsLoss(outcome)) {
+    record.consecutive_losses = 0;
+    return;
+  }
+  ++record.consecutive_losses;
+  record.suspended_until = now + SuspensionAfter(record.consecutive_losses);
+}
+
+void BackendHealth::NotePace(std::string_view backend, double ratio) {
+  Record& record = records_[std::string(backend)];
+  const double bounded = std::clamp(ratio, 0.2, kMostSlowness);
+  record.slowness += kSlownessWeight * (bounded - record.slowness);
+}
+
+bool BackendHealth::IsSuspended(std::string_view backend, TimePoint now) const {
+  const Record* record = Find(backend);
+  return record != nullptr && now < record->suspended_until;
+}
+
+double BackendHealth::FailureShare(std::string_view backend, TimePoint now) const {
+  const Record* record = Find(backend);
+  if (record == nullptr || record->failure_share == 0) return 0;
+  const double age = ToSeconds(now - record->updated);
+  return record->failure_share * std::exp(-std::max(age, 0.0) / ToSeconds(kFadeTime));
+}
+
+double BackendHealth::Slowness(std::string_view backend) const {
+  const Record* record = Find(backend);
+  return record == nullptr ? 1 : std::max(record->slowness, 1.0);
+}
+
+void BackendHealth::Forget(std::string_view backend) { records_.erase(std::string(backend)); }
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/src/backend_registry.cc
@@ -0,0 +1,65 @@
+#include "cartsail/dispatch/backend_registry.h"
+
+#include <utility>
+
+namespace cartsail {
+
+void BackendRegistry::ReplaceAll(std::vector<Backend> backends) {
+  std::map<std::string, Backend, std::less<>> before = std::move(backends_);
+  backends_.clear();
+  for (Backend& backend : backends) {
+    const auto known = before.find(backend.id);
+    if (known != before.end() && known->second.state == BackendState::kLeaving) {
+      backend.state = BackendState::kLeaving;
+    }
+    const std::string id = backend.id;
+    backends_[id] = std::move(backend);
+  }
+}
+
+void BackendRegistry::Put(Backend backend) {
+  Backend& entry = backends_[backend.id];
+  if (entry.state == BackendState::kLeaving) backend.state = BackendState::kLeaving;
+  entry = std::move(backend);
+}
+
+void BackendRegistry::Remove(std::string_view id) {
+  const auto entry = backends_.find(id);
+  if (entry != backends_.end()) backends_.erase(entry);
+}
+
+void BackendRegistry::MarkLeaving(std::string_view id) {
+  const auto entry = backends_.find(id);
+  if (entry != backends_.end()) entry->second.state = BackendState::kLeaving;
+}
+
+const Backend* BackendRegistry::Find(std::string_view id) const {
+  const auto entry = backends_.find(id);
+  return entry == backends_.end() ? nullptr : &entry->second;
+}
+
+std::vector<const Backend*> BackendRegistry::ReadyOf(std::string_view service) const {
+  std::map<std::string_view, const Backend*> newest_at;
+  for (const auto& [id, backend] : backends_) {
+    const Backend*& newest = newest_at[backend.address];
+    if (newest == nullptr || backend.created_revision > newest->created_revision) {
+      newest = &backend;
+    }
+  }
+  std::vector<const Backend*> ready;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.service != service || backend.state != BackendState::kReady) continue;
+    if (newest_at[backend.address] == &backend) ready.push_back(&backend);
+  }
+  return ready;
+}
+
+std::vector<std::string> BackendRegistry::LeavingIds() const {
+  std::vector<std::string> leaving;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.state == BackendState::kLeaving) leaving.push_back(id);
+  }
+  return leaving;
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/src/dispatcher.cc
@@ -0,0 +1,244 @@
+#include "cartsail/dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "cartsail/base/hash.h"
+
+namespace cartsail {
+namespace {
+
+constexpr Duration kPeerLoadLifetime = seconds(1);
+constexpr size_t kMostDigestPrefixes = 64;
+// A prompt that nobody holds goes to the engine that all nodes would choose for it, unless another
+// one is better by this much.
+constexpr double kHomeBonusMs = 60;
+
+bool WasTried(const std::vector<std::string>& tried, const std::string& id) {
+  return std::find(tried.begin(), tried.end(), id) != tried.end();
+}
+
+// The engines of a service in an order that all nodes agree on; the first ones serve patient
+// requests.
+std::vector<const Backend*> InShareOrder(std::vector<const Backend*> backends) {
+  std::sort(backends.begin(), backends.end(), [](const Backend* left, const Backend* right) {
+    return Hash64(left->id) < Hash64(right->id);
+  });
+  return backends;
+}
+
+// The part that names what a prompt is about: the last one that other requests share.
+uint64_t SubjectOf(const RequestProfile& profile) {
+  const size_t parts = profile.prompt_parts.size();
+  if (parts == 0) return 0;
+  return profile.prompt_parts[parts >= 2 ? parts - 2 : 0].id;
+}
+
+uint64_t HomeScore(uint64_t subject, const Backend& backend) {
+  return Hash64(backend.id, subject);
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone)
+    : policy_(policy),
+      zone_(std::move(zone)),
+      loads_(kPeerLoadLifetime),
+      prefixes_(policy.prefix_lifetime) {}
+
+bool Dispatcher::IsPatient(const RequestProfile& profile) const {
+  return profile.first_output_goal >= policy_.patient_goal;
+}
+
+double Dispatcher::ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const {
+  const auto unread = static_cast<double>(std::max<int64_t>(prompt_tokens - held_tokens, 0));
+  const double pairs = unread * (static_cast<double>(held_tokens) + unread / 2);
+  return unread / policy_.read_tokens_per_ms + policy_.attention_ms_per_million * pairs / 1e6;
+}
+
+std::vector<const Backend*> Dispatcher::Usable(const RequestProfile& profile,
+                                               const std::vector<std::string>& tried,
+                                               TimePoint now) const {
+  std::vector<const Backend*> usable;
+  std::vector<const Backend*> suspended;
+  for (const Backend* backend : registry_.ReadyOf(profile.service)) {
+    if (WasTried(tried, backend->id)) continue;
+    (health_.IsSuspended(backend->id, now) ? suspended : usable).push_back(backend);
+  }
+  return usable.empty() ? suspended : usable;
+}
+
+Dispatcher::Estimate Dispatcher::EstimatePlain(const Backend& backend, TimePoint now) const {
+  Estimate estimate;
+  estimate.load = loads_.Total(backend.id, now);
+  const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
+  const double busy = static_cast<double>(estimate.load.requests) / slots;
+  estimate.cost_ms = policy_.plain_request_ms * (1 + busy) * health_.Slowness(backend.id);
+  if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
+  estimate.cost_ms += policy_.failure_cost_ms * health_.FailureShare(backend.id, now);
+  return estimate;
+}
+
+Dispatcher::Estimate Dispatcher::EstimateGeneration(const RequestProfile& profile,
+                                                    const Backend& backend, bool in_share,
+                                                    const Backend* holder, int64_t holder_tokens,
+                                                    TimePoint now) const {
+  Estimate estimate;
+  estimate.load = loads_.Total(backend.id, now);
+  estimate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, backend.id, now);
+  const int64_t missing = holder_tokens - estimate.held_tokens;
+  double price_ms = 0;
+  if (holder != nullptr && missing > 0) {
+    if (profile.bytes_per_token > 0) {
+      estimate.fetch_from = holder;
+      price_ms = static_cast<double>(missing) * policy_.move_price_ms + policy_.move_setup_ms +
+                 static_cast<double>(missing) / policy_.move_tokens_per_ms;
+    } else {
+      price_ms = static_cast<double>(missing) * policy_.reread_price_ms;
+    }
+  }
+  const int64_t held = estimate.fetch_from != nullptr ? holder_tokens : estimate.held_tokens;
+  estimate.reading_ms = ReadingMillis(held, profile.prompt_tokens);
+  const double streams = static_cast<double>(estimate.load.requests) * policy_.stream_cost_ms;
+  const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
+  const double over = std::max(0.0, static_cast<double>(estimate.load.requests) - slots * 0.9);
+  estimate.cost_ms = (estimate.load.reading_ms + estimate.reading_ms + streams + over * 50) *
+                     health_.Slowness(backend.id);
+  estimate.cost_ms += price_ms;
+  const bool patient = IsPatient(profile);
+  if (patient && !in_share) estimate.cost_ms += policy_.patient_elsewhere_ms;
+  if (!patient && in_share) estimate.cost_ms += policy_.urgent_elsewhere_ms;
+  if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
+  estimate.cost_ms += policy_.failure_cost_ms * health_.FailureShare(backend.id, now);
+  return estimate;
+}
+
+std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
+                                           const std::vector<std::string>& tried, TimePoint now) {
+  const std::vector<const Backend*> usable = Usable(profile, tried, now);
+  if (usable.empty()) return std::nullopt;
+
+  const Backend* holder = nullptr;
+  int64_t holder_tokens = 0;
+  const Backend* home = nullptr;
+  std::vector<const Backend*> share;
+  if (profile.is_generation) {
+    for (const Backend* backend : registry_.ReadyOf(profile.service)) {
+      const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, backend->id, now);
+      if (held <= holder_tokens || health_.IsSuspended(backend->id, now)) continue;
+      holder = backend;
+      holder_tokens = held;
+    }
+    share = InShareOrder(registry_.ReadyOf(profile.service));
+    const double wanted = static_cast<double>(share.size()) * policy_.patient_share;
+    const auto share_size = static_cast<size_t>(std::max(1.0, wanted + 0.5));
+    const uint64_t subject = SubjectOf(profile);
+    uint64_t best_score = 0;
+    for (size_t i = 0; i < share.size(); ++i) {
+      if ((i < share_size) != IsPatient(profile) && share.size() > 1) continue;
+      const uint64_t score = HomeScore(subject, *share[i]);
+      if (home != nullptr && score <= best_score) continue;
+      home = share[i];
+      best_score = score;
+    }
+    share.resize(std::min(share.size(), share_size));
+  }
+
+  const Backend* best = nullptr;
+  Estimate best_estimate;
+  for (const Backend* backend : usable) {
+    Estimate estimate;
+    if (profile.is_generation) {
+      const bool in_share = std::find(share.begin(), share.end(), backend) != share.end();
+      estimate = EstimateGeneration(profile, *backend, in_share, holder, holder_tokens, now);
+      if (backend == home) estimate.cost_ms -= kHomeBonusMs;
+    } else {
+      estimate = EstimatePlain(*backend, now);
+    }
+    if (best != nullptr && estimate.cost_ms >= best_estimate.cost_ms) continue;
+    best = backend;
+    best_estimate = estimate;
+  }
+  Placement placement = Begin(profile, *best, best_estimate, now);
+  placement.candidates = static_cast<int64_t>(usable.size());
+  return placement;
+}
+
+Placement Dispatcher::Begin(const RequestProfile& profile, const Backend& backend,
+                            const Estimate& estimate, TimePoint now) {
+  Placement placement;
+  placement.ticket = next_ticket_++;
+  placement.backend = backend;
+  if (estimate.fetch_from != nullptr) placement.fetch_prefix_from = estimate.fetch_from->address;
+  placement.cost_ms = estimate.cost_ms;
+  placement.held_tokens = estimate.held_tokens;
+  placement.load = estimate.load;
+
+  Running running;
+  running.backend = backend.id;
+  running.reading_ms = estimate.reading_ms;
+  running.even_stream = profile.is_generation && !IsPatient(profile);
+  running.is_generation = profile.is_generation;
+  running.begun = now;
+  running.expected_ms = profile.is_generation
+                            ? estimate.load.reading_ms + estimate.reading_ms + 20
+                            : policy_.plain_request_ms;
+  loads_.Begin(backend.id, running.reading_ms, running.even_stream);
+  running_[placement.ticket] = running;
+
+  for (size_t i = 0; i + 1 < profile.prompt_parts.size(); ++i) {
+    const uint64_t part = profile.prompt_parts[i].id;
+    prefixes_.Note(part, backend.id, now);
+    if (new_prefixes_.size() < kMostDigestPrefixes) new_prefixes_.push_back({part, backend.id});
+  }
+  return placement;
+}
+
+void Dispatcher::FirstOutput(PlacementTicket ticket, TimePoint now) {
+  const auto entry = running_.find(ticket);
+  if (entry == running_.end() || entry->second.has_output) return;
+  Running& running = entry->second;
+  running.has_output = true;
+  loads_.FirstOutput(running.backend, running.reading_ms);
+  health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
+}
+
+void Dispatcher::Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now) {
+  const auto entry = running_.find(ticket);
+  if (entry == running_.end()) return;
+  const Running running = entry->second;
+  running_.erase(entry);
+  if (!running.has_output) loads_.FirstOutput(running.backend, running.reading_ms);
+  loads_.End(running.backend, running.even_stream);
+  if (registry_.Find(running.backend) == nullptr) return;
+  health_.Note(running.backend, outcome, now);
+  if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(running.backend);
+}
+
+void Dispatcher::ForgetGone() {
+  for (const std::string& backend : prefixes_.Backends()) {
+    if (registry_.Find(backend) != nullptr) continue;
+    prefixes_.Forget(backend);
+    health_.Forget(backend);
+  }
+}
+
+DispatchDigest Dispatcher::TakeDigest() {
+  DispatchDigest digest;
+  digest.loads = loads_.OwnLoads();
+  digest.prefixes = std::move(new_prefixes_);
+  new_prefixes_.clear();
+  digest.leaving = registry_.LeavingIds();
+  return digest;
+}
+
+void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest, TimePoint now) {
+  loads_.SetPeer(node, digest.loads, now);
+  for (const PrefixPlacement& placed : digest.prefixes) {
+    if (registry_.Find(placed.backend) == nullptr) continue;
+    prefixes_.Note(placed.part, placed.backend, now);
+  }
+  for (const std::string& backend : digest.leaving) registry_.MarkLeaving(backend);
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/src/load_ledger.cc
@@ -0,0 +1,70 @@
+#include "cartsail/dispatch/load_ledger.h"
+
+#include <algorithm>
+
+namespace cartsail {
+
+BackendLoad& BackendLoad::operator+=(const BackendLoad& other) {
+  reading_ms += other.reading_ms;
+  requests += other.requests;
+  even_streams += other.even_streams;
+  return *this;
+}
+
+void LoadLedger::Begin(std::string_view backend, double reading_ms, bool even_stream) {
+  BackendLoad& load = own_[std::string(backend)];
+  load.reading_ms += reading_ms;
+  ++load.requests;
+  load.even_streams += even_stream ? 1 : 0;
+}
+
+void LoadLedger::FirstOutput(std::string_view backend, double reading_ms) {
+  BackendLoad& load = own_[std::string(backend)];
+  load.reading_ms = std::max(0.0, load.reading_ms - reading_ms);
+}
+
+void LoadLedger::End(std::string_view backend, bool even_stream) {
+  const auto load = own_.find(std::string(backend));
+  if (load == own_.end()) return;
+  --load->second.requests;
+  load->second.even_streams -= even_stream ? 1 : 0;
+  if (load->second.requests <= 0) own_.erase(load);
+}
+
+void LoadLedger::SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads,
+                         TimePoint now) {
+  PeerLoads& peer = peers_[std::string(node)];
+  peer.heard = now;
+  peer.loads.clear();
+  for (const BackendLoadEntry& entry : loads) peer.loads[entry.backend] = entry.load;
+}
+
+BackendLoad LoadLedger::Own(std::string_view backend) const {
+  const auto load = own_.find(std::string(backend));
+  return load == own_.end() ? BackendLoad{} : load->second;
+}
+
+BackendLoad LoadLedger::Total(std::string_view backend, TimePoint now) const {
+  BackendLoad total = Own(backend);
+  for (const auto& [node, peer] : peers_) {
+    if (now - peer.heard > peer_lifetime_) continue;
+    const auto load = peer.loads.find(std::string(backend));
+    if (load != peer.loads.end()) total += load->second;
+  }
+  return total;
+}
+
+std::vector<BackendLoadEntry> LoadLedger::OwnLoads() const {
+  std::vector<BackendLoadEntry> loads;
+  loads.reserve(own_.size());
+  for (const auto& [backend, load] : own_) loads.push_back({backend, load});
+  return loads;
+}
+
+int64_t LoadLedger::PeersHeard(TimePoint now) const {
+  int64_t heard = 0;
+  for (const auto& [node, peer] : peers_) heard += now - peer.heard <= peer_lifetime_ ? 1 : 0;
+  return heard;
+}
+
+}  // namespace cartsail
--- a/libs/operations/include/cartsail/operations/config_store.h
+++ b/libs/operations/include/cartsail/operations/config_store.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "cartsail/config/snapshot.h"
-#include "cartsail/platform/key_value_store.h"
+#include "cartsail/store/key_value_store.h"
 
 namespace cartsail {
 
--- a/libs/operations/src/deployment.cc
+++ b/libs/operations/src/deployment.cc
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "cartsail/net/http_types.h"
-#include "cartsail/platform/machine_list.h"
+#include "cartsail/store/machine_list.h"
 
 namespace cartsail {
 namespace {
--- /dev/null
+++ b/libs/relay/include/cartsail/relay/admission.h
@@ -0,0 +1,53 @@
+// Decides from its head alone what becomes of a request: which route, tenant and service, or why
+// it is refused. Pure.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cartsail/base/status.h"
+#include "cartsail/relay/routing_state.h"
+#include "cartsail/relay/wire_format.h"
+
+namespace cartsail {
+
+// What the relay reads from a request's head.
+struct RequestHead {
+  std::string method;
+  std::string target;
+  std::string host;
+  std::string request_id;
+  std::string authorization;
+  std::string time_left;
+  std::string prompt_parts;
+  std::string token_counts;
+};
+
+struct Refusal {
+  ErrorKind kind = ErrorKind::kInternal;
+  Duration retry_after{};  // 0: none is given
+};
+
+struct AdmittedRequest {
+  std::shared_ptr<const RouteTable> table;  // keeps `route` alive
+  const RouteRule* route = nullptr;
+  std::string tenant;      // empty: none
+  int64_t tier = 0;
+  Duration time_left{};    // until the caller gives up or the route's time ends
+  bool caller_set_time = false;
+  RequestProfile profile;
+};
+
+struct AdmissionResult {
+  std::optional<Refusal> refusal;
+  AdmittedRequest admitted;  // where there is no refusal
+};
+
+// A view of the store older than this does not justify refusing unknown routes and keys.
+inline constexpr Duration kFreshViewLimit = seconds(12);
+
+AdmissionResult Admit(const RequestHead& head, const RoutingState& state, const WireFormat& format,
+                      TimePoint now);
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/include/cartsail/relay/catalog_codec.h
@@ -0,0 +1,30 @@
+// How the store spells the routing document and the back ends. Given by the deployment.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+#include "cartsail/dispatch/backend_registry.h"
+#include "cartsail/routing/routing_document.h"
+
+namespace cartsail {
+
+// Where the store keeps them.
+struct CatalogKeys {
+  std::string document;        // key of the routing document
+  std::string backend_prefix;  // keys of back ends: prefix and id
+};
+
+class CatalogCodec {
+ public:
+  virtual ~CatalogCodec() = default;
+
+  // kInvalidSetting names the field that is missing or malformed.
+  virtual absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const = 0;
+  virtual absl::StatusOr<Backend> DecodeBackend(std::string_view id,
+                                                std::string_view text) const = 0;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/include/cartsail/relay/wire_format.h
@@ -0,0 +1,59 @@
+// How callers and back ends spell what the relay reads and writes in HTTP messages. The defaults
+// are the product's own names; a deployment with other names gives its own.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cartsail/dispatch/request_profile.h"
+
+namespace cartsail {
+
+// Names of headers. Set by callers: request_id, time_left, prompt_parts, token_counts. Set by the
+// relay towards back ends, and taken out of what callers send: tenant, expected_instance, urgency,
+// fetch_prefix_from and all of `reserved`. Set by back ends: signature, not_run.
+struct WireNames {
+  std::string request_id = "Cartsail-Request-Id";
+  std::string time_left = "Cartsail-Time-Left-Ms";  // milliseconds that the sender still waits
+  std::string prompt_parts = "Cartsail-Prompt-Parts";
+  std::string token_counts = "Cartsail-Token-Counts";
+  std::string tenant = "Cartsail-Tenant";
+  std::string expected_instance = "Cartsail-Expected-Instance";
+  std::string urgency = "Cartsail-Urgency";
+  std::string fetch_prefix_from = "Cartsail-Fetch-Prefix-From";
+  std::string signature = "Cartsail-Signature";  // on each answer of a back end that ran
+  std::string not_run = "Cartsail-Not-Run";      // on answers to requests that were not run
+  std::vector<std::string> reserved;             // further ones that callers may not set
+  std::string ready_path = "/readyz";
+};
+
+// Tokens of the prompt and the most that may be generated.
+struct TokenCounts {
+  int64_t prompt = 0;
+  int64_t output = 0;
+};
+
+class WireFormat {
+ public:
+  explicit WireFormat(WireNames names = {}) : names_(std::move(names)) {}
+  virtual ~WireFormat() = default;
+
+  const WireNames& Names() const { return names_; }
+
+  // "ID:TOKENS,ID:TOKENS", ids in hexadecimal; nothing when it is not that.
+  virtual std::vector<PromptPart> ParsePromptParts(std::string_view text) const;
+
+  // "PROMPT,OUTPUT"; nothing when it is not that.
+  virtual std::optional<TokenCounts> ParseTokenCounts(std::string_view text) const;
+
+  // The value of the urgency header for `tier`.
+  virtual std::string FormatUrgency(int64_t tier) const;
+
+ private:
+  WireNames names_;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/admission.cc
@@ -0,0 +1,88 @@
+#include "cartsail/relay/admission.h"
+
+#include <algorithm>
+
+#include "cartsail/base/text.h"
+
+namespace cartsail {
+namespace {
+
+constexpr Duration kUnknownRetryAfter = milliseconds(250);
+constexpr std::string_view kBearer = "Bearer ";
+
+AdmissionResult Refuse(ErrorKind kind, Duration retry_after = {}) {
+  AdmissionResult result;
+  result.refusal = Refusal{kind, retry_after};
+  return result;
+}
+
+// What this node doesn't know may be in a newer document that it has not heard of.
+AdmissionResult RefuseUnknown(ErrorKind kind, const RoutingState& state, TimePoint now) {
+  if (!state.IsFresh(now, kFreshViewLimit)) return Refuse(ErrorKind::kNotReady, kUnknownRetryAfter);
+  return Refuse(kind);
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find_first_of("?#"));
+}
+
+std::string_view BearerKey(std::string_view authorization) {
+  if (!StartsWithIgnoreCase(authorization, kBearer)) return {};
+  return Trimmed(authorization.substr(kBearer.size()));
+}
+
+void FillGeneration(const RequestHead& head, const WireFormat& format, const ServiceRule& service,
+                    RequestProfile* profile) {
+  profile->is_generation = true;
+  profile->prompt_parts = format.ParsePromptParts(head.prompt_parts);
+  for (const PromptPart& part : profile->prompt_parts) profile->prompt_tokens += part.tokens;
+  const std::optional<TokenCounts> counts = format.ParseTokenCounts(head.token_counts);
+  if (counts.has_value()) {
+    profile->prompt_tokens = std::max(profile->prompt_tokens, counts->prompt);
+    profile->output_tokens = counts->output;
+  }
+  profile->bytes_per_token = service.engine->bytes_per_token;
+}
+
+}  // namespace
+
+AdmissionResult Admit(const RequestHead& head, const RoutingState& state, const WireFormat& format,
+                      TimePoint now) {
+  if (state.Table() == nullptr) return Refuse(ErrorKind::kNotReady, kUnknownRetryAfter);
+  const RouteTable& table = *state.Table();
+  const RouteRule* route = table.FindRoute(head.host, PathOf(head.target));
+  if (route == nullptr) return RefuseUnknown(ErrorKind::kUnknownPath, state, now);
+
+  AdmissionResult result;
+  AdmittedRequest& admitted = result.admitted;
+  admitted.table = state.Table();
+  admitted.route = route;
+  admitted.tier = route->tier;
+  const TenantRule* tenant = table.FindTenant(BearerKey(head.authorization));
+  if (tenant != nullptr) {
+    admitted.tenant = tenant->name;
+    admitted.tier = tenant->tier.value_or(route->tier);
+  } else if (table.NeedsKeys() && !route->is_public) {
+    return RefuseUnknown(ErrorKind::kUnknownKey, state, now);
+  }
+
+  admitted.time_left = route->timeout;
+  int64_t time_left_ms = 0;
+  if (ParseInteger(head.time_left, &time_left_ms) && time_left_ms > 0) {
+    admitted.caller_set_time = true;
+    admitted.time_left = std::min<Duration>(route->timeout, milliseconds(time_left_ms));
+  }
+
+  RequestProfile& profile = admitted.profile;
+  profile.service = PickService(*route, head.request_id);
+  profile.tier = admitted.tier;
+  profile.first_output_goal = route->first_output_goal;
+  profile.longest_pause = route->longest_pause;
+  const ServiceRule* service = table.FindService(profile.service);
+  if (service != nullptr && service->engine.has_value()) {
+    FillGeneration(head, format, *service, &profile);
+  }
+  return result;
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/caller_connection.cc
@@ -0,0 +1,176 @@
+#include "caller_connection.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <utility>
+
+#include "cartsail/base/text.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr size_t kReadBytes = 1 << 13;
+constexpr Duration kBodyTimeout = seconds(10);
+constexpr Duration kWriteTimeout = seconds(20);
+constexpr Duration kGentleCloseTime = milliseconds(500);
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::optional<ErrorKind> FaultOf(const beast::error_code& error) {
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return ErrorKind::kHeadersTooLarge;
+  }
+  if (error == http::error::body_limit) return ErrorKind::kBodyTooLarge;
+  if (error == beast::error::timeout) return ErrorKind::kTimeout;
+  if (error == http::error::end_of_stream || error == http::error::partial_message) {
+    return std::nullopt;
+  }
+  const bool from_parser = error.category() == http::make_error_code(http::error::bad_version).category();
+  if (from_parser) return ErrorKind::kMalformedRequest;
+  return std::nullopt;
+}
+
+ReadRequestResult Ended(const beast::error_code& error) {
+  ReadRequestResult result;
+  result.fault = FaultOf(error);
+  return result;
+}
+
+CallerRequest ToCallerRequest(http::request<http::string_body> message) {
+  CallerRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  request.keep_alive = message.keep_alive();
+  request.http_1_0 = message.version() < 11;
+  request.body = std::make_shared<const std::string>(std::move(message.body()));
+  request.received = Now();
+  return request;
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(tcp::socket socket)
+    : stream_(std::move(socket)), buffer_(1 << 20) {
+  beast::error_code ignored;
+  stream_.socket().set_option(tcp::no_delay(true), ignored);
+}
+
+asio::awaitable<bool> CallerConnection::AwaitFirstByte(Duration idle_timeout) {
+  if (buffer_.size() > 0) co_return true;
+  idle_ = true;
+  stream_.expires_after(idle_timeout);
+  beast::error_code error;
+  const auto space = buffer_.prepare(kReadBytes);
+  const size_t bytes =
+      co_await stream_.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+  buffer_.commit(bytes);
+  idle_ = false;
+  co_return !error;
+}
+
+asio::awaitable<ReadRequestResult> CallerConnection::ReadRequest(RequestLimits limits) {
+  ReadRequestResult result;
+  if (!co_await AwaitFirstByte(limits.idle_timeout)) co_return result;
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits.max_header_bytes);
+  parser.body_limit(limits.max_body_bytes);
+  beast::error_code error;
+  stream_.expires_after(limits.header_timeout);
+  co_await http::async_read_header(stream_, buffer_, parser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return Ended(error);
+  if (EqualsIgnoreCase(std::string_view(parser.get()[http::field::expect]), "100-continue")) {
+    if (!co_await Write(kContinue)) co_return result;
+  }
+  stream_.expires_after(kBodyTimeout);
+  if (!parser.is_done()) {
+    co_await http::async_read(stream_, buffer_, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (error) co_return Ended(error);
+  stream_.expires_never();
+  result.request = ToCallerRequest(parser.release());
+  co_return result;
+}
+
+asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
+  beast::error_code error;
+  stream_.expires_after(kWriteTimeout);
+  co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()),
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) gone_ = true;
+  co_return !error;
+}
+
+asio::awaitable<bool> CallerConnection::WriteChunk(std::string_view bytes, bool last) {
+  std::string framed;
+  framed.reserve(bytes.size() + 32);
+  if (!bytes.empty()) {
+    framed += fmt::format("{:x}\r\n", bytes.size());
+    framed.append(bytes).append("\r\n");
+  }
+  if (last) framed += "0\r\n\r\n";
+  co_return co_await Write(framed);
+}
+
+void CallerConnection::WatchGone(std::function<void()> on_gone) {
+  on_gone_ = std::move(on_gone);
+  const uint64_t watch = ++watch_;
+  stream_.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), watch](const beast::error_code& error) {
+        if (error || watch != self->watch_ || !self->on_gone_) return;
+        char byte = 0;
+        const int socket = self->stream_.socket().native_handle();
+        const ssize_t received = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool still_there =
+            received > 0 || (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+        if (still_there) return;  // bytes of a next request: it waits its turn
+        self->gone_ = true;
+        const std::function<void()> gone = std::move(self->on_gone_);
+        self->on_gone_ = nullptr;
+        gone();
+      });
+}
+
+void CallerConnection::StopWatch() {
+  ++watch_;
+  on_gone_ = nullptr;
+  beast::error_code ignored;
+  stream_.socket().cancel(ignored);
+}
+
+asio::awaitable<void> CallerConnection::CloseGently() {
+  beast::error_code error;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+  stream_.expires_after(kGentleCloseTime);
+  while (!error) {
+    buffer_.clear();
+    const auto space = buffer_.prepare(kReadBytes);
+    co_await stream_.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+  }
+  Close();
+}
+
+void CallerConnection::Close() {
+  beast::error_code ignored;
+  stream_.socket().close(ignored);
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/caller_connection.h
@@ -0,0 +1,75 @@
+// One connection of a caller: reads its requests one after the other, writes the answers, tells
+// when the caller goes.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cartsail/base/clock.h"
+#include "cartsail/base/status.h"
+#include "cartsail/net/http_types.h"
+#include "cartsail/routing/routing_document.h"
+
+namespace cartsail {
+
+struct CallerRequest {
+  std::string method;
+  std::string target;
+  HttpHeaders headers;
+  std::shared_ptr<const std::string> body;
+  bool keep_alive = true;
+  bool http_1_0 = false;
+  TimePoint received;
+
+  std::string_view Header(std::string_view name) const { return FindHeader(headers, name); }
+};
+
+struct ReadRequestResult {
+  std::optional<CallerRequest> request;
+  std::optional<ErrorKind> fault;  // to be answered, then the connection closes; else it is over
+};
+
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+ public:
+  explicit CallerConnection(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::awaitable<ReadRequestResult> ReadRequest(RequestLimits limits);
+
+  // False when the caller has gone or takes nothing for long.
+  boost::asio::awaitable<bool> Write(std::string_view bytes);
+
+  // Writes one chunk of a chunked body; `last` ends the body (and `bytes` may be empty).
+  boost::asio::awaitable<bool> WriteChunk(std::string_view bytes, bool last);
+
+  // Calls `on_gone` once when the caller closes before StopWatch().
+  void WatchGone(std::function<void()> on_gone);
+  void StopWatch();
+
+  // True between two requests, while no byte of the next one is here.
+  bool IsIdle() const { return idle_; }
+
+  // Ends the connection after an answer to a request that was not read to its end: what still
+  // comes is read for a moment, so that the answer is not lost in a reset.
+  boost::asio::awaitable<void> CloseGently();
+
+  void Close();
+
+ private:
+  boost::asio::awaitable<bool> AwaitFirstByte(Duration idle_timeout);
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  std::function<void()> on_gone_;
+  uint64_t watch_ = 0;  // number of the watch in force
+  bool idle_ = false;
+  bool gone_ = false;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/exchange.cc
@@ -0,0 +1,416 @@
+#include "exchange.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "cartsail/base/json.h"
+#include "cartsail/base/log.h"
+#include "message_head.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr size_t kMostWholeBytes = 1 << 18;     // larger answers are passed on in pieces
+constexpr int kMostStrayAnswers = 3;            // skipped on one connection
+constexpr Duration kLeastTimeForAttempt = milliseconds(20);
+constexpr Duration kRetryAfterNotRun = milliseconds(100);
+constexpr Duration kLeastFirstPatience = milliseconds(300);
+constexpr Duration kLeastPausePatience = milliseconds(900);
+constexpr int kPatienceGoals = 3;   // goals of the first output that a repeatable request waits
+constexpr int kPatiencePauses = 6;  // longest pauses that a resumable stream waits
+
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Payload Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Error";
+  }
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+bool HasNoBody(int status) { return status == 204 || status == 304; }
+
+}  // namespace
+
+Exchange::Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller,
+                   CallerRequest request)
+    : context_(context), caller_(std::move(caller)), request_(std::move(request)) {
+  keep_alive_ = request_.keep_alive && !request_.http_1_0;
+}
+
+asio::awaitable<bool> Exchange::Run() {
+  const WireNames& names = context_.format.Names();
+  RequestHead head;
+  head.method = request_.method;
+  head.target = request_.target;
+  head.host = std::string(request_.Header("Host"));
+  head.request_id = std::string(request_.Header(names.request_id));
+  head.authorization = std::string(request_.Header("Authorization"));
+  head.time_left = std::string(request_.Header(names.time_left));
+  head.prompt_parts = std::string(request_.Header(names.prompt_parts));
+  head.token_counts = std::string(request_.Header(names.token_counts));
+  request_id_ = head.request_id;
+
+  AdmissionResult result = Admit(head, context_.routing, context_.format, request_.received);
+  if (result.refusal.has_value()) {
+    co_return co_await AnswerRefusal(result.refusal->kind, result.refusal->retry_after);
+  }
+  admitted_ = std::move(result.admitted);
+  deadline_ = request_.received + admitted_.time_left;
+  last_event_id_ = std::string(request_.Header("Last-Event-ID"));
+
+  ++context_.requests_in_flight;
+  caller_->WatchGone([weak = weak_from_this()] {
+    const std::shared_ptr<Exchange> self = weak.lock();
+    if (self == nullptr) return;
+    self->caller_gone_ = true;
+    if (self->upstream_ != nullptr) self->upstream_->Close();
+  });
+  const bool keep = co_await RunAdmitted();
+  caller_->StopWatch();
+  --context_.requests_in_flight;
+  co_return keep && !caller_gone_;
+}
+
+bool Exchange::MayRepeat() const {
+  const RouteRule& route = *admitted_.route;
+  if (route.kind == RequestKind::kRepeatable) return true;
+  return route.kind == RequestKind::kStream && route.resumable;
+}
+
+asio::awaitable<bool> Exchange::RunAdmitted() {
+  ServiceRetryBudget& budget = context_.BudgetOf(admitted_.profile.service);
+  budget.NoteRequest(request_.received);
+  AttemptOutcome outcome = AttemptOutcome::kNotSent;
+  while (true) {
+    const std::optional<Placement> placement =
+        context_.dispatcher.Place(admitted_.profile, tried_, Now());
+    if (!placement.has_value()) break;
+    tried_.push_back(placement->backend.id);
+    outcome = co_await Attempt(*placement);
+    context_.dispatcher.Finish(placement->ticket, outcome, Now());
+    LogAttempt(*placement, outcome);
+    if (caller_gone_) break;
+    if (outcome == AttemptOutcome::kAnswered) {
+      LogEnd("answered", 200);
+      co_return keep_alive_;
+    }
+    if (!MayTryAgain(*admitted_.route, outcome, history_)) break;
+    if (deadline_ - Now() < kLeastTimeForAttempt) break;
+    // Only bytes that reached a back end count as a repeat there.
+    if (history_.attempts > 0 &&
+        !budget.TakeRepeat(Now(), context_.dispatcher.LiveNodes(Now()))) {
+      break;
+    }
+  }
+  co_return co_await FinishUnserved(outcome);
+}
+
+asio::awaitable<bool> Exchange::FinishUnserved(AttemptOutcome last) {
+  if (caller_gone_ || last == AttemptOutcome::kCallerGone) {
+    LogEnd("caller_gone", 0);
+    caller_->Close();
+    co_return false;
+  }
+  if (head_sent_) {
+    // Part of an answer was passed on: the caller must see that it is cut.
+    LogEnd("cut", 200);
+    caller_->Close();
+    co_return false;
+  }
+  if (history_.may_have_run == 0) {
+    co_return co_await AnswerRefusal(ErrorKind::kOverloaded, kRetryAfterNotRun);
+  }
+  const bool out_of_time = last == AttemptOutcome::kTimedOut || last == AttemptOutcome::kSilent;
+  co_return co_await AnswerRefusal(out_of_time ? ErrorKind::kTimeout : ErrorKind::kBackendFailed,
+                                   Duration(0));
+}
+
+asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
+  upstream_ = co_await OpenUpstream(placement);
+  if (caller_gone_) co_return AttemptOutcome::kCallerGone;
+  if (upstream_ == nullptr) {
+    ++history_.connects_failed;
+    co_return Now() >= deadline_ ? AttemptOutcome::kTimedOut : AttemptOutcome::kNotSent;
+  }
+  ++history_.attempts;
+  ++history_.may_have_run;
+  upstream_->StartRequest(UpstreamHead(placement, Now()), request_.body);
+  const AttemptOutcome outcome = co_await Converse(placement);
+  if (ProvablyNotRun(outcome)) --history_.may_have_run;
+  const std::shared_ptr<UpstreamConnection> used = std::exchange(upstream_, nullptr);
+  context_.pool.Return(placement.backend.id, used);
+  co_return caller_gone_ ? AttemptOutcome::kCallerGone : outcome;
+}
+
+asio::awaitable<std::shared_ptr<UpstreamConnection>> Exchange::OpenUpstream(
+    const Placement& placement) {
+  std::shared_ptr<UpstreamConnection> connection =
+      context_.pool.TakeIdle(placement.backend.id, Now());
+  if (connection != nullptr) co_return connection;
+  connection = context_.pool.MakeNew();
+  upstream_ = connection;  // so that the caller's going ends the wait
+  const TimePoint limit = std::min(deadline_, Now() + context_.options.connect_timeout);
+  const bool connected = co_await connection->Connect(placement.backend.address, limit);
+  if (!connected) co_return nullptr;
+  co_return connection;
+}
+
+std::string Exchange::UpstreamHead(const Placement& placement, TimePoint now) const {
+  const WireNames& names = context_.format.Names();
+  std::vector<std::string> without = names.reserved;
+  without.insert(without.end(), {names.time_left, names.tenant, names.expected_instance,
+                                 names.urgency, names.fetch_prefix_from, "Expect"});
+  const bool strips_key = admitted_.table->NeedsKeys();
+  if (strips_key) without.emplace_back("Authorization");
+  if (!last_event_id_.empty()) without.emplace_back("Last-Event-ID");
+  HttpHeaders headers = EndToEndHeaders(request_.headers, without);
+
+  const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - now);
+  headers.push_back({names.time_left, std::to_string(std::max<int64_t>(left.count(), 1))});
+  headers.push_back({names.expected_instance, placement.backend.id});
+  if (!admitted_.tenant.empty()) headers.push_back({names.tenant, admitted_.tenant});
+  if (admitted_.profile.is_generation) {
+    headers.push_back({names.urgency, context_.format.FormatUrgency(admitted_.tier)});
+    if (!placement.fetch_prefix_from.empty()) {
+      headers.push_back({names.fetch_prefix_from, placement.fetch_prefix_from});
+    }
+  }
+  if (!last_event_id_.empty()) headers.push_back({"Last-Event-ID", last_event_id_});
+  const bool has_body = !request_.body->empty() || request_.method != "GET";
+  if (has_body) headers.push_back({"Content-Length", std::to_string(request_.body->size())});
+  return RequestHeadText(request_.method, request_.target, headers);
+}
+
+TimePoint Exchange::Patience(TimePoint now) const {
+  if (!MayRepeat() || history_.may_have_run >= admitted_.route->max_attempts) return deadline_;
+  const Duration patience = std::max<Duration>(
+      kLeastFirstPatience, kPatienceGoals * admitted_.route->first_output_goal);
+  return std::min(deadline_, now + patience);
+}
+
+Duration Exchange::PauseLimit() const {
+  const Duration pause = admitted_.route->longest_pause.value_or(Duration(0));
+  return std::max<Duration>(kLeastPausePatience, kPatiencePauses * pause);
+}
+
+AttemptOutcome Exchange::OutcomeOf(UpstreamError error, TimePoint deadline) const {
+  if (caller_gone_) return AttemptOutcome::kCallerGone;
+  switch (error) {
+    case UpstreamError::kNone:
+      return AttemptOutcome::kAnswered;
+    case UpstreamError::kTimeout:
+      return deadline >= deadline_ ? AttemptOutcome::kTimedOut : AttemptOutcome::kSilent;
+    case UpstreamError::kMalformed:
+      return AttemptOutcome::kSpoilt;
+    case UpstreamError::kBroken:
+      break;
+  }
+  return AttemptOutcome::kCut;
+}
+
+asio::awaitable<AttemptOutcome> Exchange::SkipStrayAnswer() {
+  std::string chunk;
+  do {
+    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+  } while (!chunk.empty());
+  co_return AttemptOutcome::kAnswered;
+}
+
+// Reads heads until one that answers this request; others belong to requests before it.
+asio::awaitable<AttemptOutcome> Exchange::ReadOwnHead(ResponseHead* head, TimePoint patience) {
+  const bool is_head_request = request_.method == "HEAD";
+  for (int i = 0; i <= kMostStrayAnswers; ++i) {
+    const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, patience);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
+    const std::string_view id = head->Header(context_.format.Names().request_id);
+    if (id == request_id_) co_return AttemptOutcome::kAnswered;
+    // An answer without an id on a new connection can only be the back end's own refusal.
+    const bool refused = !head->Header(context_.format.Names().not_run).empty();
+    if (id.empty() && (refused || head->status == 421)) co_return AttemptOutcome::kAnswered;
+    const AttemptOutcome skipped = co_await SkipStrayAnswer();
+    if (skipped != AttemptOutcome::kAnswered) co_return skipped;
+  }
+  co_return AttemptOutcome::kSpoilt;
+}
+
+asio::awaitable<AttemptOutcome> Exchange::Converse(const Placement& placement) {
+  ResponseHead head;
+  const AttemptOutcome outcome = co_await ReadOwnHead(&head, Patience(Now()));
+  if (outcome != AttemptOutcome::kAnswered) co_return outcome;
+  co_return co_await RelayAnswer(placement, head);
+}
+
+asio::awaitable<AttemptOutcome> Exchange::RelayAnswer(const Placement& placement,
+                                                      const ResponseHead& head) {
+  const WireNames& names = context_.format.Names();
+  if (head.status == 421 || !head.Header(names.not_run).empty()) {
+    (void)co_await SkipStrayAnswer();
+    co_return head.status == 421 ? AttemptOutcome::kWrongInstance : AttemptOutcome::kRefused;
+  }
+  const bool signed_answer = !head.Header(names.signature).empty();
+  if (IsSuccess(head.status)) {
+    if (!signed_answer || !head.Header("Content-Encoding").empty()) {
+      co_return AttemptOutcome::kSpoilt;
+    }
+    if (admitted_.route->kind == RequestKind::kStream) co_return co_await RelayStream(placement, head);
+  }
+  co_return co_await RelayWhole(placement, head);
+}
+
+asio::awaitable<AttemptOutcome> Exchange::RelayWhole(const Placement& placement,
+                                                     const ResponseHead& head) {
+  std::string body;
+  std::string chunk;
+  do {
+    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+    context_.dispatcher.FirstOutput(placement.ticket, Now());
+    body += chunk;
+  } while (!chunk.empty() && body.size() <= kMostWholeBytes);
+
+  const bool failed = head.status >= 500;
+  const bool may_repeat = MayRepeat() && history_.may_have_run < admitted_.route->max_attempts;
+  if (failed && (may_repeat || head_sent_)) co_return AttemptOutcome::kFailedAnswer;
+  if (head_sent_) co_return AttemptOutcome::kSpoilt;  // a continuation cannot end in another head
+
+  HttpHeaders headers = EndToEndHeaders(head.headers, {});
+  if (chunk.empty()) {
+    const bool sent = co_await Answer(head.status, head.reason, std::move(headers), body);
+    if (!sent) co_return AttemptOutcome::kCallerGone;
+    co_return AttemptOutcome::kAnswered;
+  }
+  // Too large to hold: the rest is passed on as it comes.
+  if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
+  while (!body.empty()) {
+    if (!co_await caller_->WriteChunk(body, false)) co_return AttemptOutcome::kCallerGone;
+    const UpstreamError error = co_await upstream_->ReadBody(&body, deadline_);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+  }
+  if (!co_await caller_->WriteChunk({}, true)) co_return AttemptOutcome::kCallerGone;
+  co_return AttemptOutcome::kAnswered;
+}
+
+asio::awaitable<bool> Exchange::StartStreamAnswer(const ResponseHead& head) {
+  HttpHeaders headers = EndToEndHeaders(head.headers, {});
+  headers.push_back({"Transfer-Encoding", "chunked"});
+  if (context_.draining) keep_alive_ = false;
+  if (!keep_alive_) headers.push_back({"Connection", "close"});
+  head_sent_ = true;
+  co_return co_await caller_->Write(ResponseHeadText(head.status, head.reason, headers));
+}
+
+asio::awaitable<AttemptOutcome> Exchange::RelayStream(const Placement& placement,
+                                                      const ResponseHead& head) {
+  const bool resumable = admitted_.route->resumable;
+  EventSplitter splitter;
+  std::string chunk;
+  while (true) {
+    const bool may_move = resumable && history_.may_have_run < admitted_.route->max_attempts;
+    const TimePoint patience = may_move ? std::min(deadline_, Now() + PauseLimit()) : deadline_;
+    const UpstreamError error = co_await upstream_->ReadBody(&chunk, patience);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
+    const bool at_end = chunk.empty();
+    if (!at_end && first_output_ == TimePoint()) first_output_ = Now();
+    if (!at_end) context_.dispatcher.FirstOutput(placement.ticket, Now());
+    std::string bytes = resumable ? splitter.Feed(chunk) : std::move(chunk);
+    if (at_end && splitter.HasPartial()) bytes += splitter.TakePartial();
+    if (!head_sent_ && (!bytes.empty() || at_end)) {
+      if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
+    }
+    if (!bytes.empty() || at_end) {
+      bytes_out_ += static_cast<int64_t>(bytes.size());
+      if (!co_await caller_->WriteChunk(bytes, at_end)) co_return AttemptOutcome::kCallerGone;
+    }
+    if (resumable && !splitter.LastId().empty()) last_event_id_ = splitter.LastId();
+    if (at_end) co_return AttemptOutcome::kAnswered;
+  }
+}
+
+asio::awaitable<bool> Exchange::Answer(int status, std::string_view reason, HttpHeaders headers,
+                                       std::string_view body) {
+  const bool has_body = !HasNoBody(status);
+  if (has_body) headers.push_back({"Content-Length", std::to_string(body.size())});
+  if (context_.draining) keep_alive_ = false;
+  if (!keep_alive_) headers.push_back({"Connection", "close"});
+  std::string text = ResponseHeadText(status, reason, headers);
+  if (has_body && request_.method != "HEAD") text.append(body);
+  bytes_out_ += static_cast<int64_t>(body.size());
+  head_sent_ = true;
+  co_return co_await caller_->Write(text);
+}
+
+asio::awaitable<bool> Exchange::AnswerRefusal(ErrorKind kind, Duration retry_after) {
+  const int status = HttpStatusFor(kind);
+  HttpHeaders headers{{"Content-Type", "application/json"}};
+  if (!request_id_.empty()) headers.push_back({context_.format.Names().request_id, request_id_});
+  if (retry_after > Duration(0)) {
+    headers.push_back({"Retry-After", fmt::format("{:.3f}", ToSeconds(retry_after))});
+  }
+  const Outcome outcome = history_.may_have_run > 0 ? Outcome::kUnknown : Outcome::kNotRun;
+  const std::string body = json::serialize(json::object{
+      {"error", {{"kind", ErrorKindName(kind)}, {"outcome", OutcomeName(outcome)}}}});
+  LogEnd(ErrorKindName(kind), status);
+  const bool sent = co_await Answer(status, ReasonOf(status), std::move(headers), body);
+  co_return sent && keep_alive_;
+}
+
+void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
+  if (outcome == AttemptOutcome::kAnswered) return;
+  Log(LogLevel::kInfo, "attempt",
+      {{"request", request_id_},
+       {"backend", placement.backend.id},
+       {"address", placement.backend.address},
+       {"outcome", std::string(AttemptOutcomeName(outcome))},
+       {"attempts", std::to_string(history_.attempts)},
+       {"may_have_run", std::to_string(history_.may_have_run)},
+       {"cost_ms", fmt::format("{:.0f}", placement.cost_ms)},
+       {"load", std::to_string(placement.load.requests)},
+       {"candidates", std::to_string(placement.candidates)}});
+}
+
+void Exchange::LogEnd(std::string_view result, int status) const {
+  const Duration took = Now() - request_.received;
+  const bool has_output = first_output_ != TimePoint();
+  Log(LogLevel::kInfo, "request",
+      {{"request", request_id_},
+       {"route", admitted_.route == nullptr ? "" : admitted_.route->name},
+       {"tenant", admitted_.tenant},
+       {"tier", std::to_string(admitted_.tier)},
+       {"config", std::to_string(context_.routing.Version())},
+       {"backend", tried_.empty() ? "" : tried_.back()},
+       {"attempts", std::to_string(history_.attempts)},
+       {"result", std::string(result)},
+       {"status", std::to_string(status)},
+       {"first_ms", has_output ? fmt::format("{:.0f}", ToMillis(first_output_ - request_.received))
+                               : ""},
+       {"ms", fmt::format("{:.0f}", ToMillis(took))},
+       {"bytes", std::to_string(bytes_out_)}});
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/exchange.h
@@ -0,0 +1,70 @@
+// One request from its head to its final answer: admission, attempts at back ends, relaying.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "caller_connection.h"
+#include "cartsail/relay/admission.h"
+#include "event_splitter.h"
+#include "relay_context.h"
+
+namespace cartsail {
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller, CallerRequest request);
+
+  // True when the caller's connection may serve another request.
+  boost::asio::awaitable<bool> Run();
+
+ private:
+  enum class RelayMode { kWhole, kPieces, kEvents };
+
+  boost::asio::awaitable<bool> RunAdmitted();
+  boost::asio::awaitable<AttemptOutcome> Attempt(const Placement& placement);
+  boost::asio::awaitable<AttemptOutcome> Converse(const Placement& placement);
+  boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> OpenUpstream(
+      const Placement& placement);
+  boost::asio::awaitable<AttemptOutcome> ReadOwnHead(ResponseHead* head, TimePoint patience);
+  boost::asio::awaitable<AttemptOutcome> SkipStrayAnswer();
+  boost::asio::awaitable<AttemptOutcome> RelayAnswer(const Placement& placement,
+                                                     const ResponseHead& head);
+  boost::asio::awaitable<AttemptOutcome> RelayWhole(const Placement& placement,
+                                                    const ResponseHead& head);
+  boost::asio::awaitable<AttemptOutcome> RelayStream(const Placement& placement,
+                                                     const ResponseHead& head);
+  boost::asio::awaitable<bool> StartStreamAnswer(const ResponseHead& head);
+  boost::asio::awaitable<bool> Answer(int status, std::string_view reason, HttpHeaders headers,
+                                      std::string_view body);
+  boost::asio::awaitable<bool> FinishUnserved(AttemptOutcome last);
+  boost::asio::awaitable<bool> AnswerRefusal(ErrorKind kind, Duration retry_after);
+
+  std::string UpstreamHead(const Placement& placement, TimePoint now) const;
+  AttemptOutcome OutcomeOf(UpstreamError error, TimePoint deadline) const;
+  TimePoint Patience(TimePoint now) const;
+  Duration PauseLimit() const;
+  bool MayRepeat() const;
+  void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
+  void LogEnd(std::string_view result, int status) const;
+
+  RelayContext& context_;
+  std::shared_ptr<CallerConnection> caller_;
+  CallerRequest request_;
+  AdmittedRequest admitted_;
+  AttemptHistory history_;
+  std::vector<std::string> tried_;
+  std::string request_id_;
+  std::string last_event_id_;      // of the events passed on, for a continuation
+  std::shared_ptr<UpstreamConnection> upstream_;
+  TimePoint deadline_;
+  TimePoint first_output_;
+  bool head_sent_ = false;
+  bool caller_gone_ = false;
+  bool keep_alive_ = true;
+  int64_t bytes_out_ = 0;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/relay_context.h
@@ -0,0 +1,42 @@
+// What all exchanges of one node share. One thread.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "cartsail/dispatch/dispatcher.h"
+#include "cartsail/dispatch/retry_budget.h"
+#include "cartsail/relay/relay_options.h"
+#include "cartsail/relay/routing_state.h"
+#include "cartsail/relay/wire_format.h"
+#include "upstream_pool.h"
+
+namespace cartsail {
+
+struct RelayContext {
+  RelayContext(boost::asio::io_context& io_context, const RelayOptions& relay_options,
+               const WireFormat& wire_format)
+      : io(io_context),
+        options(relay_options),
+        format(wire_format),
+        dispatcher(relay_options.placement, relay_options.zone),
+        pool(io_context.get_executor()) {}
+
+  ServiceRetryBudget& BudgetOf(const std::string& service) {
+    return budgets.try_emplace(service, options.retry_budget).first->second;
+  }
+
+  boost::asio::io_context& io;
+  RelayOptions options;
+  const WireFormat& format;
+  RoutingState routing;
+  Dispatcher dispatcher;
+  UpstreamPool pool;
+  std::map<std::string, ServiceRetryBudget> budgets;
+  int64_t requests_in_flight = 0;
+  bool draining = false;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/relay_node.cc
@@ -0,0 +1,170 @@
+#include "cartsail/relay/relay_node.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/log.h"
+#include "cartsail/base/status.h"
+#include "cartsail/net/http_server.h"
+#include "catalog_sync.h"
+#include "document_path.h"
+#include "peer_exchange.h"
+#include "relay_server.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kHousekeeping = milliseconds(500);
+constexpr Duration kDrainPoll = milliseconds(50);
+constexpr Duration kGraceMargin = milliseconds(400);  // before the process would be killed
+
+class RelayNode {
+ public:
+  RelayNode(const RelayOptions& options, const RelayDeployment& deployment)
+      : deployment_(deployment),
+        io_(1),
+        context_(io_, options, *deployment.format),
+        store_(deployment.make_store(io_)),
+        catalog_(context_, *store_, *deployment.codec, deployment.keys),
+        peers_(context_, [this](const std::string& text,
+                                std::string_view source) { catalog_.ApplyDocument(text, source); }),
+        server_(context_),
+        signals_(io_, SIGTERM, SIGINT, SIGHUP) {}
+
+  absl::Status Run() {
+    const absl::Status started = Start();
+    if (!started.ok()) return started;
+    Log(LogLevel::kInfo, "start",
+        {{"node", context_.options.node_id},
+         {"zone", context_.options.zone},
+         {"listen", context_.options.listen.ToString()}});
+    io_.run();
+    Log(LogLevel::kInfo, "stop", {{"node", context_.options.node_id}});
+    return absl::OkStatus();
+  }
+
+ private:
+  absl::Status Start() {
+    const auto handler = [this](HttpExchange& exchange) { return AnswerStatus(exchange); };
+    status_server_ = MakeHttpServer(io_, context_.options.ready, HttpServerLimits(), handler);
+    peer_server_ = MakeHttpServer(io_, context_.options.peer, HttpServerLimits(), handler);
+    absl::Status status = status_server_->Start();
+    if (status.ok()) status = peer_server_->Start();
+    if (status.ok()) status = peers_.Start();
+    if (status.ok()) status = server_.Start();
+    if (!status.ok()) return status;
+    catalog_.Start();
+    asio::co_spawn(io_, HandleSignals(), asio::detached);
+    asio::co_spawn(io_, KeepHouse(), asio::detached);
+    return absl::OkStatus();
+  }
+
+  bool IsReady() const {
+    return !context_.draining && context_.routing.Table() != nullptr &&
+           context_.dispatcher.Registry().Size() > 0;
+  }
+
+  asio::awaitable<void> AnswerStatus(HttpExchange& exchange) {
+    HttpResponse response;
+    const std::string_view path = exchange.Request().Path();
+    if (path == deployment_.format->Names().ready_path) {
+      response.status = IsReady() ? 200 : 503;
+    } else if (path == "/metrics") {
+      response.body = RenderCounters(GlobalCounters());
+    } else if (path == kDocumentPath && context_.routing.Table() != nullptr) {
+      response.body = context_.routing.Encoded();
+    } else {
+      response.status = 404;
+    }
+    (void)co_await exchange.Respond(std::move(response));
+  }
+
+  asio::awaitable<void> KeepHouse() {
+    asio::steady_timer timer(io_);
+    while (true) {
+      timer.expires_after(kHousekeeping);
+      boost::system::error_code ignored;
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      const TimePoint now = Now();
+      context_.pool.Sweep(now);
+      context_.dispatcher.Tick(now);
+    }
+  }
+
+  asio::awaitable<void> HandleSignals() {
+    while (true) {
+      boost::system::error_code error;
+      const int signal =
+          co_await signals_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      if (signal == SIGHUP) {
+        Reload();
+        continue;
+      }
+      if (context_.draining) continue;
+      asio::co_spawn(io_, Drain(), asio::detached);
+    }
+  }
+
+  void Reload() {
+    const absl::StatusOr<RelayOptions> options = deployment_.reload();
+    const bool ok = options.ok();
+    Log(ok ? LogLevel::kInfo : LogLevel::kError, "reload",
+        {{"ok", ok ? "true" : "false"}, {"why", std::string(options.status().message())}});
+    if (ok) peers_.AddSeeds(options->seeds);
+  }
+
+  // Unready at once; serves on until the balancer has noticed and all requests have ended, or
+  // the time to stop is over.
+  asio::awaitable<void> Drain() {
+    const TimePoint begun = Now();
+    context_.draining = true;
+    Log(LogLevel::kInfo, "drain",
+        {{"in_flight", std::to_string(context_.requests_in_flight)},
+         {"connections", std::to_string(server_.OpenConnections())}});
+    const TimePoint last = begun + context_.options.grace - kGraceMargin;
+    const TimePoint noticed = std::min(begun + context_.options.balancer_delay, last);
+    asio::steady_timer timer(io_);
+    boost::system::error_code ignored;
+    timer.expires_at(noticed);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    server_.StopAccepting();
+    while (Now() < last) {
+      server_.CloseIdle();
+      if (context_.requests_in_flight == 0 && server_.OpenConnections() == 0) break;
+      timer.expires_after(kDrainPoll);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    io_.stop();
+  }
+
+  const RelayDeployment& deployment_;
+  asio::io_context io_;
+  RelayContext context_;
+  std::unique_ptr<KeyValueStore> store_;
+  CatalogSync catalog_;
+  PeerExchange peers_;
+  RelayServer server_;
+  std::unique_ptr<HttpServer> status_server_;
+  std::unique_ptr<HttpServer> peer_server_;
+  asio::signal_set signals_;
+};
+
+}  // namespace
+
+absl::Status RunRelayNode(const RelayOptions& options, const RelayDeployment& deployment) {
+  RelayNode node(options, deployment);
+  return node.Run();
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/relay_server.cc
@@ -0,0 +1,104 @@
+#include "relay_server.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "cartsail/base/log.h"
+#include "exchange.h"
+#include "message_head.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr int kBacklog = 1024;
+constexpr Duration kAcceptPause = milliseconds(50);  // after a failure, such as no descriptors
+
+}  // namespace
+
+RelayServer::RelayServer(RelayContext& context) : context_(context), acceptor_(context.io) {}
+
+absl::Status RelayServer::Start() {
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(context_.options.listen.host, error);
+  if (error) return MakeError(ErrorKind::kInvalidArgument, "listen: not an IP number");
+  const tcp::endpoint endpoint(ip, context_.options.listen.port);
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(kBacklog, error);
+  if (error) {
+    return MakeError(ErrorKind::kInvalidArgument,
+                     fmt::format("cannot listen on {}: {}", context_.options.listen.ToString(),
+                                 error.message()));
+  }
+  port_ = acceptor_.local_endpoint().port();
+  asio::co_spawn(context_.io, Accept(), asio::detached);
+  return absl::OkStatus();
+}
+
+asio::awaitable<void> RelayServer::Accept() {
+  while (acceptor_.is_open()) {
+    boost::system::error_code error;
+    tcp::socket socket(context_.io);
+    co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (!acceptor_.is_open()) co_return;
+    if (error) {
+      asio::steady_timer pause(context_.io, kAcceptPause);
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    asio::co_spawn(context_.io, Serve(std::make_shared<CallerConnection>(std::move(socket))),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> RelayServer::Serve(std::shared_ptr<CallerConnection> caller) {
+  callers_.insert(caller);
+  bool open = true;
+  while (open) {
+    const auto table = context_.routing.Table();
+    const RequestLimits limits = table == nullptr ? RequestLimits() : table->Limits();
+    ReadRequestResult result = co_await caller->ReadRequest(limits);
+    if (!result.request.has_value()) {
+      if (result.fault.has_value()) co_await AnswerFault(*caller, *result.fault);
+      break;
+    }
+    const auto exchange =
+        std::make_shared<Exchange>(context_, caller, std::move(*result.request));
+    open = co_await exchange->Run();
+  }
+  caller->Close();
+  callers_.erase(caller);
+}
+
+asio::awaitable<void> RelayServer::AnswerFault(CallerConnection& caller, ErrorKind fault) {
+  const int status = fault == ErrorKind::kTimeout ? 408 : HttpStatusFor(fault);
+  Log(LogLevel::kInfo, "request_fault",
+      {{"kind", std::string(ErrorKindName(fault))}, {"status", std::to_string(status)}});
+  HttpHeaders headers{{"Content-Length", "0"}, {"Connection", "close"}};
+  if (co_await caller.Write(ResponseHeadText(status, "Refused", headers))) {
+    co_await caller.CloseGently();
+  }
+}
+
+void RelayServer::StopAccepting() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void RelayServer::CloseIdle() {
+  for (const std::shared_ptr<CallerConnection>& caller : callers_) {
+    if (caller->IsIdle()) caller->Close();
+  }
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/relay_server.h
@@ -0,0 +1,43 @@
+// Accepts callers and runs their exchanges one after the other on each connection.
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+#include "caller_connection.h"
+#include "relay_context.h"
+
+namespace cartsail {
+
+class RelayServer {
+ public:
+  explicit RelayServer(RelayContext& context);
+
+  // kInvalidArgument when the address cannot be bound.
+  absl::Status Start();
+
+  // Closes the listening socket; open connections go on.
+  void StopAccepting();
+
+  // Closes the connections on which no request is under way.
+  void CloseIdle();
+
+  size_t OpenConnections() const { return callers_.size(); }
+  uint16_t Port() const { return port_; }
+
+ private:
+  boost::asio::awaitable<void> Accept();
+  boost::asio::awaitable<void> Serve(std::shared_ptr<CallerConnection> caller);
+  boost::asio::awaitable<void> AnswerFault(CallerConnection& caller, ErrorKind fault);
+
+  RelayContext& context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::set<std::shared_ptr<CallerConnection>> callers_;
+  uint16_t port_ = 0;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/routing_state.cc
@@ -0,0 +1,12 @@
+#include "cartsail/relay/routing_state.h"
+
+namespace cartsail {
+
+bool RoutingState::Apply(std::shared_ptr<const RouteTable> table, std::string encoded) {
+  if (table_ != nullptr && table->Version() <= table_->Version()) return false;
+  table_ = std::move(table);
+  encoded_ = std::move(encoded);
+  return true;
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/upstream_connection.cc
@@ -0,0 +1,168 @@
+#include "upstream_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "cartsail/base/text.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr size_t kReadBytes = 1 << 13;
+constexpr size_t kMostBufferedBytes = 1 << 16;
+constexpr Duration kDefaultIdleLimit = seconds(4);
+constexpr Duration kIdleMargin = milliseconds(700);  // before the back end closes an idle one
+constexpr int kMostInterimAnswers = 8;
+
+bool IsTimeout(const beast::error_code& error) { return error == beast::error::timeout; }
+
+// "timeout=5, max=100" -> 5 s.
+std::optional<Duration> KeepAliveTimeout(std::string_view text) {
+  constexpr std::string_view kName = "timeout=";
+  const size_t start = text.find(kName);
+  if (start == std::string_view::npos) return std::nullopt;
+  std::string_view digits = text.substr(start + kName.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  int64_t value = 0;
+  if (!ParseInteger(digits, &value)) return std::nullopt;
+  return seconds(value);
+}
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(asio::any_io_executor executor)
+    : stream_(executor), buffer_(kMostBufferedBytes), idle_limit_(kDefaultIdleLimit) {}
+
+UpstreamError UpstreamConnection::ErrorOf(const beast::error_code& error) const {
+  if (!error) return UpstreamError::kNone;
+  if (IsTimeout(error)) return UpstreamError::kTimeout;
+  const bool from_parser = error.category() == http::make_error_code(http::error::bad_version).category();
+  if (from_parser && error != http::error::end_of_stream && error != http::error::partial_message) {
+    return UpstreamError::kMalformed;
+  }
+  return UpstreamError::kBroken;
+}
+
+asio::awaitable<bool> UpstreamConnection::Connect(const std::string& address, TimePoint deadline) {
+  Endpoint endpoint;
+  if (!ParseEndpoint(address, &endpoint)) co_return false;
+  beast::error_code error;
+  const auto ip = asio::ip::make_address(endpoint.host, error);
+  if (error) co_return false;
+  stream_.expires_at(deadline);
+  const tcp::endpoint target(ip, endpoint.port);
+  co_await stream_.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return false;
+  stream_.socket().set_option(tcp::no_delay(true), error);
+  co_return true;
+}
+
+void UpstreamConnection::StartRequest(std::string head, std::shared_ptr<const std::string> body) {
+  request_head_ = std::move(head);
+  request_body_ = std::move(body);
+  write_pending_ = true;
+  write_failed_ = false;
+  keep_alive_ = false;
+  ++exchanges_;
+  std::array<asio::const_buffer, 2> buffers = {asio::buffer(request_head_),
+                                               asio::buffer(*request_body_)};
+  asio::async_write(stream_, buffers,
+                    [self = shared_from_this()](const beast::error_code& error, size_t) {
+                      self->write_pending_ = false;
+                      if (error) self->write_failed_ = true;
+                    });
+}
+
+asio::awaitable<UpstreamError> UpstreamConnection::ReadHead(ResponseHead* head,
+                                                            bool is_head_request,
+                                                            TimePoint deadline) {
+  stream_.expires_at(deadline);
+  for (int i = 0; i < kMostInterimAnswers; ++i) {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    parser_->header_limit(kMostBufferedBytes / 2);
+    parser_->skip(is_head_request);
+    beast::error_code error;
+    co_await http::async_read_header(stream_, buffer_, *parser_,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      broken_ = true;
+      co_return ErrorOf(error);
+    }
+    const auto& message = parser_->get();
+    if (message.result_int() / 100 == 1) continue;
+    head->status = static_cast<int>(message.result_int());
+    head->reason = std::string(message.reason());
+    head->headers.clear();
+    for (const auto& field : message) {
+      head->headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    head->length = std::nullopt;
+    if (parser_->content_length()) head->length = *parser_->content_length();
+    keep_alive_ = message.keep_alive();
+    NoteKeepAlive(*head);
+    co_return UpstreamError::kNone;
+  }
+  broken_ = true;
+  co_return UpstreamError::kMalformed;
+}
+
+void UpstreamConnection::NoteKeepAlive(const ResponseHead& head) {
+  const std::optional<Duration> timeout = KeepAliveTimeout(head.Header("Keep-Alive"));
+  if (timeout.has_value()) idle_limit_ = std::max<Duration>(*timeout - kIdleMargin, Duration(0));
+}
+
+asio::awaitable<UpstreamError> UpstreamConnection::ReadBody(std::string* chunk,
+                                                            TimePoint deadline) {
+  chunk->clear();
+  stream_.expires_at(deadline);
+  while (!parser_->is_done()) {
+    chunk->resize(kReadBytes);
+    parser_->get().body().data = chunk->data();
+    parser_->get().body().size = chunk->size();
+    parser_->get().body().more = true;
+    beast::error_code error;
+    co_await http::async_read_some(stream_, buffer_, *parser_,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    if (error == http::error::need_buffer) error = {};
+    chunk->resize(chunk->size() - parser_->get().body().size);
+    if (error) broken_ = true;
+    if (!chunk->empty()) co_return UpstreamError::kNone;
+    if (error) co_return ErrorOf(error);
+  }
+  stream_.expires_never();
+  usable_until_ = Now() + idle_limit_;
+  co_return broken_ ? UpstreamError::kBroken : UpstreamError::kNone;
+}
+
+bool UpstreamConnection::IsReusable() const {
+  return parser_.has_value() && parser_->is_done() && keep_alive_ && !broken_ && !write_pending_ &&
+         !write_failed_ && buffer_.size() == 0;
+}
+
+bool UpstreamConnection::IsQuiet() {
+  char byte = 0;
+  const int socket = stream_.socket().native_handle();
+  const ssize_t received = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void UpstreamConnection::Close() {
+  broken_ = true;
+  beast::error_code ignored;
+  stream_.socket().close(ignored);
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/upstream_pool.cc
@@ -0,0 +1,50 @@
+#include "upstream_pool.h"
+
+#include <utility>
+
+namespace cartsail {
+namespace {
+
+constexpr size_t kMostIdle = 32;  // for one back end
+
+}  // namespace
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(const std::string& backend,
+                                                           TimePoint now) {
+  const auto idle = idle_.find(backend);
+  if (idle == idle_.end()) return nullptr;
+  while (!idle->second.empty()) {
+    std::shared_ptr<UpstreamConnection> connection = std::move(idle->second.back());
+    idle->second.pop_back();
+    if (now < connection->UsableUntil() && connection->IsQuiet()) return connection;
+    connection->Close();
+  }
+  return nullptr;
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::MakeNew() {
+  return std::make_shared<UpstreamConnection>(executor_);
+}
+
+void UpstreamPool::Return(const std::string& backend,
+                          std::shared_ptr<UpstreamConnection> connection) {
+  std::vector<std::shared_ptr<UpstreamConnection>>& idle = idle_[backend];
+  if (!connection->IsReusable() || idle.size() >= kMostIdle) {
+    connection->Close();
+    return;
+  }
+  idle.push_back(std::move(connection));
+}
+
+void UpstreamPool::Sweep(TimePoint now) {
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    std::erase_if(entry->second, [now](const std::shared_ptr<UpstreamConnection>& connection) {
+      if (now < connection->UsableUntil() && connection->IsQuiet()) return false;
+      connection->Close();
+      return true;
+    });
+    entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/upstream_pool.h
@@ -0,0 +1,35 @@
+// Idle connections to back ends, by the back end's id. One thread.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "upstream_connection.h"
+
+namespace cartsail {
+
+class UpstreamPool {
+ public:
+  explicit UpstreamPool(boost::asio::any_io_executor executor) : executor_(executor) {}
+
+  // An idle connection that is still quiet, or nullptr.
+  std::shared_ptr<UpstreamConnection> TakeIdle(const std::string& backend, TimePoint now);
+
+  // Not yet connected.
+  std::shared_ptr<UpstreamConnection> MakeNew();
+
+  // Keeps a reusable connection, closes any other.
+  void Return(const std::string& backend, std::shared_ptr<UpstreamConnection> connection);
+
+  // Closes idle connections that ended or may not be used any more. About once a second.
+  void Sweep(TimePoint now);
+
+ private:
+  boost::asio::any_io_executor executor_;
+  std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+};
+
+}  // namespace cartsail
--- a/libs/platform/include/cartsail/platform/etcd_client.h
+++ b/libs/store/include/cartsail/store/etcd_client.h
@@ -7,7 +7,7 @@
 
 #include "cartsail/base/clock.h"
 #include "cartsail/net/http_types.h"
-#include "cartsail/platform/key_value_store.h"
+#include "cartsail/store/key_value_store.h"
 
 namespace cartsail {
 
--- a/libs/platform/include/cartsail/platform/etcd_json.h
+++ b/libs/store/include/cartsail/store/etcd_json.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "cartsail/base/json.h"
-#include "cartsail/platform/key_value_store.h"
+#include "cartsail/store/key_value_store.h"
 
 namespace cartsail {
 
--- a/libs/platform/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -1,11 +1,11 @@
-#include "cartsail/platform/etcd_client.h"
+#include "cartsail/store/etcd_client.h"
 
 #include <fmt/format.h>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_client.h"
-#include "cartsail/platform/etcd_json.h"
+#include "cartsail/store/etcd_json.h"
 
 namespace cartsail {
 namespace {
--- a/libs/platform/src/etcd_json.cc
+++ b/libs/store/src/etcd_json.cc
@@ -1,4 +1,4 @@
-#include "cartsail/platform/etcd_json.h"
+#include "cartsail/store/etcd_json.h"
 
 namespace cartsail {
 namespace {
--- a/libs/platform/src/machine_list.cc
+++ b/libs/store/src/machine_list.cc
@@ -1,4 +1,4 @@
-#include "cartsail/platform/machine_list.h"
+#include "cartsail/store/machine_list.h"
 
 #include <fmt/format.h>
 
