--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -25,7 +25,8 @@
   PlacementTicket ticket = 0;
   Backend backend;
   std::string fetch_prefix_from;  // address of an engine that holds more of the prompt; or empty
-  double cost_ms = 0;             // what the choice expected, for the log
+  double cost_ms = 0;             // by which it was chosen
+  double first_output_ms = 0;     // expected time to the first output
   int64_t held_tokens = 0;
   int64_t candidates = 0;
   BackendLoad load;  // at the back end before this request
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -184,6 +184,7 @@
                             ? estimate.load.reading_ms + estimate.reading_ms + 20
                             : policy_.plain_request_ms;
   loads_.Begin(backend.id, running.reading_ms, running.even_stream);
+  placement.first_output_ms = running.expected_ms;
   running_[placement.ticket] = running;
 
   for (size_t i = 0; i + 1 < profile.prompt_parts.size(); ++i) {
--- a/libs/relay/src/admission.cc
+++ b/libs/relay/src/admission.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration kUnknownRetryAfter = milliseconds(250);
+constexpr int64_t kTenantTiers = 3;  // that are told apart within one tier of routes
 constexpr std::string_view kBearer = "Bearer ";
 
 AdmissionResult Refuse(ErrorKind kind, Duration retry_after = {}) {
@@ -31,6 +32,12 @@
   return Trimmed(authorization.substr(kBearer.size()));
 }
 
+// The route's tier goes first; among equal ones the tenant's decides (docs/QUESTIONS.md).
+int64_t CombinedTier(const TenantRule& tenant, const RouteRule& route) {
+  if (!tenant.tier.has_value()) return route.tier;
+  return route.tier * kTenantTiers + std::min(*tenant.tier, kTenantTiers - 1);
+}
+
 void FillGeneration(const RequestHead& head, const WireFormat& format, const ServiceRule& service,
                     RequestProfile* profile) {
   profile->is_generation = true;
@@ -61,7 +68,7 @@
   const TenantRule* tenant = table.FindTenant(BearerKey(head.authorization));
   if (tenant != nullptr) {
     admitted.tenant = tenant->name;
-    admitted.tier = tenant->tier.value_or(route->tier);
+    admitted.tier = CombinedTier(*tenant, *route);
   } else if (table.NeedsKeys() && !route->is_public) {
     return RefuseUnknown(ErrorKind::kUnknownKey, state, now);
   }
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -206,10 +206,12 @@
   return RequestHeadText(request_.method, request_.target, headers);
 }
 
-TimePoint Exchange::Patience(TimePoint now) const {
+TimePoint Exchange::Patience(const Placement& placement, TimePoint now) const {
   if (!MayRepeat() || history_.may_have_run >= admitted_.route->max_attempts) return deadline_;
-  const Duration patience = std::max<Duration>(
-      kLeastFirstPatience, kPatienceGoals * admitted_.route->first_output_goal);
+  const Duration expected = FromSeconds(placement.first_output_ms / 1e3);
+  const Duration patience =
+      std::max<Duration>(kLeastFirstPatience,
+                         kPatienceGoals * (admitted_.route->first_output_goal + expected));
   return std::min(deadline_, now + patience);
 }
 
@@ -261,7 +263,7 @@
 
 asio::awaitable<AttemptOutcome> Exchange::Converse(const Placement& placement) {
   ResponseHead head;
-  const AttemptOutcome outcome = co_await ReadOwnHead(&head, Patience(Now()));
+  const AttemptOutcome outcome = co_await ReadOwnHead(&head, Patience(placement, Now()));
   if (outcome != AttemptOutcome::kAnswered) co_return outcome;
   co_return co_await RelayAnswer(placement, head);
 }
--- a/libs/relay/src/exchange.h
+++ b/libs/relay/src/exchange.h
@@ -44,7 +44,7 @@
 
   std::string UpstreamHead(const Placement& placement, TimePoint now) const;
   AttemptOutcome OutcomeOf(UpstreamError error, TimePoint deadline) const;
-  TimePoint Patience(TimePoint now) const;
+  TimePoint Patience(const Placement& placement, TimePoint now) const;
   Duration PauseLimit() const;
   bool MayRepeat() const;
   void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
