Engines divided by the urgent work there is (weighed)

Change: the number of engines for urgent requests follows their reading rate and streams, told in digests; crossing over costs more.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -43,6 +43,7 @@
   std::vector<BackendLoadEntry> loads;
   std::vector<PrefixPlacement> prefixes;  // placed since the digest before
   std::vector<std::string> leaving;       // back ends that are known to be leaving
+  std::vector<ServiceWork> urgent_work;
 };
 
 class Dispatcher {
@@ -66,7 +67,7 @@
   // The registry has changed: forgets what is kept of back ends that are gone.
   void ForgetGone();
 
-  DispatchDigest TakeDigest();
+  DispatchDigest TakeDigest(TimePoint now);
   void ApplyDigest(std::string_view node, const DispatchDigest& digest, TimePoint now);
 
   // Nodes heard lately, this one included.
@@ -93,11 +94,12 @@
     BackendLoad load;
   };
 
-  Estimate EstimateGeneration(const RequestProfile& profile, const Backend& backend, bool in_share,
+  Estimate EstimateGeneration(const RequestProfile& profile, const Backend& backend, bool for_urgent,
                               const Backend* holder, int64_t holder_tokens, TimePoint now) const;
   Estimate EstimatePlain(const Backend& backend, TimePoint now) const;
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
   bool IsPatient(const RequestProfile& profile) const;
+  std::vector<const Backend*> UrgentEngines(const std::string& service, TimePoint now) const;
   std::vector<const Backend*> Usable(const RequestProfile& profile,
                                      const std::vector<std::string>& tried, TimePoint now) const;
   Placement Begin(const RequestProfile& profile, const Backend& backend, const Estimate& estimate,
@@ -109,6 +111,7 @@
   BackendHealth health_;
   LoadLedger loads_;
   PrefixDirectory prefixes_;
+  UrgentWorkView urgent_work_;
   std::unordered_map<PlacementTicket, Running> running_;
   std::vector<PrefixPlacement> new_prefixes_;
   PlacementTicket next_ticket_ = 1;
--- a/libs/dispatch/include/cartsail/dispatch/placement_policy.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/engine_partition.h"
 
 namespace cartsail {
 
@@ -19,9 +20,9 @@
   // Requests whose first output may take at least this long are the patient ones: they read long
   // prompts and are kept off the engines whose streams need even pauses.
   Duration patient_goal = seconds(1);
-  double patient_share = 0.5;           // of a service's engines, set aside for patient requests
-  double patient_elsewhere_ms = 600;    // a patient request outside that share
-  double urgent_elsewhere_ms = 150;     // an urgent request inside it
+  PartitionPolicy partition;
+  double patient_elsewhere_ms = 3000;   // a patient request at an engine for urgent ones
+  double urgent_elsewhere_ms = 250;     // an urgent request at an engine for patient ones
   double stream_cost_ms = 3;            // each running request slows the others
   double plain_request_ms = 60;         // expected work of a plain service's request
   double other_zone_ms = 1;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kPeerLoadLifetime = seconds(1);
+constexpr Duration kUrgentWorkWindow = seconds(3);
 constexpr size_t kMostDigestPrefixes = 64;
 // A prompt that nobody holds goes to the engine that all nodes would choose for it, unless another
 // one is better by this much.
@@ -18,7 +19,11 @@
   return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
-// The engines of a service in an order that all nodes agree on; the first ones serve patient
+bool Contains(const std::vector<const Backend*>& backends, const Backend* backend) {
+  return std::find(backends.begin(), backends.end(), backend) != backends.end();
+}
+
+// The engines of a service in an order that all nodes agree on; the first ones serve urgent
 // requests.
 std::vector<const Backend*> InShareOrder(std::vector<const Backend*> backends) {
   std::sort(backends.begin(), backends.end(), [](const Backend* left, const Backend* right) {
@@ -44,7 +49,8 @@
     : policy_(policy),
       zone_(std::move(zone)),
       loads_(kPeerLoadLifetime),
-      prefixes_(policy.prefix_lifetime) {}
+      prefixes_(policy.prefix_lifetime),
+      urgent_work_(kUrgentWorkWindow, kPeerLoadLifetime) {}
 
 bool Dispatcher::IsPatient(const RequestProfile& profile) const {
   return profile.first_output_goal >= policy_.patient_goal;
@@ -80,7 +86,7 @@
 }
 
 Dispatcher::Estimate Dispatcher::EstimateGeneration(const RequestProfile& profile,
-                                                    const Backend& backend, bool in_share,
+                                                    const Backend& backend, bool for_urgent,
                                                     const Backend* holder, int64_t holder_tokens,
                                                     TimePoint now) const {
   Estimate estimate;
@@ -106,13 +112,27 @@
                      health_.Slowness(backend.id);
   estimate.cost_ms += price_ms;
   const bool patient = IsPatient(profile);
-  if (patient && !in_share) estimate.cost_ms += policy_.patient_elsewhere_ms;
-  if (!patient && in_share) estimate.cost_ms += policy_.urgent_elsewhere_ms;
+  if (patient && for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
+  if (!patient && !for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
   if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
   estimate.cost_ms += policy_.failure_cost_ms * health_.FailureShare(backend.id, now);
   return estimate;
 }
 
+std::vector<const Backend*> Dispatcher::UrgentEngines(const std::string& service,
+                                                      TimePoint now) const {
+  std::vector<const Backend*> engines = InShareOrder(registry_.ReadyOf(service));
+  UrgentWork work;
+  work.reading_ms_per_s = urgent_work_.ReadingRate(service, now);
+  for (const Backend* engine : engines) {
+    work.streams += static_cast<double>(loads_.Total(engine->id, now).even_streams);
+  }
+  const int64_t count =
+      UrgentEngineCount(policy_.partition, work, static_cast<int64_t>(engines.size()));
+  engines.resize(static_cast<size_t>(count));
+  return engines;
+}
+
 std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
                                            const std::vector<std::string>& tried, TimePoint now) {
   const std::vector<const Backend*> usable = Usable(profile, tried, now);
@@ -121,7 +141,7 @@
   const Backend* holder = nullptr;
   int64_t holder_tokens = 0;
   const Backend* home = nullptr;
-  std::vector<const Backend*> share;
+  std::vector<const Backend*> urgent;
   if (profile.is_generation) {
     for (const Backend* backend : registry_.ReadyOf(profile.service)) {
       const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, backend->id, now);
@@ -129,19 +149,16 @@
       holder = backend;
       holder_tokens = held;
     }
-    share = InShareOrder(registry_.ReadyOf(profile.service));
-    const double wanted = static_cast<double>(share.size()) * policy_.patient_share;
-    const auto share_size = static_cast<size_t>(std::max(1.0, wanted + 0.5));
+    urgent = UrgentEngines(profile.service, now);
     const uint64_t subject = SubjectOf(profile);
     uint64_t best_score = 0;
-    for (size_t i = 0; i < share.size(); ++i) {
-      if ((i < share_size) != IsPatient(profile) && share.size() > 1) continue;
-      const uint64_t score = HomeScore(subject, *share[i]);
+    for (const Backend* backend : usable) {
+      if (Contains(urgent, backend) == IsPatient(profile)) continue;
+      const uint64_t score = HomeScore(subject, *backend);
       if (home != nullptr && score <= best_score) continue;
-      home = share[i];
+      home = backend;
       best_score = score;
     }
-    share.resize(std::min(share.size(), share_size));
   }
 
   const Backend* best = nullptr;
@@ -149,8 +166,8 @@
   for (const Backend* backend : usable) {
     Estimate estimate;
     if (profile.is_generation) {
-      const bool in_share = std::find(share.begin(), share.end(), backend) != share.end();
-      estimate = EstimateGeneration(profile, *backend, in_share, holder, holder_tokens, now);
+      const bool for_urgent = Contains(urgent, backend);
+      estimate = EstimateGeneration(profile, *backend, for_urgent, holder, holder_tokens, now);
       if (backend == home) estimate.cost_ms -= kHomeBonusMs;
     } else {
       estimate = EstimatePlain(*backend, now);
@@ -184,6 +201,7 @@
                             ? estimate.load.reading_ms + estimate.reading_ms + 20
                             : policy_.plain_request_ms;
   loads_.Begin(backend.id, running.reading_ms, running.even_stream);
+  if (running.even_stream) urgent_work_.Note(profile.service, running.reading_ms, now);
   placement.first_output_ms = running.expected_ms;
   running_[placement.ticket] = running;
 
@@ -224,17 +242,19 @@
   }
 }
 
-DispatchDigest Dispatcher::TakeDigest() {
+DispatchDigest Dispatcher::TakeDigest(TimePoint now) {
   DispatchDigest digest;
   digest.loads = loads_.OwnLoads();
   digest.prefixes = std::move(new_prefixes_);
   new_prefixes_.clear();
   digest.leaving = registry_.LeavingIds();
+  digest.urgent_work = urgent_work_.Own(now);
   return digest;
 }
 
 void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest, TimePoint now) {
   loads_.SetPeer(node, digest.loads, now);
+  urgent_work_.SetPeer(node, digest.urgent_work, now);
   for (const PrefixPlacement& placed : digest.prefixes) {
     if (registry_.Find(placed.backend) == nullptr) continue;
     prefixes_.Note(placed.part, placed.backend, now);
--- a/libs/relay/src/digest.capnp
+++ b/libs/relay/src/digest.capnp
@@ -16,6 +16,11 @@
   backend @1 :Text;
 }
 
+struct ServiceWork {
+  service @0 :Text;
+  readingMsPerSecond @1 :Float32;
+}
+
 struct NodeDigest {
   node @0 :Text;
   documentVersion @1 :Int64;
@@ -27,4 +32,5 @@
   # Hosts of other nodes that were heard lately.
   hosts @6 :List(Text);
   stopping @7 :Bool;
+  urgentWork @8 :List(ServiceWork);
 }
--- a/libs/relay/src/digest.capnp.h
+++ b/libs/relay/src/digest.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(e68064d99f220796);
 CAPNP_DECLARE_SCHEMA(ba8e3e37d43e7a74);
+CAPNP_DECLARE_SCHEMA(df259802d7e8c238);
 CAPNP_DECLARE_SCHEMA(b1144832f756014d);
 
 }  // namespace schemas
@@ -56,6 +57,21 @@
   };
 };
 
+struct ServiceWork {
+  ServiceWork() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df259802d7e8c238, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeDigest {
   NodeDigest() = delete;
 
@@ -64,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1144832f756014d, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b1144832f756014d, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -255,6 +271,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceWork::Reader {
+public:
+  typedef ServiceWork Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline float getReadingMsPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceWork::Builder {
+public:
+  typedef ServiceWork Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline float getReadingMsPerSecond();
+  inline void setReadingMsPerSecond(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceWork::Pipeline {
+public:
+  typedef ServiceWork Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeDigest::Reader {
 public:
   typedef NodeDigest Reads;
@@ -293,6 +395,9 @@
 
   inline bool getStopping() const;
 
+  inline bool hasUrgentWork() const;
+  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader getUrgentWork() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -367,6 +472,13 @@
   inline bool getStopping();
   inline void setStopping(bool value);
 
+  inline bool hasUrgentWork();
+  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder getUrgentWork();
+  inline void setUrgentWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder initUrgentWork(unsigned int size);
+  inline void adoptUrgentWork(::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> disownUrgentWork();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -519,6 +631,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ServiceWork::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceWork::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceWork::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceWork::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceWork::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceWork::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceWork::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceWork::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float ServiceWork::Reader::getReadingMsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceWork::Builder::getReadingMsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceWork::Builder::setReadingMsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeDigest::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -739,6 +899,40 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeDigest::Reader::hasUrgentWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasUrgentWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getUrgentWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getUrgentWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setUrgentWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initUrgentWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptUrgentWork(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownUrgentWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/libs/relay/src/node_digest.cc
+++ b/libs/relay/src/node_digest.cc
@@ -31,6 +31,11 @@
     prefixes[i].setPart(dispatch.prefixes[i].part);
     prefixes[i].setBackend(dispatch.prefixes[i].backend);
   }
+  auto work = root.initUrgentWork(static_cast<unsigned>(dispatch.urgent_work.size()));
+  for (unsigned i = 0; i < work.size(); ++i) {
+    work[i].setService(dispatch.urgent_work[i].service);
+    work[i].setReadingMsPerSecond(static_cast<float>(dispatch.urgent_work[i].reading_ms_per_s));
+  }
   auto leaving = root.initLeaving(static_cast<unsigned>(dispatch.leaving.size()));
   for (unsigned i = 0; i < leaving.size(); ++i) leaving.set(i, dispatch.leaving[i]);
 }
@@ -49,6 +54,9 @@
     dispatch.prefixes.push_back({placed.getPart(), Text(placed.getBackend())});
   }
   for (const auto backend : root.getLeaving()) dispatch.leaving.push_back(Text(backend));
+  for (const auto work : root.getUrgentWork()) {
+    dispatch.urgent_work.push_back({Text(work.getService()), work.getReadingMsPerSecond()});
+  }
   return dispatch;
 }
 
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -137,7 +137,7 @@
   if (context_.routing.Confirmed() != TimePoint()) {
     digest.confirmed_age = now - context_.routing.Confirmed();
   }
-  digest.dispatch = context_.dispatcher.TakeDigest();
+  digest.dispatch = context_.dispatcher.TakeDigest(now);
   digest.stopping = context_.draining;
   for (const auto& [host, peer] : peers_) {
     if (digest.hosts.size() >= kMostHostsTold) break;
