A steady division of engines; long prompts avoid engines with even streams

Change: engines divided by both kinds of work with a dead band of 0.8 engines; slow engines (event pace told to peers) go to patient requests; a prompt of 50 ms and more costs 60 ms for each even stream.

--- a/libs/dispatch/include/cartsail/dispatch/backend_health.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_health.h
@@ -26,12 +26,25 @@
   // How many times longer than expected it takes, at least 1.
   double Slowness(std::string_view backend) const;
 
+  // Mean pause between the events of one stream, in milliseconds.
+  void NotePause(std::string_view backend, double pause_ms);
+
+  // A peer's measure of the same.
+  void NotePeerPause(std::string_view backend, double pause_ms);
+
+  // The least mean pause of its recent streams: its own pace, without what runs beside. 0: unknown.
+  double LeastPause(std::string_view backend) const;
+
+  // The least of all back ends; 0: unknown.
+  double FastestPause() const;
+
   void Forget(std::string_view backend);
 
  private:
   struct Record {
     double failure_share = 0;
     double slowness = 1;
+    double least_pause_ms = 0;
     int consecutive_losses = 0;
     TimePoint updated;
     TimePoint suspended_until;
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -43,7 +43,7 @@
   std::vector<BackendLoadEntry> loads;
   std::vector<PrefixPlacement> prefixes;  // placed since the digest before
   std::vector<std::string> leaving;       // back ends that are known to be leaving
-  std::vector<ServiceWork> urgent_work;
+  std::vector<ServiceWork> work;
 };
 
 class Dispatcher {
@@ -59,8 +59,8 @@
   std::optional<Placement> Place(const RequestProfile& profile,
                                  const std::vector<std::string>& tried, TimePoint now);
 
-  // The first byte of the answer's body came.
-  void FirstOutput(PlacementTicket ticket, TimePoint now);
+  // Some of the answer's body came; of a stream: an event.
+  void Output(PlacementTicket ticket, TimePoint now);
 
   void Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now);
 
@@ -80,9 +80,11 @@
     std::string backend;
     double reading_ms = 0;
     bool even_stream = false;
-    bool has_output = false;
     bool is_generation = false;
+    int64_t outputs = 0;
     TimePoint begun;
+    TimePoint first_output;
+    TimePoint last_output;
     double expected_ms = 0;
   };
 
@@ -99,7 +101,8 @@
   Estimate EstimatePlain(const Backend& backend, TimePoint now) const;
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
   bool IsPatient(const RequestProfile& profile) const;
-  std::vector<const Backend*> UrgentEngines(const std::string& service, TimePoint now) const;
+  std::vector<const Backend*> UrgentEngines(const std::string& service, TimePoint now);
+  double DisturbanceMillis(const BackendLoad& load, double reading_ms) const;
   std::vector<const Backend*> Usable(const RequestProfile& profile,
                                      const std::vector<std::string>& tried, TimePoint now) const;
   Placement Begin(const RequestProfile& profile, const Backend& backend, const Estimate& estimate,
@@ -111,7 +114,8 @@
   BackendHealth health_;
   LoadLedger loads_;
   PrefixDirectory prefixes_;
-  UrgentWorkView urgent_work_;
+  ServiceWorkView work_;
+  std::unordered_map<std::string, UrgentEngineTarget> urgent_targets_;  // by service
   std::unordered_map<PlacementTicket, Running> running_;
   std::vector<PrefixPlacement> new_prefixes_;
   PlacementTicket next_ticket_ = 1;
--- a/libs/dispatch/include/cartsail/dispatch/engine_partition.h
+++ b/libs/dispatch/include/cartsail/dispatch/engine_partition.h
@@ -13,16 +13,17 @@
 
 namespace cartsail {
 
-// Urgent work of one service, as a rate.
-struct UrgentWork {
-  double reading_ms_per_s = 0;  // time to read prompts
-  double streams = 0;           // running at once
+// The work of one service, as rates of all nodes.
+struct EngineWork {
+  double urgent_ms_per_s = 0;   // time to read the prompts of urgent requests
+  double patient_ms_per_s = 0;  // the same of patient ones
+  double urgent_streams = 0;    // running at once
 };
 
-// A moving average of the urgent work that this node places.
-class UrgentWorkMeter {
+// A moving average of the work that this node places.
+class WorkMeter {
  public:
-  explicit UrgentWorkMeter(Duration window) : window_(window) {}
+  explicit WorkMeter(Duration window) : window_(window) {}
 
   void Note(double reading_ms, TimePoint now);
   double ReadingRate(TimePoint now) const;  // ms per second
@@ -35,28 +36,34 @@
   TimePoint updated_{};
 };
 
-// The rate of urgent reading of one service at one node, as peers are told.
+// The rates of reading of one service at one node, in ms per second, as peers are told.
 struct ServiceWork {
   std::string service;
-  double reading_ms_per_s = 0;
+  double urgent_ms_per_s = 0;
+  double patient_ms_per_s = 0;
 };
 
-// The urgent reading of all services: this node's own and that of its peers.
-class UrgentWorkView {
+// The reading rates of all services: this node's own and those of its peers.
+class ServiceWorkView {
  public:
   // What a peer told is forgotten after `peer_lifetime`.
-  UrgentWorkView(Duration window, Duration peer_lifetime)
+  ServiceWorkView(Duration window, Duration peer_lifetime)
       : window_(window), peer_lifetime_(peer_lifetime) {}
 
-  void Note(std::string_view service, double reading_ms, TimePoint now);
+  void Note(std::string_view service, bool urgent, double reading_ms, TimePoint now);
   void SetPeer(std::string_view node, const std::vector<ServiceWork>& work, TimePoint now);
 
-  // Of all nodes, in ms per second.
-  double ReadingRate(std::string_view service, TimePoint now) const;
+  // The sum over all nodes.
+  ServiceWork Total(std::string_view service, TimePoint now) const;
 
   std::vector<ServiceWork> Own(TimePoint now) const;
 
  private:
+  struct Meters {
+    WorkMeter urgent;
+    WorkMeter patient;
+  };
+
   struct PeerWork {
     TimePoint heard;
     std::vector<ServiceWork> work;
@@ -64,18 +71,30 @@
 
   Duration window_;
   Duration peer_lifetime_;
-  std::unordered_map<std::string, UrgentWorkMeter> own_;
+  std::unordered_map<std::string, Meters> own_;
   std::unordered_map<std::string, PeerWork> peers_;
 };
 
 struct PartitionPolicy {
-  double urgent_utilization = 0.4;   // of an engine's reading time, at most, by urgent requests
-  double streams_per_engine = 24;    // urgent streams on one engine
-  double least_urgent_share = 0.2;   // of the engines
-  double most_urgent_share = 0.6;
+  double urgent_wanted = 0.15;      // reading time of an engine for urgent requests, as wished
+  double urgent_most = 0.4;         // and at most
+  double patient_wanted = 0.5;      // reading time of an engine for patient requests, as wished
+  double streams_per_engine = 24;   // urgent streams on one engine, at most
+  double least_urgent_share = 0.2;  // of the engines
+  double most_urgent_share = 0.7;
 };
 
-// Engines that are set aside for urgent requests, of `engines`.
-int64_t UrgentEngineCount(const PartitionPolicy& policy, const UrgentWork& work, int64_t engines);
+// Engines wanted for urgent requests, of `engines`, as a fraction of an engine may be wanted.
+double WantedUrgentEngines(const PartitionPolicy& policy, const EngineWork& work, int64_t engines);
+
+// The number of engines set aside for urgent requests. It follows what is wanted, but not small
+// changes: an engine that changes sides disturbs the streams that run there.
+class UrgentEngineTarget {
+ public:
+  int64_t Update(double wanted, int64_t engines);
+
+ private:
+  double current_ = 0;
+};
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/load_ledger.h
+++ b/libs/dispatch/include/cartsail/dispatch/load_ledger.h
@@ -24,6 +24,7 @@
 struct BackendLoadEntry {
   std::string backend;
   BackendLoad load;
+  double least_pause_ms = 0;  // between events of a stream there, as measured; 0: unknown
 };
 
 class LoadLedger {
--- a/libs/dispatch/include/cartsail/dispatch/placement_policy.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -22,7 +22,11 @@
   Duration patient_goal = seconds(1);
   PartitionPolicy partition;
   double patient_elsewhere_ms = 3000;   // a patient request at an engine for urgent ones
-  double urgent_elsewhere_ms = 250;     // an urgent request at an engine for patient ones
+  double urgent_elsewhere_ms = 500;     // an urgent request at an engine for patient ones
+  // For each even stream there (up to `most_streams_disturbed`): a prompt that takes long to read.
+  double disturbed_stream_ms = 60;
+  int64_t most_streams_disturbed = 8;
+  double disturbing_reading_ms = 50;
   double stream_cost_ms = 3;            // each running request slows the others
   double plain_request_ms = 60;         // expected work of a plain service's request
   double other_zone_ms = 1;
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -8,6 +8,7 @@
 
 constexpr double kFailureWeight = 0.25;     // of one attempt in the moving share
 constexpr double kSlownessWeight = 0.1;     // of one measurement
+constexpr double kPauseRelaxation = 1.002;  // a least pause grows by this with each slower stream
 constexpr double kMostSlowness = 10;
 constexpr Duration kFadeTime = seconds(4);  // the share falls to a third in this time
 constexpr Duration kFirstSuspension = milliseconds(250);
@@ -72,6 +73,31 @@
   return record == nullptr ? 1 : std::max(record->slowness, 1.0);
 }
 
+void BackendHealth::NotePause(std::string_view backend, double pause_ms) {
+  double& least = records_[std::string(backend)].least_pause_ms;
+  const bool lower = least == 0 || pause_ms < least;
+  least = lower ? pause_ms : least * kPauseRelaxation;
+}
+
+void BackendHealth::NotePeerPause(std::string_view backend, double pause_ms) {
+  double& least = records_[std::string(backend)].least_pause_ms;
+  if (pause_ms > 0 && (least == 0 || pause_ms < least)) least = pause_ms;
+}
+
+double BackendHealth::LeastPause(std::string_view backend) const {
+  const Record* record = Find(backend);
+  return record == nullptr ? 0 : record->least_pause_ms;
+}
+
+double BackendHealth::FastestPause() const {
+  double fastest = 0;
+  for (const auto& [backend, record] : records_) {
+    if (record.least_pause_ms == 0) continue;
+    if (fastest == 0 || record.least_pause_ms < fastest) fastest = record.least_pause_ms;
+  }
+  return fastest;
+}
+
 void BackendHealth::Forget(std::string_view backend) { records_.erase(std::string(backend)); }
 
 }  // namespace cartsail
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -9,8 +9,12 @@
 namespace {
 
 constexpr Duration kPeerLoadLifetime = seconds(1);
-constexpr Duration kUrgentWorkWindow = seconds(3);
+constexpr Duration kWorkWindow = seconds(5);
 constexpr size_t kMostDigestPrefixes = 64;
+// An engine whose events follow each other that much slower than the fastest one's is kept for
+// patient requests.
+constexpr double kSlowEngineRatio = 1.15;
+constexpr int64_t kLeastEventsForPause = 12;  // of a stream whose pace is measured
 // A prompt that nobody holds goes to the engine that all nodes would choose for it, unless another
 // one is better by this much.
 constexpr double kHomeBonusMs = 60;
@@ -25,10 +29,19 @@
 
 // The engines of a service in an order that all nodes agree on; the first ones serve urgent
 // requests.
-std::vector<const Backend*> InShareOrder(std::vector<const Backend*> backends) {
-  std::sort(backends.begin(), backends.end(), [](const Backend* left, const Backend* right) {
-    return Hash64(left->id) < Hash64(right->id);
-  });
+std::vector<const Backend*> InShareOrder(std::vector<const Backend*> backends,
+                                         const BackendHealth& health) {
+  const double fastest = health.FastestPause();
+  const auto is_slow = [&health, fastest](const Backend* backend) {
+    return health.LeastPause(backend->id) > fastest * kSlowEngineRatio;
+  };
+  std::sort(backends.begin(), backends.end(),
+            [&is_slow](const Backend* left, const Backend* right) {
+              const bool left_slow = is_slow(left);
+              const bool right_slow = is_slow(right);
+              if (left_slow != right_slow) return right_slow;
+              return Hash64(left->id) < Hash64(right->id);
+            });
   return backends;
 }
 
@@ -50,7 +63,7 @@
       zone_(std::move(zone)),
       loads_(kPeerLoadLifetime),
       prefixes_(policy.prefix_lifetime),
-      urgent_work_(kUrgentWorkWindow, kPeerLoadLifetime) {}
+      work_(kWorkWindow, kPeerLoadLifetime) {}
 
 bool Dispatcher::IsPatient(const RequestProfile& profile) const {
   return profile.first_output_goal >= policy_.patient_goal;
@@ -85,6 +98,12 @@
   return estimate;
 }
 
+double Dispatcher::DisturbanceMillis(const BackendLoad& load, double reading_ms) const {
+  if (reading_ms < policy_.disturbing_reading_ms) return 0;
+  const int64_t streams = std::min(load.even_streams, policy_.most_streams_disturbed);
+  return static_cast<double>(streams) * policy_.disturbed_stream_ms;
+}
+
 Dispatcher::Estimate Dispatcher::EstimateGeneration(const RequestProfile& profile,
                                                     const Backend& backend, bool for_urgent,
                                                     const Backend* holder, int64_t holder_tokens,
@@ -110,7 +129,7 @@
   const double over = std::max(0.0, static_cast<double>(estimate.load.requests) - slots * 0.9);
   estimate.cost_ms = (estimate.load.reading_ms + estimate.reading_ms + streams + over * 50) *
                      health_.Slowness(backend.id);
-  estimate.cost_ms += price_ms;
+  estimate.cost_ms += price_ms + DisturbanceMillis(estimate.load, estimate.reading_ms);
   const bool patient = IsPatient(profile);
   if (patient && for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
   if (!patient && !for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
@@ -120,15 +139,18 @@
 }
 
 std::vector<const Backend*> Dispatcher::UrgentEngines(const std::string& service,
-                                                      TimePoint now) const {
-  std::vector<const Backend*> engines = InShareOrder(registry_.ReadyOf(service));
-  UrgentWork work;
-  work.reading_ms_per_s = urgent_work_.ReadingRate(service, now);
+                                                      TimePoint now) {
+  std::vector<const Backend*> engines = InShareOrder(registry_.ReadyOf(service), health_);
+  const ServiceWork rates = work_.Total(service, now);
+  EngineWork work;
+  work.urgent_ms_per_s = rates.urgent_ms_per_s;
+  work.patient_ms_per_s = rates.patient_ms_per_s;
   for (const Backend* engine : engines) {
-    work.streams += static_cast<double>(loads_.Total(engine->id, now).even_streams);
+    work.urgent_streams += static_cast<double>(loads_.Total(engine->id, now).even_streams);
   }
-  const int64_t count =
-      UrgentEngineCount(policy_.partition, work, static_cast<int64_t>(engines.size()));
+  const auto total = static_cast<int64_t>(engines.size());
+  const double wanted = WantedUrgentEngines(policy_.partition, work, total);
+  const int64_t count = urgent_targets_[service].Update(wanted, total);
   engines.resize(static_cast<size_t>(count));
   return engines;
 }
@@ -201,7 +223,9 @@
                             ? estimate.load.reading_ms + estimate.reading_ms + 20
                             : policy_.plain_request_ms;
   loads_.Begin(backend.id, running.reading_ms, running.even_stream);
-  if (running.even_stream) urgent_work_.Note(profile.service, running.reading_ms, now);
+  if (profile.is_generation) {
+    work_.Note(profile.service, running.even_stream, running.reading_ms, now);
+  }
   placement.first_output_ms = running.expected_ms;
   running_[placement.ticket] = running;
 
@@ -213,11 +237,13 @@
   return placement;
 }
 
-void Dispatcher::FirstOutput(PlacementTicket ticket, TimePoint now) {
+void Dispatcher::Output(PlacementTicket ticket, TimePoint now) {
   const auto entry = running_.find(ticket);
-  if (entry == running_.end() || entry->second.has_output) return;
+  if (entry == running_.end()) return;
   Running& running = entry->second;
-  running.has_output = true;
+  running.last_output = now;
+  if (running.outputs++ > 0) return;
+  running.first_output = now;
   loads_.FirstOutput(running.backend, running.reading_ms);
   health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
 }
@@ -227,10 +253,14 @@
   if (entry == running_.end()) return;
   const Running running = entry->second;
   running_.erase(entry);
-  if (!running.has_output) loads_.FirstOutput(running.backend, running.reading_ms);
+  if (running.outputs == 0) loads_.FirstOutput(running.backend, running.reading_ms);
   loads_.End(running.backend, running.even_stream);
   if (registry_.Find(running.backend) == nullptr) return;
   health_.Note(running.backend, outcome, now);
+  if (running.is_generation && running.outputs >= kLeastEventsForPause) {
+    const double span_ms = ToMillis(running.last_output - running.first_output);
+    health_.NotePause(running.backend, span_ms / static_cast<double>(running.outputs - 1));
+  }
   if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(running.backend);
 }
 
@@ -245,16 +275,23 @@
 DispatchDigest Dispatcher::TakeDigest(TimePoint now) {
   DispatchDigest digest;
   digest.loads = loads_.OwnLoads();
+  for (BackendLoadEntry& entry : digest.loads) {
+    entry.least_pause_ms = health_.LeastPause(entry.backend);
+  }
   digest.prefixes = std::move(new_prefixes_);
   new_prefixes_.clear();
   digest.leaving = registry_.LeavingIds();
-  digest.urgent_work = urgent_work_.Own(now);
+  digest.work = work_.Own(now);
   return digest;
 }
 
 void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest, TimePoint now) {
   loads_.SetPeer(node, digest.loads, now);
-  urgent_work_.SetPeer(node, digest.urgent_work, now);
+  for (const BackendLoadEntry& entry : digest.loads) {
+    if (registry_.Find(entry.backend) == nullptr) continue;
+    health_.NotePeerPause(entry.backend, entry.least_pause_ms);
+  }
+  work_.SetPeer(node, digest.work, now);
   for (const PrefixPlacement& placed : digest.prefixes) {
     if (registry_.Find(placed.backend) == nullptr) continue;
     prefixes_.Note(placed.part, placed.backend, now);
--- a/libs/dispatch/src/engine_partition.cc
+++ b/libs/dispatch/src/engine_partition.cc
@@ -4,61 +4,85 @@
 #include <cmath>
 
 namespace cartsail {
+namespace {
 
-double UrgentWorkMeter::DecayedTo(TimePoint now) const {
+constexpr double kLeastChange = 0.8;  // engines
+
+}  // namespace
+
+double WorkMeter::DecayedTo(TimePoint now) const {
   const double age = std::max(0.0, ToSeconds(now - updated_));
   return sum_ms_ * std::exp(-age / ToSeconds(window_));
 }
 
-void UrgentWorkMeter::Note(double reading_ms, TimePoint now) {
+void WorkMeter::Note(double reading_ms, TimePoint now) {
   sum_ms_ = DecayedTo(now) + reading_ms;
   updated_ = now;
 }
 
-double UrgentWorkMeter::ReadingRate(TimePoint now) const {
+double WorkMeter::ReadingRate(TimePoint now) const {
   return DecayedTo(now) / ToSeconds(window_);
 }
 
-void UrgentWorkView::Note(std::string_view service, double reading_ms, TimePoint now) {
-  own_.try_emplace(std::string(service), window_).first->second.Note(reading_ms, now);
+void ServiceWorkView::Note(std::string_view service, bool urgent, double reading_ms,
+                           TimePoint now) {
+  const Meters empty{WorkMeter(window_), WorkMeter(window_)};
+  Meters& meters = own_.try_emplace(std::string(service), empty).first->second;
+  (urgent ? meters.urgent : meters.patient).Note(reading_ms, now);
 }
 
-void UrgentWorkView::SetPeer(std::string_view node, const std::vector<ServiceWork>& work,
-                             TimePoint now) {
+void ServiceWorkView::SetPeer(std::string_view node, const std::vector<ServiceWork>& work,
+                              TimePoint now) {
   PeerWork& peer = peers_[std::string(node)];
   peer.heard = now;
   peer.work = work;
 }
 
-double UrgentWorkView::ReadingRate(std::string_view service, TimePoint now) const {
-  double rate = 0;
-  const auto own = own_.find(std::string(service));
-  if (own != own_.end()) rate += own->second.ReadingRate(now);
+ServiceWork ServiceWorkView::Total(std::string_view service, TimePoint now) const {
+  ServiceWork total;
+  total.service = std::string(service);
+  const auto own = own_.find(total.service);
+  if (own != own_.end()) {
+    total.urgent_ms_per_s = own->second.urgent.ReadingRate(now);
+    total.patient_ms_per_s = own->second.patient.ReadingRate(now);
+  }
   for (const auto& [node, peer] : peers_) {
     if (now - peer.heard > peer_lifetime_) continue;
     for (const ServiceWork& work : peer.work) {
-      if (work.service == service) rate += work.reading_ms_per_s;
+      if (work.service != service) continue;
+      total.urgent_ms_per_s += work.urgent_ms_per_s;
+      total.patient_ms_per_s += work.patient_ms_per_s;
     }
   }
-  return rate;
+  return total;
 }
 
-std::vector<ServiceWork> UrgentWorkView::Own(TimePoint now) const {
+std::vector<ServiceWork> ServiceWorkView::Own(TimePoint now) const {
   std::vector<ServiceWork> work;
-  for (const auto& [service, meter] : own_) work.push_back({service, meter.ReadingRate(now)});
+  for (const auto& [service, meters] : own_) {
+    work.push_back({service, meters.urgent.ReadingRate(now), meters.patient.ReadingRate(now)});
+  }
   return work;
 }
 
-int64_t UrgentEngineCount(const PartitionPolicy& policy, const UrgentWork& work, int64_t engines) {
-  if (engines <= 1) return engines;
-  const double for_reading = work.reading_ms_per_s / 1e3 / policy.urgent_utilization;
-  const double for_streams = work.streams / policy.streams_per_engine;
+double WantedUrgentEngines(const PartitionPolicy& policy, const EngineWork& work,
+                           int64_t engines) {
   const auto total = static_cast<double>(engines);
-  const double wanted = std::clamp(std::max(for_reading, for_streams),
-                                   total * policy.least_urgent_share,
-                                   total * policy.most_urgent_share);
-  const auto whole = static_cast<int64_t>(std::ceil(wanted));
-  return std::clamp<int64_t>(whole, 1, engines - 1);
+  const double urgent = work.urgent_ms_per_s / 1e3;
+  const double patient = work.patient_ms_per_s / 1e3;
+  const double wished = urgent / policy.urgent_wanted;
+  const double wished_by_all = wished + patient / policy.patient_wanted;
+  const double fair = wished_by_all > 0 ? total * wished / wished_by_all : total / 2;
+  const double needed =
+      std::max(urgent / policy.urgent_most, work.urgent_streams / policy.streams_per_engine);
+  return std::clamp(std::max(fair, needed), total * policy.least_urgent_share,
+                    total * policy.most_urgent_share);
+}
+
+int64_t UrgentEngineTarget::Update(double wanted, int64_t engines) {
+  if (engines <= 1) return engines;
+  if (current_ == 0 || std::abs(wanted - current_) > kLeastChange) current_ = std::round(wanted);
+  return std::clamp<int64_t>(std::llround(current_), 1, engines - 1);
 }
 
 }  // namespace cartsail
--- a/libs/dispatch/src/load_ledger.cc
+++ b/libs/dispatch/src/load_ledger.cc
@@ -57,7 +57,7 @@
 std::vector<BackendLoadEntry> LoadLedger::OwnLoads() const {
   std::vector<BackendLoadEntry> loads;
   loads.reserve(own_.size());
-  for (const auto& [backend, load] : own_) loads.push_back({backend, load});
+  for (const auto& [backend, load] : own_) loads.push_back({backend, load, 0});
   return loads;
 }
 
--- a/libs/relay/src/digest.capnp
+++ b/libs/relay/src/digest.capnp
@@ -9,6 +9,7 @@
   readingMs @1 :Float32;
   requests @2 :UInt32;
   evenStreams @3 :UInt32;
+  leastPauseMs @4 :Float32;
 }
 
 struct PrefixPlacement {
@@ -18,7 +19,8 @@
 
 struct ServiceWork {
   service @0 :Text;
-  readingMsPerSecond @1 :Float32;
+  urgentMsPerSecond @1 :Float32;
+  patientMsPerSecond @2 :Float32;
 }
 
 struct NodeDigest {
@@ -32,5 +34,5 @@
   # Hosts of other nodes that were heard lately.
   hosts @6 :List(Text);
   stopping @7 :Bool;
-  urgentWork @8 :List(ServiceWork);
+  work @8 :List(ServiceWork);
 }
--- a/libs/relay/src/digest.capnp.h
+++ b/libs/relay/src/digest.capnp.h
@@ -115,6 +115,8 @@
 
   inline  ::uint32_t getEvenStreams() const;
 
+  inline float getLeastPauseMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -159,6 +161,9 @@
   inline  ::uint32_t getEvenStreams();
   inline void setEvenStreams( ::uint32_t value);
 
+  inline float getLeastPauseMs();
+  inline void setLeastPauseMs(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -291,7 +296,9 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline float getReadingMsPerSecond() const;
+  inline float getUrgentMsPerSecond() const;
+
+  inline float getPatientMsPerSecond() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -328,8 +335,11 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline float getReadingMsPerSecond();
-  inline void setReadingMsPerSecond(float value);
+  inline float getUrgentMsPerSecond();
+  inline void setUrgentMsPerSecond(float value);
+
+  inline float getPatientMsPerSecond();
+  inline void setPatientMsPerSecond(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -395,8 +405,8 @@
 
   inline bool getStopping() const;
 
-  inline bool hasUrgentWork() const;
-  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader getUrgentWork() const;
+  inline bool hasWork() const;
+  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader getWork() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -472,12 +482,12 @@
   inline bool getStopping();
   inline void setStopping(bool value);
 
-  inline bool hasUrgentWork();
-  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder getUrgentWork();
-  inline void setUrgentWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder initUrgentWork(unsigned int size);
-  inline void adoptUrgentWork(::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> disownUrgentWork();
+  inline bool hasWork();
+  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder getWork();
+  inline void setWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder initWork(unsigned int size);
+  inline void adoptWork(::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> disownWork();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -583,6 +593,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline float BackendLoad::Reader::getLeastPauseMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float BackendLoad::Builder::getLeastPauseMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setLeastPauseMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -665,20 +689,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline float ServiceWork::Reader::getReadingMsPerSecond() const {
+inline float ServiceWork::Reader::getUrgentMsPerSecond() const {
   return _reader.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline float ServiceWork::Builder::getReadingMsPerSecond() {
+inline float ServiceWork::Builder::getUrgentMsPerSecond() {
   return _builder.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceWork::Builder::setReadingMsPerSecond(float value) {
+inline void ServiceWork::Builder::setUrgentMsPerSecond(float value) {
   _builder.setDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline float ServiceWork::Reader::getPatientMsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceWork::Builder::getPatientMsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceWork::Builder::setPatientMsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NodeDigest::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -899,36 +937,36 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::hasUrgentWork() const {
+inline bool NodeDigest::Reader::hasWork() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasUrgentWork() {
+inline bool NodeDigest::Builder::hasWork() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getUrgentWork() const {
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getWork() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getUrgentWork() {
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getWork() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setUrgentWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void NodeDigest::Builder::setWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initUrgentWork(unsigned int size) {
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initWork(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void NodeDigest::Builder::adoptUrgentWork(
+inline void NodeDigest::Builder::adoptWork(
     ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownUrgentWork() {
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownWork() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -292,7 +292,7 @@
   do {
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
-    context_.dispatcher.FirstOutput(placement.ticket, Now());
+    context_.dispatcher.Output(placement.ticket, Now());
     body += chunk;
   } while (!chunk.empty() && body.size() <= kMostWholeBytes);
 
@@ -338,8 +338,11 @@
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, patience);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
     const bool at_end = chunk.empty();
-    if (!at_end && first_output_ == TimePoint()) first_output_ = Now();
-    if (!at_end) context_.dispatcher.FirstOutput(placement.ticket, Now());
+    if (!at_end) {
+      const TimePoint now = Now();
+      NoteOutput(now);
+      context_.dispatcher.Output(placement.ticket, now);
+    }
     std::string bytes = resumable ? splitter.Feed(chunk) : std::move(chunk);
     if (at_end && splitter.HasPartial()) bytes += splitter.TakePartial();
     if (!head_sent_ && (!bytes.empty() || at_end)) {
@@ -382,6 +385,15 @@
   co_return sent && keep_alive_;
 }
 
+void Exchange::NoteOutput(TimePoint now) {
+  if (first_output_ == TimePoint()) {
+    first_output_ = now;
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_output_);
+  }
+  last_output_ = now;
+}
+
 void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
   if (outcome == AttemptOutcome::kAnswered) return;
   Log(LogLevel::kInfo, "attempt",
@@ -411,6 +423,7 @@
        {"status", std::to_string(status)},
        {"first_ms", has_output ? fmt::format("{:.0f}", ToMillis(first_output_ - request_.received))
                                : ""},
+       {"pause_ms", fmt::format("{:.0f}", ToMillis(longest_pause_))},
        {"ms", fmt::format("{:.0f}", ToMillis(took))},
        {"bytes", std::to_string(bytes_out_)}});
 }
--- a/libs/relay/src/exchange.h
+++ b/libs/relay/src/exchange.h
@@ -47,6 +47,7 @@
   TimePoint Patience(const Placement& placement, TimePoint now) const;
   Duration PauseLimit() const;
   bool MayRepeat() const;
+  void NoteOutput(TimePoint now);
   void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
   void LogEnd(std::string_view result, int status) const;
 
@@ -61,6 +62,8 @@
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
   TimePoint first_output_;
+  TimePoint last_output_;
+  Duration longest_pause_{};  // between two pieces of the answer
   bool head_sent_ = false;
   bool caller_gone_ = false;
   bool keep_alive_ = true;
--- a/libs/relay/src/node_digest.cc
+++ b/libs/relay/src/node_digest.cc
@@ -24,6 +24,7 @@
     loads[i].setBackend(dispatch.loads[i].backend);
     loads[i].setReadingMs(static_cast<float>(dispatch.loads[i].load.reading_ms));
     loads[i].setRequests(static_cast<uint32_t>(dispatch.loads[i].load.requests));
+    loads[i].setLeastPauseMs(static_cast<float>(dispatch.loads[i].least_pause_ms));
     loads[i].setEvenStreams(static_cast<uint32_t>(dispatch.loads[i].load.even_streams));
   }
   auto prefixes = root.initPrefixes(static_cast<unsigned>(dispatch.prefixes.size()));
@@ -31,10 +32,11 @@
     prefixes[i].setPart(dispatch.prefixes[i].part);
     prefixes[i].setBackend(dispatch.prefixes[i].backend);
   }
-  auto work = root.initUrgentWork(static_cast<unsigned>(dispatch.urgent_work.size()));
+  auto work = root.initWork(static_cast<unsigned>(dispatch.work.size()));
   for (unsigned i = 0; i < work.size(); ++i) {
-    work[i].setService(dispatch.urgent_work[i].service);
-    work[i].setReadingMsPerSecond(static_cast<float>(dispatch.urgent_work[i].reading_ms_per_s));
+    work[i].setService(dispatch.work[i].service);
+    work[i].setUrgentMsPerSecond(static_cast<float>(dispatch.work[i].urgent_ms_per_s));
+    work[i].setPatientMsPerSecond(static_cast<float>(dispatch.work[i].patient_ms_per_s));
   }
   auto leaving = root.initLeaving(static_cast<unsigned>(dispatch.leaving.size()));
   for (unsigned i = 0; i < leaving.size(); ++i) leaving.set(i, dispatch.leaving[i]);
@@ -48,14 +50,16 @@
     entry.load.reading_ms = load.getReadingMs();
     entry.load.requests = load.getRequests();
     entry.load.even_streams = load.getEvenStreams();
+    entry.least_pause_ms = load.getLeastPauseMs();
     dispatch.loads.push_back(std::move(entry));
   }
   for (const auto placed : root.getPrefixes()) {
     dispatch.prefixes.push_back({placed.getPart(), Text(placed.getBackend())});
   }
   for (const auto backend : root.getLeaving()) dispatch.leaving.push_back(Text(backend));
-  for (const auto work : root.getUrgentWork()) {
-    dispatch.urgent_work.push_back({Text(work.getService()), work.getReadingMsPerSecond()});
+  for (const auto work : root.getWork()) {
+    dispatch.work.push_back(
+        {Text(work.getService()), work.getUrgentMsPerSecond(), work.getPatientMsPerSecond()});
   }
   return dispatch;
 }
