A stopping node takes no further request on open connections

Ruled out: the listener (closed at 3 s), idle connections (closed at 3 s). Change: after the running answer the connection closes; 3 s after SIGTERM what still comes is refused with 503 and Retry-After. A header that takes too long gets 408 (the stream's timer had closed the socket).

--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -43,7 +43,7 @@
   return std::nullopt;
 }
 
-ReadRequestResult Ended(const beast::error_code& error) {
+ReadRequestResult Ended(beast::error_code error) {
   ReadRequestResult result;
   result.fault = FaultOf(error);
   return result;
@@ -66,7 +66,7 @@
 }  // namespace
 
 CallerConnection::CallerConnection(tcp::socket socket)
-    : stream_(std::move(socket)), buffer_(1 << 20) {
+    : stream_(std::move(socket)), read_timer_(stream_.get_executor()), buffer_(1 << 20) {
   beast::error_code ignored;
   stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
@@ -91,24 +91,40 @@
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   beast::error_code error;
-  stream_.expires_after(limits.header_timeout);
+  stream_.expires_never();
+  StartReadTimer(limits.header_timeout);
   co_await http::async_read_header(stream_, buffer_, parser,
                                    asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return Ended(error);
+  StopReadTimer();
+  if (error) co_return Ended(read_timed_out_ ? beast::error::timeout : error);
   if (EqualsIgnoreCase(std::string_view(parser.get()[http::field::expect]), "100-continue")) {
     if (!co_await Write(kContinue)) co_return result;
   }
-  stream_.expires_after(kBodyTimeout);
   if (!parser.is_done()) {
+    stream_.expires_never();
+    StartReadTimer(kBodyTimeout);
     co_await http::async_read(stream_, buffer_, parser,
                               asio::redirect_error(asio::use_awaitable, error));
+    StopReadTimer();
+    if (error) co_return Ended(read_timed_out_ ? beast::error::timeout : error);
   }
-  if (error) co_return Ended(error);
-  stream_.expires_never();
   result.request = ToCallerRequest(parser.release());
   co_return result;
 }
 
+void CallerConnection::StartReadTimer(Duration limit) {
+  read_timed_out_ = false;
+  read_timer_.expires_after(limit);
+  read_timer_.async_wait([self = shared_from_this()](const beast::error_code& error) {
+    if (error) return;
+    self->read_timed_out_ = true;
+    beast::error_code ignored;
+    self->stream_.socket().cancel(ignored);
+  });
+}
+
+void CallerConnection::StopReadTimer() { read_timer_.cancel(); }
+
 asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
   beast::error_code error;
   stream_.expires_after(kWriteTimeout);
--- a/libs/relay/src/caller_connection.h
+++ b/libs/relay/src/caller_connection.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
@@ -64,12 +65,17 @@
  private:
   boost::asio::awaitable<bool> AwaitFirstByte(Duration idle_timeout);
 
+  void StartReadTimer(Duration limit);
+  void StopReadTimer();
+
   boost::beast::tcp_stream stream_;
+  boost::asio::steady_timer read_timer_;  // ends a read and leaves the connection open for an answer
   boost::beast::flat_buffer buffer_;
   std::function<void()> on_gone_;
   uint64_t watch_ = 0;  // number of the watch in force
   bool idle_ = false;
   bool gone_ = false;
+  bool read_timed_out_ = false;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -64,6 +64,10 @@
 
 asio::awaitable<bool> Exchange::Run() {
   const WireNames& names = context_.format.Names();
+  if (context_.refusing) {
+    request_id_ = std::string(request_.Header(names.request_id));
+    co_return co_await AnswerRefusal(ErrorKind::kDraining, kRetryAfterNotRun);
+  }
   RequestHead head;
   head.method = request_.method;
   head.target = request_.target;
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -36,7 +36,8 @@
   UpstreamPool pool;
   std::map<std::string, ServiceRetryBudget> budgets;
   int64_t requests_in_flight = 0;
-  bool draining = false;
+  bool draining = false;  // the node is to stop; running requests go on
+  bool refusing = false;  // it ends soon: no request is taken any more
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -148,6 +148,7 @@
     timer.expires_at(noticed);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     server_.StopAccepting();
+    context_.refusing = true;
     while (Now() < last) {
       server_.CloseIdle();
       if (context_.requests_in_flight == 0 && server_.OpenConnections() == 0) break;
--- /dev/null
+++ b/libs/relay/tests/relay_test.cc
@@ -0,0 +1,330 @@
+// The relay between real sockets: what callers and back ends see.
+#include <chrono>
+#include <thread>
+
+#include "support/relay_fixture.h"
+#include "support/stub_backend.h"
+#include "testing/criterion.h"
+
+namespace cartsail::testing {
+namespace {
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string Chunk(const std::string& bytes) {
+  char size[16];
+  snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+std::string StreamHead(const std::string& request) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCartsail-Request-Id: " +
+         HeaderOf(request, "Cartsail-Request-Id") +
+         "\r\nCartsail-Signature: s1\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+Test(relay, passes_method_target_body_and_end_to_end_headers_unchanged) {
+  StubBackend backend([](const std::string& request) {
+    return StubAnswer{{SignedAnswer(request, "hello")}};
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a?x=1&y=%20", "r1", "body bytes",
+                          "X-Mine: kept\r\nConnection: X-Hop\r\nX-Hop: gone\r\n"
+                          "Cartsail-Tenant: forged\r\nCartsail-Expected-Instance: forged\r\n"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(Has(answer, "HTTP/1.1 200 Reason\r\n"));
+  cr_assert(Has(answer, "\r\n\r\nhello"));
+  const std::string seen = backend.Requests().at(0);
+  cr_assert(seen.rfind("POST /once/a?x=1&y=%20 HTTP/1.1\r\n", 0) == 0);
+  cr_assert(Has(seen, "X-Mine: kept"));
+  cr_assert(Has(seen, "\r\n\r\nbody bytes"));
+  cr_assert(!Has(seen, "forged"));
+  cr_assert(!Has(seen, "X-Hop"));
+  cr_assert(HeaderOf(seen, "Cartsail-Expected-Instance") == "b1");
+  const int left = std::stoi(HeaderOf(seen, "Cartsail-Time-Left-Ms"));
+  cr_assert(left > 1000 && left <= 3000);
+}
+
+Test(relay, an_answer_without_body_leaves_the_connection_clean) {
+  StubBackend backend([](const std::string& request) {
+    return StubAnswer{{SignedAnswer(request, "", 500)}};
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  for (int i = 0; i < 3; ++i) {
+    client.Send(MakeRequest("POST", "/once/a", "r" + std::to_string(i), "x"));
+    const std::string answer = client.ReadAnswer();
+    cr_assert(answer.rfind("HTTP/1.1 500 Reason\r\n", 0) == 0);
+    cr_assert(HeaderOf(answer, "Cartsail-Request-Id") == "r" + std::to_string(i));
+    cr_assert(answer.size() == answer.find("\r\n\r\n") + 4);
+  }
+  cr_assert(backend.Connections() == 1);
+}
+
+Test(relay, a_late_surplus_answer_is_not_taken_for_the_next_one) {
+  int count = 0;
+  StubBackend backend([&count](const std::string& request) {
+    StubAnswer answer;
+    if (count++ == 0) {
+      // The surplus one comes when the next request is on its way.
+      answer.pieces = {SignedAnswer(request, "first")};
+      return answer;
+    }
+    answer.pieces = {"HTTP/1.1 200 OK\r\nCartsail-Request-Id: r0\r\nCartsail-Signature: s\r\n"
+                     "Content-Length: 5\r\n\r\nstray" +
+                     SignedAnswer(request, "second")};
+    return answer;
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a", "r0", "x"));
+  cr_assert(Has(client.ReadAnswer(), "first"));
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(Has(answer, "second"));
+  cr_assert(!Has(answer, "stray"));
+}
+
+Test(relay, an_unsigned_success_is_not_passed_on) {
+  StubBackend backend([](const std::string& request) {
+    return StubAnswer{{"HTTP/1.1 200 OK\r\nCartsail-Request-Id: " +
+                       HeaderOf(request, "Cartsail-Request-Id") +
+                       "\r\nContent-Length: 2\r\n\r\nhi"}};
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  cr_assert(client.ReadAnswer().rfind("HTTP/1.1 502 ", 0) == 0);
+}
+
+Test(relay, a_request_that_may_run_once_is_not_sent_again_after_a_cut) {
+  const auto cut = [](const std::string&) {
+    StubAnswer answer;
+    answer.reset_after = true;
+    return answer;
+  };
+  StubBackend first(cut);
+  StubBackend second(cut);
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", first.Address());
+  relay.AddBackend("b2", "s", second.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  cr_assert(client.ReadAnswer().rfind("HTTP/1.1 502 ", 0) == 0);
+  cr_assert(first.Requests().size() + second.Requests().size() == 1);
+}
+
+Test(relay, a_repeatable_request_goes_to_another_back_end_after_a_cut_or_a_failure) {
+  StubBackend cut([](const std::string&) {
+    StubAnswer answer;
+    answer.close_after = true;
+    return answer;
+  });
+  StubBackend failing([](const std::string& request) {
+    return StubAnswer{{SignedAnswer(request, "no", 500)}};
+  });
+  StubBackend good([](const std::string& request) {
+    return StubAnswer{{SignedAnswer(request, "fine")}};
+  });
+  for (StubBackend* bad : {&cut, &failing}) {
+    RelayFixture relay;
+    relay.Context().options.retry_budget.extra = 1000;
+    relay.AddBackend("b1", "s", bad->Address());
+    relay.AddBackend("b2", "s", good.Address());
+    relay.Start();
+    Client client(relay.Port());
+    for (int i = 0; i < 4; ++i) {
+      client.Send(MakeRequest("GET", "/safe/a", "r" + std::to_string(i)));
+      cr_assert(Has(client.ReadAnswer(), "fine"));
+    }
+    cr_assert(!bad->Requests().empty());
+  }
+}
+
+Test(relay, a_refusal_of_the_back_end_is_a_promise_and_says_when_to_come_back) {
+  StubBackend backend([](const std::string&) {
+    return StubAnswer{{"HTTP/1.1 503 Busy\r\nCartsail-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}};
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(answer.rfind("HTTP/1.1 503 ", 0) == 0);
+  cr_assert(!HeaderOf(answer, "Retry-After").empty());
+}
+
+Test(relay, a_stream_is_passed_on_event_by_event_and_ends_whole) {
+  StubBackend backend([](const std::string& request) {
+    StubAnswer answer;
+    answer.pieces = {StreamHead(request) + Chunk("id: 1\ndata: a\n\n"), Chunk("id: 2\ndata: b\n\n"),
+                     "0\r\n\r\n"};
+    answer.pause_ms = 150;
+    return answer;
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/stream/a", "r1", "x"));
+  const std::string early = client.ReadUntil("data: a\n\n");
+  cr_assert(!Has(early, "data: b"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(Has(answer, "data: b"));
+  cr_assert(Has(answer, "0\r\n\r\n"));
+}
+
+Test(relay, a_stream_that_is_cut_does_not_look_complete) {
+  StubBackend backend([](const std::string& request) {
+    StubAnswer answer;
+    answer.pieces = {StreamHead(request) + Chunk("id: 1\ndata: a\n\n")};
+    answer.close_after = true;
+    return answer;
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/stream/a", "r1", "x"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(Has(answer, "data: a"));
+  cr_assert(!Has(answer, "0\r\n\r\n"));
+}
+
+Test(relay, a_resumable_stream_goes_on_at_another_back_end_from_its_last_whole_event) {
+  const auto handler = [](const std::string& request) {
+    StubAnswer answer;
+    if (HeaderOf(request, "Last-Event-ID").empty()) {
+      answer.pieces = {StreamHead(request) + Chunk("id: 1\ndata: a\n\nid: 2\nda")};
+      answer.close_after = true;
+      return answer;
+    }
+    answer.pieces = {StreamHead(request) + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"};
+    return answer;
+  };
+  StubBackend first(handler);
+  StubBackend second(handler);
+  RelayFixture relay;
+  relay.Context().options.retry_budget.extra = 1000;
+  relay.AddBackend("b1", "s", first.Address());
+  relay.AddBackend("b2", "s", second.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/resume/a", "r1", "x"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(Has(answer, "id: 1\ndata: a\n\n"));
+  cr_assert(Has(answer, "id: 2\ndata: b\n\n"));
+  cr_assert(!Has(answer, "id: 2\nda\r\n"));
+  cr_assert(Has(answer, "0\r\n\r\n"));
+  cr_assert(first.Requests().size() == 1 && second.Requests().size() == 1);
+}
+
+Test(relay, a_caller_that_leaves_ends_the_work_upstream) {
+  StubBackend backend([](const std::string& request) {
+    StubAnswer answer;
+    for (int i = 0; i < 100; ++i) answer.pieces.push_back(Chunk("data: x\n\n"));
+    answer.pieces.front() = StreamHead(request) + answer.pieces.front();
+    answer.pause_ms = 50;
+    return answer;
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/stream/a", "r1", "x"));
+  client.ReadUntil("data: x");
+  client.Close();
+  int64_t in_flight = 1;
+  for (int i = 0; i < 40 && in_flight > 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(25));
+    relay.OnRelayThread([&] { in_flight = relay.Context().requests_in_flight; });
+  }
+  cr_assert(in_flight == 0);
+}
+
+Test(relay, a_stopping_node_takes_no_request_after_an_answer_begun_before) {
+  StubBackend backend([](const std::string& request) {
+    StubAnswer answer;
+    answer.pieces = {StreamHead(request) + Chunk("data: a\n\n"), "0\r\n\r\n"};
+    answer.pause_ms = 300;
+    return answer;
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/stream/a", "r1", "x"));
+  client.ReadUntil("data: a");
+  relay.OnRelayThread([&] { relay.Context().draining = true; });
+  cr_assert(Has(client.ReadAnswer(), "0\r\n\r\n"));
+  cr_assert(client.ClosesWithin(1000));
+}
+
+Test(relay, a_node_about_to_end_refuses_what_still_comes) {
+  StubBackend backend([](const std::string& request) {
+    return StubAnswer{{SignedAnswer(request, "late")}};
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  relay.OnRelayThread([&] {
+    relay.Context().draining = true;
+    relay.Context().refusing = true;
+  });
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(answer.rfind("HTTP/1.1 503 ", 0) == 0);
+  cr_assert(HeaderOf(answer, "Connection") == "close");
+  cr_assert(backend.Requests().empty());
+}
+
+Test(relay, malformed_and_oversized_requests_are_refused_and_nothing_else_suffers) {
+  StubBackend backend([](const std::string& request) {
+    return StubAnswer{{SignedAnswer(request, "fine")}};
+  });
+  RelayFixture relay;
+  relay.Document().limits.max_header_bytes = 2048;
+  relay.Document().limits.max_body_bytes = 1000;
+  relay.Document().limits.header_timeout = milliseconds(200);
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"nonsense\r\n\r\n", "400"},
+      {"GET /safe/a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", "400"},
+      {"POST /once/a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "0\r\n\r\n",
+       "400"},
+      {MakeRequest("POST", "/once/a", "big", std::string(2000, 'x')), "413"},
+      {MakeRequest("GET", "/safe/a", "long", "", "X-Long: " + std::string(4000, 'x') + "\r\n"),
+       "431"},
+      {"GET /safe/a HTTP/1.1\r\nHost: h\r\n", "408"},
+      {MakeRequest("GET", "/none/a", "nowhere"), "404"},
+  };
+  for (const auto& [bytes, status] : cases) {
+    Client client(relay.Port());
+    client.Send(bytes);
+    const std::string answer = client.ReadAnswer();
+    cr_assert(answer.rfind("HTTP/1.1 " + status, 0) == 0, "%s: %s", bytes.substr(0, 40).c_str(),
+              answer.c_str());
+  }
+  Client client(relay.Port());
+  client.Send(MakeRequest("GET", "/safe/a", "ok"));
+  cr_assert(Has(client.ReadAnswer(), "fine"));
+}
+
+}  // namespace
+}  // namespace cartsail::testing
--- /dev/null
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -0,0 +1,172 @@
+#include "relay_fixture.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/post.hpp>
+#include <future>
+
+#include "stub_backend.h"
+
+namespace cartsail::testing {
+namespace {
+
+constexpr int kPatienceMs = 10000;
+
+RelayOptions TestOptions() {
+  RelayOptions options;
+  options.node_id = "n1";
+  options.zone = "z1";
+  options.listen = {"127.0.0.1", 0};
+  return options;
+}
+
+RouteRule MakeRoute(const std::string& name, RequestKind kind, bool resumable, int64_t attempts) {
+  RouteRule route;
+  route.name = name;
+  route.host = "h";
+  route.path_prefix = "/" + name + "/";
+  route.kind = kind;
+  route.timeout = seconds(4);
+  route.first_output_goal = milliseconds(200);
+  route.shares = {{"s", 1}};
+  route.max_attempts = attempts;
+  route.resumable = resumable;
+  return route;
+}
+
+}  // namespace
+
+RoutingDocument PlainDocument() {
+  RoutingDocument document;
+  document.version = 1;
+  ServiceRule service;
+  service.name = "s";
+  document.services = {service};
+  document.routes = {MakeRoute("safe", RequestKind::kRepeatable, false, 2),
+                     MakeRoute("once", RequestKind::kOnce, false, 1),
+                     MakeRoute("stream", RequestKind::kStream, false, 1),
+                     MakeRoute("resume", RequestKind::kStream, true, 2)};
+  return document;
+}
+
+RelayFixture::RelayFixture() : guard_(io_.get_executor()), document_(PlainDocument()) {
+  context_ = std::make_unique<RelayContext>(io_, TestOptions(), format_);
+  server_ = std::make_unique<RelayServer>(*context_);
+}
+
+RelayFixture::~RelayFixture() {
+  io_.stop();
+  if (thread_.joinable()) thread_.join();
+}
+
+void RelayFixture::AddBackend(const std::string& id, const std::string& service,
+                              const std::string& address) {
+  Backend backend;
+  backend.id = id;
+  backend.service = service;
+  backend.address = address;
+  backend.zone = "z1";
+  backend.slots = 4;
+  context_->dispatcher.Registry().Put(backend);
+}
+
+void RelayFixture::Start() {
+  auto table = RouteTable::Build(document_);
+  context_->routing.Apply(*table, "");
+  context_->routing.Confirm(Now());
+  (void)server_->Start();
+  port_ = server_->Port();
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+void RelayFixture::OnRelayThread(const std::function<void()>& work) {
+  std::promise<void> done;
+  boost::asio::post(io_, [&work, &done] {
+    work();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+Client::Client(int port) {
+  socket_ = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+}
+
+Client::~Client() { Close(); }
+
+void Client::Close() {
+  if (socket_ >= 0) close(socket_);
+  socket_ = -1;
+}
+
+void Client::Send(const std::string& bytes) {
+  send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+bool Client::ReadMore(int timeout_ms) {
+  pollfd poll_entry{socket_, POLLIN, 0};
+  if (poll(&poll_entry, 1, timeout_ms) <= 0) return false;
+  char bytes[4096];
+  const ssize_t received = recv(socket_, bytes, sizeof(bytes), 0);
+  if (received <= 0) return false;
+  buffer_.append(bytes, static_cast<size_t>(received));
+  return true;
+}
+
+std::string Client::ReadAnswer() {
+  while (true) {
+    const size_t head_end = buffer_.find("\r\n\r\n");
+    if (head_end != std::string::npos) {
+      const std::string length = HeaderOf(buffer_, "Content-Length");
+      size_t end = std::string::npos;
+      if (!length.empty()) {
+        end = head_end + 4 + std::stoul(length);
+      } else {
+        const size_t last = buffer_.find("0\r\n\r\n", head_end + 4);
+        if (last != std::string::npos) end = last + 5;
+      }
+      if (end != std::string::npos && buffer_.size() >= end) {
+        std::string answer = buffer_.substr(0, end);
+        buffer_.erase(0, end);
+        return answer;
+      }
+    }
+    if (!ReadMore(kPatienceMs)) return std::exchange(buffer_, {});
+  }
+}
+
+std::string Client::ReadUntil(const std::string& text) {
+  while (buffer_.find(text) == std::string::npos && ReadMore(kPatienceMs)) {
+  }
+  return buffer_;
+}
+
+bool Client::ClosesWithin(int millis) {
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
+  while (std::chrono::steady_clock::now() < deadline) {
+    pollfd poll_entry{socket_, POLLIN, 0};
+    if (poll(&poll_entry, 1, 20) <= 0) continue;
+    char byte = 0;
+    if (recv(socket_, &byte, 1, 0) <= 0) return true;
+  }
+  return false;
+}
+
+std::string MakeRequest(const std::string& method, const std::string& path, const std::string& id,
+                        const std::string& body, const std::string& more_headers) {
+  std::string text = method + " " + path + " HTTP/1.1\r\nHost: h\r\nCartsail-Request-Id: " + id +
+                     "\r\nCartsail-Time-Left-Ms: 3000\r\n" + more_headers;
+  if (!body.empty()) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return text + "\r\n" + body;
+}
+
+}  // namespace cartsail::testing
--- /dev/null
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -0,0 +1,78 @@
+// A relay in this process, on a thread of its own, and a blocking client for it.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "relay_server.h"
+
+namespace cartsail::testing {
+
+class RelayFixture {
+ public:
+  RelayFixture();
+  ~RelayFixture();
+
+  // Before Start(): a ready back end of `service`.
+  void AddBackend(const std::string& id, const std::string& service, const std::string& address);
+
+  RoutingDocument& Document() { return document_; }
+  RelayContext& Context() { return *context_; }
+
+  // Puts the document in force and listens.
+  void Start();
+
+  // Runs `work` on the relay's thread and waits for it.
+  void OnRelayThread(const std::function<void()>& work);
+
+  RelayServer& Server() { return *server_; }
+  int Port() const { return port_; }
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
+  WireFormat format_;
+  RoutingDocument document_;
+  std::unique_ptr<RelayContext> context_;
+  std::unique_ptr<RelayServer> server_;
+  std::thread thread_;
+  int port_ = 0;
+};
+
+// A document with a repeatable, an at-most-once and two stream routes ("/safe/", "/once/",
+// "/stream/", "/resume/"), all to service "s".
+RoutingDocument PlainDocument();
+
+class Client {
+ public:
+  explicit Client(int port);
+  ~Client();
+
+  void Send(const std::string& bytes);
+
+  // Reads one whole answer (a length or chunks); what came so far when the connection ends.
+  std::string ReadAnswer();
+
+  // Reads until `text` has come or the connection ends.
+  std::string ReadUntil(const std::string& text);
+
+  // True when the peer closes within the time.
+  bool ClosesWithin(int millis);
+
+  void Close();
+
+ private:
+  bool ReadMore(int timeout_ms);
+
+  int socket_ = -1;
+  std::string buffer_;
+};
+
+// A request to host "h" with an id and time left.
+std::string MakeRequest(const std::string& method, const std::string& path, const std::string& id,
+                        const std::string& body = "", const std::string& more_headers = "");
+
+}  // namespace cartsail::testing
--- /dev/null
+++ b/libs/relay/tests/support/stub_backend.cc
@@ -0,0 +1,115 @@
+#include "stub_backend.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+
+namespace cartsail::testing {
+namespace {
+
+void SleepMillis(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
+
+// Reads one request; empty when the connection ended.
+std::string ReadRequest(int socket, std::string* buffer) {
+  char bytes[4096];
+  while (true) {
+    const size_t head_end = buffer->find("\r\n\r\n");
+    if (head_end != std::string::npos) {
+      const std::string length = HeaderOf(*buffer, "Content-Length");
+      const size_t total = head_end + 4 + (length.empty() ? 0 : std::stoul(length));
+      if (buffer->size() >= total) {
+        std::string request = buffer->substr(0, total);
+        buffer->erase(0, total);
+        return request;
+      }
+    }
+    const ssize_t received = recv(socket, bytes, sizeof(bytes), 0);
+    if (received <= 0) return {};
+    buffer->append(bytes, static_cast<size_t>(received));
+  }
+}
+
+void Reset(int socket) {
+  const linger now{1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+}  // namespace
+
+std::string HeaderOf(const std::string& message, const std::string& name) {
+  const std::string key = "\r\n" + name + ": ";
+  const size_t start = message.find(key);
+  if (start == std::string::npos) return {};
+  const size_t value = start + key.size();
+  return message.substr(value, message.find("\r\n", value) - value);
+}
+
+std::string SignedAnswer(const std::string& request, const std::string& body, int status,
+                         const std::string& more_headers) {
+  return "HTTP/1.1 " + std::to_string(status) + " Reason\r\nCartsail-Request-Id: " +
+         HeaderOf(request, "Cartsail-Request-Id") + "\r\nCartsail-Signature: s1\r\n" +
+         more_headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+StubBackend::StubBackend(Handler handler) : handler_(std::move(handler)) {
+  listener_ = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  listen(listener_, 64);
+  socklen_t size = sizeof(address);
+  getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+  port_ = ntohs(address.sin_port);
+  acceptor_ = std::thread([this] { Accept(); });
+}
+
+StubBackend::~StubBackend() {
+  stopping_ = true;
+  shutdown(listener_, SHUT_RDWR);
+  close(listener_);
+  acceptor_.join();
+  for (std::thread& thread : threads_) thread.detach();
+}
+
+std::string StubBackend::Address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+std::vector<std::string> StubBackend::Requests() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return requests_;
+}
+
+void StubBackend::Accept() {
+  while (!stopping_) {
+    const int socket = accept(listener_, nullptr, nullptr);
+    if (socket < 0) return;
+    ++connections_;
+    threads_.emplace_back([this, socket] { Serve(socket); });
+  }
+}
+
+void StubBackend::Serve(int socket) {
+  std::string buffer;
+  while (true) {
+    const std::string request = ReadRequest(socket, &buffer);
+    if (request.empty()) break;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      requests_.push_back(request);
+    }
+    const StubAnswer answer = handler_(request);
+    SleepMillis(answer.delay_ms);
+    for (size_t i = 0; i < answer.pieces.size(); ++i) {
+      if (i > 0) SleepMillis(answer.pause_ms);
+      send(socket, answer.pieces[i].data(), answer.pieces[i].size(), MSG_NOSIGNAL);
+    }
+    if (answer.reset_after) Reset(socket);
+    if (answer.close_after || answer.reset_after) break;
+  }
+  close(socket);
+}
+
+}  // namespace cartsail::testing
--- /dev/null
+++ b/libs/relay/tests/support/stub_backend.h
@@ -0,0 +1,56 @@
+// A back end for tests: answers each request with bytes that the test gives. Blocking sockets, a
+// thread a connection.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cartsail::testing {
+
+struct StubAnswer {
+  std::vector<std::string> pieces;  // sent one after the other
+  int pause_ms = 0;                 // before each piece but the first
+  int delay_ms = 0;                 // before the first piece
+  bool close_after = false;
+  bool reset_after = false;
+};
+
+class StubBackend {
+ public:
+  // Called with each request's head and body.
+  using Handler = std::function<StubAnswer(const std::string& request)>;
+
+  explicit StubBackend(Handler handler);
+  ~StubBackend();
+
+  std::string Address() const;
+  std::vector<std::string> Requests();
+  int Connections() const { return connections_; }
+
+ private:
+  void Accept();
+  void Serve(int socket);
+
+  Handler handler_;
+  int listener_ = -1;
+  int port_ = 0;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> connections_{0};
+  std::mutex mutex_;
+  std::vector<std::string> requests_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+// Value of a header in a message's head, or "".
+std::string HeaderOf(const std::string& message, const std::string& name);
+
+// An answer as the default wire format wants it: the request's id, a signature, a length.
+std::string SignedAnswer(const std::string& request, const std::string& body, int status = 200,
+                         const std::string& more_headers = "");
+
+}  // namespace cartsail::testing
