--- a/libs/dispatch/include/cartsail/dispatch/engine_partition.h
+++ b/libs/dispatch/include/cartsail/dispatch/engine_partition.h
@@ -76,9 +76,9 @@
 };
 
 struct PartitionPolicy {
-  double urgent_wanted = 0.15;      // reading time of an engine for urgent requests, as wished
+  double urgent_wanted = 0.25;      // reading time of an engine for urgent requests, as wished
   double urgent_most = 0.4;         // and at most
-  double patient_wanted = 0.5;      // reading time of an engine for patient requests, as wished
+  double patient_wanted = 0.4;      // reading time of an engine for patient requests, as wished
   double streams_per_engine = 24;   // urgent streams on one engine, at most
   double least_urgent_share = 0.2;  // of the engines
   double most_urgent_share = 0.7;
