--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -96,8 +96,9 @@
     BackendLoad load;
   };
 
-  Estimate EstimateGeneration(const RequestProfile& profile, const Backend& backend, bool for_urgent,
-                              const Backend* holder, int64_t holder_tokens, TimePoint now) const;
+  Estimate EstimateGeneration(const RequestProfile& profile, const Backend& backend,
+                              bool for_urgent, const Backend* holder, int64_t holder_tokens,
+                              TimePoint now) const;
   Estimate EstimatePlain(const Backend& backend, TimePoint now) const;
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
   bool IsPatient(const RequestProfile& profile) const;
--- a/libs/dispatch/include/cartsail/dispatch/engine_partition.h
+++ b/libs/dispatch/include/cartsail/dispatch/engine_partition.h
@@ -1,5 +1,5 @@
-// Divides a service's engines between urgent and patient requests, so that reading long prompts does
-// not hold up streams that need even pauses. The split follows the urgent work there is. Pure.
+// Divides a service's engines between urgent and patient requests, so that reading long prompts
+// does not hold up streams that need even pauses. The split follows the urgent work there is. Pure.
 #pragma once
 
 #include <cstdint>
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -52,9 +52,7 @@
   return profile.prompt_parts[parts >= 2 ? parts - 2 : 0].id;
 }
 
-uint64_t HomeScore(uint64_t subject, const Backend& backend) {
-  return Hash64(backend.id, subject);
-}
+uint64_t HomeScore(uint64_t subject, const Backend& backend) { return Hash64(backend.id, subject); }
 
 }  // namespace
 
@@ -138,8 +136,7 @@
   return estimate;
 }
 
-std::vector<const Backend*> Dispatcher::UrgentEngines(const std::string& service,
-                                                      TimePoint now) {
+std::vector<const Backend*> Dispatcher::UrgentEngines(const std::string& service, TimePoint now) {
   std::vector<const Backend*> engines = InShareOrder(registry_.ReadyOf(service), health_);
   const ServiceWork rates = work_.Total(service, now);
   EngineWork work;
@@ -219,9 +216,8 @@
   running.even_stream = profile.is_generation && !IsPatient(profile);
   running.is_generation = profile.is_generation;
   running.begun = now;
-  running.expected_ms = profile.is_generation
-                            ? estimate.load.reading_ms + estimate.reading_ms + 20
-                            : policy_.plain_request_ms;
+  running.expected_ms = profile.is_generation ? estimate.load.reading_ms + estimate.reading_ms + 20
+                                              : policy_.plain_request_ms;
   loads_.Begin(backend.id, running.reading_ms, running.even_stream);
   if (profile.is_generation) {
     work_.Note(profile.service, running.even_stream, running.reading_ms, now);
--- a/libs/dispatch/src/engine_partition.cc
+++ b/libs/dispatch/src/engine_partition.cc
@@ -20,9 +20,7 @@
   updated_ = now;
 }
 
-double WorkMeter::ReadingRate(TimePoint now) const {
-  return DecayedTo(now) / ToSeconds(window_);
-}
+double WorkMeter::ReadingRate(TimePoint now) const { return DecayedTo(now) / ToSeconds(window_); }
 
 void ServiceWorkView::Note(std::string_view service, bool urgent, double reading_ms,
                            TimePoint now) {
@@ -65,8 +63,7 @@
   return work;
 }
 
-double WantedUrgentEngines(const PartitionPolicy& policy, const EngineWork& work,
-                           int64_t engines) {
+double WantedUrgentEngines(const PartitionPolicy& policy, const EngineWork& work, int64_t engines) {
   const auto total = static_cast<double>(engines);
   const double urgent = work.urgent_ms_per_s / 1e3;
   const double patient = work.patient_ms_per_s / 1e3;
--- /dev/null
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -0,0 +1,217 @@
+#include "cartsail/dispatch/dispatcher.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(1000));
+
+Backend MakeEngine(const std::string& id) {
+  Backend backend;
+  backend.id = id;
+  backend.service = "llm";
+  backend.address = id + ":1";
+  backend.zone = "z1";
+  backend.slots = 32;
+  return backend;
+}
+
+Dispatcher MakeDispatcher(int engines) {
+  Dispatcher dispatcher(PlacementPolicy(), "z1");
+  for (int i = 0; i < engines; ++i) {
+    dispatcher.Registry().Put(MakeEngine("e" + std::to_string(i)));
+  }
+  return dispatcher;
+}
+
+RequestProfile Urgent(uint64_t subject = 1) {
+  RequestProfile profile;
+  profile.service = "llm";
+  profile.is_generation = true;
+  profile.first_output_goal = milliseconds(250);
+  profile.prompt_parts = {{subject, 200}, {1000000 + subject, 600}};
+  profile.prompt_tokens = 800;
+  profile.bytes_per_token = 1000;
+  return profile;
+}
+
+RequestProfile Patient(uint64_t subject) {
+  RequestProfile profile = Urgent(subject);
+  profile.first_output_goal = seconds(2);
+  profile.prompt_parts = {{subject, 5000}, {2000000 + subject, 7000}};
+  profile.prompt_tokens = 12000;
+  return profile;
+}
+
+Test(dispatcher, nothing_to_place_at) {
+  Dispatcher dispatcher = MakeDispatcher(0);
+  cr_assert(!dispatcher.Place(Urgent(), {}, kStart).has_value());
+  dispatcher = MakeDispatcher(1);
+  cr_assert(!dispatcher.Place(Urgent(), {"e0"}, kStart).has_value());
+}
+
+Test(dispatcher, requests_about_one_subject_meet_at_one_engine_when_it_has_time) {
+  Dispatcher dispatcher = MakeDispatcher(8);
+  std::set<std::string> engines;
+  for (int i = 0; i < 10; ++i) {
+    const TimePoint now = kStart + seconds(1) * i;
+    const std::optional<Placement> placement = dispatcher.Place(Patient(5), {}, now);
+    engines.insert(placement->backend.id);
+    dispatcher.Output(placement->ticket, now + milliseconds(200));
+    dispatcher.Finish(placement->ticket, AttemptOutcome::kAnswered, now + milliseconds(800));
+  }
+  cr_assert(engines.size() == 1);
+}
+
+Test(dispatcher, a_busy_holder_hands_its_prompt_memory_to_a_free_engine) {
+  Dispatcher dispatcher = MakeDispatcher(8);
+  std::set<std::string> engines;
+  bool fetched = false;
+  for (int i = 0; i < 20; ++i) {
+    const std::optional<Placement> placement =
+        dispatcher.Place(Patient(5), {}, kStart + milliseconds(i));
+    engines.insert(placement->backend.id);
+    if (!placement->fetch_prefix_from.empty()) {
+      fetched = true;
+      cr_assert(placement->fetch_prefix_from != placement->backend.address);
+    }
+  }
+  cr_assert(engines.size() >= 3);
+  cr_assert(fetched);
+}
+
+Test(dispatcher, no_prompt_memory_is_asked_for_where_it_cannot_be_moved) {
+  Dispatcher dispatcher = MakeDispatcher(8);
+  for (int i = 0; i < 20; ++i) {
+    RequestProfile profile = Patient(5);
+    profile.bytes_per_token = 0;
+    cr_assert(dispatcher.Place(profile, {}, kStart)->fetch_prefix_from.empty());
+  }
+}
+
+Test(dispatcher, long_prompts_keep_off_the_engines_of_urgent_streams) {
+  Dispatcher dispatcher = MakeDispatcher(12);
+  std::map<std::string, int> urgent;
+  std::map<std::string, int> patient;
+  for (int i = 0; i < 400; ++i) {
+    const TimePoint now = kStart + milliseconds(25) * i;
+    const auto subject = static_cast<uint64_t>(i);
+    const std::optional<Placement> question = dispatcher.Place(Urgent(subject), {}, now);
+    ++urgent[question->backend.id];
+    dispatcher.Output(question->ticket, now + milliseconds(20));
+    dispatcher.Finish(question->ticket, AttemptOutcome::kAnswered, now + milliseconds(24));
+    if (i % 4 != 0) continue;
+    const std::optional<Placement> report = dispatcher.Place(Patient(500 + subject), {}, now);
+    ++patient[report->backend.id];
+    dispatcher.Output(report->ticket, now + milliseconds(20));
+    dispatcher.Finish(report->ticket, AttemptOutcome::kAnswered, now + milliseconds(24));
+  }
+  int shared = 0;
+  for (const auto& [engine, count] : urgent) shared += patient.count(engine) != 0 ? count : 0;
+  cr_assert(shared <= 40, "%d of 400 urgent requests beside long prompts", shared);
+}
+
+Test(dispatcher, what_peers_tell_counts_and_fades) {
+  Dispatcher dispatcher = MakeDispatcher(2);
+  DispatchDigest digest;
+  BackendLoadEntry busy;
+  busy.backend = "e0";
+  busy.load.reading_ms = 5000;
+  busy.load.requests = 30;
+  digest.loads = {busy};
+  dispatcher.ApplyDigest("n2", digest, kStart);
+  cr_assert(dispatcher.LiveNodes(kStart) == 2);
+  for (uint64_t subject = 0; subject < 10; ++subject) {
+    cr_assert(dispatcher.Place(Patient(subject), {}, kStart)->backend.id == "e1");
+  }
+  cr_assert(dispatcher.LiveNodes(kStart + seconds(5)) == 1);
+}
+
+Test(dispatcher, a_leaving_engine_told_by_a_peer_gets_nothing) {
+  Dispatcher dispatcher = MakeDispatcher(2);
+  DispatchDigest digest;
+  digest.leaving = {"e0"};
+  dispatcher.ApplyDigest("n2", digest, kStart);
+  for (int i = 0; i < 10; ++i) {
+    cr_assert(dispatcher.Place(Urgent(), {}, kStart)->backend.id == "e1");
+  }
+}
+
+Test(dispatcher, a_back_end_without_connection_is_left_out_for_a_while) {
+  Dispatcher dispatcher = MakeDispatcher(2);
+  std::string lost;
+  const std::optional<Placement> first = dispatcher.Place(Urgent(), {}, kStart);
+  lost = first->backend.id;
+  dispatcher.Finish(first->ticket, AttemptOutcome::kNotSent, kStart);
+  for (int i = 0; i < 5; ++i) {
+    cr_assert(dispatcher.Place(Urgent(), {}, kStart + milliseconds(10))->backend.id != lost);
+  }
+}
+
+Test(dispatcher, another_start_at_the_address_takes_the_place_of_the_first) {
+  Dispatcher dispatcher = MakeDispatcher(1);
+  const std::optional<Placement> placement = dispatcher.Place(Urgent(), {}, kStart);
+  dispatcher.Finish(placement->ticket, AttemptOutcome::kWrongInstance, kStart);
+  cr_assert(!dispatcher.Place(Urgent(), {}, kStart).has_value());
+}
+
+// Random events in random order: whatever comes, the load of a back end without requests is zero,
+// and no request is placed at a back end that was tried, is leaving or gone.
+Test(dispatcher, thousand_random_schedules_balance_their_books) {
+  for (uint32_t seed = 0; seed < 1000; ++seed) {
+    std::mt19937 random(seed);
+    Dispatcher dispatcher = MakeDispatcher(5);
+    std::vector<PlacementTicket> running;
+    TimePoint now = kStart;
+    for (int step = 0; step < 60; ++step) {
+      now += milliseconds(random() % 300);
+      const std::string engine = "e" + std::to_string(random() % 5);
+      switch (random() % 8) {
+        case 0:
+          dispatcher.Registry().MarkLeaving(engine);
+          break;
+        case 1:
+          dispatcher.Registry().Remove(engine);
+          dispatcher.ForgetGone();
+          break;
+        case 2:
+          dispatcher.Registry().Put(MakeEngine("e" + std::to_string(random() % 5)));
+          break;
+        case 3: {
+          if (running.empty()) break;
+          const size_t index = random() % running.size();
+          const auto outcome = static_cast<AttemptOutcome>(random() % 10);
+          dispatcher.Finish(running[index], outcome, now);
+          running.erase(running.begin() + static_cast<int64_t>(index));
+          break;
+        }
+        case 4:
+          if (!running.empty()) dispatcher.Output(running[random() % running.size()], now);
+          break;
+        default: {
+          const uint64_t subject = random() % 4;
+          const RequestProfile profile = random() % 2 == 0 ? Urgent(subject) : Patient(subject);
+          const std::optional<Placement> placement = dispatcher.Place(profile, {engine}, now);
+          if (!placement.has_value()) break;
+          const Backend* placed = dispatcher.Registry().Find(placement->backend.id);
+          cr_assert(placed != nullptr && placed->state == BackendState::kReady);
+          cr_assert(placement->backend.id != engine);
+          cr_assert(placement->fetch_prefix_from != placement->backend.address);
+          running.push_back(placement->ticket);
+        }
+      }
+    }
+    for (const PlacementTicket ticket : running) {
+      dispatcher.Finish(ticket, AttemptOutcome::kAnswered, now);
+    }
+    cr_assert(dispatcher.TakeDigest(now).loads.empty());
+  }
+}
+
+}  // namespace
+}  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/tests/engine_partition_test.cc
@@ -0,0 +1,47 @@
+#include "cartsail/dispatch/engine_partition.h"
+
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(1000));
+
+Test(partition, follows_the_share_of_urgent_work) {
+  const PartitionPolicy policy;
+  const double calm = WantedUrgentEngines(policy, {500, 1000, 10}, 12);
+  const double rush = WantedUrgentEngines(policy, {500, 5000, 10}, 12);
+  const double questions = WantedUrgentEngines(policy, {2000, 1000, 10}, 12);
+  cr_assert(rush < calm && calm < questions);
+}
+
+Test(partition, gives_urgent_work_what_it_needs_at_least) {
+  const PartitionPolicy policy;
+  cr_assert(WantedUrgentEngines(policy, {2000, 90000, 0}, 12) >= 5);
+  cr_assert(WantedUrgentEngines(policy, {0, 90000, 24 * 6}, 12) >= 6);
+  cr_assert(WantedUrgentEngines(policy, {0, 0, 0}, 12) >= 12 * policy.least_urgent_share);
+}
+
+Test(partition, small_changes_move_no_engine) {
+  UrgentEngineTarget target;
+  cr_assert(target.Update(4.0, 12) == 4);
+  cr_assert(target.Update(4.7, 12) == 4);
+  cr_assert(target.Update(3.3, 12) == 4);
+  cr_assert(target.Update(5.0, 12) == 5);
+  cr_assert(target.Update(20, 3) == 2);
+  cr_assert(target.Update(0.1, 1) == 1);
+}
+
+Test(partition, rates_of_peers_count_until_they_are_silent) {
+  ServiceWorkView view(seconds(5), seconds(1));
+  view.Note("s", true, 100, kStart);
+  view.SetPeer("n2", {{"s", 30, 70}}, kStart);
+  const ServiceWork total = view.Total("s", kStart);
+  cr_assert(total.urgent_ms_per_s > 49 && total.urgent_ms_per_s < 51);
+  cr_assert(total.patient_ms_per_s == 70);
+  cr_assert(view.Total("s", kStart + seconds(2)).patient_ms_per_s == 0);
+  cr_assert(view.Total("t", kStart).urgent_ms_per_s == 0);
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/include/cartsail/relay/admission.h
+++ b/libs/relay/include/cartsail/relay/admission.h
@@ -32,9 +32,9 @@
 struct AdmittedRequest {
   std::shared_ptr<const RouteTable> table;  // keeps `route` alive
   const RouteRule* route = nullptr;
-  std::string tenant;      // empty: none
+  std::string tenant;  // empty: none
   int64_t tier = 0;
-  Duration time_left{};    // until the caller gives up or the route's time ends
+  Duration time_left{};  // until the caller gives up or the route's time ends
   bool caller_set_time = false;
   RequestProfile profile;
 };
--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -14,13 +14,13 @@
 struct RelayOptions {
   std::string node_id;
   std::string zone;
-  Endpoint listen;   // callers
-  Endpoint ready;    // the balancer's readiness checks, and metrics
-  Endpoint peer;     // other nodes: datagrams, and documents by HTTP
+  Endpoint listen;                 // callers
+  Endpoint ready;                  // the balancer's readiness checks, and metrics
+  Endpoint peer;                   // other nodes: datagrams, and documents by HTTP
   std::vector<std::string> seeds;  // hosts of nodes that may be up; they share `peer`'s port
   Duration digest_interval = milliseconds(100);
   Duration connect_timeout = milliseconds(400);  // to a back end
-  Duration grace = seconds(8);           // from the order to stop to the end of the process
+  Duration grace = seconds(8);                   // from the order to stop to the end of the process
   Duration balancer_delay = seconds(3);  // the balancer's time to notice that a node is not ready
   RetryBudgetOptions retry_budget;
   PlacementPolicy placement;
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/caller_connection.cc
@@ -38,7 +38,8 @@
   if (error == http::error::end_of_stream || error == http::error::partial_message) {
     return std::nullopt;
   }
-  const bool from_parser = error.category() == http::make_error_code(http::error::bad_version).category();
+  const bool from_parser =
+      error.category() == http::make_error_code(http::error::bad_version).category();
   if (from_parser) return ErrorKind::kMalformedRequest;
   return std::nullopt;
 }
@@ -149,8 +150,7 @@
   on_gone_ = std::move(on_gone);
   const uint64_t watch = ++watch_;
   stream_.socket().async_wait(
-      tcp::socket::wait_read,
-      [self = shared_from_this(), watch](const beast::error_code& error) {
+      tcp::socket::wait_read, [self = shared_from_this(), watch](const beast::error_code& error) {
         if (error || watch != self->watch_ || !self->on_gone_) return;
         char byte = 0;
         const int socket = self->stream_.socket().native_handle();
--- a/libs/relay/src/caller_connection.h
+++ b/libs/relay/src/caller_connection.h
@@ -69,7 +69,8 @@
   void StopReadTimer();
 
   boost::beast::tcp_stream stream_;
-  boost::asio::steady_timer read_timer_;  // ends a read and leaves the connection open for an answer
+  boost::asio::steady_timer
+      read_timer_;  // ends a read and leaves the connection open for an answer
   boost::beast::flat_buffer buffer_;
   std::function<void()> on_gone_;
   uint64_t watch_ = 0;  // number of the watch in force
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -178,8 +178,8 @@
   if (was_known_ && reachable == reachable_) return;
   was_known_ = true;
   reachable_ = reachable;
-  Log(reachable ? LogLevel::kInfo : LogLevel::kWarning,
-      reachable ? "store_regained" : "store_lost", {{"why", std::string(why)}});
+  Log(reachable ? LogLevel::kInfo : LogLevel::kWarning, reachable ? "store_regained" : "store_lost",
+      {{"why", std::string(why)}});
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -14,8 +14,8 @@
 
 namespace asio = boost::asio;
 
-constexpr size_t kMostWholeBytes = 1 << 18;     // larger answers are passed on in pieces
-constexpr int kMostStrayAnswers = 3;            // skipped on one connection
+constexpr size_t kMostWholeBytes = 1 << 18;  // larger answers are passed on in pieces
+constexpr int kMostStrayAnswers = 3;         // skipped on one connection
 constexpr Duration kLeastTimeForAttempt = milliseconds(20);
 constexpr Duration kRetryAfterNotRun = milliseconds(100);
 constexpr Duration kLeastFirstPatience = milliseconds(300);
@@ -126,8 +126,7 @@
     if (!MayTryAgain(*admitted_.route, outcome, history_)) break;
     if (deadline_ - Now() < kLeastTimeForAttempt) break;
     // Only bytes that reached a back end count as a repeat there.
-    if (history_.attempts > 0 &&
-        !budget.TakeRepeat(Now(), context_.dispatcher.LiveNodes(Now()))) {
+    if (history_.attempts > 0 && !budget.TakeRepeat(Now(), context_.dispatcher.LiveNodes(Now()))) {
       break;
     }
   }
@@ -213,9 +212,8 @@
 TimePoint Exchange::Patience(const Placement& placement, TimePoint now) const {
   if (!MayRepeat() || history_.may_have_run >= admitted_.route->max_attempts) return deadline_;
   const Duration expected = FromSeconds(placement.first_output_ms / 1e3);
-  const Duration patience =
-      std::max<Duration>(kLeastFirstPatience,
-                         kPatienceGoals * (admitted_.route->first_output_goal + expected));
+  const Duration patience = std::max<Duration>(
+      kLeastFirstPatience, kPatienceGoals * (admitted_.route->first_output_goal + expected));
   return std::min(deadline_, now + patience);
 }
 
@@ -284,7 +282,8 @@
     if (!signed_answer || !head.Header("Content-Encoding").empty()) {
       co_return AttemptOutcome::kSpoilt;
     }
-    if (admitted_.route->kind == RequestKind::kStream) co_return co_await RelayStream(placement, head);
+    if (admitted_.route->kind == RequestKind::kStream)
+      co_return co_await RelayStream(placement, head);
   }
   co_return co_await RelayWhole(placement, head);
 }
@@ -382,11 +381,11 @@
     headers.push_back({"Retry-After", fmt::format("{:.3f}", ToSeconds(retry_after))});
   }
   const Outcome outcome = history_.may_have_run > 0 ? Outcome::kUnknown : Outcome::kNotRun;
-  const std::string body = json::serialize(json::object{
-      {"error", {{"kind", ErrorKindName(kind)}, {"outcome", OutcomeName(outcome)}}}});
+  const std::string body = json::serialize(
+      json::object{{"error", {{"kind", ErrorKindName(kind)}, {"outcome", OutcomeName(outcome)}}}});
   LogEnd(ErrorKindName(kind), status);
   const bool sent = co_await Answer(status, ReasonOf(status), std::move(headers), body);
-  co_return sent && keep_alive_;
+  co_return sent&& keep_alive_;
 }
 
 void Exchange::NoteOutput(TimePoint now) {
@@ -425,8 +424,8 @@
        {"attempts", std::to_string(history_.attempts)},
        {"result", std::string(result)},
        {"status", std::to_string(status)},
-       {"first_ms", has_output ? fmt::format("{:.0f}", ToMillis(first_output_ - request_.received))
-                               : ""},
+       {"first_ms",
+        has_output ? fmt::format("{:.0f}", ToMillis(first_output_ - request_.received)) : ""},
        {"pause_ms", fmt::format("{:.0f}", ToMillis(longest_pause_))},
        {"ms", fmt::format("{:.0f}", ToMillis(took))},
        {"bytes", std::to_string(bytes_out_)}});
--- a/libs/relay/src/exchange.h
+++ b/libs/relay/src/exchange.h
@@ -58,7 +58,7 @@
   AttemptHistory history_;
   std::vector<std::string> tried_;
   std::string request_id_;
-  std::string last_event_id_;      // of the events passed on, for a continuation
+  std::string last_event_id_;  // of the events passed on, for a continuation
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
   TimePoint first_output_;
--- a/libs/relay/src/message_head.cc
+++ b/libs/relay/src/message_head.cc
@@ -10,9 +10,15 @@
 namespace cartsail {
 namespace {
 
-constexpr std::array<std::string_view, 9> kConnectionHeaders = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {"Connection",
+                                                                "Keep-Alive",
+                                                                "Proxy-Connection",
+                                                                "Proxy-Authenticate",
+                                                                "Proxy-Authorization",
+                                                                "TE",
+                                                                "Trailer",
+                                                                "Transfer-Encoding",
+                                                                "Upgrade"};
 
 bool NamesItIn(std::string_view connection, std::string_view name) {
   for (const std::string_view token : SplitFields(connection, ',')) {
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -23,9 +23,9 @@
 
 constexpr size_t kMostDatagramBytes = 1 << 16;
 constexpr size_t kMostHostsTold = 16;
-constexpr size_t kPeersAtFullRate = 12;            // with more, each hears less often
+constexpr size_t kPeersAtFullRate = 12;  // with more, each hears less often
 constexpr Duration kSilentAfter = seconds(2);
-constexpr Duration kSilentInterval = seconds(1);   // between digests to a silent one
+constexpr Duration kSilentInterval = seconds(1);  // between digests to a silent one
 constexpr Duration kForgottenAfter = seconds(30);
 constexpr Duration kFetchTimeout = milliseconds(800);
 
@@ -42,9 +42,9 @@
   socket_.open(endpoint.protocol(), error);
   if (!error) socket_.bind(endpoint, error);
   if (error) {
-    return MakeError(ErrorKind::kInvalidArgument,
-                     fmt::format("cannot bind {}: {}", context_.options.peer.ToString(),
-                                 error.message()));
+    return MakeError(
+        ErrorKind::kInvalidArgument,
+        fmt::format("cannot bind {}: {}", context_.options.peer.ToString(), error.message()));
   }
   socket_.non_blocking(true, error);
   AddSeeds(context_.options.seeds);
@@ -69,9 +69,8 @@
   while (true) {
     udp::endpoint sender;
     boost::system::error_code error;
-    const size_t bytes =
-        co_await socket_.async_receive_from(asio::buffer(buffer), sender,
-                                            asio::redirect_error(asio::use_awaitable, error));
+    const size_t bytes = co_await socket_.async_receive_from(
+        asio::buffer(buffer), sender, asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::operation_aborted) co_return;
     if (error) continue;
     OnDatagram(sender.address().to_string(), std::string_view(buffer).substr(0, bytes));
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -31,7 +31,7 @@
  private:
   struct Peer {
     TimePoint added;
-    TimePoint heard;      // a datagram of it came
+    TimePoint heard;  // a datagram of it came
     TimePoint last_sent;
   };
 
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -48,7 +48,8 @@
 UpstreamError UpstreamConnection::ErrorOf(const beast::error_code& error) const {
   if (!error) return UpstreamError::kNone;
   if (IsTimeout(error)) return UpstreamError::kTimeout;
-  const bool from_parser = error.category() == http::make_error_code(http::error::bad_version).category();
+  const bool from_parser =
+      error.category() == http::make_error_code(http::error::bad_version).category();
   if (from_parser && error != http::error::end_of_stream && error != http::error::partial_message) {
     return UpstreamError::kMalformed;
   }
--- /dev/null
+++ b/libs/relay/tests/relay_state_test.cc
@@ -0,0 +1,164 @@
+// The relay's pure parts: admission, event splitting, heads, digests, document versions.
+#include "cartsail/relay/admission.h"
+#include "event_splitter.h"
+#include "message_head.h"
+#include "node_digest.h"
+#include "support/relay_fixture.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+const TimePoint kNow = TimePoint(seconds(1000));
+
+RoutingState MakeState(RoutingDocument document, TimePoint confirmed = kNow) {
+  RoutingState state;
+  state.Apply(*RouteTable::Build(std::move(document)), "text");
+  state.Confirm(confirmed);
+  return state;
+}
+
+RequestHead MakeHead(const std::string& path) {
+  RequestHead head;
+  head.method = "GET";
+  head.target = path;
+  head.host = "h";
+  head.request_id = "r1";
+  head.time_left = "900";
+  return head;
+}
+
+RoutingDocument TenantDocument() {
+  RoutingDocument document = testing::PlainDocument();
+  document.tenants = {{"one", {"key1"}, 0}, {"two", {"key2"}, 1}};
+  document.routes[0].tier = 2;
+  return document;
+}
+
+Test(admission, without_a_document_the_caller_is_told_to_come_back) {
+  const AdmissionResult result = Admit(MakeHead("/safe/a"), RoutingState(), WireFormat(), kNow);
+  cr_assert(result.refusal->kind == ErrorKind::kNotReady);
+  cr_assert(result.refusal->retry_after > Duration(0));
+}
+
+Test(admission, what_is_unknown_is_refused_only_on_a_fresh_view) {
+  const RoutingState fresh = MakeState(TenantDocument());
+  const RoutingState stale = MakeState(TenantDocument(), kNow - seconds(60));
+  RequestHead head = MakeHead("/none/a");
+  cr_assert(Admit(head, fresh, WireFormat(), kNow).refusal->kind == ErrorKind::kUnknownPath);
+  cr_assert(Admit(head, stale, WireFormat(), kNow).refusal->kind == ErrorKind::kNotReady);
+  head = MakeHead("/safe/a");
+  head.authorization = "Bearer nobody";
+  cr_assert(Admit(head, fresh, WireFormat(), kNow).refusal->kind == ErrorKind::kUnknownKey);
+  cr_assert(Admit(head, stale, WireFormat(), kNow).refusal->kind == ErrorKind::kNotReady);
+}
+
+Test(admission, the_key_names_the_tenant_and_time_is_the_lesser_of_both) {
+  const RoutingState state = MakeState(TenantDocument());
+  RequestHead head = MakeHead("/safe/a?q=1");
+  head.authorization = "bearer key2 ";
+  const AdmissionResult result = Admit(head, state, WireFormat(), kNow);
+  cr_assert(!result.refusal.has_value());
+  cr_assert(result.admitted.tenant == "two");
+  cr_assert(result.admitted.time_left == milliseconds(900));
+  head.time_left = "999999";
+  cr_assert(Admit(head, state, WireFormat(), kNow).admitted.time_left == seconds(4));
+  head.time_left = "soon";
+  cr_assert(Admit(head, state, WireFormat(), kNow).admitted.time_left == seconds(4));
+}
+
+Test(admission, the_route_orders_tiers_and_the_tenant_orders_within) {
+  RoutingDocument document = TenantDocument();
+  document.routes[1].tier = 1;
+  const RoutingState state = MakeState(document);
+  const auto tier_of = [&state](const std::string& path, const std::string& key) {
+    RequestHead head = MakeHead(path);
+    head.authorization = "Bearer " + key;
+    return Admit(head, state, WireFormat(), kNow).admitted.tier;
+  };
+  cr_assert(tier_of("/once/a", "key1") < tier_of("/once/a", "key2"));
+  cr_assert(tier_of("/once/a", "key2") < tier_of("/safe/a", "key1"));
+}
+
+Test(documents, versions_only_rise) {
+  RoutingDocument document = testing::PlainDocument();
+  document.version = 7;
+  RoutingState state = MakeState(document);
+  cr_assert(!state.Apply(*RouteTable::Build(document), "same"));
+  document.version = 6;
+  cr_assert(!state.Apply(*RouteTable::Build(document), "older"));
+  cr_assert(state.Version() == 7 && state.Encoded() == "text");
+  document.version = 9;
+  cr_assert(state.Apply(*RouteTable::Build(document), "newer"));
+  cr_assert(state.Version() == 9);
+}
+
+Test(wire_format, prompt_parts_and_counts) {
+  const WireFormat format;
+  const std::vector<PromptPart> parts = format.ParsePromptParts("5c1e07a2:800, 91bd3f06:410");
+  cr_assert(parts.size() == 2 && parts[0].id == 0x5c1e07a2 && parts[1].tokens == 410);
+  cr_assert(format.ParsePromptParts("xyz:1").empty());
+  cr_assert(format.ParsePromptParts("5c:-1").empty());
+  cr_assert(format.ParseTokenCounts("1460,80")->output == 80);
+  cr_assert(!format.ParseTokenCounts("1460").has_value());
+  cr_assert(format.FormatUrgency(40) == "9" && format.FormatUrgency(-1) == "0");
+}
+
+Test(events, bytes_are_cut_at_whole_events_whatever_the_pieces) {
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
+  for (size_t size = 1; size < stream.size(); ++size) {
+    EventSplitter splitter;
+    std::string out;
+    for (size_t at = 0; at < stream.size(); at += size)
+      out += splitter.Feed(stream.substr(at, size));
+    cr_assert(out == stream.substr(0, stream.size() - 8));
+    cr_assert(splitter.LastId() == "2");
+    cr_assert(splitter.HasPartial() && splitter.TakePartial() == "id: 4\nda");
+    cr_assert(!splitter.HasPartial());
+  }
+}
+
+Test(heads, headers_of_one_connection_stay_behind) {
+  const HttpHeaders headers = {{"Connection", "close, X-One"},
+                               {"X-One", "1"},
+                               {"X-Two", "2"},
+                               {"Keep-Alive", "5"},
+                               {"Secret", "3"},
+                               {"TE", "x"},
+                               {"Content-Length", "9"}};
+  const HttpHeaders kept = EndToEndHeaders(headers, {"secret"});
+  cr_assert(kept.size() == 1 && kept[0].name == "X-Two");
+}
+
+Test(digests, survive_their_encoding) {
+  NodeDigest digest;
+  digest.node = "n1";
+  digest.document_version = 42;
+  digest.confirmed_age = milliseconds(250);
+  digest.hosts = {"10.0.0.1", "10.0.0.2"};
+  digest.dispatch.loads = {{"e1", {12.5, 3, 2}, 18.5}};
+  digest.dispatch.prefixes = {{77, "e1"}};
+  digest.dispatch.leaving = {"e9"};
+  digest.dispatch.work = {{"llm", 120, 340}};
+  const std::optional<NodeDigest> read = DecodeNodeDigest(EncodeNodeDigest(digest));
+  cr_assert(read->node == "n1" && read->document_version == 42);
+  cr_assert(*read->confirmed_age == milliseconds(250));
+  cr_assert(read->hosts == digest.hosts);
+  cr_assert(read->dispatch.loads[0].load.requests == 3);
+  cr_assert(read->dispatch.loads[0].least_pause_ms == 18.5);
+  cr_assert(read->dispatch.prefixes[0].part == 77);
+  cr_assert(read->dispatch.leaving == digest.dispatch.leaving);
+  cr_assert(read->dispatch.work[0].patient_ms_per_s == 340);
+}
+
+Test(digests, bytes_that_are_none_are_refused) {
+  cr_assert(!DecodeNodeDigest("").has_value());
+  const std::string good = EncodeNodeDigest(NodeDigest{});
+  for (size_t size = 0; size + 1 < good.size(); ++size) {
+    (void)DecodeNodeDigest(good.substr(0, size));
+  }
+  cr_assert(!DecodeNodeDigest(std::string(300, '\xff')).has_value());
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -26,9 +26,8 @@
 }
 
 Test(relay, passes_method_target_body_and_end_to_end_headers_unchanged) {
-  StubBackend backend([](const std::string& request) {
-    return StubAnswer{{SignedAnswer(request, "hello")}};
-  });
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "hello")}}; });
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
@@ -51,9 +50,8 @@
 }
 
 Test(relay, an_answer_without_body_leaves_the_connection_clean) {
-  StubBackend backend([](const std::string& request) {
-    return StubAnswer{{SignedAnswer(request, "", 500)}};
-  });
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "", 500)}}; });
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
@@ -77,9 +75,10 @@
       answer.pieces = {SignedAnswer(request, "first")};
       return answer;
     }
-    answer.pieces = {"HTTP/1.1 200 OK\r\nCartsail-Request-Id: r0\r\nCartsail-Signature: s\r\n"
-                     "Content-Length: 5\r\n\r\nstray" +
-                     SignedAnswer(request, "second")};
+    answer.pieces = {
+        "HTTP/1.1 200 OK\r\nCartsail-Request-Id: r0\r\nCartsail-Signature: s\r\n"
+        "Content-Length: 5\r\n\r\nstray" +
+        SignedAnswer(request, "second")};
     return answer;
   });
   RelayFixture relay;
@@ -96,9 +95,9 @@
 
 Test(relay, an_unsigned_success_is_not_passed_on) {
   StubBackend backend([](const std::string& request) {
-    return StubAnswer{{"HTTP/1.1 200 OK\r\nCartsail-Request-Id: " +
-                       HeaderOf(request, "Cartsail-Request-Id") +
-                       "\r\nContent-Length: 2\r\n\r\nhi"}};
+    return StubAnswer{
+        {"HTTP/1.1 200 OK\r\nCartsail-Request-Id: " + HeaderOf(request, "Cartsail-Request-Id") +
+         "\r\nContent-Length: 2\r\n\r\nhi"}};
   });
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
@@ -132,12 +131,10 @@
     answer.close_after = true;
     return answer;
   });
-  StubBackend failing([](const std::string& request) {
-    return StubAnswer{{SignedAnswer(request, "no", 500)}};
-  });
-  StubBackend good([](const std::string& request) {
-    return StubAnswer{{SignedAnswer(request, "fine")}};
-  });
+  StubBackend failing(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "no", 500)}}; });
+  StubBackend good(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "fine")}}; });
   for (StubBackend* bad : {&cut, &failing}) {
     RelayFixture relay;
     relay.Context().options.retry_budget.extra = 1000;
@@ -274,9 +271,8 @@
 }
 
 Test(relay, a_node_about_to_end_refuses_what_still_comes) {
-  StubBackend backend([](const std::string& request) {
-    return StubAnswer{{SignedAnswer(request, "late")}};
-  });
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "late")}}; });
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
@@ -293,9 +289,8 @@
 }
 
 Test(relay, malformed_and_oversized_requests_are_refused_and_nothing_else_suffers) {
-  StubBackend backend([](const std::string& request) {
-    return StubAnswer{{SignedAnswer(request, "fine")}};
-  });
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "fine")}}; });
   RelayFixture relay;
   relay.Document().limits.max_header_bytes = 2048;
   relay.Document().limits.max_body_bytes = 1000;
--- a/libs/relay/tests/support/stub_backend.cc
+++ b/libs/relay/tests/support/stub_backend.cc
@@ -49,9 +49,10 @@
 
 std::string SignedAnswer(const std::string& request, const std::string& body, int status,
                          const std::string& more_headers) {
-  return "HTTP/1.1 " + std::to_string(status) + " Reason\r\nCartsail-Request-Id: " +
-         HeaderOf(request, "Cartsail-Request-Id") + "\r\nCartsail-Signature: s1\r\n" +
-         more_headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Reason\r\nCartsail-Request-Id: " + HeaderOf(request, "Cartsail-Request-Id") +
+         "\r\nCartsail-Signature: s1\r\n" + more_headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 StubBackend::StubBackend(Handler handler) : handler_(std::move(handler)) {
--- a/libs/routing/include/cartsail/routing/routing_document.h
+++ b/libs/routing/include/cartsail/routing/routing_document.h
@@ -32,15 +32,15 @@
   std::string host;         // lower case, without a port
   std::string path_prefix;  // begins and ends with '/'
   RequestKind kind = RequestKind::kOnce;
-  Duration timeout = seconds(60);             // longest that a request may be held
-  Duration first_output_goal = seconds(1);    // full answer, or first event of a stream
-  std::optional<Duration> longest_pause;      // between two events of a stream
-  int64_t tier = 0;                           // 0 is served first
-  std::vector<ServiceShare> shares;           // at least one
-  int64_t max_attempts = 1;                   // back ends that one request may run on
-  bool is_public = false;                     // needs no API key
-  bool resumable = false;                     // a stream may go on at another back end
-  bool prefers_cached_prefix = false;         // requests name the parts of their prompt
+  Duration timeout = seconds(60);           // longest that a request may be held
+  Duration first_output_goal = seconds(1);  // full answer, or first event of a stream
+  std::optional<Duration> longest_pause;    // between two events of a stream
+  int64_t tier = 0;                         // 0 is served first
+  std::vector<ServiceShare> shares;         // at least one
+  int64_t max_attempts = 1;                 // back ends that one request may run on
+  bool is_public = false;                   // needs no API key
+  bool resumable = false;                   // a stream may go on at another back end
+  bool prefers_cached_prefix = false;       // requests name the parts of their prompt
 };
 
 // Figures of a model engine that placement uses.
@@ -54,7 +54,7 @@
 
 struct ServiceRule {
   std::string name;
-  int64_t max_connections = 0;  // a back end's limit for all callers; 0: none
+  int64_t max_connections = 0;          // a back end's limit for all callers; 0: none
   std::optional<EngineProfile> engine;  // absent: a plain service
 };
 
