--- a/libs/daemon/src/config_service.cc
+++ b/libs/daemon/src/config_service.cc
@@ -130,11 +130,11 @@
 
 asio::awaitable<absl::Status> ConfigService::WatchOnce() {
   watched_branches_.clear();
-  std::function<void(std::vector<WatchEvent>, int64_t)> on_events =
-      [this](const std::vector<WatchEvent>& events, int64_t /*revision*/) {
-        last_contact_ = Now();
-        OnWatchEvents(events);
-      };
+  WatchCallback on_events = [this](const std::vector<WatchEvent>& events, int64_t /*revision*/) {
+    last_contact_ = Now();
+    OnWatchEvents(events);
+    return true;
+  };
   co_return co_await store_.Watch(std::string(kConfigPrefix), PrefixEnd(std::string(kConfigPrefix)),
                                   store_revision_ + 1, std::move(on_events));
 }
--- a/libs/dispatch/include/cartsail/dispatch/backend_health.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_health.h
@@ -2,6 +2,7 @@
 // suspend it for a growing time. No probes. Pure.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -38,7 +39,8 @@
   // The least of all back ends; 0: unknown.
   double FastestPause() const;
 
-  void Forget(std::string_view backend);
+  // Forgets all back ends but those that `is_known` holds.
+  void ForgetUnless(const std::function<bool(const std::string& backend)>& is_known);
 
  private:
   struct Record {
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cartsail {
@@ -14,9 +15,15 @@
   kLeaving,  // takes no new request
 };
 
+// Names a back end in messages between nodes: a hash of its id.
+using BackendKey = uint32_t;
+
+BackendKey KeyOf(std::string_view backend_id);
+
 // One start of one back end. Another start has another id, also at the same address.
 struct Backend {
   std::string id;
+  BackendKey key = 0;  // set by the registry
   std::string service;
   std::string address;  // IP:PORT
   std::string zone;
@@ -41,17 +48,24 @@
 
   const Backend* Find(std::string_view id) const;
 
+  // The one whose id has this key, or nullptr.
+  const Backend* FindByKey(BackendKey key) const;
+
+  // All entries, in the order of their ids.
+  std::vector<Backend> All() const;
+
   // The ready ones of `service`, in the order of their ids. Of two with one address only the one
   // that was created last counts.
   std::vector<const Backend*> ReadyOf(std::string_view service) const;
 
-  // Ids of all that are leaving, in order.
-  std::vector<std::string> LeavingIds() const;
+  // All that are leaving.
+  std::vector<BackendKey> Leaving() const;
 
   size_t Size() const { return backends_.size(); }
 
  private:
   std::map<std::string, Backend, std::less<>> backends_;
+  std::unordered_map<BackendKey, std::string> ids_;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -35,14 +35,14 @@
 // A part of a prompt placed at a back end.
 struct PrefixPlacement {
   uint64_t part = 0;
-  std::string backend;
+  BackendKey backend = 0;
 };
 
 // What a node tells its peers, several times a second.
 struct DispatchDigest {
   std::vector<BackendLoadEntry> loads;
   std::vector<PrefixPlacement> prefixes;  // placed since the digest before
-  std::vector<std::string> leaving;       // back ends that are known to be leaving
+  std::vector<BackendKey> leaving;        // back ends that are known to be leaving
   std::vector<ServiceWork> work;
 };
 
@@ -68,7 +68,10 @@
   void ForgetGone();
 
   DispatchDigest TakeDigest(TimePoint now);
-  void ApplyDigest(std::string_view node, const DispatchDigest& digest, TimePoint now);
+
+  // What `node` tells of its load holds for `lifetime`.
+  void ApplyDigest(std::string_view node, const DispatchDigest& digest, Duration lifetime,
+                   TimePoint now);
 
   // Nodes heard lately, this one included.
   int64_t LiveNodes(TimePoint now) const { return loads_.PeersHeard(now) + 1; }
@@ -78,6 +81,7 @@
  private:
   struct Running {
     std::string backend;
+    BackendKey key = 0;
     double reading_ms = 0;
     bool even_stream = false;
     bool is_generation = false;
--- a/libs/dispatch/include/cartsail/dispatch/engine_partition.h
+++ b/libs/dispatch/include/cartsail/dispatch/engine_partition.h
@@ -46,12 +46,11 @@
 // The reading rates of all services: this node's own and those of its peers.
 class ServiceWorkView {
  public:
-  // What a peer told is forgotten after `peer_lifetime`.
-  ServiceWorkView(Duration window, Duration peer_lifetime)
-      : window_(window), peer_lifetime_(peer_lifetime) {}
+  explicit ServiceWorkView(Duration window) : window_(window) {}
 
   void Note(std::string_view service, bool urgent, double reading_ms, TimePoint now);
-  void SetPeer(std::string_view node, const std::vector<ServiceWork>& work, TimePoint now);
+  // Replaces all that `node` told before; forgotten at `until`.
+  void SetPeer(std::string_view node, const std::vector<ServiceWork>& work, TimePoint until);
 
   // The sum over all nodes.
   ServiceWork Total(std::string_view service, TimePoint now) const;
@@ -65,12 +64,11 @@
   };
 
   struct PeerWork {
-    TimePoint heard;
+    TimePoint until;
     std::vector<ServiceWork> work;
   };
 
   Duration window_;
-  Duration peer_lifetime_;
   std::unordered_map<std::string, Meters> own_;
   std::unordered_map<std::string, PeerWork> peers_;
 };
--- a/libs/dispatch/include/cartsail/dispatch/load_ledger.h
+++ b/libs/dispatch/include/cartsail/dispatch/load_ledger.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/backend_registry.h"
 
 namespace cartsail {
 
@@ -22,25 +23,23 @@
 };
 
 struct BackendLoadEntry {
-  std::string backend;
+  BackendKey backend = 0;
   BackendLoad load;
   double least_pause_ms = 0;  // between events of a stream there, as measured; 0: unknown
 };
 
 class LoadLedger {
  public:
-  // What a peer told is forgotten after `peer_lifetime`.
-  explicit LoadLedger(Duration peer_lifetime) : peer_lifetime_(peer_lifetime) {}
+  void Begin(BackendKey backend, double reading_ms, bool even_stream);
+  void FirstOutput(BackendKey backend, double reading_ms);
+  void End(BackendKey backend, bool even_stream);
 
-  void Begin(std::string_view backend, double reading_ms, bool even_stream);
-  void FirstOutput(std::string_view backend, double reading_ms);
-  void End(std::string_view backend, bool even_stream);
+  // Replaces all that `node` told before; forgotten at `until`.
+  void SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads,
+               TimePoint until);
 
-  // Replaces all that `node` told before.
-  void SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads, TimePoint now);
-
-  BackendLoad Own(std::string_view backend) const;
-  BackendLoad Total(std::string_view backend, TimePoint now) const;
+  BackendLoad Own(BackendKey backend) const;
+  BackendLoad Total(BackendKey backend, TimePoint now) const;
 
   // This node's own, without back ends that have nothing.
   std::vector<BackendLoadEntry> OwnLoads() const;
@@ -50,12 +49,11 @@
 
  private:
   struct PeerLoads {
-    TimePoint heard;
-    std::unordered_map<std::string, BackendLoad> loads;
+    TimePoint until;
+    std::unordered_map<BackendKey, BackendLoad> loads;
   };
 
-  Duration peer_lifetime_;
-  std::unordered_map<std::string, BackendLoad> own_;
+  std::unordered_map<BackendKey, BackendLoad> own_;
   std::unordered_map<std::string, PeerLoads> peers_;
 };
 
--- a/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
+++ b/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
@@ -3,12 +3,11 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/dispatch/request_profile.h"
 
 namespace cartsail {
@@ -19,20 +18,20 @@
   explicit PrefixDirectory(Duration lifetime) : lifetime_(lifetime) {}
 
   // `backend` reads or has read the part.
-  void Note(uint64_t part, std::string_view backend, TimePoint now);
+  void Note(uint64_t part, BackendKey backend, TimePoint now);
 
   // Tokens at the start of `parts` that `backend` holds.
-  int64_t HeldTokens(const std::vector<PromptPart>& parts, std::string_view backend,
+  int64_t HeldTokens(const std::vector<PromptPart>& parts, BackendKey backend,
                      TimePoint now) const;
 
   // True when some back end holds the part.
   bool AnyHolds(uint64_t part, TimePoint now) const;
 
   // The back end is gone, and so is what it held.
-  void Forget(std::string_view backend);
+  void Forget(BackendKey backend);
 
   // All back ends that hold something, each once.
-  std::vector<std::string> Backends() const;
+  std::vector<BackendKey> Backends() const;
 
   // Drops what has expired. To be called about once a second.
   void Expire(TimePoint now);
@@ -41,11 +40,11 @@
 
  private:
   struct Holder {
-    std::string backend;
+    BackendKey backend;
     TimePoint last_use;
   };
 
-  bool Holds(uint64_t part, std::string_view backend, TimePoint now) const;
+  bool Holds(uint64_t part, BackendKey backend, TimePoint now) const;
 
   Duration lifetime_;
   std::unordered_map<uint64_t, std::vector<Holder>> holders_;
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -98,6 +98,9 @@
   return fastest;
 }
 
-void BackendHealth::Forget(std::string_view backend) { records_.erase(std::string(backend)); }
+void BackendHealth::ForgetUnless(
+    const std::function<bool(const std::string& backend)>& is_known) {
+  std::erase_if(records_, [&is_known](const auto& record) { return !is_known(record.first); });
+}
 
 }  // namespace cartsail
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -2,16 +2,25 @@
 
 #include <utility>
 
+#include "cartsail/base/hash.h"
+
 namespace cartsail {
 
+BackendKey KeyOf(std::string_view backend_id) {
+  return static_cast<BackendKey>(Hash64(backend_id));
+}
+
 void BackendRegistry::ReplaceAll(std::vector<Backend> backends) {
   std::map<std::string, Backend, std::less<>> before = std::move(backends_);
   backends_.clear();
+  ids_.clear();
   for (Backend& backend : backends) {
     const auto known = before.find(backend.id);
     if (known != before.end() && known->second.state == BackendState::kLeaving) {
       backend.state = BackendState::kLeaving;
     }
+    backend.key = KeyOf(backend.id);
+    ids_[backend.key] = backend.id;
     const std::string id = backend.id;
     backends_[id] = std::move(backend);
   }
@@ -20,12 +29,16 @@
 void BackendRegistry::Put(Backend backend) {
   Backend& entry = backends_[backend.id];
   if (entry.state == BackendState::kLeaving) backend.state = BackendState::kLeaving;
+  backend.key = KeyOf(backend.id);
+  ids_[backend.key] = backend.id;
   entry = std::move(backend);
 }
 
 void BackendRegistry::Remove(std::string_view id) {
   const auto entry = backends_.find(id);
-  if (entry != backends_.end()) backends_.erase(entry);
+  if (entry == backends_.end()) return;
+  ids_.erase(entry->second.key);
+  backends_.erase(entry);
 }
 
 void BackendRegistry::MarkLeaving(std::string_view id) {
@@ -38,6 +51,18 @@
   return entry == backends_.end() ? nullptr : &entry->second;
 }
 
+const Backend* BackendRegistry::FindByKey(BackendKey key) const {
+  const auto id = ids_.find(key);
+  return id == ids_.end() ? nullptr : Find(id->second);
+}
+
+std::vector<Backend> BackendRegistry::All() const {
+  std::vector<Backend> all;
+  all.reserve(backends_.size());
+  for (const auto& [id, backend] : backends_) all.push_back(backend);
+  return all;
+}
+
 std::vector<const Backend*> BackendRegistry::ReadyOf(std::string_view service) const {
   std::map<std::string_view, const Backend*> newest_at;
   for (const auto& [id, backend] : backends_) {
@@ -54,10 +79,10 @@
   return ready;
 }
 
-std::vector<std::string> BackendRegistry::LeavingIds() const {
-  std::vector<std::string> leaving;
+std::vector<BackendKey> BackendRegistry::Leaving() const {
+  std::vector<BackendKey> leaving;
   for (const auto& [id, backend] : backends_) {
-    if (backend.state == BackendState::kLeaving) leaving.push_back(id);
+    if (backend.state == BackendState::kLeaving) leaving.push_back(backend.key);
   }
   return leaving;
 }
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -8,7 +8,6 @@
 namespace cartsail {
 namespace {
 
-constexpr Duration kPeerLoadLifetime = seconds(1);
 constexpr Duration kWorkWindow = seconds(5);
 constexpr size_t kMostDigestPrefixes = 64;
 // An engine whose events follow each other that much slower than the fastest one's is kept for
@@ -59,9 +58,8 @@
 Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone)
     : policy_(policy),
       zone_(std::move(zone)),
-      loads_(kPeerLoadLifetime),
       prefixes_(policy.prefix_lifetime),
-      work_(kWorkWindow, kPeerLoadLifetime) {}
+      work_(kWorkWindow) {}
 
 bool Dispatcher::IsPatient(const RequestProfile& profile) const {
   return profile.first_output_goal >= policy_.patient_goal;
@@ -87,7 +85,7 @@
 
 Dispatcher::Estimate Dispatcher::EstimatePlain(const Backend& backend, TimePoint now) const {
   Estimate estimate;
-  estimate.load = loads_.Total(backend.id, now);
+  estimate.load = loads_.Total(backend.key, now);
   const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
   const double busy = static_cast<double>(estimate.load.requests) / slots;
   estimate.cost_ms = policy_.plain_request_ms * (1 + busy) * health_.Slowness(backend.id);
@@ -107,8 +105,8 @@
                                                     const Backend* holder, int64_t holder_tokens,
                                                     TimePoint now) const {
   Estimate estimate;
-  estimate.load = loads_.Total(backend.id, now);
-  estimate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, backend.id, now);
+  estimate.load = loads_.Total(backend.key, now);
+  estimate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, backend.key, now);
   const int64_t missing = holder_tokens - estimate.held_tokens;
   double price_ms = 0;
   if (holder != nullptr && missing > 0) {
@@ -143,7 +141,7 @@
   work.urgent_ms_per_s = rates.urgent_ms_per_s;
   work.patient_ms_per_s = rates.patient_ms_per_s;
   for (const Backend* engine : engines) {
-    work.urgent_streams += static_cast<double>(loads_.Total(engine->id, now).even_streams);
+    work.urgent_streams += static_cast<double>(loads_.Total(engine->key, now).even_streams);
   }
   const auto total = static_cast<int64_t>(engines.size());
   const double wanted = WantedUrgentEngines(policy_.partition, work, total);
@@ -163,7 +161,7 @@
   std::vector<const Backend*> urgent;
   if (profile.is_generation) {
     for (const Backend* backend : registry_.ReadyOf(profile.service)) {
-      const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, backend->id, now);
+      const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, backend->key, now);
       if (held <= holder_tokens || health_.IsSuspended(backend->id, now)) continue;
       holder = backend;
       holder_tokens = held;
@@ -212,13 +210,14 @@
 
   Running running;
   running.backend = backend.id;
+  running.key = backend.key;
   running.reading_ms = estimate.reading_ms;
   running.even_stream = profile.is_generation && !IsPatient(profile);
   running.is_generation = profile.is_generation;
   running.begun = now;
   running.expected_ms = profile.is_generation ? estimate.load.reading_ms + estimate.reading_ms + 20
                                               : policy_.plain_request_ms;
-  loads_.Begin(backend.id, running.reading_ms, running.even_stream);
+  loads_.Begin(backend.key, running.reading_ms, running.even_stream);
   if (profile.is_generation) {
     work_.Note(profile.service, running.even_stream, running.reading_ms, now);
   }
@@ -227,8 +226,8 @@
 
   for (size_t i = 0; i + 1 < profile.prompt_parts.size(); ++i) {
     const uint64_t part = profile.prompt_parts[i].id;
-    prefixes_.Note(part, backend.id, now);
-    if (new_prefixes_.size() < kMostDigestPrefixes) new_prefixes_.push_back({part, backend.id});
+    prefixes_.Note(part, backend.key, now);
+    if (new_prefixes_.size() < kMostDigestPrefixes) new_prefixes_.push_back({part, backend.key});
   }
   return placement;
 }
@@ -240,7 +239,7 @@
   running.last_output = now;
   if (running.outputs++ > 0) return;
   running.first_output = now;
-  loads_.FirstOutput(running.backend, running.reading_ms);
+  loads_.FirstOutput(running.key, running.reading_ms);
   health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
 }
 
@@ -249,8 +248,8 @@
   if (entry == running_.end()) return;
   const Running running = entry->second;
   running_.erase(entry);
-  if (running.outputs == 0) loads_.FirstOutput(running.backend, running.reading_ms);
-  loads_.End(running.backend, running.even_stream);
+  if (running.outputs == 0) loads_.FirstOutput(running.key, running.reading_ms);
+  loads_.End(running.key, running.even_stream);
   if (registry_.Find(running.backend) == nullptr) return;
   health_.Note(running.backend, outcome, now);
   if (running.is_generation && running.outputs >= kLeastEventsForPause) {
@@ -261,38 +260,42 @@
 }
 
 void Dispatcher::ForgetGone() {
-  for (const std::string& backend : prefixes_.Backends()) {
-    if (registry_.Find(backend) != nullptr) continue;
-    prefixes_.Forget(backend);
-    health_.Forget(backend);
+  for (const BackendKey backend : prefixes_.Backends()) {
+    if (registry_.FindByKey(backend) == nullptr) prefixes_.Forget(backend);
   }
+  health_.ForgetUnless([this](const std::string& id) { return registry_.Find(id) != nullptr; });
 }
 
 DispatchDigest Dispatcher::TakeDigest(TimePoint now) {
   DispatchDigest digest;
   digest.loads = loads_.OwnLoads();
   for (BackendLoadEntry& entry : digest.loads) {
-    entry.least_pause_ms = health_.LeastPause(entry.backend);
+    const Backend* backend = registry_.FindByKey(entry.backend);
+    if (backend != nullptr) entry.least_pause_ms = health_.LeastPause(backend->id);
   }
   digest.prefixes = std::move(new_prefixes_);
   new_prefixes_.clear();
-  digest.leaving = registry_.LeavingIds();
+  digest.leaving = registry_.Leaving();
   digest.work = work_.Own(now);
   return digest;
 }
 
-void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest, TimePoint now) {
-  loads_.SetPeer(node, digest.loads, now);
+void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest,
+                             Duration lifetime, TimePoint now) {
+  loads_.SetPeer(node, digest.loads, now + lifetime);
+  work_.SetPeer(node, digest.work, now + lifetime);
   for (const BackendLoadEntry& entry : digest.loads) {
-    if (registry_.Find(entry.backend) == nullptr) continue;
-    health_.NotePeerPause(entry.backend, entry.least_pause_ms);
+    const Backend* backend = registry_.FindByKey(entry.backend);
+    if (backend != nullptr) health_.NotePeerPause(backend->id, entry.least_pause_ms);
   }
-  work_.SetPeer(node, digest.work, now);
   for (const PrefixPlacement& placed : digest.prefixes) {
-    if (registry_.Find(placed.backend) == nullptr) continue;
+    if (registry_.FindByKey(placed.backend) == nullptr) continue;
     prefixes_.Note(placed.part, placed.backend, now);
   }
-  for (const std::string& backend : digest.leaving) registry_.MarkLeaving(backend);
+  for (const BackendKey key : digest.leaving) {
+    const Backend* backend = registry_.FindByKey(key);
+    if (backend != nullptr) registry_.MarkLeaving(backend->id);
+  }
 }
 
 }  // namespace cartsail
--- a/libs/dispatch/src/engine_partition.cc
+++ b/libs/dispatch/src/engine_partition.cc
@@ -30,9 +30,9 @@
 }
 
 void ServiceWorkView::SetPeer(std::string_view node, const std::vector<ServiceWork>& work,
-                              TimePoint now) {
+                              TimePoint until) {
   PeerWork& peer = peers_[std::string(node)];
-  peer.heard = now;
+  peer.until = until;
   peer.work = work;
 }
 
@@ -45,7 +45,7 @@
     total.patient_ms_per_s = own->second.patient.ReadingRate(now);
   }
   for (const auto& [node, peer] : peers_) {
-    if (now - peer.heard > peer_lifetime_) continue;
+    if (now > peer.until) continue;
     for (const ServiceWork& work : peer.work) {
       if (work.service != service) continue;
       total.urgent_ms_per_s += work.urgent_ms_per_s;
--- a/libs/dispatch/src/load_ledger.cc
+++ b/libs/dispatch/src/load_ledger.cc
@@ -11,20 +11,20 @@
   return *this;
 }
 
-void LoadLedger::Begin(std::string_view backend, double reading_ms, bool even_stream) {
-  BackendLoad& load = own_[std::string(backend)];
+void LoadLedger::Begin(BackendKey backend, double reading_ms, bool even_stream) {
+  BackendLoad& load = own_[backend];
   load.reading_ms += reading_ms;
   ++load.requests;
   load.even_streams += even_stream ? 1 : 0;
 }
 
-void LoadLedger::FirstOutput(std::string_view backend, double reading_ms) {
-  BackendLoad& load = own_[std::string(backend)];
+void LoadLedger::FirstOutput(BackendKey backend, double reading_ms) {
+  BackendLoad& load = own_[backend];
   load.reading_ms = std::max(0.0, load.reading_ms - reading_ms);
 }
 
-void LoadLedger::End(std::string_view backend, bool even_stream) {
-  const auto load = own_.find(std::string(backend));
+void LoadLedger::End(BackendKey backend, bool even_stream) {
+  const auto load = own_.find(backend);
   if (load == own_.end()) return;
   --load->second.requests;
   load->second.even_streams -= even_stream ? 1 : 0;
@@ -32,23 +32,23 @@
 }
 
 void LoadLedger::SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads,
-                         TimePoint now) {
+                         TimePoint until) {
   PeerLoads& peer = peers_[std::string(node)];
-  peer.heard = now;
+  peer.until = until;
   peer.loads.clear();
   for (const BackendLoadEntry& entry : loads) peer.loads[entry.backend] = entry.load;
 }
 
-BackendLoad LoadLedger::Own(std::string_view backend) const {
-  const auto load = own_.find(std::string(backend));
+BackendLoad LoadLedger::Own(BackendKey backend) const {
+  const auto load = own_.find(backend);
   return load == own_.end() ? BackendLoad{} : load->second;
 }
 
-BackendLoad LoadLedger::Total(std::string_view backend, TimePoint now) const {
+BackendLoad LoadLedger::Total(BackendKey backend, TimePoint now) const {
   BackendLoad total = Own(backend);
   for (const auto& [node, peer] : peers_) {
-    if (now - peer.heard > peer_lifetime_) continue;
-    const auto load = peer.loads.find(std::string(backend));
+    if (now > peer.until) continue;
+    const auto load = peer.loads.find(backend);
     if (load != peer.loads.end()) total += load->second;
   }
   return total;
@@ -63,7 +63,7 @@
 
 int64_t LoadLedger::PeersHeard(TimePoint now) const {
   int64_t heard = 0;
-  for (const auto& [node, peer] : peers_) heard += now - peer.heard <= peer_lifetime_ ? 1 : 0;
+  for (const auto& [node, peer] : peers_) heard += now <= peer.until ? 1 : 0;
   return heard;
 }
 
--- a/libs/dispatch/src/prefix_directory.cc
+++ b/libs/dispatch/src/prefix_directory.cc
@@ -5,17 +5,17 @@
 
 namespace cartsail {
 
-void PrefixDirectory::Note(uint64_t part, std::string_view backend, TimePoint now) {
+void PrefixDirectory::Note(uint64_t part, BackendKey backend, TimePoint now) {
   std::vector<Holder>& holders = holders_[part];
   for (Holder& holder : holders) {
     if (holder.backend != backend) continue;
     holder.last_use = std::max(holder.last_use, now);
     return;
   }
-  holders.push_back({std::string(backend), now});
+  holders.push_back({backend, now});
 }
 
-bool PrefixDirectory::Holds(uint64_t part, std::string_view backend, TimePoint now) const {
+bool PrefixDirectory::Holds(uint64_t part, BackendKey backend, TimePoint now) const {
   const auto holders = holders_.find(part);
   if (holders == holders_.end()) return false;
   for (const Holder& holder : holders->second) {
@@ -24,7 +24,7 @@
   return false;
 }
 
-int64_t PrefixDirectory::HeldTokens(const std::vector<PromptPart>& parts, std::string_view backend,
+int64_t PrefixDirectory::HeldTokens(const std::vector<PromptPart>& parts, BackendKey backend,
                                     TimePoint now) const {
   int64_t tokens = 0;
   for (const PromptPart& part : parts) {
@@ -43,14 +43,14 @@
   return false;
 }
 
-void PrefixDirectory::Forget(std::string_view backend) {
+void PrefixDirectory::Forget(BackendKey backend) {
   for (auto& [part, holders] : holders_) {
     std::erase_if(holders, [backend](const Holder& holder) { return holder.backend == backend; });
   }
 }
 
-std::vector<std::string> PrefixDirectory::Backends() const {
-  std::set<std::string> backends;
+std::vector<BackendKey> PrefixDirectory::Backends() const {
+  std::set<BackendKey> backends;
   for (const auto& [part, holders] : holders_) {
     for (const Holder& holder : holders) backends.insert(holder.backend);
   }
--- a/libs/dispatch/tests/backend_registry_test.cc
+++ b/libs/dispatch/tests/backend_registry_test.cc
@@ -41,7 +41,7 @@
   cr_assert(registry.ReadyOf("s").empty());
   registry.ReplaceAll({Make("b", "a:1"), Make("c", "a:2")});
   cr_assert(registry.ReadyOf("s").size() == 1);
-  cr_assert(registry.LeavingIds() == std::vector<std::string>{"b"});
+  cr_assert(registry.Leaving() == std::vector<BackendKey>{KeyOf("b")});
 }
 
 Test(registry, a_whole_list_drops_what_it_does_not_name) {
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -120,11 +120,11 @@
   Dispatcher dispatcher = MakeDispatcher(2);
   DispatchDigest digest;
   BackendLoadEntry busy;
-  busy.backend = "e0";
+  busy.backend = KeyOf("e0");
   busy.load.reading_ms = 5000;
   busy.load.requests = 30;
   digest.loads = {busy};
-  dispatcher.ApplyDigest("n2", digest, kStart);
+  dispatcher.ApplyDigest("n2", digest, seconds(1), kStart);
   cr_assert(dispatcher.LiveNodes(kStart) == 2);
   for (uint64_t subject = 0; subject < 10; ++subject) {
     cr_assert(dispatcher.Place(Patient(subject), {}, kStart)->backend.id == "e1");
@@ -135,8 +135,8 @@
 Test(dispatcher, a_leaving_engine_told_by_a_peer_gets_nothing) {
   Dispatcher dispatcher = MakeDispatcher(2);
   DispatchDigest digest;
-  digest.leaving = {"e0"};
-  dispatcher.ApplyDigest("n2", digest, kStart);
+  digest.leaving = {KeyOf("e0")};
+  dispatcher.ApplyDigest("n2", digest, seconds(1), kStart);
   for (int i = 0; i < 10; ++i) {
     cr_assert(dispatcher.Place(Urgent(), {}, kStart)->backend.id == "e1");
   }
--- a/libs/dispatch/tests/engine_partition_test.cc
+++ b/libs/dispatch/tests/engine_partition_test.cc
@@ -33,9 +33,9 @@
 }
 
 Test(partition, rates_of_peers_count_until_they_are_silent) {
-  ServiceWorkView view(seconds(5), seconds(1));
+  ServiceWorkView view(seconds(5));
   view.Note("s", true, 100, kStart);
-  view.SetPeer("n2", {{"s", 30, 70}}, kStart);
+  view.SetPeer("n2", {{"s", 30, 70}}, kStart + seconds(1));
   const ServiceWork total = view.Total("s", kStart);
   cr_assert(total.urgent_ms_per_s > 49 && total.urgent_ms_per_s < 51);
   cr_assert(total.patient_ms_per_s == 70);
--- /dev/null
+++ b/libs/relay/src/capnp_bytes.cc
@@ -0,0 +1,36 @@
+#include "capnp_bytes.h"
+
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace cartsail {
+namespace {
+
+constexpr size_t kMostWords = 1 << 22;  // of a message that is read
+
+}  // namespace
+
+std::string PackedBytes(capnp::MessageBuilder& message) {
+  kj::VectorOutputStream output;
+  capnp::writePackedMessage(output, message);
+  const auto bytes = output.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+bool ReadPacked(std::string_view bytes, const std::function<void(capnp::MessageReader&)>& read) {
+  const auto decode = [&] {
+    const kj::ArrayPtr<const kj::byte> input_bytes(reinterpret_cast<const kj::byte*>(bytes.data()),
+                                                   bytes.size());
+    kj::ArrayInputStream input(input_bytes);
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMostWords;
+    capnp::PackedMessageReader message(input, options);
+    read(message);
+  };
+  return kj::runCatchingExceptions(decode) == nullptr;
+}
+
+std::string TextOf(capnp::Text::Reader text) { return {text.begin(), text.size()}; }
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/catalog_message.cc
@@ -0,0 +1,54 @@
+#include "catalog_message.h"
+
+#include "capnp_bytes.h"
+#include "messages.capnp.h"
+
+namespace cartsail {
+namespace {
+
+Backend DecodeBackend(wire::Backend::Reader entry) {
+  Backend backend;
+  backend.id = TextOf(entry.getId());
+  backend.service = TextOf(entry.getService());
+  backend.address = TextOf(entry.getAddress());
+  backend.zone = TextOf(entry.getZone());
+  backend.slots = entry.getSlots();
+  backend.state = entry.getLeaving() ? BackendState::kLeaving : BackendState::kReady;
+  backend.created_revision = entry.getCreatedRevision();
+  return backend;
+}
+
+}  // namespace
+
+std::string EncodeCatalog(const CatalogMessage& catalog) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::Catalog>();
+  root.setRevision(catalog.revision);
+  root.setDocument(catalog.document);
+  auto entries = root.initBackends(static_cast<unsigned>(catalog.backends.size()));
+  for (unsigned i = 0; i < entries.size(); ++i) {
+    const Backend& backend = catalog.backends[i];
+    entries[i].setId(backend.id);
+    entries[i].setService(backend.service);
+    entries[i].setAddress(backend.address);
+    entries[i].setZone(backend.zone);
+    entries[i].setSlots(static_cast<int32_t>(backend.slots));
+    entries[i].setLeaving(backend.state == BackendState::kLeaving);
+    entries[i].setCreatedRevision(backend.created_revision);
+  }
+  return PackedBytes(message);
+}
+
+std::optional<CatalogMessage> DecodeCatalog(std::string_view bytes) {
+  CatalogMessage catalog;
+  const bool ok = ReadPacked(bytes, [&catalog](capnp::MessageReader& message) {
+    const auto root = message.getRoot<wire::Catalog>();
+    catalog.revision = root.getRevision();
+    catalog.document = TextOf(root.getDocument());
+    for (const auto entry : root.getBackends()) catalog.backends.push_back(DecodeBackend(entry));
+  });
+  if (!ok) return std::nullopt;
+  return catalog;
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/catalog_message.h
@@ -0,0 +1,24 @@
+// All that a node knows from the store, as it hands it to another node. Pure.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cartsail/dispatch/backend_registry.h"
+
+namespace cartsail {
+
+struct CatalogMessage {
+  int64_t revision = 0;  // of the store: all changes up to it are in
+  std::string document;  // as the store has it; empty when the asker has this version
+  std::vector<Backend> backends;
+};
+
+std::string EncodeCatalog(const CatalogMessage& catalog);
+
+// Nothing when the bytes are no catalog.
+std::optional<CatalogMessage> DecodeCatalog(std::string_view bytes);
+
+}  // namespace cartsail
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -21,6 +21,11 @@
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(800);
 constexpr int64_t kItemsPerPage = 500;
+constexpr size_t kReadersPerZone = 2;
+constexpr Duration kPauseAfterEvents = milliseconds(150);
+constexpr Duration kReaderCheck = milliseconds(250);
+// A node that does not read the store does so when neither it nor its peers heard it for so long.
+constexpr Duration kLongestUnconfirmed = milliseconds(3500);
 
 Duration JitteredPause(int failures) {
   thread_local std::minstd_rand generator(std::random_device{}());
@@ -35,43 +40,55 @@
 
 void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
 
-asio::awaitable<void> CatalogSync::PauseAfter(int failures) {
-  asio::steady_timer timer(context_.io, JitteredPause(failures));
+asio::awaitable<void> CatalogSync::Pause(Duration duration) {
+  asio::steady_timer timer(context_.io, duration);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+bool CatalogSync::ShouldRead(TimePoint now) const {
+  if (peers_.IsReader(kReadersPerZone, now)) return true;
+  return !context_.routing.IsFresh(now, kLongestUnconfirmed);
+}
+
 asio::awaitable<void> CatalogSync::Follow() {
   const std::string range_end = PrefixEnd(keys_.prefix);
   int failures = 0;
-  int64_t revision = 0;  // 0: all is to be read
-  std::function<void(std::vector<WatchEvent>, int64_t)> on_events =
-      [this, &revision, &failures](std::vector<WatchEvent> events, int64_t at) {
-        NoteReachable(true, {});
-        ApplyEvents(events);
-        revision = std::max(revision, at);
-        failures = 0;
-      };
+  const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events,
+                                                                 int64_t at) {
+    NoteReachable(true, {});
+    ApplyEvents(events);
+    failures = 0;
+    return events.empty() && ShouldRead(Now());
+  };
   while (true) {
-    if (revision == 0) {
+    if (!ShouldRead(Now())) {
+      co_await Pause(kReaderCheck);
+      continue;
+    }
+    if (must_list_) {
       const absl::StatusOr<int64_t> read = co_await ReadAll();
       NoteReachable(read.ok(), std::string(read.status().message()));
       if (!read.ok()) {
-        co_await PauseAfter(++failures);
+        co_await Pause(JitteredPause(++failures));
         continue;
       }
       failures = 0;
-      revision = *read;
     }
     const absl::Status ended =
-        co_await store_.Watch(keys_.prefix, range_end, revision + 1, on_events);
+        co_await store_.Watch(keys_.prefix, range_end, revision_ + 1, on_events);
+    if (ended.ok()) {
+      // Changes that follow closely come together in one answer.
+      co_await Pause(kPauseAfterEvents);
+      continue;
+    }
     if (KindOf(ended) == ErrorKind::kHistoryLost) {
-      Log(LogLevel::kWarning, "store_history_lost", {{"revision", std::to_string(revision)}});
-      revision = 0;
+      Log(LogLevel::kWarning, "store_history_lost", {{"revision", std::to_string(revision_)}});
+      must_list_ = true;
       continue;
     }
     NoteReachable(false, std::string(ended.message()));
-    co_await PauseAfter(++failures);
+    co_await Pause(JitteredPause(++failures));
   }
 }
 
@@ -91,6 +108,8 @@
     if (!page->more || items.empty()) break;
     request.key = items.back().key + '\0';
   }
+  must_list_ = false;
+  revision_ = std::max(revision_, first_revision);
   ApplyAll(items);
   co_return first_revision;
 }
@@ -113,25 +132,49 @@
     backend->created_revision = item.create_revision;
     backends.push_back(std::move(*backend));
   }
-  Log(LogLevel::kInfo, "backends_read", {{"count", std::to_string(backends.size())}});
+  ReplaceBackends(std::move(backends), "store");
+  context_.routing.Confirm(Now());
+}
+
+void CatalogSync::ReplaceBackends(std::vector<Backend> backends, std::string_view source) {
+  Log(LogLevel::kInfo, "backends_replaced",
+      {{"count", std::to_string(backends.size())},
+       {"revision", std::to_string(revision_)},
+       {"source", std::string(source)}});
   context_.dispatcher.Registry().ReplaceAll(std::move(backends));
   context_.dispatcher.ForgetGone();
-  context_.routing.Confirm(Now());
+}
+
+CatalogMessage CatalogSync::MakeCatalog(int64_t have) const {
+  CatalogMessage catalog;
+  catalog.revision = revision_;
+  if (context_.routing.Version() > have) catalog.document = context_.routing.Encoded();
+  catalog.backends = context_.dispatcher.Registry().All();
+  return catalog;
+}
+
+void CatalogSync::ApplyCatalog(const CatalogMessage& catalog, std::string_view source) {
+  if (catalog.revision <= revision_) return;
+  revision_ = catalog.revision;
+  // From here on the store's changes since this revision are enough.
+  must_list_ = false;
+  if (!catalog.document.empty()) ApplyDocument(catalog.document, source);
+  ReplaceBackends(catalog.backends, source);
 }
 
 void CatalogSync::ApplyEvents(const std::vector<WatchEvent>& events) {
   for (const WatchEvent& event : events) {
     const std::string& key = event.kv.key;
+    if (event.kv.mod_revision <= revision_) continue;  // known from a peer
     if (key == keys_.document && !event.deleted) ApplyDocument(event.kv.value, "store");
-    if (!IsBackend(key)) continue;
-    if (!event.deleted) {
-      ApplyBackend(event.kv);
-      continue;
+    if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
+    if (IsBackend(key) && event.deleted) {
+      Log(LogLevel::kInfo, "backend_gone", {{"backend", BackendId(key)}});
+      context_.dispatcher.Registry().Remove(BackendId(key));
+      context_.dispatcher.ForgetGone();
     }
-    Log(LogLevel::kInfo, "backend_gone", {{"backend", BackendId(key)}});
-    context_.dispatcher.Registry().Remove(BackendId(key));
-    context_.dispatcher.ForgetGone();
   }
+  for (const WatchEvent& event : events) revision_ = std::max(revision_, event.kv.mod_revision);
   context_.routing.Confirm(Now());
 }
 
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -1,5 +1,6 @@
-// Keeps the routing document and the list of back ends as the store has them: reads both, then
-// follows changes; reads again when the store has lost its history.
+// Keeps the routing document and the list of back ends as the store has them. A few nodes of each
+// zone read both and follow changes, and read all again when the store has lost its history; the
+// others take the catalog from peers, and read themselves when peers have not heard the store.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -9,26 +10,37 @@
 
 #include "cartsail/relay/catalog_codec.h"
 #include "cartsail/store/key_value_store.h"
+#include "catalog_message.h"
+#include "peer_table.h"
 #include "relay_context.h"
 
 namespace cartsail {
 
 class CatalogSync {
  public:
-  CatalogSync(RelayContext& context, KeyValueStore& store, const CatalogCodec& codec,
-              CatalogKeys keys)
-      : context_(context), store_(store), codec_(codec), keys_(std::move(keys)) {}
+  CatalogSync(RelayContext& context, const PeerTable& peers, KeyValueStore& store,
+              const CatalogCodec& codec, CatalogKeys keys)
+      : context_(context), peers_(peers), store_(store), codec_(codec), keys_(std::move(keys)) {}
 
   // Runs until the process ends.
   void Start();
 
-  // A document from a peer: put in force when it is newer.
-  void ApplyDocument(const std::string& text, std::string_view source);
+  // Revision of the store up to which all changes are known; 0: none.
+  int64_t Revision() const { return revision_; }
+
+  // What this node knows; without the document when the asker has version `have`.
+  CatalogMessage MakeCatalog(int64_t have) const;
+
+  // What a peer knows: taken over when it is newer.
+  void ApplyCatalog(const CatalogMessage& catalog, std::string_view source);
 
  private:
   boost::asio::awaitable<void> Follow();
   boost::asio::awaitable<absl::StatusOr<int64_t>> ReadAll();
-  boost::asio::awaitable<void> PauseAfter(int failures);
+  boost::asio::awaitable<void> Pause(Duration duration);
+  bool ShouldRead(TimePoint now) const;
+  void ApplyDocument(const std::string& text, std::string_view source);
+  void ReplaceBackends(std::vector<Backend> backends, std::string_view source);
   void ApplyAll(const std::vector<KeyValue>& items);
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
@@ -37,9 +49,12 @@
   void NoteReachable(bool reachable, std::string_view why);
 
   RelayContext& context_;
+  const PeerTable& peers_;
   KeyValueStore& store_;
   const CatalogCodec& codec_;
   CatalogKeys keys_;
+  int64_t revision_ = 0;
+  bool must_list_ = true;  // the changes since `revision_` are not to be had from the store
   bool reachable_ = false;
   bool was_known_ = false;
 };
--- a/libs/relay/src/node_digest.cc
+++ b/libs/relay/src/node_digest.cc
@@ -1,32 +1,36 @@
 #include "node_digest.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
+#include <algorithm>
+#include <cmath>
 
-#include "digest.capnp.h"
+#include "capnp_bytes.h"
+#include "messages.capnp.h"
 
 namespace cartsail {
 namespace {
 
-constexpr size_t kMostWords = 1 << 14;  // of a decoded message
+constexpr double kPauseUnitMs = 0.01;
 
-kj::ArrayPtr<const kj::byte> Bytes(std::string_view text) {
-  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+template <typename Integer>
+Integer Bounded(double value) {
+  const auto most = static_cast<double>(std::numeric_limits<Integer>::max());
+  return static_cast<Integer>(std::clamp(std::round(value), 0.0, most));
 }
 
-std::string Text(capnp::Text::Reader text) { return {text.begin(), text.size()}; }
-
-void EncodeDispatch(const DispatchDigest& dispatch, wire::NodeDigest::Builder root) {
-  auto loads = root.initLoads(static_cast<unsigned>(dispatch.loads.size()));
+void EncodeLoads(const std::vector<BackendLoadEntry>& entries, wire::NodeDigest::Builder root) {
+  auto loads = root.initLoads(static_cast<unsigned>(entries.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
-    loads[i].setBackend(dispatch.loads[i].backend);
-    loads[i].setReadingMs(static_cast<float>(dispatch.loads[i].load.reading_ms));
-    loads[i].setRequests(static_cast<uint32_t>(dispatch.loads[i].load.requests));
-    loads[i].setLeastPauseMs(static_cast<float>(dispatch.loads[i].least_pause_ms));
-    loads[i].setEvenStreams(static_cast<uint32_t>(dispatch.loads[i].load.even_streams));
+    const BackendLoadEntry& entry = entries[i];
+    loads[i].setBackend(entry.backend);
+    loads[i].setReadingMs(Bounded<uint32_t>(entry.load.reading_ms));
+    loads[i].setRequests(Bounded<uint16_t>(static_cast<double>(entry.load.requests)));
+    loads[i].setEvenStreams(Bounded<uint16_t>(static_cast<double>(entry.load.even_streams)));
+    loads[i].setLeastPause(Bounded<uint16_t>(entry.least_pause_ms / kPauseUnitMs));
   }
+}
+
+void EncodeDispatch(const DispatchDigest& dispatch, wire::NodeDigest::Builder root) {
+  EncodeLoads(dispatch.loads, root);
   auto prefixes = root.initPrefixes(static_cast<unsigned>(dispatch.prefixes.size()));
   for (unsigned i = 0; i < prefixes.size(); ++i) {
     prefixes[i].setPart(dispatch.prefixes[i].part);
@@ -42,68 +46,69 @@
   for (unsigned i = 0; i < leaving.size(); ++i) leaving.set(i, dispatch.leaving[i]);
 }
 
+BackendLoadEntry DecodeLoad(wire::BackendLoad::Reader load) {
+  BackendLoadEntry entry;
+  entry.backend = load.getBackend();
+  entry.load.reading_ms = load.getReadingMs();
+  entry.load.requests = load.getRequests();
+  entry.load.even_streams = load.getEvenStreams();
+  entry.least_pause_ms = load.getLeastPause() * kPauseUnitMs;
+  return entry;
+}
+
 DispatchDigest DecodeDispatch(wire::NodeDigest::Reader root) {
   DispatchDigest dispatch;
-  for (const auto load : root.getLoads()) {
-    BackendLoadEntry entry;
-    entry.backend = Text(load.getBackend());
-    entry.load.reading_ms = load.getReadingMs();
-    entry.load.requests = load.getRequests();
-    entry.load.even_streams = load.getEvenStreams();
-    entry.least_pause_ms = load.getLeastPauseMs();
-    dispatch.loads.push_back(std::move(entry));
-  }
+  for (const auto load : root.getLoads()) dispatch.loads.push_back(DecodeLoad(load));
   for (const auto placed : root.getPrefixes()) {
-    dispatch.prefixes.push_back({placed.getPart(), Text(placed.getBackend())});
+    dispatch.prefixes.push_back({placed.getPart(), placed.getBackend()});
   }
-  for (const auto backend : root.getLeaving()) dispatch.leaving.push_back(Text(backend));
+  for (const auto backend : root.getLeaving()) dispatch.leaving.push_back(backend);
   for (const auto work : root.getWork()) {
     dispatch.work.push_back(
-        {Text(work.getService()), work.getUrgentMsPerSecond(), work.getPatientMsPerSecond()});
+        {TextOf(work.getService()), work.getUrgentMsPerSecond(), work.getPatientMsPerSecond()});
   }
   return dispatch;
 }
 
+NodeDigest DecodeRoot(wire::NodeDigest::Reader root) {
+  NodeDigest digest;
+  digest.node = TextOf(root.getNode());
+  digest.zone = TextOf(root.getZone());
+  digest.catalog_revision = root.getCatalogRevision();
+  digest.document_version = root.getDocumentVersion();
+  if (root.getConfirmedAgeMs() >= 0) digest.confirmed_age = milliseconds(root.getConfirmedAgeMs());
+  digest.interval = milliseconds(root.getIntervalMs());
+  digest.stopping = root.getStopping();
+  digest.dispatch = DecodeDispatch(root);
+  for (const auto host : root.getHosts()) digest.hosts.push_back(TextOf(host));
+  return digest;
+}
+
 }  // namespace
 
 std::string EncodeNodeDigest(const NodeDigest& digest) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::NodeDigest>();
   root.setNode(digest.node);
+  root.setZone(digest.zone);
+  root.setCatalogRevision(digest.catalog_revision);
   root.setDocumentVersion(digest.document_version);
   const bool confirmed = digest.confirmed_age.has_value();
-  root.setConfirmedAgeMs(confirmed ? static_cast<int32_t>(ToMillis(*digest.confirmed_age)) : -1);
+  root.setConfirmedAgeMs(confirmed ? Bounded<int32_t>(ToMillis(*digest.confirmed_age)) : -1);
+  root.setIntervalMs(Bounded<uint32_t>(ToMillis(digest.interval)));
   root.setStopping(digest.stopping);
   EncodeDispatch(digest.dispatch, root);
   auto hosts = root.initHosts(static_cast<unsigned>(digest.hosts.size()));
   for (unsigned i = 0; i < hosts.size(); ++i) hosts.set(i, digest.hosts[i]);
-  kj::VectorOutputStream output;
-  capnp::writePackedMessage(output, message);
-  const auto bytes = output.getArray();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+  return PackedBytes(message);
 }
 
 std::optional<NodeDigest> DecodeNodeDigest(std::string_view bytes) {
   std::optional<NodeDigest> digest;
-  const auto decode = [&] {
-    kj::ArrayInputStream input(Bytes(bytes));
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = kMostWords;
-    capnp::PackedMessageReader message(input, options);
-    const auto root = message.getRoot<wire::NodeDigest>();
-    NodeDigest decoded;
-    decoded.node = Text(root.getNode());
-    decoded.document_version = root.getDocumentVersion();
-    if (root.getConfirmedAgeMs() >= 0) {
-      decoded.confirmed_age = milliseconds(root.getConfirmedAgeMs());
-    }
-    decoded.stopping = root.getStopping();
-    decoded.dispatch = DecodeDispatch(root);
-    for (const auto host : root.getHosts()) decoded.hosts.push_back(Text(host));
-    digest = std::move(decoded);
-  };
-  if (kj::runCatchingExceptions(decode) != nullptr) return std::nullopt;
-  return digest;
+  const bool ok = ReadPacked(bytes, [&digest](capnp::MessageReader& message) {
+    digest = DecodeRoot(message.getRoot<wire::NodeDigest>());
+  });
+  return ok ? digest : std::nullopt;
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/node_digest.h
+++ b/libs/relay/src/node_digest.h
@@ -13,10 +13,13 @@
 
 struct NodeDigest {
   std::string node;
+  std::string zone;
+  int64_t catalog_revision = 0;  // of the store: all changes up to it are known
   int64_t document_version = 0;
   std::optional<Duration> confirmed_age;  // since the store last confirmed the document
+  Duration interval{};                    // to the next digest
   DispatchDigest dispatch;
-  std::vector<std::string> hosts;  // of other nodes, heard lately
+  std::vector<std::string> hosts;  // some other nodes, heard lately
   bool stopping = false;
 };
 
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -13,7 +12,8 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_client.h"
-#include "document_path.h"
+#include "catalog_message.h"
+#include "catalog_path.h"
 
 namespace cartsail {
 namespace {
@@ -22,17 +22,23 @@
 using asio::ip::udp;
 
 constexpr size_t kMostDatagramBytes = 1 << 16;
-constexpr size_t kMostHostsTold = 16;
-constexpr size_t kPeersAtFullRate = 12;  // with more, each hears less often
-constexpr Duration kSilentAfter = seconds(2);
-constexpr Duration kSilentInterval = seconds(1);  // between digests to a silent one
-constexpr Duration kForgottenAfter = seconds(30);
+constexpr size_t kDatagramOverhead = 28;           // IP and UDP headers
+constexpr size_t kHostsTold = 3;                   // in one digest
+constexpr int kLifetimeIntervals = 4;              // that a peer's load holds
+constexpr Duration kLeastLifetime = seconds(1);
+constexpr Duration kLongestInterval = seconds(2);
+constexpr Duration kSilentInterval = seconds(1);   // between digests to a silent host
 constexpr Duration kFetchTimeout = milliseconds(800);
+constexpr Duration kFetchPause = milliseconds(250);
 
 }  // namespace
 
-PeerExchange::PeerExchange(RelayContext& context, DocumentSink on_document)
-    : context_(context), on_document_(std::move(on_document)), socket_(context.io) {}
+PeerExchange::PeerExchange(RelayContext& context, PeerTable& peers, CatalogSync& catalog)
+    : context_(context),
+      peers_(peers),
+      catalog_(catalog),
+      socket_(context.io),
+      interval_(context.options.digest_interval) {}
 
 absl::Status PeerExchange::Start() {
   boost::system::error_code error;
@@ -54,14 +60,9 @@
 }
 
 void PeerExchange::AddSeeds(const std::vector<std::string>& hosts) {
-  for (const std::string& host : hosts) AddHost(host, Now());
-}
-
-void PeerExchange::AddHost(const std::string& host, TimePoint now) {
-  if (host.empty() || host == context_.options.peer.host) return;
-  Peer peer;
-  peer.added = now;
-  peers_.emplace(host, peer);
+  for (const std::string& host : hosts) {
+    if (host != context_.options.peer.host) peers_.AddHost(host, Now());
+  }
 }
 
 asio::awaitable<void> PeerExchange::Receive() {
@@ -81,75 +82,73 @@
   const std::optional<NodeDigest> digest = DecodeNodeDigest(bytes);
   if (!digest.has_value() || digest->node == context_.options.node_id) return;
   const TimePoint now = Now();
-  AddHost(host, now);
-  Peer& peer = peers_[host];
-  if (now - peer.heard > kSilentAfter) {
-    Log(LogLevel::kInfo, "peer_heard", {{"node", digest->node}, {"host", host}});
-  }
-  peer.heard = now;
-  for (const std::string& other : digest->hosts) AddHost(other, now);
-  context_.dispatcher.ApplyDigest(digest->node, digest->dispatch, now);
-  if (digest->document_version > context_.routing.Version() && !fetching_) {
-    fetching_ = true;
-    asio::co_spawn(context_.io, FetchDocument(host), asio::detached);
-  } else if (digest->document_version == context_.routing.Version() &&
-             digest->confirmed_age.has_value()) {
+  const bool regained = peers_.Heard(host, digest->node, digest->zone, digest->stopping,
+                                     digest->interval, now);
+  if (regained) Log(LogLevel::kInfo, "peer_heard", {{"node", digest->node}, {"host", host}});
+  AddSeeds(digest->hosts);
+  const Duration lifetime =
+      std::max<Duration>(kLeastLifetime, kLifetimeIntervals * digest->interval);
+  context_.dispatcher.ApplyDigest(digest->node, digest->dispatch, lifetime, now);
+  if (digest->document_version == context_.routing.Version() &&
+      digest->confirmed_age.has_value()) {
     context_.routing.ConfirmBy(now - *digest->confirmed_age);
   }
+  const bool behind = digest->catalog_revision > catalog_.Revision();
+  if (!behind || fetching_ || now - fetched_ < kFetchPause) return;
+  fetching_ = true;
+  asio::co_spawn(context_.io, FetchCatalog(host), asio::detached);
 }
 
-asio::awaitable<void> PeerExchange::FetchDocument(std::string host) {
+asio::awaitable<void> PeerExchange::FetchCatalog(std::string host) {
   HttpRequest request;
-  request.target = std::string(kDocumentPath);
+  request.target =
+      fmt::format("{}?{}={}", kCatalogPath, kHaveParameter, context_.routing.Version());
   const Endpoint endpoint{host, context_.options.peer.port};
   const absl::StatusOr<HttpResponse> response =
       co_await Fetch(context_.io.get_executor(), endpoint, request, kFetchTimeout);
   fetching_ = false;
+  fetched_ = Now();
   if (!response.ok() || response->status != 200) co_return;
-  on_document_(response->body, host);
+  const std::optional<CatalogMessage> catalog = DecodeCatalog(response->body);
+  if (catalog.has_value()) catalog_.ApplyCatalog(*catalog, host);
 }
 
 asio::awaitable<void> PeerExchange::SendPeriodically() {
   asio::steady_timer timer(context_.io);
   while (true) {
-    timer.expires_after(Interval(Now()));
+    timer.expires_after(interval_);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     SendDigests();
   }
 }
 
-Duration PeerExchange::Interval(TimePoint now) const {
-  const auto live = static_cast<size_t>(context_.dispatcher.LiveNodes(now));
-  const size_t steps = std::max<size_t>(1, (live + kPeersAtFullRate - 1) / kPeersAtFullRate);
-  return context_.options.digest_interval * static_cast<int64_t>(steps);
-}
-
-bool PeerExchange::IsDue(const Peer& peer, TimePoint now) const {
-  return now - peer.heard <= kSilentAfter || now - peer.last_sent >= kSilentInterval;
+bool PeerExchange::IsDue(const PeerRecord& peer, TimePoint now) const {
+  return peers_.IsLive(peer, now) || now - peer.last_sent >= kSilentInterval;
 }
 
 NodeDigest PeerExchange::MakeDigest(TimePoint now) {
   NodeDigest digest;
   digest.node = context_.options.node_id;
+  digest.zone = context_.options.zone;
+  digest.catalog_revision = catalog_.Revision();
   digest.document_version = context_.routing.Version();
   if (context_.routing.Confirmed() != TimePoint()) {
     digest.confirmed_age = now - context_.routing.Confirmed();
   }
+  digest.interval = interval_;
   digest.dispatch = context_.dispatcher.TakeDigest(now);
   digest.stopping = context_.draining;
-  for (const auto& [host, peer] : peers_) {
-    if (digest.hosts.size() >= kMostHostsTold) break;
-    if (now - peer.heard <= kSilentAfter) digest.hosts.push_back(host);
-  }
+  digest.hosts = peers_.SomeLiveHosts(kHostsTold, now);
   return digest;
 }
 
 void PeerExchange::SendDigests() {
   const TimePoint now = Now();
-  ForgetSilent(now);
+  peers_.ForgetSilent(now);
   const std::string bytes = EncodeNodeDigest(MakeDigest(now));
-  for (auto& [host, peer] : peers_) {
+  size_t sent_bytes = 0;
+  for (auto& [host, peer] : peers_.Peers()) {
     if (!IsDue(peer, now)) continue;
     peer.last_sent = now;
     boost::system::error_code error;
@@ -157,14 +156,12 @@
     if (error) continue;
     const udp::endpoint target(ip, context_.options.peer.port);
     socket_.send_to(asio::buffer(bytes), target, 0, error);
+    sent_bytes += bytes.size() + kDatagramOverhead;
   }
-}
-
-void PeerExchange::ForgetSilent(TimePoint now) {
-  std::erase_if(peers_, [now](const auto& entry) {
-    const TimePoint last = std::max(entry.second.heard, entry.second.added);
-    return now - last > kForgottenAfter;
-  });
+  // The next digests wait until these fit the bytes that may be sent.
+  const double paid_s = static_cast<double>(sent_bytes) / context_.options.digest_bytes_per_s;
+  interval_ = std::clamp<Duration>(FromSeconds(paid_s), context_.options.digest_interval,
+                                   kLongestInterval);
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -1,26 +1,25 @@
-// Tells other nodes this node's load, prefixes, leaving back ends and document version, in
-// datagrams, and takes in what they tell. A node that hears of a newer document fetches it from
-// who told so. Nothing here needs agreement: a lost datagram costs precision.
+// Tells other nodes this node's load, prefixes, leaving back ends and catalog revision, in
+// datagrams, and takes in what they tell. A node that hears of a newer catalog fetches it from who
+// told so. Nothing here needs agreement: a lost datagram costs precision.
 #pragma once
 
 #include <absl/status/status.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <functional>
-#include <map>
 #include <string>
+#include <vector>
 
+#include "catalog_sync.h"
 #include "node_digest.h"
+#include "peer_table.h"
 #include "relay_context.h"
 
 namespace cartsail {
 
 class PeerExchange {
  public:
-  using DocumentSink = std::function<void(const std::string& text, std::string_view source)>;
-
-  PeerExchange(RelayContext& context, DocumentSink on_document);
+  PeerExchange(RelayContext& context, PeerTable& peers, CatalogSync& catalog);
 
   // kInvalidArgument when the address cannot be bound.
   absl::Status Start();
@@ -29,27 +28,20 @@
   void AddSeeds(const std::vector<std::string>& hosts);
 
  private:
-  struct Peer {
-    TimePoint added;
-    TimePoint heard;  // a datagram of it came
-    TimePoint last_sent;
-  };
-
   boost::asio::awaitable<void> Receive();
   boost::asio::awaitable<void> SendPeriodically();
-  boost::asio::awaitable<void> FetchDocument(std::string host);
+  boost::asio::awaitable<void> FetchCatalog(std::string host);
   void SendDigests();
   void OnDatagram(const std::string& host, std::string_view bytes);
-  void AddHost(const std::string& host, TimePoint now);
-  void ForgetSilent(TimePoint now);
-  bool IsDue(const Peer& peer, TimePoint now) const;
-  Duration Interval(TimePoint now) const;
+  bool IsDue(const PeerRecord& peer, TimePoint now) const;
   NodeDigest MakeDigest(TimePoint now);
 
   RelayContext& context_;
-  DocumentSink on_document_;
+  PeerTable& peers_;
+  CatalogSync& catalog_;
   boost::asio::ip::udp::socket socket_;
-  std::map<std::string, Peer> peers_;  // by host
+  Duration interval_;  // to the next digests
+  TimePoint fetched_{};
   bool fetching_ = false;
 };
 
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -14,10 +14,12 @@
 #include "cartsail/base/hash.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/text.h"
 #include "cartsail/net/http_server.h"
 #include "catalog_sync.h"
-#include "document_path.h"
+#include "catalog_path.h"
 #include "peer_exchange.h"
+#include "peer_table.h"
 #include "relay_server.h"
 
 namespace cartsail {
@@ -44,9 +46,9 @@
         io_(1),
         context_(io_, options, *deployment.format),
         store_(deployment.make_store(io_, WatchWait(options.node_id))),
-        catalog_(context_, *store_, *deployment.codec, deployment.keys),
-        peers_(context_, [this](const std::string& text,
-                                std::string_view source) { catalog_.ApplyDocument(text, source); }),
+        peers_(options.node_id, options.zone),
+        catalog_(context_, peers_, *store_, *deployment.codec, deployment.keys),
+        exchange_(context_, peers_, catalog_),
         server_(context_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP) {}
 
@@ -69,7 +71,7 @@
     peer_server_ = MakeHttpServer(io_, context_.options.peer, HttpServerLimits(), handler);
     absl::Status status = status_server_->Start();
     if (status.ok()) status = peer_server_->Start();
-    if (status.ok()) status = peers_.Start();
+    if (status.ok()) status = exchange_.Start();
     if (status.ok()) status = server_.Start();
     if (!status.ok()) return status;
     catalog_.Start();
@@ -90,8 +92,10 @@
       response.status = IsReady() ? 200 : 503;
     } else if (path == "/metrics") {
       response.body = RenderCounters(GlobalCounters());
-    } else if (path == kDocumentPath && context_.routing.Table() != nullptr) {
-      response.body = context_.routing.Encoded();
+    } else if (path == kCatalogPath && context_.routing.Table() != nullptr) {
+      int64_t have = 0;
+      (void)ParseInteger(exchange.Request().QueryParameter(kHaveParameter), &have);
+      response.body = EncodeCatalog(catalog_.MakeCatalog(have));
     } else {
       response.status = 404;
     }
@@ -130,7 +134,7 @@
     const bool ok = options.ok();
     Log(ok ? LogLevel::kInfo : LogLevel::kError, "reload",
         {{"ok", ok ? "true" : "false"}, {"why", std::string(options.status().message())}});
-    if (ok) peers_.AddSeeds(options->seeds);
+    if (ok) exchange_.AddSeeds(options->seeds);
   }
 
   // Unready at once; serves on until the balancer has noticed and all requests have ended, or
@@ -162,8 +166,9 @@
   asio::io_context io_;
   RelayContext context_;
   std::unique_ptr<KeyValueStore> store_;
+  PeerTable peers_;
   CatalogSync catalog_;
-  PeerExchange peers_;
+  PeerExchange exchange_;
   RelayServer server_;
   std::unique_ptr<HttpServer> status_server_;
   std::unique_ptr<HttpServer> peer_server_;
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -136,9 +136,9 @@
   digest.document_version = 42;
   digest.confirmed_age = milliseconds(250);
   digest.hosts = {"10.0.0.1", "10.0.0.2"};
-  digest.dispatch.loads = {{"e1", {12.5, 3, 2}, 18.5}};
-  digest.dispatch.prefixes = {{77, "e1"}};
-  digest.dispatch.leaving = {"e9"};
+  digest.dispatch.loads = {{11, {12, 3, 2}, 18.5}};
+  digest.dispatch.prefixes = {{77, 11}};
+  digest.dispatch.leaving = {9};
   digest.dispatch.work = {{"llm", 120, 340}};
   const std::optional<NodeDigest> read = DecodeNodeDigest(EncodeNodeDigest(digest));
   cr_assert(read->node == "n1" && read->document_version == 42);
--- a/libs/store/include/cartsail/store/key_value_store.h
+++ b/libs/store/include/cartsail/store/key_value_store.h
@@ -81,6 +81,9 @@
   KeyValue kv;
 };
 
+// Gets events, none where a wait was without any, and the store's revision; false ends the watch.
+using WatchCallback = std::function<bool(std::vector<WatchEvent>, int64_t revision)>;
+
 class KeyValueStore {
  public:
   virtual ~KeyValueStore() = default;
@@ -95,10 +98,10 @@
   virtual Result<int64_t> GrantLease(int64_t ttl_seconds) = 0;
 
   // Delivers events of keys in [key, range_end) from store revision `start_revision` on, until
-  // the connection breaks; then returns why. One waiting watch counts as one call.
-  virtual boost::asio::awaitable<absl::Status> Watch(
-      std::string key, std::string range_end, int64_t start_revision,
-      std::function<void(std::vector<WatchEvent>, int64_t revision)> on_events) = 0;
+  // the connection breaks or the callback ends it; then returns why (OK for the latter). One waiting watch counts as one call.
+  virtual boost::asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
+                                                     int64_t start_revision,
+                                                     WatchCallback on_events) = 0;
 };
 
 // Creates `put` if its key does not exist, else reads the record that stands: a nested transaction
--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -40,7 +40,7 @@
 
   asio::awaitable<absl::Status> Watch(
       std::string key, std::string range_end, int64_t start_revision,
-      std::function<void(std::vector<WatchEvent>, int64_t)> on_events) override {
+      WatchCallback on_events) override {
     GlobalCounters().platform_calls_total.Add();
     std::unique_ptr<HttpConnection> connection = MakeHttpConnection(executor_);
     absl::Status status = co_await connection->Connect(options_.endpoint, options_.call_timeout);
@@ -97,7 +97,7 @@
 
   asio::awaitable<absl::Status> ReadEvents(
       HttpConnection& connection,
-      const std::function<void(std::vector<WatchEvent>, int64_t)>& on_events) {
+      const WatchCallback& on_events) {
     std::string buffer;
     while (true) {
       absl::StatusOr<std::string> chunk = co_await connection.ReadSome(options_.watch_timeout);
@@ -108,19 +108,20 @@
       buffer += *chunk;
       size_t end = buffer.find('\n');
       while (end != std::string::npos) {
-        DeliverLine(std::string_view(buffer).substr(0, end), on_events);
+        const bool go_on = DeliverLine(std::string_view(buffer).substr(0, end), on_events);
+        if (!go_on) co_return absl::OkStatus();
         buffer.erase(0, end + 1);
         end = buffer.find('\n');
       }
     }
   }
 
-  static void DeliverLine(std::string_view line,
-                          const std::function<void(std::vector<WatchEvent>, int64_t)>& on_events) {
+  // False when the callback ends the watch.
+  static bool DeliverLine(std::string_view line, const WatchCallback& on_events) {
     absl::StatusOr<json::object> message = ParseJsonObject(line);
-    if (!message.ok()) return;
+    if (!message.ok()) return true;
     const json::object* result = GetObject(*message, "result");
-    if (result == nullptr) return;
+    if (result == nullptr) return true;
     const json::object* header = GetObject(*result, "header");
     const int64_t revision = header == nullptr ? 0 : GetInt(*header, "revision");
     std::vector<WatchEvent> events;
@@ -132,7 +133,7 @@
         events.push_back({GetString(entry.as_object(), "type") == "DELETE", DecodeKeyValue(*kv)});
       }
     }
-    if (!events.empty()) on_events(std::move(events), revision);
+    return events.empty() || on_events(std::move(events), revision);
   }
 
   asio::any_io_executor executor_;
