--- a/apps/emulator/tests/config_store_test.cc
+++ b/apps/emulator/tests/config_store_test.cc
@@ -29,9 +29,7 @@
     co_return result;
   }
   Result<int64_t> GrantLease(int64_t ttl) override { co_return store.GrantLease(ttl, TimePoint()); }
-  asio::awaitable<absl::Status> Watch(
-      std::string, std::string, int64_t,
-      std::function<void(std::vector<WatchEvent>, int64_t)>) override {
+  asio::awaitable<absl::Status> Watch(std::string, std::string, int64_t, WatchCallback) override {
     co_return absl::OkStatus();
   }
 
--- a/libs/daemon/src/slot_service.h
+++ b/libs/daemon/src/slot_service.h
@@ -15,9 +15,9 @@
 #include "cartsail/gateway/control_plane.h"
 #include "cartsail/membership/member_table.h"
 #include "cartsail/peer/peer_network.h"
-#include "cartsail/store/machine_list.h"
 #include "cartsail/scheduler/entry_scheduler.h"
 #include "cartsail/scheduler/owner_table.h"
+#include "cartsail/store/machine_list.h"
 #include "request_recorder.h"
 
 namespace cartsail {
--- a/libs/dispatch/include/cartsail/dispatch/load_ledger.h
+++ b/libs/dispatch/include/cartsail/dispatch/load_ledger.h
@@ -35,8 +35,7 @@
   void End(BackendKey backend, bool even_stream);
 
   // Replaces all that `node` told before; forgotten at `until`.
-  void SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads,
-               TimePoint until);
+  void SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads, TimePoint until);
 
   BackendLoad Own(BackendKey backend) const;
   BackendLoad Total(BackendKey backend, TimePoint now) const;
--- a/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
+++ b/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
@@ -21,8 +21,7 @@
   void Note(uint64_t part, BackendKey backend, TimePoint now);
 
   // Tokens at the start of `parts` that `backend` holds.
-  int64_t HeldTokens(const std::vector<PromptPart>& parts, BackendKey backend,
-                     TimePoint now) const;
+  int64_t HeldTokens(const std::vector<PromptPart>& parts, BackendKey backend, TimePoint now) const;
 
   // True when some back end holds the part.
   bool AnyHolds(uint64_t part, TimePoint now) const;
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -98,8 +98,7 @@
   return fastest;
 }
 
-void BackendHealth::ForgetUnless(
-    const std::function<bool(const std::string& backend)>& is_known) {
+void BackendHealth::ForgetUnless(const std::function<bool(const std::string& backend)>& is_known) {
   std::erase_if(records_, [&is_known](const auto& record) { return !is_known(record.first); });
 }
 
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -280,8 +280,8 @@
   return digest;
 }
 
-void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest,
-                             Duration lifetime, TimePoint now) {
+void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest, Duration lifetime,
+                             TimePoint now) {
   loads_.SetPeer(node, digest.loads, now + lifetime);
   work_.SetPeer(node, digest.work, now + lifetime);
   for (const BackendLoadEntry& entry : digest.loads) {
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -54,8 +54,7 @@
 asio::awaitable<void> CatalogSync::Follow() {
   const std::string range_end = PrefixEnd(keys_.prefix);
   int failures = 0;
-  const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events,
-                                                                 int64_t at) {
+  const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events, int64_t at) {
     NoteReachable(true, {});
     ApplyEvents(events);
     failures = 0;
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -22,12 +22,12 @@
 using asio::ip::udp;
 
 constexpr size_t kMostDatagramBytes = 1 << 16;
-constexpr size_t kDatagramOverhead = 28;           // IP and UDP headers
-constexpr size_t kHostsTold = 3;                   // in one digest
-constexpr int kLifetimeIntervals = 4;              // that a peer's load holds
+constexpr size_t kDatagramOverhead = 28;  // IP and UDP headers
+constexpr size_t kHostsTold = 3;          // in one digest
+constexpr int kLifetimeIntervals = 4;     // that a peer's load holds
 constexpr Duration kLeastLifetime = seconds(1);
 constexpr Duration kLongestInterval = seconds(2);
-constexpr Duration kSilentInterval = seconds(1);   // between digests to a silent host
+constexpr Duration kSilentInterval = seconds(1);  // between digests to a silent host
 constexpr Duration kFetchTimeout = milliseconds(800);
 constexpr Duration kFetchPause = milliseconds(250);
 
@@ -82,15 +82,14 @@
   const std::optional<NodeDigest> digest = DecodeNodeDigest(bytes);
   if (!digest.has_value() || digest->node == context_.options.node_id) return;
   const TimePoint now = Now();
-  const bool regained = peers_.Heard(host, digest->node, digest->zone, digest->stopping,
-                                     digest->interval, now);
+  const bool regained =
+      peers_.Heard(host, digest->node, digest->zone, digest->stopping, digest->interval, now);
   if (regained) Log(LogLevel::kInfo, "peer_heard", {{"node", digest->node}, {"host", host}});
   AddSeeds(digest->hosts);
   const Duration lifetime =
       std::max<Duration>(kLeastLifetime, kLifetimeIntervals * digest->interval);
   context_.dispatcher.ApplyDigest(digest->node, digest->dispatch, lifetime, now);
-  if (digest->document_version == context_.routing.Version() &&
-      digest->confirmed_age.has_value()) {
+  if (digest->document_version == context_.routing.Version() && digest->confirmed_age.has_value()) {
     context_.routing.ConfirmBy(now - *digest->confirmed_age);
   }
   const bool behind = digest->catalog_revision > catalog_.Revision();
@@ -160,8 +159,8 @@
   }
   // The next digests wait until these fit the bytes that may be sent.
   const double paid_s = static_cast<double>(sent_bytes) / context_.options.digest_bytes_per_s;
-  interval_ = std::clamp<Duration>(FromSeconds(paid_s), context_.options.digest_interval,
-                                   kLongestInterval);
+  interval_ =
+      std::clamp<Duration>(FromSeconds(paid_s), context_.options.digest_interval, kLongestInterval);
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -67,8 +67,9 @@
 }
 
 size_t PeerTable::LiveCount(TimePoint now) const {
-  return static_cast<size_t>(std::count_if(
-      peers_.begin(), peers_.end(), [this, now](const auto& entry) { return IsLive(entry.second, now); }));
+  return static_cast<size_t>(
+      std::count_if(peers_.begin(), peers_.end(),
+                    [this, now](const auto& entry) { return IsLive(entry.second, now); }));
 }
 
 }  // namespace cartsail
--- a/libs/store/include/cartsail/store/key_value_store.h
+++ b/libs/store/include/cartsail/store/key_value_store.h
@@ -98,7 +98,8 @@
   virtual Result<int64_t> GrantLease(int64_t ttl_seconds) = 0;
 
   // Delivers events of keys in [key, range_end) from store revision `start_revision` on, until
-  // the connection breaks or the callback ends it; then returns why (OK for the latter). One waiting watch counts as one call.
+  // the connection breaks or the callback ends it; then returns why (OK for the latter). One
+  // waiting watch counts as one call.
   virtual boost::asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
                                                      int64_t start_revision,
                                                      WatchCallback on_events) = 0;
--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -38,9 +38,8 @@
     co_return GetInt(*reply, "ID");
   }
 
-  asio::awaitable<absl::Status> Watch(
-      std::string key, std::string range_end, int64_t start_revision,
-      WatchCallback on_events) override {
+  asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
+                                      int64_t start_revision, WatchCallback on_events) override {
     GlobalCounters().platform_calls_total.Add();
     std::unique_ptr<HttpConnection> connection = MakeHttpConnection(executor_);
     absl::Status status = co_await connection->Connect(options_.endpoint, options_.call_timeout);
@@ -95,9 +94,8 @@
     co_return ParseJsonObject(response->body);
   }
 
-  asio::awaitable<absl::Status> ReadEvents(
-      HttpConnection& connection,
-      const WatchCallback& on_events) {
+  asio::awaitable<absl::Status> ReadEvents(HttpConnection& connection,
+                                           const WatchCallback& on_events) {
     std::string buffer;
     while (true) {
       absl::StatusOr<std::string> chunk = co_await connection.ReadSome(options_.watch_timeout);
