--- a/apps/emulator/tests/docs_test.cc
+++ b/apps/emulator/tests/docs_test.cc
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "cartsail/base/counters.h"
+#include "cartsail/base/histogram.h"
 #include "cartsail/config/schema.h"
 #include "testing/criterion.h"
 
@@ -25,6 +26,14 @@
 #undef CARTSAIL_CHECK_COUNTER
 }
 
+Test(docs, every_histogram_is_described) {
+  const std::string page = ReadPage();
+#define CARTSAIL_CHECK_HISTOGRAM(name, help) \
+  cr_expect(page.find("| `cartsail_" #name "` | " help " |") != std::string::npos, #name);
+  CARTSAIL_HISTOGRAMS(CARTSAIL_CHECK_HISTOGRAM)
+#undef CARTSAIL_CHECK_HISTOGRAM
+}
+
 Test(docs, every_setting_is_described) {
   const std::string page = ReadPage();
   for (const SettingSpec& spec : SettingSchema()) {
--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -48,6 +48,15 @@
   X(peer_bytes_sent_total, counter, "Bytes sent to other nodes")                             \
   X(peer_bytes_received_total, counter, "Bytes received from other nodes")                   \
   X(control_cpu_microseconds, gauge, "Processor time used by the control thread")            \
+  X(backend_connects_total, counter, "New connections made to back ends")                    \
+  X(backend_connects_failed_total, counter, "Connections to back ends that failed")          \
+  X(backend_refusals_total, counter, "Requests that a back end said it did not run")         \
+  X(backends_known, gauge, "Back ends in the catalog, leaving ones included")                \
+  X(catalog_fetches_total, counter, "Catalogs fetched from other nodes")                     \
+  X(catalog_reader, gauge, "1 if this node reads the store for its zone")                    \
+  X(config_age_milliseconds, gauge, "Time since the store last confirmed the configuration") \
+  X(log_lines_total, counter, "Log lines written")                                           \
+  X(log_lines_dropped_total, counter, "Log lines dropped to keep the log bounded")           \
   X(ready, gauge, "1 if this node asks the balancer for traffic")
 
 // Kinds used by the table above.
--- /dev/null
+++ b/libs/base/include/cartsail/base/histogram.h
@@ -0,0 +1,51 @@
+// Latency histograms of this process. Every histogram is named and documented here and nowhere
+// else; docs/OPERATIONS.md repeats the table and a test holds the two together.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include "cartsail/base/clock.h"
+
+namespace cartsail {
+
+// X(name, help): all in milliseconds.
+#define CARTSAIL_HISTOGRAMS(X)                                                           \
+  X(request_answered_ms, "From a request's arrival to the end of its whole answer")      \
+  X(request_refused_ms, "From a request's arrival to its refusal, not run")              \
+  X(request_failed_ms, "From a request's arrival to a failure after it may have run")    \
+  X(stream_first_output_ms, "From a request's arrival to the first piece of its stream") \
+  X(stream_longest_pause_ms, "Longest pause between two pieces of one stream")           \
+  X(store_call_ms, "Calls to the store other than watches")
+
+// Counts by upper bound, doubling from 1 ms; the last bucket has no bound. Thread-safe.
+class Histogram {
+ public:
+  static constexpr int kBounds = 16;  // 1 ms to 32,768 ms
+
+  void Note(Duration duration);
+
+  // Lines of the text exposition format.
+  std::string Render(const std::string& name, const std::string& help) const;
+
+ private:
+  std::array<std::atomic<int64_t>, kBounds + 1> buckets_{};
+  std::atomic<int64_t> count_{0};
+  std::atomic<int64_t> sum_us_{0};
+};
+
+struct Histograms {
+#define CARTSAIL_DECLARE_HISTOGRAM(name, help) Histogram name;
+  CARTSAIL_HISTOGRAMS(CARTSAIL_DECLARE_HISTOGRAM)
+#undef CARTSAIL_DECLARE_HISTOGRAM
+};
+
+// The histograms of this process. Thread-safe.
+Histograms& GlobalHistograms();
+
+// All histograms in the text exposition format, each prefixed `cartsail_`.
+std::string RenderHistograms(const Histograms& histograms);
+
+}  // namespace cartsail
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -2,14 +2,24 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <mutex>
+
+#include "cartsail/base/counters.h"
 
 namespace cartsail {
 namespace {
 
+constexpr double kLinesPerSecond = 300;
+constexpr double kLinesAtOnce = 600;
+constexpr size_t kMostPendingBytes = 1 << 16;
+constexpr size_t kMostBytesAtOnce = 4096;  // a pipe that polls as writable takes so many
+
 std::atomic<LogLevel> g_least_level{LogLevel::kInfo};
 
 constexpr std::string_view kLevelNames[] = {"debug", "info", "warning", "error", "off"};
@@ -35,8 +45,69 @@
   return quoted;
 }
 
+// Standard output, written only when it takes the bytes at once.
+class LogSink {
+ public:
+  void Write(LogLevel level, const std::string& line) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Counters& counters = GlobalCounters();
+    LogRateLimit& limit = level <= LogLevel::kInfo ? routine_ : notable_;
+    const bool fits = pending_.size() + line.size() <= kMostPendingBytes;
+    if (!fits || !limit.Take(Now())) {
+      counters.log_lines_dropped_total.Add();
+      ++dropped_;
+      return;
+    }
+    if (dropped_ > 0)
+      pending_ += fmt::format("level=warning event=log_dropped lines={}\n", dropped_);
+    dropped_ = 0;
+    pending_ += line;
+    counters.log_lines_total.Add();
+    FlushLocked();
+  }
+
+  void Flush() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    FlushLocked();
+  }
+
+ private:
+  void FlushLocked() {
+    while (!pending_.empty()) {
+      pollfd output{STDOUT_FILENO, POLLOUT, 0};
+      if (poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0) return;
+      const size_t size = std::min(pending_.size(), kMostBytesAtOnce);
+      const ssize_t written = write(STDOUT_FILENO, pending_.data(), size);
+      if (written <= 0) return;
+      pending_.erase(0, static_cast<size_t>(written));
+    }
+  }
+
+  std::mutex mutex_;
+  std::string pending_;
+  int64_t dropped_ = 0;
+  LogRateLimit routine_{kLinesPerSecond, kLinesAtOnce};
+  LogRateLimit notable_{kLinesPerSecond, kLinesAtOnce};
+};
+
+LogSink& Sink() {
+  static LogSink sink;
+  return sink;
+}
+
 }  // namespace
 
+bool LogRateLimit::Take(TimePoint now) {
+  if (updated_ != TimePoint()) tokens_ += rate_ * ToSeconds(now - updated_);
+  tokens_ = std::min(tokens_, burst_);
+  updated_ = now;
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+void FlushLog() { Sink().Flush(); }
+
 void SetLogLevel(LogLevel level) { g_least_level.store(level); }
 
 bool ParseLogLevel(std::string_view text, LogLevel* level) {
@@ -59,8 +130,7 @@
     line += fmt::format(" {}={}", field.key, value);
   }
   line.push_back('\n');
-  std::fwrite(line.data(), 1, line.size(), stdout);
-  std::fflush(stdout);
+  Sink().Write(level, line);
 }
 
 }  // namespace cartsail
--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -16,6 +16,7 @@
   std::string zone;
   Endpoint listen;                 // callers
   Endpoint ready;                  // the balancer's readiness checks, and metrics
+  Endpoint metrics;                // metrics; port 0: at `ready` only
   Endpoint peer;                   // other nodes: datagrams, and documents by HTTP
   std::vector<std::string> seeds;  // hosts of nodes that may be up; they share `peer`'s port
   Duration digest_interval = milliseconds(100);  // between digests to peers, at least
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
 
+#include "cartsail/base/counters.h"
+#include "cartsail/base/histogram.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 
@@ -46,7 +48,7 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-bool CatalogSync::ShouldRead(TimePoint now) const {
+bool CatalogSync::IsReading(TimePoint now) const {
   if (peers_.IsReader(kReadersPerZone, now)) return true;
   return !context_.routing.IsFresh(now, kLongestUnconfirmed);
 }
@@ -58,10 +60,10 @@
     NoteReachable(true, {});
     ApplyEvents(events);
     failures = 0;
-    return events.empty() && ShouldRead(Now());
+    return events.empty() && IsReading(Now());
   };
   while (true) {
-    if (!ShouldRead(Now())) {
+    if (!IsReading(Now())) {
       co_await Pause(kReaderCheck);
       continue;
     }
@@ -99,7 +101,9 @@
   request.range_end = PrefixEnd(keys_.prefix);
   request.limit = kItemsPerPage;
   while (true) {
+    const TimePoint begun = Now();
     absl::StatusOr<RangeResult> page = co_await store_.Range(request);
+    GlobalHistograms().store_call_ms.Note(Now() - begun);
     if (!page.ok()) co_return page.status();
     // Pages form no snapshot: changes since the first page come again as events.
     if (first_revision == 0) first_revision = page->revision;
@@ -202,6 +206,7 @@
     status = table.status();
     if (table.ok()) {
       const int64_t before = context_.routing.Version();
+      GlobalCounters().config_revision.Set(std::max(before, (*table)->Version()));
       const int64_t version = (*table)->Version();
       if (!context_.routing.Apply(std::move(*table), text)) return;
       Log(LogLevel::kInfo, "document_applied",
@@ -211,12 +216,16 @@
     }
   }
   if (!status.ok()) {
+    GlobalCounters().config_invalid_total.Add();
     Log(LogLevel::kError, "document_invalid",
         {{"source", std::string(source)}, {"why", std::string(status.message())}});
   }
 }
 
 void CatalogSync::NoteReachable(bool reachable, std::string_view why) {
+  GlobalCounters().platform_calls_total.Add();
+  if (!reachable) GlobalCounters().platform_errors_total.Add();
+  GlobalCounters().platform_reachable.Set(reachable ? 1 : 0);
   if (was_known_ && reachable == reachable_) return;
   was_known_ = true;
   reachable_ = reachable;
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -28,6 +28,9 @@
   // Revision of the store up to which all changes are known; 0: none.
   int64_t Revision() const { return revision_; }
 
+  // True when this node is to read the store itself.
+  bool IsReading(TimePoint now) const;
+
   // What this node knows; without the document when the asker has version `have`.
   CatalogMessage MakeCatalog(int64_t have) const;
 
@@ -38,7 +41,6 @@
   boost::asio::awaitable<void> Follow();
   boost::asio::awaitable<absl::StatusOr<int64_t>> ReadAll();
   boost::asio::awaitable<void> Pause(Duration duration);
-  bool ShouldRead(TimePoint now) const;
   void ApplyDocument(const std::string& text, std::string_view source);
   void ReplaceBackends(std::vector<Backend> backends, std::string_view source);
   void ApplyAll(const std::vector<KeyValue>& items);
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cartsail/base/counters.h"
+#include "cartsail/base/histogram.h"
 #include "cartsail/base/json.h"
 #include "cartsail/base/log.h"
 #include "message_head.h"
@@ -63,6 +65,7 @@
 }
 
 asio::awaitable<bool> Exchange::Run() {
+  GlobalCounters().requests_total.Add();
   const WireNames& names = context_.format.Names();
   if (context_.refusing) {
     request_id_ = std::string(request_.Header(names.request_id));
@@ -87,7 +90,7 @@
   deadline_ = request_.received + admitted_.time_left;
   last_event_id_ = std::string(request_.Header("Last-Event-ID"));
 
-  ++context_.requests_in_flight;
+  GlobalCounters().requests_in_flight.Set(++context_.requests_in_flight);
   caller_->WatchGone([weak = weak_from_this()] {
     const std::shared_ptr<Exchange> self = weak.lock();
     if (self == nullptr) return;
@@ -96,7 +99,7 @@
   });
   const bool keep = co_await RunAdmitted();
   caller_->StopWatch();
-  --context_.requests_in_flight;
+  GlobalCounters().requests_in_flight.Set(--context_.requests_in_flight);
   co_return keep && !caller_gone_;
 }
 
@@ -125,14 +128,28 @@
     }
     if (!MayTryAgain(*admitted_.route, outcome, history_)) break;
     if (deadline_ - Now() < kLeastTimeForAttempt) break;
-    // Only bytes that reached a back end count as a repeat there.
-    if (history_.attempts > 0 && !budget.TakeRepeat(Now(), context_.dispatcher.LiveNodes(Now()))) {
-      break;
-    }
+    if (!MayTakeRepeat(budget)) break;
   }
   co_return co_await FinishUnserved(outcome);
 }
 
+bool Exchange::MayTakeRepeat(ServiceRetryBudget& budget) {
+  // Only bytes that reached a back end count as a repeat there.
+  if (history_.attempts == 0) return true;
+  const int64_t nodes = context_.dispatcher.LiveNodes(Now());
+  const bool granted = budget.TakeRepeat(Now(), nodes);
+  Counters& counters = GlobalCounters();
+  (granted ? counters.retries_total : counters.retries_denied_total).Add();
+  if (granted && head_sent_) counters.continuations_total.Add();
+  Log(LogLevel::kWarning, "repeat",
+      {{"request", request_id_},
+       {"granted", granted ? "true" : "false"},
+       {"budget_left", fmt::format("{:.1f}", budget.Left(Now(), nodes))},
+       {"nodes", std::to_string(nodes)},
+       {"last_event", last_event_id_}});
+  return granted;
+}
+
 asio::awaitable<bool> Exchange::FinishUnserved(AttemptOutcome last) {
   if (caller_gone_ || last == AttemptOutcome::kCallerGone) {
     LogEnd("caller_gone", 0);
@@ -164,7 +181,10 @@
   ++history_.may_have_run;
   upstream_->StartRequest(UpstreamHead(placement, Now()), request_.body);
   const AttemptOutcome outcome = co_await Converse(placement);
-  if (ProvablyNotRun(outcome)) --history_.may_have_run;
+  if (ProvablyNotRun(outcome)) {
+    --history_.may_have_run;
+    GlobalCounters().backend_refusals_total.Add();
+  }
   const std::shared_ptr<UpstreamConnection> used = std::exchange(upstream_, nullptr);
   context_.pool.Return(placement.backend.id, used);
   co_return caller_gone_ ? AttemptOutcome::kCallerGone : outcome;
@@ -176,9 +196,11 @@
       context_.pool.TakeIdle(placement.backend.id, Now());
   if (connection != nullptr) co_return connection;
   connection = context_.pool.MakeNew();
+  GlobalCounters().backend_connects_total.Add();
   upstream_ = connection;  // so that the caller's going ends the wait
   const TimePoint limit = std::min(deadline_, Now() + context_.options.connect_timeout);
   const bool connected = co_await connection->Connect(placement.backend.address, limit);
+  if (!connected) GlobalCounters().backend_connects_failed_total.Add();
   if (!connected) co_return nullptr;
   co_return connection;
 }
@@ -399,7 +421,7 @@
 
 void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
   if (outcome == AttemptOutcome::kAnswered) return;
-  Log(LogLevel::kInfo, "attempt",
+  Log(LogLevel::kWarning, "attempt",
       {{"request", request_id_},
        {"backend", placement.backend.id},
        {"address", placement.backend.address},
@@ -407,19 +429,48 @@
        {"attempts", std::to_string(history_.attempts)},
        {"may_have_run", std::to_string(history_.may_have_run)},
        {"cost_ms", fmt::format("{:.0f}", placement.cost_ms)},
+       {"expected_ms", fmt::format("{:.0f}", placement.first_output_ms)},
+       {"catalog", std::to_string(placement.backend.created_revision)},
        {"load", std::to_string(placement.load.requests)},
        {"candidates", std::to_string(placement.candidates)}});
 }
 
+void Exchange::CountEnd(bool answered, Duration took) const {
+  Counters& counters = GlobalCounters();
+  Histograms& histograms = GlobalHistograms();
+  if (first_output_ != TimePoint()) {
+    histograms.stream_first_output_ms.Note(first_output_ - request_.received);
+    histograms.stream_longest_pause_ms.Note(longest_pause_);
+  }
+  if (answered) {
+    counters.requests_completed_total.Add();
+    histograms.request_answered_ms.Note(took);
+  } else if (caller_gone_) {
+    counters.callers_gone_total.Add();
+  } else if (history_.may_have_run == 0) {
+    counters.requests_not_run_total.Add();
+    histograms.request_refused_ms.Note(took);
+  } else {
+    (head_sent_ ? counters.requests_partial_total : counters.requests_unknown_total).Add();
+    histograms.request_failed_ms.Note(took);
+  }
+}
+
 void Exchange::LogEnd(std::string_view result, int status) const {
   const Duration took = Now() - request_.received;
   const bool has_output = first_output_ != TimePoint();
-  Log(LogLevel::kInfo, "request",
+  const bool answered = result == "answered";
+  CountEnd(answered, took);
+  const bool is_slow = has_output && admitted_.route != nullptr &&
+                       first_output_ - request_.received > admitted_.route->first_output_goal;
+  Log(answered && !is_slow ? LogLevel::kInfo : LogLevel::kWarning, "request",
       {{"request", request_id_},
        {"route", admitted_.route == nullptr ? "" : admitted_.route->name},
        {"tenant", admitted_.tenant},
        {"tier", std::to_string(admitted_.tier)},
        {"config", std::to_string(context_.routing.Version())},
+       {"config_age_ms",
+        fmt::format("{:.0f}", ToMillis(request_.received - context_.routing.Confirmed()))},
        {"backend", tried_.empty() ? "" : tried_.back()},
        {"attempts", std::to_string(history_.attempts)},
        {"result", std::string(result)},
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_client.h"
@@ -79,6 +80,7 @@
 }
 
 void PeerExchange::OnDatagram(const std::string& host, std::string_view bytes) {
+  GlobalCounters().peer_bytes_received_total.Add(static_cast<int64_t>(bytes.size()));
   const std::optional<NodeDigest> digest = DecodeNodeDigest(bytes);
   if (!digest.has_value() || digest->node == context_.options.node_id) return;
   const TimePoint now = Now();
@@ -107,6 +109,7 @@
       co_await Fetch(context_.io.get_executor(), endpoint, request, kFetchTimeout);
   fetching_ = false;
   fetched_ = Now();
+  GlobalCounters().catalog_fetches_total.Add();
   if (!response.ok() || response->status != 200) co_return;
   const std::optional<CatalogMessage> catalog = DecodeCatalog(response->body);
   if (catalog.has_value()) catalog_.ApplyCatalog(*catalog, host);
@@ -156,7 +159,9 @@
     const udp::endpoint target(ip, context_.options.peer.port);
     socket_.send_to(asio::buffer(bytes), target, 0, error);
     sent_bytes += bytes.size() + kDatagramOverhead;
+    GlobalCounters().peer_messages_sent_total.Add();
   }
+  GlobalCounters().peer_bytes_sent_total.Add(static_cast<int64_t>(sent_bytes));
   // The next digests wait until these fit the bytes that may be sent.
   const double paid_s = static_cast<double>(sent_bytes) / context_.options.digest_bytes_per_s;
   interval_ =
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -12,6 +12,7 @@
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/hash.h"
+#include "cartsail/base/histogram.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/base/text.h"
@@ -32,6 +33,7 @@
 // wait for different times, so that one of them soon asks and tells the others.
 constexpr Duration kLeastWatchWait = milliseconds(1400);
 constexpr int64_t kWatchWaitSpreadMs = 1000;
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr Duration kDrainPoll = milliseconds(50);
 constexpr Duration kGraceMargin = milliseconds(400);  // before the process would be killed
 
@@ -61,6 +63,7 @@
          {"listen", context_.options.listen.ToString()}});
     io_.run();
     Log(LogLevel::kInfo, "stop", {{"node", context_.options.node_id}});
+    FlushLog();
     return absl::OkStatus();
   }
 
@@ -71,6 +74,10 @@
     peer_server_ = MakeHttpServer(io_, context_.options.peer, HttpServerLimits(), handler);
     absl::Status status = status_server_->Start();
     if (status.ok()) status = peer_server_->Start();
+    if (status.ok() && context_.options.metrics.port != 0) {
+      metrics_server_ = MakeHttpServer(io_, context_.options.metrics, HttpServerLimits(), handler);
+      status = metrics_server_->Start();
+    }
     if (status.ok()) status = exchange_.Start();
     if (status.ok()) status = server_.Start();
     if (!status.ok()) return status;
@@ -85,13 +92,26 @@
            context_.dispatcher.Registry().Size() > 0;
   }
 
+  void NoteGauges() {
+    const TimePoint now = Now();
+    Counters& counters = GlobalCounters();
+    counters.ready.Set(IsReady() ? 1 : 0);
+    counters.backends_known.Set(static_cast<int64_t>(context_.dispatcher.Registry().Size()));
+    counters.members_live.Set(context_.dispatcher.LiveNodes(now));
+    counters.catalog_reader.Set(catalog_.IsReading(now) ? 1 : 0);
+    const Duration age = now - context_.routing.Confirmed();
+    counters.config_age_milliseconds.Set(static_cast<int64_t>(ToMillis(age)));
+  }
+
   asio::awaitable<void> AnswerStatus(HttpExchange& exchange) {
     HttpResponse response;
     const std::string_view path = exchange.Request().Path();
     if (path == deployment_.format->Names().ready_path) {
       response.status = IsReady() ? 200 : 503;
-    } else if (path == "/metrics") {
-      response.body = RenderCounters(GlobalCounters());
+    } else if (path == kMetricsPath) {
+      NoteGauges();
+      response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+      response.body = RenderCounters(GlobalCounters()) + RenderHistograms(GlobalHistograms());
     } else if (path == kCatalogPath && context_.routing.Table() != nullptr) {
       int64_t have = 0;
       (void)ParseInteger(exchange.Request().QueryParameter(kHaveParameter), &have);
@@ -111,6 +131,7 @@
       const TimePoint now = Now();
       context_.pool.Sweep(now);
       context_.dispatcher.Tick(now);
+      FlushLog();
     }
   }
 
@@ -172,6 +193,7 @@
   RelayServer server_;
   std::unique_ptr<HttpServer> status_server_;
   std::unique_ptr<HttpServer> peer_server_;
+  std::unique_ptr<HttpServer> metrics_server_;
   asio::signal_set signals_;
 };
 
--- a/libs/relay/src/relay_server.cc
+++ b/libs/relay/src/relay_server.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "exchange.h"
 #include "message_head.h"
@@ -83,7 +84,8 @@
 
 asio::awaitable<void> RelayServer::AnswerFault(CallerConnection& caller, ErrorKind fault) {
   const int status = fault == ErrorKind::kTimeout ? 408 : HttpStatusFor(fault);
-  Log(LogLevel::kInfo, "request_fault",
+  GlobalCounters().requests_malformed_total.Add();
+  Log(LogLevel::kWarning, "request_fault",
       {{"kind", std::string(ErrorKindName(fault))}, {"status", std::to_string(status)}});
   HttpHeaders headers{{"Content-Length", "0"}, {"Connection", "close"}};
   if (co_await caller.Write(ResponseHeadText(status, "Refused", headers))) {
