cartsailctl trace: from a request's id to its cause, from any number of logs

Cause: an engineer with an id and logs had to search and put the lines together by hand. Change: trace ID LOG... orders the lines, names the cause in a sentence and says what is missing; time stamps carry milliseconds; the age of a configuration never confirmed is left empty.

--- a/apps/cartsailctl/command.h
+++ b/apps/cartsailctl/command.h
@@ -60,6 +60,7 @@
     boost::asio::io_context& context, CommandOptions options);
 
 absl::StatusOr<CommandResult> RunCheckCommand(const Words& words);
+absl::StatusOr<CommandResult> RunTraceCommand(const Words& words);
 absl::StatusOr<CommandResult> RunPlanCommand(const Words& words);
 boost::asio::awaitable<absl::StatusOr<CommandResult>> RunReplayCommand(
     boost::asio::io_context& context, CommandOptions options, Words words);
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -123,8 +123,9 @@
   if (level < g_least_level.load(std::memory_order_relaxed)) return;
   const auto now =
       std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-  std::string line =
-      fmt::format("ts={:%Y-%m-%dT%H:%M:%S}Z level={} event={}", now, LevelName(level), event);
+  const auto whole = std::chrono::floor<std::chrono::seconds>(now);
+  std::string line = fmt::format("ts={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}", whole,
+                                 (now - whole).count(), LevelName(level), event);
   for (const LogField& field : fields) {
     const std::string value = NeedsQuotes(field.value) ? Quote(field.value) : field.value;
     line += fmt::format(" {}={}", field.key, value);
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -456,6 +456,12 @@
   }
 }
 
+std::string Exchange::ConfigAgeText() const {
+  const TimePoint confirmed = context_.routing.Confirmed();
+  if (confirmed == TimePoint()) return {};
+  return fmt::format("{:.0f}", std::max(0.0, ToMillis(request_.received - confirmed)));
+}
+
 void Exchange::LogEnd(std::string_view result, int status) const {
   const Duration took = Now() - request_.received;
   const bool has_output = first_output_ != TimePoint();
@@ -469,8 +475,7 @@
        {"tenant", admitted_.tenant},
        {"tier", std::to_string(admitted_.tier)},
        {"config", std::to_string(context_.routing.Version())},
-       {"config_age_ms",
-        fmt::format("{:.0f}", ToMillis(request_.received - context_.routing.Confirmed()))},
+       {"config_age_ms", ConfigAgeText()},
        {"backend", tried_.empty() ? "" : tried_.back()},
        {"attempts", std::to_string(history_.attempts)},
        {"result", std::string(result)},
--- a/libs/relay/src/exchange.h
+++ b/libs/relay/src/exchange.h
@@ -49,6 +49,7 @@
   bool MayRepeat() const;
   void NoteOutput(TimePoint now);
   void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
+  std::string ConfigAgeText() const;
   bool MayTakeRepeat(ServiceRetryBudget& budget);
   void CountEnd(bool answered, Duration took) const;
   void LogEnd(std::string_view result, int status) const;
