The division of engines counts their slots

Change: wished engines of either kind also follow running requests against slots. Test: running_requests_need_slots (written with the change).

--- a/libs/dispatch/include/cartsail/dispatch/engine_partition.h
+++ b/libs/dispatch/include/cartsail/dispatch/engine_partition.h
@@ -18,6 +18,8 @@
   double urgent_ms_per_s = 0;   // time to read the prompts of urgent requests
   double patient_ms_per_s = 0;  // the same of patient ones
   double urgent_streams = 0;    // running at once
+  double patient_streams = 0;   // the same of patient ones
+  double slots = 1;             // requests that one engine runs at once
 };
 
 // A moving average of the work that this node places.
@@ -77,6 +79,8 @@
   double urgent_wanted = 0.25;      // reading time of an engine for urgent requests, as wished
   double urgent_most = 0.4;         // and at most
   double patient_wanted = 0.4;      // reading time of an engine for patient requests, as wished
+  double urgent_slots = 0.4;        // share of an engine's slots for urgent streams, as wished
+  double patient_slots = 0.7;       // the same for patient ones
   double streams_per_engine = 24;   // urgent streams on one engine, at most
   double least_urgent_share = 0.2;  // of the engines
   double most_urgent_share = 0.7;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -141,7 +141,10 @@
   work.urgent_ms_per_s = rates.urgent_ms_per_s;
   work.patient_ms_per_s = rates.patient_ms_per_s;
   for (const Backend* engine : engines) {
-    work.urgent_streams += static_cast<double>(loads_.Total(engine->key, now).even_streams);
+    const BackendLoad load = loads_.Total(engine->key, now);
+    work.urgent_streams += static_cast<double>(load.even_streams);
+    work.patient_streams += static_cast<double>(load.requests - load.even_streams);
+    work.slots = std::max(work.slots, static_cast<double>(engine->slots));
   }
   const auto total = static_cast<int64_t>(engines.size());
   const double wanted = WantedUrgentEngines(policy_.partition, work, total);
--- a/libs/dispatch/src/engine_partition.cc
+++ b/libs/dispatch/src/engine_partition.cc
@@ -67,8 +67,11 @@
   const auto total = static_cast<double>(engines);
   const double urgent = work.urgent_ms_per_s / 1e3;
   const double patient = work.patient_ms_per_s / 1e3;
-  const double wished = urgent / policy.urgent_wanted;
-  const double wished_by_all = wished + patient / policy.patient_wanted;
+  const double wished = std::max(urgent / policy.urgent_wanted,
+                                 work.urgent_streams / (policy.urgent_slots * work.slots));
+  const double wished_by_patient = std::max(
+      patient / policy.patient_wanted, work.patient_streams / (policy.patient_slots * work.slots));
+  const double wished_by_all = wished + wished_by_patient;
   const double fair = wished_by_all > 0 ? total * wished / wished_by_all : total / 2;
   const double needed =
       std::max(urgent / policy.urgent_most, work.urgent_streams / policy.streams_per_engine);
--- a/libs/dispatch/tests/engine_partition_test.cc
+++ b/libs/dispatch/tests/engine_partition_test.cc
@@ -9,17 +9,26 @@
 
 Test(partition, follows_the_share_of_urgent_work) {
   const PartitionPolicy policy;
-  const double calm = WantedUrgentEngines(policy, {500, 1000, 10}, 12);
-  const double rush = WantedUrgentEngines(policy, {500, 5000, 10}, 12);
-  const double questions = WantedUrgentEngines(policy, {2000, 1000, 10}, 12);
+  const double calm = WantedUrgentEngines(policy, {500, 1000, 10, 0, 48}, 12);
+  const double rush = WantedUrgentEngines(policy, {500, 5000, 10, 0, 48}, 12);
+  const double questions = WantedUrgentEngines(policy, {2000, 1000, 10, 0, 48}, 12);
   cr_assert(rush < calm && calm < questions);
 }
 
 Test(partition, gives_urgent_work_what_it_needs_at_least) {
   const PartitionPolicy policy;
-  cr_assert(WantedUrgentEngines(policy, {2000, 90000, 0}, 12) >= 5);
-  cr_assert(WantedUrgentEngines(policy, {0, 90000, 24 * 6}, 12) >= 6);
-  cr_assert(WantedUrgentEngines(policy, {0, 0, 0}, 12) >= 12 * policy.least_urgent_share);
+  cr_assert(WantedUrgentEngines(policy, {2000, 90000, 0, 0, 48}, 12) >= 5);
+  cr_assert(WantedUrgentEngines(policy, {0, 90000, 24 * 6, 0, 48}, 12) >= 6);
+  cr_assert(WantedUrgentEngines(policy, {0, 0, 0, 0, 48}, 12) >= 12 * policy.least_urgent_share);
+}
+
+// Engines with few slots: what runs counts, though little is read.
+Test(partition, running_requests_need_slots) {
+  const PartitionPolicy policy;
+  const double few = WantedUrgentEngines(policy, {100, 1000, 20, 100, 12}, 30);
+  const double many = WantedUrgentEngines(policy, {100, 1000, 80, 100, 12}, 30);
+  const double crowded = WantedUrgentEngines(policy, {100, 1000, 80, 400, 12}, 30);
+  cr_assert(many > few && crowded < many);
 }
 
 Test(partition, small_changes_move_no_engine) {
