--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -92,13 +92,13 @@
   done.get_future().wait();
 }
 
-Client::Client(int port) {
+Client::Client(int port, const std::string& host) {
   socket_ = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, host.c_str(), &address.sin_addr);
   address.sin_port = htons(static_cast<uint16_t>(port));
-  connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  connected_ = connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
 }
 
 Client::~Client() { Close(); }
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -48,7 +48,7 @@
 
 class Client {
  public:
-  explicit Client(int port);
+  explicit Client(int port, const std::string& host = "127.0.0.1");
   ~Client();
 
   void Send(const std::string& bytes);
@@ -62,12 +62,16 @@
   // True when the peer closes within the time.
   bool ClosesWithin(int millis);
 
+  // False when no connection was made.
+  bool IsConnected() const { return connected_; }
+
   void Close();
 
  private:
   bool ReadMore(int timeout_ms);
 
   int socket_ = -1;
+  bool connected_ = false;
   std::string buffer_;
 };
 
