Failures of back ends are told to peers

Change: digests carry each node's recent attempts and failures for an engine; placement weighs the sum over nodes with three successes assumed.

--- a/libs/dispatch/include/cartsail/dispatch/backend_health.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_health.h
@@ -6,12 +6,21 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "cartsail/base/clock.h"
 #include "cartsail/dispatch/attempt_outcome.h"
 
 namespace cartsail {
 
+struct RecentAttempts {
+  double attempts = 0;
+  double failures = 0;
+};
+
+// Share of failures, 0 to 1, with a few successes assumed where little is known.
+double FailureShare(const RecentAttempts& recent);
+
 class BackendHealth {
  public:
   void Note(std::string_view backend, AttemptOutcome outcome, TimePoint now);
@@ -21,8 +30,11 @@
 
   bool IsSuspended(std::string_view backend, TimePoint now) const;
 
-  // Share of failures among recent attempts, 0 to 1; it fades with time.
-  double FailureShare(std::string_view backend, TimePoint now) const;
+  // This node's attempts of the last seconds; they fade with time.
+  RecentAttempts Recent(std::string_view backend, TimePoint now) const;
+
+  // Back ends at which some attempt failed lately.
+  std::vector<std::string> FailingLately(TimePoint now) const;
 
   // How many times longer than expected it takes, at least 1.
   double Slowness(std::string_view backend) const;
@@ -44,7 +56,7 @@
 
  private:
   struct Record {
-    double failure_share = 0;
+    RecentAttempts recent;
     double slowness = 1;
     double least_pause_ms = 0;
     int consecutive_losses = 0;
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -107,6 +107,8 @@
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
   bool IsPatient(const RequestProfile& profile) const;
   std::vector<const Backend*> UrgentEngines(const std::string& service, TimePoint now);
+  double FailureShareOf(const Backend& backend, const BackendLoad& load, TimePoint now) const;
+  void AddFailing(std::vector<BackendLoadEntry>* loads, TimePoint now) const;
   double DisturbanceMillis(const BackendLoad& load, double reading_ms) const;
   std::vector<const Backend*> Usable(const RequestProfile& profile,
                                      const std::vector<std::string>& tried, TimePoint now) const;
--- a/libs/dispatch/include/cartsail/dispatch/load_ledger.h
+++ b/libs/dispatch/include/cartsail/dispatch/load_ledger.h
@@ -13,11 +13,13 @@
 
 namespace cartsail {
 
-// Requests at one back end that have not ended.
+// Requests at one back end that have not ended, and how those of the last seconds ended.
 struct BackendLoad {
   double reading_ms = 0;     // expected time to read the prompts that wait for their first output
   int64_t requests = 0;      // all
   int64_t even_streams = 0;  // of these, streams that need even pauses
+  double attempts = 0;       // of the last seconds, fading
+  double failures = 0;       // of these, those that failed
 
   BackendLoad& operator+=(const BackendLoad& other);
 };
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -6,7 +6,8 @@
 namespace cartsail {
 namespace {
 
-constexpr double kFailureWeight = 0.25;     // of one attempt in the moving share
+constexpr double kAssumedSuccesses = 3;
+constexpr double kLeastFailures = 0.2;      // that count as lately
 constexpr double kSlownessWeight = 0.1;     // of one measurement
 constexpr double kPauseRelaxation = 1.002;  // a least pause grows by this with each slower stream
 constexpr double kMostSlowness = 10;
@@ -37,10 +38,10 @@
 
 void BackendHealth::Note(std::string_view backend, AttemptOutcome outcome, TimePoint now) {
   if (outcome == AttemptOutcome::kCallerGone) return;
-  const double faded = FailureShare(backend, now);
+  const RecentAttempts faded = Recent(backend, now);
   Record& record = records_[std::string(backend)];
-  const double failed = CountsAsFailure(outcome) ? 1 : 0;
-  record.failure_share = faded + kFailureWeight * (failed - faded);
+  record.recent.attempts = faded.attempts + 1;
+  record.recent.failures = faded.failures + (CountsAsFailure(outcome) ? 1 : 0);
   record.updated = now;
   if (!IsLoss(outcome)) {
     record.consecutive_losses = 0;
@@ -61,11 +62,24 @@
   return record != nullptr && now < record->suspended_until;
 }
 
-double BackendHealth::FailureShare(std::string_view backend, TimePoint now) const {
+RecentAttempts BackendHealth::Recent(std::string_view backend, TimePoint now) const {
   const Record* record = Find(backend);
-  if (record == nullptr || record->failure_share == 0) return 0;
-  const double age = ToSeconds(now - record->updated);
-  return record->failure_share * std::exp(-std::max(age, 0.0) / ToSeconds(kFadeTime));
+  if (record == nullptr) return {};
+  const double age = std::max(0.0, ToSeconds(now - record->updated));
+  const double fading = std::exp(-age / ToSeconds(kFadeTime));
+  return {record->recent.attempts * fading, record->recent.failures * fading};
+}
+
+std::vector<std::string> BackendHealth::FailingLately(TimePoint now) const {
+  std::vector<std::string> failing;
+  for (const auto& [backend, record] : records_) {
+    if (Recent(backend, now).failures >= kLeastFailures) failing.push_back(backend);
+  }
+  return failing;
+}
+
+double FailureShare(const RecentAttempts& recent) {
+  return recent.failures / (recent.attempts + kAssumedSuccesses);
 }
 
 double BackendHealth::Slowness(std::string_view backend) const {
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -90,10 +90,19 @@
   const double busy = static_cast<double>(estimate.load.requests) / slots;
   estimate.cost_ms = policy_.plain_request_ms * (1 + busy) * health_.Slowness(backend.id);
   if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
-  estimate.cost_ms += policy_.failure_cost_ms * health_.FailureShare(backend.id, now);
+  estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend, estimate.load, now);
   return estimate;
 }
 
+// Of this node's attempts and those of its peers: `load` has the peers' only.
+double Dispatcher::FailureShareOf(const Backend& backend, const BackendLoad& load,
+                                  TimePoint now) const {
+  RecentAttempts recent = health_.Recent(backend.id, now);
+  recent.attempts += load.attempts;
+  recent.failures += load.failures;
+  return FailureShare(recent);
+}
+
 double Dispatcher::DisturbanceMillis(const BackendLoad& load, double reading_ms) const {
   if (reading_ms < policy_.disturbing_reading_ms) return 0;
   const int64_t streams = std::min(load.even_streams, policy_.most_streams_disturbed);
@@ -130,7 +139,7 @@
   if (patient && for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
   if (!patient && !for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
   if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
-  estimate.cost_ms += policy_.failure_cost_ms * health_.FailureShare(backend.id, now);
+  estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend, estimate.load, now);
   return estimate;
 }
 
@@ -269,12 +278,29 @@
   health_.ForgetUnless([this](const std::string& id) { return registry_.Find(id) != nullptr; });
 }
 
+// Back ends without requests of this node are told of when they failed lately.
+void Dispatcher::AddFailing(std::vector<BackendLoadEntry>* loads, TimePoint now) const {
+  for (const std::string& id : health_.FailingLately(now)) {
+    const BackendKey key = KeyOf(id);
+    const auto is_there = [key](const BackendLoadEntry& entry) { return entry.backend == key; };
+    if (std::any_of(loads->begin(), loads->end(), is_there)) continue;
+    BackendLoadEntry entry;
+    entry.backend = key;
+    loads->push_back(entry);
+  }
+}
+
 DispatchDigest Dispatcher::TakeDigest(TimePoint now) {
   DispatchDigest digest;
   digest.loads = loads_.OwnLoads();
+  AddFailing(&digest.loads, now);
   for (BackendLoadEntry& entry : digest.loads) {
     const Backend* backend = registry_.FindByKey(entry.backend);
-    if (backend != nullptr) entry.least_pause_ms = health_.LeastPause(backend->id);
+    if (backend == nullptr) continue;
+    entry.least_pause_ms = health_.LeastPause(backend->id);
+    const RecentAttempts recent = health_.Recent(backend->id, now);
+    entry.load.attempts = recent.attempts;
+    entry.load.failures = recent.failures;
   }
   digest.prefixes = std::move(new_prefixes_);
   new_prefixes_.clear();
--- a/libs/dispatch/src/load_ledger.cc
+++ b/libs/dispatch/src/load_ledger.cc
@@ -8,6 +8,8 @@
   reading_ms += other.reading_ms;
   requests += other.requests;
   even_streams += other.even_streams;
+  attempts += other.attempts;
+  failures += other.failures;
   return *this;
 }
 
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -12,6 +12,9 @@
   evenStreams @3 :UInt16;
   # Least mean pause between events of a stream, in hundredths of a millisecond; 0: unknown.
   leastPause @4 :UInt16;
+  # Attempts of the last seconds and failures among them, in tenths.
+  attempts @5 :UInt16;
+  failures @6 :UInt16;
 }
 
 struct PrefixPlacement {
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -37,7 +37,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e68064d99f220796, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e68064d99f220796, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -148,6 +148,10 @@
 
   inline  ::uint16_t getLeastPause() const;
 
+  inline  ::uint16_t getAttempts() const;
+
+  inline  ::uint16_t getFailures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -191,6 +195,12 @@
   inline  ::uint16_t getLeastPause();
   inline void setLeastPause( ::uint16_t value);
 
+  inline  ::uint16_t getAttempts();
+  inline void setAttempts( ::uint16_t value);
+
+  inline  ::uint16_t getFailures();
+  inline void setFailures( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -851,6 +861,34 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t BackendLoad::Reader::getAttempts() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getAttempts() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setAttempts( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getFailures() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getFailures() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setFailures( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/relay/src/node_digest.cc
+++ b/libs/relay/src/node_digest.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double kPauseUnitMs = 0.01;
+constexpr double kAttemptUnit = 0.1;
 
 template <typename Integer>
 Integer Bounded(double value) {
@@ -25,6 +26,8 @@
     loads[i].setReadingMs(Bounded<uint32_t>(entry.load.reading_ms));
     loads[i].setRequests(Bounded<uint16_t>(static_cast<double>(entry.load.requests)));
     loads[i].setEvenStreams(Bounded<uint16_t>(static_cast<double>(entry.load.even_streams)));
+    loads[i].setAttempts(Bounded<uint16_t>(entry.load.attempts / kAttemptUnit));
+    loads[i].setFailures(Bounded<uint16_t>(entry.load.failures / kAttemptUnit));
     loads[i].setLeastPause(Bounded<uint16_t>(entry.least_pause_ms / kPauseUnitMs));
   }
 }
@@ -52,6 +55,8 @@
   entry.load.reading_ms = load.getReadingMs();
   entry.load.requests = load.getRequests();
   entry.load.even_streams = load.getEvenStreams();
+  entry.load.attempts = load.getAttempts() * kAttemptUnit;
+  entry.load.failures = load.getFailures() * kAttemptUnit;
   entry.least_pause_ms = load.getLeastPause() * kPauseUnitMs;
   return entry;
 }
