--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -100,9 +100,21 @@
     BackendLoad load;
   };
 
+  // What all candidates for one generation are weighed against.
+  struct GenerationView {
+    bool patient = false;
+    std::vector<const Backend*> urgent_engines;
+    const Backend* holder = nullptr;  // holds most of the prompt
+    int64_t holder_tokens = 0;
+    const Backend* home = nullptr;  // which all nodes would choose for the prompt's subject
+  };
+
+  GenerationView ViewGeneration(const RequestProfile& profile,
+                                const std::vector<const Backend*>& usable, TimePoint now);
+  Estimate EstimatePrompt(const RequestProfile& profile, const Backend& backend,
+                          const GenerationView& view, TimePoint now) const;
   Estimate EstimateGeneration(const RequestProfile& profile, const Backend& backend,
-                              bool for_urgent, const Backend* holder, int64_t holder_tokens,
-                              TimePoint now) const;
+                              const GenerationView& view, TimePoint now) const;
   Estimate EstimatePlain(const Backend& backend, TimePoint now) const;
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
   bool IsPatient(const RequestProfile& profile) const;
--- a/libs/dispatch/include/cartsail/dispatch/placement_policy.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -28,6 +28,7 @@
   int64_t most_streams_disturbed = 8;
   double disturbing_reading_ms = 50;
   double stream_cost_ms = 3;     // each running request slows the others
+  double over_full_ms = 50;      // each request beyond an engine's slots, nearly
   double plain_request_ms = 60;  // expected work of a plain service's request
   double other_zone_ms = 1;
   double failure_cost_ms = 4000;  // times the share of recent failures
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -13,6 +13,7 @@
 // An engine whose events follow each other that much slower than the fastest one's is kept for
 // patient requests.
 constexpr double kSlowEngineRatio = 1.15;
+constexpr double kFullSlots = 0.9;  // share of its slots from which an engine counts as full
 constexpr int64_t kLeastEventsForPause = 12;  // of a stream whose pace is measured
 // A prompt that nobody holds goes to the engine that all nodes would choose for it, unless another
 // one is better by this much.
@@ -109,37 +110,73 @@
   return static_cast<double>(streams) * policy_.disturbed_stream_ms;
 }
 
-Dispatcher::Estimate Dispatcher::EstimateGeneration(const RequestProfile& profile,
-                                                    const Backend& backend, bool for_urgent,
-                                                    const Backend* holder, int64_t holder_tokens,
-                                                    TimePoint now) const {
+Dispatcher::GenerationView Dispatcher::ViewGeneration(const RequestProfile& profile,
+                                                      const std::vector<const Backend*>& usable,
+                                                      TimePoint now) {
+  GenerationView view;
+  view.patient = IsPatient(profile);
+  view.urgent_engines = UrgentEngines(profile.service, now);
+  for (const Backend* backend : registry_.ReadyOf(profile.service)) {
+    const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, backend->key, now);
+    if (held <= view.holder_tokens || health_.IsSuspended(backend->id, now)) continue;
+    view.holder = backend;
+    view.holder_tokens = held;
+  }
+  const uint64_t subject = SubjectOf(profile);
+  uint64_t best_score = 0;
+  for (const Backend* backend : usable) {
+    if (Contains(view.urgent_engines, backend) == view.patient) continue;
+    const uint64_t score = HomeScore(subject, *backend);
+    if (view.home != nullptr && score <= best_score) continue;
+    view.home = backend;
+    best_score = score;
+  }
+  return view;
+}
+
+// What the prompt costs at `backend`: the time to read what no engine hands over, and the price of
+// what is moved or read again.
+Dispatcher::Estimate Dispatcher::EstimatePrompt(const RequestProfile& profile,
+                                                const Backend& backend, const GenerationView& view,
+                                                TimePoint now) const {
   Estimate estimate;
-  estimate.load = loads_.Total(backend.key, now);
   estimate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, backend.key, now);
-  const int64_t missing = holder_tokens - estimate.held_tokens;
-  double price_ms = 0;
-  if (holder != nullptr && missing > 0) {
+  int64_t held = estimate.held_tokens;
+  const int64_t missing = view.holder_tokens - held;
+  if (missing > 0) {
+    const auto tokens = static_cast<double>(missing);
     if (profile.bytes_per_token > 0) {
-      estimate.fetch_from = holder;
-      price_ms = static_cast<double>(missing) * policy_.move_price_ms + policy_.move_setup_ms +
-                 static_cast<double>(missing) / policy_.move_tokens_per_ms;
+      estimate.fetch_from = view.holder;
+      estimate.cost_ms = tokens * policy_.move_price_ms + policy_.move_setup_ms +
+                         tokens / policy_.move_tokens_per_ms;
+      held = view.holder_tokens;
     } else {
-      price_ms = static_cast<double>(missing) * policy_.reread_price_ms;
+      estimate.cost_ms = tokens * policy_.reread_price_ms;
     }
   }
-  const int64_t held = estimate.fetch_from != nullptr ? holder_tokens : estimate.held_tokens;
   estimate.reading_ms = ReadingMillis(held, profile.prompt_tokens);
-  const double streams = static_cast<double>(estimate.load.requests) * policy_.stream_cost_ms;
-  const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
-  const double over = std::max(0.0, static_cast<double>(estimate.load.requests) - slots * 0.9);
-  estimate.cost_ms = (estimate.load.reading_ms + estimate.reading_ms + streams + over * 50) *
-                     health_.Slowness(backend.id);
-  estimate.cost_ms += price_ms + DisturbanceMillis(estimate.load, estimate.reading_ms);
-  const bool patient = IsPatient(profile);
-  if (patient && for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
-  if (!patient && !for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
+  return estimate;
+}
+
+Dispatcher::Estimate Dispatcher::EstimateGeneration(const RequestProfile& profile,
+                                                    const Backend& backend,
+                                                    const GenerationView& view,
+                                                    TimePoint now) const {
+  Estimate estimate = EstimatePrompt(profile, backend, view, now);
+  estimate.load = loads_.Total(backend.key, now);
+  const auto running = static_cast<double>(estimate.load.requests);
+  const auto slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
+  const double over = std::max(0.0, running - slots * kFullSlots);
+  const double time_ms = estimate.load.reading_ms + estimate.reading_ms +
+                         running * policy_.stream_cost_ms + over * policy_.over_full_ms;
+  estimate.cost_ms += time_ms * health_.Slowness(backend.id);
+  estimate.cost_ms += DisturbanceMillis(estimate.load, estimate.reading_ms);
+  const bool for_urgent = Contains(view.urgent_engines, &backend);
+  if (view.patient && for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
+  if (!view.patient && !for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
   if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
   estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend, estimate.load, now);
+  if (&backend == view.home) estimate.cost_ms -= kHomeBonusMs;
   return estimate;
 }
 
@@ -167,40 +204,14 @@
   const std::vector<const Backend*> usable = Usable(profile, tried, now);
   if (usable.empty()) return std::nullopt;
 
-  const Backend* holder = nullptr;
-  int64_t holder_tokens = 0;
-  const Backend* home = nullptr;
-  std::vector<const Backend*> urgent;
-  if (profile.is_generation) {
-    for (const Backend* backend : registry_.ReadyOf(profile.service)) {
-      const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, backend->key, now);
-      if (held <= holder_tokens || health_.IsSuspended(backend->id, now)) continue;
-      holder = backend;
-      holder_tokens = held;
-    }
-    urgent = UrgentEngines(profile.service, now);
-    const uint64_t subject = SubjectOf(profile);
-    uint64_t best_score = 0;
-    for (const Backend* backend : usable) {
-      if (Contains(urgent, backend) == IsPatient(profile)) continue;
-      const uint64_t score = HomeScore(subject, *backend);
-      if (home != nullptr && score <= best_score) continue;
-      home = backend;
-      best_score = score;
-    }
-  }
-
+  GenerationView view;
+  if (profile.is_generation) view = ViewGeneration(profile, usable, now);
   const Backend* best = nullptr;
   Estimate best_estimate;
   for (const Backend* backend : usable) {
-    Estimate estimate;
-    if (profile.is_generation) {
-      const bool for_urgent = Contains(urgent, backend);
-      estimate = EstimateGeneration(profile, *backend, for_urgent, holder, holder_tokens, now);
-      if (backend == home) estimate.cost_ms -= kHomeBonusMs;
-    } else {
-      estimate = EstimatePlain(*backend, now);
-    }
+    const Estimate estimate = profile.is_generation
+                                  ? EstimateGeneration(profile, *backend, view, now)
+                                  : EstimatePlain(*backend, now);
     if (best != nullptr && estimate.cost_ms >= best_estimate.cost_ms) continue;
     best = backend;
     best_estimate = estimate;
--- /dev/null
+++ b/libs/relay/src/exchange_report.cc
@@ -0,0 +1,90 @@
+// What an exchange tells of itself: log lines, counters, histograms.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/histogram.h"
+#include "cartsail/base/log.h"
+#include "exchange.h"
+
+namespace cartsail {
+
+void Exchange::NoteOutput(TimePoint now) {
+  if (first_output_ == TimePoint()) {
+    first_output_ = now;
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_output_);
+  }
+  last_output_ = now;
+}
+
+void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
+  if (outcome == AttemptOutcome::kAnswered) return;
+  Log(LogLevel::kWarning, "attempt",
+      {{"request", request_id_},
+       {"backend", placement.backend.id},
+       {"address", placement.backend.address},
+       {"outcome", std::string(AttemptOutcomeName(outcome))},
+       {"attempts", std::to_string(history_.attempts)},
+       {"may_have_run", std::to_string(history_.may_have_run)},
+       {"cost_ms", fmt::format("{:.0f}", placement.cost_ms)},
+       {"expected_ms", fmt::format("{:.0f}", placement.first_output_ms)},
+       {"catalog", std::to_string(placement.backend.created_revision)},
+       {"load", std::to_string(placement.load.requests)},
+       {"candidates", std::to_string(placement.candidates)}});
+}
+
+void Exchange::CountEnd(bool answered, Duration took) const {
+  Counters& counters = GlobalCounters();
+  Histograms& histograms = GlobalHistograms();
+  if (first_output_ != TimePoint()) {
+    histograms.stream_first_output_ms.Note(first_output_ - request_.received);
+    histograms.stream_longest_pause_ms.Note(longest_pause_);
+  }
+  if (answered) {
+    counters.requests_completed_total.Add();
+    histograms.request_answered_ms.Note(took);
+  } else if (caller_gone_) {
+    counters.callers_gone_total.Add();
+  } else if (history_.may_have_run == 0) {
+    counters.requests_not_run_total.Add();
+    histograms.request_refused_ms.Note(took);
+  } else {
+    (head_sent_ ? counters.requests_partial_total : counters.requests_unknown_total).Add();
+    histograms.request_failed_ms.Note(took);
+  }
+}
+
+std::string Exchange::ConfigAgeText() const {
+  const TimePoint confirmed = context_.routing.Confirmed();
+  if (confirmed == TimePoint()) return {};
+  return fmt::format("{:.0f}", std::max(0.0, ToMillis(request_.received - confirmed)));
+}
+
+void Exchange::LogEnd(std::string_view result, int status) const {
+  const Duration took = Now() - request_.received;
+  const bool has_output = first_output_ != TimePoint();
+  const bool answered = result == "answered";
+  CountEnd(answered, took);
+  const bool is_slow = has_output && admitted_.route != nullptr &&
+                       first_output_ - request_.received > admitted_.route->first_output_goal;
+  Log(answered && !is_slow ? LogLevel::kInfo : LogLevel::kWarning, "request",
+      {{"request", request_id_},
+       {"route", admitted_.route == nullptr ? "" : admitted_.route->name},
+       {"tenant", admitted_.tenant},
+       {"tier", std::to_string(admitted_.tier)},
+       {"config", std::to_string(context_.routing.Version())},
+       {"config_age_ms", ConfigAgeText()},
+       {"backend", tried_.empty() ? "" : tried_.back()},
+       {"attempts", std::to_string(history_.attempts)},
+       {"result", std::string(result)},
+       {"status", std::to_string(status)},
+       {"first_ms",
+        has_output ? fmt::format("{:.0f}", ToMillis(first_output_ - request_.received)) : ""},
+       {"pause_ms", fmt::format("{:.0f}", ToMillis(longest_pause_))},
+       {"ms", fmt::format("{:.0f}", ToMillis(took))},
+       {"bytes", std::to_string(bytes_out_)}});
+}
+
+}  // namespace cartsail
