--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -14,6 +14,7 @@
 #include "cartsail/base/hash.h"
 #include "cartsail/base/histogram.h"
 #include "cartsail/base/log.h"
+#include "cartsail/base/signals.h"
 #include "cartsail/base/status.h"
 #include "cartsail/base/text.h"
 #include "cartsail/net/http_server.h"
@@ -52,7 +53,9 @@
         catalog_(context_, peers_, *store_, *deployment.codec, deployment.keys),
         exchange_(context_, peers_, catalog_),
         server_(context_),
-        signals_(io_, SIGTERM, SIGINT, SIGHUP) {}
+        signals_(io_, SIGTERM, SIGINT, SIGHUP) {
+    ReleaseSignals();
+  }
 
   absl::Status Run() {
     const absl::Status started = Start();
