Placement: candidates, peers' loads and health kept by key and made once

Cause: one placement walked all peers' loads for each engine (84 nodes x 112 engines, twice) and sorted the engines anew; a node that is to place requests for others cannot bear that. Ruled out: fewer candidates for a node (loses prefixes held elsewhere).

--- a/libs/dispatch/include/cartsail/dispatch/backend_health.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_health.h
@@ -3,13 +3,12 @@
 #pragma once
 
 #include <functional>
-#include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "cartsail/base/clock.h"
 #include "cartsail/dispatch/attempt_outcome.h"
+#include "cartsail/dispatch/backend_registry.h"
 
 namespace cartsail {
 
@@ -21,52 +20,61 @@
 // Share of failures, 0 to 1, with a few successes assumed where little is known.
 double FailureShare(const RecentAttempts& recent);
 
+// Whose request an attempt belongs to. Peers tell of their own attempts in digests; those that this
+// node followed for them are counted apart, so that none counts twice.
+enum class AttemptOrigin { kOwn, kPeer };
+
 class BackendHealth {
  public:
-  void Note(std::string_view backend, AttemptOutcome outcome, TimePoint now);
+  void Note(BackendKey backend, AttemptOutcome outcome, AttemptOrigin origin, TimePoint now);
 
   // Time to the first output against what was expected of it, 1 being as expected.
-  void NotePace(std::string_view backend, double ratio);
+  void NotePace(BackendKey backend, double ratio);
 
-  bool IsSuspended(std::string_view backend, TimePoint now) const;
+  bool IsSuspended(BackendKey backend, TimePoint now) const;
 
-  // This node's attempts of the last seconds; they fade with time.
-  RecentAttempts Recent(std::string_view backend, TimePoint now) const;
+  // The attempts of the last seconds of one origin; they fade with time.
+  RecentAttempts Recent(BackendKey backend, AttemptOrigin origin, TimePoint now) const;
 
-  // Back ends at which some attempt failed lately.
-  std::vector<std::string> FailingLately(TimePoint now) const;
+  // Back ends at which some attempt of this node failed lately.
+  std::vector<BackendKey> FailingLately(TimePoint now) const;
 
   // How many times longer than expected it takes, at least 1.
-  double Slowness(std::string_view backend) const;
+  double Slowness(BackendKey backend) const;
 
   // Mean pause between the events of one stream, in milliseconds.
-  void NotePause(std::string_view backend, double pause_ms);
+  void NotePause(BackendKey backend, double pause_ms);
 
   // A peer's measure of the same.
-  void NotePeerPause(std::string_view backend, double pause_ms);
+  void NotePeerPause(BackendKey backend, double pause_ms);
 
   // The least mean pause of its recent streams: its own pace, without what runs beside. 0: unknown.
-  double LeastPause(std::string_view backend) const;
+  double LeastPause(BackendKey backend) const;
 
   // The least of all back ends; 0: unknown.
   double FastestPause() const;
 
   // Forgets all back ends but those that `is_known` holds.
-  void ForgetUnless(const std::function<bool(const std::string& backend)>& is_known);
+  void ForgetUnless(const std::function<bool(BackendKey backend)>& is_known);
 
  private:
-  struct Record {
+  struct FadingAttempts {
     RecentAttempts recent;
+    TimePoint updated;
+  };
+
+  struct Record {
+    FadingAttempts own;
+    FadingAttempts of_peers;
     double slowness = 1;
     double least_pause_ms = 0;
     int consecutive_losses = 0;
-    TimePoint updated;
     TimePoint suspended_until;
   };
 
-  const Record* Find(std::string_view backend) const;
+  const Record* Find(BackendKey backend) const;
 
-  std::unordered_map<std::string, Record> records_;
+  std::unordered_map<BackendKey, Record> records_;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -63,9 +63,13 @@
 
   size_t Size() const { return backends_.size(); }
 
+  // Rises with every change: what was derived from the registry before is to be made anew.
+  int64_t Changes() const { return changes_; }
+
  private:
   std::map<std::string, Backend, std::less<>> backends_;
   std::unordered_map<BackendKey, std::string> ids_;
+  int64_t changes_ = 0;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -1,5 +1,6 @@
 // Chooses the back end of each request and keeps what that choice needs: the registry, the load of
-// this node and its peers, prefixes, health. One per node. Pure: time goes in with every call.
+// this node and its peers, prefixes, health. One per node. A coordinator's dispatcher also chooses
+// for other nodes' requests and follows them. Pure: time goes in with every call.
 #pragma once
 
 #include <cstdint>
@@ -13,25 +14,14 @@
 #include "cartsail/dispatch/backend_health.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/dispatch/load_ledger.h"
+#include "cartsail/dispatch/placement.h"
 #include "cartsail/dispatch/placement_policy.h"
 #include "cartsail/dispatch/prefix_directory.h"
 #include "cartsail/dispatch/request_profile.h"
+#include "cartsail/dispatch/service_pools.h"
 
 namespace cartsail {
 
-using PlacementTicket = uint64_t;
-
-struct Placement {
-  PlacementTicket ticket = 0;
-  Backend backend;
-  std::string fetch_prefix_from;  // address of an engine that holds more of the prompt; or empty
-  double cost_ms = 0;             // by which it was chosen
-  double first_output_ms = 0;     // expected time to the first output
-  int64_t held_tokens = 0;
-  int64_t candidates = 0;
-  BackendLoad load;  // at the back end before this request
-};
-
 // A part of a prompt placed at a back end.
 struct PrefixPlacement {
   uint64_t part = 0;
@@ -52,23 +42,47 @@
 
   BackendRegistry& Registry() { return registry_; }
   const BackendRegistry& Registry() const { return registry_; }
-  const BackendHealth& Health() const { return health_; }
 
   // A back end for the request, none of `tried`; nothing when no ready one is left. Every
   // placement is to be ended by Finish().
   std::optional<Placement> Place(const RequestProfile& profile,
                                  const std::vector<std::string>& tried, TimePoint now);
 
+  // The same for another node's request.
+  std::optional<Placement> PlaceFor(const Requester& requester, const RequestProfile& profile,
+                                    const std::vector<BackendKey>& tried, TimePoint now);
+
+  // This node's request, placed by `coordinator`. Nothing when the back end isn't ready as far as
+  // this node knows.
+  std::optional<Placement> Adopt(const std::string& coordinator, const PlacementGrant& grant,
+                                 const RequestProfile& profile, TimePoint now);
+
   // Some of the answer's body came; of a stream: an event.
   void Output(PlacementTicket ticket, TimePoint now);
 
   void Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now);
 
+  // Another node's request has ended, but how isn't known.
+  void Drop(PlacementTicket ticket);
+
+  // Mean pause between the events of the request's stream, in milliseconds; 0: too few to tell.
+  double MeanPauseMillis(PlacementTicket ticket) const;
+
+  // The mean pause that another node measured.
+  void NotePause(PlacementTicket ticket, double pause_ms);
+
   // The registry has changed: forgets what is kept of back ends that are gone.
   void ForgetGone();
 
+  // For all peers: this node's own requests, whoever placed them. Prefixes are told once.
   DispatchDigest TakeDigest(TimePoint now);
 
+  // The loads as `coordinator` is told them: without those that it placed and follows itself.
+  std::vector<BackendLoadEntry> LoadsFor(const std::string& coordinator, TimePoint now) const;
+
+  // The nodes that placed requests of this node that have not ended.
+  std::vector<std::string> Coordinators() const;
+
   // What `node` tells of its load holds for `lifetime`.
   void ApplyDigest(std::string_view node, const DispatchDigest& digest, Duration lifetime,
                    TimePoint now);
@@ -80,11 +94,12 @@
 
  private:
   struct Running {
-    std::string backend;
-    BackendKey key = 0;
+    BackendKey backend = 0;
     double reading_ms = 0;
     bool even_stream = false;
     bool is_generation = false;
+    AttemptOrigin origin = AttemptOrigin::kOwn;
+    std::string placed_by;  // empty: this node
     int64_t outputs = 0;
     TimePoint begun;
     TimePoint first_output;
@@ -100,32 +115,46 @@
     BackendLoad load;
   };
 
-  // What all candidates for one generation are weighed against.
-  struct GenerationView {
+  // A back end that the request may go to.
+  struct Candidate {
+    const Backend* backend = nullptr;
+    bool for_urgent = false;
+    int64_t held_tokens = 0;  // of the request's prompt
+  };
+
+  // What all candidates for one request are weighed against.
+  struct PlacementView {
+    std::string_view zone;  // of the node that asks
     bool patient = false;
-    std::vector<const Backend*> urgent_engines;
+    std::vector<Candidate> candidates;
     const Backend* holder = nullptr;  // holds most of the prompt
     int64_t holder_tokens = 0;
     const Backend* home = nullptr;  // which all nodes would choose for the prompt's subject
   };
 
-  GenerationView ViewGeneration(const RequestProfile& profile,
-                                const std::vector<const Backend*>& usable, TimePoint now);
-  Estimate EstimatePrompt(const RequestProfile& profile, const Backend& backend,
-                          const GenerationView& view, TimePoint now) const;
-  Estimate EstimateGeneration(const RequestProfile& profile, const Backend& backend,
-                              const GenerationView& view, TimePoint now) const;
-  Estimate EstimatePlain(const Backend& backend, TimePoint now) const;
+  PlacementView View(const RequestProfile& profile, const std::vector<BackendKey>& tried,
+                     TimePoint now);
+  void FindHolder(const RequestProfile& profile, const std::vector<PoolMember>& members,
+                  TimePoint now, PlacementView* view) const;
+  void FindHome(const RequestProfile& profile, PlacementView* view) const;
+  std::optional<Placement> Choose(const Requester& requester, const RequestProfile& profile,
+                                  const std::vector<BackendKey>& tried, TimePoint now);
+  Estimate EstimatePrompt(const RequestProfile& profile, const Candidate& candidate,
+                          const PlacementView& view) const;
+  Estimate EstimateGeneration(const RequestProfile& profile, const Candidate& candidate,
+                              const PlacementView& view, TimePoint now) const;
+  Estimate EstimatePlain(const Candidate& candidate, const PlacementView& view,
+                         TimePoint now) const;
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
   bool IsPatient(const RequestProfile& profile) const;
-  std::vector<const Backend*> UrgentEngines(const std::string& service, TimePoint now);
-  double FailureShareOf(const Backend& backend, const BackendLoad& load, TimePoint now) const;
+  double FailureShareOf(BackendKey backend, TimePoint now) const;
+  std::vector<BackendLoadEntry> OwnLoads(const std::string& without, TimePoint now) const;
   void AddFailing(std::vector<BackendLoadEntry>* loads, TimePoint now) const;
   double DisturbanceMillis(const BackendLoad& load, double reading_ms) const;
-  std::vector<const Backend*> Usable(const RequestProfile& profile,
-                                     const std::vector<std::string>& tried, TimePoint now) const;
-  Placement Begin(const RequestProfile& profile, const Backend& backend, const Estimate& estimate,
-                  TimePoint now);
+  void Begin(const RequestProfile& profile, AttemptOrigin origin, Placement* placement,
+             TimePoint now);
+  void NotePrefixes(const RequestProfile& profile, BackendKey backend, AttemptOrigin origin,
+                    TimePoint now);
 
   PlacementPolicy policy_;
   std::string zone_;
@@ -134,7 +163,7 @@
   LoadLedger loads_;
   PrefixDirectory prefixes_;
   ServiceWorkView work_;
-  std::unordered_map<std::string, UrgentEngineTarget> urgent_targets_;  // by service
+  ServicePools pools_;
   std::unordered_map<PlacementTicket, Running> running_;
   std::vector<PrefixPlacement> new_prefixes_;
   PlacementTicket next_ticket_ = 1;
--- a/libs/dispatch/include/cartsail/dispatch/load_ledger.h
+++ b/libs/dispatch/include/cartsail/dispatch/load_ledger.h
@@ -1,5 +1,5 @@
-// Work outstanding at each back end: this node's own, counted exactly, and that of its peers as
-// they last told it. Pure.
+// Work outstanding at each back end: what this node follows itself, counted exactly, and that of
+// its peers as they last told it. Pure.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +22,7 @@
   double failures = 0;       // of these, those that failed
 
   BackendLoad& operator+=(const BackendLoad& other);
+  BackendLoad& operator-=(const BackendLoad& other);
 };
 
 struct BackendLoadEntry {
@@ -39,23 +40,41 @@
   // Replaces all that `node` told before; forgotten at `until`.
   void SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads, TimePoint until);
 
+  // Forgets what peers told for a time that is over. To be called before Total().
+  void ExpirePeers(TimePoint now);
+
+  // Followed by this node.
   BackendLoad Own(BackendKey backend) const;
-  BackendLoad Total(BackendKey backend, TimePoint now) const;
 
-  // This node's own, without back ends that have nothing.
-  std::vector<BackendLoadEntry> OwnLoads() const;
+  // Of this node and its peers.
+  BackendLoad Total(BackendKey backend) const;
+
+  // What the peers told: of these only `attempts` and `failures` are of use.
+  BackendLoad OfPeers(BackendKey backend) const;
 
   // Peers heard within the lifetime.
   int64_t PeersHeard(TimePoint now) const;
 
  private:
+  using Loads = std::unordered_map<BackendKey, BackendLoad>;
+
   struct PeerLoads {
     TimePoint until;
-    std::unordered_map<BackendKey, BackendLoad> loads;
+    Loads loads;
   };
 
-  std::unordered_map<BackendKey, BackendLoad> own_;
+  // The sum of what peers told, kept as digests come and go.
+  struct PeerSum {
+    BackendLoad load;
+    int64_t peers = 0;  // that told of the back end
+  };
+
+  void Subtract(const Loads& loads);
+
+  Loads own_;
   std::unordered_map<std::string, PeerLoads> peers_;
+  std::unordered_map<BackendKey, PeerSum> peer_sums_;
+  TimePoint next_expiry_ = TimePoint::max();
 };
 
 }  // namespace cartsail
--- /dev/null
+++ b/libs/dispatch/include/cartsail/dispatch/placement.h
@@ -0,0 +1,49 @@
+// Where a request is placed, as the dispatcher chose it and as a coordinator tells it to the node
+// that asked. Pure.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "cartsail/dispatch/backend_registry.h"
+#include "cartsail/dispatch/load_ledger.h"
+
+namespace cartsail {
+
+using PlacementTicket = uint64_t;
+
+struct Placement {
+  PlacementTicket ticket = 0;
+  Backend backend;
+  std::string fetch_prefix_from;    // address of an engine that holds more of the prompt; or empty
+  BackendKey fetch_prefix_key = 0;  // the same engine; 0: none
+  std::string placed_by;            // the node that chose; empty: this one
+  double cost_ms = 0;               // by which it was chosen
+  double reading_ms = 0;            // expected time to read the prompt
+  double first_output_ms = 0;       // expected time to the first output
+  int64_t held_tokens = 0;
+  int64_t candidates = 0;
+  BackendLoad load;  // at the back end before this request
+};
+
+// The same in a message: back ends are named by their keys.
+struct PlacementGrant {
+  BackendKey backend = 0;
+  BackendKey fetch_prefix_from = 0;  // 0: none
+  double cost_ms = 0;
+  double reading_ms = 0;
+  double first_output_ms = 0;
+  int64_t held_tokens = 0;
+  int64_t candidates = 0;
+  int64_t load_requests = 0;  // at the back end before this request
+};
+
+// Who asks for a placement.
+struct Requester {
+  std::string node;  // empty: this node
+  std::string zone;
+};
+
+PlacementGrant GrantOf(const Placement& placement);
+
+}  // namespace cartsail
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -31,18 +31,20 @@
 
 }  // namespace
 
-const BackendHealth::Record* BackendHealth::Find(std::string_view backend) const {
-  const auto record = records_.find(std::string(backend));
+const BackendHealth::Record* BackendHealth::Find(BackendKey backend) const {
+  const auto record = records_.find(backend);
   return record == records_.end() ? nullptr : &record->second;
 }
 
-void BackendHealth::Note(std::string_view backend, AttemptOutcome outcome, TimePoint now) {
+void BackendHealth::Note(BackendKey backend, AttemptOutcome outcome, AttemptOrigin origin,
+                         TimePoint now) {
   if (outcome == AttemptOutcome::kCallerGone) return;
-  const RecentAttempts faded = Recent(backend, now);
-  Record& record = records_[std::string(backend)];
-  record.recent.attempts = faded.attempts + 1;
-  record.recent.failures = faded.failures + (CountsAsFailure(outcome) ? 1 : 0);
-  record.updated = now;
+  const RecentAttempts faded = Recent(backend, origin, now);
+  Record& record = records_[backend];
+  FadingAttempts& attempts = origin == AttemptOrigin::kOwn ? record.own : record.of_peers;
+  attempts.recent.attempts = faded.attempts + 1;
+  attempts.recent.failures = faded.failures + (CountsAsFailure(outcome) ? 1 : 0);
+  attempts.updated = now;
   if (!IsLoss(outcome)) {
     record.consecutive_losses = 0;
     return;
@@ -51,29 +53,33 @@
   record.suspended_until = now + SuspensionAfter(record.consecutive_losses);
 }
 
-void BackendHealth::NotePace(std::string_view backend, double ratio) {
-  Record& record = records_[std::string(backend)];
+void BackendHealth::NotePace(BackendKey backend, double ratio) {
+  Record& record = records_[backend];
   const double bounded = std::clamp(ratio, 0.2, kMostSlowness);
   record.slowness += kSlownessWeight * (bounded - record.slowness);
 }
 
-bool BackendHealth::IsSuspended(std::string_view backend, TimePoint now) const {
+bool BackendHealth::IsSuspended(BackendKey backend, TimePoint now) const {
   const Record* record = Find(backend);
   return record != nullptr && now < record->suspended_until;
 }
 
-RecentAttempts BackendHealth::Recent(std::string_view backend, TimePoint now) const {
+RecentAttempts BackendHealth::Recent(BackendKey backend, AttemptOrigin origin,
+                                     TimePoint now) const {
   const Record* record = Find(backend);
   if (record == nullptr) return {};
-  const double age = std::max(0.0, ToSeconds(now - record->updated));
+  const FadingAttempts& attempts = origin == AttemptOrigin::kOwn ? record->own : record->of_peers;
+  if (attempts.recent.attempts == 0) return {};
+  const double age = std::max(0.0, ToSeconds(now - attempts.updated));
   const double fading = std::exp(-age / ToSeconds(kFadeTime));
-  return {record->recent.attempts * fading, record->recent.failures * fading};
+  return {attempts.recent.attempts * fading, attempts.recent.failures * fading};
 }
 
-std::vector<std::string> BackendHealth::FailingLately(TimePoint now) const {
-  std::vector<std::string> failing;
+std::vector<BackendKey> BackendHealth::FailingLately(TimePoint now) const {
+  std::vector<BackendKey> failing;
   for (const auto& [backend, record] : records_) {
-    if (Recent(backend, now).failures >= kLeastFailures) failing.push_back(backend);
+    const RecentAttempts recent = Recent(backend, AttemptOrigin::kOwn, now);
+    if (recent.failures >= kLeastFailures) failing.push_back(backend);
   }
   return failing;
 }
@@ -82,23 +88,23 @@
   return recent.failures / (recent.attempts + kAssumedSuccesses);
 }
 
-double BackendHealth::Slowness(std::string_view backend) const {
+double BackendHealth::Slowness(BackendKey backend) const {
   const Record* record = Find(backend);
   return record == nullptr ? 1 : std::max(record->slowness, 1.0);
 }
 
-void BackendHealth::NotePause(std::string_view backend, double pause_ms) {
-  double& least = records_[std::string(backend)].least_pause_ms;
+void BackendHealth::NotePause(BackendKey backend, double pause_ms) {
+  double& least = records_[backend].least_pause_ms;
   const bool lower = least == 0 || pause_ms < least;
   least = lower ? pause_ms : least * kPauseRelaxation;
 }
 
-void BackendHealth::NotePeerPause(std::string_view backend, double pause_ms) {
-  double& least = records_[std::string(backend)].least_pause_ms;
+void BackendHealth::NotePeerPause(BackendKey backend, double pause_ms) {
+  double& least = records_[backend].least_pause_ms;
   if (pause_ms > 0 && (least == 0 || pause_ms < least)) least = pause_ms;
 }
 
-double BackendHealth::LeastPause(std::string_view backend) const {
+double BackendHealth::LeastPause(BackendKey backend) const {
   const Record* record = Find(backend);
   return record == nullptr ? 0 : record->least_pause_ms;
 }
@@ -112,7 +118,7 @@
   return fastest;
 }
 
-void BackendHealth::ForgetUnless(const std::function<bool(const std::string& backend)>& is_known) {
+void BackendHealth::ForgetUnless(const std::function<bool(BackendKey backend)>& is_known) {
   std::erase_if(records_, [&is_known](const auto& record) { return !is_known(record.first); });
 }
 
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -14,6 +14,7 @@
   std::map<std::string, Backend, std::less<>> before = std::move(backends_);
   backends_.clear();
   ids_.clear();
+  ++changes_;
   for (Backend& backend : backends) {
     const auto known = before.find(backend.id);
     if (known != before.end() && known->second.state == BackendState::kLeaving) {
@@ -32,6 +33,7 @@
   backend.key = KeyOf(backend.id);
   ids_[backend.key] = backend.id;
   entry = std::move(backend);
+  ++changes_;
 }
 
 void BackendRegistry::Remove(std::string_view id) {
@@ -39,11 +41,14 @@
   if (entry == backends_.end()) return;
   ids_.erase(entry->second.key);
   backends_.erase(entry);
+  ++changes_;
 }
 
 void BackendRegistry::MarkLeaving(std::string_view id) {
   const auto entry = backends_.find(id);
-  if (entry != backends_.end()) entry->second.state = BackendState::kLeaving;
+  if (entry == backends_.end() || entry->second.state == BackendState::kLeaving) return;
+  entry->second.state = BackendState::kLeaving;
+  ++changes_;
 }
 
 const Backend* BackendRegistry::Find(std::string_view id) const {
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -1,7 +1,7 @@
 #include "cartsail/dispatch/dispatcher.h"
 
 #include <algorithm>
-#include <limits>
+#include <set>
 
 #include "cartsail/base/hash.h"
 
@@ -10,39 +10,15 @@
 
 constexpr Duration kWorkWindow = seconds(5);
 constexpr size_t kMostDigestPrefixes = 64;
-// An engine whose events follow each other that much slower than the fastest one's is kept for
-// patient requests.
-constexpr double kSlowEngineRatio = 1.15;
 constexpr double kFullSlots = 0.9;  // share of its slots from which an engine counts as full
 constexpr int64_t kLeastEventsForPause = 12;  // of a stream whose pace is measured
 // A prompt that nobody holds goes to the engine that all nodes would choose for it, unless another
 // one is better by this much.
 constexpr double kHomeBonusMs = 60;
+constexpr double kSendingMs = 20;  // from the choice to the first output beside reading the prompt
 
-bool WasTried(const std::vector<std::string>& tried, const std::string& id) {
-  return std::find(tried.begin(), tried.end(), id) != tried.end();
-}
-
-bool Contains(const std::vector<const Backend*>& backends, const Backend* backend) {
-  return std::find(backends.begin(), backends.end(), backend) != backends.end();
-}
-
-// The engines of a service in an order that all nodes agree on; the first ones serve urgent
-// requests.
-std::vector<const Backend*> InShareOrder(std::vector<const Backend*> backends,
-                                         const BackendHealth& health) {
-  const double fastest = health.FastestPause();
-  const auto is_slow = [&health, fastest](const Backend* backend) {
-    return health.LeastPause(backend->id) > fastest * kSlowEngineRatio;
-  };
-  std::sort(backends.begin(), backends.end(),
-            [&is_slow](const Backend* left, const Backend* right) {
-              const bool left_slow = is_slow(left);
-              const bool right_slow = is_slow(right);
-              if (left_slow != right_slow) return right_slow;
-              return Hash64(left->id) < Hash64(right->id);
-            });
-  return backends;
+bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
 // The part that names what a prompt is about: the last one that other requests share.
@@ -60,7 +36,8 @@
     : policy_(policy),
       zone_(std::move(zone)),
       prefixes_(policy.prefix_lifetime),
-      work_(kWorkWindow) {}
+      work_(kWorkWindow),
+      pools_(policy.partition) {}
 
 bool Dispatcher::IsPatient(const RequestProfile& profile) const {
   return profile.first_output_goal >= policy_.patient_goal;
@@ -72,36 +49,14 @@
   return unread / policy_.read_tokens_per_ms + policy_.attention_ms_per_million * pairs / 1e6;
 }
 
-std::vector<const Backend*> Dispatcher::Usable(const RequestProfile& profile,
-                                               const std::vector<std::string>& tried,
-                                               TimePoint now) const {
-  std::vector<const Backend*> usable;
-  std::vector<const Backend*> suspended;
-  for (const Backend* backend : registry_.ReadyOf(profile.service)) {
-    if (WasTried(tried, backend->id)) continue;
-    (health_.IsSuspended(backend->id, now) ? suspended : usable).push_back(backend);
-  }
-  return usable.empty() ? suspended : usable;
-}
-
-Dispatcher::Estimate Dispatcher::EstimatePlain(const Backend& backend, TimePoint now) const {
-  Estimate estimate;
-  estimate.load = loads_.Total(backend.key, now);
-  const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
-  const double busy = static_cast<double>(estimate.load.requests) / slots;
-  estimate.cost_ms = policy_.plain_request_ms * (1 + busy) * health_.Slowness(backend.id);
-  if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
-  estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend, estimate.load, now);
-  return estimate;
-}
-
-// Of this node's attempts and those of its peers: `load` has the peers' only.
-double Dispatcher::FailureShareOf(const Backend& backend, const BackendLoad& load,
-                                  TimePoint now) const {
-  RecentAttempts recent = health_.Recent(backend.id, now);
-  recent.attempts += load.attempts;
-  recent.failures += load.failures;
-  return FailureShare(recent);
+// Peers' attempts are told in digests; a coordinator has followed them itself.
+double Dispatcher::FailureShareOf(BackendKey backend, TimePoint now) const {
+  const RecentAttempts own = health_.Recent(backend, AttemptOrigin::kOwn, now);
+  const RecentAttempts followed = health_.Recent(backend, AttemptOrigin::kPeer, now);
+  const BackendLoad told = loads_.OfPeers(backend);
+  const RecentAttempts of_peers =
+      followed.attempts > told.attempts ? followed : RecentAttempts{told.attempts, told.failures};
+  return FailureShare({own.attempts + of_peers.attempts, own.failures + of_peers.failures});
 }
 
 double Dispatcher::DisturbanceMillis(const BackendLoad& load, double reading_ms) const {
@@ -110,37 +65,74 @@
   return static_cast<double>(streams) * policy_.disturbed_stream_ms;
 }
 
-Dispatcher::GenerationView Dispatcher::ViewGeneration(const RequestProfile& profile,
-                                                      const std::vector<const Backend*>& usable,
-                                                      TimePoint now) {
-  GenerationView view;
+Dispatcher::PlacementView Dispatcher::View(const RequestProfile& profile,
+                                           const std::vector<BackendKey>& tried, TimePoint now) {
+  loads_.ExpirePeers(now);
+  const ServicePools::Inputs inputs{registry_, health_, loads_, work_};
+  const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now);
+  PlacementView view;
   view.patient = IsPatient(profile);
-  view.urgent_engines = UrgentEngines(profile.service, now);
-  for (const Backend* backend : registry_.ReadyOf(profile.service)) {
-    const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, backend->key, now);
-    if (held <= view.holder_tokens || health_.IsSuspended(backend->id, now)) continue;
-    view.holder = backend;
-    view.holder_tokens = held;
+  std::vector<Candidate> suspended;
+  for (const PoolMember& member : members) {
+    const BackendKey key = member.backend->key;
+    if (Contains(tried, key)) continue;
+    const Candidate candidate{member.backend, member.for_urgent, 0};
+    (health_.IsSuspended(key, now) ? suspended : view.candidates).push_back(candidate);
+  }
+  if (view.candidates.empty()) view.candidates = std::move(suspended);
+  if (!profile.is_generation) return view;
+  for (Candidate& candidate : view.candidates) {
+    candidate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, candidate.backend->key, now);
+  }
+  FindHolder(profile, members, now, &view);
+  FindHome(profile, &view);
+  return view;
+}
+
+// Also engines that were tried may hand their memory over.
+void Dispatcher::FindHolder(const RequestProfile& profile, const std::vector<PoolMember>& members,
+                            TimePoint now, PlacementView* view) const {
+  for (const PoolMember& member : members) {
+    const BackendKey key = member.backend->key;
+    const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, key, now);
+    if (held <= view->holder_tokens || health_.IsSuspended(key, now)) continue;
+    view->holder = member.backend;
+    view->holder_tokens = held;
   }
+}
+
+void Dispatcher::FindHome(const RequestProfile& profile, PlacementView* view) const {
   const uint64_t subject = SubjectOf(profile);
   uint64_t best_score = 0;
-  for (const Backend* backend : usable) {
-    if (Contains(view.urgent_engines, backend) == view.patient) continue;
-    const uint64_t score = HomeScore(subject, *backend);
-    if (view.home != nullptr && score <= best_score) continue;
-    view.home = backend;
+  for (const Candidate& candidate : view->candidates) {
+    if (candidate.for_urgent == view->patient) continue;
+    const uint64_t score = HomeScore(subject, *candidate.backend);
+    if (view->home != nullptr && score <= best_score) continue;
+    view->home = candidate.backend;
     best_score = score;
   }
-  return view;
 }
 
-// What the prompt costs at `backend`: the time to read what no engine hands over, and the price of
-// what is moved or read again.
+Dispatcher::Estimate Dispatcher::EstimatePlain(const Candidate& candidate,
+                                               const PlacementView& view, TimePoint now) const {
+  const Backend& backend = *candidate.backend;
+  Estimate estimate;
+  estimate.load = loads_.Total(backend.key);
+  const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
+  const double busy = static_cast<double>(estimate.load.requests) / slots;
+  estimate.cost_ms = policy_.plain_request_ms * (1 + busy) * health_.Slowness(backend.key);
+  if (backend.zone != view.zone) estimate.cost_ms += policy_.other_zone_ms;
+  estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend.key, now);
+  return estimate;
+}
+
+// What the prompt costs at the candidate: the time to read what no engine hands over, and the
+// price of what is moved or read again.
 Dispatcher::Estimate Dispatcher::EstimatePrompt(const RequestProfile& profile,
-                                                const Backend& backend, const GenerationView& view,
-                                                TimePoint now) const {
+                                                const Candidate& candidate,
+                                                const PlacementView& view) const {
   Estimate estimate;
-  estimate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, backend.key, now);
+  estimate.held_tokens = candidate.held_tokens;
   int64_t held = estimate.held_tokens;
   const int64_t missing = view.holder_tokens - held;
   if (missing > 0) {
@@ -159,100 +151,134 @@
 }
 
 Dispatcher::Estimate Dispatcher::EstimateGeneration(const RequestProfile& profile,
-                                                    const Backend& backend,
-                                                    const GenerationView& view,
+                                                    const Candidate& candidate,
+                                                    const PlacementView& view,
                                                     TimePoint now) const {
-  Estimate estimate = EstimatePrompt(profile, backend, view, now);
-  estimate.load = loads_.Total(backend.key, now);
+  const Backend& backend = *candidate.backend;
+  Estimate estimate = EstimatePrompt(profile, candidate, view);
+  estimate.load = loads_.Total(backend.key);
   const auto running = static_cast<double>(estimate.load.requests);
   const auto slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
   const double over = std::max(0.0, running - slots * kFullSlots);
   const double time_ms = estimate.load.reading_ms + estimate.reading_ms +
                          running * policy_.stream_cost_ms + over * policy_.over_full_ms;
-  estimate.cost_ms += time_ms * health_.Slowness(backend.id);
+  estimate.cost_ms += time_ms * health_.Slowness(backend.key);
   estimate.cost_ms += DisturbanceMillis(estimate.load, estimate.reading_ms);
-  const bool for_urgent = Contains(view.urgent_engines, &backend);
-  if (view.patient && for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
-  if (!view.patient && !for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
-  if (backend.zone != zone_) estimate.cost_ms += policy_.other_zone_ms;
-  estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend, estimate.load, now);
+  if (view.patient && candidate.for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
+  if (!view.patient && !candidate.for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
+  if (backend.zone != view.zone) estimate.cost_ms += policy_.other_zone_ms;
+  estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend.key, now);
   if (&backend == view.home) estimate.cost_ms -= kHomeBonusMs;
   return estimate;
 }
 
-std::vector<const Backend*> Dispatcher::UrgentEngines(const std::string& service, TimePoint now) {
-  std::vector<const Backend*> engines = InShareOrder(registry_.ReadyOf(service), health_);
-  const ServiceWork rates = work_.Total(service, now);
-  EngineWork work;
-  work.urgent_ms_per_s = rates.urgent_ms_per_s;
-  work.patient_ms_per_s = rates.patient_ms_per_s;
-  for (const Backend* engine : engines) {
-    const BackendLoad load = loads_.Total(engine->key, now);
-    work.urgent_streams += static_cast<double>(load.even_streams);
-    work.patient_streams += static_cast<double>(load.requests - load.even_streams);
-    work.slots = std::max(work.slots, static_cast<double>(engine->slots));
-  }
-  const auto total = static_cast<int64_t>(engines.size());
-  const double wanted = WantedUrgentEngines(policy_.partition, work, total);
-  const int64_t count = urgent_targets_[service].Update(wanted, total);
-  engines.resize(static_cast<size_t>(count));
-  return engines;
-}
-
-std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
-                                           const std::vector<std::string>& tried, TimePoint now) {
-  const std::vector<const Backend*> usable = Usable(profile, tried, now);
-  if (usable.empty()) return std::nullopt;
+std::optional<Placement> Dispatcher::Choose(const Requester& requester,
+                                            const RequestProfile& profile,
+                                            const std::vector<BackendKey>& tried, TimePoint now) {
+  PlacementView view = View(profile, tried, now);
+  if (view.candidates.empty()) return std::nullopt;
+  view.zone = requester.zone;
 
-  GenerationView view;
-  if (profile.is_generation) view = ViewGeneration(profile, usable, now);
   const Backend* best = nullptr;
   Estimate best_estimate;
-  for (const Backend* backend : usable) {
+  for (const Candidate& candidate : view.candidates) {
     const Estimate estimate = profile.is_generation
-                                  ? EstimateGeneration(profile, *backend, view, now)
-                                  : EstimatePlain(*backend, now);
+                                  ? EstimateGeneration(profile, candidate, view, now)
+                                  : EstimatePlain(candidate, view, now);
     if (best != nullptr && estimate.cost_ms >= best_estimate.cost_ms) continue;
-    best = backend;
+    best = candidate.backend;
     best_estimate = estimate;
   }
-  Placement placement = Begin(profile, *best, best_estimate, now);
-  placement.candidates = static_cast<int64_t>(usable.size());
+  Placement placement;
+  placement.backend = *best;
+  if (best_estimate.fetch_from != nullptr) {
+    placement.fetch_prefix_from = best_estimate.fetch_from->address;
+    placement.fetch_prefix_key = best_estimate.fetch_from->key;
+  }
+  placement.cost_ms = best_estimate.cost_ms;
+  placement.reading_ms = best_estimate.reading_ms;
+  placement.first_output_ms =
+      profile.is_generation ? best_estimate.load.reading_ms + best_estimate.reading_ms + kSendingMs
+                            : policy_.plain_request_ms;
+  placement.held_tokens = best_estimate.held_tokens;
+  placement.load = best_estimate.load;
+  placement.candidates = static_cast<int64_t>(view.candidates.size());
+  return placement;
+}
+
+std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
+                                           const std::vector<std::string>& tried, TimePoint now) {
+  std::vector<BackendKey> keys;
+  keys.reserve(tried.size());
+  for (const std::string& id : tried) keys.push_back(KeyOf(id));
+  std::optional<Placement> placement = Choose({"", zone_}, profile, keys, now);
+  if (placement.has_value()) Begin(profile, AttemptOrigin::kOwn, &*placement, now);
   return placement;
 }
 
-Placement Dispatcher::Begin(const RequestProfile& profile, const Backend& backend,
-                            const Estimate& estimate, TimePoint now) {
+std::optional<Placement> Dispatcher::PlaceFor(const Requester& requester,
+                                              const RequestProfile& profile,
+                                              const std::vector<BackendKey>& tried, TimePoint now) {
+  std::optional<Placement> placement = Choose(requester, profile, tried, now);
+  if (placement.has_value()) Begin(profile, AttemptOrigin::kPeer, &*placement, now);
+  return placement;
+}
+
+std::optional<Placement> Dispatcher::Adopt(const std::string& coordinator,
+                                           const PlacementGrant& grant,
+                                           const RequestProfile& profile, TimePoint now) {
+  const Backend* backend = registry_.FindByKey(grant.backend);
+  if (backend == nullptr || backend->state != BackendState::kReady) return std::nullopt;
+  if (backend->service != profile.service) return std::nullopt;
   Placement placement;
-  placement.ticket = next_ticket_++;
-  placement.backend = backend;
-  if (estimate.fetch_from != nullptr) placement.fetch_prefix_from = estimate.fetch_from->address;
-  placement.cost_ms = estimate.cost_ms;
-  placement.held_tokens = estimate.held_tokens;
-  placement.load = estimate.load;
+  placement.backend = *backend;
+  placement.placed_by = coordinator;
+  const Backend* holder = registry_.FindByKey(grant.fetch_prefix_from);
+  if (holder != nullptr) {
+    placement.fetch_prefix_from = holder->address;
+    placement.fetch_prefix_key = holder->key;
+  }
+  placement.cost_ms = grant.cost_ms;
+  placement.reading_ms = grant.reading_ms;
+  placement.first_output_ms = grant.first_output_ms;
+  placement.held_tokens = grant.held_tokens;
+  placement.candidates = grant.candidates;
+  placement.load.requests = grant.load_requests;
+  Begin(profile, AttemptOrigin::kOwn, &placement, now);
+  return placement;
+}
 
+void Dispatcher::Begin(const RequestProfile& profile, AttemptOrigin origin, Placement* placement,
+                       TimePoint now) {
+  placement->ticket = next_ticket_++;
   Running running;
-  running.backend = backend.id;
-  running.key = backend.key;
-  running.reading_ms = estimate.reading_ms;
+  running.backend = placement->backend.key;
+  running.reading_ms = placement->reading_ms;
   running.even_stream = profile.is_generation && !IsPatient(profile);
   running.is_generation = profile.is_generation;
+  running.origin = origin;
+  running.placed_by = placement->placed_by;
   running.begun = now;
-  running.expected_ms = profile.is_generation ? estimate.load.reading_ms + estimate.reading_ms + 20
-                                              : policy_.plain_request_ms;
-  loads_.Begin(backend.key, running.reading_ms, running.even_stream);
-  if (profile.is_generation) {
+  running.expected_ms = placement->first_output_ms;
+  loads_.Begin(running.backend, running.reading_ms, running.even_stream);
+  // Peers tell of their own work in digests.
+  if (profile.is_generation && origin == AttemptOrigin::kOwn) {
     work_.Note(profile.service, running.even_stream, running.reading_ms, now);
   }
-  placement.first_output_ms = running.expected_ms;
-  running_[placement.ticket] = running;
+  NotePrefixes(profile, running.backend, origin, now);
+  running_[placement->ticket] = std::move(running);
+}
 
+void Dispatcher::NotePrefixes(const RequestProfile& profile, BackendKey backend,
+                              AttemptOrigin origin, TimePoint now) {
+  // The last part is the request's own.
   for (size_t i = 0; i + 1 < profile.prompt_parts.size(); ++i) {
     const uint64_t part = profile.prompt_parts[i].id;
-    prefixes_.Note(part, backend.key, now);
-    if (new_prefixes_.size() < kMostDigestPrefixes) new_prefixes_.push_back({part, backend.key});
+    prefixes_.Note(part, backend, now);
+    const bool is_told =
+        origin == AttemptOrigin::kOwn && new_prefixes_.size() < kMostDigestPrefixes;
+    if (is_told) new_prefixes_.push_back({part, backend});
   }
-  return placement;
 }
 
 void Dispatcher::Output(PlacementTicket ticket, TimePoint now) {
@@ -262,37 +288,57 @@
   running.last_output = now;
   if (running.outputs++ > 0) return;
   running.first_output = now;
-  loads_.FirstOutput(running.key, running.reading_ms);
+  loads_.FirstOutput(running.backend, running.reading_ms);
   health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
 }
 
-void Dispatcher::Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now) {
+double Dispatcher::MeanPauseMillis(PlacementTicket ticket) const {
+  const auto entry = running_.find(ticket);
+  if (entry == running_.end()) return 0;
+  const Running& running = entry->second;
+  if (!running.is_generation || running.outputs < kLeastEventsForPause) return 0;
+  const double span_ms = ToMillis(running.last_output - running.first_output);
+  return span_ms / static_cast<double>(running.outputs - 1);
+}
+
+void Dispatcher::NotePause(PlacementTicket ticket, double pause_ms) {
+  const auto entry = running_.find(ticket);
+  if (entry != running_.end() && pause_ms > 0) health_.NotePause(entry->second.backend, pause_ms);
+}
+
+void Dispatcher::Drop(PlacementTicket ticket) {
   const auto entry = running_.find(ticket);
   if (entry == running_.end()) return;
-  const Running running = entry->second;
+  const Running& running = entry->second;
+  if (running.outputs == 0) loads_.FirstOutput(running.backend, running.reading_ms);
+  loads_.End(running.backend, running.even_stream);
   running_.erase(entry);
-  if (running.outputs == 0) loads_.FirstOutput(running.key, running.reading_ms);
-  loads_.End(running.key, running.even_stream);
-  if (registry_.Find(running.backend) == nullptr) return;
-  health_.Note(running.backend, outcome, now);
-  if (running.is_generation && running.outputs >= kLeastEventsForPause) {
-    const double span_ms = ToMillis(running.last_output - running.first_output);
-    health_.NotePause(running.backend, span_ms / static_cast<double>(running.outputs - 1));
-  }
-  if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(running.backend);
+}
+
+void Dispatcher::Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now) {
+  const auto entry = running_.find(ticket);
+  if (entry == running_.end()) return;
+  NotePause(ticket, MeanPauseMillis(ticket));
+  const BackendKey backend = entry->second.backend;
+  const AttemptOrigin origin = entry->second.origin;
+  Drop(ticket);
+  const Backend* known = registry_.FindByKey(backend);
+  if (known == nullptr) return;
+  health_.Note(backend, outcome, origin, now);
+  if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(known->id);
 }
 
 void Dispatcher::ForgetGone() {
   for (const BackendKey backend : prefixes_.Backends()) {
     if (registry_.FindByKey(backend) == nullptr) prefixes_.Forget(backend);
   }
-  health_.ForgetUnless([this](const std::string& id) { return registry_.Find(id) != nullptr; });
+  health_.ForgetUnless(
+      [this](BackendKey backend) { return registry_.FindByKey(backend) != nullptr; });
 }
 
 // Back ends without requests of this node are told of when they failed lately.
 void Dispatcher::AddFailing(std::vector<BackendLoadEntry>* loads, TimePoint now) const {
-  for (const std::string& id : health_.FailingLately(now)) {
-    const BackendKey key = KeyOf(id);
+  for (const BackendKey key : health_.FailingLately(now)) {
     const auto is_there = [key](const BackendLoadEntry& entry) { return entry.backend == key; };
     if (std::any_of(loads->begin(), loads->end(), is_there)) continue;
     BackendLoadEntry entry;
@@ -301,18 +347,46 @@
   }
 }
 
-DispatchDigest Dispatcher::TakeDigest(TimePoint now) {
-  DispatchDigest digest;
-  digest.loads = loads_.OwnLoads();
-  AddFailing(&digest.loads, now);
-  for (BackendLoadEntry& entry : digest.loads) {
-    const Backend* backend = registry_.FindByKey(entry.backend);
-    if (backend == nullptr) continue;
-    entry.least_pause_ms = health_.LeastPause(backend->id);
-    const RecentAttempts recent = health_.Recent(backend->id, now);
+std::vector<BackendLoadEntry> Dispatcher::OwnLoads(const std::string& without,
+                                                   TimePoint now) const {
+  std::unordered_map<BackendKey, BackendLoad> sums;
+  for (const auto& [ticket, running] : running_) {
+    if (running.origin != AttemptOrigin::kOwn) continue;
+    if (!without.empty() && running.placed_by == without) continue;
+    BackendLoad& sum = sums[running.backend];
+    ++sum.requests;
+    sum.even_streams += running.even_stream ? 1 : 0;
+    sum.reading_ms += running.outputs == 0 ? running.reading_ms : 0;
+  }
+  std::vector<BackendLoadEntry> loads;
+  loads.reserve(sums.size());
+  for (const auto& [backend, load] : sums) loads.push_back({backend, load, 0});
+  AddFailing(&loads, now);
+  for (BackendLoadEntry& entry : loads) {
+    entry.least_pause_ms = health_.LeastPause(entry.backend);
+    const RecentAttempts recent = health_.Recent(entry.backend, AttemptOrigin::kOwn, now);
     entry.load.attempts = recent.attempts;
     entry.load.failures = recent.failures;
   }
+  return loads;
+}
+
+std::vector<BackendLoadEntry> Dispatcher::LoadsFor(const std::string& coordinator,
+                                                   TimePoint now) const {
+  return OwnLoads(coordinator, now);
+}
+
+std::vector<std::string> Dispatcher::Coordinators() const {
+  std::set<std::string> coordinators;
+  for (const auto& [ticket, running] : running_) {
+    if (!running.placed_by.empty()) coordinators.insert(running.placed_by);
+  }
+  return {coordinators.begin(), coordinators.end()};
+}
+
+DispatchDigest Dispatcher::TakeDigest(TimePoint now) {
+  DispatchDigest digest;
+  digest.loads = OwnLoads({}, now);
   digest.prefixes = std::move(new_prefixes_);
   new_prefixes_.clear();
   digest.leaving = registry_.Leaving();
@@ -325,8 +399,8 @@
   loads_.SetPeer(node, digest.loads, now + lifetime);
   work_.SetPeer(node, digest.work, now + lifetime);
   for (const BackendLoadEntry& entry : digest.loads) {
-    const Backend* backend = registry_.FindByKey(entry.backend);
-    if (backend != nullptr) health_.NotePeerPause(backend->id, entry.least_pause_ms);
+    if (registry_.FindByKey(entry.backend) == nullptr) continue;
+    health_.NotePeerPause(entry.backend, entry.least_pause_ms);
   }
   for (const PrefixPlacement& placed : digest.prefixes) {
     if (registry_.FindByKey(placed.backend) == nullptr) continue;
--- a/libs/dispatch/src/load_ledger.cc
+++ b/libs/dispatch/src/load_ledger.cc
@@ -13,6 +13,15 @@
   return *this;
 }
 
+BackendLoad& BackendLoad::operator-=(const BackendLoad& other) {
+  reading_ms = std::max(0.0, reading_ms - other.reading_ms);
+  requests -= other.requests;
+  even_streams -= other.even_streams;
+  attempts = std::max(0.0, attempts - other.attempts);
+  failures = std::max(0.0, failures - other.failures);
+  return *this;
+}
+
 void LoadLedger::Begin(BackendKey backend, double reading_ms, bool even_stream) {
   BackendLoad& load = own_[backend];
   load.reading_ms += reading_ms;
@@ -33,12 +42,42 @@
   if (load->second.requests <= 0) own_.erase(load);
 }
 
+void LoadLedger::Subtract(const Loads& loads) {
+  for (const auto& [backend, load] : loads) {
+    const auto sum = peer_sums_.find(backend);
+    if (sum == peer_sums_.end()) continue;
+    sum->second.load -= load;
+    if (--sum->second.peers == 0) peer_sums_.erase(sum);
+  }
+}
+
 void LoadLedger::SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads,
                          TimePoint until) {
   PeerLoads& peer = peers_[std::string(node)];
+  Subtract(peer.loads);
   peer.until = until;
   peer.loads.clear();
   for (const BackendLoadEntry& entry : loads) peer.loads[entry.backend] = entry.load;
+  for (const auto& [backend, load] : peer.loads) {
+    PeerSum& sum = peer_sums_[backend];
+    sum.load += load;
+    ++sum.peers;
+  }
+  next_expiry_ = std::min(next_expiry_, until);
+}
+
+void LoadLedger::ExpirePeers(TimePoint now) {
+  if (now <= next_expiry_) return;
+  next_expiry_ = TimePoint::max();
+  for (auto& [node, peer] : peers_) {
+    if (now > peer.until) {
+      Subtract(peer.loads);
+      peer.loads.clear();
+    } else {
+      next_expiry_ = std::min(next_expiry_, peer.until);
+    }
+  }
+  std::erase_if(peers_, [now](const auto& peer) { return now > peer.second.until; });
 }
 
 BackendLoad LoadLedger::Own(BackendKey backend) const {
@@ -46,21 +85,15 @@
   return load == own_.end() ? BackendLoad{} : load->second;
 }
 
-BackendLoad LoadLedger::Total(BackendKey backend, TimePoint now) const {
-  BackendLoad total = Own(backend);
-  for (const auto& [node, peer] : peers_) {
-    if (now > peer.until) continue;
-    const auto load = peer.loads.find(backend);
-    if (load != peer.loads.end()) total += load->second;
-  }
-  return total;
+BackendLoad LoadLedger::OfPeers(BackendKey backend) const {
+  const auto sum = peer_sums_.find(backend);
+  return sum == peer_sums_.end() ? BackendLoad{} : sum->second.load;
 }
 
-std::vector<BackendLoadEntry> LoadLedger::OwnLoads() const {
-  std::vector<BackendLoadEntry> loads;
-  loads.reserve(own_.size());
-  for (const auto& [backend, load] : own_) loads.push_back({backend, load, 0});
-  return loads;
+BackendLoad LoadLedger::Total(BackendKey backend) const {
+  BackendLoad total = Own(backend);
+  total += OfPeers(backend);
+  return total;
 }
 
 int64_t LoadLedger::PeersHeard(TimePoint now) const {
