--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -53,6 +53,11 @@
   X(backend_refusals_total, counter, "Requests that a back end said it did not run")         \
   X(backends_known, gauge, "Back ends in the catalog, leaving ones included")                \
   X(catalog_fetches_total, counter, "Catalogs fetched from other nodes")                     \
+  X(placements_asked_total, counter, "Requests placed by the coordinator of their service")  \
+  X(placements_own_total, counter, "Requests that this node placed itself")                  \
+  X(placements_for_peers_total, counter, "Requests of other nodes that this node placed")    \
+  X(requests_followed, gauge, "Running requests of other nodes that this node placed")       \
+  X(coordinator_losses_total, counter, "Times a coordinator did not answer")                 \
   X(catalog_reader, gauge, "1 if this node reads the store for its zone")                    \
   X(config_age_milliseconds, gauge, "Time since the store last confirmed the configuration") \
   X(log_lines_total, counter, "Log lines written")                                           \
--- a/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
+++ b/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
@@ -21,6 +21,8 @@
   kCallerGone,
 };
 
+inline constexpr int kAttemptOutcomes = 10;  // the number of them
+
 std::string_view AttemptOutcomeName(AttemptOutcome outcome);
 
 // True when the back end provably did not run the request.
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -77,6 +77,9 @@
   // For all peers: this node's own requests, whoever placed them. Prefixes are told once.
   DispatchDigest TakeDigest(TimePoint now);
 
+  // Prefixes that only one peer was told of: the next digest names them again.
+  void TellAgain(const std::vector<PrefixPlacement>& prefixes);
+
   // The loads as `coordinator` is told them: without those that it placed and follows itself.
   std::vector<BackendLoadEntry> LoadsFor(const std::string& coordinator, TimePoint now) const;
 
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -394,6 +394,10 @@
   return digest;
 }
 
+void Dispatcher::TellAgain(const std::vector<PrefixPlacement>& prefixes) {
+  new_prefixes_.insert(new_prefixes_.end(), prefixes.begin(), prefixes.end());
+}
+
 void Dispatcher::ApplyDigest(std::string_view node, const DispatchDigest& digest, Duration lifetime,
                              TimePoint now) {
   loads_.SetPeer(node, digest.loads, now + lifetime);
--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -14,6 +14,7 @@
 struct RelayOptions {
   std::string node_id;
   std::string zone;
+  double capacity = 1;             // share of a core that this node may use
   Endpoint listen;                 // callers
   Endpoint ready;                  // the balancer's readiness checks, and metrics
   Endpoint metrics;                // metrics; port 0: at `ready` only
--- /dev/null
+++ b/libs/relay/src/datagram.cc
@@ -0,0 +1,144 @@
+#include "datagram.h"
+
+#include "capnp_bytes.h"
+#include "digest_codec.h"
+#include "wire_number.h"
+
+namespace cartsail {
+namespace {
+
+constexpr double kPauseUnitMs = 0.01;
+
+void Encode(const NodeDigest& digest, wire::Datagram::Builder root) {
+  EncodeDigest(digest, root.initDigest());
+}
+
+void Encode(const PlacementQuestion& question, wire::Datagram::Builder root) {
+  const RequestProfile& profile = question.profile;
+  auto message = root.initQuestion();
+  message.setId(question.id);
+  message.setService(profile.service);
+  message.setGeneration(profile.is_generation);
+  message.setGoalMs(BoundedTo<uint32_t>(ToMillis(profile.first_output_goal)));
+  message.setPromptTokens(BoundedTo<uint32_t>(static_cast<double>(profile.prompt_tokens)));
+  message.setOutputTokens(BoundedTo<uint32_t>(static_cast<double>(profile.output_tokens)));
+  message.setBytesPerToken(BoundedTo<uint32_t>(static_cast<double>(profile.bytes_per_token)));
+  auto parts = message.initParts(static_cast<unsigned>(profile.prompt_parts.size()));
+  for (unsigned i = 0; i < parts.size(); ++i) {
+    parts[i].setId(profile.prompt_parts[i].id);
+    parts[i].setTokens(BoundedTo<uint32_t>(static_cast<double>(profile.prompt_parts[i].tokens)));
+  }
+  auto tried = message.initTried(static_cast<unsigned>(question.tried.size()));
+  for (unsigned i = 0; i < tried.size(); ++i) tried.set(i, question.tried[i]);
+}
+
+void Encode(const PlacementAnswer& answer, wire::Datagram::Builder root) {
+  auto message = root.initAnswer();
+  message.setId(answer.id);
+  message.setPlaced(answer.grant.has_value());
+  if (!answer.grant.has_value()) return;
+  const PlacementGrant& grant = *answer.grant;
+  message.setBackend(grant.backend);
+  message.setFetchFrom(grant.fetch_prefix_from);
+  message.setCostMs(static_cast<float>(grant.cost_ms));
+  message.setReadingMs(static_cast<float>(grant.reading_ms));
+  message.setFirstOutputMs(static_cast<float>(grant.first_output_ms));
+  message.setHeldTokens(BoundedTo<uint32_t>(static_cast<double>(grant.held_tokens)));
+  message.setCandidates(BoundedTo<uint16_t>(static_cast<double>(grant.candidates)));
+  message.setLoadRequests(BoundedTo<uint16_t>(static_cast<double>(grant.load_requests)));
+}
+
+void Encode(const ProgressReport& report, wire::Datagram::Builder root) {
+  auto entries = root.initProgress(static_cast<unsigned>(report.entries.size()));
+  for (unsigned i = 0; i < entries.size(); ++i) {
+    const RequestProgress& progress = report.entries[i];
+    entries[i].setId(progress.id);
+    entries[i].setEnded(progress.ended);
+    entries[i].setOutcomeKnown(progress.outcome.has_value());
+    if (progress.outcome.has_value()) {
+      entries[i].setOutcome(static_cast<uint8_t>(*progress.outcome));
+    }
+    entries[i].setMeanPause(BoundedTo<uint16_t>(progress.mean_pause_ms / kPauseUnitMs));
+  }
+}
+
+PlacementQuestion DecodeQuestion(wire::PlacementQuestion::Reader message) {
+  PlacementQuestion question;
+  question.id = message.getId();
+  RequestProfile& profile = question.profile;
+  profile.service = TextOf(message.getService());
+  profile.is_generation = message.getGeneration();
+  profile.first_output_goal = milliseconds(message.getGoalMs());
+  profile.prompt_tokens = message.getPromptTokens();
+  profile.output_tokens = message.getOutputTokens();
+  profile.bytes_per_token = message.getBytesPerToken();
+  for (const auto part : message.getParts()) {
+    profile.prompt_parts.push_back({part.getId(), part.getTokens()});
+  }
+  for (const BackendKey tried : message.getTried()) question.tried.push_back(tried);
+  return question;
+}
+
+PlacementAnswer DecodeAnswer(wire::PlacementAnswer::Reader message) {
+  PlacementAnswer answer;
+  answer.id = message.getId();
+  if (!message.getPlaced()) return answer;
+  PlacementGrant& grant = answer.grant.emplace();
+  grant.backend = message.getBackend();
+  grant.fetch_prefix_from = message.getFetchFrom();
+  grant.cost_ms = message.getCostMs();
+  grant.reading_ms = message.getReadingMs();
+  grant.first_output_ms = message.getFirstOutputMs();
+  grant.held_tokens = message.getHeldTokens();
+  grant.candidates = message.getCandidates();
+  grant.load_requests = message.getLoadRequests();
+  return answer;
+}
+
+ProgressReport DecodeProgress(capnp::List<wire::RequestProgress>::Reader entries) {
+  ProgressReport report;
+  for (const auto entry : entries) {
+    RequestProgress progress;
+    progress.id = entry.getId();
+    progress.ended = entry.getEnded();
+    if (entry.getOutcomeKnown() && entry.getOutcome() < kAttemptOutcomes) {
+      progress.outcome = static_cast<AttemptOutcome>(entry.getOutcome());
+    }
+    progress.mean_pause_ms = entry.getMeanPause() * kPauseUnitMs;
+    report.entries.push_back(progress);
+  }
+  return report;
+}
+
+std::optional<Datagram> DecodeRoot(wire::Datagram::Reader root) {
+  switch (root.which()) {
+    case wire::Datagram::DIGEST:
+      return DecodeDigest(root.getDigest());
+    case wire::Datagram::QUESTION:
+      return DecodeQuestion(root.getQuestion());
+    case wire::Datagram::ANSWER:
+      return DecodeAnswer(root.getAnswer());
+    case wire::Datagram::PROGRESS:
+      return DecodeProgress(root.getProgress());
+  }
+  return std::nullopt;  // of a later version
+}
+
+}  // namespace
+
+std::string EncodeDatagram(const Datagram& datagram) {
+  capnp::MallocMessageBuilder message;
+  const auto root = message.initRoot<wire::Datagram>();
+  std::visit([&root](const auto& content) { Encode(content, root); }, datagram);
+  return PackedBytes(message);
+}
+
+std::optional<Datagram> DecodeDatagram(std::string_view bytes) {
+  std::optional<Datagram> datagram;
+  const bool ok = ReadPacked(bytes, [&datagram](capnp::MessageReader& message) {
+    datagram = DecodeRoot(message.getRoot<wire::Datagram>());
+  });
+  return ok ? datagram : std::nullopt;
+}
+
+}  // namespace cartsail
--- a/libs/relay/src/node_digest.cc
+++ b/libs/relay/src/digest_codec.cc
@@ -1,34 +1,26 @@
-#include "node_digest.h"
-
-#include <algorithm>
-#include <cmath>
+#include "digest_codec.h"
 
 #include "capnp_bytes.h"
-#include "messages.capnp.h"
+#include "wire_number.h"
 
 namespace cartsail {
 namespace {
 
 constexpr double kPauseUnitMs = 0.01;
 constexpr double kAttemptUnit = 0.1;
-
-template <typename Integer>
-Integer Bounded(double value) {
-  const auto most = static_cast<double>(std::numeric_limits<Integer>::max());
-  return static_cast<Integer>(std::clamp(std::round(value), 0.0, most));
-}
+constexpr double kCapacityUnit = 0.001;  // of a core
 
 void EncodeLoads(const std::vector<BackendLoadEntry>& entries, wire::NodeDigest::Builder root) {
   auto loads = root.initLoads(static_cast<unsigned>(entries.size()));
   for (unsigned i = 0; i < loads.size(); ++i) {
     const BackendLoadEntry& entry = entries[i];
     loads[i].setBackend(entry.backend);
-    loads[i].setReadingMs(Bounded<uint32_t>(entry.load.reading_ms));
-    loads[i].setRequests(Bounded<uint16_t>(static_cast<double>(entry.load.requests)));
-    loads[i].setEvenStreams(Bounded<uint16_t>(static_cast<double>(entry.load.even_streams)));
-    loads[i].setAttempts(Bounded<uint16_t>(entry.load.attempts / kAttemptUnit));
-    loads[i].setFailures(Bounded<uint16_t>(entry.load.failures / kAttemptUnit));
-    loads[i].setLeastPause(Bounded<uint16_t>(entry.least_pause_ms / kPauseUnitMs));
+    loads[i].setReadingMs(BoundedTo<uint32_t>(entry.load.reading_ms));
+    loads[i].setRequests(BoundedTo<uint16_t>(static_cast<double>(entry.load.requests)));
+    loads[i].setEvenStreams(BoundedTo<uint16_t>(static_cast<double>(entry.load.even_streams)));
+    loads[i].setAttempts(BoundedTo<uint16_t>(entry.load.attempts / kAttemptUnit));
+    loads[i].setFailures(BoundedTo<uint16_t>(entry.load.failures / kAttemptUnit));
+    loads[i].setLeastPause(BoundedTo<uint16_t>(entry.least_pause_ms / kPauseUnitMs));
   }
 }
 
@@ -75,45 +67,48 @@
   return dispatch;
 }
 
-NodeDigest DecodeRoot(wire::NodeDigest::Reader root) {
-  NodeDigest digest;
-  digest.node = TextOf(root.getNode());
-  digest.zone = TextOf(root.getZone());
-  digest.catalog_revision = root.getCatalogRevision();
-  digest.document_version = root.getDocumentVersion();
-  if (root.getConfirmedAgeMs() >= 0) digest.confirmed_age = milliseconds(root.getConfirmedAgeMs());
-  digest.interval = milliseconds(root.getIntervalMs());
-  digest.stopping = root.getStopping();
-  digest.dispatch = DecodeDispatch(root);
-  for (const auto host : root.getHosts()) digest.hosts.push_back(TextOf(host));
-  return digest;
-}
-
 }  // namespace
 
-std::string EncodeNodeDigest(const NodeDigest& digest) {
-  capnp::MallocMessageBuilder message;
-  auto root = message.initRoot<wire::NodeDigest>();
+void EncodeDigest(const NodeDigest& digest, wire::NodeDigest::Builder root) {
   root.setNode(digest.node);
   root.setZone(digest.zone);
   root.setCatalogRevision(digest.catalog_revision);
   root.setDocumentVersion(digest.document_version);
   const bool confirmed = digest.confirmed_age.has_value();
-  root.setConfirmedAgeMs(confirmed ? Bounded<int32_t>(ToMillis(*digest.confirmed_age)) : -1);
-  root.setIntervalMs(Bounded<uint32_t>(ToMillis(digest.interval)));
+  root.setConfirmedAgeMs(confirmed ? BoundedTo<int32_t>(ToMillis(*digest.confirmed_age)) : -1);
+  root.setIntervalMs(BoundedTo<uint32_t>(ToMillis(digest.interval)));
   root.setStopping(digest.stopping);
+  root.setCapacity(BoundedTo<uint32_t>(digest.capacity / kCapacityUnit));
+  root.setUptimeMs(BoundedTo<uint32_t>(ToMillis(digest.uptime)));
   EncodeDispatch(digest.dispatch, root);
   auto hosts = root.initHosts(static_cast<unsigned>(digest.hosts.size()));
   for (unsigned i = 0; i < hosts.size(); ++i) hosts.set(i, digest.hosts[i]);
-  return PackedBytes(message);
+  root.setToCoordinator(digest.live_questions.has_value());
+  if (!digest.live_questions.has_value()) return;
+  const std::vector<QuestionId>& live = *digest.live_questions;
+  auto questions = root.initLiveQuestions(static_cast<unsigned>(live.size()));
+  for (unsigned i = 0; i < questions.size(); ++i) questions.set(i, live[i]);
 }
 
-std::optional<NodeDigest> DecodeNodeDigest(std::string_view bytes) {
-  std::optional<NodeDigest> digest;
-  const bool ok = ReadPacked(bytes, [&digest](capnp::MessageReader& message) {
-    digest = DecodeRoot(message.getRoot<wire::NodeDigest>());
-  });
-  return ok ? digest : std::nullopt;
+NodeDigest DecodeDigest(wire::NodeDigest::Reader root) {
+  NodeDigest digest;
+  digest.node = TextOf(root.getNode());
+  digest.zone = TextOf(root.getZone());
+  digest.catalog_revision = root.getCatalogRevision();
+  digest.document_version = root.getDocumentVersion();
+  if (root.getConfirmedAgeMs() >= 0) digest.confirmed_age = milliseconds(root.getConfirmedAgeMs());
+  digest.interval = milliseconds(root.getIntervalMs());
+  digest.stopping = root.getStopping();
+  digest.dispatch = DecodeDispatch(root);
+  digest.capacity = root.getCapacity() * kCapacityUnit;
+  digest.uptime = milliseconds(root.getUptimeMs());
+  for (const auto host : root.getHosts()) digest.hosts.push_back(TextOf(host));
+  if (!root.getToCoordinator()) return digest;
+  digest.live_questions.emplace();
+  for (const QuestionId question : root.getLiveQuestions()) {
+    digest.live_questions->push_back(question);
+  }
+  return digest;
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -114,11 +114,15 @@
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
   while (true) {
     const std::optional<Placement> placement =
-        context_.dispatcher.Place(admitted_.profile, tried_, Now());
+        co_await context_.placement.Place(admitted_.profile, tried_);
     if (!placement.has_value()) break;
+    if (caller_gone_) {
+      context_.placement.Finish(placement->ticket, AttemptOutcome::kCallerGone, Now());
+      break;
+    }
     tried_.push_back(placement->backend.id);
     outcome = co_await Attempt(*placement);
-    context_.dispatcher.Finish(placement->ticket, outcome, Now());
+    context_.placement.Finish(placement->ticket, outcome, Now());
     LogAttempt(*placement, outcome);
     if (caller_gone_) break;
     if (outcome == AttemptOutcome::kAnswered) {
@@ -316,7 +320,7 @@
   do {
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
-    context_.dispatcher.Output(placement.ticket, Now());
+    context_.placement.Output(placement.ticket, Now());
     body += chunk;
   } while (!chunk.empty() && body.size() <= kMostWholeBytes);
 
@@ -365,7 +369,7 @@
     if (!at_end) {
       const TimePoint now = Now();
       NoteOutput(now);
-      context_.dispatcher.Output(placement.ticket, now);
+      context_.placement.Output(placement.ticket, now);
     }
     std::string bytes = resumable ? splitter.Feed(chunk) : std::move(chunk);
     if (at_end && splitter.HasPartial()) bytes += splitter.TakePartial();
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -1,4 +1,4 @@
-# What relay nodes tell each other: digests in datagrams, catalogs on request.
+# What relay nodes tell each other: digests and placements in datagrams, catalogs on request.
 @0xc5a1be2e9b1f7d43;
 
 using Cxx = import "/capnp/c++.capnp";
@@ -45,6 +45,63 @@
   # Some hosts of other nodes that were heard lately.
   hosts @10 :List(Text);
   stopping @11 :Bool;
+  # Thousandths of a core that the node may use.
+  capacity @12 :UInt32;
+  uptimeMs @13 :UInt32;
+  # Told to a coordinator: this node's questions whose requests have not ended. `loads` is then
+  # without what that coordinator placed.
+  toCoordinator @14 :Bool;
+  liveQuestions @15 :List(UInt32);
+}
+
+struct PromptPart {
+  id @0 :UInt64;
+  tokens @1 :UInt32;
+}
+
+# Where shall this request go?
+struct PlacementQuestion {
+  id @0 :UInt32;
+  service @1 :Text;
+  generation @2 :Bool;
+  goalMs @3 :UInt32;
+  promptTokens @4 :UInt32;
+  outputTokens @5 :UInt32;
+  bytesPerToken @6 :UInt32;
+  parts @7 :List(PromptPart);
+  tried @8 :List(UInt32);
+}
+
+struct PlacementAnswer {
+  id @0 :UInt32;
+  placed @1 :Bool;
+  backend @2 :UInt32;
+  fetchFrom @3 :UInt32;
+  costMs @4 :Float32;
+  readingMs @5 :Float32;
+  firstOutputMs @6 :Float32;
+  heldTokens @7 :UInt32;
+  candidates @8 :UInt16;
+  loadRequests @9 :UInt16;
+}
+
+# What became of a request that was placed.
+struct RequestProgress {
+  id @0 :UInt32;
+  ended @1 :Bool;
+  # Where ended: known outcome, and the mean pause between events in hundredths of a millisecond.
+  outcomeKnown @2 :Bool;
+  outcome @3 :UInt8;
+  meanPause @4 :UInt16;
+}
+
+struct Datagram {
+  union {
+    digest @0 :NodeDigest;
+    question @1 :PlacementQuestion;
+    answer @2 :PlacementAnswer;
+    progress @3 :List(RequestProgress);
+  }
 }
 
 struct Backend {
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -20,6 +20,11 @@
 CAPNP_DECLARE_SCHEMA(ba8e3e37d43e7a74);
 CAPNP_DECLARE_SCHEMA(df259802d7e8c238);
 CAPNP_DECLARE_SCHEMA(b1144832f756014d);
+CAPNP_DECLARE_SCHEMA(d2de4d3b66fb8ded);
+CAPNP_DECLARE_SCHEMA(a3648c3926e11547);
+CAPNP_DECLARE_SCHEMA(932771e8467662df);
+CAPNP_DECLARE_SCHEMA(9f5a10ff57841bdb);
+CAPNP_DECLARE_SCHEMA(d8728f032019e01b);
 CAPNP_DECLARE_SCHEMA(fda596282b449bf2);
 CAPNP_DECLARE_SCHEMA(fcbd87e46f033038);
 
@@ -82,7 +87,88 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1144832f756014d, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(b1144832f756014d, 5, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PromptPart {
+  PromptPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d2de4d3b66fb8ded, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PlacementQuestion {
+  PlacementQuestion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PlacementAnswer {
+  PlacementAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(932771e8467662df, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RequestProgress {
+  RequestProgress() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f5a10ff57841bdb, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram {
+  Datagram() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    DIGEST,
+    QUESTION,
+    ANSWER,
+    PROGRESS,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d8728f032019e01b, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -447,6 +533,15 @@
 
   inline bool getStopping() const;
 
+  inline  ::uint32_t getCapacity() const;
+
+  inline  ::uint32_t getUptimeMs() const;
+
+  inline bool getToCoordinator() const;
+
+  inline bool hasLiveQuestions() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getLiveQuestions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -541,6 +636,23 @@
   inline bool getStopping();
   inline void setStopping(bool value);
 
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
+  inline  ::uint32_t getUptimeMs();
+  inline void setUptimeMs( ::uint32_t value);
+
+  inline bool getToCoordinator();
+  inline void setToCoordinator(bool value);
+
+  inline bool hasLiveQuestions();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getLiveQuestions();
+  inline void setLiveQuestions( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLiveQuestions(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initLiveQuestions(unsigned int size);
+  inline void adoptLiveQuestions(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownLiveQuestions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -567,9 +679,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Backend::Reader {
+class PromptPart::Reader {
 public:
-  typedef Backend Reads;
+  typedef PromptPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -584,23 +696,107 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint32_t getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptPart::Builder {
+public:
+  typedef PromptPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptPart::Pipeline {
+public:
+  typedef PromptPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PlacementQuestion::Reader {
+public:
+  typedef PlacementQuestion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
 
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool getGeneration() const;
 
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
+  inline  ::uint32_t getGoalMs() const;
 
-  inline  ::int32_t getSlots() const;
+  inline  ::uint32_t getPromptTokens() const;
 
-  inline bool getLeaving() const;
+  inline  ::uint32_t getOutputTokens() const;
 
-  inline  ::int64_t getCreatedRevision() const;
+  inline  ::uint32_t getBytesPerToken() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+  inline bool hasTried() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -614,9 +810,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Backend::Builder {
+class PlacementQuestion::Builder {
 public:
-  typedef Backend Builds;
+  typedef PlacementQuestion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -630,12 +826,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
 
   inline bool hasService();
   inline  ::capnp::Text::Builder getService();
@@ -644,28 +836,35 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool getGeneration();
+  inline void setGeneration(bool value);
 
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+  inline  ::uint32_t getGoalMs();
+  inline void setGoalMs( ::uint32_t value);
 
-  inline  ::int32_t getSlots();
-  inline void setSlots( ::int32_t value);
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+  inline  ::uint32_t getOutputTokens();
+  inline void setOutputTokens( ::uint32_t value);
 
-  inline  ::int64_t getCreatedRevision();
-  inline void setCreatedRevision( ::int64_t value);
+  inline  ::uint32_t getBytesPerToken();
+  inline void setBytesPerToken( ::uint32_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>> disownParts();
+
+  inline bool hasTried();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTried();
+  inline void setTried( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTried(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTried(unsigned int size);
+  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -677,9 +876,9 @@
 };
 
 #if !CAPNP_LITE
-class Backend::Pipeline {
+class PlacementQuestion::Pipeline {
 public:
-  typedef Backend Pipelines;
+  typedef PlacementQuestion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -693,9 +892,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Catalog::Reader {
+class PlacementAnswer::Reader {
 public:
-  typedef Catalog Reads;
+  typedef PlacementAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -710,13 +909,25 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getRevision() const;
+  inline  ::uint32_t getId() const;
 
-  inline bool hasDocument() const;
-  inline  ::capnp::Text::Reader getDocument() const;
+  inline bool getPlaced() const;
 
-  inline bool hasBackends() const;
-  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader getBackends() const;
+  inline  ::uint32_t getBackend() const;
+
+  inline  ::uint32_t getFetchFrom() const;
+
+  inline float getCostMs() const;
+
+  inline float getReadingMs() const;
+
+  inline float getFirstOutputMs() const;
+
+  inline  ::uint32_t getHeldTokens() const;
+
+  inline  ::uint16_t getCandidates() const;
+
+  inline  ::uint16_t getLoadRequests() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -730,9 +941,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Catalog::Builder {
+class PlacementAnswer::Builder {
 public:
-  typedef Catalog Builds;
+  typedef PlacementAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -746,22 +957,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
 
-  inline bool hasDocument();
-  inline  ::capnp::Text::Builder getDocument();
-  inline void setDocument( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+  inline bool getPlaced();
+  inline void setPlaced(bool value);
 
-  inline bool hasBackends();
-  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder getBackends();
-  inline void setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder initBackends(unsigned int size);
-  inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> disownBackends();
+  inline  ::uint32_t getBackend();
+  inline void setBackend( ::uint32_t value);
+
+  inline  ::uint32_t getFetchFrom();
+  inline void setFetchFrom( ::uint32_t value);
+
+  inline float getCostMs();
+  inline void setCostMs(float value);
+
+  inline float getReadingMs();
+  inline void setReadingMs(float value);
+
+  inline float getFirstOutputMs();
+  inline void setFirstOutputMs(float value);
+
+  inline  ::uint32_t getHeldTokens();
+  inline void setHeldTokens( ::uint32_t value);
+
+  inline  ::uint16_t getCandidates();
+  inline void setCandidates( ::uint16_t value);
+
+  inline  ::uint16_t getLoadRequests();
+  inline void setLoadRequests( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -773,9 +997,9 @@
 };
 
 #if !CAPNP_LITE
-class Catalog::Pipeline {
+class PlacementAnswer::Pipeline {
 public:
-  typedef Catalog Pipelines;
+  typedef PlacementAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -789,510 +1013,1682 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class RequestProgress::Reader {
+public:
+  typedef RequestProgress Reads;
 
-inline  ::uint32_t BackendLoad::Reader::getBackend() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t BackendLoad::Builder::getBackend() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setBackend( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint32_t BackendLoad::Reader::getReadingMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t BackendLoad::Builder::getReadingMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setReadingMs( ::uint32_t value) {
+  inline  ::uint32_t getId() const;
+
+  inline bool getEnded() const;
+
+  inline bool getOutcomeKnown() const;
+
+  inline  ::uint8_t getOutcome() const;
+
+  inline  ::uint16_t getMeanPause() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RequestProgress::Builder {
+public:
+  typedef RequestProgress Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
+  inline bool getOutcomeKnown();
+  inline void setOutcomeKnown(bool value);
+
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
+
+  inline  ::uint16_t getMeanPause();
+  inline void setMeanPause( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RequestProgress::Pipeline {
+public:
+  typedef RequestProgress Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Datagram::Reader {
+public:
+  typedef Datagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isDigest() const;
+  inline bool hasDigest() const;
+  inline  ::cartsail::wire::NodeDigest::Reader getDigest() const;
+
+  inline bool isQuestion() const;
+  inline bool hasQuestion() const;
+  inline  ::cartsail::wire::PlacementQuestion::Reader getQuestion() const;
+
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::cartsail::wire::PlacementAnswer::Reader getAnswer() const;
+
+  inline bool isProgress() const;
+  inline bool hasProgress() const;
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader getProgress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::Builder {
+public:
+  typedef Datagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isDigest();
+  inline bool hasDigest();
+  inline  ::cartsail::wire::NodeDigest::Builder getDigest();
+  inline void setDigest( ::cartsail::wire::NodeDigest::Reader value);
+  inline  ::cartsail::wire::NodeDigest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> disownDigest();
+
+  inline bool isQuestion();
+  inline bool hasQuestion();
+  inline  ::cartsail::wire::PlacementQuestion::Builder getQuestion();
+  inline void setQuestion( ::cartsail::wire::PlacementQuestion::Reader value);
+  inline  ::cartsail::wire::PlacementQuestion::Builder initQuestion();
+  inline void adoptQuestion(::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> disownQuestion();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::cartsail::wire::PlacementAnswer::Builder getAnswer();
+  inline void setAnswer( ::cartsail::wire::PlacementAnswer::Reader value);
+  inline  ::cartsail::wire::PlacementAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> disownAnswer();
+
+  inline bool isProgress();
+  inline bool hasProgress();
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder getProgress();
+  inline void setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder initProgress(unsigned int size);
+  inline void adoptProgress(::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> disownProgress();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Pipeline {
+public:
+  typedef Datagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Backend::Reader {
+public:
+  typedef Backend Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline  ::int32_t getSlots() const;
+
+  inline bool getLeaving() const;
+
+  inline  ::int64_t getCreatedRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Backend::Builder {
+public:
+  typedef Backend Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline  ::int32_t getSlots();
+  inline void setSlots( ::int32_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::int64_t getCreatedRevision();
+  inline void setCreatedRevision( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Backend::Pipeline {
+public:
+  typedef Backend Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Catalog::Reader {
+public:
+  typedef Catalog Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRevision() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Text::Reader getDocument() const;
+
+  inline bool hasBackends() const;
+  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader getBackends() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Catalog::Builder {
+public:
+  typedef Catalog Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Text::Builder getDocument();
+  inline void setDocument( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+
+  inline bool hasBackends();
+  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder getBackends();
+  inline void setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder initBackends(unsigned int size);
+  inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> disownBackends();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Catalog::Pipeline {
+public:
+  typedef Catalog Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t BackendLoad::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendLoad::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BackendLoad::Reader::getReadingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendLoad::Builder::getReadingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setReadingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getEvenStreams() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getEvenStreams() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setEvenStreams( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getLeastPause() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getLeastPause() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setLeastPause( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getAttempts() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getAttempts() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setAttempts( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getFailures() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getFailures() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setFailures( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrefixPlacement::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PrefixPlacement::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PrefixPlacement::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PrefixPlacement::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PrefixPlacement::Builder::setBackend( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServiceWork::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceWork::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceWork::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceWork::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceWork::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceWork::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceWork::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceWork::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float ServiceWork::Reader::getUrgentMsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceWork::Builder::getUrgentMsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceWork::Builder::setUrgentMsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float ServiceWork::Reader::getPatientMsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceWork::Builder::getPatientMsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceWork::Builder::setPatientMsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeDigest::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeDigest::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeDigest::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeDigest::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeDigest::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDigest::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeDigest::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeDigest::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeDigest::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeDigest::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t NodeDigest::Reader::getCatalogRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NodeDigest::Builder::getCatalogRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeDigest::Builder::setCatalogRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t NodeDigest::Reader::getDocumentVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t NodeDigest::Builder::getDocumentVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeDigest::Builder::setDocumentVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t BackendLoad::Reader::getRequests() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::int32_t NodeDigest::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t BackendLoad::Builder::getRequests() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::int32_t NodeDigest::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void BackendLoad::Builder::setRequests( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void NodeDigest::Builder::setConfirmedAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t BackendLoad::Reader::getEvenStreams() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint32_t NodeDigest::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t BackendLoad::Builder::getEvenStreams() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint32_t NodeDigest::Builder::getIntervalMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void BackendLoad::Builder::setEvenStreams( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void NodeDigest::Builder::setIntervalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t BackendLoad::Reader::getLeastPause() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool NodeDigest::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setLoads( ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t BackendLoad::Builder::getLeastPause() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool NodeDigest::Reader::hasPrefixes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void BackendLoad::Builder::setLeastPause( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline bool NodeDigest::Builder::hasPrefixes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getPrefixes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setPrefixes( ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initPrefixes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptPrefixes(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t BackendLoad::Reader::getAttempts() const {
-  return _reader.getDataField< ::uint16_t>(
+inline bool NodeDigest::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setLeaving( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void NodeDigest::Builder::setLeaving(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDigest::Reader::hasWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptWork(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDigest::Reader::hasHosts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasHosts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeDigest::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeDigest::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void NodeDigest::Builder::setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeDigest::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptHosts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeDigest::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDigest::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeDigest::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void NodeDigest::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t NodeDigest::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-
-inline  ::uint16_t BackendLoad::Builder::getAttempts() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+
+inline  ::uint32_t NodeDigest::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void NodeDigest::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t NodeDigest::Reader::getUptimeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeDigest::Builder::getUptimeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void NodeDigest::Builder::setUptimeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeDigest::Reader::getToCoordinator() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeDigest::Builder::getToCoordinator() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void NodeDigest::Builder::setToCoordinator(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeDigest::Reader::hasLiveQuestions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasLiveQuestions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLiveQuestions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLiveQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void BackendLoad::Builder::setAttempts( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void NodeDigest::Builder::setLiveQuestions( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t BackendLoad::Reader::getFailures() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline void NodeDigest::Builder::setLiveQuestions(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t BackendLoad::Builder::getFailures() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLiveQuestions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void BackendLoad::Builder::setFailures( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void NodeDigest::Builder::adoptLiveQuestions(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLiveQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
+inline  ::uint64_t PromptPart::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PrefixPlacement::Builder::getPart() {
+inline  ::uint64_t PromptPart::Builder::getId() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PrefixPlacement::Builder::setPart( ::uint64_t value) {
+inline void PromptPart::Builder::setId( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PrefixPlacement::Reader::getBackend() const {
+inline  ::uint32_t PromptPart::Reader::getTokens() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PrefixPlacement::Builder::getBackend() {
+inline  ::uint32_t PromptPart::Builder::getTokens() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PrefixPlacement::Builder::setBackend( ::uint32_t value) {
+inline void PromptPart::Builder::setTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServiceWork::Reader::hasService() const {
+inline  ::uint32_t PlacementQuestion::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacementQuestion::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PlacementQuestion::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PlacementQuestion::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceWork::Builder::hasService() {
+inline bool PlacementQuestion::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServiceWork::Reader::getService() const {
+inline  ::capnp::Text::Reader PlacementQuestion::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServiceWork::Builder::getService() {
+inline  ::capnp::Text::Builder PlacementQuestion::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServiceWork::Builder::setService( ::capnp::Text::Reader value) {
+inline void PlacementQuestion::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServiceWork::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder PlacementQuestion::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ServiceWork::Builder::adoptService(
+inline void PlacementQuestion::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServiceWork::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> PlacementQuestion::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline float ServiceWork::Reader::getUrgentMsPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Reader::getGeneration() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline float ServiceWork::Builder::getUrgentMsPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Builder::getGeneration() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void ServiceWork::Builder::setUrgentMsPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setGeneration(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline float ServiceWork::Reader::getPatientMsPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementQuestion::Reader::getGoalMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline float ServiceWork::Builder::getPatientMsPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementQuestion::Builder::getGoalMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServiceWork::Builder::setPatientMsPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setGoalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t PlacementQuestion::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool NodeDigest::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t PlacementQuestion::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader NodeDigest::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void PlacementQuestion::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder NodeDigest::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t PlacementQuestion::Reader::getOutputTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t PlacementQuestion::Builder::getOutputTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder NodeDigest::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void PlacementQuestion::Builder::setOutputTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline void NodeDigest::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t PlacementQuestion::Reader::getBytesPerToken() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeDigest::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t PlacementQuestion::Builder::getBytesPerToken() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PlacementQuestion::Builder::setBytesPerToken( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::hasZone() const {
+inline bool PlacementQuestion::Reader::hasParts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasZone() {
+inline bool PlacementQuestion::Builder::hasParts() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeDigest::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PlacementQuestion::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PlacementQuestion::Builder::setParts( ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PlacementQuestion::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>> PlacementQuestion::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeDigest::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool PlacementQuestion::Reader::hasTried() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementQuestion::Builder::hasTried() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PlacementQuestion::Reader::getTried() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::getTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PlacementQuestion::Builder::setTried( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void PlacementQuestion::Builder::setTried(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::initTried(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PlacementQuestion::Builder::adoptTried(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PlacementQuestion::Builder::disownTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PlacementAnswer::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacementAnswer::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PlacementAnswer::Reader::getPlaced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAnswer::Builder::getPlaced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setPlaced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PlacementAnswer::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacementAnswer::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PlacementAnswer::Reader::getFetchFrom() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacementAnswer::Builder::getFetchFrom() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setFetchFrom( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PlacementAnswer::Reader::getCostMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacementAnswer::Builder::getCostMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setCostMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PlacementAnswer::Reader::getReadingMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacementAnswer::Builder::getReadingMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setReadingMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PlacementAnswer::Reader::getFirstOutputMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacementAnswer::Builder::getFirstOutputMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setFirstOutputMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PlacementAnswer::Reader::getHeldTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacementAnswer::Builder::getHeldTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setHeldTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t PlacementAnswer::Reader::getCandidates() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint16_t PlacementAnswer::Builder::getCandidates() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder NodeDigest::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void PlacementAnswer::Builder::setCandidates( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void NodeDigest::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint16_t PlacementAnswer::Reader::getLoadRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeDigest::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint16_t PlacementAnswer::Builder::getLoadRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setLoadRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t NodeDigest::Reader::getCatalogRevision() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t RequestProgress::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t NodeDigest::Builder::getCatalogRevision() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t RequestProgress::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setCatalogRevision( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void RequestProgress::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t NodeDigest::Reader::getDocumentVersion() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RequestProgress::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t NodeDigest::Builder::getDocumentVersion() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RequestProgress::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setDocumentVersion( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RequestProgress::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t NodeDigest::Reader::getConfirmedAgeMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RequestProgress::Reader::getOutcomeKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t NodeDigest::Builder::getConfirmedAgeMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RequestProgress::Builder::getOutcomeKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setConfirmedAgeMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void RequestProgress::Builder::setOutcomeKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t NodeDigest::Reader::getIntervalMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint8_t RequestProgress::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t NodeDigest::Builder::getIntervalMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint8_t RequestProgress::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setIntervalMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void RequestProgress::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::hasLoads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDigest::Builder::hasLoads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t RequestProgress::Reader::getMeanPause() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint16_t RequestProgress::Builder::getMeanPause() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RequestProgress::Builder::setMeanPause( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void NodeDigest::Builder::setLoads( ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::cartsail::wire::Datagram::Which Datagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::Datagram::Which Datagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool Datagram::Reader::isDigest() const {
+  return which() == Datagram::DIGEST;
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline bool Datagram::Builder::isDigest() {
+  return which() == Datagram::DIGEST;
 }
-
-inline bool NodeDigest::Reader::hasPrefixes() const {
+inline bool Datagram::Reader::hasDigest() const {
+  if (which() != Datagram::DIGEST) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasPrefixes() {
+inline bool Datagram::Builder::hasDigest() {
+  if (which() != Datagram::DIGEST) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getPrefixes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::NodeDigest::Reader Datagram::Reader::getDigest() const {
+  KJ_IREQUIRE((which() == Datagram::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getPrefixes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::NodeDigest::Builder Datagram::Builder::getDigest() {
+  KJ_IREQUIRE((which() == Datagram::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setPrefixes( ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setDigest( ::cartsail::wire::NodeDigest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initPrefixes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::NodeDigest::Builder Datagram::Builder::initDigest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::adoptPrefixes(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptDigest(
+    ::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownPrefixes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> Datagram::Builder::disownDigest() {
+  KJ_IREQUIRE((which() == Datagram::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDigest::Reader::hasLeaving() const {
+inline bool Datagram::Reader::isQuestion() const {
+  return which() == Datagram::QUESTION;
+}
+inline bool Datagram::Builder::isQuestion() {
+  return which() == Datagram::QUESTION;
+}
+inline bool Datagram::Reader::hasQuestion() const {
+  if (which() != Datagram::QUESTION) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasLeaving() {
+inline bool Datagram::Builder::hasQuestion() {
+  if (which() != Datagram::QUESTION) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLeaving() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::PlacementQuestion::Reader Datagram::Reader::getQuestion() const {
+  KJ_IREQUIRE((which() == Datagram::QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setLeaving( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::cartsail::wire::PlacementQuestion::Builder Datagram::Builder::getQuestion() {
+  KJ_IREQUIRE((which() == Datagram::QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setLeaving(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setQuestion( ::cartsail::wire::PlacementQuestion::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLeaving(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::PlacementQuestion::Builder Datagram::Builder::initQuestion() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::adoptLeaving(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptQuestion(
+    ::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> Datagram::Builder::disownQuestion() {
+  KJ_IREQUIRE((which() == Datagram::QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDigest::Reader::hasWork() const {
+inline bool Datagram::Reader::isAnswer() const {
+  return which() == Datagram::ANSWER;
+}
+inline bool Datagram::Builder::isAnswer() {
+  return which() == Datagram::ANSWER;
+}
+inline bool Datagram::Reader::hasAnswer() const {
+  if (which() != Datagram::ANSWER) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasWork() {
+inline bool Datagram::Builder::hasAnswer() {
+  if (which() != Datagram::ANSWER) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getWork() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::PlacementAnswer::Reader Datagram::Reader::getAnswer() const {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getWork() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::PlacementAnswer::Builder Datagram::Builder::getAnswer() {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setAnswer( ::cartsail::wire::PlacementAnswer::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initWork(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::PlacementAnswer::Builder Datagram::Builder::initAnswer() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::adoptWork(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptAnswer(
+    ::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownWork() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> Datagram::Builder::disownAnswer() {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDigest::Reader::hasHosts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+inline bool Datagram::Reader::isProgress() const {
+  return which() == Datagram::PROGRESS;
 }
-inline bool NodeDigest::Builder::hasHosts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeDigest::Reader::getHosts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeDigest::Builder::getHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline bool Datagram::Builder::isProgress() {
+  return which() == Datagram::PROGRESS;
 }
-inline void NodeDigest::Builder::setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline bool Datagram::Reader::hasProgress() const {
+  if (which() != Datagram::PROGRESS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void NodeDigest::Builder::setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline bool Datagram::Builder::hasProgress() {
+  if (which() != Datagram::PROGRESS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeDigest::Builder::initHosts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getProgress() const {
+  KJ_IREQUIRE((which() == Datagram::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::adoptHosts(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getProgress() {
+  KJ_IREQUIRE((which() == Datagram::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeDigest::Builder::disownHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline void Datagram::Builder::setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool NodeDigest::Reader::getStopping() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initProgress(unsigned int size) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline bool NodeDigest::Builder::getStopping() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline void Datagram::Builder::adoptProgress(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void NodeDigest::Builder::setStopping(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownProgress() {
+  KJ_IREQUIRE((which() == Datagram::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Backend::Reader::hasId() const {
--- a/libs/relay/src/node_digest.h
+++ b/libs/relay/src/node_digest.h
@@ -1,13 +1,13 @@
-// The message that nodes send each other, and its encoding (Cap'n Proto, packed). Pure.
+// What each node tells its peers regularly. A plain struct.
 #pragma once
 
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "cartsail/base/clock.h"
 #include "cartsail/dispatch/dispatcher.h"
+#include "cartsail/dispatch/grant_book.h"
 
 namespace cartsail {
 
@@ -21,11 +21,11 @@
   DispatchDigest dispatch;
   std::vector<std::string> hosts;  // some other nodes, heard lately
   bool stopping = false;
+  double capacity = 0;  // share of a core that the node may use
+  Duration uptime{};
+  // Told to a coordinator: this node's questions whose requests have not ended. The loads are then
+  // without those that this coordinator placed.
+  std::optional<std::vector<QuestionId>> live_questions;
 };
 
-std::string EncodeNodeDigest(const NodeDigest& digest);
-
-// Nothing when the bytes are no digest.
-std::optional<NodeDigest> DecodeNodeDigest(std::string_view bytes);
-
 }  // namespace cartsail
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -34,9 +34,9 @@
 
 }  // namespace
 
-PeerExchange::PeerExchange(RelayContext& context, PeerTable& peers, CatalogSync& catalog)
+PeerExchange::PeerExchange(RelayContext& context, CatalogSync& catalog)
     : context_(context),
-      peers_(peers),
+      peers_(context.peers),
       catalog_(catalog),
       socket_(context.io),
       interval_(context.options.digest_interval) {}
@@ -55,6 +55,10 @@
   }
   socket_.non_blocking(true, error);
   AddSeeds(context_.options.seeds);
+  context_.placement.SetTransport({[this](const std::string& host, const Datagram& datagram) {
+                                     (void)Send(host, EncodeDatagram(datagram));
+                                   },
+                                   [this](const std::string& host) { Announce(host); }});
   asio::co_spawn(context_.io, Receive(), asio::detached);
   asio::co_spawn(context_.io, SendPeriodically(), asio::detached);
   return absl::OkStatus();
@@ -81,20 +85,39 @@
 
 void PeerExchange::OnDatagram(const std::string& host, std::string_view bytes) {
   GlobalCounters().peer_bytes_received_total.Add(static_cast<int64_t>(bytes.size()));
-  const std::optional<NodeDigest> digest = DecodeNodeDigest(bytes);
-  if (!digest.has_value() || digest->node == context_.options.node_id) return;
+  const std::optional<Datagram> datagram = DecodeDatagram(bytes);
+  if (!datagram.has_value()) return;
+  if (const auto* digest = std::get_if<NodeDigest>(&*datagram)) OnDigest(host, *digest);
+  if (const auto* question = std::get_if<PlacementQuestion>(&*datagram)) {
+    context_.placement.OnQuestion(host, *question, Now());
+  }
+  if (const auto* answer = std::get_if<PlacementAnswer>(&*datagram)) {
+    context_.placement.OnAnswer(host, *answer);
+  }
+  if (const auto* report = std::get_if<ProgressReport>(&*datagram)) {
+    context_.placement.OnProgress(host, *report, Now());
+  }
+}
+
+void PeerExchange::OnDigest(const std::string& host, const NodeDigest& digest) {
+  if (digest.node == context_.options.node_id) return;
   const TimePoint now = Now();
-  const bool regained =
-      peers_.Heard(host, digest->node, digest->zone, digest->stopping, digest->interval, now);
-  if (regained) Log(LogLevel::kInfo, "peer_heard", {{"node", digest->node}, {"host", host}});
-  AddSeeds(digest->hosts);
+  const NodeState state{digest.node,     digest.zone,   digest.stopping,
+                        digest.capacity, digest.uptime, digest.interval};
+  if (peers_.Heard(host, state, now)) {
+    Log(LogLevel::kInfo, "peer_heard", {{"node", digest.node}, {"host", host}});
+  }
+  if (digest.live_questions.has_value()) {
+    context_.placement.OnLiveQuestions(host, *digest.live_questions, now);
+  }
+  AddSeeds(digest.hosts);
   const Duration lifetime =
-      std::max<Duration>(kLeastLifetime, kLifetimeIntervals * digest->interval);
-  context_.dispatcher.ApplyDigest(digest->node, digest->dispatch, lifetime, now);
-  if (digest->document_version == context_.routing.Version() && digest->confirmed_age.has_value()) {
-    context_.routing.ConfirmBy(now - *digest->confirmed_age);
+      std::max<Duration>(kLeastLifetime, kLifetimeIntervals * digest.interval);
+  context_.dispatcher.ApplyDigest(digest.node, digest.dispatch, lifetime, now);
+  if (digest.document_version == context_.routing.Version() && digest.confirmed_age.has_value()) {
+    context_.routing.ConfirmBy(now - *digest.confirmed_age);
   }
-  const bool behind = digest->catalog_revision > catalog_.Revision();
+  const bool behind = digest.catalog_revision > catalog_.Revision();
   if (!behind || fetching_ || now - fetched_ < kFetchPause) return;
   fetching_ = true;
   asio::co_spawn(context_.io, FetchCatalog(host), asio::detached);
@@ -130,9 +153,13 @@
 }
 
 NodeDigest PeerExchange::MakeDigest(TimePoint now) {
+  const NodeState self = peers_.Self(now);
   NodeDigest digest;
-  digest.node = context_.options.node_id;
-  digest.zone = context_.options.zone;
+  digest.node = self.node;
+  digest.zone = self.zone;
+  digest.stopping = self.stopping;
+  digest.capacity = self.capacity;
+  digest.uptime = self.uptime;
   digest.catalog_revision = catalog_.Revision();
   digest.document_version = context_.routing.Version();
   if (context_.routing.Confirmed() != TimePoint()) {
@@ -140,28 +167,55 @@
   }
   digest.interval = interval_;
   digest.dispatch = context_.dispatcher.TakeDigest(now);
-  digest.stopping = context_.draining;
   digest.hosts = peers_.SomeLiveHosts(kHostsTold, now);
   return digest;
 }
 
+// What a coordinator placed it follows itself.
+NodeDigest PeerExchange::DigestFor(const std::string& coordinator, NodeDigest digest,
+                                   TimePoint now) const {
+  digest.dispatch.loads = context_.dispatcher.LoadsFor(coordinator, now);
+  digest.live_questions = context_.placement.LiveQuestions(coordinator);
+  return digest;
+}
+
+void PeerExchange::Announce(const std::string& host) {
+  const TimePoint now = Now();
+  NodeDigest digest = MakeDigest(now);
+  // The other peers are still to be told of these prefixes.
+  context_.dispatcher.TellAgain(digest.dispatch.prefixes);
+  (void)Send(host, EncodeDatagram(DigestFor(host, std::move(digest), now)));
+}
+
+// Returns the bytes that went out.
+size_t PeerExchange::Send(const std::string& host, const std::string& bytes) {
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(host, error);
+  if (error) return 0;
+  const udp::endpoint target(ip, context_.options.peer.port);
+  socket_.send_to(asio::buffer(bytes), target, 0, error);
+  const size_t sent = bytes.size() + kDatagramOverhead;
+  GlobalCounters().peer_messages_sent_total.Add();
+  GlobalCounters().peer_bytes_sent_total.Add(static_cast<int64_t>(sent));
+  return sent;
+}
+
 void PeerExchange::SendDigests() {
   const TimePoint now = Now();
   peers_.ForgetSilent(now);
-  const std::string bytes = EncodeNodeDigest(MakeDigest(now));
+  const NodeDigest digest = MakeDigest(now);
+  const std::string for_all = EncodeDatagram(digest);
+  std::map<std::string, std::string> for_coordinators;
+  for (const std::string& host : context_.dispatcher.Coordinators()) {
+    for_coordinators[host] = EncodeDatagram(DigestFor(host, digest, now));
+  }
   size_t sent_bytes = 0;
   for (auto& [host, peer] : peers_.Peers()) {
     if (!IsDue(peer, now)) continue;
     peer.last_sent = now;
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(host, error);
-    if (error) continue;
-    const udp::endpoint target(ip, context_.options.peer.port);
-    socket_.send_to(asio::buffer(bytes), target, 0, error);
-    sent_bytes += bytes.size() + kDatagramOverhead;
-    GlobalCounters().peer_messages_sent_total.Add();
+    const auto special = for_coordinators.find(host);
+    sent_bytes += Send(host, special == for_coordinators.end() ? for_all : special->second);
   }
-  GlobalCounters().peer_bytes_sent_total.Add(static_cast<int64_t>(sent_bytes));
   // The next digests wait until these fit the bytes that may be sent.
   const double paid_s = static_cast<double>(sent_bytes) / context_.options.digest_bytes_per_s;
   interval_ =
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -1,6 +1,7 @@
-// Tells other nodes this node's load, prefixes, leaving back ends and catalog revision, in
-// datagrams, and takes in what they tell. A node that hears of a newer catalog fetches it from who
-// told so. Nothing here needs agreement: a lost datagram costs precision.
+// Carries datagrams between nodes: tells them this node's load, prefixes, leaving back ends and
+// catalog revision, takes in what they tell, and passes questions and answers of placements on. A
+// node that hears of a newer catalog fetches it from who told so. Nothing here needs agreement: a
+// lost datagram costs precision.
 #pragma once
 
 #include <absl/status/status.h>
@@ -11,7 +12,7 @@
 #include <vector>
 
 #include "catalog_sync.h"
-#include "node_digest.h"
+#include "datagram.h"
 #include "peer_table.h"
 #include "relay_context.h"
 
@@ -19,7 +20,7 @@
 
 class PeerExchange {
  public:
-  PeerExchange(RelayContext& context, PeerTable& peers, CatalogSync& catalog);
+  PeerExchange(RelayContext& context, CatalogSync& catalog);
 
   // kInvalidArgument when the address cannot be bound.
   absl::Status Start();
@@ -32,7 +33,11 @@
   boost::asio::awaitable<void> SendPeriodically();
   boost::asio::awaitable<void> FetchCatalog(std::string host);
   void SendDigests();
+  size_t Send(const std::string& host, const std::string& bytes);
+  void Announce(const std::string& host);
+  NodeDigest DigestFor(const std::string& coordinator, NodeDigest digest, TimePoint now) const;
   void OnDatagram(const std::string& host, std::string_view bytes);
+  void OnDigest(const std::string& host, const NodeDigest& digest);
   bool IsDue(const PeerRecord& peer, TimePoint now) const;
   NodeDigest MakeDigest(TimePoint now);
 
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -1,6 +1,8 @@
 #include "peer_table.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 
 #include "cartsail/base/hash.h"
 
@@ -10,6 +12,25 @@
 constexpr Duration kLeastSilence = milliseconds(1500);
 constexpr int kSilentIntervals = 4;
 constexpr Duration kForgottenAfter = seconds(30);
+constexpr Duration kSettledAfter = seconds(3);  // uptime from which all nodes know a node
+constexpr double kCapacityClasses = 10;         // of a core: small differences don't count
+
+// The order of nodes that may place requests: greater ones come first.
+struct CoordinatorRank {
+  bool settled;
+  int64_t capacity;
+  uint64_t hash;
+  std::string host;
+
+  bool operator>(const CoordinatorRank& other) const {
+    return std::tie(settled, capacity, hash) > std::tie(other.settled, other.capacity, other.hash);
+  }
+};
+
+CoordinatorRank RankOf(const NodeState& state, const std::string& host, uint64_t seed) {
+  const auto capacity = static_cast<int64_t>(state.capacity * kCapacityClasses);
+  return {state.uptime >= kSettledAfter, capacity, Hash64(state.node, seed), host};
+}
 
 }  // namespace
 
@@ -21,23 +42,48 @@
 
 bool PeerTable::IsLive(const PeerRecord& peer, TimePoint now) const {
   if (peer.heard == TimePoint()) return false;
-  const Duration limit = std::max<Duration>(kLeastSilence, kSilentIntervals * peer.interval);
+  const Duration limit = std::max<Duration>(kLeastSilence, kSilentIntervals * peer.state.interval);
   return now - peer.heard <= limit;
 }
 
-bool PeerTable::Heard(const std::string& host, const std::string& node, const std::string& zone,
-                      bool stopping, Duration interval, TimePoint now) {
+NodeState PeerTable::Self(TimePoint now) const {
+  NodeState state = self_;
+  state.uptime = now - started_;
+  return state;
+}
+
+bool PeerTable::Heard(const std::string& host, const NodeState& state, TimePoint now) {
   AddHost(host, now);
   PeerRecord& peer = peers_[host];
   const bool regained = !IsLive(peer, now);
-  peer.node = node;
-  peer.zone = zone;
-  peer.stopping = stopping;
-  peer.interval = interval;
+  peer.state = state;
   peer.heard = now;
   return regained;
 }
 
+std::vector<std::string> PeerTable::RankCoordinators(const std::string& service, size_t count,
+                                                     TimePoint now) const {
+  const uint64_t seed = Hash64(service);
+  std::vector<CoordinatorRank> ranks;
+  if (!self_.stopping) ranks.push_back(RankOf(Self(now), "", seed));
+  for (const auto& [host, peer] : peers_) {
+    if (!IsLive(peer, now) || peer.state.stopping) continue;
+    NodeState state = peer.state;
+    state.uptime += now - peer.heard;
+    ranks.push_back(RankOf(state, host, seed));
+  }
+  const auto kept = ranks.begin() + static_cast<int64_t>(std::min(count, ranks.size()));
+  std::partial_sort(ranks.begin(), kept, ranks.end(), std::greater<>());
+  std::vector<std::string> hosts;
+  for (auto rank = ranks.begin(); rank != kept; ++rank) hosts.push_back(rank->host);
+  return hosts;
+}
+
+std::string PeerTable::ZoneOf(const std::string& host) const {
+  const auto peer = peers_.find(host);
+  return peer == peers_.end() ? std::string() : peer->second.state.zone;
+}
+
 void PeerTable::ForgetSilent(TimePoint now) {
   std::erase_if(peers_, [now](const auto& entry) {
     return now - std::max(entry.second.heard, entry.second.added) > kForgottenAfter;
@@ -47,8 +93,8 @@
 bool PeerTable::IsReader(size_t readers, TimePoint now) const {
   size_t before = 0;
   for (const auto& [host, peer] : peers_) {
-    if (!IsLive(peer, now) || peer.stopping || peer.zone != zone_) continue;
-    if (Hash64(peer.node) < Hash64(self_)) ++before;
+    if (!IsLive(peer, now) || peer.state.stopping || peer.state.zone != self_.zone) continue;
+    if (Hash64(peer.state.node) < Hash64(self_.node)) ++before;
   }
   return before < readers;
 }
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -1,4 +1,5 @@
-// The other nodes as this one hears them, and which nodes read the store for the others. Pure.
+// The other nodes as this one hears them; which nodes read the store for the others, and which
+// place requests for the others. Pure.
 #pragma once
 
 #include <map>
@@ -10,26 +11,38 @@
 
 namespace cartsail {
 
-struct PeerRecord {
-  std::string node;  // empty before it was heard
+// What a node tells of itself.
+struct NodeState {
+  std::string node;  // its name
   std::string zone;
   bool stopping = false;
+  double capacity = 0;  // share of a core that it may use
+  Duration uptime{};
+  Duration interval{};  // between its digests
+};
+
+struct PeerRecord {
+  NodeState state;  // no name before it was heard
   TimePoint added;
   TimePoint heard{};
   TimePoint last_sent{};
-  Duration interval{};  // between its digests, as it told
 };
 
 class PeerTable {
  public:
-  PeerTable(std::string self, std::string zone) : self_(std::move(self)), zone_(std::move(zone)) {}
+  // `self`: of this node, at its start.
+  PeerTable(NodeState self, TimePoint started) : self_(std::move(self)), started_(started) {}
+
+  // This node as its peers are told of it; the interval is the caller's to fill in.
+  NodeState Self(TimePoint now) const;
+
+  void SetStopping() { self_.stopping = true; }
 
   // A host that may be a node.
   void AddHost(const std::string& host, TimePoint now);
 
   // A digest came. True when the node had not been heard lately.
-  bool Heard(const std::string& host, const std::string& node, const std::string& zone,
-             bool stopping, Duration interval, TimePoint now);
+  bool Heard(const std::string& host, const NodeState& state, TimePoint now);
 
   // Forgets hosts that were silent for long.
   void ForgetSilent(TimePoint now);
@@ -39,6 +52,15 @@
   // Nodes in this one's zone read the store in an agreed order; the first `readers` live ones do.
   bool IsReader(size_t readers, TimePoint now) const;
 
+  // The nodes that place requests of `service`, the first one before the others: hosts, or "" for
+  // this node. All nodes that hear the same peers agree. Nodes that just started come last, since
+  // not all know them yet; nodes with more of a core come first.
+  std::vector<std::string> RankCoordinators(const std::string& service, size_t count,
+                                            TimePoint now) const;
+
+  // The zone of the node at `host`; empty when it wasn't heard.
+  std::string ZoneOf(const std::string& host) const;
+
   // A few hosts of live nodes, others at each call.
   std::vector<std::string> SomeLiveHosts(size_t count, TimePoint now);
 
@@ -47,8 +69,8 @@
   std::map<std::string, PeerRecord>& Peers() { return peers_; }
 
  private:
-  std::string self_;
-  std::string zone_;
+  NodeState self_;
+  TimePoint started_;
   std::map<std::string, PeerRecord> peers_;  // by host
   size_t next_host_ = 0;
 };
--- /dev/null
+++ b/libs/relay/src/placement_message.h
@@ -0,0 +1,37 @@
+// What a node asks a coordinator, what the coordinator answers, and what the node then tells of the
+// request. Plain structs.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "cartsail/dispatch/attempt_outcome.h"
+#include "cartsail/dispatch/grant_book.h"
+#include "cartsail/dispatch/request_profile.h"
+
+namespace cartsail {
+
+struct PlacementQuestion {
+  QuestionId id = 0;
+  RequestProfile profile;
+  std::vector<BackendKey> tried;
+};
+
+struct PlacementAnswer {
+  QuestionId id = 0;
+  std::optional<PlacementGrant> grant;  // nothing: the coordinator knows no back end
+};
+
+// First output has come, or the request has ended.
+struct RequestProgress {
+  QuestionId id = 0;
+  bool ended = false;
+  std::optional<AttemptOutcome> outcome;  // where ended and known
+  double mean_pause_ms = 0;               // between events; 0: too few to tell
+};
+
+struct ProgressReport {
+  std::vector<RequestProgress> entries;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/placement_service.cc
@@ -0,0 +1,230 @@
+#include "placement_service.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/log.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr size_t kCoordinatorsAsked = 2;  // before this node places by itself
+// A question or its answer may be lost: it is sent again after the first of these.
+constexpr Duration kFirstPatience = milliseconds(15);
+constexpr Duration kSecondPatience = milliseconds(35);
+constexpr Duration kFirstSuspicion = milliseconds(300);
+constexpr Duration kLongestSuspicion = seconds(4);
+constexpr Duration kProgressDelay = milliseconds(5);  // progress of this time goes in one message
+constexpr size_t kMostProgress = 64;                  // in one message
+
+}  // namespace
+
+PlacementService::PlacementService(asio::io_context& io, Dispatcher& dispatcher, PeerTable& peers)
+    : io_(io),
+      dispatcher_(dispatcher),
+      peers_(peers),
+      progress_timer_(io),
+      next_question_(std::random_device{}()) {}
+
+bool PlacementService::IsSuspected(const std::string& host, TimePoint now) const {
+  const auto suspicion = suspicions_.find(host);
+  return suspicion != suspicions_.end() && now < suspicion->second.until;
+}
+
+void PlacementService::Suspect(const std::string& host, TimePoint now) {
+  Suspicion& suspicion = suspicions_[host];
+  // Questions that were under way together count once.
+  if (now < suspicion.until) return;
+  Duration length = kFirstSuspicion;
+  for (int i = 0; i < suspicion.failures && length < kLongestSuspicion; ++i) length *= 2;
+  suspicion.until = now + std::min(length, kLongestSuspicion);
+  ++suspicion.failures;
+  GlobalCounters().coordinator_losses_total.Add();
+  Log(LogLevel::kWarning, "coordinator_lost",
+      {{"host", host}, {"failures", std::to_string(suspicion.failures)}});
+}
+
+void PlacementService::NoteCoordinator(const std::string& service, const std::string& host) {
+  std::string& last = coordinators_[service];
+  if (last == host) return;
+  last = host;
+  Log(LogLevel::kInfo, "coordinator", {{"service", service}, {"host", host}});
+  transport_.announce(host);
+}
+
+asio::awaitable<std::optional<Placement>> PlacementService::Place(
+    const RequestProfile& profile, const std::vector<std::string>& tried) {
+  std::vector<std::string> unusable = tried;
+  if (transport_.send) {
+    const std::vector<std::string> hosts =
+        peers_.RankCoordinators(profile.service, kCoordinatorsAsked, Now());
+    for (const std::string& host : hosts) {
+      if (host.empty()) break;
+      if (IsSuspected(host, Now())) continue;
+      NoteCoordinator(profile.service, host);
+      PlacementQuestion question{next_question_++, profile, {}};
+      for (const std::string& id : tried) question.tried.push_back(KeyOf(id));
+      const QuestionId id = question.id;
+      const std::optional<PlacementAnswer> answer = co_await Ask(host, std::move(question));
+      if (!answer.has_value()) continue;
+      if (!answer->grant.has_value()) break;
+      std::optional<Placement> placement = dispatcher_.Adopt(host, *answer->grant, profile, Now());
+      if (placement.has_value()) {
+        questions_[placement->ticket] = {host, id};
+        GlobalCounters().placements_asked_total.Add();
+        co_return placement;
+      }
+      // This node knows better: the back end is leaving or gone, or not known here yet.
+      Tell(host, {id, true, std::nullopt, 0});
+      break;
+    }
+  }
+  GlobalCounters().placements_own_total.Add();
+  co_return dispatcher_.Place(profile, unusable, Now());
+}
+
+asio::awaitable<std::optional<PlacementAnswer>> PlacementService::Ask(const std::string& host,
+                                                                      PlacementQuestion question) {
+  const QuestionId id = question.id;
+  const Datagram datagram = std::move(question);
+  Waiting waiting{host, asio::steady_timer(io_), std::nullopt};
+  waiting_[id] = &waiting;
+  for (const Duration patience : {kFirstPatience, kSecondPatience}) {
+    transport_.send(host, datagram);
+    if (co_await WaitForAnswer(waiting, patience)) break;
+  }
+  waiting_.erase(id);
+  if (waiting.answer.has_value()) {
+    suspicions_.erase(host);
+  } else {
+    Suspect(host, Now());
+  }
+  co_return waiting.answer;
+}
+
+asio::awaitable<bool> PlacementService::WaitForAnswer(Waiting& waiting, Duration patience) {
+  waiting.timer.expires_after(patience);
+  boost::system::error_code ignored;
+  co_await waiting.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  co_return waiting.answer.has_value();
+}
+
+void PlacementService::OnAnswer(const std::string& host, const PlacementAnswer& answer) {
+  const auto waiting = waiting_.find(answer.id);
+  if (waiting != waiting_.end() && waiting->second->host == host) {
+    waiting->second->answer = answer;
+    waiting->second->timer.cancel();
+    return;
+  }
+  const auto is_this = [&host, &answer](const auto& entry) {
+    return entry.second.id == answer.id && entry.second.host == host;
+  };
+  const bool is_known = std::any_of(questions_.begin(), questions_.end(), is_this);
+  // Too late: the request went elsewhere.
+  if (!is_known && answer.grant.has_value()) Tell(host, {answer.id, true, std::nullopt, 0});
+}
+
+void PlacementService::Output(PlacementTicket ticket, TimePoint now) {
+  dispatcher_.Output(ticket, now);
+  const auto question = questions_.find(ticket);
+  if (question == questions_.end() || question->second.told_output) return;
+  question->second.told_output = true;
+  Tell(question->second.host, {question->second.id, false, std::nullopt, 0});
+}
+
+void PlacementService::Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now) {
+  const double pause_ms = dispatcher_.MeanPauseMillis(ticket);
+  dispatcher_.Finish(ticket, outcome, now);
+  const auto question = questions_.find(ticket);
+  if (question == questions_.end()) return;
+  Tell(question->second.host, {question->second.id, true, outcome, pause_ms});
+  questions_.erase(question);
+}
+
+void PlacementService::Tell(const std::string& host, const RequestProgress& progress) {
+  const bool is_first = progress_.empty();
+  std::vector<RequestProgress>& entries = progress_[host].entries;
+  entries.push_back(progress);
+  if (entries.size() >= kMostProgress) {
+    FlushProgress();
+    return;
+  }
+  if (!is_first) return;
+  progress_timer_.expires_after(kProgressDelay);
+  progress_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) FlushProgress();
+  });
+}
+
+void PlacementService::FlushProgress() {
+  for (const auto& [host, report] : progress_) transport_.send(host, report);
+  progress_.clear();
+}
+
+void PlacementService::OnQuestion(const std::string& host, const PlacementQuestion& question,
+                                  TimePoint now) {
+  grants_.Heard(host, now);
+  PlacementAnswer answer{question.id, std::nullopt};
+  const OutstandingGrant* known = grants_.Find(host, question.id);
+  if (known != nullptr) {
+    answer.grant = known->grant;
+    transport_.send(host, answer);
+    return;
+  }
+  const Requester requester{host, peers_.ZoneOf(host)};
+  const std::optional<Placement> placement =
+      dispatcher_.PlaceFor(requester, question.profile, question.tried, now);
+  if (placement.has_value()) {
+    answer.grant = GrantOf(*placement);
+    grants_.Add(host, question.id, {placement->ticket, *answer.grant, now});
+    GlobalCounters().placements_for_peers_total.Add();
+  }
+  transport_.send(host, answer);
+}
+
+void PlacementService::OnProgress(const std::string& host, const ProgressReport& report,
+                                  TimePoint now) {
+  grants_.Heard(host, now);
+  for (const RequestProgress& progress : report.entries) {
+    if (!progress.ended) {
+      const OutstandingGrant* grant = grants_.Find(host, progress.id);
+      if (grant != nullptr) dispatcher_.Output(grant->ticket, now);
+      continue;
+    }
+    const std::optional<PlacementTicket> ticket = grants_.Take(host, progress.id);
+    if (!ticket.has_value()) continue;
+    dispatcher_.NotePause(*ticket, progress.mean_pause_ms);
+    if (progress.outcome.has_value()) {
+      dispatcher_.Finish(*ticket, *progress.outcome, now);
+    } else {
+      dispatcher_.Drop(*ticket);
+    }
+  }
+}
+
+void PlacementService::OnLiveQuestions(const std::string& host, const std::vector<QuestionId>& live,
+                                       TimePoint now) {
+  grants_.Heard(host, now);
+  for (const PlacementTicket ticket : grants_.Reconcile(host, live, now)) {
+    dispatcher_.Drop(ticket);
+  }
+}
+
+std::vector<QuestionId> PlacementService::LiveQuestions(const std::string& host) const {
+  std::vector<QuestionId> live;
+  for (const auto& [ticket, question] : questions_) {
+    if (question.host == host) live.push_back(question.id);
+  }
+  return live;
+}
+
+void PlacementService::Tick(TimePoint now) {
+  for (const PlacementTicket ticket : grants_.TakeSilent(now)) dispatcher_.Drop(ticket);
+}
+
+}  // namespace cartsail
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -11,6 +11,8 @@
 #include "cartsail/relay/relay_options.h"
 #include "cartsail/relay/routing_state.h"
 #include "cartsail/relay/wire_format.h"
+#include "peer_table.h"
+#include "placement_service.h"
 #include "upstream_pool.h"
 
 namespace cartsail {
@@ -22,6 +24,9 @@
         options(relay_options),
         format(wire_format),
         dispatcher(relay_options.placement, relay_options.zone),
+        peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}, {}},
+              Now()),
+        placement(io_context, dispatcher, peers),
         pool(io_context.get_executor()) {}
 
   ServiceRetryBudget& BudgetOf(const std::string& service) {
@@ -33,6 +38,8 @@
   const WireFormat& format;
   RoutingState routing;
   Dispatcher dispatcher;
+  PeerTable peers;
+  PlacementService placement;
   UpstreamPool pool;
   std::map<std::string, ServiceRetryBudget> budgets;
   int64_t requests_in_flight = 0;
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -21,7 +21,6 @@
 #include "catalog_path.h"
 #include "catalog_sync.h"
 #include "peer_exchange.h"
-#include "peer_table.h"
 #include "relay_server.h"
 
 namespace cartsail {
@@ -49,9 +48,8 @@
         io_(1),
         context_(io_, options, *deployment.format),
         store_(deployment.make_store(io_, WatchWait(options.node_id))),
-        peers_(options.node_id, options.zone),
-        catalog_(context_, peers_, *store_, *deployment.codec, deployment.keys),
-        exchange_(context_, peers_, catalog_),
+        catalog_(context_, context_.peers, *store_, *deployment.codec, deployment.keys),
+        exchange_(context_, catalog_),
         server_(context_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP) {
     ReleaseSignals();
@@ -100,6 +98,7 @@
     Counters& counters = GlobalCounters();
     counters.ready.Set(IsReady() ? 1 : 0);
     counters.backends_known.Set(static_cast<int64_t>(context_.dispatcher.Registry().Size()));
+    counters.requests_followed.Set(static_cast<int64_t>(context_.placement.Followed()));
     counters.members_live.Set(context_.dispatcher.LiveNodes(now));
     counters.catalog_reader.Set(catalog_.IsReading(now) ? 1 : 0);
     const Duration age = now - context_.routing.Confirmed();
@@ -134,6 +133,7 @@
       const TimePoint now = Now();
       context_.pool.Sweep(now);
       context_.dispatcher.Tick(now);
+      context_.placement.Tick(now);
       FlushLog();
     }
   }
@@ -166,6 +166,7 @@
   asio::awaitable<void> Drain() {
     const TimePoint begun = Now();
     context_.draining = true;
+    context_.peers.SetStopping();
     Log(LogLevel::kInfo, "drain",
         {{"in_flight", std::to_string(context_.requests_in_flight)},
          {"connections", std::to_string(server_.OpenConnections())}});
@@ -190,7 +191,6 @@
   asio::io_context io_;
   RelayContext context_;
   std::unique_ptr<KeyValueStore> store_;
-  PeerTable peers_;
   CatalogSync catalog_;
   PeerExchange exchange_;
   RelayServer server_;
--- /dev/null
+++ b/libs/relay/tests/placement_service_test.cc
@@ -0,0 +1,310 @@
+// Placement through a coordinator: several nodes in one process, messages handed on in memory.
+#include "placement_service.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kEngines = 20;
+constexpr int64_t kSlots = 4;
+
+std::string HostOf(int number) { return "10.0.0." + std::to_string(number); }
+
+NodeState StateOf(int number) {
+  NodeState state;
+  state.node = "n" + std::to_string(number);
+  state.zone = "z1";
+  state.capacity = 0.25;
+  state.uptime = seconds(10);
+  state.interval = seconds(1);
+  return state;
+}
+
+struct TestNode {
+  TestNode(asio::io_context& io, int number)
+      : host(HostOf(number)),
+        peers(StateOf(number), Now() - seconds(10)),
+        dispatcher(PlacementPolicy(), "z1"),
+        service(io, dispatcher, peers) {
+    for (int i = 0; i < kEngines; ++i) {
+      Backend engine;
+      engine.id = "e" + std::to_string(i);
+      engine.service = "llm";
+      engine.address = engine.id + ":1";
+      engine.zone = "z1";
+      engine.slots = kSlots;
+      dispatcher.Registry().Put(engine);
+    }
+  }
+
+  std::string host;
+  PeerTable peers;
+  Dispatcher dispatcher;
+  PlacementService service;
+};
+
+// Nodes that hear each other; `loses` decides which messages are lost.
+class Network {
+ public:
+  explicit Network(int nodes) {
+    for (int i = 0; i < nodes; ++i) nodes_.push_back(std::make_unique<TestNode>(io_, i));
+    for (int i = 0; i < nodes; ++i) {
+      for (int j = 0; j < nodes; ++j) {
+        if (i != j) nodes_[i]->peers.Heard(HostOf(j), StateOf(j), Now());
+      }
+      TestNode* self = nodes_[i].get();
+      self->service.SetTransport({[this, self](const std::string& host, const Datagram& datagram) {
+                                    Carry(*self, host, datagram);
+                                  },
+                                  [](const std::string&) {}});
+    }
+  }
+
+  TestNode& Node(int index) { return *nodes_[static_cast<size_t>(index)]; }
+
+  // The node that places requests of the service.
+  TestNode& Coordinator() {
+    const std::string host = Node(0).peers.RankCoordinators("llm", 1, Now())[0];
+    if (host.empty()) return Node(0);
+    return *Find(host);
+  }
+
+  // A node that is not the coordinator.
+  TestNode& Other() {
+    for (const auto& node : nodes_) {
+      if (node.get() != &Coordinator()) return *node;
+    }
+    return Node(0);
+  }
+
+  // Places one request of each profile at its node; all at once.
+  std::vector<std::optional<Placement>> PlaceAll(const std::vector<TestNode*>& at,
+                                                 const RequestProfile& profile) {
+    std::vector<std::optional<Placement>> placements(at.size());
+    for (size_t i = 0; i < at.size(); ++i) {
+      asio::co_spawn(io_, PlaceOne(at[i], profile, &placements[i]), asio::detached);
+    }
+    Run(milliseconds(400));
+    return placements;
+  }
+
+  void Run(Duration time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  std::function<bool(const TestNode& from, const Datagram& datagram)> loses =
+      [](const TestNode&, const Datagram&) { return false; };
+
+ private:
+  static asio::awaitable<void> PlaceOne(TestNode* node, RequestProfile profile,
+                                        std::optional<Placement>* placement) {
+    *placement = co_await node->service.Place(profile, {});
+  }
+
+  TestNode* Find(const std::string& host) {
+    const auto is_host = [&host](const auto& node) { return node->host == host; };
+    return std::find_if(nodes_.begin(), nodes_.end(), is_host)->get();
+  }
+
+  void Carry(const TestNode& from, const std::string& host, const Datagram& datagram) {
+    if (loses(from, datagram)) return;
+    const std::string bytes = EncodeDatagram(datagram);
+    TestNode* to = Find(host);
+    asio::post(io_, [sender = from.host, to, bytes] { Deliver(sender, to, bytes); });
+  }
+
+  static void Deliver(const std::string& sender, TestNode* to, const std::string& bytes) {
+    const std::optional<Datagram> datagram = DecodeDatagram(bytes);
+    if (const auto* question = std::get_if<PlacementQuestion>(&*datagram)) {
+      to->service.OnQuestion(sender, *question, Now());
+    }
+    if (const auto* answer = std::get_if<PlacementAnswer>(&*datagram)) {
+      to->service.OnAnswer(sender, *answer);
+    }
+    if (const auto* report = std::get_if<ProgressReport>(&*datagram)) {
+      to->service.OnProgress(sender, *report, Now());
+    }
+  }
+
+  asio::io_context io_;
+  std::vector<std::unique_ptr<TestNode>> nodes_;
+};
+
+RequestProfile Question() {
+  RequestProfile profile;
+  profile.service = "llm";
+  profile.is_generation = true;
+  profile.first_output_goal = milliseconds(250);
+  profile.prompt_tokens = 800;
+  profile.prompt_parts = {{1, 200}, {2, 600}};
+  profile.bytes_per_token = 1000;
+  return profile;
+}
+
+std::vector<TestNode*> AllNodes(Network& network, int nodes) {
+  std::vector<TestNode*> all;
+  for (int i = 0; i < nodes; ++i) all.push_back(&network.Node(i));
+  return all;
+}
+
+// Without a coordinator all nodes that don't hear of each other's requests choose the same engine.
+Test(placement_service, requests_that_many_nodes_place_at_once_do_not_crowd) {
+  constexpr int kNodes = 12;
+  Network network(kNodes);
+  const auto placements = network.PlaceAll(AllNodes(network, kNodes), Question());
+  std::map<std::string, int> at;
+  for (const auto& placement : placements) {
+    cr_assert(placement.has_value());
+    ++at[placement->backend.id];
+  }
+  for (const auto& [engine, count] : at) cr_assert(count <= 4, "%d at one engine", count);
+  cr_assert(network.Coordinator().service.Followed() == kNodes - 1);
+}
+
+Test(placement_service, the_coordinator_hears_of_output_and_end) {
+  Network network(3);
+  TestNode& other = network.Other();
+  const auto placement = network.PlaceAll({&other}, Question())[0];
+  Dispatcher& followed = network.Coordinator().dispatcher;
+  cr_assert(network.Coordinator().service.Followed() == 1);
+  other.service.Output(placement->ticket, Now());
+  other.service.Finish(placement->ticket, AttemptOutcome::kAnswered, Now());
+  network.Run(milliseconds(50));
+  cr_assert(network.Coordinator().service.Followed() == 0);
+  cr_assert(followed.TakeDigest(Now()).loads.empty());
+}
+
+Test(placement_service, a_lost_question_is_asked_again) {
+  Network network(3);
+  int lost = 0;
+  network.loses = [&lost](const TestNode&, const Datagram& datagram) {
+    return std::holds_alternative<PlacementQuestion>(datagram) && lost++ == 0;
+  };
+  const auto placement = network.PlaceAll({&network.Other()}, Question())[0];
+  cr_assert(!placement->placed_by.empty());
+  cr_assert(network.Coordinator().service.Followed() == 1);
+}
+
+Test(placement_service, a_lost_answer_makes_no_second_grant) {
+  Network network(3);
+  int lost = 0;
+  network.loses = [&lost](const TestNode&, const Datagram& datagram) {
+    return std::holds_alternative<PlacementAnswer>(datagram) && lost++ == 0;
+  };
+  const auto placement = network.PlaceAll({&network.Other()}, Question())[0];
+  cr_assert(!placement->placed_by.empty());
+  cr_assert(network.Coordinator().service.Followed() == 1);
+}
+
+Test(placement_service, the_next_one_places_where_the_coordinator_is_silent) {
+  Network network(3);
+  const TestNode* silent = &network.Coordinator();
+  network.loses = [silent](const TestNode& from, const Datagram&) { return &from == silent; };
+  TestNode& asker = network.Other();
+  const TimePoint begun = Now();
+  const auto first = network.PlaceAll({&asker}, Question())[0];
+  cr_assert(first.has_value() && first->placed_by != silent->host);
+  cr_assert(Now() - begun < seconds(2));
+  // It is not asked again for a while.
+  const auto second = network.PlaceAll({&asker}, Question())[0];
+  cr_assert(second.has_value() && second->placed_by == first->placed_by);
+}
+
+Test(placement_service, a_node_that_reaches_nobody_places_by_itself) {
+  Network network(4);
+  network.loses = [](const TestNode&, const Datagram&) { return true; };
+  const auto placement = network.PlaceAll({&network.Other()}, Question())[0];
+  cr_assert(placement.has_value() && placement->placed_by.empty());
+}
+
+Test(placement_service, a_leaving_engine_is_not_taken_from_a_coordinator_that_does_not_know) {
+  Network network(3);
+  TestNode& asker = network.Other();
+  const std::string home = network.PlaceAll({&asker}, Question())[0]->backend.id;
+  asker.dispatcher.Registry().MarkLeaving(home);
+  for (int i = 0; i < 5; ++i) {
+    const auto placement = network.PlaceAll({&asker}, Question())[0];
+    cr_assert(placement->backend.id != home);
+  }
+}
+
+Test(placement_service, requests_that_ended_unheard_are_dropped_at_the_next_list) {
+  Network network(3);
+  TestNode& asker = network.Other();
+  const auto placement = network.PlaceAll({&asker}, Question())[0];
+  network.loses = [](const TestNode&, const Datagram& datagram) {
+    return std::holds_alternative<ProgressReport>(datagram);
+  };
+  asker.service.Finish(placement->ticket, AttemptOutcome::kAnswered, Now());
+  network.Run(milliseconds(50));
+  PlacementService& coordinator = network.Coordinator().service;
+  cr_assert(coordinator.Followed() == 1);
+  const TimePoint later = Now() + seconds(2);
+  coordinator.OnLiveQuestions(asker.host, asker.service.LiveQuestions(network.Coordinator().host),
+                              later);
+  cr_assert(coordinator.Followed() == 0);
+}
+
+Test(placement_service, requests_of_a_node_that_fell_silent_are_dropped) {
+  Network network(3);
+  (void)network.PlaceAll({&network.Other()}, Question());
+  PlacementService& coordinator = network.Coordinator().service;
+  coordinator.Tick(Now() + seconds(2));
+  cr_assert(coordinator.Followed() == 1);
+  coordinator.Tick(Now() + GrantBook::kSilence + seconds(1));
+  cr_assert(coordinator.Followed() == 0);
+}
+
+Test(placement_service, a_coordinator_tells_only_its_own_load) {
+  Network network(3);
+  TestNode& asker = network.Other();
+  const auto placement = network.PlaceAll({&asker}, Question())[0];
+  cr_assert(network.Coordinator().dispatcher.TakeDigest(Now()).loads.empty());
+  cr_assert(asker.dispatcher.TakeDigest(Now()).loads.size() == 1);
+  // What the coordinator placed it counts itself.
+  cr_assert(asker.dispatcher.LoadsFor(placement->placed_by, Now()).empty());
+}
+
+Test(coordinators, all_nodes_agree_and_the_stopping_and_the_new_come_last) {
+  const TimePoint now = TimePoint(seconds(1000));
+  std::set<std::string> first;
+  for (int self = 0; self < 5; ++self) {
+    PeerTable peers(StateOf(self), now - seconds(10));
+    for (int i = 0; i < 5; ++i) {
+      if (i != self) peers.Heard(HostOf(i), StateOf(i), now);
+    }
+    const std::string host = peers.RankCoordinators("llm", 2, now)[0];
+    first.insert(host.empty() ? HostOf(self) : host);
+  }
+  cr_assert(first.size() == 1);
+
+  PeerTable peers(StateOf(0), now - seconds(10));
+  peers.SetStopping();
+  NodeState young = StateOf(1);
+  young.uptime = milliseconds(100);
+  young.capacity = 1;
+  NodeState settled = StateOf(2);
+  NodeState strong = StateOf(3);
+  strong.capacity = 0.5;
+  peers.Heard(HostOf(1), young, now);
+  peers.Heard(HostOf(2), settled, now);
+  peers.Heard(HostOf(3), strong, now);
+  const std::vector<std::string> ranked = peers.RankCoordinators("llm", 9, now);
+  cr_assert(ranked == (std::vector<std::string>{HostOf(3), HostOf(2), HostOf(1)}));
+  cr_assert(peers.RankCoordinators("llm", 9, now + seconds(60)).empty());
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -1,8 +1,8 @@
 // The relay's pure parts: admission, event splitting, heads, digests, document versions.
 #include "cartsail/relay/admission.h"
+#include "datagram.h"
 #include "event_splitter.h"
 #include "message_head.h"
-#include "node_digest.h"
 #include "support/relay_fixture.h"
 #include "testing/criterion.h"
 
@@ -140,7 +140,10 @@
   digest.dispatch.prefixes = {{77, 11}};
   digest.dispatch.leaving = {9};
   digest.dispatch.work = {{"llm", 120, 340}};
-  const std::optional<NodeDigest> read = DecodeNodeDigest(EncodeNodeDigest(digest));
+  digest.capacity = 0.25;
+  digest.live_questions = {{3, 5}};
+  const std::optional<Datagram> datagram = DecodeDatagram(EncodeDatagram(digest));
+  const auto* read = std::get_if<NodeDigest>(&*datagram);
   cr_assert(read->node == "n1" && read->document_version == 42);
   cr_assert(*read->confirmed_age == milliseconds(250));
   cr_assert(read->hosts == digest.hosts);
@@ -150,15 +153,52 @@
   cr_assert(read->dispatch.prefixes[0].part == 77);
   cr_assert(read->dispatch.leaving == digest.dispatch.leaving);
   cr_assert(read->dispatch.work[0].patient_ms_per_s == 340);
+  cr_assert(read->capacity == 0.25 && read->live_questions == digest.live_questions);
+}
+
+Test(datagrams, questions_answers_and_progress_survive_their_encoding) {
+  PlacementQuestion question;
+  question.id = 7;
+  question.profile.service = "llm";
+  question.profile.is_generation = true;
+  question.profile.first_output_goal = milliseconds(250);
+  question.profile.prompt_tokens = 900;
+  question.profile.prompt_parts = {{0x5c1e07a2, 800}, {0x91bd3f06, 100}};
+  question.tried = {11};
+  const std::optional<Datagram> asked = DecodeDatagram(EncodeDatagram(question));
+  const auto* read = std::get_if<PlacementQuestion>(&*asked);
+  cr_assert(read->id == 7 && read->profile.service == "llm" && read->profile.is_generation);
+  cr_assert(read->profile.first_output_goal == milliseconds(250));
+  cr_assert(read->profile.prompt_parts[1].id == 0x91bd3f06);
+  cr_assert(read->tried == question.tried);
+
+  PlacementAnswer answer;
+  answer.id = 7;
+  answer.grant = PlacementGrant{11, 12, 40, 30, 50, 800, 9, 3};
+  const std::optional<Datagram> answered = DecodeDatagram(EncodeDatagram(answer));
+  const auto* grant = std::get_if<PlacementAnswer>(&*answered);
+  cr_assert(grant->grant->backend == 11 && grant->grant->fetch_prefix_from == 12);
+  cr_assert(grant->grant->reading_ms == 30 && grant->grant->candidates == 9);
+  answer.grant.reset();
+  const std::optional<Datagram> refused = DecodeDatagram(EncodeDatagram(answer));
+  cr_assert(!std::get_if<PlacementAnswer>(&*refused)->grant.has_value());
+
+  ProgressReport report;
+  report.entries = {{7, false, std::nullopt, 0}, {8, true, AttemptOutcome::kCut, 12.5}};
+  const std::optional<Datagram> told = DecodeDatagram(EncodeDatagram(report));
+  const auto* progress = std::get_if<ProgressReport>(&*told);
+  cr_assert(!progress->entries[0].ended && !progress->entries[0].outcome.has_value());
+  cr_assert(progress->entries[1].outcome == AttemptOutcome::kCut);
+  cr_assert(progress->entries[1].mean_pause_ms == 12.5);
 }
 
 Test(digests, bytes_that_are_none_are_refused) {
-  cr_assert(!DecodeNodeDigest("").has_value());
-  const std::string good = EncodeNodeDigest(NodeDigest{});
+  cr_assert(!DecodeDatagram("").has_value());
+  const std::string good = EncodeDatagram(NodeDigest{});
   for (size_t size = 0; size + 1 < good.size(); ++size) {
-    (void)DecodeNodeDigest(good.substr(0, size));
+    (void)DecodeDatagram(good.substr(0, size));
   }
-  cr_assert(!DecodeNodeDigest(std::string(300, '\xff')).has_value());
+  cr_assert(!DecodeDatagram(std::string(300, '\xff')).has_value());
 }
 
 }  // namespace
