Back ends with an idle connection are preferred

Change: a question names up to 32 back ends with an idle connection; any other costs 40 ms more; the home bonus is 10 ms. Test: dispatcher_test, of equal back ends the connected one.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -43,10 +43,11 @@
   BackendRegistry& Registry() { return registry_; }
   const BackendRegistry& Registry() const { return registry_; }
 
-  // A back end for the request, none of `tried`; nothing when no ready one is left. Every
+  // A back end for this node's request, none of `tried`; nothing when no ready one is left. Every
   // placement is to be ended by Finish().
   std::optional<Placement> Place(const RequestProfile& profile,
-                                 const std::vector<std::string>& tried, TimePoint now);
+                                 const std::vector<std::string>& tried, TimePoint now,
+                                 std::vector<BackendKey> connected = {});
 
   // The same for another node's request.
   std::optional<Placement> PlaceFor(const Requester& requester, const RequestProfile& profile,
@@ -127,7 +128,7 @@
 
   // What all candidates for one request are weighed against.
   struct PlacementView {
-    std::string_view zone;  // of the node that asks
+    const Requester* requester = nullptr;
     bool patient = false;
     std::vector<Candidate> candidates;
     const Backend* holder = nullptr;  // holds most of the prompt
@@ -149,6 +150,7 @@
   Estimate EstimatePlain(const Candidate& candidate, const PlacementView& view,
                          TimePoint now) const;
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
+  double WayMillis(const Backend& backend, const Requester& requester) const;
   bool IsPatient(const RequestProfile& profile) const;
   double FailureShareOf(BackendKey backend, TimePoint now) const;
   std::vector<BackendLoadEntry> OwnLoads(const std::string& without, TimePoint now) const;
--- a/libs/dispatch/include/cartsail/dispatch/placement.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/dispatch/load_ledger.h"
@@ -42,6 +43,7 @@
 struct Requester {
   std::string node;  // empty: this node
   std::string zone;
+  std::vector<BackendKey> connected;  // back ends to which it has an idle connection
 };
 
 PlacementGrant GrantOf(const Placement& placement);
--- a/libs/dispatch/include/cartsail/dispatch/placement_policy.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -31,6 +31,7 @@
   double over_full_ms = 50;      // each request beyond an engine's slots, nearly
   double plain_request_ms = 60;  // expected work of a plain service's request
   double other_zone_ms = 1;
+  double new_connection_ms = 40;  // a back end to which the node has no idle connection
   double failure_cost_ms = 4000;  // times the share of recent failures
 };
 
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -14,7 +14,7 @@
 constexpr int64_t kLeastEventsForPause = 12;  // of a stream whose pace is measured
 // A prompt that nobody holds goes to the engine that all nodes would choose for it, unless another
 // one is better by this much.
-constexpr double kHomeBonusMs = 60;
+constexpr double kHomeBonusMs = 10;
 constexpr double kSendingMs = 20;  // from the choice to the first output beside reading the prompt
 
 bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
@@ -65,6 +65,13 @@
   return static_cast<double>(streams) * policy_.disturbed_stream_ms;
 }
 
+// What it costs to reach the back end.
+double Dispatcher::WayMillis(const Backend& backend, const Requester& requester) const {
+  const double zone_ms = backend.zone == requester.zone ? 0 : policy_.other_zone_ms;
+  const bool connected = Contains(requester.connected, backend.key);
+  return zone_ms + (connected ? 0 : policy_.new_connection_ms);
+}
+
 Dispatcher::PlacementView Dispatcher::View(const RequestProfile& profile,
                                            const std::vector<BackendKey>& tried, TimePoint now) {
   loads_.ExpirePeers(now);
@@ -121,7 +128,7 @@
   const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
   const double busy = static_cast<double>(estimate.load.requests) / slots;
   estimate.cost_ms = policy_.plain_request_ms * (1 + busy) * health_.Slowness(backend.key);
-  if (backend.zone != view.zone) estimate.cost_ms += policy_.other_zone_ms;
+  estimate.cost_ms += WayMillis(backend, *view.requester);
   estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend.key, now);
   return estimate;
 }
@@ -166,7 +173,7 @@
   estimate.cost_ms += DisturbanceMillis(estimate.load, estimate.reading_ms);
   if (view.patient && candidate.for_urgent) estimate.cost_ms += policy_.patient_elsewhere_ms;
   if (!view.patient && !candidate.for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
-  if (backend.zone != view.zone) estimate.cost_ms += policy_.other_zone_ms;
+  estimate.cost_ms += WayMillis(backend, *view.requester);
   estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend.key, now);
   if (&backend == view.home) estimate.cost_ms -= kHomeBonusMs;
   return estimate;
@@ -177,7 +184,7 @@
                                             const std::vector<BackendKey>& tried, TimePoint now) {
   PlacementView view = View(profile, tried, now);
   if (view.candidates.empty()) return std::nullopt;
-  view.zone = requester.zone;
+  view.requester = &requester;
 
   const Backend* best = nullptr;
   Estimate best_estimate;
@@ -207,11 +214,13 @@
 }
 
 std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
-                                           const std::vector<std::string>& tried, TimePoint now) {
+                                           const std::vector<std::string>& tried, TimePoint now,
+                                           std::vector<BackendKey> connected) {
   std::vector<BackendKey> keys;
   keys.reserve(tried.size());
   for (const std::string& id : tried) keys.push_back(KeyOf(id));
-  std::optional<Placement> placement = Choose({"", zone_}, profile, keys, now);
+  std::optional<Placement> placement =
+      Choose({"", zone_, std::move(connected)}, profile, keys, now);
   if (placement.has_value()) Begin(profile, AttemptOrigin::kOwn, &*placement, now);
   return placement;
 }
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -116,6 +116,23 @@
   cr_assert(shared <= 40, "%d of 400 urgent requests beside long prompts", shared);
 }
 
+Test(dispatcher, of_equal_back_ends_one_with_an_idle_connection_is_taken) {
+  Dispatcher dispatcher = MakeDispatcher(8);
+  for (uint64_t subject = 0; subject < 8; ++subject) {
+    const std::optional<Placement> placement =
+        dispatcher.Place(Urgent(subject), {}, kStart, {KeyOf("e3")});
+    cr_assert(placement->backend.id == "e3");
+    dispatcher.Finish(placement->ticket, AttemptOutcome::kAnswered, kStart);
+  }
+  // But not when others have much more time.
+  for (int i = 0; i < 200; ++i) {
+    const std::optional<Placement> placement =
+        dispatcher.Place(Urgent(100 + static_cast<uint64_t>(i)), {}, kStart, {KeyOf("e3")});
+    if (placement->backend.id != "e3") return;
+  }
+  cr_assert_fail("all 200 requests went to one engine");
+}
+
 Test(dispatcher, what_peers_tell_counts_and_fades) {
   Dispatcher dispatcher = MakeDispatcher(2);
   DispatchDigest digest;
--- a/libs/relay/src/datagram.cc
+++ b/libs/relay/src/datagram.cc
@@ -13,6 +13,17 @@
   EncodeDigest(digest, root.initDigest());
 }
 
+void FillKeys(const std::vector<BackendKey>& keys, capnp::List<uint32_t>::Builder list) {
+  for (unsigned i = 0; i < list.size(); ++i) list.set(i, keys[i]);
+}
+
+std::vector<BackendKey> KeysOf(capnp::List<uint32_t>::Reader list) {
+  std::vector<BackendKey> keys;
+  keys.reserve(list.size());
+  for (const BackendKey key : list) keys.push_back(key);
+  return keys;
+}
+
 void Encode(const PlacementQuestion& question, wire::Datagram::Builder root) {
   const RequestProfile& profile = question.profile;
   auto message = root.initQuestion();
@@ -28,8 +39,9 @@
     parts[i].setId(profile.prompt_parts[i].id);
     parts[i].setTokens(BoundedTo<uint32_t>(static_cast<double>(profile.prompt_parts[i].tokens)));
   }
-  auto tried = message.initTried(static_cast<unsigned>(question.tried.size()));
-  for (unsigned i = 0; i < tried.size(); ++i) tried.set(i, question.tried[i]);
+  FillKeys(question.tried, message.initTried(static_cast<unsigned>(question.tried.size())));
+  FillKeys(question.connected,
+           message.initConnected(static_cast<unsigned>(question.connected.size())));
 }
 
 void Encode(const PlacementAnswer& answer, wire::Datagram::Builder root) {
@@ -75,7 +87,8 @@
   for (const auto part : message.getParts()) {
     profile.prompt_parts.push_back({part.getId(), part.getTokens()});
   }
-  for (const BackendKey tried : message.getTried()) question.tried.push_back(tried);
+  question.tried = KeysOf(message.getTried());
+  question.connected = KeysOf(message.getConnected());
   return question;
 }
 
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -70,6 +70,8 @@
   bytesPerToken @6 :UInt32;
   parts @7 :List(PromptPart);
   tried @8 :List(UInt32);
+  # Back ends to which the node has an idle connection.
+  connected @9 :List(UInt32);
 }
 
 struct PlacementAnswer {
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -117,7 +117,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -798,6 +798,9 @@
   inline bool hasTried() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
 
+  inline bool hasConnected() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getConnected() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -866,6 +869,14 @@
   inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
 
+  inline bool hasConnected();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getConnected();
+  inline void setConnected( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setConnected(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initConnected(unsigned int size);
+  inline void adoptConnected(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownConnected();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2256,6 +2267,44 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool PlacementQuestion::Reader::hasConnected() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementQuestion::Builder::hasConnected() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PlacementQuestion::Reader::getConnected() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::getConnected() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PlacementQuestion::Builder::setConnected( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void PlacementQuestion::Builder::setConnected(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::initConnected(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PlacementQuestion::Builder::adoptConnected(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PlacementQuestion::Builder::disownConnected() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t PlacementAnswer::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/relay/src/placement_message.h
+++ b/libs/relay/src/placement_message.h
@@ -15,6 +15,7 @@
   QuestionId id = 0;
   RequestProfile profile;
   std::vector<BackendKey> tried;
+  std::vector<BackendKey> connected;  // back ends to which the node has an idle connection
 };
 
 struct PlacementAnswer {
--- a/libs/relay/src/placement_service.cc
+++ b/libs/relay/src/placement_service.cc
@@ -20,14 +20,17 @@
 constexpr Duration kFirstSuspicion = milliseconds(300);
 constexpr Duration kLongestSuspicion = seconds(4);
 constexpr Duration kProgressDelay = milliseconds(5);  // progress of this time goes in one message
+constexpr size_t kMostConnected = 32;                 // back ends named in a question
 constexpr size_t kMostProgress = 64;                  // in one message
 
 }  // namespace
 
-PlacementService::PlacementService(asio::io_context& io, Dispatcher& dispatcher, PeerTable& peers)
+PlacementService::PlacementService(asio::io_context& io, Dispatcher& dispatcher, PeerTable& peers,
+                                   const UpstreamPool& pool)
     : io_(io),
       dispatcher_(dispatcher),
       peers_(peers),
+      pool_(pool),
       progress_timer_(io),
       next_question_(std::random_device{}()) {}
 
@@ -59,7 +62,6 @@
 
 asio::awaitable<std::optional<Placement>> PlacementService::Place(
     const RequestProfile& profile, const std::vector<std::string>& tried) {
-  std::vector<std::string> unusable = tried;
   if (transport_.send) {
     const std::vector<std::string> hosts =
         peers_.RankCoordinators(profile.service, kCoordinatorsAsked, Now());
@@ -67,7 +69,7 @@
       if (host.empty()) break;
       if (IsSuspected(host, Now())) continue;
       NoteCoordinator(profile.service, host);
-      PlacementQuestion question{next_question_++, profile, {}};
+      PlacementQuestion question{next_question_++, profile, {}, pool_.Connected(kMostConnected)};
       for (const std::string& id : tried) question.tried.push_back(KeyOf(id));
       const QuestionId id = question.id;
       const std::optional<PlacementAnswer> answer = co_await Ask(host, std::move(question));
@@ -85,7 +87,7 @@
     }
   }
   GlobalCounters().placements_own_total.Add();
-  co_return dispatcher_.Place(profile, unusable, Now());
+  co_return dispatcher_.Place(profile, tried, Now(), pool_.Connected(kMostConnected));
 }
 
 asio::awaitable<std::optional<PlacementAnswer>> PlacementService::Ask(const std::string& host,
@@ -176,7 +178,7 @@
     transport_.send(host, answer);
     return;
   }
-  const Requester requester{host, peers_.ZoneOf(host)};
+  const Requester requester{host, peers_.ZoneOf(host), question.connected};
   const std::optional<Placement> placement =
       dispatcher_.PlaceFor(requester, question.profile, question.tried, now);
   if (placement.has_value()) {
--- a/libs/relay/src/placement_service.h
+++ b/libs/relay/src/placement_service.h
@@ -19,6 +19,7 @@
 #include "cartsail/dispatch/grant_book.h"
 #include "datagram.h"
 #include "peer_table.h"
+#include "upstream_pool.h"
 
 namespace cartsail {
 
@@ -31,7 +32,8 @@
     std::function<void(const std::string& host)> announce;
   };
 
-  PlacementService(boost::asio::io_context& io, Dispatcher& dispatcher, PeerTable& peers);
+  PlacementService(boost::asio::io_context& io, Dispatcher& dispatcher, PeerTable& peers,
+                   const UpstreamPool& pool);
 
   // Without a transport this node places all requests itself.
   void SetTransport(Transport transport) { transport_ = std::move(transport); }
@@ -91,6 +93,7 @@
   boost::asio::io_context& io_;
   Dispatcher& dispatcher_;
   PeerTable& peers_;
+  const UpstreamPool& pool_;
   Transport transport_;
   GrantBook grants_;
   std::map<QuestionId, Waiting*> waiting_;
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -26,8 +26,8 @@
         dispatcher(relay_options.placement, relay_options.zone),
         peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}, {}},
               Now()),
-        placement(io_context, dispatcher, peers),
-        pool(io_context.get_executor()) {}
+        pool(io_context.get_executor()),
+        placement(io_context, dispatcher, peers, pool) {}
 
   ServiceRetryBudget& BudgetOf(const std::string& service) {
     return budgets.try_emplace(service, options.retry_budget).first->second;
@@ -39,8 +39,8 @@
   RoutingState routing;
   Dispatcher dispatcher;
   PeerTable peers;
-  PlacementService placement;
   UpstreamPool pool;
+  PlacementService placement;
   std::map<std::string, ServiceRetryBudget> budgets;
   int64_t requests_in_flight = 0;
   bool draining = false;  // the node is to stop; running requests go on
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/upstream_pool.cc
@@ -36,6 +36,15 @@
   idle.push_back(std::move(connection));
 }
 
+std::vector<BackendKey> UpstreamPool::Connected(size_t most) const {
+  std::vector<BackendKey> keys;
+  for (const auto& [backend, connections] : idle_) {
+    if (keys.size() >= most) break;
+    if (!connections.empty()) keys.push_back(KeyOf(backend));
+  }
+  return keys;
+}
+
 void UpstreamPool::Sweep(TimePoint now) {
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     std::erase_if(entry->second, [now](const std::shared_ptr<UpstreamConnection>& connection) {
--- a/libs/relay/src/upstream_pool.h
+++ b/libs/relay/src/upstream_pool.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cartsail/dispatch/backend_registry.h"
 #include "upstream_connection.h"
 
 namespace cartsail {
@@ -24,6 +25,9 @@
   // Keeps a reusable connection, closes any other.
   void Return(const std::string& backend, std::shared_ptr<UpstreamConnection> connection);
 
+  // Back ends to which there is an idle connection, `most` at most.
+  std::vector<BackendKey> Connected(size_t most) const;
+
   // Closes idle connections that ended or may not be used any more. About once a second.
   void Sweep(TimePoint now);
 
--- a/libs/relay/tests/placement_service_test.cc
+++ b/libs/relay/tests/placement_service_test.cc
@@ -36,7 +36,8 @@
       : host(HostOf(number)),
         peers(StateOf(number), Now() - seconds(10)),
         dispatcher(PlacementPolicy(), "z1"),
-        service(io, dispatcher, peers) {
+        pool(io.get_executor()),
+        service(io, dispatcher, peers, pool) {
     for (int i = 0; i < kEngines; ++i) {
       Backend engine;
       engine.id = "e" + std::to_string(i);
@@ -51,6 +52,7 @@
   std::string host;
   PeerTable peers;
   Dispatcher dispatcher;
+  UpstreamPool pool;
   PlacementService service;
 };
 
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -165,12 +165,13 @@
   question.profile.prompt_tokens = 900;
   question.profile.prompt_parts = {{0x5c1e07a2, 800}, {0x91bd3f06, 100}};
   question.tried = {11};
+  question.connected = {21, 22};
   const std::optional<Datagram> asked = DecodeDatagram(EncodeDatagram(question));
   const auto* read = std::get_if<PlacementQuestion>(&*asked);
   cr_assert(read->id == 7 && read->profile.service == "llm" && read->profile.is_generation);
   cr_assert(read->profile.first_output_goal == milliseconds(250));
   cr_assert(read->profile.prompt_parts[1].id == 0x91bd3f06);
-  cr_assert(read->tried == question.tried);
+  cr_assert(read->tried == question.tried && read->connected == question.connected);
 
   PlacementAnswer answer;
   answer.id = 7;
