--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -24,6 +24,7 @@
 
 constexpr size_t kMostDatagramBytes = 1 << 16;
 constexpr size_t kDatagramOverhead = 28;  // IP and UDP headers
+constexpr size_t kCoordinatorsTold = 2;   // of a service
 constexpr size_t kHostsTold = 3;          // in one digest
 constexpr int kLifetimeIntervals = 4;     // that a peer's load holds
 constexpr Duration kLeastLifetime = seconds(1);
@@ -200,15 +201,31 @@
   return sent;
 }
 
+// The nodes that place requests or would do so next: only they need to know loads and prefixes.
+std::set<std::string> PeerExchange::Coordinators(TimePoint now) const {
+  std::set<std::string> hosts;
+  for (const std::string& host : context_.dispatcher.Coordinators()) hosts.insert(host);
+  if (context_.routing.Table() == nullptr) return hosts;
+  for (const ServiceRule& service : context_.routing.Table()->Document().services) {
+    const auto ranked = peers_.RankCoordinators(service.name, kCoordinatorsTold, now);
+    hosts.insert(ranked.begin(), ranked.end());
+  }
+  hosts.erase("");  // this node
+  return hosts;
+}
+
 void PeerExchange::SendDigests() {
   const TimePoint now = Now();
   peers_.ForgetSilent(now);
-  const NodeDigest digest = MakeDigest(now);
-  const std::string for_all = EncodeDatagram(digest);
+  NodeDigest digest = MakeDigest(now);
   std::map<std::string, std::string> for_coordinators;
-  for (const std::string& host : context_.dispatcher.Coordinators()) {
+  for (const std::string& host : Coordinators(now)) {
     for_coordinators[host] = EncodeDatagram(DigestFor(host, digest, now));
   }
+  digest.dispatch.loads.clear();
+  digest.dispatch.prefixes.clear();
+  digest.dispatch.work.clear();
+  const std::string for_all = EncodeDatagram(digest);
   size_t sent_bytes = 0;
   for (auto& [host, peer] : peers_.Peers()) {
     if (!IsDue(peer, now)) continue;
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,7 @@
   size_t Send(const std::string& host, const std::string& bytes);
   void Announce(const std::string& host);
   NodeDigest DigestFor(const std::string& coordinator, NodeDigest digest, TimePoint now) const;
+  std::set<std::string> Coordinators(TimePoint now) const;
   void OnDatagram(const std::string& host, std::string_view bytes);
   void OnDigest(const std::string& host, const NodeDigest& digest);
   bool IsDue(const PeerRecord& peer, TimePoint now) const;
