Nodes that start together hear each other before they read the store

Ruled out: fewer readers or longer watches (a compaction may leave a watch in the dark; config_deadline is 2 s). Change: at the system's first start nodes hear each other for 0.9 s before the few readers of each zone read; a node that starts sends its digest at once, and a node that hears a new one answers at once and names up to 64 others.

--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -20,6 +20,7 @@
   Endpoint metrics;                // metrics; port 0: at `ready` only
   Endpoint peer;                   // other nodes: datagrams, and documents by HTTP
   std::vector<std::string> seeds;  // hosts of nodes that may be up; they share `peer`'s port
+  bool first_start = false;        // of the whole system: all nodes start about now
   Duration digest_interval = milliseconds(100);  // between digests to peers, at least
   double digest_bytes_per_s = 9000;              // sent in digests, at most
   Duration connect_timeout = milliseconds(400);  // to a back end
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -20,6 +20,7 @@
 
 namespace asio = boost::asio;
 
+constexpr Duration kFirstHearing = milliseconds(900);
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(800);
 constexpr int64_t kItemsPerPage = 500;
@@ -55,6 +56,8 @@
 
 asio::awaitable<void> CatalogSync::Follow() {
   const std::string range_end = PrefixEnd(keys_.prefix);
+  // When all nodes start together, they first hear of each other: then a few read for all.
+  if (context_.options.first_start) co_await Pause(kFirstHearing);
   int failures = 0;
   const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events, int64_t at) {
     NoteReachable(true, {});
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -25,6 +25,7 @@
 constexpr size_t kMostDatagramBytes = 1 << 16;
 constexpr size_t kDatagramOverhead = 28;  // IP and UDP headers
 constexpr size_t kCoordinatorsTold = 2;   // of a service
+constexpr size_t kHostsToldAtFirst = 64;  // to a node that was not heard before
 constexpr size_t kHostsTold = 3;          // in one digest
 constexpr int kLifetimeIntervals = 4;     // that a peer's load holds
 constexpr Duration kLeastLifetime = seconds(1);
@@ -107,6 +108,7 @@
                         digest.capacity, digest.uptime, digest.interval};
   if (peers_.Heard(host, state, now)) {
     Log(LogLevel::kInfo, "peer_heard", {{"node", digest.node}, {"host", host}});
+    Announce(host);
   }
   if (digest.live_questions.has_value()) {
     context_.placement.OnLiveQuestions(host, *digest.live_questions, now);
@@ -140,6 +142,7 @@
 }
 
 asio::awaitable<void> PeerExchange::SendPeriodically() {
+  SendDigests();
   asio::steady_timer timer(context_.io);
   while (true) {
     timer.expires_after(interval_);
@@ -183,6 +186,7 @@
 void PeerExchange::Announce(const std::string& host) {
   const TimePoint now = Now();
   NodeDigest digest = MakeDigest(now);
+  digest.hosts = peers_.SomeLiveHosts(kHostsToldAtFirst, now);
   // The other peers are still to be told of these prefixes.
   context_.dispatcher.TellAgain(digest.dispatch.prefixes);
   (void)Send(host, EncodeDatagram(DigestFor(host, std::move(digest), now)));
--- /dev/null
+++ b/libs/relay/tests/peer_exchange_test.cc
@@ -0,0 +1,128 @@
+// Nodes that hear each other over loopback datagrams.
+#include "peer_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "cartsail/base/status.h"
+#include "support/relay_fixture.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr uint16_t kPeerPort = 28741;
+
+absl::Status Away() { return MakeError(ErrorKind::kPlatformUnavailable, "away"); }
+
+class AwayStore : public KeyValueStore {
+ public:
+  Result<RangeResult> Range(RangeRequest request) override { co_return Away(); }
+  Result<TxnResult> Txn(TxnRequest request) override { co_return Away(); }
+  Result<int64_t> GrantLease(int64_t ttl_seconds) override { co_return Away(); }
+  asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
+                                      int64_t start_revision, WatchCallback on_events) override {
+    co_return Away();
+  }
+};
+
+class NoCodec : public CatalogCodec {
+ public:
+  absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const override {
+    return Away();
+  }
+  absl::StatusOr<Backend> DecodeBackend(std::string_view id, std::string_view text) const override {
+    return Away();
+  }
+};
+
+RelayOptions OptionsOf(const std::string& host, std::vector<std::string> seeds, Duration interval) {
+  RelayOptions options;
+  options.node_id = "node-" + host;
+  options.zone = "z1";
+  options.peer = {host, kPeerPort};
+  options.seeds = std::move(seeds);
+  options.digest_interval = interval;
+  options.digest_bytes_per_s = 1e6;
+  return options;
+}
+
+struct Node {
+  Node(asio::io_context& io, const std::string& host, std::vector<std::string> seeds,
+       Duration interval)
+      : context(io, OptionsOf(host, std::move(seeds), interval), format),
+        catalog(context, context.peers, store, codec, {}),
+        exchange(context, catalog) {
+    cr_assert(exchange.Start().ok());
+  }
+
+  bool Hears(const std::string& host) { return !context.peers.ZoneOf(host).empty(); }
+
+  WireFormat format;
+  AwayStore store;
+  NoCodec codec;
+  RelayContext context;
+  CatalogSync catalog;
+  PeerExchange exchange;
+};
+
+Test(peer_exchange, a_node_that_starts_is_answered_at_once_and_told_of_others) {
+  asio::io_context io;
+  // So long that within the test each node sends of its own accord once only.
+  constexpr Duration kInterval = seconds(30);
+  Node first(io, "127.0.0.31", {}, kInterval);
+  Node second(io, "127.0.0.32", {"127.0.0.31"}, kInterval);
+  io.run_for(milliseconds(100));
+  cr_assert(first.Hears("127.0.0.32") && second.Hears("127.0.0.31"));
+  Node third(io, "127.0.0.33", {"127.0.0.31"}, kInterval);
+  io.restart();
+  io.run_for(milliseconds(100));
+  cr_assert(third.Hears("127.0.0.31"));
+  const auto& known = third.context.peers.Peers();
+  cr_assert(known.count("127.0.0.32") == 1, "told of the second by the first");
+}
+
+Backend EngineOf(const std::string& service) {
+  Backend backend;
+  backend.id = "b1";
+  backend.service = service;
+  backend.address = "127.0.0.1:1";
+  return backend;
+}
+
+Test(peer_exchange, only_coordinators_are_told_of_loads) {
+  constexpr int kNodes = 5;
+  asio::io_context io;
+  const RoutingDocument document = testing::PlainDocument();
+  const std::string service = document.services[0].name;
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int i = 0; i < kNodes; ++i) {
+    const std::string host = "127.0.0." + std::to_string(41 + i);
+    nodes.push_back(
+        std::make_unique<Node>(io, host, std::vector<std::string>{"127.0.0.41"}, milliseconds(50)));
+    nodes.back()->context.routing.Apply(*RouteTable::Build(document), "");
+    nodes.back()->context.dispatcher.Registry().Put(EngineOf(service));
+  }
+  io.run_for(milliseconds(400));
+  Node& busy = *nodes[0];
+  RequestProfile profile;
+  profile.service = service;
+  (void)busy.context.dispatcher.Place(profile, {}, Now());
+  io.restart();
+  io.run_for(milliseconds(200));
+  const auto ranked = busy.context.peers.RankCoordinators(service, 2, Now());
+  for (int i = 1; i < kNodes; ++i) {
+    Node& other = *nodes[static_cast<size_t>(i)];
+    const std::string& host = other.context.options.peer.host;
+    const bool coordinates = std::find(ranked.begin(), ranked.end(), host) != ranked.end();
+    const auto placement = other.context.dispatcher.Place(profile, {}, Now());
+    cr_assert(placement->load.requests == (coordinates ? 1 : 0), "%s", host.c_str());
+    cr_assert(other.context.dispatcher.LiveNodes(Now()) == kNodes);
+  }
+}
+
+}  // namespace
+}  // namespace cartsail
