A subject that nobody is known to hold goes to its home

Nodes that start together also took a second to hear each other, since a silent host was called once a second. Change: the home counts only where nobody is known to hold the subject, by 0.05 ms a token and 100 ms at most; nodes call silent hosts every 150 ms in their first 4 s.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -134,7 +134,8 @@
     std::vector<Candidate> candidates;
     const Backend* holder = nullptr;  // holds most of the prompt
     int64_t holder_tokens = 0;
-    const Backend* home = nullptr;  // which all nodes would choose for the prompt's subject
+    // Which every coordinator would choose for the prompt's subject; nullptr: somebody holds it.
+    const Backend* home = nullptr;
   };
 
   void RemoveMissing(TimePoint now);
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -12,9 +12,10 @@
 constexpr size_t kMostDigestPrefixes = 64;
 constexpr double kFullSlots = 0.9;  // share of its slots from which an engine counts as full
 constexpr int64_t kLeastEventsForPause = 12;  // of a stream whose pace is measured
-// A prompt that nobody holds goes to the engine that all nodes would choose for it, unless another
-// one is better by this much.
-constexpr double kHomeBonusMs = 10;
+// A prompt whose subject nobody is known to hold goes to the engine that every coordinator would
+// choose for it, unless another one is better by this much: it may hold it from before.
+constexpr double kHomeBonusMsPerToken = 0.05;
+constexpr double kMostHomeBonusMs = 100;
 constexpr double kSendingMs = 20;  // from the choice to the first output beside reading the prompt
 
 bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
@@ -28,6 +29,15 @@
   return profile.prompt_parts[parts >= 2 ? parts - 2 : 0].id;
 }
 
+// Tokens up to and with that part.
+int64_t SubjectTokens(const RequestProfile& profile) {
+  int64_t tokens = 0;
+  for (size_t i = 0; i + 1 < profile.prompt_parts.size(); ++i) {
+    tokens += profile.prompt_parts[i].tokens;
+  }
+  return tokens;
+}
+
 uint64_t HomeScore(uint64_t subject, const Backend& backend) { return Hash64(backend.id, subject); }
 
 }  // namespace
@@ -110,6 +120,7 @@
 }
 
 void Dispatcher::FindHome(const RequestProfile& profile, PlacementView* view) const {
+  if (view->holder != nullptr && view->holder_tokens >= SubjectTokens(profile)) return;
   const uint64_t subject = SubjectOf(profile);
   uint64_t best_score = 0;
   for (const Candidate& candidate : view->candidates) {
@@ -176,7 +187,10 @@
   if (!view.patient && !candidate.for_urgent) estimate.cost_ms += policy_.urgent_elsewhere_ms;
   estimate.cost_ms += WayMillis(backend, *view.requester);
   estimate.cost_ms += policy_.failure_cost_ms * FailureShareOf(backend.key, now);
-  if (&backend == view.home) estimate.cost_ms -= kHomeBonusMs;
+  if (&backend == view.home) {
+    const auto tokens = static_cast<double>(SubjectTokens(profile));
+    estimate.cost_ms -= std::min(tokens * kHomeBonusMsPerToken, kMostHomeBonusMs);
+  }
   return estimate;
 }
 
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -31,6 +31,8 @@
 constexpr Duration kLeastLifetime = seconds(1);
 constexpr Duration kLongestInterval = seconds(2);
 constexpr Duration kSilentInterval = seconds(1);  // between digests to a silent host
+constexpr Duration kSilentIntervalWhenYoung = milliseconds(150);
+constexpr Duration kYoungUptime = seconds(4);
 constexpr Duration kFetchTimeout = milliseconds(800);
 constexpr Duration kFetchPause = milliseconds(250);
 
@@ -152,8 +154,11 @@
   }
 }
 
+// A node that just started calls silent hosts more often: they may be starting as well.
 bool PeerExchange::IsDue(const PeerRecord& peer, TimePoint now) const {
-  return peers_.IsLive(peer, now) || now - peer.last_sent >= kSilentInterval;
+  if (peers_.IsLive(peer, now)) return true;
+  const bool young = peers_.Self(now).uptime < kYoungUptime;
+  return now - peer.last_sent >= (young ? kSilentIntervalWhenYoung : kSilentInterval);
 }
 
 NodeDigest PeerExchange::MakeDigest(TimePoint now) {
