A node that just started takes a small share of the retries

Cause: seen in logs of a loss of power of all nodes: budget_left=128.8 nodes=1. For the second in which a node had heard no peer it took itself for the only one, so 61 nodes together could have used 61 times the budget. Ruled out: no retries at the start (they are wanted most then). Change: in its first 3 s a node assumes at least 64 that share. Test: coordinators, a node that just started assumes that there are many (does not build before; the value was 1).

--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -139,7 +139,7 @@
 bool Exchange::MayTakeRepeat(ServiceRetryBudget& budget) {
   // Only bytes that reached a back end count as a repeat there.
   if (history_.attempts == 0) return true;
-  const int64_t nodes = context_.dispatcher.LiveNodes(Now());
+  const int64_t nodes = context_.peers.SharingNodes(Now());
   const bool granted = budget.TakeRepeat(Now(), nodes);
   Counters& counters = GlobalCounters();
   (granted ? counters.retries_total : counters.retries_denied_total).Add();
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -13,6 +13,7 @@
 constexpr int kSilentIntervals = 4;
 constexpr Duration kForgottenAfter = seconds(30);
 constexpr Duration kSettledAfter = seconds(3);  // uptime from which all nodes know a node
+constexpr int64_t kAssumedWhenYoung = 64;       // nodes, by one that has not heard them yet
 constexpr double kCapacityClasses = 10;         // of a core: small differences don't count
 
 // The order of nodes that may place requests: greater ones come first.
@@ -112,6 +113,11 @@
   return some;
 }
 
+int64_t PeerTable::SharingNodes(TimePoint now) const {
+  const auto heard = static_cast<int64_t>(LiveCount(now)) + 1;
+  return now - started_ < kSettledAfter ? std::max(heard, kAssumedWhenYoung) : heard;
+}
+
 size_t PeerTable::LiveCount(TimePoint now) const {
   return static_cast<size_t>(
       std::count_if(peers_.begin(), peers_.end(),
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -66,6 +66,10 @@
 
   size_t LiveCount(TimePoint now) const;
 
+  // Nodes that share what the whole system may do, this one included. A node that just started has
+  // not heard all of them and assumes many.
+  int64_t SharingNodes(TimePoint now) const;
+
   std::map<std::string, PeerRecord>& Peers() { return peers_; }
 
  private:
--- a/libs/relay/tests/placement_service_test.cc
+++ b/libs/relay/tests/placement_service_test.cc
@@ -308,5 +308,14 @@
   cr_assert(peers.RankCoordinators("llm", 9, now + seconds(60)).empty());
 }
 
+// Many nodes that start together must not each take the whole system's retries.
+Test(coordinators, a_node_that_just_started_assumes_that_there_are_many) {
+  const TimePoint now = TimePoint(seconds(1000));
+  PeerTable peers(StateOf(0), now);
+  cr_assert(peers.SharingNodes(now + milliseconds(200)) >= 60);
+  peers.Heard(HostOf(1), StateOf(1), now + seconds(5));
+  cr_assert(peers.SharingNodes(now + seconds(5)) == 2);
+}
+
 }  // namespace
 }  // namespace cartsail
