--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -121,6 +121,7 @@
       break;
     }
     tried_.push_back(placement->backend.id);
+    placed_by_ = placement->placed_by;
     outcome = co_await Attempt(*placement);
     context_.placement.Finish(placement->ticket, outcome, Now());
     LogAttempt(*placement, outcome);
--- a/libs/relay/src/exchange_report.cc
+++ b/libs/relay/src/exchange_report.cc
@@ -19,6 +19,14 @@
   last_output_ = now;
 }
 
+namespace {
+
+std::string PlacedByText(const std::string& coordinator) {
+  return coordinator.empty() ? "self" : coordinator;
+}
+
+}  // namespace
+
 void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
   if (outcome == AttemptOutcome::kAnswered) return;
   Log(LogLevel::kWarning, "attempt",
@@ -30,6 +38,7 @@
        {"may_have_run", std::to_string(history_.may_have_run)},
        {"cost_ms", fmt::format("{:.0f}", placement.cost_ms)},
        {"expected_ms", fmt::format("{:.0f}", placement.first_output_ms)},
+       {"placed_by", PlacedByText(placement.placed_by)},
        {"catalog", std::to_string(placement.backend.created_revision)},
        {"load", std::to_string(placement.load.requests)},
        {"candidates", std::to_string(placement.candidates)}});
@@ -77,6 +86,7 @@
        {"config", std::to_string(context_.routing.Version())},
        {"config_age_ms", ConfigAgeText()},
        {"backend", tried_.empty() ? "" : tried_.back()},
+       {"placed_by", tried_.empty() ? "" : PlacedByText(placed_by_)},
        {"attempts", std::to_string(history_.attempts)},
        {"result", std::string(result)},
        {"status", std::to_string(status)},
