What an engine is still reading can't be handed over

Cause: a part counted as held from the moment a request was placed; a second request for it was sent elsewhere and told to take the memory over, which was not there yet, so it was read again. Change: a part can be handed over from the first output of a request that read it; until then placing elsewhere is charged as reading again. Tests: an engine that is still reading hands nothing over (fails before). The test of a busy holder placed 20 requests before any output and so asked for the old behaviour; its holder now has read the prompt first, the rest is the same.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -110,6 +110,7 @@
     TimePoint first_output;
     TimePoint last_output;
     double expected_ms = 0;
+    std::vector<uint64_t> shared_parts;  // of its prompt
   };
 
   struct Estimate {
@@ -132,8 +133,9 @@
     const Requester* requester = nullptr;
     bool patient = false;
     std::vector<Candidate> candidates;
-    const Backend* holder = nullptr;  // holds most of the prompt
+    const Backend* holder = nullptr;  // has read most of the prompt and can hand it over
     int64_t holder_tokens = 0;
+    int64_t known_tokens = 0;  // read or being read at one engine, at most
     // Which every coordinator would choose for the prompt's subject; nullptr: somebody holds it.
     const Backend* home = nullptr;
   };
--- a/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
+++ b/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
@@ -20,9 +20,15 @@
   // `backend` reads or has read the part.
   void Note(uint64_t part, BackendKey backend, TimePoint now);
 
-  // Tokens at the start of `parts` that `backend` holds.
+  // It has read the part to the end, and can hand it over.
+  void NoteRead(uint64_t part, BackendKey backend);
+
+  // Tokens at the start of `parts` that `backend` holds or is reading.
   int64_t HeldTokens(const std::vector<PromptPart>& parts, BackendKey backend, TimePoint now) const;
 
+  // Tokens at the start of `parts` that `backend` has read.
+  int64_t ReadTokens(const std::vector<PromptPart>& parts, BackendKey backend, TimePoint now) const;
+
   // True when some back end holds the part.
   bool AnyHolds(uint64_t part, TimePoint now) const;
 
@@ -41,9 +47,11 @@
   struct Holder {
     BackendKey backend;
     TimePoint last_use;
+    bool read = false;
   };
 
-  bool Holds(uint64_t part, BackendKey backend, TimePoint now) const;
+  // nullptr when it does not hold the part any more.
+  const Holder* Find(uint64_t part, BackendKey backend, TimePoint now) const;
 
   Duration lifetime_;
   std::unordered_map<uint64_t, std::vector<Holder>> holders_;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -112,15 +112,18 @@
                             TimePoint now, PlacementView* view) const {
   for (const PoolMember& member : members) {
     const BackendKey key = member.backend->key;
-    const int64_t held = prefixes_.HeldTokens(profile.prompt_parts, key, now);
-    if (held <= view->holder_tokens || health_.IsSuspended(key, now)) continue;
+    if (health_.IsSuspended(key, now)) continue;
+    const int64_t known = prefixes_.HeldTokens(profile.prompt_parts, key, now);
+    view->known_tokens = std::max(view->known_tokens, known);
+    const int64_t held = prefixes_.ReadTokens(profile.prompt_parts, key, now);
+    if (held <= view->holder_tokens) continue;
     view->holder = member.backend;
     view->holder_tokens = held;
   }
 }
 
 void Dispatcher::FindHome(const RequestProfile& profile, PlacementView* view) const {
-  if (view->holder != nullptr && view->holder_tokens >= SubjectTokens(profile)) return;
+  if (view->known_tokens >= SubjectTokens(profile)) return;
   const uint64_t subject = SubjectOf(profile);
   uint64_t best_score = 0;
   for (const Candidate& candidate : view->candidates) {
@@ -165,6 +168,9 @@
       estimate.cost_ms = tokens * policy_.reread_price_ms;
     }
   }
+  // What another engine is still reading can't be had from there.
+  const int64_t read_twice = view.known_tokens - held;
+  if (read_twice > 0) estimate.cost_ms += static_cast<double>(read_twice) * policy_.reread_price_ms;
   estimate.reading_ms = ReadingMillis(held, profile.prompt_tokens);
   return estimate;
 }
@@ -290,6 +296,9 @@
     work_.Note(profile.service, running.even_stream, running.reading_ms, now);
   }
   NotePrefixes(profile, running.backend, origin, now);
+  for (size_t i = 0; i + 1 < profile.prompt_parts.size(); ++i) {
+    running.shared_parts.push_back(profile.prompt_parts[i].id);
+  }
   running_[placement->ticket] = std::move(running);
 }
 
@@ -312,6 +321,7 @@
   running.last_output = now;
   if (running.outputs++ > 0) return;
   running.first_output = now;
+  for (const uint64_t part : running.shared_parts) prefixes_.NoteRead(part, running.backend);
   loads_.FirstOutput(running.backend, running.reading_ms);
   health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
 }
@@ -442,6 +452,7 @@
   for (const PrefixPlacement& placed : digest.prefixes) {
     if (registry_.FindByKey(placed.backend) == nullptr) continue;
     prefixes_.Note(placed.part, placed.backend, now);
+    prefixes_.NoteRead(placed.part, placed.backend);
   }
   for (const BackendKey key : digest.leaving) {
     const Backend* backend = registry_.FindByKey(key);
--- a/libs/dispatch/src/prefix_directory.cc
+++ b/libs/dispatch/src/prefix_directory.cc
@@ -9,26 +9,48 @@
   std::vector<Holder>& holders = holders_[part];
   for (Holder& holder : holders) {
     if (holder.backend != backend) continue;
+    if (now - holder.last_use >= lifetime_) holder.read = false;
     holder.last_use = std::max(holder.last_use, now);
     return;
   }
-  holders.push_back({backend, now});
+  holders.push_back({backend, now, false});
 }
 
-bool PrefixDirectory::Holds(uint64_t part, BackendKey backend, TimePoint now) const {
+void PrefixDirectory::NoteRead(uint64_t part, BackendKey backend) {
   const auto holders = holders_.find(part);
-  if (holders == holders_.end()) return false;
+  if (holders == holders_.end()) return;
+  for (Holder& holder : holders->second) {
+    if (holder.backend == backend) holder.read = true;
+  }
+}
+
+const PrefixDirectory::Holder* PrefixDirectory::Find(uint64_t part, BackendKey backend,
+                                                     TimePoint now) const {
+  const auto holders = holders_.find(part);
+  if (holders == holders_.end()) return nullptr;
   for (const Holder& holder : holders->second) {
-    if (holder.backend == backend) return now - holder.last_use < lifetime_;
+    if (holder.backend != backend) continue;
+    return now - holder.last_use < lifetime_ ? &holder : nullptr;
   }
-  return false;
+  return nullptr;
 }
 
 int64_t PrefixDirectory::HeldTokens(const std::vector<PromptPart>& parts, BackendKey backend,
                                     TimePoint now) const {
   int64_t tokens = 0;
   for (const PromptPart& part : parts) {
-    if (!Holds(part.id, backend, now)) break;
+    if (Find(part.id, backend, now) == nullptr) break;
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
+int64_t PrefixDirectory::ReadTokens(const std::vector<PromptPart>& parts, BackendKey backend,
+                                    TimePoint now) const {
+  int64_t tokens = 0;
+  for (const PromptPart& part : parts) {
+    const Holder* holder = Find(part.id, backend, now);
+    if (holder == nullptr || !holder->read) break;
     tokens += part.tokens;
   }
   return tokens;
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -72,6 +72,9 @@
   Dispatcher dispatcher = MakeDispatcher(8);
   std::set<std::string> engines;
   bool fetched = false;
+  // The holder has read it.
+  const std::optional<Placement> first = dispatcher.Place(Patient(5), {}, kStart);
+  dispatcher.Output(first->ticket, kStart);
   for (int i = 0; i < 20; ++i) {
     const std::optional<Placement> placement =
         dispatcher.Place(Patient(5), {}, kStart + milliseconds(i));
@@ -85,6 +88,22 @@
   cr_assert(fetched);
 }
 
+Test(dispatcher, an_engine_that_is_still_reading_hands_nothing_over) {
+  Dispatcher dispatcher = MakeDispatcher(8);
+  const std::optional<Placement> first = dispatcher.Place(Patient(5), {}, kStart);
+  const std::optional<Placement> second =
+      dispatcher.Place(Patient(5), {}, kStart + milliseconds(1));
+  cr_assert(second->backend.id == first->backend.id, "it will hold the prompt when it is through");
+  // Elsewhere it would be read a second time, and can't be asked for yet.
+  const std::optional<Placement> elsewhere =
+      dispatcher.Place(Patient(5), {first->backend.id}, kStart + milliseconds(2));
+  cr_assert(elsewhere->fetch_prefix_from.empty());
+  dispatcher.Output(first->ticket, kStart + milliseconds(200));
+  const std::optional<Placement> later = dispatcher.Place(
+      Patient(5), {first->backend.id, elsewhere->backend.id}, kStart + milliseconds(201));
+  cr_assert(later->fetch_prefix_from == first->backend.address);
+}
+
 Test(dispatcher, no_prompt_memory_is_asked_for_where_it_cannot_be_moved) {
   Dispatcher dispatcher = MakeDispatcher(8);
   for (int i = 0; i < 20; ++i) {
