--- a/libs/relay/src/placement_service.cc
+++ b/libs/relay/src/placement_service.cc
@@ -62,34 +62,56 @@
 
 asio::awaitable<std::optional<Placement>> PlacementService::Place(
     const RequestProfile& profile, const std::vector<std::string>& tried) {
-  if (transport_.send) {
-    const std::vector<std::string> hosts =
-        peers_.RankCoordinators(profile.service, kCoordinatorsAsked, Now());
-    for (const std::string& host : hosts) {
-      if (host.empty()) break;
-      if (IsSuspected(host, Now())) continue;
-      NoteCoordinator(profile.service, host);
-      PlacementQuestion question{next_question_++, profile, {}, pool_.Connected(kMostConnected)};
-      for (const std::string& id : tried) question.tried.push_back(KeyOf(id));
-      const QuestionId id = question.id;
-      const std::optional<PlacementAnswer> answer = co_await Ask(host, std::move(question));
-      if (!answer.has_value()) continue;
-      if (!answer->grant.has_value()) break;
-      std::optional<Placement> placement = dispatcher_.Adopt(host, *answer->grant, profile, Now());
-      if (placement.has_value()) {
-        questions_[placement->ticket] = {host, id};
-        GlobalCounters().placements_asked_total.Add();
-        co_return placement;
-      }
-      // This node knows better: the back end is leaving or gone, or not known here yet.
-      Tell(host, {id, true, std::nullopt, 0});
-      break;
-    }
+  std::optional<Placement> placement;
+  if (transport_.send) placement = co_await PlaceByCoordinator(profile, tried);
+  if (placement.has_value()) {
+    GlobalCounters().placements_asked_total.Add();
+    co_return placement;
   }
   GlobalCounters().placements_own_total.Add();
   co_return dispatcher_.Place(profile, tried, Now(), pool_.Connected(kMostConnected));
 }
 
+// Nothing when this node is to place the request itself.
+asio::awaitable<std::optional<Placement>> PlacementService::PlaceByCoordinator(
+    const RequestProfile& profile, const std::vector<std::string>& tried) {
+  const std::vector<std::string> hosts =
+      peers_.RankCoordinators(profile.service, kCoordinatorsAsked, Now());
+  for (const std::string& host : hosts) {
+    if (host.empty()) co_return std::nullopt;  // this node is the coordinator
+    if (IsSuspected(host, Now())) continue;
+    NoteCoordinator(profile.service, host);
+    const std::optional<PlacementAnswer> answer = co_await Ask(host, MakeQuestion(profile, tried));
+    if (!answer.has_value()) continue;
+    co_return TakeAnswer(host, *answer, profile);
+  }
+  co_return std::nullopt;
+}
+
+PlacementQuestion PlacementService::MakeQuestion(const RequestProfile& profile,
+                                                 const std::vector<std::string>& tried) {
+  PlacementQuestion question;
+  question.id = next_question_++;
+  question.profile = profile;
+  for (const std::string& id : tried) question.tried.push_back(KeyOf(id));
+  question.connected = pool_.Connected(kMostConnected);
+  return question;
+}
+
+std::optional<Placement> PlacementService::TakeAnswer(const std::string& host,
+                                                      const PlacementAnswer& answer,
+                                                      const RequestProfile& profile) {
+  if (!answer.grant.has_value()) return std::nullopt;
+  std::optional<Placement> placement = dispatcher_.Adopt(host, *answer.grant, profile, Now());
+  if (placement.has_value()) {
+    questions_[placement->ticket] = {host, answer.id};
+  } else {
+    // This node knows better: the back end is leaving or gone, or not known here yet.
+    Tell(host, {answer.id, true, std::nullopt, 0});
+  }
+  return placement;
+}
+
 asio::awaitable<std::optional<PlacementAnswer>> PlacementService::Ask(const std::string& host,
                                                                       PlacementQuestion question) {
   const QuestionId id = question.id;
--- a/libs/relay/src/placement_service.h
+++ b/libs/relay/src/placement_service.h
@@ -81,6 +81,12 @@
     int failures = 0;
   };
 
+  boost::asio::awaitable<std::optional<Placement>> PlaceByCoordinator(
+      const RequestProfile& profile, const std::vector<std::string>& tried);
+  PlacementQuestion MakeQuestion(const RequestProfile& profile,
+                                 const std::vector<std::string>& tried);
+  std::optional<Placement> TakeAnswer(const std::string& host, const PlacementAnswer& answer,
+                                      const RequestProfile& profile);
   boost::asio::awaitable<std::optional<PlacementAnswer>> Ask(const std::string& host,
                                                              PlacementQuestion question);
   boost::asio::awaitable<bool> WaitForAnswer(Waiting& waiting, Duration patience);
