Placement by expected loss: pauses under reading are learnt, streams at risk are counted

Change: PauseModel learns base and reading pause of each engine; StreamRisk keeps the expected number of streams still in time by bound, and how often they were broken lately; ReadingBacklog follows what is unread. Placement takes the back end with the least expected loss, in requests that miss their goal, instead of added-up milliseconds. Ruled out: nodes (0.005 of a core), first outputs (52 ms in the middle).

--- a/libs/dispatch/include/cartsail/dispatch/backend_health.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_health.h
@@ -42,18 +42,6 @@
   // How many times longer than expected it takes, at least 1.
   double Slowness(BackendKey backend) const;
 
-  // Mean pause between the events of one stream, in milliseconds.
-  void NotePause(BackendKey backend, double pause_ms);
-
-  // A peer's measure of the same.
-  void NotePeerPause(BackendKey backend, double pause_ms);
-
-  // The least mean pause of its recent streams: its own pace, without what runs beside. 0: unknown.
-  double LeastPause(BackendKey backend) const;
-
-  // The least of all back ends; 0: unknown.
-  double FastestPause() const;
-
   // Forgets all back ends but those that `is_known` holds.
   void ForgetUnless(const std::function<bool(BackendKey backend)>& is_known);
 
@@ -67,7 +55,6 @@
     FadingAttempts own;
     FadingAttempts of_peers;
     double slowness = 1;
-    double least_pause_ms = 0;
     int consecutive_losses = 0;
     TimePoint suspended_until;
   };
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -14,11 +14,15 @@
 #include "cartsail/dispatch/backend_health.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/dispatch/load_ledger.h"
+#include "cartsail/dispatch/pause_model.h"
 #include "cartsail/dispatch/placement.h"
 #include "cartsail/dispatch/placement_policy.h"
 #include "cartsail/dispatch/prefix_directory.h"
+#include "cartsail/dispatch/reading_backlog.h"
 #include "cartsail/dispatch/request_profile.h"
+#include "cartsail/dispatch/run_time.h"
 #include "cartsail/dispatch/service_pools.h"
+#include "cartsail/dispatch/stream_risk.h"
 
 namespace cartsail {
 
@@ -64,13 +68,13 @@
   void Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now);
 
   // Another node's request has ended, but how isn't known.
-  void Drop(PlacementTicket ticket);
+  void Drop(PlacementTicket ticket, TimePoint now);
 
-  // Mean pause between the events of the request's stream, in milliseconds; 0: too few to tell.
-  double MeanPauseMillis(PlacementTicket ticket) const;
+  // Of the request's stream, as this node has measured them.
+  StreamPauses PausesOf(PlacementTicket ticket) const;
 
-  // The mean pause that another node measured.
-  void NotePause(PlacementTicket ticket, double pause_ms);
+  // What another node measured of the stream, which is about to end.
+  void NotePauses(PlacementTicket ticket, const StreamPauses& pauses, TimePoint now);
 
   // The registry has changed: forgets what is kept of back ends that are gone.
   void ForgetGone();
@@ -109,13 +113,19 @@
     TimePoint begun;
     TimePoint first_output;
     TimePoint last_output;
+    Duration longest_pause{};  // between two outputs
+    StreamMark risk;
+    std::string service;
+    Duration pause_bound{};  // 0: none
+    double backlog_ms = 0;   // what its prompt added to the engine's backlog
     double expected_ms = 0;
     std::vector<uint64_t> shared_parts;  // of its prompt
   };
 
   struct Estimate {
-    double cost_ms = 0;
+    double loss = 0;  // expected, in requests
     double reading_ms = 0;
+    double first_output_ms = 0;
     int64_t held_tokens = 0;
     const Backend* fetch_from = nullptr;
     BackendLoad load;
@@ -155,14 +165,28 @@
   Estimate EstimatePlain(const Candidate& candidate, const PlacementView& view,
                          TimePoint now) const;
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
-  double WayMillis(const Backend& backend, const Requester& requester) const;
+  double WayLoss(const Backend& backend, const Requester& requester) const;
+  double BacklogMillis(BackendKey backend, TimePoint now) const;
+  double SlownessOf(BackendKey backend) const;
+  double BreakChance(BackendKey backend, double backlog_ms, double reading_ms,
+                     Duration bound) const;
+  double LossOfStreams(const Backend& backend, double backlog_ms, double reading_ms) const;
+  double OwnLateProbability(const RequestProfile& profile, const Backend& backend,
+                            double first_output_ms, double backlog_ms, TimePoint now) const;
+  double WaitForSlotMillis(const RequestProfile& profile, const Backend& backend,
+                           const BackendLoad& load) const;
+  double CrowdingLoss(const Backend& backend, const BackendLoad& load) const;
+  double LossElsewhere(const Candidate& candidate, const PlacementView& view) const;
+  bool IsSuspended(BackendKey backend, TimePoint now) const;
+  bool IsElsewhere(const Candidate& candidate, const PlacementView& view) const;
+  bool IsOff(Mechanism mechanism) const { return policy_.disabled.Has(mechanism); }
   bool IsPatient(const RequestProfile& profile) const;
   double FailureShareOf(BackendKey backend, TimePoint now) const;
   std::vector<BackendLoadEntry> OwnLoads(const std::string& without, TimePoint now) const;
   void AddFailing(std::vector<BackendLoadEntry>* loads, TimePoint now) const;
-  double DisturbanceMillis(const BackendLoad& load, double reading_ms) const;
   void Begin(const RequestProfile& profile, AttemptOrigin origin, Placement* placement,
              TimePoint now);
+  void BeginPrompt(const RequestProfile& profile, Running* running, TimePoint now);
   void NotePrefixes(const RequestProfile& profile, BackendKey backend, AttemptOrigin origin,
                     TimePoint now);
 
@@ -170,6 +194,10 @@
   std::string zone_;
   BackendRegistry registry_;
   BackendHealth health_;
+  PauseModel pauses_;
+  StreamRisk risk_;
+  ReadingBacklog backlog_;
+  RunTimes run_times_;
   LoadLedger loads_;
   PrefixDirectory prefixes_;
   ServiceWorkView work_;
--- a/libs/dispatch/include/cartsail/dispatch/placement.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement.h
@@ -19,7 +19,7 @@
   std::string fetch_prefix_from;    // address of an engine that holds more of the prompt; or empty
   BackendKey fetch_prefix_key = 0;  // the same engine; 0: none
   std::string placed_by;            // the node that chose; empty: this one
-  double cost_ms = 0;               // by which it was chosen
+  double expected_loss = 0;         // by which it was chosen, in requests that miss their goal
   double reading_ms = 0;            // expected time to read the prompt
   double first_output_ms = 0;       // expected time to the first output
   int64_t held_tokens = 0;
@@ -31,7 +31,7 @@
 struct PlacementGrant {
   BackendKey backend = 0;
   BackendKey fetch_prefix_from = 0;  // 0: none
-  double cost_ms = 0;
+  double expected_loss = 0;
   double reading_ms = 0;
   double first_output_ms = 0;
   int64_t held_tokens = 0;
--- /dev/null
+++ b/libs/dispatch/include/cartsail/dispatch/reading_backlog.h
@@ -0,0 +1,49 @@
+// How long each engine will still read the prompts that were placed there. Pure.
+//
+// Prompts are read one after the other, so the backlog grows with each one placed and shrinks with
+// time; it is never more than the prompts that have not given their first output take.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <unordered_map>
+
+#include "cartsail/base/clock.h"
+#include "cartsail/dispatch/backend_registry.h"
+
+namespace cartsail {
+
+class ReadingBacklog {
+ public:
+  // A prompt that takes `reading_ms` to read was placed.
+  void Add(BackendKey backend, double reading_ms, TimePoint now);
+
+  // It has been read, or its request has ended.
+  void Remove(BackendKey backend, double reading_ms, TimePoint now);
+
+  // Reading left, in milliseconds.
+  double Millis(BackendKey backend, TimePoint now) const;
+
+  // The most that was left at one moment since `since` and was read by `until`, as far as is
+  // remembered.
+  double MostMillisBetween(BackendKey backend, TimePoint since, TimePoint until) const;
+
+  // Forgets all engines but those that `is_known` holds.
+  void ForgetUnless(const std::function<bool(BackendKey backend)>& is_known);
+
+ private:
+  struct Peak {
+    TimePoint at;
+    double backlog_ms = 0;
+  };
+
+  struct Queue {
+    double unread_ms = 0;  // of prompts without first output
+    TimePoint busy_until;
+    std::deque<Peak> peaks;  // falling: a later higher one takes the place of those before it
+  };
+
+  std::unordered_map<BackendKey, Queue> queues_;
+};
+
+}  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/service_pools.h
+++ b/libs/dispatch/include/cartsail/dispatch/service_pools.h
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
-#include "cartsail/dispatch/backend_health.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/dispatch/engine_partition.h"
 #include "cartsail/dispatch/load_ledger.h"
+#include "cartsail/dispatch/pause_model.h"
 
 namespace cartsail {
 
@@ -24,7 +24,7 @@
   // What a pool is made from. The parts outlive the pools.
   struct Inputs {
     const BackendRegistry& registry;
-    const BackendHealth& health;
+    const PauseModel& pauses;
     const LoadLedger& loads;
     const ServiceWorkView& work;
   };
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -7,9 +7,8 @@
 namespace {
 
 constexpr double kAssumedSuccesses = 3;
-constexpr double kLeastFailures = 0.2;      // that count as lately
-constexpr double kSlownessWeight = 0.1;     // of one measurement
-constexpr double kPauseRelaxation = 1.002;  // a least pause grows by this with each slower stream
+constexpr double kLeastFailures = 0.2;   // that count as lately
+constexpr double kSlownessWeight = 0.1;  // of one measurement
 constexpr double kMostSlowness = 10;
 constexpr Duration kFadeTime = seconds(4);  // the share falls to a third in this time
 constexpr Duration kFirstSuspension = milliseconds(250);
@@ -93,31 +92,6 @@
   return record == nullptr ? 1 : std::max(record->slowness, 1.0);
 }
 
-void BackendHealth::NotePause(BackendKey backend, double pause_ms) {
-  double& least = records_[backend].least_pause_ms;
-  const bool lower = least == 0 || pause_ms < least;
-  least = lower ? pause_ms : least * kPauseRelaxation;
-}
-
-void BackendHealth::NotePeerPause(BackendKey backend, double pause_ms) {
-  double& least = records_[backend].least_pause_ms;
-  if (pause_ms > 0 && (least == 0 || pause_ms < least)) least = pause_ms;
-}
-
-double BackendHealth::LeastPause(BackendKey backend) const {
-  const Record* record = Find(backend);
-  return record == nullptr ? 0 : record->least_pause_ms;
-}
-
-double BackendHealth::FastestPause() const {
-  double fastest = 0;
-  for (const auto& [backend, record] : records_) {
-    if (record.least_pause_ms == 0) continue;
-    if (fastest == 0 || record.least_pause_ms < fastest) fastest = record.least_pause_ms;
-  }
-  return fastest;
-}
-
 void BackendHealth::ForgetUnless(const std::function<bool(BackendKey backend)>& is_known) {
   std::erase_if(records_, [&is_known](const auto& record) { return !is_known(record.first); });
 }
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -14,6 +14,7 @@
 Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone)
     : policy_(policy),
       zone_(std::move(zone)),
+      run_times_(policy.stream_life),
       prefixes_(policy.prefix_lifetime),
       work_(kWorkWindow),
       pools_(policy.partition) {}
@@ -52,7 +53,7 @@
     placement.fetch_prefix_from = holder->address;
     placement.fetch_prefix_key = holder->key;
   }
-  placement.cost_ms = grant.cost_ms;
+  placement.expected_loss = grant.expected_loss;
   placement.reading_ms = grant.reading_ms;
   placement.first_output_ms = grant.first_output_ms;
   placement.held_tokens = grant.held_tokens;
@@ -74,6 +75,8 @@
   running.placed_by = placement->placed_by;
   running.begun = now;
   running.expected_ms = placement->first_output_ms;
+  running.service = profile.service;
+  if (profile.is_generation) BeginPrompt(profile, &running, now);
   loads_.Begin(running.backend, running.reading_ms, running.even_stream);
   // Peers tell of their own work in digests.
   if (profile.is_generation && origin == AttemptOrigin::kOwn) {
@@ -86,6 +89,20 @@
   running_[placement->ticket] = std::move(running);
 }
 
+// The prompt may put the streams that run there beyond their pauses; the request joins them.
+void Dispatcher::BeginPrompt(const RequestProfile& profile, Running* running, TimePoint now) {
+  const BackendKey backend = running->backend;
+  const double before_ms = BacklogMillis(backend, now);
+  running->backlog_ms = running->reading_ms * SlownessOf(backend);
+  backlog_.Add(backend, running->backlog_ms, now);
+  for (const Duration bound : risk_.Bounds()) {
+    const double chance = BreakChance(backend, before_ms, running->backlog_ms, bound);
+    risk_.NotePrompt(backend, bound, chance, now);
+  }
+  running->pause_bound = profile.longest_pause.value_or(Duration(0));
+  running->risk = risk_.Begin(backend, running->pause_bound);
+}
+
 void Dispatcher::NotePrefixes(const RequestProfile& profile, BackendKey backend,
                               AttemptOrigin origin, TimePoint now) {
   // The last part is the request's own.
@@ -102,33 +119,50 @@
   const auto entry = running_.find(ticket);
   if (entry == running_.end()) return;
   Running& running = entry->second;
+  if (running.outputs++ > 0) {
+    running.longest_pause = std::max(running.longest_pause, now - running.last_output);
+    running.last_output = now;
+    return;
+  }
   running.last_output = now;
-  if (running.outputs++ > 0) return;
   running.first_output = now;
+  backlog_.Remove(running.backend, running.backlog_ms, now);
   for (const uint64_t part : running.shared_parts) prefixes_.NoteRead(part, running.backend);
   loads_.FirstOutput(running.backend, running.reading_ms);
   health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
 }
 
-double Dispatcher::MeanPauseMillis(PlacementTicket ticket) const {
+StreamPauses Dispatcher::PausesOf(PlacementTicket ticket) const {
   const auto entry = running_.find(ticket);
-  if (entry == running_.end()) return 0;
+  if (entry == running_.end()) return {};
   const Running& running = entry->second;
-  if (!running.is_generation || running.outputs < kLeastEventsForPause) return 0;
+  if (!running.is_generation || running.outputs < 2) return {};
+  StreamPauses pauses;
+  pauses.longest_ms = ToMillis(running.longest_pause);
+  if (running.outputs < kLeastEventsForPause) return pauses;
   const double span_ms = ToMillis(running.last_output - running.first_output);
-  return span_ms / static_cast<double>(running.outputs - 1);
+  pauses.mean_ms = span_ms / static_cast<double>(running.outputs - 1);
+  return pauses;
 }
 
-void Dispatcher::NotePause(PlacementTicket ticket, double pause_ms) {
+void Dispatcher::NotePauses(PlacementTicket ticket, const StreamPauses& pauses, TimePoint now) {
   const auto entry = running_.find(ticket);
-  if (entry != running_.end() && pause_ms > 0) health_.NotePause(entry->second.backend, pause_ms);
+  if (entry == running_.end()) return;
+  const Running& running = entry->second;
+  if (!running.is_generation || running.outputs == 0) return;
+  const double backlog_ms = backlog_.MostMillisBetween(running.backend, running.first_output, now);
+  pauses_.Note(running.backend, pauses, backlog_ms);
 }
 
-void Dispatcher::Drop(PlacementTicket ticket) {
+void Dispatcher::Drop(PlacementTicket ticket, TimePoint now) {
   const auto entry = running_.find(ticket);
   if (entry == running_.end()) return;
   const Running& running = entry->second;
-  if (running.outputs == 0) loads_.FirstOutput(running.backend, running.reading_ms);
+  if (running.outputs == 0) {
+    loads_.FirstOutput(running.backend, running.reading_ms);
+    backlog_.Remove(running.backend, running.backlog_ms, now);
+  }
+  risk_.End(running.backend, running.risk);
   loads_.End(running.backend, running.even_stream);
   running_.erase(entry);
 }
@@ -136,10 +170,14 @@
 void Dispatcher::Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now) {
   const auto entry = running_.find(ticket);
   if (entry == running_.end()) return;
-  NotePause(ticket, MeanPauseMillis(ticket));
-  const BackendKey backend = entry->second.backend;
-  const AttemptOrigin origin = entry->second.origin;
-  Drop(ticket);
+  const Running& running = entry->second;
+  const BackendKey backend = running.backend;
+  const AttemptOrigin origin = running.origin;
+  if (origin == AttemptOrigin::kOwn) NotePauses(ticket, PausesOf(ticket), now);
+  if (outcome == AttemptOutcome::kAnswered && running.outputs > 0) {
+    run_times_.Note(running.service, running.pause_bound, now - running.first_output);
+  }
+  Drop(ticket, now);
   const Backend* known = registry_.FindByKey(backend);
   if (known == nullptr) return;
   health_.Note(backend, outcome, origin, now);
@@ -159,8 +197,13 @@
   for (const BackendKey backend : prefixes_.Backends()) {
     if (registry_.FindByKey(backend) == nullptr) prefixes_.Forget(backend);
   }
-  health_.ForgetUnless(
-      [this](BackendKey backend) { return registry_.FindByKey(backend) != nullptr; });
+  const auto is_known = [this](BackendKey backend) {
+    return registry_.FindByKey(backend) != nullptr;
+  };
+  health_.ForgetUnless(is_known);
+  pauses_.ForgetUnless(is_known);
+  risk_.ForgetUnless(is_known);
+  backlog_.ForgetUnless(is_known);
 }
 
 // Back ends without requests of this node are told of when they failed lately.
@@ -190,7 +233,7 @@
   for (const auto& [backend, load] : sums) loads.push_back({backend, load, 0});
   AddFailing(&loads, now);
   for (BackendLoadEntry& entry : loads) {
-    entry.least_pause_ms = health_.LeastPause(entry.backend);
+    entry.least_pause_ms = pauses_.BasePause(entry.backend);
     const RecentAttempts recent = health_.Recent(entry.backend, AttemptOrigin::kOwn, now);
     entry.load.attempts = recent.attempts;
     entry.load.failures = recent.failures;
@@ -231,7 +274,7 @@
   work_.SetPeer(node, digest.work, now + lifetime);
   for (const BackendLoadEntry& entry : digest.loads) {
     if (registry_.FindByKey(entry.backend) == nullptr) continue;
-    health_.NotePeerPause(entry.backend, entry.least_pause_ms);
+    pauses_.NotePeerBase(entry.backend, entry.least_pause_ms);
   }
   for (const PrefixPlacement& placed : digest.prefixes) {
     if (registry_.FindByKey(placed.backend) == nullptr) continue;
--- /dev/null
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -0,0 +1,201 @@
+// What a request is expected to lose at a back end, and what it makes others lose there, in
+// requests that miss their goal. One unit for all, so that the terms can be added:
+//
+//     loss = P(own goal missed) + sum over streams there of P(this prompt breaks its pauses)
+//            + P(the back end fails it) + prices
+#include <algorithm>
+#include <cmath>
+
+#include "cartsail/dispatch/dispatcher.h"
+
+namespace cartsail {
+namespace {
+
+// From the choice to the first output, beside reading the prompt: two ways and one step.
+constexpr double kSendingMs = 20;
+// A prompt whose subject nobody is known to hold goes to the engine that every coordinator would
+// choose for it, unless another one is better by this much: it may hold it from before. A tenth of
+// the price of reading the tokens again, since what was read before may be gone.
+constexpr double kHomeBonusPerToken = 0.0000125;
+constexpr double kMostHomeBonus = 0.025;
+constexpr double kFullSlots = 0.9;  // share of its slots from which an engine counts as full
+
+bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
+}
+
+double Logistic(double x) { return 1 / (1 + std::exp(-x)); }
+
+}  // namespace
+
+double Dispatcher::ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const {
+  const auto unread = static_cast<double>(std::max<int64_t>(prompt_tokens - held_tokens, 0));
+  const double pairs = unread * (static_cast<double>(held_tokens) + unread / 2);
+  return unread / policy_.read_tokens_per_ms + policy_.attention_ms_per_million * pairs / 1e6;
+}
+
+double Dispatcher::SlownessOf(BackendKey backend) const {
+  return IsOff(Mechanism::kPace) ? 1 : health_.Slowness(backend);
+}
+
+// Reading that waits at the engine: what this node follows, and what peers told.
+double Dispatcher::BacklogMillis(BackendKey backend, TimePoint now) const {
+  const double of_peers_ms = loads_.OfPeers(backend).reading_ms * SlownessOf(backend);
+  return backlog_.Millis(backend, now) + of_peers_ms;
+}
+
+// Peers' attempts are told in digests; a coordinator has followed them itself.
+double Dispatcher::FailureShareOf(BackendKey backend, TimePoint now) const {
+  if (IsOff(Mechanism::kFailureShare)) return 0;
+  const RecentAttempts own = health_.Recent(backend, AttemptOrigin::kOwn, now);
+  const RecentAttempts followed = health_.Recent(backend, AttemptOrigin::kPeer, now);
+  const BackendLoad told = loads_.OfPeers(backend);
+  const RecentAttempts of_peers =
+      followed.attempts > told.attempts ? followed : RecentAttempts{told.attempts, told.failures};
+  return FailureShare({own.attempts + of_peers.attempts, own.failures + of_peers.failures});
+}
+
+// What it costs to reach the back end.
+double Dispatcher::WayLoss(const Backend& backend, const Requester& requester) const {
+  const double zone = backend.zone == requester.zone ? 0 : policy_.other_zone_loss;
+  if (IsOff(Mechanism::kIdleConnections)) return zone;
+  const bool connected = Contains(requester.connected, backend.key);
+  return zone + (connected ? 0 : policy_.new_connection_loss);
+}
+
+// The chance that a prompt of `reading_ms` behind `backlog_ms` puts a stream beyond `bound` which
+// that backlog alone would not.
+double Dispatcher::BreakChance(BackendKey backend, double backlog_ms, double reading_ms,
+                               Duration bound) const {
+  if (IsOff(Mechanism::kReadingPause)) return 0;
+  const double before = pauses_.BreakProbability(backend, backlog_ms, bound);
+  const double after = pauses_.BreakProbability(backend, backlog_ms + reading_ms, bound);
+  return before >= 1 ? 0 : std::max(0.0, (after - before) / (1 - before));
+}
+
+double Dispatcher::LossOfStreams(const Backend& backend, double backlog_ms,
+                                 double reading_ms) const {
+  if (IsOff(Mechanism::kStreamRisk)) return 0;
+  double loss = 0;
+  for (const StreamRisk::Exposure& exposure : risk_.At(backend.key)) {
+    if (exposure.streams <= 0) continue;
+    loss += exposure.streams * BreakChance(backend.key, backlog_ms, reading_ms, exposure.bound);
+  }
+  // Peers tell the number of their streams only: the least bound is assumed.
+  const int64_t of_peers = loads_.OfPeers(backend.key).even_streams;
+  if (of_peers > 0 && !risk_.Bounds().empty()) {
+    const double chance = BreakChance(backend.key, backlog_ms, reading_ms, risk_.Bounds().front());
+    loss += static_cast<double>(of_peers) * chance;
+  }
+  return loss;
+}
+
+// Requests beyond the slots wait until a stream ends; with all slots taken one ends every
+// run time / slots.
+double Dispatcher::WaitForSlotMillis(const RequestProfile& profile, const Backend& backend,
+                                     const BackendLoad& load) const {
+  const auto slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
+  const double over = static_cast<double>(load.requests) + 1 - slots * kFullSlots;
+  if (over <= 0) return 0;
+  const Duration bound = profile.longest_pause.value_or(Duration(0));
+  return over * ToMillis(run_times_.Mean(profile.service, bound)) / slots;
+}
+
+double Dispatcher::CrowdingLoss(const Backend& backend, const BackendLoad& load) const {
+  const auto slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
+  const double taken = static_cast<double>(load.requests) / slots;
+  return policy_.crowding_loss * taken * taken;
+}
+
+double Dispatcher::OwnLateProbability(const RequestProfile& profile, const Backend& backend,
+                                      double first_output_ms, double backlog_ms,
+                                      TimePoint now) const {
+  const double goal_ms = std::max(ToMillis(profile.first_output_goal), 1.0);
+  const double spread_ms = policy_.first_output_spread * goal_ms;
+  const double in_time = 1 - Logistic((first_output_ms - goal_ms) / spread_ms);
+  if (!profile.longest_pause.has_value() || IsOff(Mechanism::kReadingPause)) return 1 - in_time;
+  const Duration bound = *profile.longest_pause;
+  double even = 1 - pauses_.BreakProbability(backend.key, backlog_ms, bound);
+  if (!IsOff(Mechanism::kFutureBreaks)) {
+    const Duration life = run_times_.Mean(profile.service, bound);
+    even *= 1 - risk_.FutureBreak(backend.key, bound, life, now);
+  }
+  return 1 - in_time * even;
+}
+
+double Dispatcher::LossElsewhere(const Candidate& candidate, const PlacementView& view) const {
+  if (!IsElsewhere(candidate, view)) return 0;
+  return view.patient ? policy_.patient_elsewhere_loss : policy_.urgent_elsewhere_loss;
+}
+
+Dispatcher::Estimate Dispatcher::EstimatePlain(const Candidate& candidate,
+                                               const PlacementView& view, TimePoint now) const {
+  const Backend& backend = *candidate.backend;
+  Estimate estimate;
+  estimate.load = loads_.Total(backend.key);
+  const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
+  const double busy = static_cast<double>(estimate.load.requests) / slots;
+  estimate.first_output_ms = policy_.plain_request_ms;
+  const double expected_ms = policy_.plain_request_ms * (1 + busy) * SlownessOf(backend.key);
+  estimate.loss = expected_ms * policy_.loss_per_ms;
+  estimate.loss += WayLoss(backend, *view.requester);
+  estimate.loss += FailureShareOf(backend.key, now);
+  return estimate;
+}
+
+// What the prompt costs at the candidate: the time to read what no engine hands over, and the
+// price of what is moved or read again.
+Dispatcher::Estimate Dispatcher::EstimatePrompt(const RequestProfile& profile,
+                                                const Candidate& candidate,
+                                                const PlacementView& view) const {
+  Estimate estimate;
+  estimate.held_tokens = candidate.held_tokens;
+  int64_t held = estimate.held_tokens;
+  const int64_t missing = view.holder_tokens - held;
+  const bool movable = profile.bytes_per_token > 0 && !IsOff(Mechanism::kMemoryMoves);
+  if (missing > 0) {
+    const auto tokens = static_cast<double>(missing);
+    if (movable) {
+      estimate.fetch_from = view.holder;
+      estimate.first_output_ms = policy_.move_setup_ms + tokens / policy_.move_tokens_per_ms;
+      estimate.loss = tokens * policy_.loss_per_moved_token;
+      held = view.holder_tokens;
+    } else {
+      estimate.loss = tokens * policy_.loss_per_reread_token;
+    }
+  }
+  // What another engine is still reading can't be had from there.
+  const int64_t read_twice = view.known_tokens - held;
+  if (read_twice > 0) {
+    estimate.loss += static_cast<double>(read_twice) * policy_.loss_per_reread_token;
+  }
+  estimate.reading_ms = ReadingMillis(held, profile.prompt_tokens);
+  return estimate;
+}
+
+Dispatcher::Estimate Dispatcher::EstimateGeneration(const RequestProfile& profile,
+                                                    const Candidate& candidate,
+                                                    const PlacementView& view,
+                                                    TimePoint now) const {
+  const Backend& backend = *candidate.backend;
+  Estimate estimate = EstimatePrompt(profile, candidate, view);
+  estimate.load = loads_.Total(backend.key);
+  const double backlog_ms = BacklogMillis(backend.key, now);
+  const double reading_ms = estimate.reading_ms * SlownessOf(backend.key);
+  estimate.first_output_ms +=
+      backlog_ms + reading_ms + kSendingMs + WaitForSlotMillis(profile, backend, estimate.load);
+  estimate.loss += OwnLateProbability(profile, backend, estimate.first_output_ms, backlog_ms, now);
+  estimate.loss += LossOfStreams(backend, backlog_ms, reading_ms);
+  estimate.loss += LossElsewhere(candidate, view);
+  estimate.loss += FailureShareOf(backend.key, now);
+  estimate.loss += estimate.first_output_ms * policy_.loss_per_ms;
+  estimate.loss += CrowdingLoss(backend, estimate.load);
+  estimate.loss += WayLoss(backend, *view.requester);
+  if (&backend == view.home) {
+    const auto tokens = static_cast<double>(profile.SharedTokens());
+    estimate.loss -= std::min(tokens * kHomeBonusPerToken, kMostHomeBonus);
+  }
+  return estimate;
+}
+
+}  // namespace cartsail
--- a/libs/dispatch/src/grant_book.cc
+++ b/libs/dispatch/src/grant_book.cc
@@ -9,7 +9,7 @@
   PlacementGrant grant;
   grant.backend = placement.backend.key;
   grant.fetch_prefix_from = placement.fetch_prefix_key;
-  grant.cost_ms = placement.cost_ms;
+  grant.expected_loss = placement.expected_loss;
   grant.reading_ms = placement.reading_ms;
   grant.first_output_ms = placement.first_output_ms;
   grant.held_tokens = placement.held_tokens;
--- /dev/null
+++ b/libs/dispatch/src/pause_model.cc
@@ -0,0 +1,134 @@
+#include "cartsail/dispatch/pause_model.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace cartsail {
+namespace {
+
+// A base pause grows by this factor with each slower stream, so that it follows an engine that
+// turns slow within some hundred streams.
+constexpr double kBaseRelaxation = 1.002;
+// Only a backlog of that many base pauses shows whether the engine bounds what falls between
+// events.
+constexpr double kLeastTellingBacklog = 3;
+// A longest pause below this share of what the backlog alone would give was bounded by the engine.
+constexpr double kBoundedShare = 0.6;
+// Weight of one stream in an engine's reading pause: a longer one raises it soon, since the pause
+// is an upper bound; shorter ones lower it slowly, since the reading may have been in pieces.
+constexpr double kReadingRise = 0.5;
+constexpr double kReadingFall = 0.01;
+// The first streams of an engine weigh more when they lower it: 0.3, 0.15, 0.1 and so on.
+constexpr double kFirstReadingFall = 0.3;
+constexpr double kTypicalWeight = 0.05;  // of one stream in the figures over all engines
+// The figures over all engines count as many streams of an engine as this.
+constexpr double kTypicalStreams = 3;
+// A longest pause of that many times the reading pause has another cause (a lost packet, a frozen
+// machine) and counts as this many times.
+constexpr double kOutlierFactor = 1.5;
+// Spread of the longest pause around the expected one, as a share of the bound: measured pauses of
+// one engine under steady reading lie within 5 to 8 in 100 of each other.
+constexpr double kPauseSpread = 0.06;
+
+// Shares of the estimated backlog that are weighed as equally likely: prompts are read at a rate
+// that is known to about a quarter.
+constexpr std::array<double, 3> kBacklogShares = {0.75, 1.0, 1.3};
+
+double Logistic(double x) { return 1 / (1 + std::exp(-x)); }
+
+void Approach(double sample, double weight, double* value) {
+  *value = *value == 0 ? sample : *value + weight * (sample - *value);
+}
+
+}  // namespace
+
+void PauseModel::NoteBase(double mean_ms, Record* record) {
+  if (mean_ms <= 0) return;
+  double& base = record->base_ms;
+  const bool lower = base == 0 || mean_ms < base;
+  base = lower ? mean_ms : base * kBaseRelaxation;
+  Approach(base, kTypicalWeight, &typical_base_ms_);
+}
+
+void PauseModel::NoteReading(double longest_ms, double backlog_ms, Record* record) {
+  const double base = BaseOrTypical(*record);
+  if (longest_ms <= 0 || base == 0 || backlog_ms < kLeastTellingBacklog * base) return;
+  const double known = ReadingOrTypical(*record);
+  const bool bounded = longest_ms < kBoundedShare * (base + backlog_ms);
+  const bool longer = known != 0 && longest_ms > known;
+  if (!bounded && !longer) return;
+  const double sample = known == 0 ? longest_ms : std::min(longest_ms, kOutlierFactor * known);
+  const double fall = std::max(kReadingFall, kFirstReadingFall / (1 + record->reading_streams));
+  Approach(sample, sample > record->reading_ms ? kReadingRise : fall, &record->reading_ms);
+  record->reading_streams += 1;
+  Approach(record->reading_ms, kTypicalWeight, &typical_reading_ms_);
+}
+
+void PauseModel::Note(BackendKey backend, const StreamPauses& pauses, double backlog_ms) {
+  Record& record = records_[backend];
+  NoteBase(pauses.mean_ms, &record);
+  NoteReading(pauses.longest_ms, backlog_ms, &record);
+}
+
+void PauseModel::NotePeerBase(BackendKey backend, double base_ms) {
+  double& base = records_[backend].base_ms;
+  if (base_ms > 0 && (base == 0 || base_ms < base)) base = base_ms;
+}
+
+double PauseModel::BaseOrTypical(const Record& record) const {
+  return record.base_ms != 0 ? record.base_ms : typical_base_ms_;
+}
+
+double PauseModel::ReadingOrTypical(const Record& record) const {
+  // An engine that is slow at one thing is slow at the other.
+  const bool both_known = record.base_ms != 0 && typical_base_ms_ != 0;
+  const double pace = both_known ? record.base_ms / typical_base_ms_ : 1;
+  const double sum =
+      record.reading_streams * record.reading_ms + kTypicalStreams * typical_reading_ms_ * pace;
+  return sum / (record.reading_streams + kTypicalStreams);
+}
+
+PauseModel::Record PauseModel::RecordOf(BackendKey backend) const {
+  const auto record = records_.find(backend);
+  return record == records_.end() ? Record{} : record->second;
+}
+
+double PauseModel::BasePause(BackendKey backend) const { return RecordOf(backend).base_ms; }
+
+double PauseModel::FastestBase() const {
+  double fastest = 0;
+  for (const auto& [backend, record] : records_) {
+    if (record.base_ms == 0) continue;
+    if (fastest == 0 || record.base_ms < fastest) fastest = record.base_ms;
+  }
+  return fastest;
+}
+
+double PauseModel::ReadingPause(BackendKey backend) const {
+  return ReadingOrTypical(RecordOf(backend));
+}
+
+double PauseModel::ExpectedPause(BackendKey backend, double backlog_ms) const {
+  const Record record = RecordOf(backend);
+  const double unbounded = BaseOrTypical(record) + backlog_ms;
+  const double reading = ReadingOrTypical(record);
+  return reading == 0 ? unbounded : std::min(unbounded, reading);
+}
+
+double PauseModel::BreakProbability(BackendKey backend, double backlog_ms, Duration bound) const {
+  const double bound_ms = ToMillis(bound);
+  if (bound_ms <= 0) return 0;
+  double sum = 0;
+  for (const double share : kBacklogShares) {
+    const double excess = ExpectedPause(backend, backlog_ms * share) - bound_ms;
+    sum += Logistic(excess / (kPauseSpread * bound_ms));
+  }
+  return sum / static_cast<double>(kBacklogShares.size());
+}
+
+void PauseModel::ForgetUnless(const std::function<bool(BackendKey backend)>& is_known) {
+  std::erase_if(records_, [&is_known](const auto& record) { return !is_known(record.first); });
+}
+
+}  // namespace cartsail
--- a/libs/dispatch/src/service_pools.cc
+++ b/libs/dispatch/src/service_pools.cc
@@ -21,12 +21,12 @@
 };
 
 std::vector<OrderedEngine> InShareOrder(const std::vector<const Backend*>& backends,
-                                        const BackendHealth& health) {
-  const double slow_pause = health.FastestPause() * kSlowEngineRatio;
+                                        const PauseModel& pauses) {
+  const double slow_pause = pauses.FastestBase() * kSlowEngineRatio;
   std::vector<OrderedEngine> ordered;
   ordered.reserve(backends.size());
   for (const Backend* backend : backends) {
-    const bool slow = health.LeastPause(backend->key) > slow_pause;
+    const bool slow = pauses.BasePause(backend->key) > slow_pause;
     ordered.push_back({backend, slow, Hash64(backend->id)});
   }
   std::sort(ordered.begin(), ordered.end(),
@@ -62,7 +62,7 @@
   for (const PoolMember& member : pool->members) backends.push_back(member.backend);
 
   const auto urgent = static_cast<size_t>(UrgentCount(service, inputs, now, pool));
-  const std::vector<OrderedEngine> ordered = InShareOrder(backends, inputs.health);
+  const std::vector<OrderedEngine> ordered = InShareOrder(backends, inputs.pauses);
   pool->members.clear();
   for (size_t i = 0; i < ordered.size(); ++i) {
     pool->members.push_back({ordered[i].backend, i < urgent});
--- a/libs/relay/src/datagram.cc
+++ b/libs/relay/src/datagram.cc
@@ -34,6 +34,8 @@
   message.setPromptTokens(BoundedTo<uint32_t>(static_cast<double>(profile.prompt_tokens)));
   message.setOutputTokens(BoundedTo<uint32_t>(static_cast<double>(profile.output_tokens)));
   message.setBytesPerToken(BoundedTo<uint32_t>(static_cast<double>(profile.bytes_per_token)));
+  const Duration longest_pause = profile.longest_pause.value_or(Duration(0));
+  message.setLongestPauseMs(BoundedTo<uint32_t>(ToMillis(longest_pause)));
   auto parts = message.initParts(static_cast<unsigned>(profile.prompt_parts.size()));
   for (unsigned i = 0; i < parts.size(); ++i) {
     parts[i].setId(profile.prompt_parts[i].id);
@@ -52,7 +54,7 @@
   const PlacementGrant& grant = *answer.grant;
   message.setBackend(grant.backend);
   message.setFetchFrom(grant.fetch_prefix_from);
-  message.setCostMs(static_cast<float>(grant.cost_ms));
+  message.setExpectedLoss(static_cast<float>(grant.expected_loss));
   message.setReadingMs(static_cast<float>(grant.reading_ms));
   message.setFirstOutputMs(static_cast<float>(grant.first_output_ms));
   message.setHeldTokens(BoundedTo<uint32_t>(static_cast<double>(grant.held_tokens)));
@@ -70,7 +72,8 @@
     if (progress.outcome.has_value()) {
       entries[i].setOutcome(static_cast<uint8_t>(*progress.outcome));
     }
-    entries[i].setMeanPause(BoundedTo<uint16_t>(progress.mean_pause_ms / kPauseUnitMs));
+    entries[i].setMeanPause(BoundedTo<uint16_t>(progress.pauses.mean_ms / kPauseUnitMs));
+    entries[i].setLongestPauseMs(BoundedTo<uint16_t>(progress.pauses.longest_ms));
   }
 }
 
@@ -84,6 +87,9 @@
   profile.prompt_tokens = message.getPromptTokens();
   profile.output_tokens = message.getOutputTokens();
   profile.bytes_per_token = message.getBytesPerToken();
+  if (message.getLongestPauseMs() > 0) {
+    profile.longest_pause = milliseconds(message.getLongestPauseMs());
+  }
   for (const auto part : message.getParts()) {
     profile.prompt_parts.push_back({part.getId(), part.getTokens()});
   }
@@ -99,7 +105,7 @@
   PlacementGrant& grant = answer.grant.emplace();
   grant.backend = message.getBackend();
   grant.fetch_prefix_from = message.getFetchFrom();
-  grant.cost_ms = message.getCostMs();
+  grant.expected_loss = message.getExpectedLoss();
   grant.reading_ms = message.getReadingMs();
   grant.first_output_ms = message.getFirstOutputMs();
   grant.held_tokens = message.getHeldTokens();
@@ -117,7 +123,8 @@
     if (entry.getOutcomeKnown() && entry.getOutcome() < kAttemptOutcomes) {
       progress.outcome = static_cast<AttemptOutcome>(entry.getOutcome());
     }
-    progress.mean_pause_ms = entry.getMeanPause() * kPauseUnitMs;
+    progress.pauses.mean_ms = entry.getMeanPause() * kPauseUnitMs;
+    progress.pauses.longest_ms = entry.getLongestPauseMs();
     report.entries.push_back(progress);
   }
   return report;
--- a/libs/relay/src/exchange_report.cc
+++ b/libs/relay/src/exchange_report.cc
@@ -36,7 +36,7 @@
        {"outcome", std::string(AttemptOutcomeName(outcome))},
        {"attempts", std::to_string(history_.attempts)},
        {"may_have_run", std::to_string(history_.may_have_run)},
-       {"cost_ms", fmt::format("{:.0f}", placement.cost_ms)},
+       {"expected_loss", fmt::format("{:.3f}", placement.expected_loss)},
        {"expected_ms", fmt::format("{:.0f}", placement.first_output_ms)},
        {"placed_by", PlacedByText(placement.placed_by)},
        {"catalog", std::to_string(placement.backend.created_revision)},
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -72,6 +72,8 @@
   tried @8 :List(UInt32);
   # Back ends to which the node has an idle connection.
   connected @9 :List(UInt32);
+  # Longest pause between events within the goal; 0: none is set.
+  longestPauseMs @10 :UInt32;
 }
 
 struct PlacementAnswer {
@@ -79,7 +81,7 @@
   placed @1 :Bool;
   backend @2 :UInt32;
   fetchFrom @3 :UInt32;
-  costMs @4 :Float32;
+  expectedLoss @4 :Float32;
   readingMs @5 :Float32;
   firstOutputMs @6 :Float32;
   heldTokens @7 :UInt32;
@@ -91,10 +93,12 @@
 struct RequestProgress {
   id @0 :UInt32;
   ended @1 :Bool;
-  # Where ended: known outcome, and the mean pause between events in hundredths of a millisecond.
+  # Where ended: known outcome, and the mean pause between events in hundredths of a millisecond
+  # and the longest one in milliseconds; 0: unknown.
   outcomeKnown @2 :Bool;
   outcome @3 :UInt8;
   meanPause @4 :UInt16;
+  longestPauseMs @5 :UInt16;
 }
 
 struct Datagram {
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -117,7 +117,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -147,7 +147,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f5a10ff57841bdb, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9f5a10ff57841bdb, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -801,6 +801,8 @@
   inline bool hasConnected() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getConnected() const;
 
+  inline  ::uint32_t getLongestPauseMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -877,6 +879,9 @@
   inline void adoptConnected(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownConnected();
 
+  inline  ::uint32_t getLongestPauseMs();
+  inline void setLongestPauseMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -928,7 +933,7 @@
 
   inline  ::uint32_t getFetchFrom() const;
 
-  inline float getCostMs() const;
+  inline float getExpectedLoss() const;
 
   inline float getReadingMs() const;
 
@@ -980,8 +985,8 @@
   inline  ::uint32_t getFetchFrom();
   inline void setFetchFrom( ::uint32_t value);
 
-  inline float getCostMs();
-  inline void setCostMs(float value);
+  inline float getExpectedLoss();
+  inline void setExpectedLoss(float value);
 
   inline float getReadingMs();
   inline void setReadingMs(float value);
@@ -1051,6 +1056,8 @@
 
   inline  ::uint16_t getMeanPause() const;
 
+  inline  ::uint16_t getLongestPauseMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1094,6 +1101,9 @@
   inline  ::uint16_t getMeanPause();
   inline void setMeanPause( ::uint16_t value);
 
+  inline  ::uint16_t getLongestPauseMs();
+  inline void setLongestPauseMs( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2310,6 +2320,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t PlacementQuestion::Reader::getLongestPauseMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacementQuestion::Builder::getLongestPauseMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PlacementQuestion::Builder::setLongestPauseMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t PlacementAnswer::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2366,16 +2390,16 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline float PlacementAnswer::Reader::getCostMs() const {
+inline float PlacementAnswer::Reader::getExpectedLoss() const {
   return _reader.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline float PlacementAnswer::Builder::getCostMs() {
+inline float PlacementAnswer::Builder::getExpectedLoss() {
   return _builder.getDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setCostMs(float value) {
+inline void PlacementAnswer::Builder::setExpectedLoss(float value) {
   _builder.setDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
@@ -2520,6 +2544,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t RequestProgress::Reader::getLongestPauseMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RequestProgress::Builder::getLongestPauseMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RequestProgress::Builder::setLongestPauseMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cartsail::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/relay/src/placement_message.h
+++ b/libs/relay/src/placement_message.h
@@ -7,6 +7,7 @@
 
 #include "cartsail/dispatch/attempt_outcome.h"
 #include "cartsail/dispatch/grant_book.h"
+#include "cartsail/dispatch/pause_model.h"
 #include "cartsail/dispatch/request_profile.h"
 
 namespace cartsail {
@@ -28,7 +29,7 @@
   QuestionId id = 0;
   bool ended = false;
   std::optional<AttemptOutcome> outcome;  // where ended and known
-  double mean_pause_ms = 0;               // between events; 0: too few to tell
+  StreamPauses pauses;                    // where ended
 };
 
 struct ProgressReport {
--- a/libs/relay/src/placement_service.cc
+++ b/libs/relay/src/placement_service.cc
@@ -107,7 +107,7 @@
     questions_[placement->ticket] = {host, answer.id};
   } else {
     // This node knows better: the back end is leaving or gone, or not known here yet.
-    Tell(host, {answer.id, true, std::nullopt, 0});
+    Tell(host, {answer.id, true, std::nullopt, {}});
   }
   return placement;
 }
@@ -150,7 +150,7 @@
   };
   const bool is_known = std::any_of(questions_.begin(), questions_.end(), is_this);
   // Too late: the request went elsewhere.
-  if (!is_known && answer.grant.has_value()) Tell(host, {answer.id, true, std::nullopt, 0});
+  if (!is_known && answer.grant.has_value()) Tell(host, {answer.id, true, std::nullopt, {}});
 }
 
 void PlacementService::Output(PlacementTicket ticket, TimePoint now) {
@@ -158,15 +158,15 @@
   const auto question = questions_.find(ticket);
   if (question == questions_.end() || question->second.told_output) return;
   question->second.told_output = true;
-  Tell(question->second.host, {question->second.id, false, std::nullopt, 0});
+  Tell(question->second.host, {question->second.id, false, std::nullopt, {}});
 }
 
 void PlacementService::Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now) {
-  const double pause_ms = dispatcher_.MeanPauseMillis(ticket);
+  const StreamPauses pauses = dispatcher_.PausesOf(ticket);
   dispatcher_.Finish(ticket, outcome, now);
   const auto question = questions_.find(ticket);
   if (question == questions_.end()) return;
-  Tell(question->second.host, {question->second.id, true, outcome, pause_ms});
+  Tell(question->second.host, {question->second.id, true, outcome, pauses});
   questions_.erase(question);
 }
 
@@ -222,11 +222,11 @@
     }
     const std::optional<PlacementTicket> ticket = grants_.Take(host, progress.id);
     if (!ticket.has_value()) continue;
-    dispatcher_.NotePause(*ticket, progress.mean_pause_ms);
+    dispatcher_.NotePauses(*ticket, progress.pauses, now);
     if (progress.outcome.has_value()) {
       dispatcher_.Finish(*ticket, *progress.outcome, now);
     } else {
-      dispatcher_.Drop(*ticket);
+      dispatcher_.Drop(*ticket, now);
     }
   }
 }
@@ -235,7 +235,7 @@
                                        TimePoint now) {
   grants_.Heard(host, now);
   for (const PlacementTicket ticket : grants_.Reconcile(host, live, now)) {
-    dispatcher_.Drop(ticket);
+    dispatcher_.Drop(ticket, now);
   }
 }
 
@@ -248,7 +248,7 @@
 }
 
 void PlacementService::Tick(TimePoint now) {
-  for (const PlacementTicket ticket : grants_.TakeSilent(now)) dispatcher_.Drop(ticket);
+  for (const PlacementTicket ticket : grants_.TakeSilent(now)) dispatcher_.Drop(ticket, now);
 }
 
 }  // namespace cartsail
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -192,6 +192,7 @@
   question.profile.service = "llm";
   question.profile.is_generation = true;
   question.profile.first_output_goal = milliseconds(250);
+  question.profile.longest_pause = milliseconds(150);
   question.profile.prompt_tokens = 900;
   question.profile.prompt_parts = {{0x5c1e07a2, 800}, {0x91bd3f06, 100}};
   question.tried = {11};
@@ -200,6 +201,7 @@
   const auto* read = std::get_if<PlacementQuestion>(&*asked);
   cr_assert(read->id == 7 && read->profile.service == "llm" && read->profile.is_generation);
   cr_assert(read->profile.first_output_goal == milliseconds(250));
+  cr_assert(read->profile.longest_pause == milliseconds(150));
   cr_assert(read->profile.prompt_parts[1].id == 0x91bd3f06);
   cr_assert(read->tried == question.tried && read->connected == question.connected);
 
@@ -215,12 +217,13 @@
   cr_assert(!std::get_if<PlacementAnswer>(&*refused)->grant.has_value());
 
   ProgressReport report;
-  report.entries = {{7, false, std::nullopt, 0}, {8, true, AttemptOutcome::kCut, 12.5}};
+  report.entries = {{7, false, std::nullopt, {}}, {8, true, AttemptOutcome::kCut, {12.5, 180}}};
   const std::optional<Datagram> told = DecodeDatagram(EncodeDatagram(report));
   const auto* progress = std::get_if<ProgressReport>(&*told);
   cr_assert(!progress->entries[0].ended && !progress->entries[0].outcome.has_value());
   cr_assert(progress->entries[1].outcome == AttemptOutcome::kCut);
-  cr_assert(progress->entries[1].mean_pause_ms == 12.5);
+  cr_assert(progress->entries[1].pauses.mean_ms == 12.5);
+  cr_assert(progress->entries[1].pauses.longest_ms == 180);
 }
 
 Test(digests, bytes_that_are_none_are_refused) {
