Pause model: the reading between two events is learnt, apart from the base pause

Cause: under 60 streams an engine's base pause grows from 20 to 30 ms; the pause under reading was scaled with it for engines little known, to 268 and 347 ms where 0 of 49 streams paused for over 200. Change: pause = base + min(backlog, between), learnt and shared; no scaling by the base.

--- a/libs/dispatch/include/cartsail/dispatch/pause_model.h
+++ b/libs/dispatch/include/cartsail/dispatch/pause_model.h
@@ -7,10 +7,10 @@
 // holds a fixed number of tokens, so of any backlog of reading only as much falls between two
 // events as is read in that many steps:
 //
-//     pause(backlog) = base + min(backlog, reading - base)
+//     pause(backlog) = base + min(backlog, between)
 //
-// `base` is the pause without reading beside the stream, `reading` the pause while long prompts are
-// read without a break. Both are measured for each engine; one that is not known yet takes those of
+// `base` is the pause without reading beside the stream, `between` the most reading that falls
+// between two events. Both are measured for each engine; one that is not known yet takes those of
 // the other engines.
 #pragma once
 
@@ -58,19 +58,19 @@
  private:
   struct Record {
     double base_ms = 0;
-    double reading_ms = 0;
-    double reading_streams = 0;  // that told of `reading_ms`
+    double between_ms = 0;
+    double reading_streams = 0;  // that told of `between_ms`
   };
 
   void NoteBase(double mean_ms, Record* record);
   void NoteReading(double longest_ms, double backlog_ms, Record* record);
   Record RecordOf(BackendKey backend) const;
   double BaseOrTypical(const Record& record) const;
-  double ReadingOrTypical(const Record& record) const;
+  double BetweenOrTypical(const Record& record) const;
 
   std::unordered_map<BackendKey, Record> records_;
   double typical_base_ms_ = 0;     // over all engines
-  double typical_reading_ms_ = 0;  // the same
+  double typical_between_ms_ = 0;  // the same
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/src/pause_model.cc
+++ b/libs/dispatch/src/pause_model.cc
@@ -54,15 +54,16 @@
 void PauseModel::NoteReading(double longest_ms, double backlog_ms, Record* record) {
   const double base = BaseOrTypical(*record);
   if (longest_ms <= 0 || base == 0 || backlog_ms < kLeastTellingBacklog * base) return;
-  const double known = ReadingOrTypical(*record);
-  const bool bounded = longest_ms < kBoundedShare * (base + backlog_ms);
-  const bool longer = known != 0 && longest_ms > known;
+  const double between_ms = std::max(longest_ms - base, 0.0);
+  const double known = BetweenOrTypical(*record);
+  const bool bounded = between_ms < kBoundedShare * backlog_ms;
+  const bool longer = known != 0 && between_ms > known;
   if (!bounded && !longer) return;
-  const double sample = known == 0 ? longest_ms : std::min(longest_ms, kOutlierFactor * known);
+  const double sample = known == 0 ? between_ms : std::min(between_ms, kOutlierFactor * known);
   const double fall = std::max(kReadingFall, kFirstReadingFall / (1 + record->reading_streams));
-  Approach(sample, sample > record->reading_ms ? kReadingRise : fall, &record->reading_ms);
+  Approach(sample, sample > record->between_ms ? kReadingRise : fall, &record->between_ms);
   record->reading_streams += 1;
-  Approach(record->reading_ms, kTypicalWeight, &typical_reading_ms_);
+  Approach(record->between_ms, kTypicalWeight, &typical_between_ms_);
 }
 
 void PauseModel::Note(BackendKey backend, const StreamPauses& pauses, double backlog_ms) {
@@ -80,12 +81,9 @@
   return record.base_ms != 0 ? record.base_ms : typical_base_ms_;
 }
 
-double PauseModel::ReadingOrTypical(const Record& record) const {
-  // An engine that is slow at one thing is slow at the other.
-  const bool both_known = record.base_ms != 0 && typical_base_ms_ != 0;
-  const double pace = both_known ? record.base_ms / typical_base_ms_ : 1;
+double PauseModel::BetweenOrTypical(const Record& record) const {
   const double sum =
-      record.reading_streams * record.reading_ms + kTypicalStreams * typical_reading_ms_ * pace;
+      record.reading_streams * record.between_ms + kTypicalStreams * typical_between_ms_;
   return sum / (record.reading_streams + kTypicalStreams);
 }
 
@@ -106,14 +104,15 @@
 }
 
 double PauseModel::ReadingPause(BackendKey backend) const {
-  return ReadingOrTypical(RecordOf(backend));
+  const Record record = RecordOf(backend);
+  const double between = BetweenOrTypical(record);
+  return between == 0 ? 0 : BaseOrTypical(record) + between;
 }
 
 double PauseModel::ExpectedPause(BackendKey backend, double backlog_ms) const {
   const Record record = RecordOf(backend);
-  const double unbounded = BaseOrTypical(record) + backlog_ms;
-  const double reading = ReadingOrTypical(record);
-  return reading == 0 ? unbounded : std::min(unbounded, reading);
+  const double between = BetweenOrTypical(record);
+  return BaseOrTypical(record) + (between == 0 ? backlog_ms : std::min(backlog_ms, between));
 }
 
 double PauseModel::BreakProbability(BackendKey backend, double backlog_ms, Duration bound) const {
