Reading backlog: prompts whose first output is overdue count

Change: past the time by which its prompts should have been read, an engine's backlog grows with the time they are overdue.

--- a/libs/dispatch/include/cartsail/dispatch/reading_backlog.h
+++ b/libs/dispatch/include/cartsail/dispatch/reading_backlog.h
@@ -1,7 +1,9 @@
 // How long each engine will still read the prompts that were placed there. Pure.
 //
 // Prompts are read one after the other, so the backlog grows with each one placed and shrinks with
-// time; it is never more than the prompts that have not given their first output take.
+// time; it is never more than the prompts that have not given their first output take. Where their
+// first outputs are overdue, the engine is slower than expected or silent, and the backlog grows
+// with the time they are overdue.
 #pragma once
 
 #include <deque>
@@ -38,11 +40,14 @@
   };
 
   struct Queue {
-    double unread_ms = 0;  // of prompts without first output
+    int64_t prompts = 0;   // without first output
+    double unread_ms = 0;  // to read these
     TimePoint busy_until;
     std::deque<Peak> peaks;  // falling: a later higher one takes the place of those before it
   };
 
+  static double LeftMillis(const Queue& queue, TimePoint now);
+
   std::unordered_map<BackendKey, Queue> queues_;
 };
 
--- a/libs/dispatch/src/reading_backlog.cc
+++ b/libs/dispatch/src/reading_backlog.cc
@@ -7,18 +7,26 @@
 
 constexpr Duration kPeaksKept = seconds(10);  // longer than nearly all streams run
 
-double LeftMillis(double unread_ms, TimePoint busy_until, TimePoint now) {
-  return std::clamp(ToMillis(busy_until - now), 0.0, std::max(unread_ms, 0.0));
-}
+// From the moment a prompt is read to the moment this node hears of its first output: a step of the
+// engine, two ways, and messages between nodes that are sent together.
+constexpr Duration kOutputDelay = milliseconds(40);
 
 }  // namespace
 
+double ReadingBacklog::LeftMillis(const Queue& queue, TimePoint now) {
+  if (queue.prompts == 0) return 0;
+  if (now <= queue.busy_until) return std::min(ToMillis(queue.busy_until - now), queue.unread_ms);
+  // Overdue: the engine is slower than expected, or silent. As much again is expected.
+  return std::max(0.0, ToMillis(now - queue.busy_until - kOutputDelay));
+}
+
 void ReadingBacklog::Add(BackendKey backend, double reading_ms, TimePoint now) {
   Queue& queue = queues_[backend];
   const TimePoint free_at = std::max(now, queue.busy_until);
   queue.busy_until = free_at + FromSeconds(reading_ms / 1e3);
   queue.unread_ms += reading_ms;
-  const double backlog_ms = LeftMillis(queue.unread_ms, queue.busy_until, now);
+  ++queue.prompts;
+  const double backlog_ms = LeftMillis(queue, now);
   while (!queue.peaks.empty() && queue.peaks.back().backlog_ms <= backlog_ms) {
     queue.peaks.pop_back();
   }
@@ -32,7 +40,9 @@
   const auto entry = queues_.find(backend);
   if (entry == queues_.end()) return;
   Queue& queue = entry->second;
-  queue.unread_ms = std::max(0.0, queue.unread_ms - reading_ms);
+  if (queue.prompts == 0) return;  // placed before the engine was forgotten
+  --queue.prompts;
+  queue.unread_ms = queue.prompts == 0 ? 0 : std::max(0.0, queue.unread_ms - reading_ms);
   // What is left can't take longer than this, whatever was expected before.
   const TimePoint latest = now + FromSeconds(queue.unread_ms / 1e3);
   queue.busy_until = std::min(queue.busy_until, latest);
@@ -41,7 +51,7 @@
 double ReadingBacklog::Millis(BackendKey backend, TimePoint now) const {
   const auto queue = queues_.find(backend);
   if (queue == queues_.end()) return 0;
-  return LeftMillis(queue->second.unread_ms, queue->second.busy_until, now);
+  return LeftMillis(queue->second, now);
 }
 
 double ReadingBacklog::MostMillisBetween(BackendKey backend, TimePoint since,
--- a/libs/dispatch/tests/stream_risk_test.cc
+++ b/libs/dispatch/tests/stream_risk_test.cc
@@ -83,7 +83,6 @@
   backlog.Add(kEngine, 50, kStart);
   cr_assert(Near(backlog.Millis(kEngine, kStart), 150));
   cr_assert(Near(backlog.Millis(kEngine, kStart + milliseconds(60)), 90));
-  cr_assert(backlog.Millis(kEngine, kStart + seconds(1)) == 0);
   cr_assert(backlog.Millis(kEngine + 1, kStart) == 0);
 }
 
@@ -97,6 +96,25 @@
   cr_assert(backlog.Millis(kEngine, kStart + milliseconds(30)) == 0);
 }
 
+Test(reading_backlog, overdue_prompts_count_for_as_long_as_they_are_overdue) {
+  ReadingBacklog backlog;
+  backlog.Add(kEngine, 100, kStart);
+  cr_assert(backlog.Millis(kEngine, kStart + milliseconds(110)) == 0, "it may be on its way");
+  const double silent = backlog.Millis(kEngine, kStart + seconds(1));
+  cr_assert(silent > 800 && silent < 900);
+  backlog.Remove(kEngine, 100, kStart + seconds(1));
+  cr_assert(backlog.Millis(kEngine, kStart + seconds(1)) == 0);
+}
+
+Test(reading_backlog, nothing_is_left_over_when_all_prompts_are_read) {
+  ReadingBacklog backlog;
+  for (const double reading_ms : {0.1, 0.2, 0.7}) backlog.Add(kEngine, reading_ms, kStart);
+  for (const double reading_ms : {0.7, 0.2, 0.1}) backlog.Remove(kEngine, reading_ms, kStart);
+  cr_assert(backlog.Millis(kEngine, kStart + seconds(5)) == 0, "sums of fractions leave a rest");
+  backlog.Remove(kEngine, 5, kStart);
+  cr_assert(backlog.Millis(kEngine, kStart + seconds(5)) == 0);
+}
+
 Test(reading_backlog, remembers_the_most_that_was_read_in_a_span) {
   ReadingBacklog backlog;
   backlog.Add(kEngine, 300, kStart);
