A new coordinator asks engines which parts of prompts they hold

Change: CacheInventory: the node that is first in rank for a service (100 ms after it has heard others, or 1 s alone) asks each engine once for its list; not at the first start of the whole system.

--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -57,6 +57,8 @@
   X(placements_own_total, counter, "Requests that this node placed itself")                  \
   X(placements_for_peers_total, counter, "Requests of other nodes that this node placed")    \
   X(requests_followed, gauge, "Running requests of other nodes that this node placed")       \
+  X(cache_inventories_total, counter, "Engines that told which parts of prompts they hold")  \
+  X(cache_inventories_failed_total, counter, "Engines that were asked in vain")              \
   X(coordinator_losses_total, counter, "Times a coordinator did not answer")                 \
   X(catalog_reader, gauge, "1 if this node reads the store for its zone")                    \
   X(config_age_milliseconds, gauge, "Time since the store last confirmed the configuration") \
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -76,6 +76,9 @@
   // What another node measured of the stream, which is about to end.
   void NotePauses(PlacementTicket ticket, const StreamPauses& pauses, TimePoint now);
 
+  // The engine has told that it holds these parts.
+  void NoteHeld(BackendKey backend, const std::vector<PromptPart>& parts, TimePoint now);
+
   // The registry has changed: forgets what is kept of back ends that are gone.
   void ForgetGone();
 
--- a/libs/dispatch/include/cartsail/dispatch/mechanism.h
+++ b/libs/dispatch/include/cartsail/dispatch/mechanism.h
@@ -22,9 +22,10 @@
   kFailureShare,     // recent failures weigh against a back end
   kSuspension,       // a back end that was lost is left out for a while
   kIdleConnections,  // back ends with an idle connection are preferred
+  kCacheInventory,   // a new coordinator asks engines what they hold
 };
 
-inline constexpr size_t kMechanisms = 11;  // the number of them
+inline constexpr size_t kMechanisms = 12;  // the number of them
 
 // As written in settings: prefix_affinity and so on.
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -184,6 +184,15 @@
   if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(known->id);
 }
 
+void Dispatcher::NoteHeld(BackendKey backend, const std::vector<PromptPart>& parts,
+                          TimePoint now) {
+  if (registry_.FindByKey(backend) == nullptr) return;
+  for (const PromptPart& part : parts) {
+    prefixes_.Note(part.id, backend, now);
+    prefixes_.NoteRead(part.id, backend);
+  }
+}
+
 void Dispatcher::RemoveMissing(TimePoint now) {
   if (registry_.RemoveMissing(now)) ForgetGone();
 }
--- a/libs/dispatch/src/mechanism.cc
+++ b/libs/dispatch/src/mechanism.cc
@@ -14,7 +14,7 @@
 constexpr std::array<std::string_view, kMechanisms> kNames = {
     "prefix_affinity", "memory_moves",  "home_engine",     "reading_pause",
     "stream_risk",     "future_breaks", "division",        "pace",
-    "failure_share",   "suspension",    "idle_connections"};
+    "failure_share",   "suspension",    "idle_connections", "cache_inventory"};
 
 }  // namespace
 
--- a/libs/relay/include/cartsail/relay/wire_format.h
+++ b/libs/relay/include/cartsail/relay/wire_format.h
@@ -2,6 +2,8 @@
 // are the product's own names; a deployment with other names gives its own.
 #pragma once
 
+#include <absl/status/statusor.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +30,7 @@
   std::string not_run = "Cartsail-Not-Run";      // on answers to requests that were not run
   std::vector<std::string> reserved;             // further ones that callers may not set
   std::string ready_path = "/readyz";
+  std::string cached_parts_path;  // at engines; empty: they don't tell what they hold
 };
 
 // Tokens of the prompt and the most that may be generated.
@@ -49,6 +52,10 @@
   // "PROMPT,OUTPUT"; nothing when it is not that.
   virtual std::optional<TokenCounts> ParseTokenCounts(std::string_view text) const;
 
+  // What an engine answers at `cached_parts_path`: a JSON object with "parts", rows of an id in
+  // hexadecimal and tokens. kMalformedRequest when it is not that.
+  virtual absl::StatusOr<std::vector<PromptPart>> ParseCachedParts(std::string_view body) const;
+
   // The value of the urgency header for `tier`.
   virtual std::string FormatUrgency(int64_t tier) const;
 
@@ -56,4 +63,9 @@
   WireNames names_;
 };
 
+// Reads the rows of `field` in a JSON object: an id in hexadecimal at `id_column`, tokens behind
+// it. Rows that are not that are left out; kMalformedRequest when there is no such list.
+absl::StatusOr<std::vector<PromptPart>> ParsePartRows(std::string_view body, std::string_view field,
+                                                      size_t id_column);
+
 }  // namespace cartsail
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 
+#include "cache_inventory.h"
 #include "cartsail/base/counters.h"
 #include "cartsail/base/hash.h"
 #include "cartsail/base/histogram.h"
@@ -50,6 +51,7 @@
         store_(deployment.make_store(io_, WatchWait(options.node_id))),
         catalog_(context_, context_.peers, *store_, *deployment.codec, deployment.keys),
         exchange_(context_, catalog_),
+        inventory_(context_),
         server_(context_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP) {
     ReleaseSignals();
@@ -83,6 +85,7 @@
     if (status.ok()) status = server_.Start();
     if (!status.ok()) return status;
     catalog_.Start();
+    inventory_.Start();
     asio::co_spawn(io_, HandleSignals(), asio::detached);
     asio::co_spawn(io_, KeepHouse(), asio::detached);
     return absl::OkStatus();
@@ -193,6 +196,7 @@
   std::unique_ptr<KeyValueStore> store_;
   CatalogSync catalog_;
   PeerExchange exchange_;
+  CacheInventory inventory_;
   RelayServer server_;
   std::unique_ptr<HttpServer> status_server_;
   std::unique_ptr<HttpServer> peer_server_;
--- a/libs/relay/src/wire_format.cc
+++ b/libs/relay/src/wire_format.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cartsail/base/json.h"
+#include "cartsail/base/status.h"
 #include "cartsail/base/text.h"
 
 namespace cartsail {
@@ -38,6 +40,30 @@
   return counts;
 }
 
+absl::StatusOr<std::vector<PromptPart>> WireFormat::ParseCachedParts(std::string_view body) const {
+  return ParsePartRows(body, "parts", 0);
+}
+
+absl::StatusOr<std::vector<PromptPart>> ParsePartRows(std::string_view body, std::string_view field,
+                                                      size_t id_column) {
+  boost::system::error_code error;
+  const json::value value = json::parse({body.data(), body.size()}, error);
+  const json::array* rows =
+      error || !value.is_object() ? nullptr : GetArray(value.as_object(), field);
+  if (rows == nullptr) return MakeError(ErrorKind::kMalformedRequest, "cached parts: no list");
+  std::vector<PromptPart> parts;
+  for (const json::value& row : *rows) {
+    if (!row.is_array() || row.as_array().size() < id_column + 2) continue;
+    const json::array& columns = row.as_array();
+    PromptPart part;
+    const json::string* id = columns[id_column].if_string();
+    if (id == nullptr || !ParseHexadecimal({id->data(), id->size()}, &part.id)) continue;
+    part.tokens = columns[id_column + 1].is_int64() ? columns[id_column + 1].as_int64() : 0;
+    if (part.tokens > 0) parts.push_back(part);
+  }
+  return parts;
+}
+
 std::string WireFormat::FormatUrgency(int64_t tier) const {
   return std::to_string(std::clamp<int64_t>(tier, 0, kLeastUrgent));
 }
--- /dev/null
+++ b/libs/relay/tests/cache_inventory_test.cc
@@ -0,0 +1,84 @@
+// What engines hold is asked for when this node becomes the coordinator.
+#include "cache_inventory.h"
+
+#include <chrono>
+#include <thread>
+
+#include "support/relay_fixture.h"
+#include "support/stub_backend.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+constexpr char kPath[] = "/held";
+constexpr Duration kPatience = seconds(10);
+
+WireNames NamesWithInventory() {
+  WireNames names;
+  names.cached_parts_path = kPath;
+  return names;
+}
+
+testing::StubAnswer Listing(const std::string& body) {
+  testing::StubAnswer answer;
+  answer.pieces = {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body};
+  return answer;
+}
+
+RequestProfile ProfileOf(uint64_t part) {
+  RequestProfile profile;
+  profile.service = "s";
+  profile.is_generation = true;
+  profile.prompt_parts = {{part, 5000}, {99, 100}};
+  profile.prompt_tokens = 5100;
+  return profile;
+}
+
+// Tokens that `engine` is known to hold of a prompt that begins with the part.
+int64_t HeldAt(testing::RelayFixture& relay, const std::string& other, uint64_t part) {
+  int64_t held = -1;
+  relay.OnRelayThread([&] {
+    Dispatcher& dispatcher = relay.Context().dispatcher;
+    const auto placement = dispatcher.Place(ProfileOf(part), {other}, Now());
+    held = placement->held_tokens;
+    dispatcher.Finish(placement->ticket, AttemptOutcome::kCallerGone, Now());
+  });
+  return held;
+}
+
+bool WaitFor(const std::function<bool()>& condition) {
+  const TimePoint end = Now() + kPatience;
+  while (Now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return false;
+}
+
+Test(cache_inventory, a_new_coordinator_learns_what_engines_hold_and_asks_each_once) {
+  testing::StubBackend holder(
+      [](const std::string&) { return Listing(R"({"parts":[["a1",5000],["b2",40]]})"); });
+  testing::StubBackend silent([](const std::string&) {
+    testing::StubAnswer answer;
+    answer.reset_after = true;
+    return answer;
+  });
+  testing::RelayFixture relay(NamesWithInventory());
+  relay.Document().services[0].engine = EngineProfile{};
+  relay.AddBackend("holder", "s", holder.Address());
+  relay.AddBackend("silent", "s", silent.Address());
+  relay.Start();
+  CacheInventory inventory(relay.Context());
+  relay.OnRelayThread([&] { inventory.Start(); });
+  cr_assert(WaitFor([&] { return HeldAt(relay, "silent", 0xa1) == 5000; }));
+  cr_assert(WaitFor([&] { return silent.Requests().size() == 1; }));
+  std::this_thread::sleep_for(milliseconds(200));
+  cr_assert(holder.Requests().size() == 1 && silent.Requests().size() == 1);
+  cr_assert(holder.Requests()[0].find(std::string("GET ") + kPath) == 0);
+  cr_assert(HeldAt(relay, "holder", 0xa1) == 0, "the other one told nothing");
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -53,7 +53,8 @@
   return document;
 }
 
-RelayFixture::RelayFixture() : guard_(io_.get_executor()), document_(PlainDocument()) {
+RelayFixture::RelayFixture(WireNames names)
+    : guard_(io_.get_executor()), format_(std::move(names)), document_(PlainDocument()) {
   context_ = std::make_unique<RelayContext>(io_, TestOptions(), format_);
   server_ = std::make_unique<RelayServer>(*context_);
 }
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -13,7 +13,7 @@
 
 class RelayFixture {
  public:
-  RelayFixture();
+  explicit RelayFixture(WireNames names = {});
   ~RelayFixture();
 
   // Before Start(): a ready back end of `service`.
--- a/libs/routing/include/cartsail/routing/route_table.h
+++ b/libs/routing/include/cartsail/routing/route_table.h
@@ -27,6 +27,9 @@
 
   const ServiceRule* FindService(std::string_view name) const;
 
+  // Names of the services that are model engines.
+  std::vector<std::string> EngineServices() const;
+
   bool NeedsKeys() const { return !document_.tenants.empty(); }
   int64_t Version() const { return document_.version; }
   const RequestLimits& Limits() const { return document_.limits; }
--- a/libs/routing/src/route_table.cc
+++ b/libs/routing/src/route_table.cc
@@ -56,6 +56,14 @@
   return service == services_.end() ? nullptr : service->second;
 }
 
+std::vector<std::string> RouteTable::EngineServices() const {
+  std::vector<std::string> names;
+  for (const ServiceRule& service : document_.services) {
+    if (service.engine.has_value()) names.push_back(service.name);
+  }
+  return names;
+}
+
 const std::string& PickService(const RouteRule& route, std::string_view request_id) {
   int64_t total = 0;
   for (const ServiceShare& share : route.shares) total += std::max<int64_t>(share.weight, 0);
