Division of engines by what a prompt disturbs, not by a bound of goal time

Cause: engines were set aside for requests whose first-output goal is under one second. The bound fitted two customers. Change: a prompt is kept off the engines set aside by the chance that it breaks the pauses of the most sensitive streams seen, a stream off the others by the chance that reading breaks its own. Test changed: long_prompts_keep_off_the_engines_of_urgent_streams gave its streams no longest pause, by which they are now told apart; they have one now, its bound of 40 of 400 stands.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -144,7 +144,6 @@
   // What all candidates for one request are weighed against.
   struct PlacementView {
     const Requester* requester = nullptr;
-    bool patient = false;
     std::vector<Candidate> candidates;
     const Backend* holder = nullptr;  // has read most of the prompt and can hand it over
     int64_t holder_tokens = 0;
@@ -179,11 +178,11 @@
   double WaitForSlotMillis(const RequestProfile& profile, const Backend& backend,
                            const BackendLoad& load) const;
   double CrowdingLoss(const Backend& backend, const BackendLoad& load) const;
-  double LossElsewhere(const Candidate& candidate, const PlacementView& view) const;
+  double LossElsewhere(const RequestProfile& profile, const Candidate& candidate,
+                       double reading_ms) const;
   bool IsSuspended(BackendKey backend, TimePoint now) const;
-  bool IsElsewhere(const Candidate& candidate, const PlacementView& view) const;
   bool IsOff(Mechanism mechanism) const { return policy_.disabled.Has(mechanism); }
-  bool IsPatient(const RequestProfile& profile) const;
+  bool IsDisturbing(BackendKey backend, double reading_ms) const;
   double FailureShareOf(BackendKey backend, TimePoint now) const;
   std::vector<BackendLoadEntry> OwnLoads(const std::string& without, TimePoint now) const;
   void AddFailing(std::vector<BackendLoadEntry>* loads, TimePoint now) const;
--- a/libs/dispatch/include/cartsail/dispatch/placement_policy.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -35,12 +35,13 @@
   double new_connection_loss = 0.01;        // a back end to which the node has no idle connection
   double other_zone_loss = 0.00025;
 
-  // Requests whose first output may take at least this long are the patient ones: they read long
-  // prompts and are kept off the engines whose streams need even pauses.
-  Duration patient_goal = seconds(1);
   PartitionPolicy partition;
-  double patient_elsewhere_loss = 0.75;  // a patient request at an engine for urgent ones
-  double urgent_elsewhere_loss = 0.125;  // an urgent request at an engine for patient ones
+  // A prompt that is sure to break pauses, at an engine set aside for sensitive streams; a stream
+  // whose pauses reading breaks for sure, at another engine.
+  double disturbing_elsewhere_loss = 0.75;
+  double sensitive_elsewhere_loss = 0.125;
+  // Reading that waits at engines under load, by which streams count as sensitive or not.
+  double steady_backlog_ms = 500;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -69,7 +69,9 @@
   Running running;
   running.backend = placement->backend.key;
   running.reading_ms = placement->reading_ms;
-  running.even_stream = profile.is_generation && !IsPatient(profile);
+  running.even_stream =
+      profile.is_generation &&
+      !IsDisturbing(running.backend, running.reading_ms * SlownessOf(running.backend));
   running.is_generation = profile.is_generation;
   running.origin = origin;
   running.placed_by = placement->placed_by;
@@ -184,8 +186,7 @@
   if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(known->id);
 }
 
-void Dispatcher::NoteHeld(BackendKey backend, const std::vector<PromptPart>& parts,
-                          TimePoint now) {
+void Dispatcher::NoteHeld(BackendKey backend, const std::vector<PromptPart>& parts, TimePoint now) {
   if (registry_.FindByKey(backend) == nullptr) return;
   for (const PromptPart& part : parts) {
     prefixes_.Note(part.id, backend, now);
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -7,6 +7,8 @@
 namespace cartsail {
 namespace {
 
+constexpr double kLikely = 0.5;  // a chance of at least this
+
 bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
@@ -26,13 +28,10 @@
   return !IsOff(Mechanism::kSuspension) && health_.IsSuspended(backend, now);
 }
 
-// Outside of the engines that are set aside for its kind of request.
-bool Dispatcher::IsElsewhere(const Candidate& candidate, const PlacementView& view) const {
-  return !IsOff(Mechanism::kDivision) && candidate.for_urgent == view.patient;
-}
-
-bool Dispatcher::IsPatient(const RequestProfile& profile) const {
-  return profile.first_output_goal >= policy_.patient_goal;
+// True when reading `reading_ms` would rather break the pauses of the most sensitive streams.
+bool Dispatcher::IsDisturbing(BackendKey backend, double reading_ms) const {
+  if (risk_.Bounds().empty()) return false;
+  return BreakChance(backend, 0, reading_ms, risk_.Bounds().front()) > kLikely;
 }
 
 Dispatcher::PlacementView Dispatcher::View(const RequestProfile& profile,
@@ -42,7 +41,6 @@
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
   const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now);
   PlacementView view;
-  view.patient = IsPatient(profile);
   std::vector<Candidate> suspended;
   for (const PoolMember& member : members) {
     const BackendKey key = member.backend->key;
@@ -80,9 +78,11 @@
   if (IsOff(Mechanism::kHomeEngine)) return;
   if (view->known_tokens >= profile.SharedTokens()) return;
   const uint64_t subject = SubjectOf(profile);
+  const double reading_ms = ReadingMillis(0, profile.prompt_tokens);
   uint64_t best_score = 0;
   for (const Candidate& candidate : view->candidates) {
-    if (IsElsewhere(candidate, *view)) continue;
+    const bool disturbs = IsDisturbing(candidate.backend->key, reading_ms);
+    if (!IsOff(Mechanism::kDivision) && candidate.for_urgent == disturbs) continue;
     const uint64_t score = HomeScore(subject, *candidate.backend);
     if (view->home != nullptr && score <= best_score) continue;
     view->home = candidate.backend;
--- a/libs/dispatch/src/dispatcher_loss.cc
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -123,9 +123,20 @@
   return 1 - in_time * even;
 }
 
-double Dispatcher::LossElsewhere(const Candidate& candidate, const PlacementView& view) const {
-  if (!IsElsewhere(candidate, view)) return 0;
-  return view.patient ? policy_.patient_elsewhere_loss : policy_.urgent_elsewhere_loss;
+// A prompt that disturbs is kept off the engines that are set aside for sensitive streams, and
+// these off the others, by the chance that their pauses are broken.
+double Dispatcher::LossElsewhere(const RequestProfile& profile, const Candidate& candidate,
+                                 double reading_ms) const {
+  if (IsOff(Mechanism::kDivision) || risk_.Bounds().empty()) return 0;
+  const BackendKey backend = candidate.backend->key;
+  if (candidate.for_urgent) {
+    const double chance = BreakChance(backend, 0, reading_ms, risk_.Bounds().front());
+    return policy_.disturbing_elsewhere_loss * chance;
+  }
+  if (!profile.longest_pause.has_value()) return 0;
+  const double chance =
+      pauses_.BreakProbability(backend, policy_.steady_backlog_ms, *profile.longest_pause);
+  return policy_.sensitive_elsewhere_loss * chance;
 }
 
 Dispatcher::Estimate Dispatcher::EstimatePlain(const Candidate& candidate,
@@ -186,7 +197,7 @@
       backlog_ms + reading_ms + kSendingMs + WaitForSlotMillis(profile, backend, estimate.load);
   estimate.loss += OwnLateProbability(profile, backend, estimate.first_output_ms, backlog_ms, now);
   estimate.loss += LossOfStreams(backend, backlog_ms, reading_ms);
-  estimate.loss += LossElsewhere(candidate, view);
+  estimate.loss += LossElsewhere(profile, candidate, reading_ms);
   estimate.loss += FailureShareOf(backend.key, now);
   estimate.loss += estimate.first_output_ms * policy_.loss_per_ms;
   estimate.loss += CrowdingLoss(backend, estimate.load);
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -34,6 +34,7 @@
   profile.service = "llm";
   profile.is_generation = true;
   profile.first_output_goal = milliseconds(250);
+  profile.longest_pause = milliseconds(150);
   profile.prompt_parts = {{subject, 200}, {1000000 + subject, 600}};
   profile.prompt_tokens = 800;
   profile.bytes_per_token = 1000;
@@ -43,6 +44,7 @@
 RequestProfile Patient(uint64_t subject) {
   RequestProfile profile = Urgent(subject);
   profile.first_output_goal = seconds(2);
+  profile.longest_pause = milliseconds(600);
   profile.prompt_parts = {{subject, 5000}, {2000000 + subject, 7000}};
   profile.prompt_tokens = 12000;
   return profile;
