Names: light and heavy requests in place of urgent and patient ones

Cause: 'urgent' and 'patient' meant first-output goals under and over a second; engines are divided by whether a prompt disturbs streams since, and the names misled.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -108,7 +108,7 @@
   struct Running {
     BackendKey backend = 0;
     double reading_ms = 0;
-    bool even_stream = false;
+    bool is_light = false;
     bool is_generation = false;
     AttemptOrigin origin = AttemptOrigin::kOwn;
     std::string placed_by;  // empty: this node
@@ -137,7 +137,7 @@
   // A back end that the request may go to.
   struct Candidate {
     const Backend* backend = nullptr;
-    bool for_urgent = false;
+    bool for_light = false;
     int64_t held_tokens = 0;  // of the request's prompt
   };
 
--- a/libs/dispatch/include/cartsail/dispatch/engine_partition.h
+++ b/libs/dispatch/include/cartsail/dispatch/engine_partition.h
@@ -1,5 +1,6 @@
-// Divides a service's engines between urgent and patient requests, so that reading long prompts
-// does not hold up streams that need even pauses. The split follows the urgent work there is. Pure.
+// Divides a service's engines between light and heavy requests, so that reading long prompts does
+// not hold up streams. A heavy request is one whose prompt would break the pauses of the most
+// sensitive streams; all others are light. The split follows the work there is. Pure.
 #pragma once
 
 #include <cstdint>
@@ -15,11 +16,11 @@
 
 // The work of one service, as rates of all nodes.
 struct EngineWork {
-  double urgent_ms_per_s = 0;   // time to read the prompts of urgent requests
-  double patient_ms_per_s = 0;  // the same of patient ones
-  double urgent_streams = 0;    // running at once
-  double patient_streams = 0;   // the same of patient ones
-  double slots = 1;             // requests that one engine runs at once
+  double light_ms_per_s = 0;  // time to read the prompts of light requests
+  double heavy_ms_per_s = 0;  // the same of heavy ones
+  double light_requests = 0;  // running at once
+  double heavy_requests = 0;  // the same of heavy ones
+  double slots = 1;           // requests that one engine runs at once
 };
 
 // A moving average of the work that this node places.
@@ -41,8 +42,8 @@
 // The rates of reading of one service at one node, in ms per second, as peers are told.
 struct ServiceWork {
   std::string service;
-  double urgent_ms_per_s = 0;
-  double patient_ms_per_s = 0;
+  double light_ms_per_s = 0;
+  double heavy_ms_per_s = 0;
 };
 
 // The reading rates of all services: this node's own and those of its peers.
@@ -50,7 +51,7 @@
  public:
   explicit ServiceWorkView(Duration window) : window_(window) {}
 
-  void Note(std::string_view service, bool urgent, double reading_ms, TimePoint now);
+  void Note(std::string_view service, bool is_light, double reading_ms, TimePoint now);
   // Replaces all that `node` told before; forgotten at `until`.
   void SetPeer(std::string_view node, const std::vector<ServiceWork>& work, TimePoint until);
 
@@ -61,8 +62,8 @@
 
  private:
   struct Meters {
-    WorkMeter urgent;
-    WorkMeter patient;
+    WorkMeter light;
+    WorkMeter heavy;
   };
 
   struct PeerWork {
@@ -76,22 +77,22 @@
 };
 
 struct PartitionPolicy {
-  double urgent_wanted = 0.25;      // reading time of an engine for urgent requests, as wished
-  double urgent_most = 0.4;         // and at most
-  double patient_wanted = 0.4;      // reading time of an engine for patient requests, as wished
-  double urgent_slots = 0.4;        // share of an engine's slots for urgent streams, as wished
-  double patient_slots = 0.7;       // the same for patient ones
-  double streams_per_engine = 24;   // urgent streams on one engine, at most
-  double least_urgent_share = 0.2;  // of the engines
-  double most_urgent_share = 0.7;
+  double light_wanted = 0.25;      // reading time of an engine for light requests, as wished
+  double light_most = 0.4;         // and at most
+  double heavy_wanted = 0.4;       // reading time of an engine for heavy requests, as wished
+  double light_slots = 0.4;        // share of an engine's slots for light requests, as wished
+  double heavy_slots = 0.7;        // the same for heavy ones
+  double streams_per_engine = 24;  // light requests on one engine, at most
+  double least_light_share = 0.2;  // of the engines
+  double most_light_share = 0.7;
 };
 
-// Engines wanted for urgent requests, of `engines`, as a fraction of an engine may be wanted.
-double WantedUrgentEngines(const PartitionPolicy& policy, const EngineWork& work, int64_t engines);
+// Engines wanted for light requests, of `engines`, as a fraction of an engine may be wanted.
+double WantedLightEngines(const PartitionPolicy& policy, const EngineWork& work, int64_t engines);
 
-// The number of engines set aside for urgent requests. It follows what is wanted, but not small
+// The number of engines set aside for light requests. It follows what is wanted, but not small
 // changes: an engine that changes sides disturbs the streams that run there.
-class UrgentEngineTarget {
+class LightEngineTarget {
  public:
   int64_t Update(double wanted, int64_t engines);
 
--- a/libs/dispatch/include/cartsail/dispatch/load_ledger.h
+++ b/libs/dispatch/include/cartsail/dispatch/load_ledger.h
@@ -15,11 +15,11 @@
 
 // Requests at one back end that have not ended, and how those of the last seconds ended.
 struct BackendLoad {
-  double reading_ms = 0;     // expected time to read the prompts that wait for their first output
-  int64_t requests = 0;      // all
-  int64_t even_streams = 0;  // of these, streams that need even pauses
-  double attempts = 0;       // of the last seconds, fading
-  double failures = 0;       // of these, those that failed
+  double reading_ms = 0;       // expected time to read the prompts that wait for their first output
+  int64_t requests = 0;        // all
+  int64_t light_requests = 0;  // of these, those that disturb no stream (engine_partition.h)
+  double attempts = 0;         // of the last seconds, fading
+  double failures = 0;         // of these, those that failed
 
   BackendLoad& operator+=(const BackendLoad& other);
   BackendLoad& operator-=(const BackendLoad& other);
@@ -33,9 +33,9 @@
 
 class LoadLedger {
  public:
-  void Begin(BackendKey backend, double reading_ms, bool even_stream);
+  void Begin(BackendKey backend, double reading_ms, bool is_light);
   void FirstOutput(BackendKey backend, double reading_ms);
-  void End(BackendKey backend, bool even_stream);
+  void End(BackendKey backend, bool is_light);
 
   // Replaces all that `node` told before; forgotten at `until`.
   void SetPeer(std::string_view node, const std::vector<BackendLoadEntry>& loads, TimePoint until);
--- a/libs/dispatch/include/cartsail/dispatch/mechanism.h
+++ b/libs/dispatch/include/cartsail/dispatch/mechanism.h
@@ -17,7 +17,7 @@
   kReadingPause,     // pauses under reading are learnt for each engine
   kStreamRisk,       // a prompt costs what it does to the streams beside it
   kFutureBreaks,     // a stream avoids engines where streams were put beyond their pauses lately
-  kDivision,         // engines are set aside for urgent requests
+  kDivision,         // engines are set aside for light requests
   kPace,             // first outputs later than expected make an engine count as slow
   kFailureShare,     // recent failures weigh against a back end
   kSuspension,       // a back end that was lost is left out for a while
--- a/libs/dispatch/include/cartsail/dispatch/placement_policy.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -38,7 +38,7 @@
   PartitionPolicy partition;
   // A prompt that is sure to break pauses, at an engine set aside for sensitive streams; a stream
   // whose pauses reading breaks for sure, at another engine.
-  double disturbing_elsewhere_loss = 0.75;
+  double heavy_elsewhere_loss = 0.75;
   double sensitive_elsewhere_loss = 0.125;
   // Reading that waits at engines under load, by which streams count as sensitive or not.
   double steady_backlog_ms = 500;
--- a/libs/dispatch/include/cartsail/dispatch/service_pools.h
+++ b/libs/dispatch/include/cartsail/dispatch/service_pools.h
@@ -1,4 +1,4 @@
-// The ready back ends of each service, and which of them are set aside for urgent requests. Kept
+// The ready back ends of each service, and which of them are set aside for light requests. Kept
 // between requests and made anew when the registry changes or some milliseconds have passed. Pure.
 #pragma once
 
@@ -16,7 +16,7 @@
 
 struct PoolMember {
   const Backend* backend = nullptr;
-  bool for_urgent = false;
+  bool for_light = false;
 };
 
 class ServicePools {
@@ -40,12 +40,12 @@
     std::vector<PoolMember> members;
     int64_t registry_changes = -1;
     TimePoint made;
-    UrgentEngineTarget urgent_target;
+    LightEngineTarget light_target;
   };
 
   void Refresh(const std::string& service, const Inputs& inputs, TimePoint now, Pool* pool) const;
-  int64_t UrgentCount(const std::string& service, const Inputs& inputs, TimePoint now,
-                      Pool* pool) const;
+  int64_t LightCount(const std::string& service, const Inputs& inputs, TimePoint now,
+                     Pool* pool) const;
 
   PartitionPolicy policy_;
   std::unordered_map<std::string, Pool> pools_;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -69,7 +69,7 @@
   Running running;
   running.backend = placement->backend.key;
   running.reading_ms = placement->reading_ms;
-  running.even_stream =
+  running.is_light =
       profile.is_generation &&
       !IsDisturbing(running.backend, running.reading_ms * SlownessOf(running.backend));
   running.is_generation = profile.is_generation;
@@ -79,10 +79,10 @@
   running.expected_ms = placement->first_output_ms;
   running.service = profile.service;
   if (profile.is_generation) BeginPrompt(profile, &running, now);
-  loads_.Begin(running.backend, running.reading_ms, running.even_stream);
+  loads_.Begin(running.backend, running.reading_ms, running.is_light);
   // Peers tell of their own work in digests.
   if (profile.is_generation && origin == AttemptOrigin::kOwn) {
-    work_.Note(profile.service, running.even_stream, running.reading_ms, now);
+    work_.Note(profile.service, running.is_light, running.reading_ms, now);
   }
   NotePrefixes(profile, running.backend, origin, now);
   for (size_t i = 0; i + 1 < profile.prompt_parts.size(); ++i) {
@@ -165,7 +165,7 @@
     backlog_.Remove(running.backend, running.backlog_ms, now);
   }
   risk_.End(running.backend, running.risk);
-  loads_.End(running.backend, running.even_stream);
+  loads_.End(running.backend, running.is_light);
   running_.erase(entry);
 }
 
@@ -235,7 +235,7 @@
     if (!without.empty() && running.placed_by == without) continue;
     BackendLoad& sum = sums[running.backend];
     ++sum.requests;
-    sum.even_streams += running.even_stream ? 1 : 0;
+    sum.light_requests += running.is_light ? 1 : 0;
     sum.reading_ms += running.outputs == 0 ? running.reading_ms : 0;
   }
   std::vector<BackendLoadEntry> loads;
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -45,7 +45,7 @@
   for (const PoolMember& member : members) {
     const BackendKey key = member.backend->key;
     if (Contains(tried, key)) continue;
-    const Candidate candidate{member.backend, member.for_urgent, 0};
+    const Candidate candidate{member.backend, member.for_light, 0};
     (IsSuspended(key, now) ? suspended : view.candidates).push_back(candidate);
   }
   if (view.candidates.empty()) view.candidates = std::move(suspended);
@@ -82,7 +82,7 @@
   uint64_t best_score = 0;
   for (const Candidate& candidate : view->candidates) {
     const bool disturbs = IsDisturbing(candidate.backend->key, reading_ms);
-    if (!IsOff(Mechanism::kDivision) && candidate.for_urgent == disturbs) continue;
+    if (!IsOff(Mechanism::kDivision) && candidate.for_light == disturbs) continue;
     const uint64_t score = HomeScore(subject, *candidate.backend);
     if (view->home != nullptr && score <= best_score) continue;
     view->home = candidate.backend;
--- a/libs/dispatch/src/dispatcher_loss.cc
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -82,7 +82,7 @@
     loss += exposure.streams * BreakChance(backend.key, backlog_ms, reading_ms, exposure.bound);
   }
   // Peers tell the number of their streams only: the least bound is assumed.
-  const int64_t of_peers = loads_.OfPeers(backend.key).even_streams;
+  const int64_t of_peers = loads_.OfPeers(backend.key).light_requests;
   if (of_peers > 0 && !risk_.Bounds().empty()) {
     const double chance = BreakChance(backend.key, backlog_ms, reading_ms, risk_.Bounds().front());
     loss += static_cast<double>(of_peers) * chance;
@@ -129,9 +129,9 @@
                                  double reading_ms) const {
   if (IsOff(Mechanism::kDivision) || risk_.Bounds().empty()) return 0;
   const BackendKey backend = candidate.backend->key;
-  if (candidate.for_urgent) {
+  if (candidate.for_light) {
     const double chance = BreakChance(backend, 0, reading_ms, risk_.Bounds().front());
-    return policy_.disturbing_elsewhere_loss * chance;
+    return policy_.heavy_elsewhere_loss * chance;
   }
   if (!profile.longest_pause.has_value()) return 0;
   const double chance =
--- a/libs/dispatch/src/engine_partition.cc
+++ b/libs/dispatch/src/engine_partition.cc
@@ -22,11 +22,11 @@
 
 double WorkMeter::ReadingRate(TimePoint now) const { return DecayedTo(now) / ToSeconds(window_); }
 
-void ServiceWorkView::Note(std::string_view service, bool urgent, double reading_ms,
+void ServiceWorkView::Note(std::string_view service, bool is_light, double reading_ms,
                            TimePoint now) {
   const Meters empty{WorkMeter(window_), WorkMeter(window_)};
   Meters& meters = own_.try_emplace(std::string(service), empty).first->second;
-  (urgent ? meters.urgent : meters.patient).Note(reading_ms, now);
+  (is_light ? meters.light : meters.heavy).Note(reading_ms, now);
 }
 
 void ServiceWorkView::SetPeer(std::string_view node, const std::vector<ServiceWork>& work,
@@ -41,15 +41,15 @@
   total.service = std::string(service);
   const auto own = own_.find(total.service);
   if (own != own_.end()) {
-    total.urgent_ms_per_s = own->second.urgent.ReadingRate(now);
-    total.patient_ms_per_s = own->second.patient.ReadingRate(now);
+    total.light_ms_per_s = own->second.light.ReadingRate(now);
+    total.heavy_ms_per_s = own->second.heavy.ReadingRate(now);
   }
   for (const auto& [node, peer] : peers_) {
     if (now > peer.until) continue;
     for (const ServiceWork& work : peer.work) {
       if (work.service != service) continue;
-      total.urgent_ms_per_s += work.urgent_ms_per_s;
-      total.patient_ms_per_s += work.patient_ms_per_s;
+      total.light_ms_per_s += work.light_ms_per_s;
+      total.heavy_ms_per_s += work.heavy_ms_per_s;
     }
   }
   return total;
@@ -58,28 +58,28 @@
 std::vector<ServiceWork> ServiceWorkView::Own(TimePoint now) const {
   std::vector<ServiceWork> work;
   for (const auto& [service, meters] : own_) {
-    work.push_back({service, meters.urgent.ReadingRate(now), meters.patient.ReadingRate(now)});
+    work.push_back({service, meters.light.ReadingRate(now), meters.heavy.ReadingRate(now)});
   }
   return work;
 }
 
-double WantedUrgentEngines(const PartitionPolicy& policy, const EngineWork& work, int64_t engines) {
+double WantedLightEngines(const PartitionPolicy& policy, const EngineWork& work, int64_t engines) {
   const auto total = static_cast<double>(engines);
-  const double urgent = work.urgent_ms_per_s / 1e3;
-  const double patient = work.patient_ms_per_s / 1e3;
-  const double wished = std::max(urgent / policy.urgent_wanted,
-                                 work.urgent_streams / (policy.urgent_slots * work.slots));
-  const double wished_by_patient = std::max(
-      patient / policy.patient_wanted, work.patient_streams / (policy.patient_slots * work.slots));
-  const double wished_by_all = wished + wished_by_patient;
+  const double light = work.light_ms_per_s / 1e3;
+  const double heavy = work.heavy_ms_per_s / 1e3;
+  const double wished = std::max(light / policy.light_wanted,
+                                 work.light_requests / (policy.light_slots * work.slots));
+  const double wished_by_heavy = std::max(heavy / policy.heavy_wanted,
+                                          work.heavy_requests / (policy.heavy_slots * work.slots));
+  const double wished_by_all = wished + wished_by_heavy;
   const double fair = wished_by_all > 0 ? total * wished / wished_by_all : total / 2;
   const double needed =
-      std::max(urgent / policy.urgent_most, work.urgent_streams / policy.streams_per_engine);
-  return std::clamp(std::max(fair, needed), total * policy.least_urgent_share,
-                    total * policy.most_urgent_share);
+      std::max(light / policy.light_most, work.light_requests / policy.streams_per_engine);
+  return std::clamp(std::max(fair, needed), total * policy.least_light_share,
+                    total * policy.most_light_share);
 }
 
-int64_t UrgentEngineTarget::Update(double wanted, int64_t engines) {
+int64_t LightEngineTarget::Update(double wanted, int64_t engines) {
   if (engines <= 1) return engines;
   if (current_ == 0 || std::abs(wanted - current_) > kLeastChange) current_ = std::round(wanted);
   return std::clamp<int64_t>(std::llround(current_), 1, engines - 1);
--- a/libs/dispatch/src/load_ledger.cc
+++ b/libs/dispatch/src/load_ledger.cc
@@ -7,7 +7,7 @@
 BackendLoad& BackendLoad::operator+=(const BackendLoad& other) {
   reading_ms += other.reading_ms;
   requests += other.requests;
-  even_streams += other.even_streams;
+  light_requests += other.light_requests;
   attempts += other.attempts;
   failures += other.failures;
   return *this;
@@ -16,17 +16,17 @@
 BackendLoad& BackendLoad::operator-=(const BackendLoad& other) {
   reading_ms = std::max(0.0, reading_ms - other.reading_ms);
   requests -= other.requests;
-  even_streams -= other.even_streams;
+  light_requests -= other.light_requests;
   attempts = std::max(0.0, attempts - other.attempts);
   failures = std::max(0.0, failures - other.failures);
   return *this;
 }
 
-void LoadLedger::Begin(BackendKey backend, double reading_ms, bool even_stream) {
+void LoadLedger::Begin(BackendKey backend, double reading_ms, bool is_light) {
   BackendLoad& load = own_[backend];
   load.reading_ms += reading_ms;
   ++load.requests;
-  load.even_streams += even_stream ? 1 : 0;
+  load.light_requests += is_light ? 1 : 0;
 }
 
 void LoadLedger::FirstOutput(BackendKey backend, double reading_ms) {
@@ -34,11 +34,11 @@
   load.reading_ms = std::max(0.0, load.reading_ms - reading_ms);
 }
 
-void LoadLedger::End(BackendKey backend, bool even_stream) {
+void LoadLedger::End(BackendKey backend, bool is_light) {
   const auto load = own_.find(backend);
   if (load == own_.end()) return;
   --load->second.requests;
-  load->second.even_streams -= even_stream ? 1 : 0;
+  load->second.light_requests -= is_light ? 1 : 0;
   if (load->second.requests <= 0) own_.erase(load);
 }
 
--- a/libs/dispatch/src/service_pools.cc
+++ b/libs/dispatch/src/service_pools.cc
@@ -9,10 +9,10 @@
 
 constexpr Duration kLongestKept = milliseconds(10);
 // An engine whose events follow each other that much slower than the fastest one's is kept for
-// patient requests.
+// heavy requests.
 constexpr double kSlowEngineRatio = 1.15;
 
-// Where an engine stands in the order that all nodes agree on: the first ones serve urgent
+// Where an engine stands in the order that all nodes agree on: the first ones serve light
 // requests.
 struct OrderedEngine {
   const Backend* backend;
@@ -61,28 +61,28 @@
   backends.reserve(pool->members.size());
   for (const PoolMember& member : pool->members) backends.push_back(member.backend);
 
-  const auto urgent = static_cast<size_t>(UrgentCount(service, inputs, now, pool));
+  const auto light = static_cast<size_t>(LightCount(service, inputs, now, pool));
   const std::vector<OrderedEngine> ordered = InShareOrder(backends, inputs.pauses);
   pool->members.clear();
   for (size_t i = 0; i < ordered.size(); ++i) {
-    pool->members.push_back({ordered[i].backend, i < urgent});
+    pool->members.push_back({ordered[i].backend, i < light});
   }
 }
 
-int64_t ServicePools::UrgentCount(const std::string& service, const Inputs& inputs, TimePoint now,
-                                  Pool* pool) const {
+int64_t ServicePools::LightCount(const std::string& service, const Inputs& inputs, TimePoint now,
+                                 Pool* pool) const {
   const ServiceWork rates = inputs.work.Total(service, now);
   EngineWork work;
-  work.urgent_ms_per_s = rates.urgent_ms_per_s;
-  work.patient_ms_per_s = rates.patient_ms_per_s;
+  work.light_ms_per_s = rates.light_ms_per_s;
+  work.heavy_ms_per_s = rates.heavy_ms_per_s;
   for (const PoolMember& member : pool->members) {
     const BackendLoad load = inputs.loads.Total(member.backend->key);
-    work.urgent_streams += static_cast<double>(load.even_streams);
-    work.patient_streams += static_cast<double>(load.requests - load.even_streams);
+    work.light_requests += static_cast<double>(load.light_requests);
+    work.heavy_requests += static_cast<double>(load.requests - load.light_requests);
     work.slots = std::max(work.slots, static_cast<double>(member.backend->slots));
   }
   const auto total = static_cast<int64_t>(pool->members.size());
-  return pool->urgent_target.Update(WantedUrgentEngines(policy_, work, total), total);
+  return pool->light_target.Update(WantedLightEngines(policy_, work, total), total);
 }
 
 }  // namespace cartsail
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -115,7 +115,7 @@
   }
 }
 
-Test(dispatcher, long_prompts_keep_off_the_engines_of_urgent_streams) {
+Test(dispatcher, long_prompts_keep_off_the_engines_of_light_requests) {
   Dispatcher dispatcher = MakeDispatcher(12);
   std::map<std::string, int> urgent;
   std::map<std::string, int> patient;
@@ -139,7 +139,7 @@
 
 Test(dispatcher, of_equal_back_ends_one_with_an_idle_connection_is_taken) {
   Dispatcher dispatcher = MakeDispatcher(8);
-  // One of those for urgent requests.
+  // One of those for light requests.
   const std::optional<Placement> first = dispatcher.Place(Urgent(0), {}, kStart);
   dispatcher.Finish(first->ticket, AttemptOutcome::kAnswered, kStart);
   const std::string connected = first->backend.id;
--- a/libs/relay/src/digest_codec.cc
+++ b/libs/relay/src/digest_codec.cc
@@ -17,7 +17,7 @@
     loads[i].setBackend(entry.backend);
     loads[i].setReadingMs(BoundedTo<uint32_t>(entry.load.reading_ms));
     loads[i].setRequests(BoundedTo<uint16_t>(static_cast<double>(entry.load.requests)));
-    loads[i].setEvenStreams(BoundedTo<uint16_t>(static_cast<double>(entry.load.even_streams)));
+    loads[i].setLightRequests(BoundedTo<uint16_t>(static_cast<double>(entry.load.light_requests)));
     loads[i].setAttempts(BoundedTo<uint16_t>(entry.load.attempts / kAttemptUnit));
     loads[i].setFailures(BoundedTo<uint16_t>(entry.load.failures / kAttemptUnit));
     loads[i].setLeastPause(BoundedTo<uint16_t>(entry.least_pause_ms / kPauseUnitMs));
@@ -34,8 +34,8 @@
   auto work = root.initWork(static_cast<unsigned>(dispatch.work.size()));
   for (unsigned i = 0; i < work.size(); ++i) {
     work[i].setService(dispatch.work[i].service);
-    work[i].setUrgentMsPerSecond(static_cast<float>(dispatch.work[i].urgent_ms_per_s));
-    work[i].setPatientMsPerSecond(static_cast<float>(dispatch.work[i].patient_ms_per_s));
+    work[i].setLightMsPerSecond(static_cast<float>(dispatch.work[i].light_ms_per_s));
+    work[i].setHeavyMsPerSecond(static_cast<float>(dispatch.work[i].heavy_ms_per_s));
   }
   auto leaving = root.initLeaving(static_cast<unsigned>(dispatch.leaving.size()));
   for (unsigned i = 0; i < leaving.size(); ++i) leaving.set(i, dispatch.leaving[i]);
@@ -46,7 +46,7 @@
   entry.backend = load.getBackend();
   entry.load.reading_ms = load.getReadingMs();
   entry.load.requests = load.getRequests();
-  entry.load.even_streams = load.getEvenStreams();
+  entry.load.light_requests = load.getLightRequests();
   entry.load.attempts = load.getAttempts() * kAttemptUnit;
   entry.load.failures = load.getFailures() * kAttemptUnit;
   entry.least_pause_ms = load.getLeastPause() * kPauseUnitMs;
@@ -62,7 +62,7 @@
   for (const auto backend : root.getLeaving()) dispatch.leaving.push_back(backend);
   for (const auto work : root.getWork()) {
     dispatch.work.push_back(
-        {TextOf(work.getService()), work.getUrgentMsPerSecond(), work.getPatientMsPerSecond()});
+        {TextOf(work.getService()), work.getLightMsPerSecond(), work.getHeavyMsPerSecond()});
   }
   return dispatch;
 }
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -9,7 +9,7 @@
   backend @0 :UInt32;
   readingMs @1 :UInt32;
   requests @2 :UInt16;
-  evenStreams @3 :UInt16;
+  lightRequests @3 :UInt16;
   # Least mean pause between events of a stream, in hundredths of a millisecond; 0: unknown.
   leastPause @4 :UInt16;
   # Attempts of the last seconds and failures among them, in tenths.
@@ -24,8 +24,8 @@
 
 struct ServiceWork {
   service @0 :Text;
-  urgentMsPerSecond @1 :Float32;
-  patientMsPerSecond @2 :Float32;
+  lightMsPerSecond @1 :Float32;
+  heavyMsPerSecond @2 :Float32;
 }
 
 struct NodeDigest {
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -230,7 +230,7 @@
 
   inline  ::uint16_t getRequests() const;
 
-  inline  ::uint16_t getEvenStreams() const;
+  inline  ::uint16_t getLightRequests() const;
 
   inline  ::uint16_t getLeastPause() const;
 
@@ -275,8 +275,8 @@
   inline  ::uint16_t getRequests();
   inline void setRequests( ::uint16_t value);
 
-  inline  ::uint16_t getEvenStreams();
-  inline void setEvenStreams( ::uint16_t value);
+  inline  ::uint16_t getLightRequests();
+  inline void setLightRequests( ::uint16_t value);
 
   inline  ::uint16_t getLeastPause();
   inline void setLeastPause( ::uint16_t value);
@@ -414,9 +414,9 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline float getUrgentMsPerSecond() const;
+  inline float getLightMsPerSecond() const;
 
-  inline float getPatientMsPerSecond() const;
+  inline float getHeavyMsPerSecond() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -453,11 +453,11 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline float getUrgentMsPerSecond();
-  inline void setUrgentMsPerSecond(float value);
+  inline float getLightMsPerSecond();
+  inline void setLightMsPerSecond(float value);
 
-  inline float getPatientMsPerSecond();
-  inline void setPatientMsPerSecond(float value);
+  inline float getHeavyMsPerSecond();
+  inline void setHeavyMsPerSecond(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1522,16 +1522,16 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t BackendLoad::Reader::getEvenStreams() const {
+inline  ::uint16_t BackendLoad::Reader::getLightRequests() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t BackendLoad::Builder::getEvenStreams() {
+inline  ::uint16_t BackendLoad::Builder::getLightRequests() {
   return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void BackendLoad::Builder::setEvenStreams( ::uint16_t value) {
+inline void BackendLoad::Builder::setLightRequests( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
@@ -1640,30 +1640,30 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline float ServiceWork::Reader::getUrgentMsPerSecond() const {
+inline float ServiceWork::Reader::getLightMsPerSecond() const {
   return _reader.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline float ServiceWork::Builder::getUrgentMsPerSecond() {
+inline float ServiceWork::Builder::getLightMsPerSecond() {
   return _builder.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceWork::Builder::setUrgentMsPerSecond(float value) {
+inline void ServiceWork::Builder::setLightMsPerSecond(float value) {
   _builder.setDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline float ServiceWork::Reader::getPatientMsPerSecond() const {
+inline float ServiceWork::Reader::getHeavyMsPerSecond() const {
   return _reader.getDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline float ServiceWork::Builder::getPatientMsPerSecond() {
+inline float ServiceWork::Builder::getHeavyMsPerSecond() {
   return _builder.getDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServiceWork::Builder::setPatientMsPerSecond(float value) {
+inline void ServiceWork::Builder::setHeavyMsPerSecond(float value) {
   _builder.setDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -182,7 +182,7 @@
   cr_assert(std::abs(read->dispatch.loads[0].load.failures - 1.5) < 1e-9);
   cr_assert(read->dispatch.prefixes[0].part == 77);
   cr_assert(read->dispatch.leaving == digest.dispatch.leaving);
-  cr_assert(read->dispatch.work[0].patient_ms_per_s == 340);
+  cr_assert(read->dispatch.work[0].heavy_ms_per_s == 340);
   cr_assert(read->capacity == 0.25 && read->live_questions == digest.live_questions);
 }
 
