Placement: chances in the tails take no exponential; one look-up for two chances

Cause: a placement among 112 engines took 442 million instructions for 1,172 requests, 27 in 100 of them in exp(). Change: chances beyond eight spreads are 0 or 1 (an error below 0.0004); the pace of an engine is looked up once for both chances of a prompt.

--- a/libs/dispatch/include/cartsail/dispatch/pause_model.h
+++ b/libs/dispatch/include/cartsail/dispatch/pause_model.h
@@ -52,6 +52,11 @@
   // The chance, 0 to 1, that the longest pause is then over `bound`.
   double BreakProbability(BackendKey backend, double backlog_ms, Duration bound) const;
 
+  // The chance that `reading_ms` more puts a stream beyond `bound` which the backlog alone would
+  // not.
+  double AddedBreakProbability(BackendKey backend, double backlog_ms, double reading_ms,
+                               Duration bound) const;
+
   // Forgets all engines but those that `is_known` holds.
   void ForgetUnless(const std::function<bool(BackendKey backend)>& is_known);
 
@@ -64,6 +69,16 @@
 
   void NoteBase(double mean_ms, Record* record);
   void NoteReading(double longest_ms, double backlog_ms, Record* record);
+  // The figures of one engine, with those over all engines where its own are not known.
+  struct Pace {
+    double base_ms = 0;
+    double between_ms = 0;  // 0: unknown, not bounded
+
+    double Pause(double backlog_ms) const;
+    double BreakProbability(double backlog_ms, double bound_ms) const;
+  };
+
+  Pace PaceOf(BackendKey backend) const;
   Record RecordOf(BackendKey backend) const;
   double BaseOrTypical(const Record& record) const;
   double BetweenOrTypical(const Record& record) const;
--- a/libs/dispatch/src/dispatcher_loss.cc
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -63,14 +63,11 @@
   return zone + (connected ? 0 : policy_.new_connection_loss);
 }
 
-// The chance that a prompt of `reading_ms` behind `backlog_ms` puts a stream beyond `bound` which
-// that backlog alone would not.
+// The chance that a prompt of `reading_ms` behind `backlog_ms` puts a stream beyond `bound`.
 double Dispatcher::BreakChance(BackendKey backend, double backlog_ms, double reading_ms,
                                Duration bound) const {
   if (IsOff(Mechanism::kReadingPause)) return 0;
-  const double before = pauses_.BreakProbability(backend, backlog_ms, bound);
-  const double after = pauses_.BreakProbability(backend, backlog_ms + reading_ms, bound);
-  return before >= 1 ? 0 : std::max(0.0, (after - before) / (1 - before));
+  return pauses_.AddedBreakProbability(backend, backlog_ms, reading_ms, bound);
 }
 
 double Dispatcher::LossOfStreams(const Backend& backend, double backlog_ms,
--- a/libs/dispatch/src/pause_model.cc
+++ b/libs/dispatch/src/pause_model.cc
@@ -35,7 +35,15 @@
 // that is known to about a quarter.
 constexpr std::array<double, 3> kBacklogShares = {0.75, 1.0, 1.3};
 
-double Logistic(double x) { return 1 / (1 + std::exp(-x)); }
+// Beyond this many spreads a chance is below 0.0004 and taken for none: most prompts are short, and
+// the exponential is what placement spends most time on.
+constexpr double kTail = 8;
+
+double Logistic(double x) {
+  if (x < -kTail) return 0;
+  if (x > kTail) return 1;
+  return 1 / (1 + std::exp(-x));
+}
 
 void Approach(double sample, double weight, double* value) {
   *value = *value == 0 ? sample : *value + weight * (sample - *value);
@@ -103,29 +111,48 @@
   return fastest;
 }
 
-double PauseModel::ReadingPause(BackendKey backend) const {
+PauseModel::Pace PauseModel::PaceOf(BackendKey backend) const {
   const Record record = RecordOf(backend);
-  const double between = BetweenOrTypical(record);
-  return between == 0 ? 0 : BaseOrTypical(record) + between;
+  return {BaseOrTypical(record), BetweenOrTypical(record)};
 }
 
-double PauseModel::ExpectedPause(BackendKey backend, double backlog_ms) const {
-  const Record record = RecordOf(backend);
-  const double between = BetweenOrTypical(record);
-  return BaseOrTypical(record) + (between == 0 ? backlog_ms : std::min(backlog_ms, between));
+double PauseModel::ReadingPause(BackendKey backend) const {
+  const Pace pace = PaceOf(backend);
+  return pace.between_ms == 0 ? 0 : pace.base_ms + pace.between_ms;
 }
 
-double PauseModel::BreakProbability(BackendKey backend, double backlog_ms, Duration bound) const {
-  const double bound_ms = ToMillis(bound);
-  if (bound_ms <= 0) return 0;
+double PauseModel::Pace::Pause(double backlog_ms) const {
+  return base_ms + (between_ms == 0 ? backlog_ms : std::min(backlog_ms, between_ms));
+}
+
+double PauseModel::Pace::BreakProbability(double backlog_ms, double bound_ms) const {
   double sum = 0;
   for (const double share : kBacklogShares) {
-    const double excess = ExpectedPause(backend, backlog_ms * share) - bound_ms;
+    const double excess = Pause(backlog_ms * share) - bound_ms;
     sum += Logistic(excess / (kPauseSpread * bound_ms));
   }
   return sum / static_cast<double>(kBacklogShares.size());
 }
 
+double PauseModel::ExpectedPause(BackendKey backend, double backlog_ms) const {
+  return PaceOf(backend).Pause(backlog_ms);
+}
+
+double PauseModel::BreakProbability(BackendKey backend, double backlog_ms, Duration bound) const {
+  const double bound_ms = ToMillis(bound);
+  return bound_ms <= 0 ? 0 : PaceOf(backend).BreakProbability(backlog_ms, bound_ms);
+}
+
+double PauseModel::AddedBreakProbability(BackendKey backend, double backlog_ms, double reading_ms,
+                                         Duration bound) const {
+  const double bound_ms = ToMillis(bound);
+  if (bound_ms <= 0) return 0;
+  const Pace pace = PaceOf(backend);
+  const double before = pace.BreakProbability(backlog_ms, bound_ms);
+  const double after = pace.BreakProbability(backlog_ms + reading_ms, bound_ms);
+  return before >= 1 ? 0 : std::max(0.0, (after - before) / (1 - before));
+}
+
 void PauseModel::ForgetUnless(const std::function<bool(BackendKey backend)>& is_known) {
   std::erase_if(records_, [&is_known](const auto& record) { return !is_known(record.first); });
 }
