--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -148,8 +148,6 @@
     const Backend* holder = nullptr;  // has read most of the prompt and can hand it over
     int64_t holder_tokens = 0;
     int64_t known_tokens = 0;  // read or being read at one engine, at most
-    // Which every coordinator would choose for the prompt's subject; nullptr: somebody holds it.
-    const Backend* home = nullptr;
   };
 
   void RemoveMissing(TimePoint now);
@@ -157,7 +155,6 @@
                      TimePoint now);
   void FindHolder(const RequestProfile& profile, const std::vector<PoolMember>& members,
                   TimePoint now, PlacementView* view) const;
-  void FindHome(const RequestProfile& profile, PlacementView* view) const;
   std::optional<Placement> Choose(const Requester& requester, const RequestProfile& profile,
                                   const std::vector<BackendKey>& tried, TimePoint now);
   Estimate EstimatePrompt(const RequestProfile& profile, const Candidate& candidate,
--- a/libs/dispatch/include/cartsail/dispatch/mechanism.h
+++ b/libs/dispatch/include/cartsail/dispatch/mechanism.h
@@ -13,7 +13,6 @@
 enum class Mechanism {
   kPrefixAffinity,   // engines that hold a part of the prompt are preferred
   kMemoryMoves,      // prompt memory is taken over from another engine
-  kHomeEngine,       // a subject that nobody is known to hold goes to a fixed engine
   kReadingPause,     // pauses under reading are learnt for each engine
   kStreamRisk,       // a prompt costs what it does to the streams beside it
   kFutureBreaks,     // a stream avoids engines where streams were put beyond their pauses lately
@@ -25,7 +24,7 @@
   kCacheInventory,   // a new coordinator asks engines what they hold
 };
 
-inline constexpr size_t kMechanisms = 12;  // the number of them
+inline constexpr size_t kMechanisms = 11;  // the number of them
 
 // As written in settings: prefix_affinity and so on.
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/dispatch/include/cartsail/dispatch/request_profile.h
+++ b/libs/dispatch/include/cartsail/dispatch/request_profile.h
@@ -26,9 +26,6 @@
   int64_t output_tokens = 0;  // the most that it generates
   std::optional<Duration> longest_pause;
   int64_t bytes_per_token = 0;  // of prompt memory, when it is moved; 0: it cannot be moved
-
-  // Prompt tokens that other requests share: all parts but the last one.
-  int64_t SharedTokens() const;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -1,7 +1,6 @@
 // How the dispatcher chooses the back end of one request: the one with the least expected loss.
 #include <algorithm>
 
-#include "cartsail/base/hash.h"
 #include "cartsail/dispatch/dispatcher.h"
 
 namespace cartsail {
@@ -13,15 +12,6 @@
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
-// The part that names what a prompt is about: the last one that other requests share.
-uint64_t SubjectOf(const RequestProfile& profile) {
-  const size_t parts = profile.prompt_parts.size();
-  if (parts == 0) return 0;
-  return profile.prompt_parts[parts >= 2 ? parts - 2 : 0].id;
-}
-
-uint64_t HomeScore(uint64_t subject, const Backend& backend) { return Hash64(backend.id, subject); }
-
 }  // namespace
 
 bool Dispatcher::IsSuspended(BackendKey backend, TimePoint now) const {
@@ -55,7 +45,6 @@
     candidate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, candidate.backend->key, now);
   }
   FindHolder(profile, members, now, &view);
-  FindHome(profile, &view);
   return view;
 }
 
@@ -74,22 +63,6 @@
   }
 }
 
-void Dispatcher::FindHome(const RequestProfile& profile, PlacementView* view) const {
-  if (IsOff(Mechanism::kHomeEngine)) return;
-  if (view->known_tokens >= profile.SharedTokens()) return;
-  const uint64_t subject = SubjectOf(profile);
-  const double reading_ms = ReadingMillis(0, profile.prompt_tokens);
-  uint64_t best_score = 0;
-  for (const Candidate& candidate : view->candidates) {
-    const bool disturbs = IsDisturbing(candidate.backend->key, reading_ms);
-    if (!IsOff(Mechanism::kDivision) && candidate.for_light == disturbs) continue;
-    const uint64_t score = HomeScore(subject, *candidate.backend);
-    if (view->home != nullptr && score <= best_score) continue;
-    view->home = candidate.backend;
-    best_score = score;
-  }
-}
-
 std::optional<Placement> Dispatcher::Choose(const Requester& requester,
                                             const RequestProfile& profile,
                                             const std::vector<BackendKey>& tried, TimePoint now) {
--- a/libs/dispatch/src/dispatcher_loss.cc
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -13,11 +13,6 @@
 
 // From the choice to the first output, beside reading the prompt: two ways and one step.
 constexpr double kSendingMs = 20;
-// A prompt whose subject nobody is known to hold goes to the engine that every coordinator would
-// choose for it, unless another one is better by this much: it may hold it from before. A tenth of
-// the price of reading the tokens again, since what was read before may be gone.
-constexpr double kHomeBonusPerToken = 0.0000125;
-constexpr double kMostHomeBonus = 0.025;
 constexpr double kFullSlots = 0.9;  // share of its slots from which an engine counts as full
 
 bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
@@ -199,10 +194,6 @@
   estimate.loss += estimate.first_output_ms * policy_.loss_per_ms;
   estimate.loss += CrowdingLoss(backend, estimate.load);
   estimate.loss += WayLoss(backend, *view.requester);
-  if (&backend == view.home) {
-    const auto tokens = static_cast<double>(profile.SharedTokens());
-    estimate.loss -= std::min(tokens * kHomeBonusPerToken, kMostHomeBonus);
-  }
   return estimate;
 }
 
--- a/libs/dispatch/src/mechanism.cc
+++ b/libs/dispatch/src/mechanism.cc
@@ -12,9 +12,9 @@
 
 // In the order of the enumeration.
 constexpr std::array<std::string_view, kMechanisms> kNames = {
-    "prefix_affinity", "memory_moves",  "home_engine",      "reading_pause",
-    "stream_risk",     "future_breaks", "division",         "pace",
-    "failure_share",   "suspension",    "idle_connections", "cache_inventory"};
+    "prefix_affinity", "memory_moves",     "reading_pause",  "stream_risk",
+    "future_breaks",   "division",         "pace",           "failure_share",
+    "suspension",      "idle_connections", "cache_inventory"};
 
 }  // namespace
 
