Dispatch: one logistic function

No change of behaviour but for chances beyond eight spreads (below 0.0004) in first outputs. 44 tests of the four programs pass.

--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -6,7 +6,7 @@
 namespace cartsail {
 namespace {
 
-constexpr double kLikely = 0.5;  // a chance of at least this
+constexpr double kLikely = 0.5;  // chances above it
 
 bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
--- a/libs/dispatch/src/dispatcher_loss.cc
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -4,9 +4,9 @@
 //     loss = P(own goal missed) + sum over streams there of P(this prompt breaks its pauses)
 //            + P(the back end fails it) + prices
 #include <algorithm>
-#include <cmath>
 
 #include "cartsail/dispatch/dispatcher.h"
+#include "probability.h"
 
 namespace cartsail {
 namespace {
@@ -19,8 +19,6 @@
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
-double Logistic(double x) { return 1 / (1 + std::exp(-x)); }
-
 }  // namespace
 
 double Dispatcher::ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const {
--- a/libs/dispatch/src/pause_model.cc
+++ b/libs/dispatch/src/pause_model.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
+
+#include "probability.h"
 
 namespace cartsail {
 namespace {
@@ -35,16 +36,6 @@
 // that is known to about a quarter.
 constexpr std::array<double, 3> kBacklogShares = {0.75, 1.0, 1.3};
 
-// Beyond this many spreads a chance is below 0.0004 and taken for none: most prompts are short, and
-// the exponential is what placement spends most time on.
-constexpr double kTail = 8;
-
-double Logistic(double x) {
-  if (x < -kTail) return 0;
-  if (x > kTail) return 1;
-  return 1 / (1 + std::exp(-x));
-}
-
 void Approach(double sample, double weight, double* value) {
   *value = *value == 0 ? sample : *value + weight * (sample - *value);
 }
