--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -165,6 +165,27 @@
   cr_assert(!HeaderOf(answer, "Retry-After").empty());
 }
 
+Test(relay, what_only_the_system_may_set_is_not_passed_on_from_callers) {
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "ok")}}; });
+  WireNames names;
+  names.reserved = {"X-Held", "X-Copy-To"};
+  RelayFixture relay(names);
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x",
+                          "x-held: 1\r\nX-Copy-To: 10.0.0.1:5\r\nX-Other: 7\r\n"
+                          "Cartsail-Tenant: other\r\nCartsail-Fetch-Prefix-From: 10.0.0.1:5\r\n"));
+  cr_assert(client.ReadAnswer().rfind("HTTP/1.1 200 ", 0) == 0);
+  const std::string request = backend.Requests().at(0);
+  for (const char* name :
+       {"x-held", "X-Held", "X-Copy-To", "Cartsail-Tenant", "Cartsail-Fetch-Prefix-From"}) {
+    cr_assert(!Has(request, std::string("\r\n") + name + ":"), "%s", name);
+  }
+  cr_assert(HeaderOf(request, "X-Other") == "7");
+}
+
 Test(relay, a_stream_is_passed_on_event_by_event_and_ends_whole) {
   // The back end makes its second event only once the client has seen the first one.
   std::promise<void> first_seen;
