--- a/libs/dispatch/src/stream_risk.cc
+++ b/libs/dispatch/src/stream_risk.cc
@@ -65,9 +65,9 @@
 }
 
 const std::vector<StreamRisk::Exposure>& StreamRisk::At(BackendKey backend) const {
-  static const std::vector<Exposure> kNone;
+  static const std::vector<Exposure> none;
   const auto entry = engines_.find(backend);
-  return entry == engines_.end() ? kNone : entry->second;
+  return entry == engines_.end() ? none : entry->second;
 }
 
 double StreamRisk::FutureBreak(BackendKey backend, Duration bound, Duration lifetime,
--- a/libs/operations/src/losses.cc
+++ b/libs/operations/src/losses.cc
@@ -17,8 +17,8 @@
 
 double NumberOf(std::string_view text) { return std::strtod(std::string(text).c_str(), nullptr); }
 
-int DigitsAt(std::string_view text, size_t position, size_t count) {
-  return static_cast<int>(NumberOf(text.substr(position, count)));
+int64_t DigitsAt(std::string_view text, size_t position, size_t count) {
+  return static_cast<int64_t>(NumberOf(text.substr(position, count)));
 }
 
 // Seconds since 1970 of a time stamp like 2026-04-22T05:52:50.112Z; nothing when it is none.
@@ -26,7 +26,7 @@
   constexpr size_t kShortest = 19;
   if (stamp.size() < kShortest || stamp[4] != '-' || stamp[10] != 'T') return std::nullopt;
   const std::chrono::year_month_day date{
-      std::chrono::year(DigitsAt(stamp, 0, 4)),
+      std::chrono::year(static_cast<int>(DigitsAt(stamp, 0, 4))),
       std::chrono::month(static_cast<unsigned>(DigitsAt(stamp, 5, 2))),
       std::chrono::day(static_cast<unsigned>(DigitsAt(stamp, 8, 2)))};
   if (!date.ok()) return std::nullopt;
