--- a/libs/relay/tests/support/stub_backend.h
+++ b/libs/relay/tests/support/stub_backend.h
@@ -12,10 +12,10 @@
 namespace cartsail::testing {
 
 struct StubAnswer {
-  std::vector<std::string> pieces;    // sent one after the other
-  int pause_ms = 0;                   // before each piece but the first
-  std::function<void()> before_next;  // called before each piece but the first, if set
-  int delay_ms = 0;                   // before the first piece
+  std::vector<std::string> pieces;         // sent one after the other
+  int pause_ms = 0;                        // before each piece but the first
+  std::function<void()> before_next = {};  // called before each piece but the first, if set
+  int delay_ms = 0;                        // before the first piece
   bool close_after = false;
   bool reset_after = false;
 };
