--- a/libs/dispatch/include/cartsail/dispatch/placement_policy.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement_policy.h
@@ -13,8 +13,8 @@
 struct PlacementPolicy {
   DisabledMechanisms disabled;  // for experiments
 
-  // How engines are expected to work until measured: published figures of engines for models of
-  // 70 billion parameters. BackendHealth::Slowness() corrects them for each engine.
+  // How engines are expected to work until measured: figures chosen on the first two deployments.
+  // BackendHealth::Slowness() corrects them for each engine.
   double read_tokens_per_ms = 60;         // prompt tokens that an engine reads in a millisecond
   double attention_ms_per_million = 0.3;  // for each million of (new token, earlier token) pairs
   double move_tokens_per_ms = 150;        // prompt memory taken over from another engine
