Sight: age of a document as it takes force, and time, size and failure of each fetch of a catalog

Cause looked into: nothing told how long a change takes to reach a node, and a fetch that failed left no trace (its error was dropped). Change: the catalog carries the age of its document; document_applied logs age_ms, unconfirmed_ms and bytes; histograms document_spread_ms and catalog_fetch_ms; catalog_fetch_failed with host, time and reason, and its counter. No decision changed.

--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -53,6 +53,7 @@
   X(backend_refusals_total, counter, "Requests that a back end said it did not run")         \
   X(backends_known, gauge, "Back ends in the catalog, leaving ones included")                \
   X(catalog_fetches_total, counter, "Catalogs fetched from other nodes")                     \
+  X(catalog_fetches_failed_total, counter, "Catalogs that another node did not hand over")   \
   X(placements_asked_total, counter, "Requests placed by the coordinator of their service")  \
   X(placements_own_total, counter, "Requests that this node placed itself")                  \
   X(placements_for_peers_total, counter, "Requests of other nodes that this node placed")    \
--- a/libs/base/include/cartsail/base/histogram.h
+++ b/libs/base/include/cartsail/base/histogram.h
@@ -18,7 +18,9 @@
   X(request_failed_ms, "From a request's arrival to a failure after it may have run")    \
   X(stream_first_output_ms, "From a request's arrival to the first piece of its stream") \
   X(stream_longest_pause_ms, "Longest pause between two pieces of one stream")           \
-  X(store_call_ms, "Calls to the store other than watches")
+  X(store_call_ms, "Calls to the store other than watches")                              \
+  X(document_spread_ms, "From a document's first node in force to this one")             \
+  X(catalog_fetch_ms, "Fetches of a catalog from another node, failed ones too")
 
 // Counts by upper bound, doubling from 1 ms; the last bucket has no bound. Thread-safe.
 class Histogram {
--- a/libs/relay/include/cartsail/relay/routing_state.h
+++ b/libs/relay/include/cartsail/relay/routing_state.h
@@ -17,10 +17,12 @@
   const std::shared_ptr<const RouteTable>& Table() const { return table_; }
 
   // Puts a newer table in force; false when it is not newer. `encoded` is the document as it is
-  // handed on to peers.
-  bool Apply(std::shared_ptr<const RouteTable> table, std::string encoded);
+  // handed on to peers; `known_since`: when the first node on its way put it in force.
+  bool Apply(std::shared_ptr<const RouteTable> table, std::string encoded,
+             TimePoint known_since = {});
 
   const std::string& Encoded() const { return encoded_; }
+  TimePoint KnownSince() const { return known_since_; }
   int64_t Version() const { return table_ == nullptr ? 0 : table_->Version(); }
 
   // The store has answered at `now`: what is in force was the newest then.
@@ -40,6 +42,7 @@
  private:
   std::shared_ptr<const RouteTable> table_;
   std::string encoded_;
+  TimePoint known_since_{};
   TimePoint confirmed_{};
 };
 
--- a/libs/relay/src/catalog_message.cc
+++ b/libs/relay/src/catalog_message.cc
@@ -29,6 +29,7 @@
   auto root = message.initRoot<wire::Catalog>();
   root.setRevision(catalog.revision);
   root.setDocument(catalog.document);
+  root.setDocumentAgeMs(BoundedTo<uint32_t>(ToMillis(catalog.document_age)));
   auto entries = root.initBackends(static_cast<unsigned>(catalog.backends.size()));
   for (unsigned i = 0; i < entries.size(); ++i) {
     const Backend& backend = catalog.backends[i];
@@ -51,6 +52,7 @@
     const auto root = message.getRoot<wire::Catalog>();
     catalog.revision = root.getRevision();
     catalog.document = TextOf(root.getDocument());
+    catalog.document_age = milliseconds(root.getDocumentAgeMs());
     for (const auto entry : root.getBackends())
       catalog.backends.push_back(DecodeBackend(entry, now));
   });
--- a/libs/relay/src/catalog_message.h
+++ b/libs/relay/src/catalog_message.h
@@ -14,6 +14,7 @@
   int64_t revision = 0;  // of the store: all changes up to it are in
   std::string document;  // as the store has it; empty when the asker has this version
   std::vector<Backend> backends;
+  Duration document_age{};  // since the first node on its way put the document in force
 };
 
 // Times are sent as what is left at `now`.
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -30,6 +30,8 @@
 // A node that does not read the store does so when neither it nor its peers heard it for so long.
 constexpr Duration kLongestUnconfirmed = milliseconds(3500);
 
+std::string FormatMillis(Duration duration) { return fmt::format("{:.0f}", ToMillis(duration)); }
+
 Duration JitteredPause(int failures) {
   thread_local std::minstd_rand generator(std::random_device{}());
   Duration pause = kFirstPause;
@@ -131,7 +133,7 @@
 void CatalogSync::ApplyAll(const std::vector<KeyValue>& items) {
   std::vector<Backend> backends;
   for (const KeyValue& item : items) {
-    if (item.key == keys_.document) ApplyDocument(item.value, "store");
+    if (item.key == keys_.document) ApplyDocument(item.value, "store", Duration(0));
     if (!IsBackend(item.key)) continue;
     absl::StatusOr<Backend> backend = codec_.DecodeBackend(BackendId(item.key), item.value);
     if (!backend.ok()) continue;
@@ -159,6 +161,7 @@
   CatalogMessage catalog;
   catalog.revision = revision_;
   if (context_.routing.Version() > have) catalog.document = context_.routing.Encoded();
+  catalog.document_age = Now() - context_.routing.KnownSince();
   catalog.backends = context_.dispatcher.Registry().All();
   return catalog;
 }
@@ -174,7 +177,7 @@
   revision_ = catalog.revision;
   // From here on the store's changes since this revision are enough.
   must_list_ = false;
-  if (!catalog.document.empty()) ApplyDocument(catalog.document, source);
+  if (!catalog.document.empty()) ApplyDocument(catalog.document, source, catalog.document_age);
   ReplaceBackends(catalog.backends, source, grace_.MissingUntil(Now()));
 }
 
@@ -192,7 +195,8 @@
   for (const WatchEvent& event : events) {
     const std::string& key = event.kv.key;
     if (event.kv.mod_revision <= revision_) continue;  // known from a peer
-    if (key == keys_.document && !event.deleted) ApplyDocument(event.kv.value, "store");
+    if (key == keys_.document && !event.deleted)
+      ApplyDocument(event.kv.value, "store", Duration(0));
     if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
     if (IsBackend(key) && event.deleted) RemoveBackend(BackendId(key), now);
   }
@@ -217,7 +221,7 @@
   context_.dispatcher.Registry().Put(std::move(*backend));
 }
 
-void CatalogSync::ApplyDocument(const std::string& text, std::string_view source) {
+void CatalogSync::ApplyDocument(const std::string& text, std::string_view source, Duration age) {
   absl::StatusOr<RoutingDocument> document = codec_.DecodeDocument(text);
   absl::Status status = document.status();
   if (document.ok()) {
@@ -227,11 +231,18 @@
       const int64_t before = context_.routing.Version();
       GlobalCounters().config_revision.Set(std::max(before, (*table)->Version()));
       const int64_t version = (*table)->Version();
-      if (!context_.routing.Apply(std::move(*table), text)) return;
+      const TimePoint now = Now();
+      // How long the node may have missed it: since the store was last known to have none newer.
+      const Duration unconfirmed = now - context_.routing.Confirmed();
+      if (!context_.routing.Apply(std::move(*table), text, now - age)) return;
+      GlobalHistograms().document_spread_ms.Note(age);
       Log(LogLevel::kInfo, "document_applied",
           {{"version", std::to_string(version)},
            {"before", std::to_string(before)},
-           {"source", std::string(source)}});
+           {"source", std::string(source)},
+           {"age_ms", FormatMillis(age)},
+           {"unconfirmed_ms", before == 0 ? "none" : FormatMillis(unconfirmed)},
+           {"bytes", std::to_string(text.size())}});
     }
   }
   if (!status.ok()) {
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -45,7 +45,7 @@
   boost::asio::awaitable<void> Follow();
   boost::asio::awaitable<absl::StatusOr<int64_t>> ReadAll();
   boost::asio::awaitable<void> Pause(Duration duration);
-  void ApplyDocument(const std::string& text, std::string_view source);
+  void ApplyDocument(const std::string& text, std::string_view source, Duration age);
   void ReplaceBackends(std::vector<Backend> backends, std::string_view source,
                        std::optional<TimePoint> missing_until);
   void RemoveBackend(const std::string& id, TimePoint now);
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -128,4 +128,6 @@
   # As the store has it; empty when the asker has this version.
   document @1 :Text;
   backends @2 :List(Backend);
+  # Milliseconds since the first node on its way put the document in force.
+  documentAgeMs @3 :UInt32;
 }
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -198,7 +198,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1407,6 +1407,8 @@
   inline bool hasBackends() const;
   inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader getBackends() const;
 
+  inline  ::uint32_t getDocumentAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1452,6 +1454,9 @@
   inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> disownBackends();
 
+  inline  ::uint32_t getDocumentAgeMs();
+  inline void setDocumentAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3057,6 +3062,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Catalog::Reader::getDocumentAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Catalog::Builder::getDocumentAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Catalog::Builder::setDocumentAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "cartsail/base/counters.h"
+#include "cartsail/base/histogram.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_client.h"
@@ -36,6 +37,25 @@
 constexpr Duration kFetchTimeout = milliseconds(800);
 constexpr Duration kFetchPause = milliseconds(250);
 
+absl::StatusOr<CatalogMessage> CatalogIn(const absl::StatusOr<HttpResponse>& response,
+                                         TimePoint now) {
+  if (!response.ok()) return response.status();
+  if (response->status != 200) {
+    return MakeError(ErrorKind::kNotReady, fmt::format("status {}", response->status));
+  }
+  std::optional<CatalogMessage> catalog = DecodeCatalog(response->body, now);
+  if (!catalog.has_value()) return MakeError(ErrorKind::kInvalidArgument, "no catalog");
+  return std::move(*catalog);
+}
+
+void NoteFetchFailed(const std::string& host, Duration duration, const absl::Status& why) {
+  GlobalCounters().catalog_fetches_failed_total.Add();
+  Log(LogLevel::kWarning, "catalog_fetch_failed",
+      {{"host", host},
+       {"ms", fmt::format("{:.0f}", ToMillis(duration))},
+       {"why", std::string(why.message())}});
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(RelayContext& context, CatalogSync& catalog)
@@ -133,14 +153,19 @@
   request.target =
       fmt::format("{}?{}={}", kCatalogPath, kHaveParameter, context_.routing.Version());
   const Endpoint endpoint{host, context_.options.peer.port};
+  const TimePoint begun = Now();
   const absl::StatusOr<HttpResponse> response =
       co_await Fetch(context_.io.get_executor(), endpoint, request, kFetchTimeout);
   fetching_ = false;
   fetched_ = Now();
   GlobalCounters().catalog_fetches_total.Add();
-  if (!response.ok() || response->status != 200) co_return;
-  const std::optional<CatalogMessage> catalog = DecodeCatalog(response->body, Now());
-  if (catalog.has_value()) catalog_.ApplyCatalog(*catalog, host);
+  GlobalHistograms().catalog_fetch_ms.Note(fetched_ - begun);
+  const absl::StatusOr<CatalogMessage> catalog = CatalogIn(response, fetched_);
+  if (!catalog.ok()) {
+    NoteFetchFailed(host, fetched_ - begun, catalog.status());
+    co_return;
+  }
+  catalog_.ApplyCatalog(*catalog, host);
 }
 
 asio::awaitable<void> PeerExchange::SendPeriodically() {
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -160,6 +160,13 @@
   cr_assert(!read->backends[1].missing_until.has_value());
 }
 
+Test(catalogs, the_age_of_the_document_travels_on) {
+  CatalogMessage catalog;
+  catalog.document = "text";
+  catalog.document_age = milliseconds(1200);
+  cr_assert(DecodeCatalog(EncodeCatalog(catalog, kNow), kNow)->document_age == milliseconds(1200));
+}
+
 Test(digests, survive_their_encoding) {
   NodeDigest digest;
   digest.node = "n1";
