A new document is announced at once, by each node to a few others

Root cause: a change that every node waits for travelled as a state, told in a digest every 0.7 to 2 s, and all nodes that one digest reached fetched it from its sender at the same moment.

--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -264,6 +264,7 @@
        {"unconfirmed_ms", before == 0 ? "none" : FormatMillis(unconfirmed)},
        {"bytes", std::to_string(text.size())},
        {"patch_bytes", std::to_string(patch_.bytes.size())}});
+  if (on_document_) on_document_();
 }
 
 void CatalogSync::NoteInvalid(const absl::Status& status, std::string_view source) {
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -26,6 +26,15 @@
   // Runs until the process ends.
   void Start();
 
+  // Called whenever a newer document is in force.
+  void SetOnDocument(std::function<void()> on_document) { on_document_ = std::move(on_document); }
+
+  // Makes the document in force out of the one before.
+  const DocumentPatch& LatestPatch() const { return patch_; }
+
+  // A newer document from `source`, where it is made of the one in force here.
+  void ApplyPatch(const DocumentPatch& patch, std::string_view source, Duration age);
+
   // Revision of the store up to which all changes are known; 0: none.
   int64_t Revision() const { return revision_; }
 
@@ -55,7 +64,6 @@
   std::string BackendId(const std::string& key) const;
   void ApplyBackend(const KeyValue& item);
   const DocumentPatch& PatchFor(int64_t have);
-  void ApplyPatch(const DocumentPatch& patch, std::string_view source, Duration age);
   void NoteInvalid(const absl::Status& status, std::string_view source);
   void NoteReachable(bool reachable, std::string_view why);
 
@@ -65,6 +73,7 @@
   const CatalogCodec& codec_;
   CatalogKeys keys_;
   LapseGrace grace_;
+  std::function<void()> on_document_;
   int64_t revision_ = 0;
   DocumentPatch patch_;    // of the document in force, made of the one before
   DocumentPatch whole_;    // of the document in force; empty until somebody needs it
--- a/libs/relay/src/datagram.cc
+++ b/libs/relay/src/datagram.cc
@@ -77,6 +77,24 @@
   }
 }
 
+void Encode(const DocumentNotice& notice, wire::Datagram::Builder root) {
+  auto message = root.initNotice();
+  message.setVersion(notice.version);
+  message.setAgeMs(BoundedTo<uint32_t>(ToMillis(notice.age)));
+  message.setBase(notice.patch.base_version);
+  SetBytes(message.initPatch(static_cast<unsigned>(notice.patch.bytes.size())), notice.patch.bytes);
+  message.setIsAnswer(notice.is_answer);
+}
+
+DocumentNotice DecodeNotice(wire::DocumentNotice::Reader message) {
+  DocumentNotice notice;
+  notice.version = message.getVersion();
+  notice.age = milliseconds(message.getAgeMs());
+  notice.patch = {message.getBase(), BytesOf(message.getPatch())};
+  notice.is_answer = message.getIsAnswer();
+  return notice;
+}
+
 PlacementQuestion DecodeQuestion(wire::PlacementQuestion::Reader message) {
   PlacementQuestion question;
   question.id = message.getId();
@@ -140,6 +158,8 @@
       return DecodeAnswer(root.getAnswer());
     case wire::Datagram::PROGRESS:
       return DecodeProgress(root.getProgress());
+    case wire::Datagram::NOTICE:
+      return DecodeNotice(root.getNotice());
   }
   return std::nullopt;  // of a later version
 }
--- a/libs/relay/src/datagram.h
+++ b/libs/relay/src/datagram.h
@@ -6,12 +6,14 @@
 #include <string_view>
 #include <variant>
 
+#include "document_notice.h"
 #include "node_digest.h"
 #include "placement_message.h"
 
 namespace cartsail {
 
-using Datagram = std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport>;
+using Datagram =
+    std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport, DocumentNotice>;
 
 std::string EncodeDatagram(const Datagram& datagram);
 
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -101,12 +101,23 @@
   longestPauseMs @5 :UInt16;
 }
 
+# A version of the routing document is in force at the sender.
+struct DocumentNotice {
+  version @0 :Int64;
+  ageMs @1 :UInt32;
+  # What the document adds to version `base`, as in Catalog; empty: to be fetched.
+  base @2 :Int64;
+  patch @3 :Data;
+  isAnswer @4 :Bool;
+}
+
 struct Datagram {
   union {
     digest @0 :NodeDigest;
     question @1 :PlacementQuestion;
     answer @2 :PlacementAnswer;
     progress @3 :List(RequestProgress);
+    notice @4 :DocumentNotice;
   }
 }
 
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(a3648c3926e11547);
 CAPNP_DECLARE_SCHEMA(932771e8467662df);
 CAPNP_DECLARE_SCHEMA(9f5a10ff57841bdb);
+CAPNP_DECLARE_SCHEMA(ef673dbe5bf8067d);
 CAPNP_DECLARE_SCHEMA(d8728f032019e01b);
 CAPNP_DECLARE_SCHEMA(fda596282b449bf2);
 CAPNP_DECLARE_SCHEMA(fcbd87e46f033038);
@@ -154,6 +155,21 @@
   };
 };
 
+struct DocumentNotice {
+  DocumentNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ef673dbe5bf8067d, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -165,6 +181,7 @@
     QUESTION,
     ANSWER,
     PROGRESS,
+    NOTICE,
   };
 
   struct _capnpPrivate {
@@ -1130,6 +1147,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class DocumentNotice::Reader {
+public:
+  typedef DocumentNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getVersion() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::int64_t getBase() const;
+
+  inline bool hasPatch() const;
+  inline  ::capnp::Data::Reader getPatch() const;
+
+  inline bool getIsAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DocumentNotice::Builder {
+public:
+  typedef DocumentNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::int64_t getBase();
+  inline void setBase( ::int64_t value);
+
+  inline bool hasPatch();
+  inline  ::capnp::Data::Builder getPatch();
+  inline void setPatch( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPatch(unsigned int size);
+  inline void adoptPatch(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPatch();
+
+  inline bool getIsAnswer();
+  inline void setIsAnswer(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DocumentNotice::Pipeline {
+public:
+  typedef DocumentNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -1164,6 +1282,10 @@
   inline bool hasProgress() const;
   inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader getProgress() const;
 
+  inline bool isNotice() const;
+  inline bool hasNotice() const;
+  inline  ::cartsail::wire::DocumentNotice::Reader getNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1225,6 +1347,14 @@
   inline void adoptProgress(::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> disownProgress();
 
+  inline bool isNotice();
+  inline bool hasNotice();
+  inline  ::cartsail::wire::DocumentNotice::Builder getNotice();
+  inline void setNotice( ::cartsail::wire::DocumentNotice::Reader value);
+  inline  ::cartsail::wire::DocumentNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> disownNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2568,6 +2698,96 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t DocumentNotice::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DocumentNotice::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DocumentNotice::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t DocumentNotice::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t DocumentNotice::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DocumentNotice::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t DocumentNotice::Reader::getBase() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DocumentNotice::Builder::getBase() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DocumentNotice::Builder::setBase( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DocumentNotice::Reader::hasPatch() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DocumentNotice::Builder::hasPatch() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader DocumentNotice::Reader::getPatch() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder DocumentNotice::Builder::getPatch() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DocumentNotice::Builder::setPatch( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder DocumentNotice::Builder::initPatch(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void DocumentNotice::Builder::adoptPatch(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> DocumentNotice::Builder::disownPatch() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool DocumentNotice::Reader::getIsAnswer() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool DocumentNotice::Builder::getIsAnswer() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void DocumentNotice::Builder::setIsAnswer(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cartsail::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2793,6 +3013,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isNotice() const {
+  return which() == Datagram::NOTICE;
+}
+inline bool Datagram::Builder::isNotice() {
+  return which() == Datagram::NOTICE;
+}
+inline bool Datagram::Reader::hasNotice() const {
+  if (which() != Datagram::NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasNotice() {
+  if (which() != Datagram::NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::DocumentNotice::Reader Datagram::Reader::getNotice() const {
+  KJ_IREQUIRE((which() == Datagram::NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::DocumentNotice::Builder Datagram::Builder::getNotice() {
+  KJ_IREQUIRE((which() == Datagram::NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setNotice( ::cartsail::wire::DocumentNotice::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::DocumentNotice::Builder Datagram::Builder::initNotice() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptNotice(
+    ::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> Datagram::Builder::disownNotice() {
+  KJ_IREQUIRE((which() == Datagram::NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Backend::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/histogram.h"
@@ -36,6 +37,9 @@
 constexpr Duration kYoungUptime = seconds(4);
 constexpr Duration kFetchTimeout = milliseconds(800);
 constexpr Duration kFetchPause = milliseconds(250);
+// A notice with its patch stays within one packet of 1,500 bytes. Patches of usual changes have
+// about 0.1 KB; of a larger one only the version is told, and peers fetch it.
+constexpr size_t kMostPatchBytesTold = 1100;
 
 absl::StatusOr<CatalogMessage> CatalogIn(const absl::StatusOr<HttpResponse>& response,
                                          TimePoint now) {
@@ -63,7 +67,8 @@
       peers_(context.peers),
       catalog_(catalog),
       socket_(context.io),
-      interval_(context.options.digest_interval) {}
+      interval_(context.options.digest_interval),
+      announcer_(context.options.node_id) {}
 
 absl::Status PeerExchange::Start() {
   boost::system::error_code error;
@@ -83,6 +88,11 @@
                                      (void)Send(host, EncodeDatagram(datagram));
                                    },
                                    [this](const std::string& host) { Announce(host); }});
+  catalog_.SetOnDocument([this] {
+    if (announcing_) return;  // goes on with the newest document
+    announcing_ = true;
+    asio::co_spawn(context_.io, AnnounceDocument(), asio::detached);
+  });
   asio::co_spawn(context_.io, Receive(), asio::detached);
   asio::co_spawn(context_.io, SendPeriodically(), asio::detached);
   return absl::OkStatus();
@@ -121,13 +131,55 @@
   if (const auto* report = std::get_if<ProgressReport>(&*datagram)) {
     context_.placement.OnProgress(host, *report, Now());
   }
+  if (const auto* notice = std::get_if<DocumentNotice>(&*datagram)) OnNotice(host, *notice);
+}
+
+DocumentNotice PeerExchange::MakeNotice(TimePoint now) const {
+  DocumentNotice notice;
+  notice.version = context_.routing.Version();
+  notice.age = now - context_.routing.KnownSince();
+  const DocumentPatch& patch = catalog_.LatestPatch();
+  if (patch.bytes.size() <= kMostPatchBytesTold) notice.patch = patch;
+  return notice;
+}
+
+// The first notices go out before a digest could: an interval of digests is up to
+// kLongestInterval, more than half of the time in which a change has to be in force everywhere.
+asio::awaitable<void> PeerExchange::AnnounceDocument() {
+  asio::steady_timer timer(context_.io);
+  while (true) {
+    const TimePoint now = Now();
+    const int64_t version = context_.routing.Version();
+    const std::vector<std::string> hosts =
+        announcer_.NextRound(version, peers_.HostsBehind(version, now));
+    if (hosts.empty()) break;
+    const std::string bytes = EncodeDatagram(MakeNotice(now));
+    for (const std::string& host : hosts) announced_bytes_ += Send(host, bytes);
+    timer.expires_after(DocumentAnnouncer::kRoundInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  announcing_ = false;
+}
+
+void PeerExchange::OnNotice(const std::string& host, const DocumentNotice& notice) {
+  peers_.NoteDocument(host, notice.version);
+  if (notice.version > context_.routing.Version() && !notice.patch.bytes.empty()) {
+    catalog_.ApplyPatch(notice.patch, host, notice.age);
+  }
+  if (notice.version > context_.routing.Version()) MaybeFetch(host, Now());
+  if (notice.is_answer) return;
+  DocumentNotice answer = MakeNotice(Now());
+  answer.is_answer = true;
+  if (answer.version <= notice.version) answer.patch = {};
+  announced_bytes_ += Send(host, EncodeDatagram(answer));
 }
 
 void PeerExchange::OnDigest(const std::string& host, const NodeDigest& digest) {
   if (digest.node == context_.options.node_id) return;
   const TimePoint now = Now();
-  const NodeState state{digest.node,     digest.zone,   digest.stopping,
-                        digest.capacity, digest.uptime, digest.interval};
+  const NodeState state{digest.node,   digest.zone,     digest.stopping,        digest.capacity,
+                        digest.uptime, digest.interval, digest.document_version};
   if (peers_.Heard(host, state, now)) {
     Log(LogLevel::kInfo, "peer_heard", {{"node", digest.node}, {"host", host}});
     Announce(host);
@@ -142,8 +194,11 @@
   if (digest.document_version == context_.routing.Version() && digest.confirmed_age.has_value()) {
     catalog_.ConfirmByPeer(now - *digest.confirmed_age, now);
   }
-  const bool behind = digest.catalog_revision > catalog_.Revision();
-  if (!behind || fetching_ || now - fetched_ < kFetchPause) return;
+  if (digest.catalog_revision > catalog_.Revision()) MaybeFetch(host, now);
+}
+
+void PeerExchange::MaybeFetch(const std::string& host, TimePoint now) {
+  if (fetching_ || now - fetched_ < kFetchPause) return;
   fetching_ = true;
   asio::co_spawn(context_.io, FetchCatalog(host), asio::detached);
 }
@@ -260,7 +315,7 @@
   digest.dispatch.prefixes.clear();
   digest.dispatch.work.clear();
   const std::string for_all = EncodeDatagram(digest);
-  size_t sent_bytes = 0;
+  size_t sent_bytes = std::exchange(announced_bytes_, 0);
   for (auto& [host, peer] : peers_.Peers()) {
     if (!IsDue(peer, now)) continue;
     peer.last_sent = now;
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -1,7 +1,7 @@
 // Carries datagrams between nodes: tells them this node's load, prefixes, leaving back ends and
 // catalog revision, takes in what they tell, and passes questions and answers of placements on. A
-// node that hears of a newer catalog fetches it from who told so. Nothing here needs agreement: a
-// lost datagram costs precision.
+// new document is told at once, with what it changes; a node that hears of a newer catalog fetches
+// it from who told so. Nothing here needs agreement: a lost datagram costs precision.
 #pragma once
 
 #include <absl/status/status.h>
@@ -14,6 +14,7 @@
 
 #include "catalog_sync.h"
 #include "datagram.h"
+#include "document_announcer.h"
 #include "peer_table.h"
 #include "relay_context.h"
 
@@ -36,10 +37,14 @@
   void SendDigests();
   size_t Send(const std::string& host, const std::string& bytes);
   void Announce(const std::string& host);
+  boost::asio::awaitable<void> AnnounceDocument();
+  void OnNotice(const std::string& host, const DocumentNotice& notice);
+  DocumentNotice MakeNotice(TimePoint now) const;
   NodeDigest DigestFor(const std::string& coordinator, NodeDigest digest, TimePoint now) const;
   std::set<std::string> Coordinators(TimePoint now) const;
   void OnDatagram(const std::string& host, std::string_view bytes);
   void OnDigest(const std::string& host, const NodeDigest& digest);
+  void MaybeFetch(const std::string& host, TimePoint now);
   bool IsDue(const PeerRecord& peer, TimePoint now) const;
   NodeDigest MakeDigest(TimePoint now);
 
@@ -48,6 +53,9 @@
   CatalogSync& catalog_;
   boost::asio::ip::udp::socket socket_;
   Duration interval_;  // to the next digests
+  DocumentAnnouncer announcer_;
+  bool announcing_ = false;
+  size_t announced_bytes_ = 0;  // since the last digests
   TimePoint fetched_{};
   bool fetching_ = false;
 };
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -62,6 +62,19 @@
   return regained;
 }
 
+void PeerTable::NoteDocument(const std::string& host, int64_t version) {
+  const auto peer = peers_.find(host);
+  if (peer != peers_.end()) peer->second.state.document_version = version;
+}
+
+std::vector<std::string> PeerTable::HostsBehind(int64_t version, TimePoint now) const {
+  std::vector<std::string> hosts;
+  for (const auto& [host, peer] : peers_) {
+    if (IsLive(peer, now) && peer.state.document_version < version) hosts.push_back(host);
+  }
+  return hosts;
+}
+
 std::vector<std::string> PeerTable::RankCoordinators(const std::string& service, size_t count,
                                                      TimePoint now) const {
   const uint64_t seed = Hash64(service);
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -19,6 +19,7 @@
   double capacity = 0;  // share of a core that it may use
   Duration uptime{};
   Duration interval{};  // between its digests
+  int64_t document_version = 0;
 };
 
 struct PeerRecord {
@@ -44,6 +45,12 @@
   // A digest came. True when the node had not been heard lately.
   bool Heard(const std::string& host, const NodeState& state, TimePoint now);
 
+  // A node has told that this version of the document is in force there.
+  void NoteDocument(const std::string& host, int64_t version);
+
+  // Live nodes that have not told that they have this version of the document, or a later one.
+  std::vector<std::string> HostsBehind(int64_t version, TimePoint now) const;
+
   // Forgets hosts that were silent for long.
   void ForgetSilent(TimePoint now);
 
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -24,7 +24,7 @@
         options(relay_options),
         format(wire_format),
         dispatcher(relay_options.placement, relay_options.zone),
-        peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}, {}},
+        peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}, {}, 0},
               Now()),
         pool(io_context.get_executor()),
         placement(io_context, dispatcher, peers, pool) {}
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -235,6 +235,17 @@
   cr_assert(progress->entries[1].pauses.longest_ms == 180);
 }
 
+Test(datagrams, notices_survive_their_encoding) {
+  DocumentNotice notice;
+  notice.version = 12;
+  notice.age = milliseconds(40);
+  notice.patch = {11, std::string("a\0b", 3)};
+  const std::optional<Datagram> datagram = DecodeDatagram(EncodeDatagram(notice));
+  const auto* read = std::get_if<DocumentNotice>(&*datagram);
+  cr_assert(read->version == 12 && read->age == milliseconds(40) && !read->is_answer);
+  cr_assert(read->patch.base_version == 11 && read->patch.bytes == notice.patch.bytes);
+}
+
 Test(digests, bytes_that_are_none_are_refused) {
   cr_assert(!DecodeDatagram("").has_value());
   const std::string good = EncodeDatagram(NodeDigest{});
