Reproduced: lists older than a peer's catalog, documents behind a known revision, fetches that hang (red)

Looking elsewhere for what can keep a change from a node. catalog_sync_test, three of three red on this code: a list of the store that was asked for before a peer's newer catalog came replaces its back ends, and the changes between are never heard; a newer document is dropped when its catalog's revision is known; a list confirms the moment of its answer, not of its question. catalog_spread_test: a node whose first fetch hangs has the catalog of another node not within 0.25 s (it asks again after 0.8 s and 0.25 s).

--- a/libs/relay/tests/catalog_spread_test.cc
+++ b/libs/relay/tests/catalog_spread_test.cc
@@ -29,7 +29,7 @@
 constexpr Duration kBound = milliseconds(500);
 
 Test(catalog_spread, every_node_has_a_change_in_a_quarter_of_the_time_there_is) {
-  testing::SpreadFleet fleet(kNodes);
+  testing::SpreadFleet fleet(kNodes, 1);
   fleet.RunFor(milliseconds(600));  // nodes hear each other, and the next digests are far away
   constexpr int64_t kVersion = 7;
   fleet.ApplyAtReaders(kReaders, kVersion);
@@ -38,5 +38,23 @@
             fleet.NodesWith(kVersion), kNodes, fleet.MostCopiesOfOneNode());
 }
 
+// A fetch that hangs must not keep a node from asking another one: the time of a fetch (0.8 s) and
+// the pause after it would pass before.
+Test(catalog_spread, a_node_that_does_not_answer_is_passed_by) {
+  constexpr int kSilent = 0;
+  constexpr int kGood = 1;
+  constexpr int kAsking = 2;
+  constexpr int64_t kRevision = 2;
+  testing::SpreadFleet fleet(3, 2);
+  fleet.RunFor(milliseconds(150));
+  fleet.FallSilent(kSilent);
+  fleet.ApplyBackendsAt(kSilent, kRevision);
+  fleet.RunFor(milliseconds(250));
+  cr_assert(fleet.CopiesOf(kSilent) == 2, "both others ask it");
+  fleet.ApplyBackendsAt(kGood, kRevision);
+  fleet.RunFor(milliseconds(250));
+  cr_assert(fleet.RevisionAt(kAsking) == kRevision);
+}
+
 }  // namespace
 }  // namespace cartsail
--- /dev/null
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -0,0 +1,142 @@
+// How a node keeps its catalog while peers and the store tell of changes at the same time.
+#include "catalog_sync.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "cartsail/base/status.h"
+#include "support/version_codec.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+using testing::DocumentText;
+using testing::VersionCodec;
+
+constexpr Duration kCallTime = milliseconds(100);
+
+absl::Status Away() { return MakeError(ErrorKind::kPlatformUnavailable, "away"); }
+
+// Answers its one list after `kCallTime`; its watches hear nothing.
+class SlowStore : public KeyValueStore {
+ public:
+  explicit SlowStore(asio::io_context& io) : io_(io) {}
+
+  Result<RangeResult> Range(RangeRequest request) override {
+    ++lists;
+    const RangeResult answer = list;
+    co_await Wait(kCallTime);
+    co_return answer;
+  }
+  Result<TxnResult> Txn(TxnRequest request) override { co_return Away(); }
+  Result<int64_t> GrantLease(int64_t ttl_seconds) override { co_return Away(); }
+  asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
+                                      int64_t start_revision, WatchCallback on_events) override {
+    co_await Wait(seconds(60));
+    co_return Away();
+  }
+
+  RangeResult list;
+  int lists = 0;
+
+ private:
+  asio::awaitable<void> Wait(Duration duration) {
+    asio::steady_timer timer(io_, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
+  asio::io_context& io_;
+};
+
+RelayOptions Options() {
+  RelayOptions options;
+  options.node_id = "n1";
+  options.zone = "z1";
+  return options;
+}
+
+struct Node {
+  Node()
+      : store(io),
+        context(io, Options(), format),
+        catalog(context, context.peers, store, codec, Keys()) {}
+
+  static CatalogKeys Keys() { return {"", "document", "backends/"}; }
+
+  void RunFor(Duration duration) {
+    io.restart();
+    io.run_for(duration);
+  }
+
+  bool Knows(const std::string& backend) {
+    return context.dispatcher.Registry().Find(backend) != nullptr;
+  }
+
+  asio::io_context io;
+  WireFormat format;
+  VersionCodec codec;
+  SlowStore store;
+  RelayContext context;
+  CatalogSync catalog;
+};
+
+KeyValue ItemOf(const std::string& key, const std::string& value, int64_t revision) {
+  KeyValue item;
+  item.key = key;
+  item.value = value;
+  item.mod_revision = revision;
+  item.create_revision = revision;
+  return item;
+}
+
+CatalogMessage CatalogOf(int64_t revision, int64_t version, const std::string& backend) {
+  CatalogMessage catalog;
+  catalog.revision = revision;
+  catalog.document = {0, MakeDocumentPatch({}, DocumentText(version))};
+  catalog.backends.resize(1);
+  catalog.backends[0].id = backend;
+  catalog.backends[0].service = "s";
+  catalog.backends[0].address = "127.0.0.1:1";
+  return catalog;
+}
+
+Test(catalog_sync, a_list_older_than_a_peers_catalog_does_not_replace_it) {
+  Node node;
+  node.store.list.revision = 10;
+  node.store.list.kvs = {ItemOf("document", DocumentText(3), 4), ItemOf("backends/old", "s", 5)};
+  node.catalog.Start();
+  node.RunFor(kCallTime / 2);
+  cr_assert(node.store.lists == 1);
+  node.catalog.ApplyCatalog(CatalogOf(12, 2, "new"), "peer");
+  node.RunFor(kCallTime);
+  cr_assert(node.context.routing.Version() == 3, "documents are ordered by their versions");
+  cr_assert(node.Knows("new") && !node.Knows("old"), "the change between 10 and 12 would be lost");
+  cr_assert(node.catalog.Revision() == 12);
+}
+
+Test(catalog_sync, a_newer_document_is_taken_also_with_a_known_revision) {
+  Node node;
+  node.catalog.ApplyCatalog(CatalogOf(5, 1, "b"), "peer");
+  node.catalog.ApplyCatalog(CatalogOf(5, 7, "other"), "peer");
+  cr_assert(node.context.routing.Version() == 7);
+  cr_assert(node.Knows("b") && !node.Knows("other"), "back ends are ordered by revisions");
+}
+
+Test(catalog_sync, a_list_confirms_what_held_when_it_was_asked_for) {
+  Node node;
+  node.store.list.revision = 10;
+  node.store.list.kvs = {ItemOf("document", DocumentText(3), 4)};
+  const TimePoint asked = Now();
+  node.catalog.Start();
+  node.RunFor(kCallTime + kCallTime / 2);
+  cr_assert(node.context.routing.Version() == 3);
+  cr_assert(node.context.routing.Confirmed() < asked + kCallTime / 2);
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/tests/support/spread_fleet.cc
+++ b/libs/relay/tests/support/spread_fleet.cc
@@ -13,7 +13,7 @@
 #include "cartsail/net/http_server.h"
 #include "catalog_message.h"
 #include "catalog_path.h"
-#include "relay_fixture.h"
+#include "version_codec.h"
 
 namespace cartsail::testing {
 namespace {
@@ -22,8 +22,7 @@
 
 constexpr uint16_t kPeerPort = 28742;
 constexpr double kLinkBytesPerSecond = 10e6 / 8;
-// As a deployment of 84 nodes and 116 back ends has them.
-constexpr size_t kDocumentBytes = 12000;
+// As a deployment of 84 nodes has them.
 constexpr int kBackends = 116;
 constexpr Duration kStep = milliseconds(5);
 
@@ -40,26 +39,6 @@
   }
 };
 
-// A document is its version and, after a space, padding.
-class VersionCodec : public CatalogCodec {
- public:
-  absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const override {
-    RoutingDocument document = PlainDocument();
-    const bool ok = ParseInteger(text.substr(0, text.find(' ')), &document.version);
-    if (!ok) return MakeError(ErrorKind::kInvalidSetting, "no version");
-    return document;
-  }
-  absl::StatusOr<Backend> DecodeBackend(std::string_view id, std::string_view text) const override {
-    return Away();
-  }
-};
-
-std::string DocumentText(int64_t version) {
-  std::string text = fmt::format("{} ", version);
-  for (int i = 0; text.size() < kDocumentBytes; ++i) text += fmt::format("route-{} ", i);
-  return text;
-}
-
 std::vector<Backend> ManyBackends() {
   std::vector<Backend> backends(kBackends);
   for (int i = 0; i < kBackends; ++i) {
@@ -102,6 +81,18 @@
     catalog_.ApplyCatalog(catalog, "store");
   }
 
+  // Another list of back ends, with the same document.
+  void ApplyBackends(int64_t revision) {
+    CatalogMessage catalog;
+    catalog.revision = revision;
+    catalog.backends = ManyBackends();
+    catalog_.ApplyCatalog(catalog, "store");
+  }
+
+  // From now on its catalog is asked for in vain.
+  void FallSilent() { silent_ = true; }
+
+  int64_t Revision() const { return catalog_.Revision(); }
   int64_t Version() const { return context_.routing.Version(); }
   int Copies() const { return copies_; }
 
@@ -112,6 +103,7 @@
     HttpResponse response;
     response.body = EncodeCatalog(catalog_.MakeCatalog(have), Now());
     ++copies_;
+    if (silent_) link_free_ = Now() + seconds(60);
     const Duration sending =
         FromSeconds(static_cast<double>(response.body.size()) / kLinkBytesPerSecond);
     link_free_ = std::max(link_free_, Now()) + sending;
@@ -130,12 +122,13 @@
   std::unique_ptr<HttpServer> server_;
   TimePoint link_free_{};
   int copies_ = 0;
+  bool silent_ = false;
 };
 
-SpreadFleet::SpreadFleet(int nodes) {
+SpreadFleet::SpreadFleet(int nodes, int network) {
   std::vector<std::string> hosts;
   hosts.reserve(static_cast<size_t>(nodes));
-  for (int i = 0; i < nodes; ++i) hosts.push_back(fmt::format("127.0.1.{}", i + 1));
+  for (int i = 0; i < nodes; ++i) hosts.push_back(fmt::format("127.0.{}.{}", network, i + 1));
   for (const std::string& host : hosts) {
     nodes_.push_back(std::make_unique<FleetNode>(io_, host, hosts));
     nodes_.back()->Apply(1);
@@ -153,6 +146,18 @@
   for (int i = 0; i < readers; ++i) nodes_[static_cast<size_t>(i)]->Apply(version);
 }
 
+void SpreadFleet::ApplyBackendsAt(int node, int64_t revision) {
+  nodes_[static_cast<size_t>(node)]->ApplyBackends(revision);
+}
+
+void SpreadFleet::FallSilent(int node) { nodes_[static_cast<size_t>(node)]->FallSilent(); }
+
+int SpreadFleet::CopiesOf(int node) const { return nodes_[static_cast<size_t>(node)]->Copies(); }
+
+int64_t SpreadFleet::RevisionAt(int node) const {
+  return nodes_[static_cast<size_t>(node)]->Revision();
+}
+
 bool SpreadFleet::RunUntilAllHave(int64_t version, Duration limit) {
   const TimePoint end = Now() + limit;
   const int all = static_cast<int>(nodes_.size());
--- a/libs/relay/tests/support/spread_fleet.h
+++ b/libs/relay/tests/support/spread_fleet.h
@@ -16,7 +16,8 @@
 
 class SpreadFleet {
  public:
-  explicit SpreadFleet(int nodes);
+  // At 127.0.`network`.1 and so on: fleets at the same time need different ones.
+  SpreadFleet(int nodes, int network);
   ~SpreadFleet();
 
   void RunFor(Duration duration);
@@ -24,6 +25,16 @@
   // The first `readers` nodes hear of document `version` from the store.
   void ApplyAtReaders(int readers, int64_t version);
 
+  // A node hears of another list of back ends from the store.
+  void ApplyBackendsAt(int node, int64_t revision);
+
+  // The node's catalog is asked for in vain from now on.
+  void FallSilent(int node);
+
+  int CopiesOf(int node) const;
+
+  int64_t RevisionAt(int node) const;
+
   // True when all nodes have `version` in force within `limit`.
   bool RunUntilAllHave(int64_t version, Duration limit);
 
--- /dev/null
+++ b/libs/relay/tests/support/version_codec.h
@@ -0,0 +1,20 @@
+// Documents of tests: a version and, after a space, padding; back ends: the name of their service.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "cartsail/relay/catalog_codec.h"
+
+namespace cartsail::testing {
+
+// As long as the document of a deployment of 84 nodes.
+std::string DocumentText(int64_t version);
+
+class VersionCodec : public CatalogCodec {
+ public:
+  absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const override;
+  absl::StatusOr<Backend> DecodeBackend(std::string_view id, std::string_view text) const override;
+};
+
+}  // namespace cartsail::testing
