What else could keep a change from a node: fetches that hang, lists that are older, limits that fit no deadline

Cause, by class: orders that mix two scales (a document's version with the store's revision), and limits that are constants where the deployment sets the deadline (3.5 s until a node reads itself, 12 s until unknown routes are not refused for good; deadlines are 2 and 3 s). A back end's entry that cannot be decoded in a list has a line.

--- a/libs/relay/include/cartsail/relay/admission.h
+++ b/libs/relay/include/cartsail/relay/admission.h
@@ -44,10 +44,9 @@
   AdmittedRequest admitted;  // where there is no refusal
 };
 
-// A view of the store older than this does not justify refusing unknown routes and keys.
-inline constexpr Duration kFreshViewLimit = seconds(12);
-
+// A view of the store older than `trusted_for` does not justify refusing unknown routes and keys:
+// the caller is told to come back then.
 AdmissionResult Admit(const RequestHead& head, const RoutingState& state, const WireFormat& format,
-                      TimePoint now);
+                      Duration trusted_for, TimePoint now);
 
 }  // namespace cartsail
--- /dev/null
+++ b/libs/relay/include/cartsail/relay/document_limits.h
@@ -0,0 +1,28 @@
+// How long each step may take on which a change of the routing document reaches a node, derived
+// from the time in which it has to be in force everywhere. Pure.
+#pragma once
+
+#include "cartsail/base/clock.h"
+
+namespace cartsail {
+
+struct DocumentLimits {
+  // A node that knows of a newer document, and has not got it from its peers for so long, reads
+  // the store itself.
+  Duration own_reading_when_behind;
+  // A node that has not heard for so long, itself or by peers, that its document is the newest
+  // reads the store itself.
+  Duration own_reading_when_unconfirmed;
+  // A document that was last known to be the newest longer ago does not justify refusing unknown
+  // routes and keys for good: the route may have been added more than the deadline ago.
+  Duration refusing_unknown;
+};
+
+// `deadline`: from the store's acknowledgement until a document has to be in force everywhere.
+// A third of it is left for the call of the store and for telling the others: of the shortest
+// deadline, 2 s, that is 0.67 s, where a call takes 4 ms and telling 480 nodes 0.3 s.
+constexpr DocumentLimits LimitsWithin(Duration deadline) {
+  return {deadline / 4, deadline * 2 / 3, deadline * 2 / 3};
+}
+
+}  // namespace cartsail
--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -26,6 +26,8 @@
   Duration connect_timeout = milliseconds(400);  // to a back end
   Duration grace = seconds(8);                   // from the order to stop to the end of the process
   Duration balancer_delay = seconds(3);  // the balancer's time to notice that a node is not ready
+  // From the store's acknowledgement until a document has to be in force at every node.
+  Duration document_deadline = seconds(2);
   RetryBudgetOptions retry_budget;
   PlacementPolicy placement;
 };
--- a/libs/relay/src/admission.cc
+++ b/libs/relay/src/admission.cc
@@ -18,8 +18,9 @@
 }
 
 // What this node doesn't know may be in a newer document that it has not heard of.
-AdmissionResult RefuseUnknown(ErrorKind kind, const RoutingState& state, TimePoint now) {
-  if (!state.IsFresh(now, kFreshViewLimit)) return Refuse(ErrorKind::kNotReady, kUnknownRetryAfter);
+AdmissionResult RefuseUnknown(ErrorKind kind, const RoutingState& state, Duration trusted_for,
+                              TimePoint now) {
+  if (!state.IsFresh(now, trusted_for)) return Refuse(ErrorKind::kNotReady, kUnknownRetryAfter);
   return Refuse(kind);
 }
 
@@ -54,11 +55,11 @@
 }  // namespace
 
 AdmissionResult Admit(const RequestHead& head, const RoutingState& state, const WireFormat& format,
-                      TimePoint now) {
+                      Duration trusted_for, TimePoint now) {
   if (state.Table() == nullptr) return Refuse(ErrorKind::kNotReady, kUnknownRetryAfter);
   const RouteTable& table = *state.Table();
   const RouteRule* route = table.FindRoute(head.host, PathOf(head.target));
-  if (route == nullptr) return RefuseUnknown(ErrorKind::kUnknownPath, state, now);
+  if (route == nullptr) return RefuseUnknown(ErrorKind::kUnknownPath, state, trusted_for, now);
 
   AdmissionResult result;
   AdmittedRequest& admitted = result.admitted;
@@ -70,7 +71,7 @@
     admitted.tenant = tenant->name;
     admitted.tier = CombinedTier(*tenant, *route);
   } else if (table.NeedsKeys() && !route->is_public) {
-    return RefuseUnknown(ErrorKind::kUnknownKey, state, now);
+    return RefuseUnknown(ErrorKind::kUnknownKey, state, trusted_for, now);
   }
 
   admitted.time_left = route->timeout;
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -28,8 +28,6 @@
 constexpr size_t kReadersPerZone = 2;
 constexpr Duration kPauseAfterEvents = milliseconds(150);
 constexpr Duration kReaderCheck = milliseconds(250);
-// A node that does not read the store does so when neither it nor its peers heard it for so long.
-constexpr Duration kLongestUnconfirmed = milliseconds(3500);
 
 std::string FormatMillis(Duration duration) { return fmt::format("{:.0f}", ToMillis(duration)); }
 
@@ -42,6 +40,11 @@
   return FromSeconds(ToSeconds(pause) * jitter(generator));
 }
 
+void NoteInvalidBackend(const std::string& id, const absl::Status& why) {
+  Log(LogLevel::kWarning, "backend_invalid",
+      {{"backend", id}, {"why", std::string(why.message())}});
+}
+
 }  // namespace
 
 void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
@@ -53,8 +56,17 @@
 }
 
 bool CatalogSync::IsReading(TimePoint now) const {
-  if (peers_.IsReader(kReadersPerZone, now)) return true;
-  return !context_.routing.IsFresh(now, kLongestUnconfirmed);
+  if (peers_.IsReader(kReadersPerZone, now) || IsLeftBehind(now)) return true;
+  return !context_.routing.IsFresh(now, context_.document_limits.own_reading_when_unconfirmed);
+}
+
+bool CatalogSync::IsLeftBehind(TimePoint now) const {
+  if (!behind_since_.has_value()) return false;
+  return now - *behind_since_ >= context_.document_limits.own_reading_when_behind;
+}
+
+void CatalogSync::NoteVersionElsewhere(int64_t version, TimePoint now) {
+  if (version > context_.routing.Version() && !behind_since_.has_value()) behind_since_ = now;
 }
 
 asio::awaitable<void> CatalogSync::Follow() {
@@ -73,9 +85,10 @@
       co_await Pause(kReaderCheck);
       continue;
     }
-    if (must_list_) {
-      const absl::StatusOr<int64_t> read = co_await ReadAll();
-      NoteReachable(read.ok(), std::string(read.status().message()));
+    // The document may be older than the revision that this node knows: a watch would not tell it.
+    if (must_list_ || IsLeftBehind(Now())) {
+      const absl::Status read = co_await ReadAll();
+      NoteReachable(read.ok(), std::string(read.message()));
       if (!read.ok()) {
         co_await Pause(JitteredPause(++failures));
         continue;
@@ -99,9 +112,10 @@
   }
 }
 
-asio::awaitable<absl::StatusOr<int64_t>> CatalogSync::ReadAll() {
+asio::awaitable<absl::Status> CatalogSync::ReadAll() {
   std::vector<KeyValue> items;
   int64_t first_revision = 0;
+  const TimePoint asked = Now();
   RangeRequest request;
   request.key = keys_.prefix;
   request.range_end = PrefixEnd(keys_.prefix);
@@ -118,9 +132,8 @@
     request.key = items.back().key + '\0';
   }
   must_list_ = false;
-  revision_ = std::max(revision_, first_revision);
-  ApplyAll(items);
-  co_return first_revision;
+  ApplyAll(items, first_revision, asked);
+  co_return absl::OkStatus();
 }
 
 bool CatalogSync::IsBackend(const std::string& key) const {
@@ -131,20 +144,37 @@
   return key.substr(keys_.backend_prefix.size());
 }
 
-void CatalogSync::ApplyAll(const std::vector<KeyValue>& items) {
+std::vector<Backend> CatalogSync::BackendsIn(const std::vector<KeyValue>& items) const {
   std::vector<Backend> backends;
   for (const KeyValue& item : items) {
-    if (item.key == keys_.document) ApplyDocument(item.value, "store", Duration(0));
     if (!IsBackend(item.key)) continue;
     absl::StatusOr<Backend> backend = codec_.DecodeBackend(BackendId(item.key), item.value);
-    if (!backend.ok()) continue;
+    if (!backend.ok()) {
+      NoteInvalidBackend(BackendId(item.key), backend.status());
+      continue;
+    }
     backend->created_revision = item.create_revision;
     backends.push_back(std::move(*backend));
   }
+  return backends;
+}
+
+// `revision`: of the store when the list was begun, at `asked`.
+void CatalogSync::ApplyAll(const std::vector<KeyValue>& items, int64_t revision, TimePoint asked) {
+  for (const KeyValue& item : items) {
+    if (item.key == keys_.document) ApplyDocument(item.value, "store", Duration(0));
+  }
+  behind_since_.reset();
   const TimePoint now = Now();
   grace_.NoteAnswer(context_.routing.Confirmed(), now, now);
-  ReplaceBackends(std::move(backends), "store", grace_.MissingUntil(now));
-  context_.routing.Confirm(now);
+  // A peer's catalog that came meanwhile may be newer: what changed between would be lost, since
+  // the watch goes on from the newer revision.
+  if (revision >= revision_) {
+    revision_ = revision;
+    ReplaceBackends(BackendsIn(items), "store", grace_.MissingUntil(now));
+  }
+  // What the list says held when it was asked for; the answer may have been long on its way.
+  context_.routing.ConfirmBy(asked);
 }
 
 void CatalogSync::ReplaceBackends(std::vector<Backend> backends, std::string_view source,
@@ -180,13 +210,13 @@
 }
 
 void CatalogSync::ApplyCatalog(const CatalogMessage& catalog, std::string_view source) {
+  if (!catalog.document.bytes.empty()) {
+    ApplyPatch(catalog.document, source, catalog.document_age);
+  }
   if (catalog.revision <= revision_) return;
   revision_ = catalog.revision;
   // From here on the store's changes since this revision are enough.
   must_list_ = false;
-  if (!catalog.document.bytes.empty()) {
-    ApplyPatch(catalog.document, source, catalog.document_age);
-  }
   ReplaceBackends(catalog.backends, source, grace_.MissingUntil(Now()));
 }
 
@@ -216,11 +246,7 @@
 void CatalogSync::ApplyBackend(const KeyValue& item) {
   const std::string id = BackendId(item.key);
   absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value);
-  if (!backend.ok()) {
-    Log(LogLevel::kWarning, "backend_invalid",
-        {{"backend", id}, {"why", std::string(backend.status().message())}});
-    return;
-  }
+  if (!backend.ok()) return NoteInvalidBackend(id, backend.status());
   backend->created_revision = item.create_revision;
   Log(LogLevel::kInfo, "backend_seen",
       {{"backend", id},
@@ -254,6 +280,7 @@
   const Duration unconfirmed = now - context_.routing.Confirmed();
   patch_ = {before, MakeDocumentPatch(context_.routing.Encoded(), text)};
   whole_ = {};
+  behind_since_.reset();
   context_.routing.Apply(std::move(*table), text, now - age);
   GlobalHistograms().document_spread_ms.Note(age);
   Log(LogLevel::kInfo, "document_applied",
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -1,6 +1,8 @@
 // Keeps the routing document and the list of back ends as the store has them. A few nodes of each
 // zone read both and follow changes, and read all again when the store has lost its history; the
-// others take the catalog from peers, and read themselves when peers have not heard the store.
+// others take the catalog from peers, and read themselves when peers have not heard the store or
+// do not hand over what they have. Documents are ordered by their versions, back ends by the
+// store's revisions, wherever they come from.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -44,6 +46,9 @@
   // What this node knows; without the document when the asker has version `have`.
   CatalogMessage MakeCatalog(int64_t have);
 
+  // A peer has told of a document of this version.
+  void NoteVersionElsewhere(int64_t version, TimePoint now);
+
   // A peer with the same document had the store's word at `then`.
   void ConfirmByPeer(TimePoint then, TimePoint now);
 
@@ -52,13 +57,15 @@
 
  private:
   boost::asio::awaitable<void> Follow();
-  boost::asio::awaitable<absl::StatusOr<int64_t>> ReadAll();
+  boost::asio::awaitable<absl::Status> ReadAll();
+  bool IsLeftBehind(TimePoint now) const;
   boost::asio::awaitable<void> Pause(Duration duration);
   void ApplyDocument(const std::string& text, std::string_view source, Duration age);
   void ReplaceBackends(std::vector<Backend> backends, std::string_view source,
                        std::optional<TimePoint> missing_until);
   void RemoveBackend(const std::string& id, TimePoint now);
-  void ApplyAll(const std::vector<KeyValue>& items);
+  void ApplyAll(const std::vector<KeyValue>& items, int64_t revision, TimePoint asked);
+  std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items) const;
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
@@ -75,8 +82,10 @@
   LapseGrace grace_;
   std::function<void()> on_document_;
   int64_t revision_ = 0;
-  DocumentPatch patch_;    // of the document in force, made of the one before
-  DocumentPatch whole_;    // of the document in force; empty until somebody needs it
+  DocumentPatch patch_;  // of the document in force, made of the one before
+  DocumentPatch whole_;  // of the document in force; empty until somebody needs it
+  // While a peer has a newer document than this node: since when.
+  std::optional<TimePoint> behind_since_;
   bool must_list_ = true;  // the changes since `revision_` are not to be had from the store
   bool reachable_ = false;
   bool was_known_ = false;
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -81,7 +81,8 @@
   head.token_counts = std::string(request_.Header(names.token_counts));
   request_id_ = head.request_id;
 
-  AdmissionResult result = Admit(head, context_.routing, context_.format, request_.received);
+  AdmissionResult result = Admit(head, context_.routing, context_.format,
+                                 context_.document_limits.refusing_unknown, request_.received);
   if (result.refusal.has_value()) {
     co_return co_await AnswerRefusal(result.refusal->kind, result.refusal->retry_after);
   }
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -36,7 +36,6 @@
 constexpr Duration kSilentIntervalWhenYoung = milliseconds(150);
 constexpr Duration kYoungUptime = seconds(4);
 constexpr Duration kFetchTimeout = milliseconds(800);
-constexpr Duration kFetchPause = milliseconds(250);
 // A notice with its patch stays within one packet of 1,500 bytes. Patches of usual changes have
 // about 0.1 KB; of a larger one only the version is told, and peers fetch it.
 constexpr size_t kMostPatchBytesTold = 1100;
@@ -167,7 +166,7 @@
   if (notice.version > context_.routing.Version() && !notice.patch.bytes.empty()) {
     catalog_.ApplyPatch(notice.patch, host, notice.age);
   }
-  if (notice.version > context_.routing.Version()) MaybeFetch(host, Now());
+  if (notice.version > context_.routing.Version()) MaybeFetch(host, notice.version, Now());
   if (notice.is_answer) return;
   DocumentNotice answer = MakeNotice(Now());
   answer.is_answer = true;
@@ -194,30 +193,35 @@
   if (digest.document_version == context_.routing.Version() && digest.confirmed_age.has_value()) {
     catalog_.ConfirmByPeer(now - *digest.confirmed_age, now);
   }
-  if (digest.catalog_revision > catalog_.Revision()) MaybeFetch(host, now);
+  const bool has_newer_document = digest.document_version > context_.routing.Version();
+  if (has_newer_document || digest.catalog_revision > catalog_.Revision()) {
+    MaybeFetch(host, digest.document_version, now);
+  }
 }
 
-void PeerExchange::MaybeFetch(const std::string& host, TimePoint now) {
-  if (fetching_ || now - fetched_ < kFetchPause) return;
-  fetching_ = true;
-  asio::co_spawn(context_.io, FetchCatalog(host), asio::detached);
+// `version`: of the document at `host`.
+void PeerExchange::MaybeFetch(const std::string& host, int64_t version, TimePoint now) {
+  const bool has_newer_document = version > context_.routing.Version();
+  if (has_newer_document) catalog_.NoteVersionElsewhere(version, now);
+  if (!fetches_.MayBegin(host, has_newer_document, now)) return;
+  asio::co_spawn(context_.io, FetchCatalog(host, fetches_.Begin(host, now)), asio::detached);
 }
 
-asio::awaitable<void> PeerExchange::FetchCatalog(std::string host) {
+asio::awaitable<void> PeerExchange::FetchCatalog(std::string host, FetchSchedule::Running fetch) {
   HttpRequest request;
   request.target =
       fmt::format("{}?{}={}", kCatalogPath, kHaveParameter, context_.routing.Version());
   const Endpoint endpoint{host, context_.options.peer.port};
-  const TimePoint begun = Now();
   const absl::StatusOr<HttpResponse> response =
       co_await Fetch(context_.io.get_executor(), endpoint, request, kFetchTimeout);
-  fetching_ = false;
-  fetched_ = Now();
+  const TimePoint ended = Now();
+  const Duration duration = ended - fetch->begun;
+  fetches_.End(fetch, ended);
   GlobalCounters().catalog_fetches_total.Add();
-  GlobalHistograms().catalog_fetch_ms.Note(fetched_ - begun);
-  const absl::StatusOr<CatalogMessage> catalog = CatalogIn(response, fetched_);
+  GlobalHistograms().catalog_fetch_ms.Note(duration);
+  const absl::StatusOr<CatalogMessage> catalog = CatalogIn(response, ended);
   if (!catalog.ok()) {
-    NoteFetchFailed(host, fetched_ - begun, catalog.status());
+    NoteFetchFailed(host, duration, catalog.status());
     co_return;
   }
   catalog_.ApplyCatalog(*catalog, host);
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -15,6 +15,7 @@
 #include "catalog_sync.h"
 #include "datagram.h"
 #include "document_announcer.h"
+#include "fetch_schedule.h"
 #include "peer_table.h"
 #include "relay_context.h"
 
@@ -33,7 +34,7 @@
  private:
   boost::asio::awaitable<void> Receive();
   boost::asio::awaitable<void> SendPeriodically();
-  boost::asio::awaitable<void> FetchCatalog(std::string host);
+  boost::asio::awaitable<void> FetchCatalog(std::string host, FetchSchedule::Running fetch);
   void SendDigests();
   size_t Send(const std::string& host, const std::string& bytes);
   void Announce(const std::string& host);
@@ -44,7 +45,7 @@
   std::set<std::string> Coordinators(TimePoint now) const;
   void OnDatagram(const std::string& host, std::string_view bytes);
   void OnDigest(const std::string& host, const NodeDigest& digest);
-  void MaybeFetch(const std::string& host, TimePoint now);
+  void MaybeFetch(const std::string& host, int64_t version, TimePoint now);
   bool IsDue(const PeerRecord& peer, TimePoint now) const;
   NodeDigest MakeDigest(TimePoint now);
 
@@ -56,8 +57,7 @@
   DocumentAnnouncer announcer_;
   bool announcing_ = false;
   size_t announced_bytes_ = 0;  // since the last digests
-  TimePoint fetched_{};
-  bool fetching_ = false;
+  FetchSchedule fetches_;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -8,6 +8,7 @@
 
 #include "cartsail/dispatch/dispatcher.h"
 #include "cartsail/dispatch/retry_budget.h"
+#include "cartsail/relay/document_limits.h"
 #include "cartsail/relay/relay_options.h"
 #include "cartsail/relay/routing_state.h"
 #include "cartsail/relay/wire_format.h"
@@ -22,6 +23,7 @@
                const WireFormat& wire_format)
       : io(io_context),
         options(relay_options),
+        document_limits(LimitsWithin(relay_options.document_deadline)),
         format(wire_format),
         dispatcher(relay_options.placement, relay_options.zone),
         peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}, {}, 0},
@@ -35,6 +37,7 @@
 
   boost::asio::io_context& io;
   RelayOptions options;
+  DocumentLimits document_limits;
   const WireFormat& format;
   RoutingState routing;
   Dispatcher dispatcher;
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "cartsail/base/hash.h"
 #include "cartsail/base/status.h"
 #include "support/version_codec.h"
 #include "testing/criterion.h"
@@ -138,5 +139,35 @@
   cr_assert(node.context.routing.Confirmed() < asked + kCallTime / 2);
 }
 
+// Makes `node` one that leaves reading the store to two others of its zone.
+void AddReaders(Node& node) {
+  int readers = 0;
+  for (int i = 0; readers < 2; ++i) {
+    const std::string name = "reader-" + std::to_string(i);
+    if (Hash64(name) >= Hash64("n1")) continue;
+    ++readers;
+    node.context.peers.Heard("10.0.0." + std::to_string(i),
+                             {name, "z1", false, 1, seconds(60), seconds(60), 0}, Now());
+  }
+}
+
+Test(catalog_sync, a_node_that_does_not_get_a_newer_document_from_peers_reads_the_store) {
+  Node node;
+  AddReaders(node);
+  node.store.list.revision = 9;
+  node.store.list.kvs = {ItemOf("document", DocumentText(7), 4)};
+  node.catalog.ApplyCatalog(CatalogOf(9, 1, "b"), "peer");
+  node.catalog.ConfirmByPeer(Now(), Now());
+  node.catalog.Start();
+  const Duration patience = node.context.document_limits.own_reading_when_behind;
+  node.RunFor(patience / 2);
+  cr_assert(!node.catalog.IsReading(Now()) && node.store.lists == 0);
+  node.catalog.NoteVersionElsewhere(7, Now());
+  cr_assert(!node.catalog.IsReading(Now()), "peers have some time");
+  node.RunFor(2 * patience);
+  cr_assert(node.store.lists == 1 && node.context.routing.Version() == 7);
+  cr_assert(!node.catalog.IsReading(Now()));
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -1,7 +1,9 @@
 // The relay's pure parts: admission, event splitting, heads, digests, document versions.
 #include "cartsail/relay/admission.h"
+#include "cartsail/relay/document_limits.h"
 #include "catalog_message.h"
 #include "datagram.h"
+#include "document_announcer.h"
 #include "event_splitter.h"
 #include "lapse_grace.h"
 #include "message_head.h"
@@ -12,6 +14,7 @@
 namespace {
 
 const TimePoint kNow = TimePoint(seconds(1000));
+constexpr Duration kTrustedFor = LimitsWithin(seconds(3)).refusing_unknown;
 
 RoutingState MakeState(RoutingDocument document, TimePoint confirmed = kNow) {
   RoutingState state;
@@ -38,35 +41,40 @@
 }
 
 Test(admission, without_a_document_the_caller_is_told_to_come_back) {
-  const AdmissionResult result = Admit(MakeHead("/safe/a"), RoutingState(), WireFormat(), kNow);
+  const AdmissionResult result =
+      Admit(MakeHead("/safe/a"), RoutingState(), WireFormat(), kTrustedFor, kNow);
   cr_assert(result.refusal->kind == ErrorKind::kNotReady);
   cr_assert(result.refusal->retry_after > Duration(0));
 }
 
 Test(admission, what_is_unknown_is_refused_only_on_a_fresh_view) {
   const RoutingState fresh = MakeState(TenantDocument());
-  const RoutingState stale = MakeState(TenantDocument(), kNow - seconds(60));
+  const RoutingState stale = MakeState(TenantDocument(), kNow - kTrustedFor - milliseconds(1));
   RequestHead head = MakeHead("/none/a");
-  cr_assert(Admit(head, fresh, WireFormat(), kNow).refusal->kind == ErrorKind::kUnknownPath);
-  cr_assert(Admit(head, stale, WireFormat(), kNow).refusal->kind == ErrorKind::kNotReady);
+  cr_assert(Admit(head, fresh, WireFormat(), kTrustedFor, kNow).refusal->kind ==
+            ErrorKind::kUnknownPath);
+  cr_assert(Admit(head, stale, WireFormat(), kTrustedFor, kNow).refusal->kind ==
+            ErrorKind::kNotReady);
   head = MakeHead("/safe/a");
   head.authorization = "Bearer nobody";
-  cr_assert(Admit(head, fresh, WireFormat(), kNow).refusal->kind == ErrorKind::kUnknownKey);
-  cr_assert(Admit(head, stale, WireFormat(), kNow).refusal->kind == ErrorKind::kNotReady);
+  cr_assert(Admit(head, fresh, WireFormat(), kTrustedFor, kNow).refusal->kind ==
+            ErrorKind::kUnknownKey);
+  cr_assert(Admit(head, stale, WireFormat(), kTrustedFor, kNow).refusal->kind ==
+            ErrorKind::kNotReady);
 }
 
 Test(admission, the_key_names_the_tenant_and_time_is_the_lesser_of_both) {
   const RoutingState state = MakeState(TenantDocument());
   RequestHead head = MakeHead("/safe/a?q=1");
   head.authorization = "bearer key2 ";
-  const AdmissionResult result = Admit(head, state, WireFormat(), kNow);
+  const AdmissionResult result = Admit(head, state, WireFormat(), kTrustedFor, kNow);
   cr_assert(!result.refusal.has_value());
   cr_assert(result.admitted.tenant == "two");
   cr_assert(result.admitted.time_left == milliseconds(900));
   head.time_left = "999999";
-  cr_assert(Admit(head, state, WireFormat(), kNow).admitted.time_left == seconds(4));
+  cr_assert(Admit(head, state, WireFormat(), kTrustedFor, kNow).admitted.time_left == seconds(4));
   head.time_left = "soon";
-  cr_assert(Admit(head, state, WireFormat(), kNow).admitted.time_left == seconds(4));
+  cr_assert(Admit(head, state, WireFormat(), kTrustedFor, kNow).admitted.time_left == seconds(4));
 }
 
 Test(admission, the_route_orders_tiers_and_the_tenant_orders_within) {
@@ -76,7 +84,7 @@
   const auto tier_of = [&state](const std::string& path, const std::string& key) {
     RequestHead head = MakeHead(path);
     head.authorization = "Bearer " + key;
-    return Admit(head, state, WireFormat(), kNow).admitted.tier;
+    return Admit(head, state, WireFormat(), kTrustedFor, kNow).admitted.tier;
   };
   cr_assert(tier_of("/once/a", "key1") < tier_of("/once/a", "key2"));
   cr_assert(tier_of("/once/a", "key2") < tier_of("/safe/a", "key1"));
@@ -95,6 +103,16 @@
   cr_assert(state.Version() == 9);
 }
 
+Test(documents, steps_of_a_change_fit_its_deadline) {
+  for (const Duration deadline : {seconds(1), seconds(2), seconds(3), seconds(4)}) {
+    const DocumentLimits limits = LimitsWithin(deadline);
+    const Duration telling = DocumentAnnouncer::kRounds * DocumentAnnouncer::kRoundInterval / 2;
+    cr_assert(limits.own_reading_when_unconfirmed + telling < deadline);
+    cr_assert(limits.own_reading_when_behind + telling < deadline);
+    cr_assert(limits.refusing_unknown < deadline);
+  }
+}
+
 Test(wire_format, prompt_parts_and_counts) {
   const WireFormat format;
   const std::vector<PromptPart> parts = format.ParsePromptParts("5c1e07a2:800, 91bd3f06:410");
