A change of a back end is handed over without the others

Cause: the catalog's copy for a peer held all back ends, 9 KB of 116, for each of the four changes a second of a rolling replacement: 14 KB a second and node, against 9 KB that a node may use. Ruled out: telling each change at once as documents are (four times the datagrams of digests in a replacement; leaving back ends are in the digests already). Change: backend_changes remembers the last 512 changes by revision; a peer names the revision it knows and gets what changed after it, and ids that went; all of them when it is too far behind. A missing entry that a peer tells of is removed at its time (its test failed before).

--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -52,6 +52,7 @@
   if (entry.state == BackendState::kLeaving) backend.state = BackendState::kLeaving;
   backend.key = KeyOf(backend.id);
   ids_[backend.key] = backend.id;
+  if (backend.missing_until.has_value()) next_gone_ = std::min(next_gone_, *backend.missing_until);
   entry = std::move(backend);
   ++changes_;
 }
--- a/libs/dispatch/tests/backend_registry_test.cc
+++ b/libs/dispatch/tests/backend_registry_test.cc
@@ -86,5 +86,16 @@
   cr_assert(registry.Size() == 0);
 }
 
+Test(registry, a_missing_one_that_a_peer_tells_of_is_gone_at_its_time) {
+  const TimePoint now = TimePoint(seconds(1000));
+  BackendRegistry registry;
+  Backend backend;
+  backend.id = "b";
+  backend.missing_until = now + seconds(1);
+  registry.Put(backend);
+  cr_assert(!registry.RemoveMissing(now) && registry.Find("b") != nullptr);
+  cr_assert(registry.RemoveMissing(now + seconds(1)) && registry.Find("b") == nullptr);
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/src/catalog_message.cc
+++ b/libs/relay/src/catalog_message.cc
@@ -32,6 +32,9 @@
            catalog.document.bytes);
   root.setDocumentBase(catalog.document.base_version);
   root.setDocumentAgeMs(BoundedTo<uint32_t>(ToMillis(catalog.document_age)));
+  root.setSince(catalog.since.value_or(-1));
+  auto gone = root.initGone(static_cast<unsigned>(catalog.gone.size()));
+  for (unsigned i = 0; i < gone.size(); ++i) gone.set(i, catalog.gone[i]);
   auto entries = root.initBackends(static_cast<unsigned>(catalog.backends.size()));
   for (unsigned i = 0; i < entries.size(); ++i) {
     const Backend& backend = catalog.backends[i];
@@ -55,6 +58,8 @@
     catalog.revision = root.getRevision();
     catalog.document = {root.getDocumentBase(), BytesOf(root.getDocument())};
     catalog.document_age = milliseconds(root.getDocumentAgeMs());
+    if (root.getSince() >= 0) catalog.since = root.getSince();
+    for (const auto id : root.getGone()) catalog.gone.push_back(TextOf(id));
     for (const auto entry : root.getBackends())
       catalog.backends.push_back(DecodeBackend(entry, now));
   });
--- a/libs/relay/src/catalog_message.h
+++ b/libs/relay/src/catalog_message.h
@@ -14,8 +14,11 @@
 struct CatalogMessage {
   int64_t revision = 0;    // of the store: all changes up to it are in
   DocumentPatch document;  // empty when the asker has this version
+  // Given: `backends` and `gone` are the changes after this revision. Else `backends` are all.
+  std::optional<int64_t> since;
   std::vector<Backend> backends;
-  Duration document_age{};  // since the first node on its way put the document in force
+  std::vector<std::string> gone;  // ids
+  Duration document_age{};        // since the first node on its way put the document in force
 };
 
 // Times are sent as what is left at `now`.
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -173,6 +173,7 @@
   // the watch goes on from the newer revision.
   if (revision >= revision_) {
     revision_ = revision;
+    changes_.Reset(revision);
     ReplaceBackends(BackendsIn(items), "store", grace_.MissingUntil(now));
   }
   // What the list says held when it was asked for; the answer may have been long on its way.
@@ -199,16 +200,37 @@
 std::string CatalogSync::AnswerPeer(const HttpRequest& request) {
   int64_t have = 0;
   (void)ParseInteger(request.QueryParameter(kHaveParameter), &have);
-  return EncodeCatalog(MakeCatalog(have), Now());
+  int64_t since = 0;
+  (void)ParseInteger(request.QueryParameter(kSinceParameter), &since);
+  return EncodeCatalog(MakeCatalog(have, since), Now());
+}
+
+// Back ends that changed after revision `since`; all of them when that is too long ago.
+void CatalogSync::FillBackends(int64_t since, CatalogMessage* catalog) const {
+  const BackendRegistry& registry = context_.dispatcher.Registry();
+  const std::optional<std::set<std::string>> changed = changes_.Since(since);
+  if (!changed.has_value()) {
+    catalog->backends = registry.All();
+    return;
+  }
+  catalog->since = since;
+  for (const std::string& id : *changed) {
+    const Backend* backend = registry.Find(id);
+    if (backend != nullptr) {
+      catalog->backends.push_back(*backend);
+    } else {
+      catalog->gone.push_back(id);
+    }
+  }
 }
 
 // Without the document when the asker has version `have`.
-CatalogMessage CatalogSync::MakeCatalog(int64_t have) {
+CatalogMessage CatalogSync::MakeCatalog(int64_t have, int64_t since) {
   CatalogMessage catalog;
   catalog.revision = revision_;
   if (context_.routing.Version() > have) catalog.document = PatchFor(have);
   catalog.document_age = Now() - context_.routing.KnownSince();
-  catalog.backends = context_.dispatcher.Registry().All();
+  FillBackends(since, &catalog);
   return catalog;
 }
 
@@ -226,9 +248,30 @@
   revision_ = catalog.revision;
   // From here on the store's changes since this revision are enough.
   must_list_ = false;
+  if (catalog.since.has_value()) return ApplyChanges(catalog, source);
+  changes_.Reset(revision_);
   ReplaceBackends(catalog.backends, source, grace_.MissingUntil(Now()));
 }
 
+// Of a peer that was asked for the changes since a revision that this node knew.
+void CatalogSync::ApplyChanges(const CatalogMessage& catalog, std::string_view source) {
+  Log(LogLevel::kInfo, "backends_changed",
+      {{"changed", std::to_string(catalog.backends.size())},
+       {"gone", std::to_string(catalog.gone.size())},
+       {"since", std::to_string(*catalog.since)},
+       {"revision", std::to_string(revision_)},
+       {"source", std::string(source)}});
+  for (const Backend& backend : catalog.backends) {
+    changes_.Note(backend.id, revision_);
+    context_.dispatcher.Registry().Put(backend);
+  }
+  const TimePoint now = Now();
+  for (const std::string& id : catalog.gone) {
+    changes_.Note(id, revision_);
+    RemoveBackend(id, now);
+  }
+}
+
 void CatalogSync::RemoveBackend(const std::string& id, TimePoint now) {
   const std::optional<TimePoint> missing_until = grace_.MissingUntil(now);
   Log(LogLevel::kInfo, missing_until.has_value() ? "backend_missing" : "backend_gone",
@@ -245,6 +288,7 @@
     if (event.kv.mod_revision <= revision_) continue;  // known from a peer
     if (key == keys_.document && !event.deleted)
       ApplyDocument(event.kv.value, "store", Duration(0));
+    if (IsBackend(key)) changes_.Note(BackendId(key), event.kv.mod_revision);
     if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
     if (IsBackend(key) && event.deleted) RemoveBackend(BackendId(key), now);
   }
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "backend_changes.h"
 #include "cartsail/net/http_types.h"
 #include "cartsail/relay/catalog_codec.h"
 #include "cartsail/store/key_value_store.h"
@@ -71,7 +72,9 @@
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
   void ApplyBackend(const KeyValue& item);
-  CatalogMessage MakeCatalog(int64_t have);
+  CatalogMessage MakeCatalog(int64_t have, int64_t since);
+  void FillBackends(int64_t since, CatalogMessage* catalog) const;
+  void ApplyChanges(const CatalogMessage& catalog, std::string_view source);
   const DocumentPatch& PatchFor(int64_t have);
   void NoteInvalid(const absl::Status& status, std::string_view source);
   void NoteReachable(bool reachable, std::string_view why);
@@ -82,6 +85,7 @@
   const CatalogCodec& codec_;
   CatalogKeys keys_;
   LapseGrace grace_;
+  BackendChanges changes_;
   std::function<void()> on_document_;
   int64_t revision_ = 0;
   DocumentPatch patch_;  // of the document in force, made of the one before
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -143,4 +143,8 @@
   # Milliseconds since the first node on its way put the document in force.
   documentAgeMs @3 :UInt32;
   documentBase @4 :Int64;
+  # `backends` are those that changed after this revision, and `gone` the ids of those that went
+  # after it; -1: `backends` are all there are.
+  since @5 :Int64 = -1;
+  gone @6 :List(Text);
 }
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -215,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1541,6 +1541,11 @@
 
   inline  ::int64_t getDocumentBase() const;
 
+  inline  ::int64_t getSince() const;
+
+  inline bool hasGone() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getGone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1592,6 +1597,17 @@
   inline  ::int64_t getDocumentBase();
   inline void setDocumentBase( ::int64_t value);
 
+  inline  ::int64_t getSince();
+  inline void setSince( ::int64_t value);
+
+  inline bool hasGone();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getGone();
+  inline void setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initGone(unsigned int size);
+  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownGone();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3369,6 +3385,58 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Catalog::Reader::getSince() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Catalog::Builder::getSince() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Catalog::Builder::setSince( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool Catalog::Reader::hasGone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalog::Builder::hasGone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getGone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Catalog::Builder::setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Catalog::Builder::setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initGone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Catalog::Builder::adoptGone(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -209,8 +209,8 @@
 
 asio::awaitable<void> PeerExchange::FetchCatalog(std::string host, FetchSchedule::Running fetch) {
   HttpRequest request;
-  request.target =
-      fmt::format("{}?{}={}", kCatalogPath, kHaveParameter, context_.routing.Version());
+  request.target = fmt::format("{}?{}={}&{}={}", kCatalogPath, kHaveParameter,
+                               context_.routing.Version(), kSinceParameter, catalog_.Revision());
   const Endpoint endpoint{host, context_.options.peer.port};
   const absl::StatusOr<HttpResponse> response =
       co_await Fetch(context_.io.get_executor(), endpoint, request, kFetchTimeout);
