--- a/libs/relay/tests/peer_exchange_test.cc
+++ b/libs/relay/tests/peer_exchange_test.cc
@@ -5,8 +5,9 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
-#include "cartsail/base/status.h"
 #include "support/relay_fixture.h"
+#include "support/scripted_store.h"
+#include "support/version_codec.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
@@ -16,29 +17,6 @@
 
 constexpr uint16_t kPeerPort = 28741;
 
-absl::Status Away() { return MakeError(ErrorKind::kPlatformUnavailable, "away"); }
-
-class AwayStore : public KeyValueStore {
- public:
-  Result<RangeResult> Range(RangeRequest request) override { co_return Away(); }
-  Result<TxnResult> Txn(TxnRequest request) override { co_return Away(); }
-  Result<int64_t> GrantLease(int64_t ttl_seconds) override { co_return Away(); }
-  asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
-                                      int64_t start_revision, WatchCallback on_events) override {
-    co_return Away();
-  }
-};
-
-class NoCodec : public CatalogCodec {
- public:
-  absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const override {
-    return Away();
-  }
-  absl::StatusOr<Backend> DecodeBackend(std::string_view id, std::string_view text) const override {
-    return Away();
-  }
-};
-
 RelayOptions OptionsOf(const std::string& host, std::vector<std::string> seeds, Duration interval) {
   RelayOptions options;
   options.node_id = "node-" + host;
@@ -53,7 +31,8 @@
 struct Node {
   Node(asio::io_context& io, const std::string& host, std::vector<std::string> seeds,
        Duration interval)
-      : context(io, OptionsOf(host, std::move(seeds), interval), format),
+      : store(io),
+        context(io, OptionsOf(host, std::move(seeds), interval), format),
         catalog(context, context.peers, store, codec, {}),
         exchange(context, catalog) {
     cr_assert(exchange.Start().ok());
@@ -62,8 +41,8 @@
   bool Hears(const std::string& host) { return !context.peers.ZoneOf(host).empty(); }
 
   WireFormat format;
-  AwayStore store;
-  NoCodec codec;
+  testing::ScriptedStore store;  // away
+  testing::VersionCodec codec;
   RelayContext context;
   CatalogSync catalog;
   PeerExchange exchange;
