--- a/libs/relay/src/cache_inventory.cc
+++ b/libs/relay/src/cache_inventory.cc
@@ -65,7 +65,7 @@
   if (context_.draining || context_.routing.Table() == nullptr) return;
   // All engines start empty together with the whole system.
   const bool all_empty = context_.options.first_start && now - started_ < kFirstIntervalsFor;
-  const Duration wait = context_.dispatcher.LiveNodes(now) > 1 ? kSettled : kAlone;
+  const Duration wait = context_.peers.LiveCount() > 0 ? kSettled : kAlone;
   for (const std::string& service : context_.routing.Table()->EngineServices()) {
     Coordination& coordination = services_[service];
     const std::vector<std::string> ranks = context_.peers.RankCoordinators(service, 1, now);
--- a/libs/relay/src/catalog_message.cc
+++ b/libs/relay/src/catalog_message.cc
@@ -1,8 +1,9 @@
 #include "catalog_message.h"
 
 #include "capnp_bytes.h"
-#include "messages.capnp.h"
+#include "catalog_wire.h"
 #include "wire_number.h"
+#include "zstd_frame.h"
 
 namespace cartsail {
 namespace {
@@ -24,9 +25,7 @@
 
 }  // namespace
 
-std::string EncodeCatalog(const CatalogMessage& catalog, TimePoint now) {
-  capnp::MallocMessageBuilder message;
-  auto root = message.initRoot<wire::Catalog>();
+void FillCatalog(const CatalogMessage& catalog, TimePoint now, wire::Catalog::Builder root) {
   root.setRevision(catalog.revision);
   SetBytes(root.initDocument(static_cast<unsigned>(catalog.document.bytes.size())),
            catalog.document.bytes);
@@ -48,20 +47,33 @@
     if (!backend.missing_until.has_value()) continue;
     entries[i].setMissingMs(BoundedTo<int32_t>(ToMillis(*backend.missing_until - now)));
   }
-  return PackedBytes(message);
+}
+
+CatalogMessage CatalogFrom(wire::Catalog::Reader root, TimePoint now) {
+  CatalogMessage catalog;
+  catalog.revision = root.getRevision();
+  catalog.document = {root.getDocumentBase(), BytesOf(root.getDocument())};
+  catalog.document_age = milliseconds(root.getDocumentAgeMs());
+  if (root.getSince() >= 0) catalog.since = root.getSince();
+  for (const auto id : root.getGone()) catalog.gone.push_back(TextOf(id));
+  for (const auto entry : root.getBackends()) {
+    catalog.backends.push_back(DecodeBackend(entry, now));
+  }
+  return catalog;
+}
+
+std::string EncodeCatalog(const CatalogMessage& catalog, TimePoint now) {
+  capnp::MallocMessageBuilder message;
+  FillCatalog(catalog, now, message.initRoot<wire::Catalog>());
+  return CompressFrame({}, PackedBytes(message));
 }
 
 std::optional<CatalogMessage> DecodeCatalog(std::string_view bytes, TimePoint now) {
+  const absl::StatusOr<std::string> packed = DecompressFrame({}, bytes);
+  if (!packed.ok()) return std::nullopt;
   CatalogMessage catalog;
-  const bool ok = ReadPacked(bytes, [&catalog, now](capnp::MessageReader& message) {
-    const auto root = message.getRoot<wire::Catalog>();
-    catalog.revision = root.getRevision();
-    catalog.document = {root.getDocumentBase(), BytesOf(root.getDocument())};
-    catalog.document_age = milliseconds(root.getDocumentAgeMs());
-    if (root.getSince() >= 0) catalog.since = root.getSince();
-    for (const auto id : root.getGone()) catalog.gone.push_back(TextOf(id));
-    for (const auto entry : root.getBackends())
-      catalog.backends.push_back(DecodeBackend(entry, now));
+  const bool ok = ReadPacked(*packed, [&catalog, now](capnp::MessageReader& message) {
+    catalog = CatalogFrom(message.getRoot<wire::Catalog>(), now);
   });
   if (!ok) return std::nullopt;
   return catalog;
--- a/libs/relay/src/catalog_message.h
+++ b/libs/relay/src/catalog_message.h
@@ -21,7 +21,7 @@
   Duration document_age{};        // since the first node on its way put the document in force
 };
 
-// Times are sent as what is left at `now`.
+// Times are sent as what is left at `now`. Compressed.
 std::string EncodeCatalog(const CatalogMessage& catalog, TimePoint now);
 
 // Nothing when the bytes are no catalog.
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -17,19 +17,22 @@
 #include "cartsail/base/text.h"
 #include "catalog_path.h"
 #include "document_patch.h"
+#include "reading_duty.h"
 
 namespace cartsail {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr Duration kFirstHearing = milliseconds(900);
 constexpr Duration kFirstPause = milliseconds(100);
 constexpr Duration kLongestPause = milliseconds(800);
 constexpr int64_t kItemsPerPage = 500;
-constexpr size_t kReadersPerZone = 2;
 constexpr Duration kPauseAfterEvents = milliseconds(150);
 constexpr Duration kReaderCheck = milliseconds(250);
+constexpr Duration kHearingCheck = milliseconds(10);
+constexpr Duration kEncodedHolds = seconds(1);  // it names the document's age
+// Of more changes only the revision is told, and nodes fetch them: an update fits one packet.
+constexpr size_t kMostChangesTold = 10;
 
 std::string FormatMillis(Duration duration) { return fmt::format("{:.0f}", ToMillis(duration)); }
 
@@ -57,9 +60,22 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+Duration CatalogSync::Unconfirmed(TimePoint now) const {
+  return now - std::max(started_, context_.routing.Confirmed());
+}
+
+bool CatalogSync::IsAlone(TimePoint now) const {
+  return peers_.LiveCount() == 0 || now - peers_heard_ > kAloneAfter;
+}
+
 bool CatalogSync::IsReading(TimePoint now) const {
-  if (peers_.IsReader(kReadersPerZone, now) || IsLeftBehind(now)) return true;
-  return !context_.routing.IsFresh(now, context_.document_limits.own_reading_when_unconfirmed);
+  if (IsLeftBehind(now) || now < reading_until_) return true;
+  if (IsAlone(now)) {
+    const bool is_fresh =
+        context_.routing.IsFresh(now, context_.document_limits.own_reading_when_unconfirmed);
+    if (!is_fresh) return true;
+  }
+  return peers_.IsReader(ReadersNeeded(Unconfirmed(now), context_.document_limits), now);
 }
 
 bool CatalogSync::IsLeftBehind(TimePoint now) const {
@@ -71,10 +87,32 @@
   if (version > context_.routing.Version() && !behind_since_.has_value()) behind_since_ = now;
 }
 
+Duration CatalogSync::HearingTime() const {
+  if (context_.options.first_start) return kHearingAtFirstStart;
+  const std::vector<std::string>& seeds = context_.options.seeds;
+  if (seeds.empty()) return Duration(0);
+  const bool is_seed =
+      std::find(seeds.begin(), seeds.end(), context_.options.peer.host) != seeds.end();
+  return is_seed ? kHearingOfSeed : kHearing;
+}
+
+// Until a peer has handed over its catalog, or none has done so for long enough.
+asio::awaitable<void> CatalogSync::HearPeersFirst() {
+  const TimePoint last = Now() + HearingTime();
+  while (Now() < last && context_.routing.Table() == nullptr) co_await Pause(kHearingCheck);
+}
+
+// To be called before the answer confirms anything. A node that had to read since the first ones of
+// the order did not hear the store goes on for a while.
+void CatalogSync::NoteAnswered(TimePoint now) {
+  if (peers_.IsReader(kStoreReaders, now)) return;
+  const size_t needed = ReadersNeeded(Unconfirmed(now), context_.document_limits);
+  if (peers_.IsReader(needed, now)) reading_until_ = now + kReadingHolds;
+}
+
 asio::awaitable<void> CatalogSync::Follow() {
   const std::string range_end = PrefixEnd(keys_.prefix);
-  // When all nodes start together, they first hear of each other: then a few read for all.
-  if (context_.options.first_start) co_await Pause(kFirstHearing);
+  co_await HearPeersFirst();
   int failures = 0;
   const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events, int64_t at) {
     NoteReachable(true, {});
@@ -169,6 +207,7 @@
   behind_since_.reset();
   const TimePoint now = Now();
   grace_.NoteAnswer(context_.routing.Confirmed(), now, now);
+  NoteAnswered(now);
   // A peer's catalog that came meanwhile may be newer: what changed between would be lost, since
   // the watch goes on from the newer revision.
   if (revision >= revision_) {
@@ -178,10 +217,47 @@
   }
   // What the list says held when it was asked for; the answer may have been long on its way.
   context_.routing.ConfirmBy(asked);
+  TellUpdate(revision_, asked);
+}
+
+// Tells the others which back ends changed after revision `since`, and that nothing else did.
+void CatalogSync::TellUpdate(int64_t since, TimePoint confirmed) {
+  if (!on_update_ || context_.routing.Table() == nullptr) return;
+  StoreUpdate update;
+  update.document_version = context_.routing.Version();
+  update.confirmed_age = Now() - confirmed;
+  update.changes.revision = revision_;
+  FillBackends(since, &update.changes);
+  const bool is_short =
+      update.changes.since.has_value() &&
+      update.changes.backends.size() + update.changes.gone.size() <= kMostChangesTold;
+  if (!is_short) {
+    update.changes.backends.clear();
+    update.changes.gone.clear();
+    update.changes.since = revision_;
+  }
+  on_update_(std::move(update));
+}
+
+bool CatalogSync::ApplyUpdate(const StoreUpdate& update, std::string_view source) {
+  const TimePoint now = Now();
+  const CatalogMessage& changes = update.changes;
+  NoteVersionElsewhere(update.document_version, now);
+  // In this order: an absence of the store explains entries that are missing now.
+  if (update.document_version == context_.routing.Version()) {
+    ConfirmByPeer(now - update.confirmed_age, now);
+  }
+  if (changes.revision <= revision_) return update.document_version <= context_.routing.Version();
+  if (revision_ == 0 || changes.since.value_or(0) > revision_) return false;
+  revision_ = changes.revision;
+  must_list_ = false;
+  if (!changes.backends.empty() || !changes.gone.empty()) ApplyChanges(changes, source);
+  return update.document_version <= context_.routing.Version();
 }
 
 void CatalogSync::ReplaceBackends(std::vector<Backend> backends, std::string_view source,
                                   std::optional<TimePoint> missing_until) {
+  encoded_whole_.clear();
   Log(LogLevel::kInfo, "backends_replaced",
       {{"count", std::to_string(backends.size())},
        {"revision", std::to_string(revision_)},
@@ -202,7 +278,21 @@
   (void)ParseInteger(request.QueryParameter(kHaveParameter), &have);
   int64_t since = 0;
   (void)ParseInteger(request.QueryParameter(kSinceParameter), &since);
-  return EncodeCatalog(MakeCatalog(have, since), Now());
+  return have == 0 && since == 0 ? EncodedWhole() : EncodeCatalog(MakeCatalog(have, since), Now());
+}
+
+// Nodes that start together all ask for it.
+std::string CatalogSync::EncodedWhole() {
+  const TimePoint now = Now();
+  if (!encoded_whole_.empty() && now - encoded_whole_at_ < kEncodedHolds) return encoded_whole_;
+  const CatalogMessage catalog = MakeCatalog(0, 0);
+  const auto is_missing = [](const Backend& backend) { return backend.missing_until.has_value(); };
+  const bool changes_soon =
+      std::any_of(catalog.backends.begin(), catalog.backends.end(), is_missing);
+  std::string encoded = EncodeCatalog(catalog, now);
+  encoded_whole_at_ = now;
+  if (!changes_soon) encoded_whole_ = encoded;
+  return encoded;
 }
 
 // Back ends that changed after revision `since`; all of them when that is too long ago.
@@ -255,6 +345,7 @@
 
 // Of a peer that was asked for the changes since a revision that this node knew.
 void CatalogSync::ApplyChanges(const CatalogMessage& catalog, std::string_view source) {
+  encoded_whole_.clear();
   Log(LogLevel::kInfo, "backends_changed",
       {{"changed", std::to_string(catalog.backends.size())},
        {"gone", std::to_string(catalog.gone.size())},
@@ -282,10 +373,12 @@
 
 void CatalogSync::ApplyEvents(const std::vector<WatchEvent>& events) {
   const TimePoint now = Now();
+  const int64_t known = revision_;
   grace_.NoteAnswer(context_.routing.Confirmed(), now, now);
+  NoteAnswered(now);
   for (const WatchEvent& event : events) {
     const std::string& key = event.kv.key;
-    if (event.kv.mod_revision <= revision_) continue;  // known from a peer
+    if (event.kv.mod_revision <= known) continue;  // from a peer
     if (key == keys_.document && !event.deleted)
       ApplyDocument(event.kv.value, "store", Duration(0));
     if (IsBackend(key)) changes_.Note(BackendId(key), event.kv.mod_revision);
@@ -294,6 +387,8 @@
   }
   for (const WatchEvent& event : events) revision_ = std::max(revision_, event.kv.mod_revision);
   context_.routing.Confirm(now);
+  encoded_whole_.clear();
+  TellUpdate(known, now);
 }
 
 void CatalogSync::ApplyBackend(const KeyValue& item) {
@@ -333,6 +428,7 @@
   const Duration unconfirmed = now - context_.routing.Confirmed();
   patch_ = {before, MakeDocumentPatch(context_.routing.Encoded(), text)};
   whole_ = {};
+  encoded_whole_.clear();
   behind_since_.reset();
   context_.routing.Apply(std::move(*table), text, now - age);
   GlobalHistograms().document_spread_ms.Note(age);
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -1,8 +1,8 @@
-// Keeps the routing document and the list of back ends as the store has them. A few nodes of each
-// zone read both and follow changes, and read all again when the store has lost its history; the
-// others take the catalog from peers, and read themselves when peers have not heard the store or
-// do not hand over what they have. Documents are ordered by their versions, back ends by the
-// store's revisions, wherever they come from.
+// Keeps the routing document and the list of back ends as the store has them. A few nodes of the
+// whole fleet read both and follow changes, and read all again when the store has lost its history;
+// the others take both from peers. More nodes read while nobody hears the store, and a node that
+// hears no peer, or does not get from peers what they have, reads itself. Documents are ordered by
+// their versions, back ends by the store's revisions, wherever they come from.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -18,6 +18,7 @@
 #include "lapse_grace.h"
 #include "peer_table.h"
 #include "relay_context.h"
+#include "store_update.h"
 
 namespace cartsail {
 
@@ -33,6 +34,18 @@
   // Called whenever a newer document is in force.
   void SetOnDocument(std::function<void()> on_document) { on_document_ = std::move(on_document); }
 
+  // Called with what the store told this node, and when nothing new was told.
+  void SetOnUpdate(std::function<void(StoreUpdate)> on_update) {
+    on_update_ = std::move(on_update);
+  }
+
+  // What the store told a reader. False when this node knows too little to apply it: it has to
+  // fetch the catalog.
+  bool ApplyUpdate(const StoreUpdate& update, std::string_view source);
+
+  // This node has heard no other node since `last_heard`.
+  void NotePeersHeard(TimePoint last_heard) { peers_heard_ = last_heard; }
+
   // Makes the document in force out of the one before.
   const DocumentPatch& LatestPatch() const { return patch_; }
 
@@ -59,6 +72,12 @@
 
  private:
   boost::asio::awaitable<void> Follow();
+  boost::asio::awaitable<void> HearPeersFirst();
+  Duration HearingTime() const;
+  bool IsAlone(TimePoint now) const;
+  Duration Unconfirmed(TimePoint now) const;
+  void NoteAnswered(TimePoint now);
+  void TellUpdate(int64_t since, TimePoint confirmed);
   boost::asio::awaitable<absl::Status> ReadAll();
   bool IsLeftBehind(TimePoint now) const;
   boost::asio::awaitable<void> Pause(Duration duration);
@@ -76,6 +95,7 @@
   void FillBackends(int64_t since, CatalogMessage* catalog) const;
   void ApplyChanges(const CatalogMessage& catalog, std::string_view source);
   const DocumentPatch& PatchFor(int64_t have);
+  std::string EncodedWhole();
   void NoteInvalid(const absl::Status& status, std::string_view source);
   void NoteReachable(bool reachable, std::string_view why);
 
@@ -87,9 +107,15 @@
   LapseGrace grace_;
   BackendChanges changes_;
   std::function<void()> on_document_;
+  std::function<void(StoreUpdate)> on_update_;
+  TimePoint started_ = Now();
+  TimePoint peers_heard_ = started_;
+  TimePoint reading_until_{};  // though others come first
   int64_t revision_ = 0;
-  DocumentPatch patch_;  // of the document in force, made of the one before
-  DocumentPatch whole_;  // of the document in force; empty until somebody needs it
+  DocumentPatch patch_;        // of the document in force, made of the one before
+  DocumentPatch whole_;        // of the document in force; empty until somebody needs it
+  std::string encoded_whole_;  // catalog for nodes that know nothing; empty until one asks
+  TimePoint encoded_whole_at_{};
   // While a peer has a newer document than this node: since when.
   std::optional<TimePoint> behind_since_;
   bool must_list_ = true;  // the changes since `revision_` are not to be had from the store
--- a/libs/relay/src/datagram.cc
+++ b/libs/relay/src/datagram.cc
@@ -1,7 +1,10 @@
 #include "datagram.h"
 
 #include "capnp_bytes.h"
+#include "catalog_wire.h"
 #include "digest_codec.h"
+#include "gossip_codec.h"
+#include "host_number.h"
 #include "wire_number.h"
 
 namespace cartsail {
@@ -86,6 +89,28 @@
   message.setIsAnswer(notice.is_answer);
 }
 
+void Encode(const GossipMessage& gossip, wire::Datagram::Builder root) {
+  EncodeGossip(gossip, root.initGossip());
+}
+
+void EncodeUpdate(const StoreUpdate& update, TimePoint now, wire::Datagram::Builder root) {
+  auto message = root.initStoreUpdate();
+  FillCatalog(update.changes, now, message.initChanges());
+  message.setDocumentVersion(update.document_version);
+  message.setConfirmedAgeMs(BoundedTo<uint32_t>(ToMillis(update.confirmed_age)));
+  auto targets = message.initTargets(static_cast<unsigned>(update.targets.size()));
+  for (unsigned i = 0; i < targets.size(); ++i) targets.set(i, HostNumber(update.targets[i]));
+}
+
+StoreUpdate DecodeUpdate(wire::StoreUpdate::Reader message, TimePoint now) {
+  StoreUpdate update;
+  update.changes = CatalogFrom(message.getChanges(), now);
+  update.document_version = message.getDocumentVersion();
+  update.confirmed_age = milliseconds(message.getConfirmedAgeMs());
+  for (const uint32_t host : message.getTargets()) update.targets.push_back(HostText(host));
+  return update;
+}
+
 DocumentNotice DecodeNotice(wire::DocumentNotice::Reader message) {
   DocumentNotice notice;
   notice.version = message.getVersion();
@@ -148,7 +173,7 @@
   return report;
 }
 
-std::optional<Datagram> DecodeRoot(wire::Datagram::Reader root) {
+std::optional<Datagram> DecodeRoot(wire::Datagram::Reader root, TimePoint now) {
   switch (root.which()) {
     case wire::Datagram::DIGEST:
       return DecodeDigest(root.getDigest());
@@ -160,23 +185,34 @@
       return DecodeProgress(root.getProgress());
     case wire::Datagram::NOTICE:
       return DecodeNotice(root.getNotice());
+    case wire::Datagram::GOSSIP:
+      return DecodeGossip(root.getGossip());
+    case wire::Datagram::STORE_UPDATE:
+      return DecodeUpdate(root.getStoreUpdate(), now);
   }
   return std::nullopt;  // of a later version
 }
 
 }  // namespace
 
-std::string EncodeDatagram(const Datagram& datagram) {
+std::string EncodeDatagram(const Datagram& datagram, TimePoint now) {
   capnp::MallocMessageBuilder message;
   const auto root = message.initRoot<wire::Datagram>();
-  std::visit([&root](const auto& content) { Encode(content, root); }, datagram);
+  const auto encode = [&root, now](const auto& content) {
+    if constexpr (std::is_same_v<std::decay_t<decltype(content)>, StoreUpdate>) {
+      EncodeUpdate(content, now, root);
+    } else {
+      Encode(content, root);
+    }
+  };
+  std::visit(encode, datagram);
   return PackedBytes(message);
 }
 
-std::optional<Datagram> DecodeDatagram(std::string_view bytes) {
+std::optional<Datagram> DecodeDatagram(std::string_view bytes, TimePoint now) {
   std::optional<Datagram> datagram;
-  const bool ok = ReadPacked(bytes, [&datagram](capnp::MessageReader& message) {
-    datagram = DecodeRoot(message.getRoot<wire::Datagram>());
+  const bool ok = ReadPacked(bytes, [&datagram, now](capnp::MessageReader& message) {
+    datagram = DecodeRoot(message.getRoot<wire::Datagram>(), now);
   });
   return ok ? datagram : std::nullopt;
 }
--- a/libs/relay/src/datagram.h
+++ b/libs/relay/src/datagram.h
@@ -7,17 +7,20 @@
 #include <variant>
 
 #include "document_notice.h"
+#include "gossip_message.h"
 #include "node_digest.h"
 #include "placement_message.h"
+#include "store_update.h"
 
 namespace cartsail {
 
-using Datagram =
-    std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport, DocumentNotice>;
+using Datagram = std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport,
+                              DocumentNotice, GossipMessage, StoreUpdate>;
 
-std::string EncodeDatagram(const Datagram& datagram);
+// Times are sent as what is left or past at `now`.
+std::string EncodeDatagram(const Datagram& datagram, TimePoint now = {});
 
 // Nothing when the bytes are no datagram of a node.
-std::optional<Datagram> DecodeDatagram(std::string_view bytes);
+std::optional<Datagram> DecodeDatagram(std::string_view bytes, TimePoint now = {});
 
 }  // namespace cartsail
--- a/libs/relay/src/digest_codec.cc
+++ b/libs/relay/src/digest_codec.cc
@@ -8,7 +8,6 @@
 
 constexpr double kPauseUnitMs = 0.01;
 constexpr double kAttemptUnit = 0.1;
-constexpr double kCapacityUnit = 0.001;  // of a core
 
 void EncodeLoads(const std::vector<BackendLoadEntry>& entries, wire::NodeDigest::Builder root) {
   auto loads = root.initLoads(static_cast<unsigned>(entries.size()));
@@ -71,21 +70,9 @@
 
 void EncodeDigest(const NodeDigest& digest, wire::NodeDigest::Builder root) {
   root.setNode(digest.node);
-  root.setZone(digest.zone);
-  root.setCatalogRevision(digest.catalog_revision);
-  root.setDocumentVersion(digest.document_version);
-  const bool confirmed = digest.confirmed_age.has_value();
-  root.setConfirmedAgeMs(confirmed ? BoundedTo<int32_t>(ToMillis(*digest.confirmed_age)) : -1);
   root.setIntervalMs(BoundedTo<uint32_t>(ToMillis(digest.interval)));
-  root.setStopping(digest.stopping);
-  root.setCapacity(BoundedTo<uint32_t>(digest.capacity / kCapacityUnit));
-  root.setUptimeMs(BoundedTo<uint32_t>(ToMillis(digest.uptime)));
   EncodeDispatch(digest.dispatch, root);
-  auto hosts = root.initHosts(static_cast<unsigned>(digest.hosts.size()));
-  for (unsigned i = 0; i < hosts.size(); ++i) hosts.set(i, digest.hosts[i]);
-  root.setToCoordinator(digest.live_questions.has_value());
-  if (!digest.live_questions.has_value()) return;
-  const std::vector<QuestionId>& live = *digest.live_questions;
+  const std::vector<QuestionId>& live = digest.live_questions;
   auto questions = root.initLiveQuestions(static_cast<unsigned>(live.size()));
   for (unsigned i = 0; i < questions.size(); ++i) questions.set(i, live[i]);
 }
@@ -93,20 +80,10 @@
 NodeDigest DecodeDigest(wire::NodeDigest::Reader root) {
   NodeDigest digest;
   digest.node = TextOf(root.getNode());
-  digest.zone = TextOf(root.getZone());
-  digest.catalog_revision = root.getCatalogRevision();
-  digest.document_version = root.getDocumentVersion();
-  if (root.getConfirmedAgeMs() >= 0) digest.confirmed_age = milliseconds(root.getConfirmedAgeMs());
   digest.interval = milliseconds(root.getIntervalMs());
-  digest.stopping = root.getStopping();
   digest.dispatch = DecodeDispatch(root);
-  digest.capacity = root.getCapacity() * kCapacityUnit;
-  digest.uptime = milliseconds(root.getUptimeMs());
-  for (const auto host : root.getHosts()) digest.hosts.push_back(TextOf(host));
-  if (!root.getToCoordinator()) return digest;
-  digest.live_questions.emplace();
   for (const QuestionId question : root.getLiveQuestions()) {
-    digest.live_questions->push_back(question);
+    digest.live_questions.push_back(question);
   }
   return digest;
 }
--- a/libs/relay/src/document_patch.cc
+++ b/libs/relay/src/document_patch.cc
@@ -1,58 +1,15 @@
 #include "document_patch.h"
 
-#include <fmt/format.h>
-#include <zstd.h>
-
-#include <memory>
-
-#include "cartsail/base/status.h"
+#include "zstd_frame.h"
 
 namespace cartsail {
-namespace {
-
-// Fast levels keep the compressor's memory at a few hundred KB, of the 32 MB that a node may use.
-constexpr int kLevel = 1;
-// Bounds what a damaged patch can make a node allocate; the store holds values up to 1 MB.
-constexpr size_t kMostTextBytes = 16 << 20;
-
-struct ContextDeleter {
-  void operator()(ZSTD_CCtx* context) const { ZSTD_freeCCtx(context); }
-  void operator()(ZSTD_DCtx* context) const { ZSTD_freeDCtx(context); }
-};
-
-absl::Status PatchError(std::string_view why) {
-  return MakeError(ErrorKind::kInvalidArgument, fmt::format("document patch: {}", why));
-}
-
-}  // namespace
 
 std::string MakeDocumentPatch(std::string_view base, std::string_view text) {
-  const std::unique_ptr<ZSTD_CCtx, ContextDeleter> context(ZSTD_createCCtx());
-  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kLevel);
-  // A patch applied to another base would unpack into other text: the checksum shows it.
-  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
-  ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
-  std::string patch(ZSTD_compressBound(text.size()), '\0');
-  const size_t size =
-      ZSTD_compress2(context.get(), patch.data(), patch.size(), text.data(), text.size());
-  patch.resize(ZSTD_isError(size) != 0U ? 0 : size);
-  return patch;
+  return CompressFrame(base, text);
 }
 
 absl::StatusOr<std::string> ApplyDocumentPatch(std::string_view base, std::string_view patch) {
-  const unsigned long long size = ZSTD_getFrameContentSize(patch.data(), patch.size());
-  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN) {
-    return PatchError("malformed");
-  }
-  if (size > kMostTextBytes) return PatchError("too large");
-  const std::unique_ptr<ZSTD_DCtx, ContextDeleter> context(ZSTD_createDCtx());
-  ZSTD_DCtx_refPrefix(context.get(), base.data(), base.size());
-  std::string text(size, '\0');
-  const size_t written =
-      ZSTD_decompressDCtx(context.get(), text.data(), text.size(), patch.data(), patch.size());
-  if (ZSTD_isError(written) != 0U) return PatchError(ZSTD_getErrorName(written));
-  text.resize(written);
-  return text;
+  return DecompressFrame(base, patch);
 }
 
 }  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/gossip_codec.h
@@ -0,0 +1,16 @@
+// Encoding of messages about live nodes (Cap'n Proto). Pure.
+#pragma once
+
+#include <optional>
+
+#include "gossip_message.h"
+#include "messages.capnp.h"
+
+namespace cartsail {
+
+void EncodeGossip(const GossipMessage& gossip, wire::Gossip::Builder root);
+
+// Nothing for a kind of message that this version does not know.
+std::optional<GossipMessage> DecodeGossip(wire::Gossip::Reader root);
+
+}  // namespace cartsail
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -28,30 +28,49 @@
   heavyMsPerSecond @2 :Float32;
 }
 
+# A node's load, told to the coordinators of its requests.
 struct NodeDigest {
   node @0 :Text;
-  zone @1 :Text;
-  # Revision of the store up to which the node knows all changes.
-  catalogRevision @2 :Int64;
-  documentVersion @3 :Int64;
-  # Milliseconds since the store last confirmed the document to this node; -1: never.
-  confirmedAgeMs @4 :Int32;
   # Time to the next digest.
-  intervalMs @5 :UInt32;
-  loads @6 :List(BackendLoad);
-  prefixes @7 :List(PrefixPlacement);
-  leaving @8 :List(UInt32);
-  work @9 :List(ServiceWork);
-  # Some hosts of other nodes that were heard lately.
-  hosts @10 :List(Text);
-  stopping @11 :Bool;
+  intervalMs @1 :UInt32;
+  loads @2 :List(BackendLoad);
+  prefixes @3 :List(PrefixPlacement);
+  leaving @4 :List(UInt32);
+  work @5 :List(ServiceWork);
+  # This node's questions whose requests have not ended. `loads` is without what that coordinator
+  # placed.
+  liveQuestions @6 :List(UInt32);
+}
+
+# A node as the sender believes it to be.
+struct Member {
+  # An IPv4 address as a number.
+  host @0 :UInt32;
+  node @1 :Text;
+  zone @2 :Text;
   # Thousandths of a core that the node may use.
-  capacity @12 :UInt32;
-  uptimeMs @13 :UInt32;
-  # Told to a coordinator: this node's questions whose requests have not ended. `loads` is then
-  # without what that coordinator placed.
-  toCoordinator @14 :Bool;
-  liveQuestions @15 :List(UInt32);
+  capacity @3 :UInt16;
+  stopping @4 :Bool;
+  uptimeMs @5 :UInt32;
+  incarnation @6 :UInt32;
+  # As PeerStatus.
+  status @7 :UInt8;
+}
+
+# Which nodes are live, and how far the sender knows the store.
+struct Gossip {
+  # As GossipKind.
+  kind @0 :UInt8;
+  sequence @1 :UInt32;
+  subject @2 :UInt32;
+  sender @3 :Member;
+  # Revision of the store up to which the sender knows all changes.
+  catalogRevision @4 :Int64;
+  documentVersion @5 :Int64;
+  # Milliseconds since the store last confirmed the document to the sender; -1: never.
+  confirmedAgeMs @6 :Int32 = -1;
+  members @7 :List(Member);
+  known @8 :List(UInt16);
 }
 
 struct PromptPart {
@@ -111,16 +130,6 @@
   isAnswer @4 :Bool;
 }
 
-struct Datagram {
-  union {
-    digest @0 :NodeDigest;
-    question @1 :PlacementQuestion;
-    answer @2 :PlacementAnswer;
-    progress @3 :List(RequestProgress);
-    notice @4 :DocumentNotice;
-  }
-}
-
 struct Backend {
   id @0 :Text;
   service @1 :Text;
@@ -148,3 +157,26 @@
   since @5 :Int64 = -1;
   gone @6 :List(Text);
 }
+
+# What the store told a reader, on its way to all nodes.
+struct StoreUpdate {
+  # The changes of back ends; without a document.
+  changes @0 :Catalog;
+  documentVersion @1 :Int64;
+  # Milliseconds since the store answered.
+  confirmedAgeMs @2 :UInt32;
+  # IPv4 addresses of the nodes to which the receiver passes it on.
+  targets @3 :List(UInt32);
+}
+
+struct Datagram {
+  union {
+    digest @0 :NodeDigest;
+    question @1 :PlacementQuestion;
+    answer @2 :PlacementAnswer;
+    progress @3 :List(RequestProgress);
+    notice @4 :DocumentNotice;
+    gossip @5 :Gossip;
+    storeUpdate @6 :StoreUpdate;
+  }
+}
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -20,14 +20,17 @@
 CAPNP_DECLARE_SCHEMA(ba8e3e37d43e7a74);
 CAPNP_DECLARE_SCHEMA(df259802d7e8c238);
 CAPNP_DECLARE_SCHEMA(b1144832f756014d);
+CAPNP_DECLARE_SCHEMA(8c7a4a4eef2f31fa);
+CAPNP_DECLARE_SCHEMA(fa028c5718aee73c);
 CAPNP_DECLARE_SCHEMA(d2de4d3b66fb8ded);
 CAPNP_DECLARE_SCHEMA(a3648c3926e11547);
 CAPNP_DECLARE_SCHEMA(932771e8467662df);
 CAPNP_DECLARE_SCHEMA(9f5a10ff57841bdb);
 CAPNP_DECLARE_SCHEMA(ef673dbe5bf8067d);
-CAPNP_DECLARE_SCHEMA(d8728f032019e01b);
 CAPNP_DECLARE_SCHEMA(fda596282b449bf2);
 CAPNP_DECLARE_SCHEMA(fcbd87e46f033038);
+CAPNP_DECLARE_SCHEMA(d24718b90bf84405);
+CAPNP_DECLARE_SCHEMA(d8728f032019e01b);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -88,7 +91,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b1144832f756014d, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(b1144832f756014d, 1, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Member {
+  Member() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c7a4a4eef2f31fa, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Gossip {
+  Gossip() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa028c5718aee73c, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -170,52 +203,69 @@
   };
 };
 
-struct Datagram {
-  Datagram() = delete;
+struct Backend {
+  Backend() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which: uint16_t {
-    DIGEST,
-    QUESTION,
-    ANSWER,
-    PROGRESS,
-    NOTICE,
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fda596282b449bf2, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
+};
+
+struct Catalog {
+  Catalog() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8728f032019e01b, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Backend {
-  Backend() = delete;
+struct StoreUpdate {
+  StoreUpdate() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fda596282b449bf2, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d24718b90bf84405, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Catalog {
-  Catalog() = delete;
+struct Datagram {
+  Datagram() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
+  enum Which: uint16_t {
+    DIGEST,
+    QUESTION,
+    ANSWER,
+    PROGRESS,
+    NOTICE,
+    GOSSIP,
+    STORE_UPDATE,
+  };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d8728f032019e01b, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -522,15 +572,6 @@
   inline bool hasNode() const;
   inline  ::capnp::Text::Reader getNode() const;
 
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline  ::int64_t getCatalogRevision() const;
-
-  inline  ::int64_t getDocumentVersion() const;
-
-  inline  ::int32_t getConfirmedAgeMs() const;
-
   inline  ::uint32_t getIntervalMs() const;
 
   inline bool hasLoads() const;
@@ -545,17 +586,6 @@
   inline bool hasWork() const;
   inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader getWork() const;
 
-  inline bool hasHosts() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHosts() const;
-
-  inline bool getStopping() const;
-
-  inline  ::uint32_t getCapacity() const;
-
-  inline  ::uint32_t getUptimeMs() const;
-
-  inline bool getToCoordinator() const;
-
   inline bool hasLiveQuestions() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getLiveQuestions() const;
 
@@ -594,22 +624,6 @@
   inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownNode();
 
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
-
-  inline  ::int64_t getCatalogRevision();
-  inline void setCatalogRevision( ::int64_t value);
-
-  inline  ::int64_t getDocumentVersion();
-  inline void setDocumentVersion( ::int64_t value);
-
-  inline  ::int32_t getConfirmedAgeMs();
-  inline void setConfirmedAgeMs( ::int32_t value);
-
   inline  ::uint32_t getIntervalMs();
   inline void setIntervalMs( ::uint32_t value);
 
@@ -642,26 +656,6 @@
   inline void adoptWork(::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> disownWork();
 
-  inline bool hasHosts();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHosts();
-  inline void setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHosts(unsigned int size);
-  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHosts();
-
-  inline bool getStopping();
-  inline void setStopping(bool value);
-
-  inline  ::uint32_t getCapacity();
-  inline void setCapacity( ::uint32_t value);
-
-  inline  ::uint32_t getUptimeMs();
-  inline void setUptimeMs( ::uint32_t value);
-
-  inline bool getToCoordinator();
-  inline void setToCoordinator(bool value);
-
   inline bool hasLiveQuestions();
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getLiveQuestions();
   inline void setLiveQuestions( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
@@ -696,9 +690,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PromptPart::Reader {
+class Member::Reader {
 public:
-  typedef PromptPart Reads;
+  typedef Member Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -713,9 +707,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline  ::uint32_t getHost() const;
 
-  inline  ::uint32_t getTokens() const;
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline  ::uint16_t getCapacity() const;
+
+  inline bool getStopping() const;
+
+  inline  ::uint32_t getUptimeMs() const;
+
+  inline  ::uint32_t getIncarnation() const;
+
+  inline  ::uint8_t getStatus() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -729,9 +737,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PromptPart::Builder {
+class Member::Builder {
 public:
-  typedef PromptPart Builds;
+  typedef Member Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -745,11 +753,37 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline  ::uint32_t getHost();
+  inline void setHost( ::uint32_t value);
 
-  inline  ::uint32_t getTokens();
-  inline void setTokens( ::uint32_t value);
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline  ::uint16_t getCapacity();
+  inline void setCapacity( ::uint16_t value);
+
+  inline bool getStopping();
+  inline void setStopping(bool value);
+
+  inline  ::uint32_t getUptimeMs();
+  inline void setUptimeMs( ::uint32_t value);
+
+  inline  ::uint32_t getIncarnation();
+  inline void setIncarnation( ::uint32_t value);
+
+  inline  ::uint8_t getStatus();
+  inline void setStatus( ::uint8_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -761,9 +795,9 @@
 };
 
 #if !CAPNP_LITE
-class PromptPart::Pipeline {
+class Member::Pipeline {
 public:
-  typedef PromptPart Pipelines;
+  typedef Member Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -777,9 +811,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PlacementQuestion::Reader {
+class Gossip::Reader {
 public:
-  typedef PlacementQuestion Reads;
+  typedef Gossip Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -794,31 +828,26 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getId() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool getGeneration() const;
+  inline  ::uint8_t getKind() const;
 
-  inline  ::uint32_t getGoalMs() const;
+  inline  ::uint32_t getSequence() const;
 
-  inline  ::uint32_t getPromptTokens() const;
+  inline  ::uint32_t getSubject() const;
 
-  inline  ::uint32_t getOutputTokens() const;
+  inline bool hasSender() const;
+  inline  ::cartsail::wire::Member::Reader getSender() const;
 
-  inline  ::uint32_t getBytesPerToken() const;
+  inline  ::int64_t getCatalogRevision() const;
 
-  inline bool hasParts() const;
-  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+  inline  ::int64_t getDocumentVersion() const;
 
-  inline bool hasTried() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
+  inline  ::int32_t getConfirmedAgeMs() const;
 
-  inline bool hasConnected() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getConnected() const;
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
-  inline  ::uint32_t getLongestPauseMs() const;
+  inline bool hasKnown() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getKnown() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -832,9 +861,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PlacementQuestion::Builder {
+class Gossip::Builder {
 public:
-  typedef PlacementQuestion Builds;
+  typedef Gossip Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -848,56 +877,45 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getId();
-  inline void setId( ::uint32_t value);
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool getGeneration();
-  inline void setGeneration(bool value);
-
-  inline  ::uint32_t getGoalMs();
-  inline void setGoalMs( ::uint32_t value);
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
 
-  inline  ::uint32_t getPromptTokens();
-  inline void setPromptTokens( ::uint32_t value);
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
 
-  inline  ::uint32_t getOutputTokens();
-  inline void setOutputTokens( ::uint32_t value);
+  inline  ::uint32_t getSubject();
+  inline void setSubject( ::uint32_t value);
 
-  inline  ::uint32_t getBytesPerToken();
-  inline void setBytesPerToken( ::uint32_t value);
+  inline bool hasSender();
+  inline  ::cartsail::wire::Member::Builder getSender();
+  inline void setSender( ::cartsail::wire::Member::Reader value);
+  inline  ::cartsail::wire::Member::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::cartsail::wire::Member>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::Member> disownSender();
 
-  inline bool hasParts();
-  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder getParts();
-  inline void setParts( ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
-  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>> disownParts();
+  inline  ::int64_t getCatalogRevision();
+  inline void setCatalogRevision( ::int64_t value);
 
-  inline bool hasTried();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTried();
-  inline void setTried( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTried(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTried(unsigned int size);
-  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
+  inline  ::int64_t getDocumentVersion();
+  inline void setDocumentVersion( ::int64_t value);
 
-  inline bool hasConnected();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getConnected();
-  inline void setConnected( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setConnected(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initConnected(unsigned int size);
-  inline void adoptConnected(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownConnected();
+  inline  ::int32_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::int32_t value);
 
-  inline  ::uint32_t getLongestPauseMs();
-  inline void setLongestPauseMs( ::uint32_t value);
+  inline bool hasMembers();
+  inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasKnown();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getKnown();
+  inline void setKnown( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setKnown(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initKnown(unsigned int size);
+  inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownKnown();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -909,14 +927,15 @@
 };
 
 #if !CAPNP_LITE
-class PlacementQuestion::Pipeline {
+class Gossip::Pipeline {
 public:
-  typedef PlacementQuestion Pipelines;
+  typedef Gossip Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cartsail::wire::Member::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -925,9 +944,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PlacementAnswer::Reader {
+class PromptPart::Reader {
 public:
-  typedef PlacementAnswer Reads;
+  typedef PromptPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -942,25 +961,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getId() const;
-
-  inline bool getPlaced() const;
-
-  inline  ::uint32_t getBackend() const;
-
-  inline  ::uint32_t getFetchFrom() const;
-
-  inline float getExpectedLoss() const;
-
-  inline float getReadingMs() const;
-
-  inline float getFirstOutputMs() const;
-
-  inline  ::uint32_t getHeldTokens() const;
-
-  inline  ::uint16_t getCandidates() const;
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint16_t getLoadRequests() const;
+  inline  ::uint32_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -974,7 +977,252 @@
   friend class ::capnp::Orphanage;
 };
 
-class PlacementAnswer::Builder {
+class PromptPart::Builder {
+public:
+  typedef PromptPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptPart::Pipeline {
+public:
+  typedef PromptPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PlacementQuestion::Reader {
+public:
+  typedef PlacementQuestion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool getGeneration() const;
+
+  inline  ::uint32_t getGoalMs() const;
+
+  inline  ::uint32_t getPromptTokens() const;
+
+  inline  ::uint32_t getOutputTokens() const;
+
+  inline  ::uint32_t getBytesPerToken() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+  inline bool hasTried() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTried() const;
+
+  inline bool hasConnected() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getConnected() const;
+
+  inline  ::uint32_t getLongestPauseMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PlacementQuestion::Builder {
+public:
+  typedef PlacementQuestion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool getGeneration();
+  inline void setGeneration(bool value);
+
+  inline  ::uint32_t getGoalMs();
+  inline void setGoalMs( ::uint32_t value);
+
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
+
+  inline  ::uint32_t getOutputTokens();
+  inline void setOutputTokens( ::uint32_t value);
+
+  inline  ::uint32_t getBytesPerToken();
+  inline void setBytesPerToken( ::uint32_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>> disownParts();
+
+  inline bool hasTried();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTried();
+  inline void setTried( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTried(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTried(unsigned int size);
+  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTried();
+
+  inline bool hasConnected();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getConnected();
+  inline void setConnected( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setConnected(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initConnected(unsigned int size);
+  inline void adoptConnected(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownConnected();
+
+  inline  ::uint32_t getLongestPauseMs();
+  inline void setLongestPauseMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PlacementQuestion::Pipeline {
+public:
+  typedef PlacementQuestion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PlacementAnswer::Reader {
+public:
+  typedef PlacementAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline bool getPlaced() const;
+
+  inline  ::uint32_t getBackend() const;
+
+  inline  ::uint32_t getFetchFrom() const;
+
+  inline float getExpectedLoss() const;
+
+  inline float getReadingMs() const;
+
+  inline float getFirstOutputMs() const;
+
+  inline  ::uint32_t getHeldTokens() const;
+
+  inline  ::uint16_t getCandidates() const;
+
+  inline  ::uint16_t getLoadRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PlacementAnswer::Builder {
 public:
   typedef PlacementAnswer Builds;
 
@@ -1248,9 +1496,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Reader {
+class Backend::Reader {
 public:
-  typedef Datagram Reads;
+  typedef Backend Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1265,141 +1513,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isDigest() const;
-  inline bool hasDigest() const;
-  inline  ::cartsail::wire::NodeDigest::Reader getDigest() const;
-
-  inline bool isQuestion() const;
-  inline bool hasQuestion() const;
-  inline  ::cartsail::wire::PlacementQuestion::Reader getQuestion() const;
-
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::cartsail::wire::PlacementAnswer::Reader getAnswer() const;
-
-  inline bool isProgress() const;
-  inline bool hasProgress() const;
-  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader getProgress() const;
-
-  inline bool isNotice() const;
-  inline bool hasNotice() const;
-  inline  ::cartsail::wire::DocumentNotice::Reader getNotice() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Datagram::Builder {
-public:
-  typedef Datagram Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline bool isDigest();
-  inline bool hasDigest();
-  inline  ::cartsail::wire::NodeDigest::Builder getDigest();
-  inline void setDigest( ::cartsail::wire::NodeDigest::Reader value);
-  inline  ::cartsail::wire::NodeDigest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> disownDigest();
-
-  inline bool isQuestion();
-  inline bool hasQuestion();
-  inline  ::cartsail::wire::PlacementQuestion::Builder getQuestion();
-  inline void setQuestion( ::cartsail::wire::PlacementQuestion::Reader value);
-  inline  ::cartsail::wire::PlacementQuestion::Builder initQuestion();
-  inline void adoptQuestion(::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> disownQuestion();
-
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::cartsail::wire::PlacementAnswer::Builder getAnswer();
-  inline void setAnswer( ::cartsail::wire::PlacementAnswer::Reader value);
-  inline  ::cartsail::wire::PlacementAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> disownAnswer();
-
-  inline bool isProgress();
-  inline bool hasProgress();
-  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder getProgress();
-  inline void setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder initProgress(unsigned int size);
-  inline void adoptProgress(::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> disownProgress();
-
-  inline bool isNotice();
-  inline bool hasNotice();
-  inline  ::cartsail::wire::DocumentNotice::Builder getNotice();
-  inline void setNotice( ::cartsail::wire::DocumentNotice::Reader value);
-  inline  ::cartsail::wire::DocumentNotice::Builder initNotice();
-  inline void adoptNotice(::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> disownNotice();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Datagram::Pipeline {
-public:
-  typedef Datagram Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Backend::Reader {
-public:
-  typedef Backend Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
@@ -1634,112 +1749,372 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class StoreUpdate::Reader {
+public:
+  typedef StoreUpdate Reads;
 
-inline  ::uint32_t BackendLoad::Reader::getBackend() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t BackendLoad::Builder::getBackend() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setBackend( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint32_t BackendLoad::Reader::getReadingMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t BackendLoad::Builder::getReadingMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setReadingMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasChanges() const;
+  inline  ::cartsail::wire::Catalog::Reader getChanges() const;
 
-inline  ::uint16_t BackendLoad::Reader::getRequests() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+  inline  ::int64_t getDocumentVersion() const;
 
-inline  ::uint16_t BackendLoad::Builder::getRequests() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setRequests( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getConfirmedAgeMs() const;
 
-inline  ::uint16_t BackendLoad::Reader::getLightRequests() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
 
-inline  ::uint16_t BackendLoad::Builder::getLightRequests() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setLightRequests( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint16_t BackendLoad::Reader::getLeastPause() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
+class StoreUpdate::Builder {
+public:
+  typedef StoreUpdate Builds;
 
-inline  ::uint16_t BackendLoad::Builder::getLeastPause() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setLeastPause( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint16_t BackendLoad::Reader::getAttempts() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::uint16_t BackendLoad::Builder::getAttempts() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setAttempts( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasChanges();
+  inline  ::cartsail::wire::Catalog::Builder getChanges();
+  inline void setChanges( ::cartsail::wire::Catalog::Reader value);
+  inline  ::cartsail::wire::Catalog::Builder initChanges();
+  inline void adoptChanges(::capnp::Orphan< ::cartsail::wire::Catalog>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::Catalog> disownChanges();
 
-inline  ::uint16_t BackendLoad::Reader::getFailures() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
+  inline  ::int64_t getDocumentVersion();
+  inline void setDocumentVersion( ::int64_t value);
 
-inline  ::uint16_t BackendLoad::Builder::getFailures() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setFailures( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::uint32_t value);
 
-inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline bool hasTargets();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
 
-inline  ::uint64_t PrefixPlacement::Builder::getPart() {
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreUpdate::Pipeline {
+public:
+  typedef StoreUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cartsail::wire::Catalog::Pipeline getChanges();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Datagram::Reader {
+public:
+  typedef Datagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isDigest() const;
+  inline bool hasDigest() const;
+  inline  ::cartsail::wire::NodeDigest::Reader getDigest() const;
+
+  inline bool isQuestion() const;
+  inline bool hasQuestion() const;
+  inline  ::cartsail::wire::PlacementQuestion::Reader getQuestion() const;
+
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::cartsail::wire::PlacementAnswer::Reader getAnswer() const;
+
+  inline bool isProgress() const;
+  inline bool hasProgress() const;
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader getProgress() const;
+
+  inline bool isNotice() const;
+  inline bool hasNotice() const;
+  inline  ::cartsail::wire::DocumentNotice::Reader getNotice() const;
+
+  inline bool isGossip() const;
+  inline bool hasGossip() const;
+  inline  ::cartsail::wire::Gossip::Reader getGossip() const;
+
+  inline bool isStoreUpdate() const;
+  inline bool hasStoreUpdate() const;
+  inline  ::cartsail::wire::StoreUpdate::Reader getStoreUpdate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::Builder {
+public:
+  typedef Datagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isDigest();
+  inline bool hasDigest();
+  inline  ::cartsail::wire::NodeDigest::Builder getDigest();
+  inline void setDigest( ::cartsail::wire::NodeDigest::Reader value);
+  inline  ::cartsail::wire::NodeDigest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> disownDigest();
+
+  inline bool isQuestion();
+  inline bool hasQuestion();
+  inline  ::cartsail::wire::PlacementQuestion::Builder getQuestion();
+  inline void setQuestion( ::cartsail::wire::PlacementQuestion::Reader value);
+  inline  ::cartsail::wire::PlacementQuestion::Builder initQuestion();
+  inline void adoptQuestion(::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> disownQuestion();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::cartsail::wire::PlacementAnswer::Builder getAnswer();
+  inline void setAnswer( ::cartsail::wire::PlacementAnswer::Reader value);
+  inline  ::cartsail::wire::PlacementAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> disownAnswer();
+
+  inline bool isProgress();
+  inline bool hasProgress();
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder getProgress();
+  inline void setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder initProgress(unsigned int size);
+  inline void adoptProgress(::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> disownProgress();
+
+  inline bool isNotice();
+  inline bool hasNotice();
+  inline  ::cartsail::wire::DocumentNotice::Builder getNotice();
+  inline void setNotice( ::cartsail::wire::DocumentNotice::Reader value);
+  inline  ::cartsail::wire::DocumentNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> disownNotice();
+
+  inline bool isGossip();
+  inline bool hasGossip();
+  inline  ::cartsail::wire::Gossip::Builder getGossip();
+  inline void setGossip( ::cartsail::wire::Gossip::Reader value);
+  inline  ::cartsail::wire::Gossip::Builder initGossip();
+  inline void adoptGossip(::capnp::Orphan< ::cartsail::wire::Gossip>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::Gossip> disownGossip();
+
+  inline bool isStoreUpdate();
+  inline bool hasStoreUpdate();
+  inline  ::cartsail::wire::StoreUpdate::Builder getStoreUpdate();
+  inline void setStoreUpdate( ::cartsail::wire::StoreUpdate::Reader value);
+  inline  ::cartsail::wire::StoreUpdate::Builder initStoreUpdate();
+  inline void adoptStoreUpdate(::capnp::Orphan< ::cartsail::wire::StoreUpdate>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::StoreUpdate> disownStoreUpdate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Pipeline {
+public:
+  typedef Datagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t BackendLoad::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendLoad::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BackendLoad::Reader::getReadingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendLoad::Builder::getReadingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setReadingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getLightRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getLightRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setLightRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getLeastPause() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getLeastPause() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setLeastPause( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getAttempts() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getAttempts() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setAttempts( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getFailures() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getFailures() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setFailures( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrefixPlacement::Builder::getPart() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
@@ -1858,366 +2233,543 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDigest::Reader::hasZone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDigest::Builder::hasZone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeDigest::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeDigest::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeDigest::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeDigest::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void NodeDigest::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeDigest::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t NodeDigest::Reader::getCatalogRevision() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t NodeDigest::Builder::getCatalogRevision() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void NodeDigest::Builder::setCatalogRevision( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t NodeDigest::Reader::getDocumentVersion() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t NodeDigest::Builder::getDocumentVersion() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void NodeDigest::Builder::setDocumentVersion( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int32_t NodeDigest::Reader::getConfirmedAgeMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int32_t NodeDigest::Builder::getConfirmedAgeMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void NodeDigest::Builder::setConfirmedAgeMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint32_t NodeDigest::Reader::getIntervalMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t NodeDigest::Builder::getIntervalMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void NodeDigest::Builder::setIntervalMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool NodeDigest::Reader::hasLoads() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool NodeDigest::Builder::hasLoads() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getLoads() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void NodeDigest::Builder::setLoads( ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initLoads(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void NodeDigest::Builder::adoptLoads(
     ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool NodeDigest::Reader::hasPrefixes() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool NodeDigest::Builder::hasPrefixes() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getPrefixes() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getPrefixes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void NodeDigest::Builder::setPrefixes( ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initPrefixes(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void NodeDigest::Builder::adoptPrefixes(
     ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownPrefixes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool NodeDigest::Reader::hasLeaving() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool NodeDigest::Builder::hasLeaving() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLeaving() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLeaving() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void NodeDigest::Builder::setLeaving( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline void NodeDigest::Builder::setLeaving(::kj::ArrayPtr<const  ::uint32_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLeaving(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void NodeDigest::Builder::adoptLeaving(
     ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLeaving() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool NodeDigest::Reader::hasWork() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool NodeDigest::Builder::hasWork() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getWork() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getWork() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void NodeDigest::Builder::setWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initWork(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void NodeDigest::Builder::adoptWork(
     ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownWork() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDigest::Reader::hasLiveQuestions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasLiveQuestions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLiveQuestions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLiveQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setLiveQuestions( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void NodeDigest::Builder::setLiveQuestions(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLiveQuestions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptLiveQuestions(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLiveQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDigest::Reader::hasHosts() const {
+inline  ::uint32_t Member::Reader::getHost() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getHost() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setHost( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasNode() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasHosts() {
+inline bool Member::Builder::hasNode() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeDigest::Reader::getHosts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Member::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeDigest::Builder::getHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Member::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void NodeDigest::Builder::setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder Member::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeDigest::Builder::initHosts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline void Member::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void NodeDigest::Builder::adoptHosts(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeDigest::Builder::disownHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+
+inline bool Member::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Member::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getCapacity() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setCapacity( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::getStopping() const {
+inline bool Member::Reader::getStopping() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeDigest::Builder::getStopping() {
+inline bool Member::Builder::getStopping() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setStopping(bool value) {
+inline void Member::Builder::setStopping(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t NodeDigest::Reader::getCapacity() const {
+inline  ::uint32_t Member::Reader::getUptimeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t NodeDigest::Builder::getCapacity() {
+inline  ::uint32_t Member::Builder::getUptimeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setUptimeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setCapacity( ::uint32_t value) {
+inline void Member::Builder::setIncarnation( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Member::Reader::getStatus() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Member::Builder::getStatus() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStatus( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t NodeDigest::Reader::getUptimeMs() const {
+inline  ::uint8_t Gossip::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Gossip::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Gossip::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t NodeDigest::Builder::getUptimeMs() {
+inline  ::uint32_t Gossip::Builder::getSequence() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setUptimeMs( ::uint32_t value) {
+inline void Gossip::Builder::setSequence( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::getToCoordinator() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Gossip::Reader::getSubject() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeDigest::Builder::getToCoordinator() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Gossip::Builder::getSubject() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setToCoordinator(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+inline void Gossip::Builder::setSubject( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::hasLiveQuestions() const {
+inline bool Gossip::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::Member::Reader Gossip::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::Member::Builder Gossip::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cartsail::wire::Member::Pipeline Gossip::Pipeline::getSender() {
+  return  ::cartsail::wire::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Gossip::Builder::setSender( ::cartsail::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::Member::Builder Gossip::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::adoptSender(
+    ::capnp::Orphan< ::cartsail::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::Member> Gossip::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Gossip::Reader::getCatalogRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Gossip::Builder::getCatalogRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setCatalogRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Gossip::Reader::getDocumentVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Gossip::Builder::getDocumentVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setDocumentVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Gossip::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t Gossip::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+inline void Gossip::Builder::setConfirmedAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1);
+}
+
+inline bool Gossip::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setMembers( ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Gossip::Reader::hasKnown() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasLiveQuestions() {
+inline bool Gossip::Builder::hasKnown() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLiveQuestions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLiveQuestions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setLiveQuestions( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void Gossip::Builder::setKnown( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void NodeDigest::Builder::setLiveQuestions(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void Gossip::Builder::setKnown(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLiveQuestions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void NodeDigest::Builder::adoptLiveQuestions(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void Gossip::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLiveQuestions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t PromptPart::Reader::getId() const {
@@ -2804,637 +3356,850 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::cartsail::wire::Datagram::Which Datagram::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::cartsail::wire::Datagram::Which Datagram::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Datagram::Reader::isDigest() const {
-  return which() == Datagram::DIGEST;
-}
-inline bool Datagram::Builder::isDigest() {
-  return which() == Datagram::DIGEST;
-}
-inline bool Datagram::Reader::hasDigest() const {
-  if (which() != Datagram::DIGEST) return false;
+inline bool Backend::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasDigest() {
-  if (which() != Datagram::DIGEST) return false;
+inline bool Backend::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cartsail::wire::NodeDigest::Reader Datagram::Reader::getDigest() const {
-  KJ_IREQUIRE((which() == Datagram::DIGEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Backend::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cartsail::wire::NodeDigest::Builder Datagram::Builder::getDigest() {
-  KJ_IREQUIRE((which() == Datagram::DIGEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Backend::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setDigest( ::cartsail::wire::NodeDigest::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::set(_builder.getPointerField(
+inline void Backend::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cartsail::wire::NodeDigest::Builder Datagram::Builder::initDigest() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Backend::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptDigest(
-    ::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::adopt(_builder.getPointerField(
+inline void Backend::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> Datagram::Builder::disownDigest() {
-  KJ_IREQUIRE((which() == Datagram::DIGEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isQuestion() const {
-  return which() == Datagram::QUESTION;
+inline bool Backend::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::isQuestion() {
-  return which() == Datagram::QUESTION;
+inline bool Backend::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Reader::hasQuestion() const {
-  if (which() != Datagram::QUESTION) return false;
+inline  ::capnp::Text::Reader Backend::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Backend::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Backend::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Backend::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Backend::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Backend::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasQuestion() {
-  if (which() != Datagram::QUESTION) return false;
+inline bool Backend::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cartsail::wire::PlacementQuestion::Reader Datagram::Reader::getQuestion() const {
-  KJ_IREQUIRE((which() == Datagram::QUESTION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Backend::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::cartsail::wire::PlacementQuestion::Builder Datagram::Builder::getQuestion() {
-  KJ_IREQUIRE((which() == Datagram::QUESTION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Backend::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setQuestion( ::cartsail::wire::PlacementQuestion::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Backend::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::cartsail::wire::PlacementQuestion::Builder Datagram::Builder::initQuestion() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Backend::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Backend::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Backend::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Backend::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Backend::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Backend::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Backend::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Backend::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Backend::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t Backend::Reader::getSlots() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Backend::Builder::getSlots() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setSlots( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Backend::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Backend::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Backend::Reader::getCreatedRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Backend::Builder::getCreatedRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setCreatedRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Backend::Reader::getMissingMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t Backend::Builder::getMissingMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1);
 }
-inline void Datagram::Builder::adoptQuestion(
-    ::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Backend::Builder::setMissingMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1);
 }
-inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> Datagram::Builder::disownQuestion() {
-  KJ_IREQUIRE((which() == Datagram::QUESTION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::int64_t Catalog::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Datagram::Reader::isAnswer() const {
-  return which() == Datagram::ANSWER;
+inline  ::int64_t Catalog::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Datagram::Builder::isAnswer() {
-  return which() == Datagram::ANSWER;
+inline void Catalog::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline bool Datagram::Reader::hasAnswer() const {
-  if (which() != Datagram::ANSWER) return false;
+
+inline bool Catalog::Reader::hasDocument() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasAnswer() {
-  if (which() != Datagram::ANSWER) return false;
+inline bool Catalog::Builder::hasDocument() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cartsail::wire::PlacementAnswer::Reader Datagram::Reader::getAnswer() const {
-  KJ_IREQUIRE((which() == Datagram::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader Catalog::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cartsail::wire::PlacementAnswer::Builder Datagram::Builder::getAnswer() {
-  KJ_IREQUIRE((which() == Datagram::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder Catalog::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setAnswer( ::cartsail::wire::PlacementAnswer::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::set(_builder.getPointerField(
+inline void Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cartsail::wire::PlacementAnswer::Builder Datagram::Builder::initAnswer() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Catalog::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptAnswer(
-    ::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::adopt(_builder.getPointerField(
+inline void Catalog::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> Datagram::Builder::disownAnswer() {
-  KJ_IREQUIRE((which() == Datagram::ANSWER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Catalog::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isProgress() const {
-  return which() == Datagram::PROGRESS;
-}
-inline bool Datagram::Builder::isProgress() {
-  return which() == Datagram::PROGRESS;
-}
-inline bool Datagram::Reader::hasProgress() const {
-  if (which() != Datagram::PROGRESS) return false;
+inline bool Catalog::Reader::hasBackends() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasProgress() {
-  if (which() != Datagram::PROGRESS) return false;
+inline bool Catalog::Builder::hasBackends() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getProgress() const {
-  KJ_IREQUIRE((which() == Datagram::PROGRESS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getBackends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getProgress() {
-  KJ_IREQUIRE((which() == Datagram::PROGRESS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Catalog::Builder::setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initProgress(unsigned int size) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initBackends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptProgress(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Catalog::Builder::adoptBackends(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownProgress() {
-  KJ_IREQUIRE((which() == Datagram::PROGRESS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isNotice() const {
-  return which() == Datagram::NOTICE;
+inline  ::uint32_t Catalog::Reader::getDocumentAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool Datagram::Builder::isNotice() {
-  return which() == Datagram::NOTICE;
+
+inline  ::uint32_t Catalog::Builder::getDocumentAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool Datagram::Reader::hasNotice() const {
-  if (which() != Datagram::NOTICE) return false;
+inline void Catalog::Builder::setDocumentAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Catalog::Reader::getDocumentBase() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Catalog::Builder::getDocumentBase() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Catalog::Builder::setDocumentBase( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Catalog::Reader::getSince() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Catalog::Builder::getSince() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Catalog::Builder::setSince( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool Catalog::Reader::hasGone() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasNotice() {
-  if (which() != Datagram::NOTICE) return false;
+inline bool Catalog::Builder::hasGone() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cartsail::wire::DocumentNotice::Reader Datagram::Reader::getNotice() const {
-  KJ_IREQUIRE((which() == Datagram::NOTICE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getGone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::cartsail::wire::DocumentNotice::Builder Datagram::Builder::getNotice() {
-  KJ_IREQUIRE((which() == Datagram::NOTICE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setNotice( ::cartsail::wire::DocumentNotice::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Catalog::Builder::setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::cartsail::wire::DocumentNotice::Builder Datagram::Builder::initNotice() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Catalog::Builder::setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void Datagram::Builder::adoptNotice(
-    ::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
-  ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initGone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> Datagram::Builder::disownNotice() {
-  KJ_IREQUIRE((which() == Datagram::NOTICE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Catalog::Builder::adoptGone(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Backend::Reader::hasId() const {
+inline bool StoreUpdate::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Backend::Builder::hasId() {
+inline bool StoreUpdate::Builder::hasChanges() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Backend::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::cartsail::wire::Catalog::Reader StoreUpdate::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Backend::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::cartsail::wire::Catalog::Builder StoreUpdate::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::cartsail::wire::Catalog::Pipeline StoreUpdate::Pipeline::getChanges() {
+  return  ::cartsail::wire::Catalog::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StoreUpdate::Builder::setChanges( ::cartsail::wire::Catalog::Reader value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Backend::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::Catalog::Builder StoreUpdate::Builder::initChanges() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StoreUpdate::Builder::adoptChanges(
+    ::capnp::Orphan< ::cartsail::wire::Catalog>&& value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::cartsail::wire::Catalog> StoreUpdate::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Backend::Reader::hasService() const {
+inline  ::int64_t StoreUpdate::Reader::getDocumentVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoreUpdate::Builder::getDocumentVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setDocumentVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StoreUpdate::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StoreUpdate::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setConfirmedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoreUpdate::Reader::hasTargets() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Backend::Builder::hasService() {
+inline bool StoreUpdate::Builder::hasTargets() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Backend::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader StoreUpdate::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Backend::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StoreUpdate::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void StoreUpdate::Builder::setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Backend::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void StoreUpdate::Builder::setTargets(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StoreUpdate::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Backend::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StoreUpdate::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> StoreUpdate::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Backend::Reader::hasAddress() const {
+inline  ::cartsail::wire::Datagram::Which Datagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::cartsail::wire::Datagram::Which Datagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Reader::isDigest() const {
+  return which() == Datagram::DIGEST;
+}
+inline bool Datagram::Builder::isDigest() {
+  return which() == Datagram::DIGEST;
+}
+inline bool Datagram::Reader::hasDigest() const {
+  if (which() != Datagram::DIGEST) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Backend::Builder::hasAddress() {
+inline bool Datagram::Builder::hasDigest() {
+  if (which() != Datagram::DIGEST) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Backend::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::NodeDigest::Reader Datagram::Reader::getDigest() const {
+  KJ_IREQUIRE((which() == Datagram::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Backend::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::NodeDigest::Builder Datagram::Builder::getDigest() {
+  KJ_IREQUIRE((which() == Datagram::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setDigest( ::cartsail::wire::NodeDigest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Backend::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::NodeDigest::Builder Datagram::Builder::initDigest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptDigest(
+    ::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DIGEST);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> Datagram::Builder::disownDigest() {
+  KJ_IREQUIRE((which() == Datagram::DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::NodeDigest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Backend::Reader::hasZone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Backend::Builder::hasZone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Backend::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline bool Datagram::Reader::isQuestion() const {
+  return which() == Datagram::QUESTION;
 }
-inline  ::capnp::Text::Builder Backend::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline bool Datagram::Builder::isQuestion() {
+  return which() == Datagram::QUESTION;
 }
-inline void Backend::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline bool Datagram::Reader::hasQuestion() const {
+  if (which() != Datagram::QUESTION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder Backend::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline bool Datagram::Builder::hasQuestion() {
+  if (which() != Datagram::QUESTION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Backend::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::cartsail::wire::PlacementQuestion::Reader Datagram::Reader::getQuestion() const {
+  KJ_IREQUIRE((which() == Datagram::QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::PlacementQuestion::Builder Datagram::Builder::getQuestion() {
+  KJ_IREQUIRE((which() == Datagram::QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int32_t Backend::Reader::getSlots() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Datagram::Builder::setQuestion( ::cartsail::wire::PlacementQuestion::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int32_t Backend::Builder::getSlots() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::cartsail::wire::PlacementQuestion::Builder Datagram::Builder::initQuestion() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::setSlots( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::adoptQuestion(
+    ::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUESTION);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline bool Backend::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> Datagram::Builder::disownQuestion() {
+  KJ_IREQUIRE((which() == Datagram::QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementQuestion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Backend::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::isAnswer() const {
+  return which() == Datagram::ANSWER;
 }
-inline void Backend::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline bool Datagram::Builder::isAnswer() {
+  return which() == Datagram::ANSWER;
 }
-
-inline  ::int64_t Backend::Reader::getCreatedRevision() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::hasAnswer() const {
+  if (which() != Datagram::ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Backend::Builder::getCreatedRevision() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Datagram::Builder::hasAnswer() {
+  if (which() != Datagram::ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Backend::Builder::setCreatedRevision( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::cartsail::wire::PlacementAnswer::Reader Datagram::Reader::getAnswer() const {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int32_t Backend::Reader::getMissingMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1);
+inline  ::cartsail::wire::PlacementAnswer::Builder Datagram::Builder::getAnswer() {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int32_t Backend::Builder::getMissingMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1);
+inline void Datagram::Builder::setAnswer( ::cartsail::wire::PlacementAnswer::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Backend::Builder::setMissingMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1);
+inline  ::cartsail::wire::PlacementAnswer::Builder Datagram::Builder::initAnswer() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Catalog::Reader::getRevision() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Datagram::Builder::adoptAnswer(
+    ::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> Datagram::Builder::disownAnswer() {
+  KJ_IREQUIRE((which() == Datagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PlacementAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Catalog::Builder::getRevision() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::isProgress() const {
+  return which() == Datagram::PROGRESS;
 }
-inline void Catalog::Builder::setRevision( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Datagram::Builder::isProgress() {
+  return which() == Datagram::PROGRESS;
 }
-
-inline bool Catalog::Reader::hasDocument() const {
+inline bool Datagram::Reader::hasProgress() const {
+  if (which() != Datagram::PROGRESS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasDocument() {
+inline bool Datagram::Builder::hasProgress() {
+  if (which() != Datagram::PROGRESS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Catalog::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getProgress() const {
+  KJ_IREQUIRE((which() == Datagram::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Catalog::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getProgress() {
+  KJ_IREQUIRE((which() == Datagram::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void Datagram::Builder::setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Catalog::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initProgress(unsigned int size) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Catalog::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Datagram::Builder::adoptProgress(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROGRESS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Catalog::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownProgress() {
+  KJ_IREQUIRE((which() == Datagram::PROGRESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Catalog::Reader::hasBackends() const {
+inline bool Datagram::Reader::isNotice() const {
+  return which() == Datagram::NOTICE;
+}
+inline bool Datagram::Builder::isNotice() {
+  return which() == Datagram::NOTICE;
+}
+inline bool Datagram::Reader::hasNotice() const {
+  if (which() != Datagram::NOTICE) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasBackends() {
+inline bool Datagram::Builder::hasNotice() {
+  if (which() != Datagram::NOTICE) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getBackends() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::DocumentNotice::Reader Datagram::Reader::getNotice() const {
+  KJ_IREQUIRE((which() == Datagram::NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::DocumentNotice::Builder Datagram::Builder::getNotice() {
+  KJ_IREQUIRE((which() == Datagram::NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setNotice( ::cartsail::wire::DocumentNotice::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initBackends(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::DocumentNotice::Builder Datagram::Builder::initNotice() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::adoptBackends(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptNotice(
+    ::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::NOTICE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> Datagram::Builder::disownNotice() {
+  KJ_IREQUIRE((which() == Datagram::NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::DocumentNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Catalog::Reader::getDocumentAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::isGossip() const {
+  return which() == Datagram::GOSSIP;
 }
-
-inline  ::uint32_t Catalog::Builder::getDocumentAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Datagram::Builder::isGossip() {
+  return which() == Datagram::GOSSIP;
 }
-inline void Catalog::Builder::setDocumentAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool Datagram::Reader::hasGossip() const {
+  if (which() != Datagram::GOSSIP) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Catalog::Reader::getDocumentBase() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Datagram::Builder::hasGossip() {
+  if (which() != Datagram::GOSSIP) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Catalog::Builder::getDocumentBase() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::cartsail::wire::Gossip::Reader Datagram::Reader::getGossip() const {
+  KJ_IREQUIRE((which() == Datagram::GOSSIP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Gossip>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setDocumentBase( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::cartsail::wire::Gossip::Builder Datagram::Builder::getGossip() {
+  KJ_IREQUIRE((which() == Datagram::GOSSIP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Gossip>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Catalog::Reader::getSince() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+inline void Datagram::Builder::setGossip( ::cartsail::wire::Gossip::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::GOSSIP);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Gossip>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t Catalog::Builder::getSince() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+inline  ::cartsail::wire::Gossip::Builder Datagram::Builder::initGossip() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::GOSSIP);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Gossip>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setSince( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
+inline void Datagram::Builder::adoptGossip(
+    ::capnp::Orphan< ::cartsail::wire::Gossip>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::GOSSIP);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Gossip>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::Gossip> Datagram::Builder::disownGossip() {
+  KJ_IREQUIRE((which() == Datagram::GOSSIP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Gossip>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Catalog::Reader::hasGone() const {
+inline bool Datagram::Reader::isStoreUpdate() const {
+  return which() == Datagram::STORE_UPDATE;
+}
+inline bool Datagram::Builder::isStoreUpdate() {
+  return which() == Datagram::STORE_UPDATE;
+}
+inline bool Datagram::Reader::hasStoreUpdate() const {
+  if (which() != Datagram::STORE_UPDATE) return false;
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasGone() {
+inline bool Datagram::Builder::hasStoreUpdate() {
+  if (which() != Datagram::STORE_UPDATE) return false;
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getGone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getGone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::cartsail::wire::StoreUpdate::Reader Datagram::Reader::getStoreUpdate() const {
+  KJ_IREQUIRE((which() == Datagram::STORE_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StoreUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline  ::cartsail::wire::StoreUpdate::Builder Datagram::Builder::getStoreUpdate() {
+  KJ_IREQUIRE((which() == Datagram::STORE_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StoreUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setStoreUpdate( ::cartsail::wire::StoreUpdate::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STORE_UPDATE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StoreUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initGone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::StoreUpdate::Builder Datagram::Builder::initStoreUpdate() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STORE_UPDATE);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StoreUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::adoptGone(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptStoreUpdate(
+    ::capnp::Orphan< ::cartsail::wire::StoreUpdate>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STORE_UPDATE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StoreUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownGone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::cartsail::wire::StoreUpdate> Datagram::Builder::disownStoreUpdate() {
+  KJ_IREQUIRE((which() == Datagram::STORE_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StoreUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/libs/relay/src/node_digest.h
+++ b/libs/relay/src/node_digest.h
@@ -1,7 +1,6 @@
-// What each node tells its peers regularly. A plain struct.
+// What each node tells the coordinators of its requests regularly. A plain struct.
 #pragma once
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,19 +12,11 @@
 
 struct NodeDigest {
   std::string node;
-  std::string zone;
-  int64_t catalog_revision = 0;  // of the store: all changes up to it are known
-  int64_t document_version = 0;
-  std::optional<Duration> confirmed_age;  // since the store last confirmed the document
-  Duration interval{};                    // to the next digest
+  Duration interval{};  // to the next digest
+  // Loads are without those that the coordinator placed itself.
   DispatchDigest dispatch;
-  std::vector<std::string> hosts;  // some other nodes, heard lately
-  bool stopping = false;
-  double capacity = 0;  // share of a core that the node may use
-  Duration uptime{};
-  // Told to a coordinator: this node's questions whose requests have not ended. The loads are then
-  // without those that this coordinator placed.
-  std::optional<std::vector<QuestionId>> live_questions;
+  // This node's questions to that coordinator whose requests have not ended.
+  std::vector<QuestionId> live_questions;
 };
 
 }  // namespace cartsail
