--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -1,6 +1,7 @@
 #include "peer_exchange.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <utility>
 
 #include "cartsail/base/counters.h"
@@ -27,18 +29,20 @@
 constexpr size_t kMostDatagramBytes = 1 << 16;
 constexpr size_t kDatagramOverhead = 28;  // IP and UDP headers
 constexpr size_t kCoordinatorsTold = 2;   // of a service
-constexpr size_t kHostsToldAtFirst = 64;  // to a node that was not heard before
-constexpr size_t kHostsTold = 3;          // in one digest
 constexpr int kLifetimeIntervals = 4;     // that a peer's load holds
 constexpr Duration kLeastLifetime = seconds(1);
 constexpr Duration kLongestInterval = seconds(2);
-constexpr Duration kSilentInterval = seconds(1);  // between digests to a silent host
-constexpr Duration kSilentIntervalWhenYoung = milliseconds(150);
-constexpr Duration kYoungUptime = seconds(4);
+// Between the digests that one coordinator gets from all nodes: 200 a second, so that a node of an
+// eighth of a core spends 1% of its share on them.
+constexpr Duration kDigestSpacing = milliseconds(5);
 constexpr Duration kFetchTimeout = milliseconds(800);
 // A notice with its patch stays within one packet of 1,500 bytes. Patches of usual changes have
 // about 0.1 KB; of a larger one only the version is told, and peers fetch it.
 constexpr size_t kMostPatchBytesTold = 1100;
+// What the store told a reader reaches all nodes in some milliseconds; a node that still knows less
+// than a peer after this time has missed it and fetches the changes.
+constexpr Duration kUpdatePatience = milliseconds(150);
+constexpr Duration kMemberLogInterval = seconds(1);
 
 absl::StatusOr<CatalogMessage> CatalogIn(const absl::StatusOr<HttpResponse>& response,
                                          TimePoint now) {
@@ -59,6 +63,13 @@
        {"why", std::string(why.message())}});
 }
 
+// Rises from one process of a host to the next, as far as the clock does.
+uint32_t FirstIncarnation() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count());
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(RelayContext& context, CatalogSync& catalog)
@@ -66,7 +77,9 @@
       peers_(context.peers),
       catalog_(catalog),
       socket_(context.io),
-      interval_(context.options.digest_interval),
+      random_(std::random_device{}()),
+      gossip_(context.peers, context.options.peer.host, FirstIncarnation(), random_()),
+      digest_interval_(context.options.digest_interval),
       announcer_(context.options.node_id) {}
 
 absl::Status PeerExchange::Start() {
@@ -86,14 +99,19 @@
   context_.placement.SetTransport({[this](const std::string& host, const Datagram& datagram) {
                                      (void)Send(host, EncodeDatagram(datagram));
                                    },
-                                   [this](const std::string& host) { Announce(host); }});
+                                   [this](const std::string& host) { SendDigestTo(host); }});
   catalog_.SetOnDocument([this] {
     if (announcing_) return;  // goes on with the newest document
     announcing_ = true;
     asio::co_spawn(context_.io, AnnounceDocument(), asio::detached);
   });
+  catalog_.SetOnUpdate([this](StoreUpdate update) {
+    const std::vector<LivePeer> live = peers_.LivePeers();
+    Spread(std::move(update), BranchesByZone(live, context_.options.zone, random_));
+  });
   asio::co_spawn(context_.io, Receive(), asio::detached);
-  asio::co_spawn(context_.io, SendPeriodically(), asio::detached);
+  asio::co_spawn(context_.io, GossipPeriodically(), asio::detached);
+  asio::co_spawn(context_.io, SendDigestsPeriodically(), asio::detached);
   return absl::OkStatus();
 }
 
@@ -118,19 +136,109 @@
 
 void PeerExchange::OnDatagram(const std::string& host, std::string_view bytes) {
   GlobalCounters().peer_bytes_received_total.Add(static_cast<int64_t>(bytes.size()));
-  const std::optional<Datagram> datagram = DecodeDatagram(bytes);
-  if (!datagram.has_value()) return;
+  const TimePoint now = Now();
+  const std::optional<Datagram> datagram = DecodeDatagram(bytes, now);
+  if (!datagram.has_value()) {
+    GlobalCounters().peer_messages_invalid_total.Add();
+    return;
+  }
   if (const auto* digest = std::get_if<NodeDigest>(&*datagram)) OnDigest(host, *digest);
   if (const auto* question = std::get_if<PlacementQuestion>(&*datagram)) {
-    context_.placement.OnQuestion(host, *question, Now());
+    context_.placement.OnQuestion(host, *question, now);
   }
   if (const auto* answer = std::get_if<PlacementAnswer>(&*datagram)) {
     context_.placement.OnAnswer(host, *answer);
   }
   if (const auto* report = std::get_if<ProgressReport>(&*datagram)) {
-    context_.placement.OnProgress(host, *report, Now());
+    context_.placement.OnProgress(host, *report, now);
   }
   if (const auto* notice = std::get_if<DocumentNotice>(&*datagram)) OnNotice(host, *notice);
+  if (const auto* gossip = std::get_if<GossipMessage>(&*datagram)) OnGossip(host, *gossip);
+  if (const auto* update = std::get_if<StoreUpdate>(&*datagram)) OnUpdate(host, *update);
+}
+
+StoreView PeerExchange::View(TimePoint now) const {
+  StoreView view;
+  view.catalog_revision = catalog_.Revision();
+  view.document_version = context_.routing.Version();
+  const TimePoint confirmed = context_.routing.Confirmed();
+  if (confirmed != TimePoint()) view.confirmed_age = now - confirmed;
+  return view;
+}
+
+void PeerExchange::SendAll(const std::vector<AddressedGossip>& messages) {
+  for (const AddressedGossip& message : messages) {
+    (void)Send(message.host, EncodeDatagram(message.message));
+  }
+}
+
+asio::awaitable<void> PeerExchange::GossipPeriodically() {
+  asio::steady_timer timer(context_.io);
+  while (true) {
+    const TimePoint now = Now();
+    SendAll(gossip_.Tick(now, View(now)));
+    catalog_.NotePeersHeard(gossip_.LastHeard());
+    peers_.ForgetSilent(now);
+    LogMemberChanges(now);
+    timer.expires_after(PeerGossip::kTick);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+// One line for all that changed in a while: when a fleet starts, each node hears of all others.
+void PeerExchange::LogMemberChanges(TimePoint now) {
+  if (now - members_logged_ < kMemberLogInterval) return;
+  const PeerGossip::Changes changes = gossip_.TakeChanges();
+  if (changes.joined == 0 && changes.left == 0) return;
+  members_logged_ = now;
+  Log(LogLevel::kInfo, "members_changed",
+      {{"joined", std::to_string(changes.joined)},
+       {"left", std::to_string(changes.left)},
+       {"live", std::to_string(peers_.LiveCount() + 1)},
+       {"some", fmt::format("{}", fmt::join(changes.some, ","))}});
+}
+
+void PeerExchange::OnGossip(const std::string& host, const GossipMessage& message) {
+  const TimePoint now = Now();
+  SendAll(gossip_.OnMessage(host, message, now, View(now)));
+  catalog_.NotePeersHeard(gossip_.LastHeard());
+  OnView(host, message.view, now);
+}
+
+// True when this node has had time to hear of `revision` and has not.
+bool PeerExchange::HasMissedUpdate(int64_t revision, TimePoint now) {
+  const int64_t known = catalog_.Revision();
+  if (revision <= known) return false;
+  if (known == 0) return true;
+  if (revision_elsewhere_ <= known) {
+    revision_elsewhere_ = revision;
+    revision_elsewhere_since_ = now;
+  }
+  return now - revision_elsewhere_since_ >= kUpdatePatience;
+}
+
+void PeerExchange::OnView(const std::string& host, const StoreView& view, TimePoint now) {
+  const int64_t version = context_.routing.Version();
+  if (view.document_version == version && view.confirmed_age.has_value()) {
+    catalog_.ConfirmByPeer(now - *view.confirmed_age, now);
+  }
+  if (view.document_version > version || HasMissedUpdate(view.catalog_revision, now)) {
+    MaybeFetch(host, view.document_version, now);
+  }
+}
+
+void PeerExchange::Spread(StoreUpdate update, const std::vector<UpdateBranch>& branches) {
+  const TimePoint now = Now();
+  for (const UpdateBranch& branch : branches) {
+    update.targets = branch.targets;
+    (void)Send(branch.host, EncodeDatagram(update, now));
+  }
+}
+
+void PeerExchange::OnUpdate(const std::string& host, const StoreUpdate& update) {
+  Spread(update, Branches(update.targets));
+  if (!catalog_.ApplyUpdate(update, host)) MaybeFetch(host, update.document_version, Now());
 }
 
 DocumentNotice PeerExchange::MakeNotice(TimePoint now) const {
@@ -142,18 +250,18 @@
   return notice;
 }
 
-// The first notices go out before a digest could: an interval of digests is up to
-// kLongestInterval, more than half of the time in which a change has to be in force everywhere.
+// Messages about live nodes would take a second or two to tell all of a new version, more than half
+// of the time in which a change has to be in force everywhere.
 asio::awaitable<void> PeerExchange::AnnounceDocument() {
   asio::steady_timer timer(context_.io);
   while (true) {
     const TimePoint now = Now();
     const int64_t version = context_.routing.Version();
     const std::vector<std::string> hosts =
-        announcer_.NextRound(version, peers_.HostsBehind(version, now));
+        announcer_.NextRound(version, peers_.HostsBehind(version));
     if (hosts.empty()) break;
     const std::string bytes = EncodeDatagram(MakeNotice(now));
-    for (const std::string& host : hosts) announced_bytes_ += Send(host, bytes);
+    for (const std::string& host : hosts) (void)Send(host, bytes);
     timer.expires_after(DocumentAnnouncer::kRoundInterval);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -166,44 +274,23 @@
   if (notice.version > context_.routing.Version() && !notice.patch.bytes.empty()) {
     catalog_.ApplyPatch(notice.patch, host, notice.age);
   }
-  if (notice.version > context_.routing.Version()) MaybeFetch(host, notice.version, Now());
+  const bool knows_no_backends = catalog_.Revision() == 0;
+  if (notice.version > context_.routing.Version() || knows_no_backends) {
+    MaybeFetch(host, notice.version, Now());
+  }
   if (notice.is_answer) return;
   DocumentNotice answer = MakeNotice(Now());
   answer.is_answer = true;
   if (answer.version <= notice.version) answer.patch = {};
-  announced_bytes_ += Send(host, EncodeDatagram(answer));
-}
-
-void PeerExchange::OnDigest(const std::string& host, const NodeDigest& digest) {
-  if (digest.node == context_.options.node_id) return;
-  const TimePoint now = Now();
-  const NodeState state{digest.node,   digest.zone,     digest.stopping,        digest.capacity,
-                        digest.uptime, digest.interval, digest.document_version};
-  if (peers_.Heard(host, state, now)) {
-    Log(LogLevel::kInfo, "peer_heard", {{"node", digest.node}, {"host", host}});
-    Announce(host);
-  }
-  if (digest.live_questions.has_value()) {
-    context_.placement.OnLiveQuestions(host, *digest.live_questions, now);
-  }
-  AddSeeds(digest.hosts);
-  const Duration lifetime =
-      std::max<Duration>(kLeastLifetime, kLifetimeIntervals * digest.interval);
-  context_.dispatcher.ApplyDigest(digest.node, digest.dispatch, lifetime, now);
-  if (digest.document_version == context_.routing.Version() && digest.confirmed_age.has_value()) {
-    catalog_.ConfirmByPeer(now - *digest.confirmed_age, now);
-  }
-  const bool has_newer_document = digest.document_version > context_.routing.Version();
-  if (has_newer_document || digest.catalog_revision > catalog_.Revision()) {
-    MaybeFetch(host, digest.document_version, now);
-  }
+  (void)Send(host, EncodeDatagram(answer));
 }
 
 // `version`: of the document at `host`.
 void PeerExchange::MaybeFetch(const std::string& host, int64_t version, TimePoint now) {
   const bool has_newer_document = version > context_.routing.Version();
   if (has_newer_document) catalog_.NoteVersionElsewhere(version, now);
-  if (!fetches_.MayBegin(host, has_newer_document, now)) return;
+  const bool is_urgent = has_newer_document || catalog_.Revision() == 0;
+  if (!fetches_.MayBegin(host, is_urgent, now)) return;
   asio::co_spawn(context_.io, FetchCatalog(host, fetches_.Begin(host, now)), asio::detached);
 }
 
@@ -227,40 +314,30 @@
   catalog_.ApplyCatalog(*catalog, host);
 }
 
-asio::awaitable<void> PeerExchange::SendPeriodically() {
-  SendDigests();
+void PeerExchange::OnDigest(const std::string& host, const NodeDigest& digest) {
+  if (digest.node == context_.options.node_id) return;
+  const TimePoint now = Now();
+  context_.placement.OnLiveQuestions(host, digest.live_questions, now);
+  const Duration lifetime =
+      std::max<Duration>(kLeastLifetime, kLifetimeIntervals * digest.interval);
+  context_.dispatcher.ApplyDigest(digest.node, digest.dispatch, lifetime, now);
+}
+
+asio::awaitable<void> PeerExchange::SendDigestsPeriodically() {
   asio::steady_timer timer(context_.io);
   while (true) {
-    timer.expires_after(interval_);
+    SendDigests();
+    timer.expires_after(digest_interval_);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    SendDigests();
   }
 }
 
-// A node that just started calls silent hosts more often: they may be starting as well.
-bool PeerExchange::IsDue(const PeerRecord& peer, TimePoint now) const {
-  if (peers_.IsLive(peer, now)) return true;
-  const bool young = peers_.Self(now).uptime < kYoungUptime;
-  return now - peer.last_sent >= (young ? kSilentIntervalWhenYoung : kSilentInterval);
-}
-
 NodeDigest PeerExchange::MakeDigest(TimePoint now) {
-  const NodeState self = peers_.Self(now);
   NodeDigest digest;
-  digest.node = self.node;
-  digest.zone = self.zone;
-  digest.stopping = self.stopping;
-  digest.capacity = self.capacity;
-  digest.uptime = self.uptime;
-  digest.catalog_revision = catalog_.Revision();
-  digest.document_version = context_.routing.Version();
-  if (context_.routing.Confirmed() != TimePoint()) {
-    digest.confirmed_age = now - context_.routing.Confirmed();
-  }
-  digest.interval = interval_;
+  digest.node = context_.options.node_id;
+  digest.interval = digest_interval_;
   digest.dispatch = context_.dispatcher.TakeDigest(now);
-  digest.hosts = peers_.SomeLiveHosts(kHostsTold, now);
   return digest;
 }
 
@@ -272,11 +349,10 @@
   return digest;
 }
 
-void PeerExchange::Announce(const std::string& host) {
+void PeerExchange::SendDigestTo(const std::string& host) {
   const TimePoint now = Now();
   NodeDigest digest = MakeDigest(now);
-  digest.hosts = peers_.SomeLiveHosts(kHostsToldAtFirst, now);
-  // The other peers are still to be told of these prefixes.
+  // The other coordinators are still to be told of these prefixes.
   context_.dispatcher.TellAgain(digest.dispatch.prefixes);
   (void)Send(host, EncodeDatagram(DigestFor(host, std::move(digest), now)));
 }
@@ -309,27 +385,17 @@
 
 void PeerExchange::SendDigests() {
   const TimePoint now = Now();
-  peers_.ForgetSilent(now);
-  NodeDigest digest = MakeDigest(now);
-  std::map<std::string, std::string> for_coordinators;
+  const NodeDigest digest = MakeDigest(now);
+  size_t sent_bytes = 0;
   for (const std::string& host : Coordinators(now)) {
-    for_coordinators[host] = EncodeDatagram(DigestFor(host, digest, now));
-  }
-  digest.dispatch.loads.clear();
-  digest.dispatch.prefixes.clear();
-  digest.dispatch.work.clear();
-  const std::string for_all = EncodeDatagram(digest);
-  size_t sent_bytes = std::exchange(announced_bytes_, 0);
-  for (auto& [host, peer] : peers_.Peers()) {
-    if (!IsDue(peer, now)) continue;
-    peer.last_sent = now;
-    const auto special = for_coordinators.find(host);
-    sent_bytes += Send(host, special == for_coordinators.end() ? for_all : special->second);
+    sent_bytes += Send(host, EncodeDatagram(DigestFor(host, digest, now)));
   }
-  // The next digests wait until these fit the bytes that may be sent.
+  // The next digests wait until these fit the bytes that may be sent, and the coordinators'
+  // patience with those of all nodes.
   const double paid_s = static_cast<double>(sent_bytes) / context_.options.digest_bytes_per_s;
-  interval_ =
-      std::clamp<Duration>(FromSeconds(paid_s), context_.options.digest_interval, kLongestInterval);
+  const Duration spaced = static_cast<int64_t>(peers_.LiveCount()) * kDigestSpacing;
+  digest_interval_ = std::clamp<Duration>(std::max<Duration>(FromSeconds(paid_s), spaced),
+                                          context_.options.digest_interval, kLongestInterval);
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -1,13 +1,14 @@
-// Carries datagrams between nodes: tells them this node's load, prefixes, leaving back ends and
-// catalog revision, takes in what they tell, and passes questions and answers of placements on. A
-// new document is told at once, with what it changes; a node that hears of a newer catalog fetches
-// it from who told so. Nothing here needs agreement: a lost datagram costs precision.
+// Carries datagrams between nodes: who is live, this node's load for the coordinators of its
+// requests, questions and answers of placements, new documents, and what the store told its
+// readers. A node that hears of a newer catalog than it was told of fetches it from who said so.
+// Nothing here needs agreement: a lost datagram costs precision.
 #pragma once
 
 #include <absl/status/status.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "datagram.h"
 #include "document_announcer.h"
 #include "fetch_schedule.h"
+#include "peer_gossip.h"
 #include "peer_table.h"
 #include "relay_context.h"
 
@@ -33,31 +35,44 @@
 
  private:
   boost::asio::awaitable<void> Receive();
-  boost::asio::awaitable<void> SendPeriodically();
+  boost::asio::awaitable<void> GossipPeriodically();
+  boost::asio::awaitable<void> SendDigestsPeriodically();
   boost::asio::awaitable<void> FetchCatalog(std::string host, FetchSchedule::Running fetch);
+  boost::asio::awaitable<void> AnnounceDocument();
   void SendDigests();
   size_t Send(const std::string& host, const std::string& bytes);
-  void Announce(const std::string& host);
-  boost::asio::awaitable<void> AnnounceDocument();
-  void OnNotice(const std::string& host, const DocumentNotice& notice);
-  DocumentNotice MakeNotice(TimePoint now) const;
-  NodeDigest DigestFor(const std::string& coordinator, NodeDigest digest, TimePoint now) const;
-  std::set<std::string> Coordinators(TimePoint now) const;
+  void SendAll(const std::vector<AddressedGossip>& messages);
+  void SendDigestTo(const std::string& host);
+  void LogMemberChanges(TimePoint now);
+  void Spread(StoreUpdate update, const std::vector<UpdateBranch>& branches);
   void OnDatagram(const std::string& host, std::string_view bytes);
+  void OnGossip(const std::string& host, const GossipMessage& message);
+  void OnView(const std::string& host, const StoreView& view, TimePoint now);
+  void OnUpdate(const std::string& host, const StoreUpdate& update);
+  void OnNotice(const std::string& host, const DocumentNotice& notice);
   void OnDigest(const std::string& host, const NodeDigest& digest);
   void MaybeFetch(const std::string& host, int64_t version, TimePoint now);
-  bool IsDue(const PeerRecord& peer, TimePoint now) const;
+  bool HasMissedUpdate(int64_t revision, TimePoint now);
+  StoreView View(TimePoint now) const;
+  DocumentNotice MakeNotice(TimePoint now) const;
   NodeDigest MakeDigest(TimePoint now);
+  NodeDigest DigestFor(const std::string& coordinator, NodeDigest digest, TimePoint now) const;
+  std::set<std::string> Coordinators(TimePoint now) const;
 
   RelayContext& context_;
   PeerTable& peers_;
   CatalogSync& catalog_;
   boost::asio::ip::udp::socket socket_;
-  Duration interval_;  // to the next digests
+  std::mt19937_64 random_;
+  PeerGossip gossip_;
+  Duration digest_interval_;  // to the next digests
   DocumentAnnouncer announcer_;
   bool announcing_ = false;
-  size_t announced_bytes_ = 0;  // since the last digests
   FetchSchedule fetches_;
+  // A revision of a peer that this node had not reached at the time.
+  int64_t revision_elsewhere_ = 0;
+  TimePoint revision_elsewhere_since_{};
+  TimePoint members_logged_{};
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -9,44 +9,45 @@
 namespace cartsail {
 namespace {
 
-constexpr Duration kLeastSilence = milliseconds(1500);
-constexpr int kSilentIntervals = 4;
 constexpr Duration kForgottenAfter = seconds(30);
 constexpr Duration kSettledAfter = seconds(3);  // uptime from which all nodes know a node
 constexpr int64_t kAssumedWhenYoung = 64;       // nodes, by one that has not heard them yet
 constexpr double kCapacityClasses = 10;         // of a core: small differences don't count
+// A ranking of 300 nodes takes about 10 us, more than the rest of what a node does to ask for a
+// placement; nodes settle at any time, so it is made anew also while no node comes or goes.
+constexpr Duration kRankingHolds = milliseconds(50);
+constexpr char kReading[] = "reading the store";
 
-// The order of nodes that may place requests: greater ones come first.
-struct CoordinatorRank {
+// The order of nodes that may do something for all: greater ones come first.
+struct NodeRank {
   bool settled;
   int64_t capacity;
   uint64_t hash;
-  std::string host;
+  const std::string* host;
 
-  bool operator>(const CoordinatorRank& other) const {
+  bool operator>(const NodeRank& other) const {
     return std::tie(settled, capacity, hash) > std::tie(other.settled, other.capacity, other.hash);
   }
 };
 
-CoordinatorRank RankOf(const NodeState& state, const std::string& host, uint64_t seed) {
+NodeRank RankOf(const NodeState& state, Duration uptime, const std::string& host, uint64_t seed) {
   const auto capacity = static_cast<int64_t>(state.capacity * kCapacityClasses);
-  return {state.uptime >= kSettledAfter, capacity, Hash64(state.node, seed), host};
+  return {uptime >= kSettledAfter, capacity, Hash64(state.node, seed), &host};
 }
 
 }  // namespace
 
+void PeerTable::SetStopping() {
+  self_.stopping = true;
+  ++epoch_;
+}
+
 void PeerTable::AddHost(const std::string& host, TimePoint now) {
   PeerRecord peer;
   peer.added = now;
   peers_.emplace(host, peer);
 }
 
-bool PeerTable::IsLive(const PeerRecord& peer, TimePoint now) const {
-  if (peer.heard == TimePoint()) return false;
-  const Duration limit = std::max<Duration>(kLeastSilence, kSilentIntervals * peer.state.interval);
-  return now - peer.heard <= limit;
-}
-
 NodeState PeerTable::Self(TimePoint now) const {
   NodeState state = self_;
   state.uptime = now - started_;
@@ -56,85 +57,108 @@
 bool PeerTable::Heard(const std::string& host, const NodeState& state, TimePoint now) {
   AddHost(host, now);
   PeerRecord& peer = peers_[host];
-  const bool regained = !IsLive(peer, now);
+  const bool regained = !IsLive(peer);
+  if (regained || peer.state.stopping != state.stopping) ++epoch_;
+  if (peer.status != PeerStatus::kAlive) peer.changed = now;
+  peer.status = PeerStatus::kAlive;
   peer.state = state;
-  peer.heard = now;
+  peer.noted = now;
   return regained;
 }
 
-void PeerTable::NoteDocument(const std::string& host, int64_t version) {
+void PeerTable::SetStatus(const std::string& host, PeerStatus status, TimePoint now) {
+  PeerRecord* peer = Find(host);
+  if (peer == nullptr || peer->status == status) return;
+  peer->status = status;
+  peer->changed = now;
+  ++epoch_;
+}
+
+const PeerRecord* PeerTable::Find(const std::string& host) const {
   const auto peer = peers_.find(host);
-  if (peer != peers_.end()) peer->second.state.document_version = version;
+  return peer == peers_.end() ? nullptr : &peer->second;
 }
 
-std::vector<std::string> PeerTable::HostsBehind(int64_t version, TimePoint now) const {
+PeerRecord* PeerTable::Find(const std::string& host) {
+  const auto peer = peers_.find(host);
+  return peer == peers_.end() ? nullptr : &peer->second;
+}
+
+void PeerTable::NoteDocument(const std::string& host, int64_t version) {
+  PeerRecord* peer = Find(host);
+  if (peer != nullptr) peer->document_version = version;
+}
+
+std::vector<std::string> PeerTable::HostsBehind(int64_t version) const {
   std::vector<std::string> hosts;
   for (const auto& [host, peer] : peers_) {
-    if (IsLive(peer, now) && peer.state.document_version < version) hosts.push_back(host);
+    if (IsLive(peer) && peer.document_version < version) hosts.push_back(host);
   }
   return hosts;
 }
 
+std::vector<std::string> PeerTable::Rank(const std::string& purpose, size_t count,
+                                         TimePoint now) const {
+  Ranking& ranking = rankings_[purpose];
+  const bool holds = ranking.epoch == epoch_ && ranking.count >= count && now >= ranking.made &&
+                     now - ranking.made < kRankingHolds;
+  if (!holds) {
+    const uint64_t seed = Hash64(purpose);
+    static const std::string kSelf;
+    std::vector<NodeRank> ranks;
+    ranks.reserve(peers_.size() + 1);
+    if (!self_.stopping) ranks.push_back(RankOf(self_, now - started_, kSelf, seed));
+    for (const auto& [host, peer] : peers_) {
+      if (!IsLive(peer) || peer.state.stopping) continue;
+      ranks.push_back(RankOf(peer.state, peer.state.uptime + (now - peer.noted), host, seed));
+    }
+    const auto kept = ranks.begin() + static_cast<int64_t>(std::min(count, ranks.size()));
+    std::partial_sort(ranks.begin(), kept, ranks.end(), std::greater<>());
+    ranking = {epoch_, now, count, {}};
+    for (auto rank = ranks.begin(); rank != kept; ++rank) ranking.hosts.push_back(*rank->host);
+  }
+  const size_t size = std::min(count, ranking.hosts.size());
+  return {ranking.hosts.begin(), ranking.hosts.begin() + static_cast<int64_t>(size)};
+}
+
 std::vector<std::string> PeerTable::RankCoordinators(const std::string& service, size_t count,
                                                      TimePoint now) const {
-  const uint64_t seed = Hash64(service);
-  std::vector<CoordinatorRank> ranks;
-  if (!self_.stopping) ranks.push_back(RankOf(Self(now), "", seed));
-  for (const auto& [host, peer] : peers_) {
-    if (!IsLive(peer, now) || peer.state.stopping) continue;
-    NodeState state = peer.state;
-    state.uptime += now - peer.heard;
-    ranks.push_back(RankOf(state, host, seed));
-  }
-  const auto kept = ranks.begin() + static_cast<int64_t>(std::min(count, ranks.size()));
-  std::partial_sort(ranks.begin(), kept, ranks.end(), std::greater<>());
-  std::vector<std::string> hosts;
-  for (auto rank = ranks.begin(); rank != kept; ++rank) hosts.push_back(rank->host);
-  return hosts;
+  return Rank(service, count, now);
+}
+
+bool PeerTable::IsReader(size_t readers, TimePoint now) const {
+  const std::vector<std::string> ranked = Rank(kReading, readers, now);
+  return std::find(ranked.begin(), ranked.end(), "") != ranked.end();
 }
 
 std::string PeerTable::ZoneOf(const std::string& host) const {
-  const auto peer = peers_.find(host);
-  return peer == peers_.end() ? std::string() : peer->second.state.zone;
+  const PeerRecord* peer = Find(host);
+  return peer == nullptr ? std::string() : peer->state.zone;
 }
 
 void PeerTable::ForgetSilent(TimePoint now) {
   std::erase_if(peers_, [now](const auto& entry) {
-    return now - std::max(entry.second.heard, entry.second.added) > kForgottenAfter;
+    const PeerRecord& peer = entry.second;
+    return !IsLive(peer) && now - std::max(peer.added, peer.changed) > kForgottenAfter;
   });
 }
 
-bool PeerTable::IsReader(size_t readers, TimePoint now) const {
-  size_t before = 0;
+std::vector<LivePeer> PeerTable::LivePeers() const {
+  std::vector<LivePeer> live;
   for (const auto& [host, peer] : peers_) {
-    if (!IsLive(peer, now) || peer.state.stopping || peer.state.zone != self_.zone) continue;
-    if (Hash64(peer.state.node) < Hash64(self_.node)) ++before;
-  }
-  return before < readers;
-}
-
-std::vector<std::string> PeerTable::SomeLiveHosts(size_t count, TimePoint now) {
-  std::vector<std::string> live;
-  for (const auto& [host, peer] : peers_) {
-    if (IsLive(peer, now)) live.push_back(host);
-  }
-  std::vector<std::string> some;
-  for (size_t i = 0; i < std::min(count, live.size()); ++i) {
-    some.push_back(live[(next_host_ + i) % live.size()]);
+    if (IsLive(peer)) live.push_back({host, peer.state.zone});
   }
-  next_host_ += count;
-  return some;
+  return live;
 }
 
 int64_t PeerTable::SharingNodes(TimePoint now) const {
-  const auto heard = static_cast<int64_t>(LiveCount(now)) + 1;
+  const auto heard = static_cast<int64_t>(LiveCount()) + 1;
   return now - started_ < kSettledAfter ? std::max(heard, kAssumedWhenYoung) : heard;
 }
 
-size_t PeerTable::LiveCount(TimePoint now) const {
-  return static_cast<size_t>(
-      std::count_if(peers_.begin(), peers_.end(),
-                    [this, now](const auto& entry) { return IsLive(entry.second, now); }));
+size_t PeerTable::LiveCount() const {
+  return static_cast<size_t>(std::count_if(peers_.begin(), peers_.end(),
+                                           [](const auto& entry) { return IsLive(entry.second); }));
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -1,7 +1,9 @@
-// The other nodes as this one hears them; which nodes read the store for the others, and which
-// place requests for the others. Pure.
+// The other nodes as this one believes them to be; which nodes read the store for the others, and
+// which place requests for the others. Pure.
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -18,15 +20,29 @@
   bool stopping = false;
   double capacity = 0;  // share of a core that it may use
   Duration uptime{};
-  Duration interval{};  // between its digests
-  int64_t document_version = 0;
+};
+
+enum class PeerStatus : uint8_t {
+  kUnheard,  // a host that may be a node
+  kAlive,
+  kSuspect,  // did not answer; counts as live until it has had time to object
+  kGone,
 };
 
 struct PeerRecord {
-  NodeState state;  // no name before it was heard
+  NodeState state;  // no name before it was heard; the uptime is that of `noted`
+  PeerStatus status = PeerStatus::kUnheard;
+  uint32_t incarnation = 0;  // a node's later statements about itself have greater ones
   TimePoint added;
-  TimePoint heard{};
-  TimePoint last_sent{};
+  TimePoint noted;    // when `state` held
+  TimePoint changed;  // of `status`
+  int64_t document_version = 0;
+};
+
+// A live node as a target of messages.
+struct LivePeer {
+  std::string host;
+  std::string zone;
 };
 
 class PeerTable {
@@ -34,29 +50,38 @@
   // `self`: of this node, at its start.
   PeerTable(NodeState self, TimePoint started) : self_(std::move(self)), started_(started) {}
 
-  // This node as its peers are told of it; the interval is the caller's to fill in.
+  // This node as its peers are told of it.
   NodeState Self(TimePoint now) const;
 
-  void SetStopping() { self_.stopping = true; }
+  void SetStopping();
 
   // A host that may be a node.
   void AddHost(const std::string& host, TimePoint now);
 
-  // A digest came. True when the node had not been heard lately.
+  // What a live node tells of itself, or others tell of it. True when it was not live before.
   bool Heard(const std::string& host, const NodeState& state, TimePoint now);
 
+  void SetStatus(const std::string& host, PeerStatus status, TimePoint now);
+
+  // Nothing when the host isn't known.
+  const PeerRecord* Find(const std::string& host) const;
+  PeerRecord* Find(const std::string& host);
+
   // A node has told that this version of the document is in force there.
   void NoteDocument(const std::string& host, int64_t version);
 
   // Live nodes that have not told that they have this version of the document, or a later one.
-  std::vector<std::string> HostsBehind(int64_t version, TimePoint now) const;
+  std::vector<std::string> HostsBehind(int64_t version) const;
 
-  // Forgets hosts that were silent for long.
+  // Forgets hosts that have not been live for long.
   void ForgetSilent(TimePoint now);
 
-  bool IsLive(const PeerRecord& peer, TimePoint now) const;
+  static bool IsLive(const PeerRecord& peer) {
+    return peer.status == PeerStatus::kAlive || peer.status == PeerStatus::kSuspect;
+  }
 
-  // Nodes in this one's zone read the store in an agreed order; the first `readers` live ones do.
+  // The first `readers` nodes of an order that all nodes agree on, as far as they know the same
+  // peers, read the store for all.
   bool IsReader(size_t readers, TimePoint now) const;
 
   // The nodes that place requests of `service`, the first one before the others: hosts, or "" for
@@ -68,22 +93,31 @@
   // The zone of the node at `host`; empty when it wasn't heard.
   std::string ZoneOf(const std::string& host) const;
 
-  // A few hosts of live nodes, others at each call.
-  std::vector<std::string> SomeLiveHosts(size_t count, TimePoint now);
+  std::vector<LivePeer> LivePeers() const;
 
-  size_t LiveCount(TimePoint now) const;
+  size_t LiveCount() const;
 
   // Nodes that share what the whole system may do, this one included. A node that just started has
   // not heard all of them and assumes many.
   int64_t SharingNodes(TimePoint now) const;
 
-  std::map<std::string, PeerRecord>& Peers() { return peers_; }
+  const std::map<std::string, PeerRecord>& Peers() const { return peers_; }
 
  private:
+  struct Ranking {
+    uint64_t epoch = 0;
+    TimePoint made;
+    size_t count = 0;
+    std::vector<std::string> hosts;
+  };
+
+  std::vector<std::string> Rank(const std::string& purpose, size_t count, TimePoint now) const;
+
   NodeState self_;
   TimePoint started_;
-  std::map<std::string, PeerRecord> peers_;  // by host
-  size_t next_host_ = 0;
+  std::map<std::string, PeerRecord> peers_;          // by host
+  uint64_t epoch_ = 1;                               // grows with each change of who is live
+  mutable std::map<std::string, Ranking> rankings_;  // by purpose
 };
 
 }  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/reading_duty.h
@@ -0,0 +1,48 @@
+// How many nodes read the store at a time, and how long a node that starts waits for its peers.
+// Pure.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "cartsail/base/clock.h"
+#include "cartsail/relay/document_limits.h"
+
+namespace cartsail {
+
+// The first ones of an order that all nodes agree on. With three, two of which may be cut off from
+// the store, a change is still heard at once; each of them makes one call in about 1.9 s.
+inline constexpr size_t kStoreReaders = 3;
+// While the store answers nobody, more and more nodes try: some of those that read may be the only
+// ones that it turns away. So many at most, so that an outage costs some calls a second, whatever
+// the size of the fleet.
+inline constexpr size_t kMostStoreReaders = 24;
+
+// `unconfirmed`: how long ago the store was last heard, by this node or by its peers. The number
+// doubles with each third of the deadline for new documents that passes beyond the first two.
+inline size_t ReadersNeeded(Duration unconfirmed, const DocumentLimits& limits) {
+  size_t readers = kStoreReaders;
+  Duration limit = limits.own_reading_when_unconfirmed;
+  while (unconfirmed > limit && readers < kMostStoreReaders) {
+    readers *= 2;
+    limit += limits.own_reading_when_unconfirmed / 2;
+  }
+  return std::min(readers, kMostStoreReaders);
+}
+
+// A node that was not among the first but had to read and was answered goes on for this long, since
+// those before it may be cut off for some time.
+inline constexpr Duration kReadingHolds = seconds(5);
+
+// A node that hears no other node reads the store itself: longer than a few probes of each node.
+inline constexpr Duration kAloneAfter = milliseconds(1500);
+
+// From a node's start until it reads the store if it is to do so. When a fleet starts as a whole,
+// nodes first find each other. Otherwise some peer has the catalog and hands it over within some
+// milliseconds, unless all nodes were lost: then those read that all others call first, the seeds,
+// and the others get it from them.
+inline constexpr Duration kHearingAtFirstStart = milliseconds(900);
+inline constexpr Duration kHearingOfSeed = milliseconds(40);
+inline constexpr Duration kHearing = milliseconds(250);
+
+}  // namespace cartsail
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -26,7 +26,7 @@
         document_limits(LimitsWithin(relay_options.document_deadline)),
         format(wire_format),
         dispatcher(relay_options.placement, relay_options.zone),
-        peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}, {}, 0},
+        peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}},
               Now()),
         pool(io_context.get_executor()),
         placement(io_context, dispatcher, peers, pool) {}
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -34,6 +34,10 @@
 constexpr Duration kLeastWatchWait = milliseconds(1400);
 constexpr int64_t kWatchWaitSpreadMs = 1000;
 constexpr std::string_view kMetricsPath = "/metrics";
+// When a fleet starts as a whole, all nodes ask the few that have the catalog. Those that are
+// refused soon hear of others: a node's link of 10 Mbit/s carries six catalogs of 3,000 back ends
+// within the time that a fetch may take.
+constexpr int kMostCatalogsAtOnce = 6;
 constexpr Duration kDrainPoll = milliseconds(50);
 constexpr Duration kGraceMargin = milliseconds(400);  // before the process would be killed
 
@@ -105,7 +109,7 @@
     counters.ready.Set(IsReady() ? 1 : 0);
     counters.backends_known.Set(static_cast<int64_t>(context_.dispatcher.Registry().Size()));
     counters.requests_followed.Set(static_cast<int64_t>(context_.placement.Followed()));
-    counters.members_live.Set(context_.dispatcher.LiveNodes(now));
+    counters.members_live.Set(static_cast<int64_t>(context_.peers.LiveCount()) + 1);
     counters.catalog_reader.Set(catalog_.IsReading(now) ? 1 : 0);
     const Duration age = now - context_.routing.Confirmed();
     counters.config_age_milliseconds.Set(static_cast<int64_t>(ToMillis(age)));
@@ -121,13 +125,27 @@
       response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
       response.body = RenderCounters(GlobalCounters()) + RenderHistograms(GlobalHistograms());
     } else if (path == kCatalogPath && context_.routing.Table() != nullptr) {
-      response.body = catalog_.AnswerPeer(exchange.Request());
+      co_await AnswerCatalog(exchange);
+      co_return;
     } else {
       response.status = 404;
     }
     (void)co_await exchange.Respond(std::move(response));
   }
 
+  asio::awaitable<void> AnswerCatalog(HttpExchange& exchange) {
+    HttpResponse response;
+    if (catalogs_under_way_ >= kMostCatalogsAtOnce) {
+      response.status = 503;
+      (void)co_await exchange.Respond(std::move(response));
+      co_return;
+    }
+    ++catalogs_under_way_;
+    response.body = catalog_.AnswerPeer(exchange.Request());
+    (void)co_await exchange.Respond(std::move(response));
+    --catalogs_under_way_;
+  }
+
   asio::awaitable<void> KeepHouse() {
     asio::steady_timer timer(io_);
     while (true) {
@@ -203,6 +221,7 @@
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
   asio::signal_set signals_;
+  int catalogs_under_way_ = 0;
 };
 
 }  // namespace
--- /dev/null
+++ b/libs/relay/src/zstd_frame.cc
@@ -0,0 +1,58 @@
+#include "zstd_frame.h"
+
+#include <fmt/format.h>
+#include <zstd.h>
+
+#include <memory>
+
+#include "cartsail/base/status.h"
+
+namespace cartsail {
+namespace {
+
+// Fast levels keep the compressor's memory at a few hundred KB, of the 32 MB that a node may use.
+constexpr int kLevel = 1;
+// Bounds what a damaged frame can make a node allocate; the store holds values up to 1 MB.
+constexpr size_t kMostTextBytes = 16 << 20;
+
+struct ContextDeleter {
+  void operator()(ZSTD_CCtx* context) const { ZSTD_freeCCtx(context); }
+  void operator()(ZSTD_DCtx* context) const { ZSTD_freeDCtx(context); }
+};
+
+absl::Status FrameError(std::string_view why) {
+  return MakeError(ErrorKind::kInvalidArgument, fmt::format("zstd frame: {}", why));
+}
+
+}  // namespace
+
+std::string CompressFrame(std::string_view prefix, std::string_view text) {
+  const std::unique_ptr<ZSTD_CCtx, ContextDeleter> context(ZSTD_createCCtx());
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kLevel);
+  // A frame read with another prefix would unpack into other text: the checksum shows it.
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
+  ZSTD_CCtx_refPrefix(context.get(), prefix.data(), prefix.size());
+  std::string frame(ZSTD_compressBound(text.size()), '\0');
+  const size_t size =
+      ZSTD_compress2(context.get(), frame.data(), frame.size(), text.data(), text.size());
+  frame.resize(ZSTD_isError(size) != 0U ? 0 : size);
+  return frame;
+}
+
+absl::StatusOr<std::string> DecompressFrame(std::string_view prefix, std::string_view frame) {
+  const unsigned long long size = ZSTD_getFrameContentSize(frame.data(), frame.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN) {
+    return FrameError("malformed");
+  }
+  if (size > kMostTextBytes) return FrameError("too large");
+  const std::unique_ptr<ZSTD_DCtx, ContextDeleter> context(ZSTD_createDCtx());
+  ZSTD_DCtx_refPrefix(context.get(), prefix.data(), prefix.size());
+  std::string text(size, '\0');
+  const size_t written =
+      ZSTD_decompressDCtx(context.get(), text.data(), text.size(), frame.data(), frame.size());
+  if (ZSTD_isError(written) != 0U) return FrameError(ZSTD_getErrorName(written));
+  text.resize(written);
+  return text;
+}
+
+}  // namespace cartsail
--- a/libs/relay/tests/catalog_spread_test.cc
+++ b/libs/relay/tests/catalog_spread_test.cc
@@ -39,27 +39,34 @@
             fleet.NodesWith(kVersion), kNodes, fleet.MostCopiesOfOneNode());
 }
 
+// The node learns `revision` from elsewhere and then the next one from the store, which it tells
+// the others: they lack the first one and fetch it.
+void TellOfGap(testing::FleetNode& node, int64_t revision) {
+  node.ApplyBackends(revision);
+  node.StartReading(revision);
+  node.PushBackend("new", revision + 1);
+}
+
 // A fetch that hangs must not keep a node from asking another one: the time of a fetch (0.8 s) and
 // the pause after it would pass before.
 Test(catalog_spread, a_node_that_does_not_answer_is_passed_by) {
   constexpr int kSilent = 0;
   constexpr int kGood = 1;
   constexpr int kAsking = 2;
-  constexpr int64_t kRevision = 2;
   testing::SpreadFleet fleet(3, 2);
   fleet.ApplyAtAll(1);
-  fleet.RunFor(milliseconds(150));
+  fleet.RunFor(milliseconds(400));  // they know each other
   fleet.At(kSilent).FallSilent();
-  fleet.At(kSilent).ApplyBackends(kRevision);
+  TellOfGap(fleet.At(kSilent), 2);
   fleet.RunFor(milliseconds(250));
   cr_assert(fleet.At(kSilent).Copies() == 2, "both others ask it");
-  fleet.At(kGood).ApplyBackends(kRevision);
-  fleet.RunFor(milliseconds(250));
-  cr_assert(fleet.At(kAsking).Revision() == kRevision);
+  TellOfGap(fleet.At(kGood), 4);
+  fleet.RunFor(milliseconds(300));
+  cr_assert(fleet.At(kAsking).Revision() == 5);
 }
 
 // Beside a rolling replacement of back ends every node fetched all of them (9 KB) for each change:
-// 14 KB a second and node.
+// 14 KB a second and node. Now changes are told; a node that missed some fetches just these.
 Test(catalog_spread, a_change_of_a_back_end_is_handed_over_without_the_others) {
   constexpr int kReader = 0;
   constexpr int kOther = 5;
@@ -67,11 +74,13 @@
   testing::SpreadFleet fleet(12, 3);
   fleet.At(kReader).StartReading(10);
   cr_assert(fleet.RunUntilAllKnow(10, seconds(5)));
+  const int copies = fleet.Copies();
   fleet.At(kReader).PushBackend("new", 11);
-  cr_assert(fleet.RunUntilAllKnow(11, seconds(5)));
+  cr_assert(fleet.RunUntilAllKnow(11, milliseconds(200)));
   cr_assert(fleet.At(kOther).Knows("new"));
-  cr_assert(fleet.At(kReader).LastCopyBytes() < kMostBytes, "%zu bytes",
-            fleet.At(kReader).LastCopyBytes());
+  cr_assert(fleet.Copies() == copies, "%d fetches", fleet.Copies() - copies);
+  const size_t bytes = fleet.At(kReader).CatalogBytesSince(10);
+  cr_assert(bytes < kMostBytes, "%zu bytes", bytes);
   fleet.At(kReader).PushGone(testing::FleetBackendId(3), 12);
   fleet.At(kReader).PushBackend("newer", 13);
   cr_assert(fleet.RunUntilAllKnow(13, seconds(5)));
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -1,9 +1,10 @@
 // How a node keeps its catalog while peers and the store tell of changes at the same time.
 #include "catalog_sync.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 
-#include "cartsail/base/hash.h"
+#include "reading_duty.h"
 #include "support/scripted_store.h"
 #include "support/version_codec.h"
 #include "testing/criterion.h"
@@ -101,15 +102,12 @@
   cr_assert(node.context.routing.Confirmed() < asked + kCallTime / 2);
 }
 
-// Makes `node` one that leaves reading the store to two others of its zone.
+// Makes `node` one that leaves reading the store to others, which have been up for longer.
 void AddReaders(Node& node) {
-  int readers = 0;
-  for (int i = 0; readers < 2; ++i) {
-    const std::string name = "reader-" + std::to_string(i);
-    if (Hash64(name) >= Hash64("n1")) continue;
-    ++readers;
-    node.context.peers.Heard("10.0.0." + std::to_string(i),
-                             {name, "z1", false, 1, seconds(60), seconds(60), 0}, Now());
+  for (size_t i = 0; i < kStoreReaders; ++i) {
+    const std::string number = std::to_string(i);
+    node.context.peers.Heard("10.0.0." + number, {"reader-" + number, "z1", false, 1, seconds(60)},
+                             Now());
   }
 }
 
@@ -130,5 +128,108 @@
   cr_assert(!node.catalog.IsReading(Now()));
 }
 
+StoreUpdate UpdateOf(int64_t since, int64_t revision, int64_t version) {
+  StoreUpdate update;
+  update.changes.since = since;
+  update.changes.revision = revision;
+  update.document_version = version;
+  update.confirmed_age = milliseconds(20);
+  return update;
+}
+
+Backend BackendOf(const std::string& id) {
+  Backend backend;
+  backend.id = id;
+  backend.service = "s";
+  backend.address = "127.0.0.1:1";
+  return backend;
+}
+
+Test(catalog_sync, what_the_store_told_a_reader_is_applied_and_confirms) {
+  Node node;
+  node.catalog.ApplyCatalog(CatalogOf(5, 1, "old"), "peer");
+  StoreUpdate update = UpdateOf(4, 7, 1);
+  update.changes.backends = {BackendOf("new")};
+  update.changes.gone = {"old"};
+  const TimePoint now = Now();
+  cr_assert(node.catalog.ApplyUpdate(update, "reader"));
+  cr_assert(node.catalog.Revision() == 7 && node.Knows("new") && !node.Knows("old"));
+  const Duration age = now - node.context.routing.Confirmed();
+  cr_assert(age <= milliseconds(20) && age > Duration(0));
+  // Later than a newer one: nothing changes.
+  update = UpdateOf(4, 6, 1);
+  update.changes.gone = {"new"};
+  cr_assert(node.catalog.ApplyUpdate(update, "reader"));
+  cr_assert(node.Knows("new") && node.catalog.Revision() == 7);
+}
+
+Test(catalog_sync, an_update_behind_a_gap_is_not_applied) {
+  Node node;
+  cr_assert(!node.catalog.ApplyUpdate(UpdateOf(4, 7, 1), "reader"), "nothing is known yet");
+  node.catalog.ApplyCatalog(CatalogOf(5, 1, "b"), "peer");
+  StoreUpdate update = UpdateOf(6, 7, 1);
+  update.changes.gone = {"b"};
+  cr_assert(!node.catalog.ApplyUpdate(update, "reader"));
+  cr_assert(node.catalog.Revision() == 5 && node.Knows("b"));
+}
+
+Test(catalog_sync, an_update_of_a_newer_document_confirms_nothing) {
+  Node node;
+  node.catalog.ApplyCatalog(CatalogOf(5, 1, "b"), "peer");
+  cr_assert(!node.catalog.ApplyUpdate(UpdateOf(5, 6, 2), "reader"), "the document is to be had");
+  cr_assert(node.context.routing.Confirmed() == TimePoint());
+  // Without the document the node would watch behind the change that brought it.
+  node.RunFor(node.context.document_limits.own_reading_when_behind);
+  cr_assert(node.catalog.IsReading(Now()));
+}
+
+Test(catalog_sync, a_reader_tells_what_changed_and_that_nothing_did) {
+  Node node;
+  std::vector<StoreUpdate> told;
+  node.catalog.SetOnUpdate([&told](StoreUpdate update) { told.push_back(std::move(update)); });
+  node.store.SetList(
+      ListOf(10, {ItemOf("document", DocumentText(3), 4), ItemOf("backends/a", "s", 5)}));
+  node.catalog.Start();
+  node.RunFor(2 * kCallTime);
+  cr_assert(told.size() >= 1 && told[0].changes.revision == 10 && told[0].document_version == 3);
+  cr_assert(told[0].changes.since == 10 && told[0].changes.backends.empty());
+  WatchEvent event;
+  event.kv = ItemOf("backends/b", "s", 11);
+  node.store.Push(std::move(event));
+  node.RunFor(5 * kCallTime);
+  const StoreUpdate& last = told.back();
+  cr_assert(last.changes.revision == 11);
+  const auto brings = [](const StoreUpdate& update) {
+    return update.changes.since == 10 && update.changes.backends.size() == 1 &&
+           update.changes.backends[0].id == "b";
+  };
+  cr_assert(std::count_if(told.begin(), told.end(), brings) == 1);
+}
+
+// Whoever reads may be the only ones that a store turns away.
+Test(catalog_sync, more_nodes_read_while_nobody_hears_the_store) {
+  const DocumentLimits limits = LimitsWithin(seconds(3));
+  cr_assert(ReadersNeeded(seconds(1), limits) == kStoreReaders);
+  cr_assert(ReadersNeeded(limits.own_reading_when_unconfirmed, limits) == kStoreReaders);
+  cr_assert(ReadersNeeded(milliseconds(2100), limits) == 2 * kStoreReaders);
+  cr_assert(ReadersNeeded(milliseconds(3100), limits) == 4 * kStoreReaders);
+  cr_assert(ReadersNeeded(seconds(3600), limits) == kMostStoreReaders);
+}
+
+Test(catalog_sync, a_node_that_hears_no_other_reads_the_store) {
+  Node node;
+  AddReaders(node);
+  node.store.SetList(ListOf(9, {ItemOf("document", DocumentText(7), 4)}));
+  node.catalog.ApplyCatalog(CatalogOf(9, 7, "b"), "peer");
+  const TimePoint now = Now();
+  const TimePoint later = now + seconds(2);
+  node.catalog.NotePeersHeard(later);
+  node.catalog.ConfirmByPeer(later, later);
+  cr_assert(!node.catalog.IsReading(later), "others come first");
+  node.catalog.NotePeersHeard(now);
+  cr_assert(!node.catalog.IsReading(later), "its view is fresh");
+  cr_assert(node.catalog.IsReading(later + seconds(2)));
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/tests/peer_exchange_test.cc
+++ b/libs/relay/tests/peer_exchange_test.cc
@@ -99,7 +99,7 @@
     const bool coordinates = std::find(ranked.begin(), ranked.end(), host) != ranked.end();
     const auto placement = other.context.dispatcher.Place(profile, {}, Now());
     cr_assert(placement->load.requests == (coordinates ? 1 : 0), "%s", host.c_str());
-    cr_assert(other.context.dispatcher.LiveNodes(Now()) == kNodes);
+    cr_assert(other.context.peers.LiveCount() + 1 == kNodes);
   }
 }
 
--- a/libs/relay/tests/placement_service_test.cc
+++ b/libs/relay/tests/placement_service_test.cc
@@ -27,7 +27,6 @@
   state.zone = "z1";
   state.capacity = 0.25;
   state.uptime = seconds(10);
-  state.interval = seconds(1);
   return state;
 }
 
@@ -305,7 +304,10 @@
   peers.Heard(HostOf(3), strong, now);
   const std::vector<std::string> ranked = peers.RankCoordinators("llm", 9, now);
   cr_assert(ranked == (std::vector<std::string>{HostOf(3), HostOf(2), HostOf(1)}));
-  cr_assert(peers.RankCoordinators("llm", 9, now + seconds(60)).empty());
+  for (int i = 1; i <= 3; ++i) peers.SetStatus(HostOf(i), PeerStatus::kSuspect, now);
+  cr_assert(peers.RankCoordinators("llm", 9, now).size() == 3, "suspects may still object");
+  for (int i = 1; i <= 3; ++i) peers.SetStatus(HostOf(i), PeerStatus::kGone, now);
+  cr_assert(peers.RankCoordinators("llm", 9, now).empty());
 }
 
 // Many nodes that start together must not each take the whole system's retries.
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -190,27 +190,22 @@
 Test(digests, survive_their_encoding) {
   NodeDigest digest;
   digest.node = "n1";
-  digest.document_version = 42;
-  digest.confirmed_age = milliseconds(250);
-  digest.hosts = {"10.0.0.1", "10.0.0.2"};
+  digest.interval = milliseconds(250);
   digest.dispatch.loads = {{11, {12, 3, 2, 4.5, 1.5}, 18.5}};
   digest.dispatch.prefixes = {{77, 11}};
   digest.dispatch.leaving = {9};
   digest.dispatch.work = {{"llm", 120, 340}};
-  digest.capacity = 0.25;
-  digest.live_questions = {{3, 5}};
+  digest.live_questions = {3, 5};
   const std::optional<Datagram> datagram = DecodeDatagram(EncodeDatagram(digest));
   const auto* read = std::get_if<NodeDigest>(&*datagram);
-  cr_assert(read->node == "n1" && read->document_version == 42);
-  cr_assert(*read->confirmed_age == milliseconds(250));
-  cr_assert(read->hosts == digest.hosts);
+  cr_assert(read->node == "n1" && read->interval == milliseconds(250));
   cr_assert(read->dispatch.loads[0].load.requests == 3);
   cr_assert(read->dispatch.loads[0].least_pause_ms == 18.5);
   cr_assert(std::abs(read->dispatch.loads[0].load.failures - 1.5) < 1e-9);
   cr_assert(read->dispatch.prefixes[0].part == 77);
   cr_assert(read->dispatch.leaving == digest.dispatch.leaving);
   cr_assert(read->dispatch.work[0].heavy_ms_per_s == 340);
-  cr_assert(read->capacity == 0.25 && read->live_questions == digest.live_questions);
+  cr_assert(read->live_questions == digest.live_questions);
 }
 
 Test(datagrams, questions_answers_and_progress_survive_their_encoding) {
@@ -264,6 +259,64 @@
   cr_assert(read->patch.base_version == 11 && read->patch.bytes == notice.patch.bytes);
 }
 
+MemberEntry EntryOf(const std::string& host, PeerStatus status) {
+  return {host, {"node-" + host, "z1", true, 0.25, seconds(70)}, 12, status};
+}
+
+Test(datagrams, gossip_survives_its_encoding) {
+  GossipMessage gossip;
+  gossip.kind = GossipKind::kPingRequest;
+  gossip.sequence = 77;
+  gossip.subject = "10.2.3.4";
+  gossip.sender = EntryOf("10.0.0.1", PeerStatus::kAlive);
+  gossip.view = {9, 42, milliseconds(250)};
+  gossip.members = {EntryOf("10.0.0.2", PeerStatus::kSuspect),
+                    EntryOf("10.0.0.3", PeerStatus::kGone)};
+  gossip.known = {1, 65535};
+  const std::optional<Datagram> datagram = DecodeDatagram(EncodeDatagram(gossip));
+  const auto* read = std::get_if<GossipMessage>(&*datagram);
+  cr_assert(read->kind == GossipKind::kPingRequest && read->sequence == 77);
+  cr_assert(read->subject == "10.2.3.4" && read->known == gossip.known);
+  cr_assert(read->sender.host == "10.0.0.1" && read->sender.state.node == "node-10.0.0.1");
+  cr_assert(read->sender.state.stopping && read->sender.state.capacity == 0.25);
+  cr_assert(read->sender.state.uptime == seconds(70) && read->sender.incarnation == 12);
+  cr_assert(read->view.catalog_revision == 9 && read->view.document_version == 42);
+  cr_assert(*read->view.confirmed_age == milliseconds(250));
+  cr_assert(read->members[0].status == PeerStatus::kSuspect);
+  cr_assert(read->members[1].status == PeerStatus::kGone);
+  gossip.view.confirmed_age.reset();
+  const std::optional<Datagram> never = DecodeDatagram(EncodeDatagram(gossip));
+  cr_assert(!std::get_if<GossipMessage>(&*never)->view.confirmed_age.has_value());
+}
+
+Test(datagrams, store_updates_survive_their_encoding) {
+  StoreUpdate update;
+  update.changes.revision = 12;
+  update.changes.since = 10;
+  update.changes.backends.resize(1);
+  update.changes.backends[0].id = "b1";
+  update.changes.backends[0].missing_until = kNow + milliseconds(700);
+  update.changes.gone = {"b2"};
+  update.document_version = 4;
+  update.confirmed_age = milliseconds(30);
+  update.targets = {"10.0.0.1", "10.0.0.2"};
+  const TimePoint there = kNow + seconds(3);
+  const std::optional<Datagram> datagram = DecodeDatagram(EncodeDatagram(update, kNow), there);
+  const auto* read = std::get_if<StoreUpdate>(&*datagram);
+  cr_assert(read->changes.revision == 12 && read->changes.since == 10);
+  cr_assert(read->changes.backends[0].id == "b1" && read->changes.gone == update.changes.gone);
+  cr_assert(read->changes.backends[0].missing_until == there + milliseconds(700));
+  cr_assert(read->document_version == 4 && read->confirmed_age == milliseconds(30));
+  cr_assert(read->targets == update.targets);
+}
+
+Test(datagrams, a_kind_of_gossip_that_is_not_known_is_refused) {
+  GossipMessage gossip;
+  gossip.sender = EntryOf("10.0.0.1", PeerStatus::kAlive);
+  gossip.kind = static_cast<GossipKind>(kGossipKinds);
+  cr_assert(!DecodeDatagram(EncodeDatagram(gossip)).has_value());
+}
+
 Test(digests, bytes_that_are_none_are_refused) {
   cr_assert(!DecodeDatagram("").has_value());
   const std::string good = EncodeDatagram(NodeDigest{});
@@ -271,6 +324,11 @@
     (void)DecodeDatagram(good.substr(0, size));
   }
   cr_assert(!DecodeDatagram(std::string(300, '\xff')).has_value());
+  GossipMessage gossip;
+  gossip.sender = EntryOf("10.0.0.1", PeerStatus::kAlive);
+  gossip.members = {EntryOf("10.0.0.2", PeerStatus::kSuspect)};
+  const std::string whole = EncodeDatagram(gossip);
+  for (size_t size = 0; size < whole.size(); ++size) (void)DecodeDatagram(whole.substr(0, size));
 }
 
 }  // namespace
--- a/libs/relay/tests/support/fleet_node.cc
+++ b/libs/relay/tests/support/fleet_node.cc
@@ -102,11 +102,17 @@
   return context_.dispatcher.Registry().Find(backend) != nullptr;
 }
 
+size_t FleetNode::CatalogBytesSince(int64_t revision) {
+  HttpRequest request;
+  request.target = fmt::format("{}?{}={}&{}={}", kCatalogPath, kHaveParameter, Version(),
+                               kSinceParameter, revision);
+  return catalog_.AnswerPeer(request).size();
+}
+
 asio::awaitable<void> FleetNode::AnswerCatalog(HttpExchange& request) {
   HttpResponse response;
   response.body = catalog_.AnswerPeer(request.Request());
   ++copies_;
-  last_copy_bytes_ = response.body.size();
   if (silent_) link_free_ = Now() + seconds(60);
   const Duration sending =
       FromSeconds(static_cast<double>(response.body.size()) / kLinkBytesPerSecond);
--- a/libs/relay/tests/support/fleet_node.h
+++ b/libs/relay/tests/support/fleet_node.h
@@ -43,9 +43,11 @@
   int64_t Revision() const { return catalog_.Revision(); }
   int64_t Version() const { return context_.routing.Version(); }
 
-  // Catalogs that the node has handed over, and the size of the last one.
+  // Catalogs that the node has handed over.
   int Copies() const { return copies_; }
-  size_t LastCopyBytes() const { return last_copy_bytes_; }
+
+  // Size of the catalog for a node that has the document and knows back ends up to `revision`.
+  size_t CatalogBytesSince(int64_t revision);
 
  private:
   boost::asio::awaitable<void> AnswerCatalog(HttpExchange& request);
@@ -59,7 +61,6 @@
   std::unique_ptr<HttpServer> server_;
   TimePoint link_free_{};
   int copies_ = 0;
-  size_t last_copy_bytes_ = 0;
   bool silent_ = false;
 };
 
--- a/libs/relay/tests/support/spread_fleet.cc
+++ b/libs/relay/tests/support/spread_fleet.cc
@@ -52,6 +52,12 @@
   }));
 }
 
+int SpreadFleet::Copies() const {
+  int copies = 0;
+  for (const auto& node : nodes_) copies += node->Copies();
+  return copies;
+}
+
 int SpreadFleet::MostCopiesOfOneNode() const {
   int most = 0;
   for (const auto& node : nodes_) most = std::max(most, node->Copies());
--- a/libs/relay/tests/support/spread_fleet.h
+++ b/libs/relay/tests/support/spread_fleet.h
@@ -32,6 +32,9 @@
 
   int MostCopiesOfOneNode() const;
 
+  // Catalogs that all nodes together have handed over.
+  int Copies() const;
+
  private:
   boost::asio::io_context io_;
   std::vector<std::unique_ptr<FleetNode>> nodes_;
