Callers of a node that starts wait for its catalog; silent connections are not used again

Cause: after a loss of all nodes callers are told 503 until the catalog is there; they have one retry, and an engine's failure on it is final. And a back end whose open connections fell silent cost each idle connection a request. After a silence the idle connections to that back end are closed. Ruled out: TCP keep-alive on busy connections, which would end answers that come after a cut; on idle ones, which are closed after 3.3 s anyway. Tests in relay_test, two of three seen failing with the mechanism taken out (the refusal of a node without catalog also held before).

--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -3,6 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "cartsail/base/counters.h"
@@ -19,6 +22,10 @@
 constexpr int kMostStrayAnswers = 3;         // skipped on one connection
 constexpr Duration kLeastTimeForAttempt = milliseconds(20);
 constexpr Duration kRetryAfterNotRun = milliseconds(100);
+// A node that starts has its catalog after 0.05 to 0.3 s. Callers that come before wait for it: a
+// refusal would cost them one of their few retries.
+constexpr Duration kCatalogPatience = milliseconds(300);
+constexpr Duration kCatalogPoll = milliseconds(10);
 constexpr Duration kLeastFirstPatience = milliseconds(300);
 constexpr Duration kLeastPausePatience = milliseconds(900);
 constexpr int kPatienceGoals = 3;   // goals of the first output that a repeatable request waits
@@ -63,6 +70,16 @@
   keep_alive_ = request_.keep_alive && !request_.http_1_0;
 }
 
+asio::awaitable<void> Exchange::WaitForCatalog() {
+  const TimePoint last = request_.received + kCatalogPatience;
+  asio::steady_timer timer(context_.io);
+  while (!context_.HasCatalog() && Now() < last) {
+    timer.expires_after(kCatalogPoll);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
 asio::awaitable<bool> Exchange::Run() {
   GlobalCounters().requests_total.Add();
   const WireNames& names = context_.format.Names();
@@ -70,6 +87,7 @@
     request_id_ = std::string(request_.Header(names.request_id));
     co_return co_await AnswerRefusal(ErrorKind::kDraining, kRetryAfterNotRun);
   }
+  co_await WaitForCatalog();
   RequestHead head;
   head.method = request_.method;
   head.target = request_.target;
@@ -192,6 +210,9 @@
   }
   const std::shared_ptr<UpstreamConnection> used = std::exchange(upstream_, nullptr);
   context_.pool.Return(placement.backend.id, used);
+  const bool is_silent = outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kTimedOut;
+  // Links may drop all open connections without a word while new ones work.
+  if (is_silent) context_.pool.CloseIdle(placement.backend.id);
   co_return caller_gone_ ? AttemptOutcome::kCallerGone : outcome;
 }
 
--- a/libs/relay/src/exchange.h
+++ b/libs/relay/src/exchange.h
@@ -33,6 +33,7 @@
  private:
   enum class RelayMode { kWhole, kPieces, kEvents };
 
+  boost::asio::awaitable<void> WaitForCatalog();
   boost::asio::awaitable<bool> RunAdmitted();
   boost::asio::awaitable<AttemptOutcome> Attempt(const Placement& placement);
   boost::asio::awaitable<AttemptOutcome> Converse(const Placement& placement);
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -31,6 +31,9 @@
         pool(io_context.get_executor()),
         placement(io_context, dispatcher, peers, pool) {}
 
+  // The node knows the routing document and some back ends.
+  bool HasCatalog() const { return routing.Table() != nullptr && dispatcher.Registry().Size() > 0; }
+
   ServiceRetryBudget& BudgetOf(const std::string& service) {
     return budgets.try_emplace(service, options.retry_budget).first->second;
   }
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -98,10 +98,7 @@
     return absl::OkStatus();
   }
 
-  bool IsReady() const {
-    return !context_.draining && context_.routing.Table() != nullptr &&
-           context_.dispatcher.Registry().Size() > 0;
-  }
+  bool IsReady() const { return !context_.draining && context_.HasCatalog(); }
 
   void NoteGauges() {
     const TimePoint now = Now();
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/upstream_pool.cc
@@ -36,6 +36,13 @@
   idle.push_back(std::move(connection));
 }
 
+void UpstreamPool::CloseIdle(const std::string& backend) {
+  const auto idle = idle_.find(backend);
+  if (idle == idle_.end()) return;
+  for (const std::shared_ptr<UpstreamConnection>& connection : idle->second) connection->Close();
+  idle_.erase(idle);
+}
+
 std::vector<BackendKey> UpstreamPool::Connected(size_t most) const {
   std::vector<BackendKey> keys;
   for (const auto& [backend, connections] : idle_) {
--- a/libs/relay/src/upstream_pool.h
+++ b/libs/relay/src/upstream_pool.h
@@ -25,6 +25,9 @@
   // Keeps a reusable connection, closes any other.
   void Return(const std::string& backend, std::shared_ptr<UpstreamConnection> connection);
 
+  // Closes the idle connections to a back end: the next request gets a new one.
+  void CloseIdle(const std::string& backend);
+
   // Back ends to which there is an idle connection, `most` at most.
   std::vector<BackendKey> Connected(size_t most) const;
 
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -1,4 +1,5 @@
 // The relay between real sockets: what callers and back ends see.
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <thread>
@@ -347,5 +348,63 @@
   cr_assert(Has(client.ReadAnswer(), "fine"));
 }
 
+// A caller has a retry or two: a refusal that 0.1 s would have made needless takes one of them.
+Test(relay, a_caller_of_a_node_that_just_started_waits_for_the_catalog) {
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "hello")}}; });
+  RelayFixture relay;
+  relay.StartEmpty();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  relay.PutInForce("b1", backend.Address());
+  cr_assert(client.ReadAnswer().rfind("HTTP/1.1 200 ", 0) == 0);
+}
+
+Test(relay, a_node_that_gets_no_catalog_says_when_to_come_back) {
+  RelayFixture relay;
+  relay.StartEmpty();
+  Client client(relay.Port());
+  const TimePoint begun = Now();
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  const std::string answer = client.ReadAnswer();
+  cr_assert(answer.rfind("HTTP/1.1 503 ", 0) == 0);
+  cr_assert(!HeaderOf(answer, "Retry-After").empty());
+  cr_assert(Now() - begun < milliseconds(600));
+}
+
+// Links drop all open connections without a word, and new ones work: the first request to meet that
+// finds it out for the others.
+Test(relay, after_a_silence_the_other_connections_to_a_back_end_are_not_used) {
+  std::atomic<bool> silent{false};
+  std::atomic<int> together{0};
+  StubBackend backend([&silent, &together](const std::string& request) {
+    const std::string id = HeaderOf(request, "Cartsail-Request-Id");
+    StubAnswer answer;
+    if (id.rfind("first", 0) == 0) {
+      ++together;
+      while (together < 2) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    if (silent && id.rfind("lost", 0) == 0) return answer;
+    answer.pieces = {SignedAnswer(request, "hello")};
+    return answer;
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client one(relay.Port());
+  Client two(relay.Port());
+  one.Send(MakeRequest("POST", "/once/a", "first1", "x"));
+  two.Send(MakeRequest("POST", "/once/a", "first2", "x"));
+  cr_assert(Has(one.ReadAnswer(), "hello") && Has(two.ReadAnswer(), "hello"));
+  cr_assert(backend.Connections() == 2, "two idle connections");
+  silent = true;
+  one.Send(MakeRequest("GET", "/safe/a", "lost1", "", "Cartsail-Time-Left-Ms: 400\r\n"));
+  cr_assert(!Has(one.ReadAnswer(), "hello"));
+  two.Send(MakeRequest("GET", "/safe/a", "next", ""));
+  cr_assert(Has(two.ReadAnswer(), "hello"));
+  cr_assert(backend.Connections() == 3, "on a new connection");
+}
+
 }  // namespace
 }  // namespace cartsail::testing
--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -79,6 +79,18 @@
   auto table = RouteTable::Build(document_);
   context_->routing.Apply(*table, "");
   context_->routing.Confirm(Now());
+  StartEmpty();
+}
+
+void RelayFixture::PutInForce(const std::string& backend, const std::string& address) {
+  OnRelayThread([this, &backend, &address] {
+    AddBackend(backend, "s", address);
+    context_->routing.Apply(*RouteTable::Build(document_), "");
+    context_->routing.Confirm(Now());
+  });
+}
+
+void RelayFixture::StartEmpty() {
   (void)server_->Start();
   port_ = server_->Port();
   thread_ = std::thread([this] { io_.run(); });
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -25,6 +25,12 @@
   // Puts the document in force and listens.
   void Start();
 
+  // Listens without a document, as a node that has just started.
+  void StartEmpty();
+
+  // The document comes, and a back end.
+  void PutInForce(const std::string& backend, const std::string& address);
+
   // Runs `work` on the relay's thread and waits for it.
   void OnRelayThread(const std::function<void()>& work);
 
