--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -1,6 +1,7 @@
 #include "catalog_sync.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -30,6 +31,7 @@
 constexpr Duration kPauseAfterEvents = milliseconds(150);
 constexpr Duration kReaderCheck = milliseconds(250);
 constexpr Duration kHearingCheck = milliseconds(10);
+constexpr size_t kIdsNamed = 5;                 // in one log line
 constexpr Duration kEncodedHolds = seconds(1);  // it names the document's age
 // Of more changes only the revision is told, and nodes fetch them: an update fits one packet.
 constexpr size_t kMostChangesTold = 10;
@@ -45,6 +47,11 @@
   return FromSeconds(ToSeconds(pause) * jitter(generator));
 }
 
+std::vector<std::string> FirstOf(const std::vector<std::string>& ids, size_t count) {
+  const auto end = ids.begin() + static_cast<int64_t>(std::min(count, ids.size()));
+  return {ids.begin(), end};
+}
+
 void NoteInvalidBackend(const std::string& id, const absl::Status& why) {
   Log(LogLevel::kWarning, "backend_invalid",
       {{"backend", id}, {"why", std::string(why.message())}});
@@ -351,6 +358,7 @@
        {"gone", std::to_string(catalog.gone.size())},
        {"since", std::to_string(*catalog.since)},
        {"revision", std::to_string(revision_)},
+       {"some_gone", fmt::format("{}", fmt::join(FirstOf(catalog.gone, kIdsNamed), ","))},
        {"source", std::string(source)}});
   for (const Backend& backend : catalog.backends) {
     changes_.Note(backend.id, revision_);
@@ -359,14 +367,15 @@
   const TimePoint now = Now();
   for (const std::string& id : catalog.gone) {
     changes_.Note(id, revision_);
-    RemoveBackend(id, now);
+    RemoveBackend(id, LogLevel::kDebug, now);
   }
 }
 
-void CatalogSync::RemoveBackend(const std::string& id, TimePoint now) {
+// At info level the nodes that read the store name each back end; of the others, several hundred, a
+// line for all changes that came together is enough.
+void CatalogSync::RemoveBackend(const std::string& id, LogLevel level, TimePoint now) {
   const std::optional<TimePoint> missing_until = grace_.MissingUntil(now);
-  Log(LogLevel::kInfo, missing_until.has_value() ? "backend_missing" : "backend_gone",
-      {{"backend", id}});
+  Log(level, missing_until.has_value() ? "backend_missing" : "backend_gone", {{"backend", id}});
   context_.dispatcher.Registry().Remove(id, missing_until);
   context_.dispatcher.ForgetGone();
 }
@@ -383,7 +392,7 @@
       ApplyDocument(event.kv.value, "store", Duration(0));
     if (IsBackend(key)) changes_.Note(BackendId(key), event.kv.mod_revision);
     if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
-    if (IsBackend(key) && event.deleted) RemoveBackend(BackendId(key), now);
+    if (IsBackend(key) && event.deleted) RemoveBackend(BackendId(key), LogLevel::kInfo, now);
   }
   for (const WatchEvent& event : events) revision_ = std::max(revision_, event.kv.mod_revision);
   context_.routing.Confirm(now);
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "backend_changes.h"
+#include "cartsail/base/log.h"
 #include "cartsail/net/http_types.h"
 #include "cartsail/relay/catalog_codec.h"
 #include "cartsail/store/key_value_store.h"
@@ -84,7 +85,7 @@
   void ApplyDocument(const std::string& text, std::string_view source, Duration age);
   void ReplaceBackends(std::vector<Backend> backends, std::string_view source,
                        std::optional<TimePoint> missing_until);
-  void RemoveBackend(const std::string& id, TimePoint now);
+  void RemoveBackend(const std::string& id, LogLevel level, TimePoint now);
   void ApplyAll(const std::vector<KeyValue>& items, int64_t revision, TimePoint asked);
   std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items) const;
   void ApplyEvents(const std::vector<WatchEvent>& events);
