A node that starts and finds nobody lists the store cheaply, as it was some seconds ago

Change: after 0.04 to 0.08 s without a peer's catalog a node takes a list that may be stale, which costs a tenth and is not counted in the store's rate. It confirms nothing and is told to nobody; changes since then come from peers or by a watch from the oldest page's revision. Tests: catalog_sync_test.

--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <limits>
 #include <random>
 
 #include "cartsail/base/counters.h"
@@ -38,13 +39,16 @@
 
 std::string FormatMillis(Duration duration) { return fmt::format("{:.0f}", ToMillis(duration)); }
 
-Duration JitteredPause(int failures) {
+double RandomShare() {
   thread_local std::minstd_rand generator(std::random_device{}());
+  return std::uniform_real_distribution<double>(0, 1)(generator);
+}
+
+Duration JitteredPause(int failures) {
   Duration pause = kFirstPause;
   for (int i = 1; i < failures && pause < kLongestPause; ++i) pause *= 2;
   pause = std::min(pause, kLongestPause);
-  std::uniform_real_distribution<double> jitter(0.7, 1.3);
-  return FromSeconds(ToSeconds(pause) * jitter(generator));
+  return FromSeconds(ToSeconds(pause) * (0.7 + 0.6 * RandomShare()));
 }
 
 std::vector<std::string> FirstOf(const std::vector<std::string>& ids, size_t count) {
@@ -77,10 +81,9 @@
 
 bool CatalogSync::IsReading(TimePoint now) const {
   if (IsLeftBehind(now) || now < reading_until_) return true;
+  if (peers_.Peers().empty()) return true;  // no other node is known of
   if (IsAlone(now)) {
-    const bool is_fresh =
-        context_.routing.IsFresh(now, context_.document_limits.own_reading_when_unconfirmed);
-    if (!is_fresh) return true;
+    return Unconfirmed(now) > context_.document_limits.own_reading_when_unconfirmed;
   }
   return peers_.IsReader(ReadersNeeded(Unconfirmed(now), context_.document_limits), now);
 }
@@ -96,17 +99,25 @@
 
 Duration CatalogSync::HearingTime() const {
   if (context_.options.first_start) return kHearingAtFirstStart;
-  const std::vector<std::string>& seeds = context_.options.seeds;
-  if (seeds.empty()) return Duration(0);
-  const bool is_seed =
-      std::find(seeds.begin(), seeds.end(), context_.options.peer.host) != seeds.end();
-  return is_seed ? kHearingOfSeed : kHearing;
+  if (peers_.Peers().empty()) return Duration(0);
+  return kHearing + FromSeconds(ToSeconds(kHearingSpread) * RandomShare());
 }
 
-// Until a peer has handed over its catalog, or none has done so for long enough.
-asio::awaitable<void> CatalogSync::HearPeersFirst() {
+// Until a peer has handed over its catalog, or none has done so for long enough: then the node
+// lists the store as it was some seconds ago. It is not known to be the newest, so nothing is
+// refused on it for good; changes since then come from peers, or by a watch. Were all of 295 nodes
+// to wait for the first ones to find each other, their callers would wait 0.3 s longer; were they
+// to list the store as it is, that would cost ten times as much.
+asio::awaitable<void> CatalogSync::GetFirstCatalog() {
   const TimePoint last = Now() + HearingTime();
-  while (Now() < last && context_.routing.Table() == nullptr) co_await Pause(kHearingCheck);
+  while (Now() < last && !context_.HasCatalog()) co_await Pause(kHearingCheck);
+  if (context_.options.first_start || peers_.Peers().empty()) co_return;
+  int failures = 0;
+  while (!context_.HasCatalog()) {
+    const absl::Status read = co_await ReadAll(ReadMode::kMayBeStale);
+    NoteReachable(read.ok(), std::string(read.message()));
+    if (!read.ok()) co_await Pause(JitteredPause(++failures));
+  }
 }
 
 // To be called before the answer confirms anything. A node that had to read since the first ones of
@@ -119,7 +130,7 @@
 
 asio::awaitable<void> CatalogSync::Follow() {
   const std::string range_end = PrefixEnd(keys_.prefix);
-  co_await HearPeersFirst();
+  co_await GetFirstCatalog();
   int failures = 0;
   const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events, int64_t at) {
     NoteReachable(true, {});
@@ -134,7 +145,7 @@
     }
     // The document may be older than the revision that this node knows: a watch would not tell it.
     if (must_list_ || IsLeftBehind(Now())) {
-      const absl::Status read = co_await ReadAll();
+      const absl::Status read = co_await ReadAll(ReadMode::kNewest);
       NoteReachable(read.ok(), std::string(read.message()));
       if (!read.ok()) {
         co_await Pause(JitteredPause(++failures));
@@ -159,27 +170,31 @@
   }
 }
 
-asio::awaitable<absl::Status> CatalogSync::ReadAll() {
+asio::awaitable<absl::Status> CatalogSync::ReadAll(ReadMode mode) {
+  const bool may_be_stale = mode == ReadMode::kMayBeStale;
   std::vector<KeyValue> items;
-  int64_t first_revision = 0;
+  int64_t revision = std::numeric_limits<int64_t>::max();
   const TimePoint asked = Now();
   RangeRequest request;
   request.key = keys_.prefix;
   request.range_end = PrefixEnd(keys_.prefix);
   request.limit = kItemsPerPage;
+  request.may_be_stale = may_be_stale;
   while (true) {
     const TimePoint begun = Now();
     absl::StatusOr<RangeResult> page = co_await store_.Range(request);
     GlobalHistograms().store_call_ms.Note(Now() - begun);
     if (!page.ok()) co_return page.status();
-    // Pages form no snapshot: changes since the first page come again as events.
-    if (first_revision == 0) first_revision = page->revision;
+    // A peer was faster than many pages.
+    if (may_be_stale && context_.HasCatalog()) co_return absl::OkStatus();
+    // Pages form no snapshot: changes since the oldest one come again as events.
+    revision = std::min(revision, page->revision);
     for (KeyValue& item : page->kvs) items.push_back(std::move(item));
     if (!page->more || items.empty()) break;
     request.key = items.back().key + '\0';
   }
   must_list_ = false;
-  ApplyAll(items, first_revision, asked);
+  ApplyAll(items, revision, may_be_stale ? std::nullopt : std::make_optional(asked));
   co_return absl::OkStatus();
 }
 
@@ -206,15 +221,18 @@
   return backends;
 }
 
-// `revision`: of the store when the list was begun, at `asked`.
-void CatalogSync::ApplyAll(const std::vector<KeyValue>& items, int64_t revision, TimePoint asked) {
+// `revision`: of the store in the list; `asked`: when it held, where that is known.
+void CatalogSync::ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
+                           std::optional<TimePoint> asked) {
   for (const KeyValue& item : items) {
     if (item.key == keys_.document) ApplyDocument(item.value, "store", Duration(0));
   }
-  behind_since_.reset();
   const TimePoint now = Now();
-  grace_.NoteAnswer(context_.routing.Confirmed(), now, now);
-  NoteAnswered(now);
+  if (asked.has_value()) {
+    behind_since_.reset();
+    grace_.NoteAnswer(context_.routing.Confirmed(), now, now);
+    NoteAnswered(now);
+  }
   // A peer's catalog that came meanwhile may be newer: what changed between would be lost, since
   // the watch goes on from the newer revision.
   if (revision >= revision_) {
@@ -222,9 +240,10 @@
     changes_.Reset(revision);
     ReplaceBackends(BackendsIn(items), "store", grace_.MissingUntil(now));
   }
+  if (!asked.has_value()) return;
   // What the list says held when it was asked for; the answer may have been long on its way.
-  context_.routing.ConfirmBy(asked);
-  TellUpdate(revision_, asked);
+  context_.routing.ConfirmBy(*asked);
+  TellUpdate(revision_, *asked);
 }
 
 // Tells the others which back ends changed after revision `since`, and that nothing else did.
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog_sync.h
@@ -72,21 +72,24 @@
   void ApplyCatalog(const CatalogMessage& catalog, std::string_view source);
 
  private:
+  enum class ReadMode { kNewest, kMayBeStale };
+
   boost::asio::awaitable<void> Follow();
-  boost::asio::awaitable<void> HearPeersFirst();
+  boost::asio::awaitable<void> GetFirstCatalog();
   Duration HearingTime() const;
   bool IsAlone(TimePoint now) const;
   Duration Unconfirmed(TimePoint now) const;
   void NoteAnswered(TimePoint now);
   void TellUpdate(int64_t since, TimePoint confirmed);
-  boost::asio::awaitable<absl::Status> ReadAll();
+  boost::asio::awaitable<absl::Status> ReadAll(ReadMode mode);
   bool IsLeftBehind(TimePoint now) const;
   boost::asio::awaitable<void> Pause(Duration duration);
   void ApplyDocument(const std::string& text, std::string_view source, Duration age);
   void ReplaceBackends(std::vector<Backend> backends, std::string_view source,
                        std::optional<TimePoint> missing_until);
   void RemoveBackend(const std::string& id, LogLevel level, TimePoint now);
-  void ApplyAll(const std::vector<KeyValue>& items, int64_t revision, TimePoint asked);
+  void ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
+                std::optional<TimePoint> asked);
   std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items) const;
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
--- a/libs/relay/src/reading_duty.h
+++ b/libs/relay/src/reading_duty.h
@@ -37,12 +37,12 @@
 // A node that hears no other node reads the store itself: longer than a few probes of each node.
 inline constexpr Duration kAloneAfter = milliseconds(1500);
 
-// From a node's start until it reads the store if it is to do so. When a fleet starts as a whole,
-// nodes first find each other. Otherwise some peer has the catalog and hands it over within some
-// milliseconds, unless all nodes were lost: then those read that all others call first, the seeds,
-// and the others get it from them.
+// From a node's start until it reads the store if it is to do so. When a fleet starts for the first
+// time, nodes find each other first. Later some peer has the catalog and hands it over within some
+// milliseconds, unless all nodes were lost, or those that a node knows of: then it lists the store,
+// cheaply, and not at the same moment as all others.
 inline constexpr Duration kHearingAtFirstStart = milliseconds(900);
-inline constexpr Duration kHearingOfSeed = milliseconds(40);
-inline constexpr Duration kHearing = milliseconds(250);
+inline constexpr Duration kHearing = milliseconds(40);
+inline constexpr Duration kHearingSpread = milliseconds(40);
 
 }  // namespace cartsail
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -206,6 +206,37 @@
   cr_assert(std::count_if(told.begin(), told.end(), brings) == 1);
 }
 
+// After a loss of all nodes hundreds of them knew nobody and listed the store as it is.
+Test(catalog_sync, a_node_that_starts_and_finds_nobody_lists_the_store_cheaply) {
+  Node node;
+  node.context.peers.AddHost("10.0.0.1", Now());
+  node.store.SetList(
+      ListOf(10, {ItemOf("document", DocumentText(3), 4), ItemOf("backends/a", "s", 5)}));
+  int told = 0;
+  node.catalog.SetOnUpdate([&told](const StoreUpdate&) { ++told; });
+  node.catalog.Start();
+  node.RunFor(kHearing / 2);
+  cr_assert(node.store.Lists() == 0, "a peer has some time to answer");
+  node.RunFor(kHearing + kHearingSpread + 2 * kCallTime);
+  cr_assert(node.store.Lists() == 1 && node.store.StaleLists() == 1);
+  cr_assert(node.context.routing.Version() == 3 && node.Knows("a"));
+  cr_assert(node.context.routing.Confirmed() == TimePoint(), "it may be some seconds old");
+  cr_assert(told == 0 && !node.catalog.IsReading(Now()));
+  // Nobody is found: it reads the store for itself from now on.
+  cr_assert(node.catalog.IsReading(Now() + seconds(3)));
+}
+
+Test(catalog_sync, a_node_that_gets_a_peers_catalog_lists_nothing) {
+  Node node;
+  node.context.peers.AddHost("10.0.0.1", Now());
+  node.store.SetList(ListOf(10, {ItemOf("document", DocumentText(3), 4)}));
+  node.catalog.Start();
+  node.RunFor(kHearing / 2);
+  node.catalog.ApplyCatalog(CatalogOf(12, 2, "b"), "peer");
+  node.RunFor(2 * kHearing + kHearingSpread + kCallTime);
+  cr_assert(node.store.Lists() == 0);
+}
+
 // Whoever reads may be the only ones that a store turns away.
 Test(catalog_sync, more_nodes_read_while_nobody_hears_the_store) {
   const DocumentLimits limits = LimitsWithin(seconds(3));
--- a/libs/relay/tests/support/fleet_node.h
+++ b/libs/relay/tests/support/fleet_node.h
@@ -38,6 +38,7 @@
   // From now on its catalog is asked for in vain.
   void FallSilent() { silent_ = true; }
 
+  bool IsReading() const { return catalog_.IsReading(Now()); }
   bool Knows(const std::string& backend) const;
   size_t Backends() const { return context_.dispatcher.Registry().Size(); }
   int64_t Revision() const { return catalog_.Revision(); }
--- a/libs/relay/tests/support/scripted_store.cc
+++ b/libs/relay/tests/support/scripted_store.cc
@@ -29,6 +29,7 @@
 
 KeyValueStore::Result<RangeResult> ScriptedStore::Range(RangeRequest request) {
   ++lists_;
+  stale_lists_ += request.may_be_stale ? 1 : 0;
   const RangeResult answer = list_;
   co_await Wait(call_time_);
   if (answer.kvs.empty()) co_return Away();
--- a/libs/relay/tests/support/scripted_store.h
+++ b/libs/relay/tests/support/scripted_store.h
@@ -30,8 +30,9 @@
   void SetList(RangeResult list) { list_ = std::move(list); }
   void Push(WatchEvent event) { events_.push_back(std::move(event)); }
 
-  // Lists that were asked for.
+  // Lists that were asked for, and those of them that may be stale.
   int Lists() const { return lists_; }
+  int StaleLists() const { return stale_lists_; }
 
  private:
   boost::asio::awaitable<void> Wait(Duration duration);
@@ -41,6 +42,7 @@
   RangeResult list_;
   std::vector<WatchEvent> events_;
   int lists_ = 0;
+  int stale_lists_ = 0;
 };
 
 }  // namespace cartsail::testing
--- a/libs/relay/tests/support/spread_fleet.cc
+++ b/libs/relay/tests/support/spread_fleet.cc
@@ -52,6 +52,12 @@
   }));
 }
 
+int SpreadFleet::FirstReader() const {
+  const auto reader = std::find_if(nodes_.begin(), nodes_.end(),
+                                   [](const auto& node) { return node->IsReading(); });
+  return static_cast<int>(reader - nodes_.begin());
+}
+
 int SpreadFleet::Copies() const {
   int copies = 0;
   for (const auto& node : nodes_) copies += node->Copies();
--- a/libs/relay/tests/support/spread_fleet.h
+++ b/libs/relay/tests/support/spread_fleet.h
@@ -30,6 +30,9 @@
 
   int NodesWith(int64_t version) const;
 
+  // The first node that reads its store.
+  int FirstReader() const;
+
   int MostCopiesOfOneNode() const;
 
   // Catalogs that all nodes together have handed over.
--- a/libs/store/include/cartsail/store/key_value_store.h
+++ b/libs/store/include/cartsail/store/key_value_store.h
@@ -29,6 +29,8 @@
   std::string range_end;  // empty: just `key`; see PrefixEnd()
   int64_t limit = 0;      // 0: no limit
   int64_t min_mod_revision = 0;
+  // The answer may be some seconds old, as its revision tells; such reads are cheaper.
+  bool may_be_stale = false;
 };
 
 struct RangeResult {
--- a/libs/store/src/etcd_json.cc
+++ b/libs/store/src/etcd_json.cc
@@ -128,6 +128,7 @@
   if (request.min_mod_revision != 0) {
     object["min_mod_revision"] = Number(request.min_mod_revision);
   }
+  if (request.may_be_stale) object["serializable"] = true;
   return object;
 }
 
@@ -137,6 +138,7 @@
   request.range_end = Base64Decode(GetString(object, "range_end"));
   request.limit = GetInt(object, "limit");
   request.min_mod_revision = GetInt(object, "min_mod_revision");
+  request.may_be_stale = GetBool(object, "serializable");
   return request;
 }
 
