--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -105,10 +105,9 @@
                      now - ranking.made < kRankingHolds;
   if (!holds) {
     const uint64_t seed = Hash64(purpose);
-    static const std::string kSelf;
     std::vector<NodeRank> ranks;
     ranks.reserve(peers_.size() + 1);
-    if (!self_.stopping) ranks.push_back(RankOf(self_, now - started_, kSelf, seed));
+    if (!self_.stopping) ranks.push_back(RankOf(self_, now - started_, self_host_, seed));
     for (const auto& [host, peer] : peers_) {
       if (!IsLive(peer) || peer.state.stopping) continue;
       ranks.push_back(RankOf(peer.state, peer.state.uptime + (now - peer.noted), host, seed));
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -114,6 +114,7 @@
   std::vector<std::string> Rank(const std::string& purpose, size_t count, TimePoint now) const;
 
   NodeState self_;
+  const std::string self_host_;  // empty, as rankings name this node
   TimePoint started_;
   std::map<std::string, PeerRecord> peers_;          // by host
   uint64_t epoch_ = 1;                               // grows with each change of who is live
