A store that has nothing to tell yet is asked with pauses

Cause, by reading: a node that starts and gets a list without back ends asked for the next one at once, without end. Change: the same pauses as after a failure. Seen failing first (catalog_sync_test): 11 lists in a second of a store that answers in 0.1 s, two to five now.

--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -116,7 +116,8 @@
   while (!context_.HasCatalog()) {
     const absl::Status read = co_await ReadAll(ReadMode::kMayBeStale);
     NoteReachable(read.ok(), std::string(read.message()));
-    if (!read.ok()) co_await Pause(JitteredPause(++failures));
+    // Also where the store had nothing to tell yet.
+    if (!context_.HasCatalog()) co_await Pause(JitteredPause(++failures));
   }
 }
 
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -226,6 +226,17 @@
   cr_assert(node.catalog.IsReading(Now() + seconds(3)));
 }
 
+// A list without back ends answers at once: asked again without a pause, it would be asked 10 times
+// a second and more by each node.
+Test(catalog_sync, a_store_that_has_nothing_to_tell_is_asked_now_and_then) {
+  Node node;
+  node.context.peers.AddHost("10.0.0.1", Now());
+  node.store.SetList(ListOf(10, {ItemOf("document", DocumentText(3), 4)}));
+  node.catalog.Start();
+  node.RunFor(kHearing + kHearingSpread + seconds(1));
+  cr_assert(node.store.Lists() >= 2 && node.store.Lists() <= 5, "%d lists", node.store.Lists());
+}
+
 Test(catalog_sync, a_node_that_gets_a_peers_catalog_lists_nothing) {
   Node node;
   node.context.peers.AddHost("10.0.0.1", Now());
