All nodes take turns at reading while nobody hears the store

Cause, by reading: the number of readers ended at 24, so that a store which turns away just the 24 first in rank would not be heard by the 271 others of 295 nodes. Change: beside them 21 of the others read at a time, the next ones each third of the deadline. Test: catalog_sync_test; every one of 295 nodes has had its turn within 30 s, 48 at most at a time by its bound.

--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -85,7 +85,8 @@
   if (IsAlone(now)) {
     return Unconfirmed(now) > context_.document_limits.own_reading_when_unconfirmed;
   }
-  return peers_.IsReader(ReadersNeeded(Unconfirmed(now), context_.document_limits), now);
+  return HasReadingTurn(peers_.ReadingRank(now), peers_.LiveCount() + 1, Unconfirmed(now),
+                        context_.document_limits);
 }
 
 bool CatalogSync::IsLeftBehind(TimePoint now) const {
@@ -124,9 +125,11 @@
 // To be called before the answer confirms anything. A node that had to read since the first ones of
 // the order did not hear the store goes on for a while.
 void CatalogSync::NoteAnswered(TimePoint now) {
-  if (peers_.IsReader(kStoreReaders, now)) return;
-  const size_t needed = ReadersNeeded(Unconfirmed(now), context_.document_limits);
-  if (peers_.IsReader(needed, now)) reading_until_ = now + kReadingHolds;
+  const size_t rank = peers_.ReadingRank(now);
+  if (rank < kStoreReaders) return;
+  const bool has_turn =
+      HasReadingTurn(rank, peers_.LiveCount() + 1, Unconfirmed(now), context_.document_limits);
+  if (has_turn) reading_until_ = now + kReadingHolds;
 }
 
 asio::awaitable<void> CatalogSync::Follow() {
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -126,9 +126,9 @@
   return Rank(service, count, now);
 }
 
-bool PeerTable::IsReader(size_t readers, TimePoint now) const {
-  const std::vector<std::string> ranked = Rank(kReading, readers, now);
-  return std::find(ranked.begin(), ranked.end(), "") != ranked.end();
+size_t PeerTable::ReadingRank(TimePoint now) const {
+  const std::vector<std::string> ranked = Rank(kReading, peers_.size() + 1, now);
+  return static_cast<size_t>(std::find(ranked.begin(), ranked.end(), "") - ranked.begin());
 }
 
 std::string PeerTable::ZoneOf(const std::string& host) const {
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -80,9 +80,9 @@
     return peer.status == PeerStatus::kAlive || peer.status == PeerStatus::kSuspect;
   }
 
-  // The first `readers` nodes of an order that all nodes agree on, as far as they know the same
-  // peers, read the store for all.
-  bool IsReader(size_t readers, TimePoint now) const;
+  // This node's place, from 0, in the order in which nodes read the store for all; all nodes that
+  // know the same peers agree. A node that stops comes after all others.
+  size_t ReadingRank(TimePoint now) const;
 
   // The nodes that place requests of `service`, the first one before the others: hosts, or "" for
   // this node. All nodes that hear the same peers agree. Nodes that just started come last, since
--- a/libs/relay/src/reading_duty.h
+++ b/libs/relay/src/reading_duty.h
@@ -13,13 +13,13 @@
 // The first ones of an order that all nodes agree on. With three, two of which may be cut off from
 // the store, a change is still heard at once; each of them makes one call in about 1.9 s.
 inline constexpr size_t kStoreReaders = 3;
-// While the store answers nobody, more and more nodes try: some of those that read may be the only
-// ones that it turns away. So many at most, so that an outage costs some calls a second, whatever
-// the size of the fleet.
+// While the store answers nobody, more and more nodes try: those that read may be the only ones
+// that it turns away. So many at most at a time, so that an outage costs some calls a second,
+// whatever the size of the fleet; then others take their turns.
 inline constexpr size_t kMostStoreReaders = 24;
 
-// `unconfirmed`: how long ago the store was last heard, by this node or by its peers. The number
-// doubles with each third of the deadline for new documents that passes beyond the first two.
+// How many nodes read. `unconfirmed`: how long ago the store was last heard, by this node or by its
+// peers. The number doubles with each third of the deadline for new documents beyond the first two.
 inline size_t ReadersNeeded(Duration unconfirmed, const DocumentLimits& limits) {
   size_t readers = kStoreReaders;
   Duration limit = limits.own_reading_when_unconfirmed;
@@ -30,6 +30,22 @@
   return std::min(readers, kMostStoreReaders);
 }
 
+// True when the node at place `rank` of `nodes` reads the store. Beside the first ones, who always
+// do, turns of equal length go through the order once the number has reached its limit.
+inline bool HasReadingTurn(size_t rank, size_t nodes, Duration unconfirmed,
+                           const DocumentLimits& limits) {
+  if (rank < ReadersNeeded(unconfirmed, limits)) return true;
+  if (nodes <= kMostStoreReaders) return false;
+  const Duration turn = limits.own_reading_when_unconfirmed / 2;
+  const Duration at_limit = 2 * limits.own_reading_when_unconfirmed;
+  if (unconfirmed <= at_limit + turn) return false;
+  const auto turns = static_cast<size_t>((unconfirmed - at_limit) / turn);
+  const size_t others = nodes - kStoreReaders;
+  const size_t in_turn = kMostStoreReaders - kStoreReaders;
+  const size_t first = turns * in_turn % others;
+  return (rank - kStoreReaders + others - first) % others < in_turn;
+}
+
 // A node that was not among the first but had to read and was answered goes on for this long, since
 // those before it may be cut off for some time.
 inline constexpr Duration kReadingHolds = seconds(5);
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -258,6 +258,28 @@
   cr_assert(ReadersNeeded(seconds(3600), limits) == kMostStoreReaders);
 }
 
+// The first 24 may all be cut off from the store.
+Test(catalog_sync, all_nodes_take_turns_while_nobody_hears_the_store) {
+  const DocumentLimits limits = LimitsWithin(seconds(4));
+  constexpr size_t kNodes = 295;
+  std::vector<bool> had_turn(kNodes, false);
+  for (Duration unconfirmed = seconds(0); unconfirmed < seconds(30);
+       unconfirmed += milliseconds(50)) {
+    size_t readers = 0;
+    for (size_t rank = 0; rank < kNodes; ++rank) {
+      const bool reads = HasReadingTurn(rank, kNodes, unconfirmed, limits);
+      readers += reads ? 1 : 0;
+      if (reads) had_turn[rank] = true;
+      cr_assert(reads || rank >= kStoreReaders, "the first ones always read");
+    }
+    cr_assert(readers <= 2 * kMostStoreReaders, "%zu read at a time", readers);
+  }
+  cr_assert(std::count(had_turn.begin(), had_turn.end(), true) == kNodes);
+  for (size_t rank = 0; rank < 9; ++rank) {
+    cr_assert(HasReadingTurn(rank, 9, seconds(30), limits), "a small fleet reads as a whole");
+  }
+}
+
 Test(catalog_sync, a_node_that_hears_no_other_reads_the_store) {
   Node node;
   AddReaders(node);
