--- a/libs/relay/src/reading_duty.h
+++ b/libs/relay/src/reading_duty.h
@@ -14,8 +14,8 @@
 // the store, a change is still heard at once; each of them makes one call in about 1.9 s.
 inline constexpr size_t kStoreReaders = 3;
 // While the store answers nobody, more and more nodes try: those that read may be the only ones
-// that it turns away. So many at most at a time, so that an outage costs some calls a second,
-// whatever the size of the fleet; then others take their turns.
+// that it turns away. So many of the first ones at most, and beside them some fewer of the others
+// in turns, so that an outage costs some calls a second, whatever the size of the fleet.
 inline constexpr size_t kMostStoreReaders = 24;
 
 // How many nodes read. `unconfirmed`: how long ago the store was last heard, by this node or by its
