--- a/libs/relay/src/peer_gossip.cc
+++ b/libs/relay/src/peer_gossip.cc
@@ -18,15 +18,15 @@
 // Nodes that are asked to ping one that did not answer. With one in ten datagrams lost on all
 // links, one probe in 700 raises a false suspicion.
 constexpr size_t kOthersAsked = 3;
-// A suspect has this time to object, and its word to reach those who doubt it.
-constexpr Duration kObjectionTime = milliseconds(1000);
+// A suspect has this time to refute the suspicion, and its word to reach all.
+constexpr Duration kSuspicionTimeout = milliseconds(1000);
 // One ping of so many goes to another zone; the others stay within it, where bytes cost nothing.
 constexpr int kFarOneOf = 4;
 // Bytes of updates in one message, which fits one packet with them. Who lives is named with all
 // that others need to know of it, who doesn't by its address alone.
 constexpr size_t kMostUpdateBytes = 640;
 constexpr size_t kAliveBytes = 44;
-constexpr size_t kDoubtBytes = 16;
+constexpr size_t kNotAliveBytes = 16;
 // Each node tells an update so many times: of nodes that are told at random, one in e^10 is missed,
 // and finds out by a sync.
 constexpr int kTimesTold = 10;
@@ -45,7 +45,7 @@
 constexpr size_t kMembersInReply = 24;
 constexpr size_t kMostReplies = 2;
 constexpr size_t kChangesNamed = 5;
-constexpr Duration kErrandTime = seconds(1);
+constexpr Duration kRequestedPingTimeout = seconds(1);
 
 }  // namespace
 
@@ -95,7 +95,7 @@
   for (const auto& [order, host] : waiting) {
     const PeerRecord* peer = peers_.Find(host);
     const bool is_alive = peer != nullptr && peer->status == PeerStatus::kAlive;
-    bytes += is_alive ? kAliveBytes : kDoubtBytes;
+    bytes += is_alive ? kAliveBytes : kNotAliveBytes;
     if (bytes > kMostUpdateBytes) break;
     if (--updates_[host] <= 0) updates_.erase(host);
     if (peer != nullptr) message->members.push_back(EntryOf(host, *peer, now));
@@ -121,7 +121,7 @@
 void PeerGossip::Apply(const MemberEntry& entry, TimePoint now) {
   if (entry.host == host_) return Refute(entry);
   if (entry.status == PeerStatus::kAlive) return ApplyAlive(entry, now);
-  ApplyDoubt(entry, now);
+  ApplyNotAlive(entry, now);
 }
 
 void PeerGossip::ApplyAlive(const MemberEntry& entry, TimePoint now) {
@@ -134,7 +134,7 @@
   Enqueue(entry.host);
 }
 
-void PeerGossip::ApplyDoubt(const MemberEntry& entry, TimePoint now) {
+void PeerGossip::ApplyNotAlive(const MemberEntry& entry, TimePoint now) {
   PeerRecord* known = peers_.Find(entry.host);
   if (known == nullptr || known->status == PeerStatus::kUnheard) return;
   if (entry.incarnation < known->incarnation || known->status == PeerStatus::kGone) return;
@@ -222,7 +222,7 @@
 void PeerGossip::ExpireSuspects(TimePoint now) {
   std::vector<std::string> expired;
   for (const auto& [host, peer] : peers_.Peers()) {
-    if (peer.status == PeerStatus::kSuspect && now - peer.changed >= kObjectionTime) {
+    if (peer.status == PeerStatus::kSuspect && now - peer.changed >= kSuspicionTimeout) {
       expired.push_back(host);
     }
   }
@@ -247,7 +247,7 @@
                  : AddressedGossip{host, Make(GossipKind::kPing, next_sequence_++, now, view)});
     const PeerRecord* peer = peers_.Find(host);
     if (peer == nullptr || peer->status != PeerStatus::kGone) continue;
-    // So that a node that lives hears of the doubt and objects.
+    // So that a node that lives hears of it and refutes it.
     out->back().message.members.push_back(EntryOf(host, *peer, now));
   }
 }
@@ -292,14 +292,16 @@
   return replies;
 }
 
-void PeerGossip::ForgetErrands(TimePoint now) {
-  std::erase_if(errands_,
-                [now](const auto& errand) { return now - errand.second.begun > kErrandTime; });
+void PeerGossip::ForgetRequestedPings(TimePoint now) {
+  std::erase_if(requested_pings_, [now](const auto& ping) {
+    return now - ping.second.begun > kRequestedPingTimeout;
+  });
 }
 
-// A node that lives hears what is believed of it here, so that it objects with its next message.
-void PeerGossip::TellDoubt(const std::string& host, const MemberEntry& sender, TimePoint now,
-                           const StoreView& view, std::vector<AddressedGossip>* out) {
+// A node that lives hears what is believed of it here, so that it refutes that with its next
+// message.
+void PeerGossip::TellStatus(const std::string& host, const MemberEntry& sender, TimePoint now,
+                            const StoreView& view, std::vector<AddressedGossip>* out) {
   const PeerRecord* peer = peers_.Find(host);
   if (peer == nullptr) return;
   if (peer->status == PeerStatus::kAlive && sender.incarnation >= peer->incarnation) return;
@@ -315,7 +317,7 @@
   last_tick_ = now;
   if (was_paused) {
     probe_.reset();
-    // Others may have objected meanwhile.
+    // Suspects may have refuted it meanwhile.
     for (const LivePeer& peer : peers_.LivePeers()) {
       PeerRecord* record = peers_.Find(peer.host);
       if (record->status == PeerStatus::kSuspect) record->changed = now;
@@ -333,18 +335,18 @@
   ExpireSuspects(now);
   CallSilent(now, view, &out);
   Sync(now, view, &out);
-  ForgetErrands(now);
+  ForgetRequestedPings(now);
   return out;
 }
 
 void PeerGossip::OnAck(uint32_t sequence, TimePoint now, const StoreView& view,
                        std::vector<AddressedGossip>* out) {
   if (probe_.has_value() && probe_->sequence == sequence) probe_->answered = true;
-  const auto errand = errands_.find(sequence);
-  if (errand == errands_.end()) return;
+  const auto ping = requested_pings_.find(sequence);
+  if (ping == requested_pings_.end()) return;
   out->push_back(
-      {errand->second.requester, Make(GossipKind::kAck, errand->second.sequence, now, view)});
-  errands_.erase(errand);
+      {ping->second.requester, Make(GossipKind::kAck, ping->second.sequence, now, view)});
+  requested_pings_.erase(ping);
 }
 
 void PeerGossip::NoteSyncReply(size_t learnt, TimePoint now) {
@@ -375,7 +377,7 @@
       OnAck(message.sequence, now, view, &out);
       break;
     case GossipKind::kPingRequest:
-      errands_[next_sequence_] = {host, message.sequence, now};
+      requested_pings_[next_sequence_] = {host, message.sequence, now};
       out.push_back({message.subject, Make(GossipKind::kPing, next_sequence_++, now, view)});
       break;
     case GossipKind::kSync:
@@ -385,7 +387,7 @@
       NoteSyncReply(peers_.LiveCount() - known_before, now);
       break;
   }
-  TellDoubt(host, message.sender, now, view, &out);
+  TellStatus(host, message.sender, now, view, &out);
   return out;
 }
 
--- a/libs/relay/src/peer_gossip.h
+++ b/libs/relay/src/peer_gossip.h
@@ -2,7 +2,7 @@
 // time, asks two more to ping it when no answer comes, and passes on with its messages what it
 // believes of others. What a node sends and receives does not grow with the fleet, but for the
 // names of members in a sync. A wrong belief costs precision: a node that hears itself suspected
-// objects with a greater incarnation. Pure.
+// refutes that with a greater incarnation. Pure.
 #pragma once
 
 #include <cstdint>
@@ -29,7 +29,7 @@
   static constexpr Duration kTick = milliseconds(50);
 
   // `incarnation`: greater than that of the process that ran at this host before, where that can
-  // be told; if it isn't, others object and it is raised. `seed`: of all random choices.
+  // be told; if it isn't, others refute it and it is raised. `seed`: of all random choices.
   PeerGossip(PeerTable& peers, std::string host, uint32_t incarnation, uint64_t seed);
 
   // Time has passed. Returns what is to be sent now.
@@ -60,7 +60,7 @@
   };
 
   // A ping that another node asked for.
-  struct Errand {
+  struct RequestedPing {
     std::string requester;
     uint32_t sequence = 0;  // of the request
     TimePoint begun;
@@ -73,7 +73,7 @@
   void Enqueue(const std::string& host);
   void Apply(const MemberEntry& entry, TimePoint now);
   void ApplyAlive(const MemberEntry& entry, TimePoint now);
-  void ApplyDoubt(const MemberEntry& entry, TimePoint now);
+  void ApplyNotAlive(const MemberEntry& entry, TimePoint now);
   void Refute(const MemberEntry& entry);
   void MarkGone(const std::string& host, TimePoint now);
   void NoteChange(const std::string& host, bool joined);
@@ -87,11 +87,11 @@
                                           TimePoint now, const StoreView& view);
   void OnAck(uint32_t sequence, TimePoint now, const StoreView& view,
              std::vector<AddressedGossip>* out);
-  void TellDoubt(const std::string& host, const MemberEntry& sender, TimePoint now,
-                 const StoreView& view, std::vector<AddressedGossip>* out);
+  void TellStatus(const std::string& host, const MemberEntry& sender, TimePoint now,
+                  const StoreView& view, std::vector<AddressedGossip>* out);
   std::optional<std::string> NextTarget();
   std::vector<std::string> SomeLive(size_t count, const std::string& except);
-  void ForgetErrands(TimePoint now);
+  void ForgetRequestedPings(TimePoint now);
   // `learnt`: members that a reply made known.
   void NoteSyncReply(size_t learnt, TimePoint now);
 
@@ -106,8 +106,8 @@
   std::vector<std::string> near_;  // targets of this zone, in random order, the next one last
   std::vector<std::string> far_;   // the same, of the other zones
   int probes_ = 0;
-  std::map<std::string, int> updates_;  // times still to be told, by host
-  std::map<uint32_t, Errand> errands_;  // by sequence of this node's ping
+  std::map<std::string, int> updates_;                 // times still to be told, by host
+  std::map<uint32_t, RequestedPing> requested_pings_;  // by sequence of this node's ping
   TimePoint last_tick_{};
   TimePoint last_heard_{};
   TimePoint next_call_{};  // of silent hosts
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -25,7 +25,7 @@
 enum class PeerStatus : uint8_t {
   kUnheard,  // a host that may be a node
   kAlive,
-  kSuspect,  // did not answer; counts as live until it has had time to object
+  kSuspect,  // did not answer; counts as live until it has had time to refute that
   kGone,
 };
 
--- a/libs/relay/tests/peer_gossip_test.cc
+++ b/libs/relay/tests/peer_gossip_test.cc
@@ -82,7 +82,7 @@
             traffic[0].mean);
 }
 
-Test(peer_gossip, a_node_that_was_frozen_objects_and_is_believed_again) {
+Test(peer_gossip, a_node_that_was_frozen_refutes_that_and_is_believed_again) {
   GossipFleet fleet(60, 4, 0, 7);
   fleet.RunUntilTrue(seconds(10));
   fleet.Freeze(20);
