--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -346,6 +346,25 @@
   cr_assert(read->targets == update.targets);
 }
 
+// What travels to every node about twice a second, and once for each zone with the names of its
+// nodes, fits one packet with ten changes as well.
+Test(datagrams, store_updates_are_small) {
+  StoreUpdate update;
+  update.changes.revision = 1200;
+  update.changes.since = 1200;
+  update.document_version = 40;
+  const size_t confirming = EncodeDatagram(update, kNow).size();
+  for (int i = 0; i < 60; ++i) update.targets.push_back("10.4.0." + std::to_string(i + 20));
+  const size_t for_zone = EncodeDatagram(update, kNow).size();
+  for (int i = 0; i < 10; ++i) {
+    update.changes.backends.push_back(EngineNumber(i));
+  }
+  const size_t with_changes = EncodeDatagram(update, kNow).size();
+  printf("confirming %zu, for a zone of 60 %zu, with ten changes %zu bytes\n", confirming, for_zone,
+         with_changes);
+  cr_assert(confirming < 64 && for_zone < 400 && with_changes < 1200);
+}
+
 Test(datagrams, a_kind_of_gossip_that_is_not_known_is_refused) {
   GossipMessage gossip;
   gossip.sender = EntryOf("10.0.0.1", PeerStatus::kAlive);
