--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -21,7 +21,7 @@
   Endpoint peer;                   // other nodes: datagrams, and documents by HTTP
   std::vector<std::string> seeds;  // hosts of nodes that may be up; they share `peer`'s port
   bool first_start = false;        // of the whole system: all nodes start about now
-  Duration digest_interval = milliseconds(100);  // between digests to peers, at least
+  Duration digest_interval = milliseconds(100);  // between digests to coordinators
   double digest_bytes_per_s = 9000;              // sent in digests, at most
   Duration connect_timeout = milliseconds(400);  // to a back end
   Duration grace = seconds(8);                   // from the order to stop to the end of the process
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -1,4 +1,5 @@
-# What relay nodes tell each other: digests and placements in datagrams, catalogs on request.
+# What relay nodes tell each other: in datagrams which nodes are live, loads, placements, new
+# documents and what the store told its readers; catalogs on request.
 @0xc5a1be2e9b1f7d43;
 
 using Cxx = import "/capnp/c++.capnp";
