--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog_sync.cc
@@ -112,7 +112,7 @@
 // Until a peer has handed over its catalog, or none has done so for long enough: then the node
 // lists the store as it was some seconds ago. It is not known to be the newest, so nothing is
 // refused on it for good; changes since then come from peers, or by a watch. Were all of 295 nodes
-// to wait for the first ones to find each other, their callers would wait 0.3 s longer; were they
+// to wait for the first ones to find each other, their callers would wait 0.2 s longer; were they
 // to list the store as it is, that would cost ten times as much.
 asio::awaitable<void> CatalogSync::GetFirstCatalog() {
   const TimePoint last = Now() + HearingTime();
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -32,8 +32,8 @@
 constexpr int kLifetimeIntervals = 4;     // that a peer's load holds
 constexpr Duration kLeastLifetime = seconds(1);
 constexpr Duration kLongestInterval = seconds(2);
-// Between the digests that one coordinator gets from all nodes: 200 a second, so that a node of an
-// eighth of a core spends 1% of its share on them.
+// Between the digests that one coordinator gets from all nodes: 200 a second, whatever the size of
+// the fleet. Chosen, not measured.
 constexpr Duration kDigestSpacing = milliseconds(5);
 constexpr Duration kFetchTimeout = milliseconds(800);
 // A notice with its patch stays within one packet of 1,500 bytes. Patches of usual changes have
--- a/libs/relay/src/peer_gossip.cc
+++ b/libs/relay/src/peer_gossip.cc
@@ -16,7 +16,7 @@
 // a tenth of a second.
 constexpr Duration kAnswerPatience = milliseconds(120);
 // Nodes that are asked to ping one that did not answer. With one in ten datagrams lost on all
-// links, one probe in 700 raises a false suspicion.
+// links, about one probe in 700 raises a false suspicion (worked out).
 constexpr size_t kOthersAsked = 3;
 // A suspect has this time to refute the suspicion, and its word to reach all.
 constexpr Duration kSuspicionTimeout = milliseconds(1000);
--- a/libs/relay/src/peer_gossip.h
+++ b/libs/relay/src/peer_gossip.h
@@ -1,5 +1,5 @@
 // Which nodes are live, found out by all nodes together (SWIM): each node pings one other one at a
-// time, asks two more to ping it when no answer comes, and passes on with its messages what it
+// time, asks three more to ping it when no answer comes, and passes on with its messages what it
 // believes of others. What a node sends and receives does not grow with the fleet, but for the
 // names of members in a sync. A wrong belief costs precision: a node that hears itself suspected
 // refutes that with a greater incarnation. Pure.
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -13,8 +13,8 @@
 constexpr Duration kSettledAfter = seconds(3);  // uptime from which all nodes know a node
 constexpr int64_t kAssumedWhenYoung = 64;       // nodes, by one that has not heard them yet
 constexpr double kCapacityClasses = 10;         // of a core: small differences don't count
-// A ranking of 300 nodes takes about 10 us, more than the rest of what a node does to ask for a
-// placement; nodes settle at any time, so it is made anew also while no node comes or goes.
+// Every request needs a ranking, which looks at all nodes; nodes settle at any time, so it is made
+// anew also while no node comes or goes.
 constexpr Duration kRankingHolds = milliseconds(50);
 constexpr char kReading[] = "reading the store";
 
