--- /dev/null
+++ b/libs/duties/include/cartsail/duties/capacity_planner.h
@@ -0,0 +1,95 @@
+// Decides how many engines of a service to order in each zone, and of which kind: at the full
+// price, or reclaimable ones, which are cheaper and may be taken away, all of a zone at once. Pure.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cartsail/duties/capacity_policy.h"
+#include "cartsail/routing/routing_document.h"
+
+namespace cartsail {
+
+enum class EngineKind { kFullPrice, kReclaimable };
+
+// The engines of one zone that serve and are not leaving.
+struct ZoneEngines {
+  int64_t full_price = 0;
+  int64_t reclaimable = 0;
+};
+
+// What a plan is made from.
+struct CapacityView {
+  EngineScaling scaling;
+  std::map<std::string, ZoneEngines> engines;  // by zone
+  // Requests that run or wait at engines, and requests that one engine runs at once.
+  int64_t requests = 0;
+  int64_t slots = 1;
+};
+
+// `engines`: so many of this kind in all, those there are included.
+struct EngineOrder {
+  std::string zone;
+  EngineKind kind = EngineKind::kFullPrice;
+  int64_t engines = 0;
+
+  bool operator==(const EngineOrder&) const = default;
+};
+
+enum class OrderOutcome { kAccepted, kNoneToBeHad, kUnknown };
+
+// One for each service.
+class CapacityPlanner {
+ public:
+  explicit CapacityPlanner(CapacityPolicy policy) : policy_(policy) {}
+
+  // The orders to give now.
+  std::vector<EngineOrder> Plan(const CapacityView& view, TimePoint now);
+
+  void OnOrdered(const EngineOrder& order, OrderOutcome outcome, TimePoint now);
+
+  // Engines that the load needs now, the reserve included; for logs.
+  int64_t Wanted() const { return wanted_; }
+
+ private:
+  struct Line {                      // orders of one kind in one zone
+    std::optional<int64_t> ordered;  // nothing before the first order
+    TimePoint ordered_at{};
+    bool is_dry = false;  // the platform had none to give
+  };
+
+  struct ZonePlan {
+    int64_t full_price = 0;
+    int64_t reclaimable = 0;
+  };
+
+  double FirstNeed(const EngineScaling& scaling) const;
+  bool HasReclaimable(const EngineScaling& scaling) const {
+    return policy_.uses_reclaimable && scaling.reclaimable_price > 0;
+  }
+  int64_t EnginesWanted(const CapacityView& view, TimePoint now);
+  int64_t FullPriceWanted(const ZonePlan& part, const ZoneEngines& present, int64_t zones,
+                          TimePoint now) const;
+  std::map<std::string, ZonePlan> Divide(const CapacityView& view);
+  void AddFullPrice(const CapacityView& view, std::map<std::string, ZonePlan>* plan) const;
+  void AddOrder(const std::string& zone, EngineKind kind, int64_t wanted, int64_t present,
+                const EngineScaling& scaling, TimePoint now, std::vector<EngineOrder>* orders);
+  Line& LineOf(const std::string& zone, EngineKind kind);
+  bool IsDry(const std::string& zone);
+
+  CapacityPolicy policy_;
+  std::map<std::string, Line> full_price_;   // by zone
+  std::map<std::string, Line> reclaimable_;  // by zone
+  double needed_ = 0;                        // engines, as seen, falling slowly
+  double assumed_ = 0;                       // the same before the load is known
+  TimePoint needed_at_{};
+  TimePoint shrunk_at_{};
+  std::optional<TimePoint> first_plan_;
+  bool has_seen_load_ = false;
+  int64_t wanted_ = 0;
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/duties/include/cartsail/duties/capacity_policy.h
@@ -0,0 +1,42 @@
+// How many engines a service is to have, as one plain struct of settings. Pure.
+#pragma once
+
+#include <cstdint>
+
+#include "cartsail/base/clock.h"
+
+namespace cartsail {
+
+struct CapacityPolicy {
+  // False: orders are only logged, none is sent.
+  bool sends_orders = true;
+  // Engines that may be taken away are ordered. False: all are ordered at the full price.
+  bool uses_reclaimable = true;
+  // Engines held for each one that the present load needs. Bursts of three times the load come
+  // within a second, and an engine takes seconds to start.
+  double reserve = 3;
+  // The same where reclaimable engines are not to be had and the full price is to be paid.
+  double full_price_reserve = 1.2;
+  // What is held before the load is known, and fades once it is: as many engines as cost this share
+  // of what the most that may be ordered would cost at the full price. Of reclaimable ones at a
+  // fifth of the price that is all that may be ordered.
+  double first_cost_share = 0.25;
+  // Engines at the full price in each zone: they stay when all others are taken away at once.
+  int64_t full_price_base = 1;
+  // Share of an engine's slots that the load is to take on average. Above it, streams beside
+  // prompts that are read miss their pauses.
+  double target_slots_taken = 0.4;
+  // Needs fall no faster than by half in this time: bursts come again.
+  Duration memory = seconds(60);
+  // A new holder knows the load after this time: digests of nodes come within two seconds. Before,
+  // no engine at the full price is given up.
+  Duration settling = seconds(3);
+  // More engines are ordered at once, fewer at most so often.
+  Duration shrink_interval = seconds(5);
+  // Engines that were ordered and are not there are ordered again after their start and this time.
+  Duration late_margin = seconds(3);
+  // After the platform had none to give.
+  Duration pause_after_none = seconds(2);
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/duties/src/capacity_planner.cc
@@ -0,0 +1,160 @@
+#include "cartsail/duties/capacity_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cartsail {
+
+CapacityPlanner::Line& CapacityPlanner::LineOf(const std::string& zone, EngineKind kind) {
+  return kind == EngineKind::kReclaimable ? reclaimable_[zone] : full_price_[zone];
+}
+
+bool CapacityPlanner::IsDry(const std::string& zone) {
+  return LineOf(zone, EngineKind::kReclaimable).is_dry;
+}
+
+// With its reserve it takes what may be spent before the load is known.
+double CapacityPlanner::FirstNeed(const EngineScaling& scaling) const {
+  const auto most = static_cast<double>(scaling.most) * static_cast<double>(scaling.zones.size());
+  const double price = HasReclaimable(scaling) ? scaling.reclaimable_price : 1;
+  return most * std::min(policy_.first_cost_share / price, 1.0) / std::max(policy_.reserve, 1.0);
+}
+
+// The greatest need of late, which fades, with its reserve.
+int64_t CapacityPlanner::EnginesWanted(const CapacityView& view, TimePoint now) {
+  const auto zones = static_cast<int64_t>(view.scaling.zones.size());
+  const int64_t least = std::max<int64_t>(view.scaling.least, 0) * zones;
+  const int64_t most = view.scaling.most * zones;
+  const double slots = static_cast<double>(std::max<int64_t>(view.slots, 1));
+  const double needed = static_cast<double>(view.requests) / (slots * policy_.target_slots_taken);
+  has_seen_load_ = has_seen_load_ || view.requests > 0;
+  const double elapsed = has_seen_load_ ? ToSeconds(now - needed_at_) : 0;
+  const double fading = std::exp2(-elapsed / ToSeconds(policy_.memory));
+  needed_ = std::max(needed, needed_ * fading);
+  assumed_ *= fading;
+  needed_at_ = now;
+  const double wanted = std::ceil(std::max(needed_, assumed_) * policy_.reserve);
+  return std::clamp(static_cast<int64_t>(wanted), least, most);
+}
+
+// The same number in each zone, so that the loss of one zone's engines costs least. What is not to
+// be had in one zone is ordered in the others.
+std::map<std::string, CapacityPlanner::ZonePlan> CapacityPlanner::Divide(const CapacityView& view) {
+  const EngineScaling& scaling = view.scaling;
+  const bool has_reclaimable = HasReclaimable(scaling);
+  std::map<std::string, ZonePlan> plan;
+  int64_t left = wanted_;
+  std::vector<std::string> open;  // zones that may be given more
+  for (const ZonePrice& zone : scaling.zones) {
+    ZonePlan& part = plan[zone.zone];
+    part.full_price = std::min(policy_.full_price_base, scaling.most);
+    left -= part.full_price;
+    if (!has_reclaimable) continue;
+    if (!IsDry(zone.zone)) {
+      open.push_back(zone.zone);
+      continue;
+    }
+    const auto present = view.engines.find(zone.zone);
+    if (present != view.engines.end()) part.reclaimable = present->second.reclaimable;
+    left -= part.reclaimable;
+  }
+  auto zones_left = static_cast<int64_t>(open.size());
+  for (const std::string& zone : open) {
+    ZonePlan& part = plan[zone];
+    const int64_t share = std::max<int64_t>(left + zones_left - 1, 0) / zones_left;
+    part.reclaimable = std::min(share, scaling.most - part.full_price);
+    left -= part.reclaimable;
+    --zones_left;
+  }
+  AddFullPrice(view, &plan);
+  return plan;
+}
+
+// Where too few reclaimable engines are to be had: the cheapest zones first.
+void CapacityPlanner::AddFullPrice(const CapacityView& view,
+                                   std::map<std::string, ZonePlan>* plan) const {
+  int64_t left = HasReclaimable(view.scaling)
+                     ? static_cast<int64_t>(std::ceil(needed_ * policy_.full_price_reserve))
+                     : wanted_;
+  for (const auto& [zone, part] : *plan) left -= part.full_price + part.reclaimable;
+  std::vector<ZonePrice> by_price = view.scaling.zones;
+  std::sort(by_price.begin(), by_price.end(),
+            [](const ZonePrice& a, const ZonePrice& b) { return a.price < b.price; });
+  for (const ZonePrice& zone : by_price) {
+    if (left <= 0) return;
+    ZonePlan& part = (*plan)[zone.zone];
+    const int64_t more = std::min(left, view.scaling.most - part.full_price - part.reclaimable);
+    part.full_price += more;
+    left -= more;
+  }
+}
+
+void CapacityPlanner::AddOrder(const std::string& zone, EngineKind kind, int64_t wanted,
+                               int64_t present, const EngineScaling& scaling, TimePoint now,
+                               std::vector<EngineOrder>* orders) {
+  const Line& line = LineOf(zone, kind);
+  if (line.is_dry) {
+    // Asked again now and then, for as many as this zone's part of all would be.
+    if (now - line.ordered_at < policy_.pause_after_none) return;
+    orders->push_back({zone, kind, std::max(wanted, line.ordered.value_or(0))});
+    return;
+  }
+  const bool is_late = now - line.ordered_at >= scaling.boot + policy_.late_margin;
+  const bool is_same = line.ordered == wanted;
+  // Nothing was ordered yet and what is there is right.
+  if (!line.ordered.has_value() && present == wanted) return;
+  if (is_same && (present == wanted || !is_late)) return;
+  orders->push_back({zone, kind, wanted});
+}
+
+// Engines at the full price stay until the cheap ones that replace them serve, as far as the load
+// needs them: they make room for cheap ones, where both together reach the most there may be.
+int64_t CapacityPlanner::FullPriceWanted(const ZonePlan& part, const ZoneEngines& present,
+                                         int64_t zones, TimePoint now) const {
+  int64_t kept = part.full_price + part.reclaimable - present.reclaimable;
+  if (now - *first_plan_ >= policy_.settling) {
+    const double needed = std::ceil(needed_ * policy_.full_price_reserve);
+    const int64_t needed_here = (static_cast<int64_t>(needed) + zones - 1) / zones;
+    kept = std::min(kept, needed_here - present.reclaimable);
+  }
+  kept = std::clamp<int64_t>(kept, 0, present.full_price);
+  return std::max(part.full_price, kept);
+}
+
+std::vector<EngineOrder> CapacityPlanner::Plan(const CapacityView& view, TimePoint now) {
+  const EngineScaling& scaling = view.scaling;
+  if (scaling.zones.empty() || scaling.least > scaling.most) return {};
+  if (!first_plan_.has_value()) {
+    first_plan_ = now;
+    assumed_ = FirstNeed(scaling);
+    needed_at_ = now;
+  }
+  const int64_t wanted = EnginesWanted(view, now);
+  const bool may_shrink = now - shrunk_at_ >= policy_.shrink_interval;
+  if (wanted > wanted_ || may_shrink) {
+    if (wanted < wanted_) shrunk_at_ = now;
+    wanted_ = wanted;
+  }
+  const auto zones = static_cast<int64_t>(scaling.zones.size());
+  std::vector<EngineOrder> orders;
+  for (const auto& [zone, part] : Divide(view)) {
+    const auto found = view.engines.find(zone);
+    const ZoneEngines present = found == view.engines.end() ? ZoneEngines() : found->second;
+    const int64_t full_price = FullPriceWanted(part, present, zones, now);
+    const int64_t room = std::max<int64_t>(view.scaling.most - full_price, 0);
+    AddOrder(zone, EngineKind::kFullPrice, full_price, present.full_price, view.scaling, now,
+             &orders);
+    AddOrder(zone, EngineKind::kReclaimable, std::min(part.reclaimable, room), present.reclaimable,
+             view.scaling, now, &orders);
+  }
+  return orders;
+}
+
+void CapacityPlanner::OnOrdered(const EngineOrder& order, OrderOutcome outcome, TimePoint now) {
+  Line& line = LineOf(order.zone, order.kind);
+  if (outcome != OrderOutcome::kUnknown) line.is_dry = outcome == OrderOutcome::kNoneToBeHad;
+  line.ordered = order.engines;
+  line.ordered_at = now;
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/duties/src/fleet_clock.cc
@@ -0,0 +1,40 @@
+#include "cartsail/duties/fleet_clock.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace cartsail {
+namespace {
+
+// Nodes exchange messages about each other four times a second, so that in this time some tens of
+// peers are heard.
+constexpr Duration kReadingHolds = seconds(15);
+// The median of some tens of clocks is as good as that of all, at any size of the fleet.
+constexpr size_t kMostReadings = 64;
+
+std::chrono::milliseconds OffsetOf(WallTime wall, TimePoint now) {
+  return wall - std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+}
+
+}  // namespace
+
+void FleetClock::NotePeer(const std::string& host, WallTime wall, TimePoint now) {
+  if (wall.count() <= 0) return;  // of a node that does not tell
+  std::erase_if(readings_,
+                [now](const auto& entry) { return now - entry.second.noted > kReadingHolds; });
+  if (readings_.size() >= kMostReadings && !readings_.contains(host)) return;
+  readings_[host] = {OffsetOf(wall, now), now};
+}
+
+void FleetClock::NoteOwn(WallTime wall, TimePoint now) { NotePeer("", wall, now); }
+
+WallTime FleetClock::At(TimePoint now) const {
+  if (readings_.empty()) return {};
+  std::vector<std::chrono::milliseconds> offsets;
+  for (const auto& [host, reading] : readings_) offsets.push_back(reading.offset);
+  const auto middle = offsets.begin() + static_cast<int64_t>(offsets.size() / 2);
+  std::nth_element(offsets.begin(), middle, offsets.end());
+  return *middle + std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/duties/src/window_report.cc
@@ -0,0 +1,31 @@
+#include "cartsail/duties/window_report.h"
+
+#include <utility>
+
+namespace cartsail {
+
+void WindowReport::OnRecorded(RecordOutcome outcome) {
+  // After an unknown outcome the record may be there, or may still come: reading tells the first,
+  // and writing again fails on the condition in the second case.
+  step_ = outcome == RecordOutcome::kWritten ? Step::kSend : Step::kRead;
+}
+
+void WindowReport::OnRead(std::optional<TenantCounts> recorded, bool holds) {
+  if (!holds) {
+    step_ = Step::kLost;
+    return;
+  }
+  if (!recorded.has_value()) {
+    step_ = Step::kRecord;
+    return;
+  }
+  counts_ = *std::move(recorded);
+  step_ = Step::kSend;
+}
+
+void WindowReport::OnSent(SendOutcome outcome) {
+  if (outcome == SendOutcome::kAccepted) step_ = Step::kDone;
+  if (outcome == SendOutcome::kFenced) step_ = Step::kLost;
+}
+
+}  // namespace cartsail
--- a/libs/routing/include/cartsail/routing/routing_document.h
+++ b/libs/routing/include/cartsail/routing/routing_document.h
@@ -52,10 +52,26 @@
   int64_t tokens_per_event = 1;
 };
 
+// What an engine in this zone costs, beside others.
+struct ZonePrice {
+  std::string zone;
+  double price = 1;
+};
+
+// Engines that the platform starts and stops on order.
+struct EngineScaling {
+  int64_t least = 0;             // engines in each zone, of both kinds together
+  int64_t most = 0;              // the same
+  Duration boot{};               // from an order until the engines serve
+  double reclaimable_price = 0;  // of an engine that may be taken away, as a share; 0: none
+  std::vector<ZonePrice> zones;  // in which engines may be ordered
+};
+
 struct ServiceRule {
   std::string name;
-  int64_t max_connections = 0;          // a back end's limit for all callers; 0: none
-  std::optional<EngineProfile> engine;  // absent: a plain service
+  int64_t max_connections = 0;           // a back end's limit for all callers; 0: none
+  std::optional<EngineProfile> engine;   // absent: a plain service
+  std::optional<EngineScaling> scaling;  // absent: the number of back ends is not ordered
 };
 
 struct TenantRule {
