--- a/apps/emulator/tests/config_store_test.cc
+++ b/apps/emulator/tests/config_store_test.cc
@@ -29,6 +29,14 @@
     co_return result;
   }
   Result<int64_t> GrantLease(int64_t ttl) override { co_return store.GrantLease(ttl, TimePoint()); }
+  asio::awaitable<absl::Status> KeepLease(int64_t lease) override {
+    if (store.KeepAlive(lease, TimePoint())) co_return absl::OkStatus();
+    co_return MakeError(ErrorKind::kConflict, "no such lease");
+  }
+  asio::awaitable<absl::Status> EndLease(int64_t lease) override {
+    store.RevokeLease(lease);
+    co_return absl::OkStatus();
+  }
   asio::awaitable<absl::Status> Watch(std::string, std::string, int64_t, WatchCallback) override {
     co_return absl::OkStatus();
   }
--- a/libs/base/include/cartsail/base/clock.h
+++ b/libs/base/include/cartsail/base/clock.h
@@ -15,6 +15,12 @@
 // The process's monotonic clock.
 inline TimePoint Now() { return std::chrono::steady_clock::now(); }
 
+// The time of day of this machine, since the start of 1970. It may jump.
+inline std::chrono::milliseconds WallNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 inline double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -72,6 +72,11 @@
   X(coordinator_losses_total, counter, "Times a coordinator did not answer")                     \
   X(catalog_reader, gauge, "1 if this node reads the store for the others")                      \
   X(config_age_milliseconds, gauge, "Time since the store last confirmed the configuration")     \
+  X(usage_windows_reported_total, counter, "Windows of usage that the platform accepted")        \
+  X(usage_windows_missed_total, counter, "Windows of usage that this holder did not report")     \
+  X(usage_late_requests_total, counter, "Requests counted after their window was reported")      \
+  X(engine_orders_total, counter, "Orders of engines given to the platform")                     \
+  X(engine_orders_failed_total, counter, "Of these: refused or without an answer")               \
   X(log_lines_total, counter, "Log lines written")                                               \
   X(log_lines_dropped_total, counter, "Log lines dropped to keep the log bounded")               \
   X(ready, gauge, "1 if this node asks the balancer for traffic")
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -32,6 +32,7 @@
   std::string zone;
   int64_t slots = 1;  // requests that it runs at once
   BackendState state = BackendState::kReady;
+  bool reclaimable = false;      // the platform may take it away after a short notice
   int64_t created_revision = 0;  // of its entry in the store: orders two entries with one address
   // Its entry is missing, but may have lapsed while the store was away: gone at this time unless
   // the entry is back.
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -98,6 +98,9 @@
   void ApplyDigest(std::string_view node, const DispatchDigest& digest, Duration lifetime,
                    TimePoint now);
 
+  // Requests that run or wait at the back end, of this node and its peers.
+  int64_t RequestsAt(BackendKey backend) const { return loads_.Total(backend).requests; }
+
   // Nodes heard lately, this one included.
   int64_t LiveNodes(TimePoint now) const { return loads_.PeersHeard(now) + 1; }
 
--- a/libs/relay/include/cartsail/relay/relay_node.h
+++ b/libs/relay/include/cartsail/relay/relay_node.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "cartsail/relay/catalog_codec.h"
+#include "cartsail/relay/duty_platform.h"
 #include "cartsail/relay/relay_options.h"
 #include "cartsail/relay/wire_format.h"
 #include "cartsail/store/key_value_store.h"
@@ -23,6 +24,8 @@
   // The store; its watches wait that long at most before they ask anew.
   std::function<std::unique_ptr<KeyValueStore>(boost::asio::io_context&, Duration watch_wait)>
       make_store;
+  // The calls of the duties; none where the deployment has no duties.
+  std::function<std::unique_ptr<DutyPlatform>(boost::asio::io_context&)> make_duty_platform;
   // Reads the settings again, at SIGHUP.
   std::function<absl::StatusOr<RelayOptions>()> reload;
 };
--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -8,6 +8,7 @@
 #include "cartsail/dispatch/placement_policy.h"
 #include "cartsail/dispatch/retry_budget.h"
 #include "cartsail/net/http_types.h"
+#include "cartsail/relay/duty_options.h"
 
 namespace cartsail {
 
@@ -30,6 +31,7 @@
   Duration document_deadline = seconds(2);
   RetryBudgetOptions retry_budget;
   PlacementPolicy placement;
+  DutyOptions duties;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/catalog_message.cc
+++ b/libs/relay/src/catalog_message.cc
@@ -55,6 +55,7 @@
   EncodeAddress(backend.address, entry);
   entry.setSlots(BoundedTo<uint16_t>(static_cast<double>(backend.slots)));
   entry.setLeaving(backend.state == BackendState::kLeaving);
+  entry.setReclaimable(backend.reclaimable);
   const int64_t before = catalog_revision - backend.created_revision;
   entry.setCreatedBefore(BoundedTo<uint32_t>(static_cast<double>(before)));
   if (!backend.missing_until.has_value()) return;
@@ -69,6 +70,7 @@
   backend.address = DecodeAddress(entry);
   backend.slots = entry.getSlots();
   backend.state = entry.getLeaving() ? BackendState::kLeaving : BackendState::kReady;
+  backend.reclaimable = entry.getReclaimable();
   backend.created_revision = catalog.getRevision() - entry.getCreatedBefore();
   if (entry.getMissingMs() >= 0) {
     backend.missing_until = now + milliseconds(entry.getMissingMs());
--- a/libs/relay/src/datagram.cc
+++ b/libs/relay/src/datagram.cc
@@ -93,6 +93,55 @@
   EncodeGossip(gossip, root.initGossip());
 }
 
+void Encode(const UsageShares& usage, wire::Datagram::Builder root) {
+  auto message = root.initUsage();
+  message.setProcess(usage.process);
+  auto shares = message.initShares(static_cast<unsigned>(usage.shares.size()));
+  for (unsigned i = 0; i < shares.size(); ++i) {
+    const UsageShare& share = usage.shares[i];
+    shares[i].setWindow(share.window);
+    shares[i].setClosed(share.closed);
+    shares[i].setRequests(share.requests);
+    auto counts = shares[i].initCounts(static_cast<unsigned>(share.counts.size()));
+    unsigned next = 0;
+    for (const auto& [tenant, count] : share.counts) {
+      counts[next].setTenant(tenant);
+      counts[next].setRequests(count);
+      ++next;
+    }
+  }
+}
+
+void Encode(const UsageReceipt& receipt, wire::Datagram::Builder root) {
+  auto message = root.initUsageReceipt();
+  message.setProcess(receipt.process);
+  auto windows = message.initWindows(static_cast<unsigned>(receipt.windows.size()));
+  for (unsigned i = 0; i < windows.size(); ++i) windows.set(i, receipt.windows[i]);
+}
+
+UsageShares DecodeUsage(wire::UsageShares::Reader message) {
+  UsageShares usage;
+  usage.process = message.getProcess();
+  for (const auto entry : message.getShares()) {
+    UsageShare share;
+    share.window = entry.getWindow();
+    share.closed = entry.getClosed();
+    share.requests = entry.getRequests();
+    for (const auto count : entry.getCounts()) {
+      share.counts[TextOf(count.getTenant())] = count.getRequests();
+    }
+    usage.shares.push_back(std::move(share));
+  }
+  return usage;
+}
+
+UsageReceipt DecodeReceipt(wire::UsageReceipt::Reader message) {
+  UsageReceipt receipt;
+  receipt.process = message.getProcess();
+  for (const int64_t window : message.getWindows()) receipt.windows.push_back(window);
+  return receipt;
+}
+
 void EncodeUpdate(const StoreUpdate& update, TimePoint now, wire::Datagram::Builder root) {
   auto message = root.initStoreUpdate();
   FillCatalog(update.changes, now, message.initChanges());
@@ -189,6 +238,10 @@
       return DecodeGossip(root.getGossip());
     case wire::Datagram::STORE_UPDATE:
       return DecodeUpdate(root.getStoreUpdate(), now);
+    case wire::Datagram::USAGE:
+      return DecodeUsage(root.getUsage());
+    case wire::Datagram::USAGE_RECEIPT:
+      return DecodeReceipt(root.getUsageReceipt());
   }
   return std::nullopt;  // of a later version
 }
--- a/libs/relay/src/datagram.h
+++ b/libs/relay/src/datagram.h
@@ -11,11 +11,13 @@
 #include "node_digest.h"
 #include "placement_message.h"
 #include "store_update.h"
+#include "usage_message.h"
 
 namespace cartsail {
 
-using Datagram = std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport,
-                              DocumentNotice, GossipMessage, StoreUpdate>;
+using Datagram =
+    std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport, DocumentNotice,
+                 GossipMessage, StoreUpdate, UsageShares, UsageReceipt>;
 
 // Times are sent as what is left or past at `now`.
 std::string EncodeDatagram(const Datagram& datagram, TimePoint now = {});
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/exchange.cc
@@ -333,6 +333,7 @@
     if (admitted_.route->kind == RequestKind::kStream)
       co_return co_await RelayStream(placement, head);
   }
+  if (signed_answer) NoteRun(Now());
   co_return co_await RelayWhole(placement, head);
 }
 
--- a/libs/relay/src/exchange.h
+++ b/libs/relay/src/exchange.h
@@ -59,6 +59,7 @@
   Duration PauseLimit() const;
   bool MayRepeat() const;
   void NoteOutput(TimePoint now);
+  void NoteRun(TimePoint now);
   void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
   std::string ConfigAgeText() const;
   std::string GoalText() const;
@@ -83,7 +84,8 @@
   TimePoint last_output_;
   Duration longest_pause_{};  // between two pieces of the answer
   bool head_sent_ = false;
-  int status_sent_ = 0;  // of the head that the caller was sent
+  bool run_noted_ = false;  // it counts as usage
+  int status_sent_ = 0;     // of the head that the caller was sent
   bool caller_gone_ = false;
   bool keep_alive_ = true;
   int64_t bytes_out_ = 0;
--- a/libs/relay/src/exchange_report.cc
+++ b/libs/relay/src/exchange_report.cc
@@ -13,12 +13,20 @@
 void Exchange::NoteOutput(TimePoint now) {
   if (first_output_ == TimePoint()) {
     first_output_ = now;
+    NoteRun(now);
   } else {
     longest_pause_ = std::max(longest_pause_, now - last_output_);
   }
   last_output_ = now;
 }
 
+// Own repeats of a request count once.
+void Exchange::NoteRun(TimePoint now) {
+  if (run_noted_) return;
+  run_noted_ = true;
+  context_.usage.NoteRun(admitted_.tenant, now);
+}
+
 namespace {
 
 std::string PlacedByText(const std::string& coordinator) {
--- a/libs/relay/src/gossip_codec.cc
+++ b/libs/relay/src/gossip_codec.cc
@@ -48,6 +48,7 @@
   EncodeMember(gossip.sender, root.initSender());
   root.setCatalogRevision(gossip.view.catalog_revision);
   root.setDocumentVersion(gossip.view.document_version);
+  root.setWallMs(gossip.wall.count());
   if (gossip.view.confirmed_age.has_value()) {
     root.setConfirmedAgeMs(BoundedTo<int32_t>(ToMillis(*gossip.view.confirmed_age)));
   }
@@ -66,6 +67,7 @@
   gossip.sender = DecodeMember(root.getSender());
   gossip.view.catalog_revision = root.getCatalogRevision();
   gossip.view.document_version = root.getDocumentVersion();
+  gossip.wall = std::chrono::milliseconds(root.getWallMs());
   if (root.getConfirmedAgeMs() >= 0) {
     gossip.view.confirmed_age = milliseconds(root.getConfirmedAgeMs());
   }
--- a/libs/relay/src/gossip_message.h
+++ b/libs/relay/src/gossip_message.h
@@ -2,6 +2,7 @@
 // structs.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,6 +44,7 @@
   std::string subject;    // of a ping request: a host
   MemberEntry sender;
   StoreView view;
+  std::chrono::milliseconds wall{};  // the sender's time of day, since 1970; 0: not told
   std::vector<MemberEntry> members;
   std::vector<uint16_t> known;  // of a sync: hashes of hosts, salted with `sequence`
 };
--- a/libs/relay/src/messages.capnp
+++ b/libs/relay/src/messages.capnp
@@ -72,6 +72,8 @@
   confirmedAgeMs @6 :Int32 = -1;
   members @7 :List(Member);
   known @8 :List(UInt16);
+  # What the sender's clock shows, in milliseconds since the start of 1970; 0: not told.
+  wallMs @9 :Int64;
 }
 
 struct PromptPart {
@@ -147,6 +149,7 @@
   createdBefore @8 :UInt32;
   # Its entry is missing: milliseconds until it counts as gone; -1: not missing.
   missingMs @9 :Int32 = -1;
+  reclaimable @10 :Bool;
 }
 
 # All that a node knows from the store.
@@ -178,6 +181,31 @@
   targets @3 :List(UInt32);
 }
 
+struct TenantCount {
+  tenant @0 :Text;
+  requests @1 :Int64;
+}
+
+# What a node has counted in one window, for some tenants.
+struct UsageShare {
+  window @0 :Int64;
+  closed @1 :Bool;
+  # Of all tenants.
+  requests @2 :Int64;
+  counts @3 :List(TenantCount);
+}
+
+struct UsageShares {
+  process @0 :UInt32;
+  shares @1 :List(UsageShare);
+}
+
+# The sender knows all that `process` counted in these windows.
+struct UsageReceipt {
+  process @0 :UInt32;
+  windows @1 :List(Int64);
+}
+
 struct Datagram {
   union {
     digest @0 :NodeDigest;
@@ -187,5 +215,7 @@
     notice @4 :DocumentNotice;
     gossip @5 :Gossip;
     storeUpdate @6 :StoreUpdate;
+    usage @7 :UsageShares;
+    usageReceipt @8 :UsageReceipt;
   }
 }
--- a/libs/relay/src/messages.capnp.h
+++ b/libs/relay/src/messages.capnp.h
@@ -30,6 +30,10 @@
 CAPNP_DECLARE_SCHEMA(fda596282b449bf2);
 CAPNP_DECLARE_SCHEMA(fcbd87e46f033038);
 CAPNP_DECLARE_SCHEMA(d24718b90bf84405);
+CAPNP_DECLARE_SCHEMA(d9bf43abf2c8caa6);
+CAPNP_DECLARE_SCHEMA(ab27f422ef2a8572);
+CAPNP_DECLARE_SCHEMA(fcbe8b29f7190698);
+CAPNP_DECLARE_SCHEMA(9bbae061c88d4617);
 CAPNP_DECLARE_SCHEMA(d8728f032019e01b);
 
 }  // namespace schemas
@@ -121,7 +125,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa028c5718aee73c, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fa028c5718aee73c, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,6 +252,66 @@
   };
 };
 
+struct TenantCount {
+  TenantCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9bf43abf2c8caa6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageShare {
+  UsageShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab27f422ef2a8572, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageShares {
+  UsageShares() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fcbe8b29f7190698, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageReceipt {
+  UsageReceipt() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9bbae061c88d4617, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -262,6 +326,8 @@
     NOTICE,
     GOSSIP,
     STORE_UPDATE,
+    USAGE,
+    USAGE_RECEIPT,
   };
 
   struct _capnpPrivate {
@@ -849,6 +915,8 @@
   inline bool hasKnown() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getKnown() const;
 
+  inline  ::int64_t getWallMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -917,6 +985,9 @@
   inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownKnown();
 
+  inline  ::int64_t getWallMs();
+  inline void setWallMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1535,6 +1606,8 @@
 
   inline  ::int32_t getMissingMs() const;
 
+  inline bool getReclaimable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1601,6 +1674,9 @@
   inline  ::int32_t getMissingMs();
   inline void setMissingMs( ::int32_t value);
 
+  inline bool getReclaimable();
+  inline void setReclaimable(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1777,15 +1853,381 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasChanges() const;
-  inline  ::cartsail::wire::Catalog::Reader getChanges() const;
-
-  inline  ::int64_t getDocumentVersion() const;
+  inline bool hasChanges() const;
+  inline  ::cartsail::wire::Catalog::Reader getChanges() const;
+
+  inline  ::int64_t getDocumentVersion() const;
+
+  inline  ::uint32_t getConfirmedAgeMs() const;
+
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreUpdate::Builder {
+public:
+  typedef StoreUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasChanges();
+  inline  ::cartsail::wire::Catalog::Builder getChanges();
+  inline void setChanges( ::cartsail::wire::Catalog::Reader value);
+  inline  ::cartsail::wire::Catalog::Builder initChanges();
+  inline void adoptChanges(::capnp::Orphan< ::cartsail::wire::Catalog>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::Catalog> disownChanges();
+
+  inline  ::int64_t getDocumentVersion();
+  inline void setDocumentVersion( ::int64_t value);
+
+  inline  ::uint32_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::uint32_t value);
+
+  inline bool hasTargets();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreUpdate::Pipeline {
+public:
+  typedef StoreUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cartsail::wire::Catalog::Pipeline getChanges();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TenantCount::Reader {
+public:
+  typedef TenantCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
+
+  inline  ::int64_t getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TenantCount::Builder {
+public:
+  typedef TenantCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+
+  inline  ::int64_t getRequests();
+  inline void setRequests( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TenantCount::Pipeline {
+public:
+  typedef TenantCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageShare::Reader {
+public:
+  typedef UsageShare Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow() const;
+
+  inline bool getClosed() const;
+
+  inline  ::int64_t getRequests() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageShare::Builder {
+public:
+  typedef UsageShare Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow();
+  inline void setWindow( ::int64_t value);
+
+  inline bool getClosed();
+  inline void setClosed(bool value);
+
+  inline  ::int64_t getRequests();
+  inline void setRequests( ::int64_t value);
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>> disownCounts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageShare::Pipeline {
+public:
+  typedef UsageShare Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageShares::Reader {
+public:
+  typedef UsageShares Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getProcess() const;
+
+  inline bool hasShares() const;
+  inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageShares::Builder {
+public:
+  typedef UsageShares Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getProcess();
+  inline void setProcess( ::uint32_t value);
+
+  inline bool hasShares();
+  inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder getShares();
+  inline void setShares( ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
+  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>> disownShares();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageShares::Pipeline {
+public:
+  typedef UsageShares Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageReceipt::Reader {
+public:
+  typedef UsageReceipt Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getProcess() const;
 
-  inline  ::uint32_t getConfirmedAgeMs() const;
-
-  inline bool hasTargets() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
+  inline bool hasWindows() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWindows() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1799,9 +2241,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoreUpdate::Builder {
+class UsageReceipt::Builder {
 public:
-  typedef StoreUpdate Builds;
+  typedef UsageReceipt Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1815,26 +2257,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasChanges();
-  inline  ::cartsail::wire::Catalog::Builder getChanges();
-  inline void setChanges( ::cartsail::wire::Catalog::Reader value);
-  inline  ::cartsail::wire::Catalog::Builder initChanges();
-  inline void adoptChanges(::capnp::Orphan< ::cartsail::wire::Catalog>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::Catalog> disownChanges();
-
-  inline  ::int64_t getDocumentVersion();
-  inline void setDocumentVersion( ::int64_t value);
-
-  inline  ::uint32_t getConfirmedAgeMs();
-  inline void setConfirmedAgeMs( ::uint32_t value);
+  inline  ::uint32_t getProcess();
+  inline void setProcess( ::uint32_t value);
 
-  inline bool hasTargets();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
-  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
-  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
+  inline bool hasWindows();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWindows();
+  inline void setWindows( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWindows(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWindows(unsigned int size);
+  inline void adoptWindows(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownWindows();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1846,15 +2278,14 @@
 };
 
 #if !CAPNP_LITE
-class StoreUpdate::Pipeline {
+class UsageReceipt::Pipeline {
 public:
-  typedef StoreUpdate Pipelines;
+  typedef UsageReceipt Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cartsail::wire::Catalog::Pipeline getChanges();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1909,6 +2340,14 @@
   inline bool hasStoreUpdate() const;
   inline  ::cartsail::wire::StoreUpdate::Reader getStoreUpdate() const;
 
+  inline bool isUsage() const;
+  inline bool hasUsage() const;
+  inline  ::cartsail::wire::UsageShares::Reader getUsage() const;
+
+  inline bool isUsageReceipt() const;
+  inline bool hasUsageReceipt() const;
+  inline  ::cartsail::wire::UsageReceipt::Reader getUsageReceipt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1994,6 +2433,22 @@
   inline void adoptStoreUpdate(::capnp::Orphan< ::cartsail::wire::StoreUpdate>&& value);
   inline ::capnp::Orphan< ::cartsail::wire::StoreUpdate> disownStoreUpdate();
 
+  inline bool isUsage();
+  inline bool hasUsage();
+  inline  ::cartsail::wire::UsageShares::Builder getUsage();
+  inline void setUsage( ::cartsail::wire::UsageShares::Reader value);
+  inline  ::cartsail::wire::UsageShares::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::cartsail::wire::UsageShares>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::UsageShares> disownUsage();
+
+  inline bool isUsageReceipt();
+  inline bool hasUsageReceipt();
+  inline  ::cartsail::wire::UsageReceipt::Builder getUsageReceipt();
+  inline void setUsageReceipt( ::cartsail::wire::UsageReceipt::Reader value);
+  inline  ::cartsail::wire::UsageReceipt::Builder initUsageReceipt();
+  inline void adoptUsageReceipt(::capnp::Orphan< ::cartsail::wire::UsageReceipt>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::UsageReceipt> disownUsageReceipt();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2783,6 +3238,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Gossip::Reader::getWallMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Gossip::Builder::getWallMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setWallMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PromptPart::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3547,6 +4016,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1);
 }
 
+inline bool Backend::Reader::getReclaimable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool Backend::Builder::getReclaimable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setReclaimable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t Catalog::Reader::getRevision() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3852,6 +4335,230 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool TenantCount::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TenantCount::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TenantCount::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TenantCount::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TenantCount::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TenantCount::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TenantCount::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TenantCount::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t TenantCount::Reader::getRequests() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TenantCount::Builder::getRequests() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TenantCount::Builder::setRequests( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageShare::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageShare::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageShare::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageShare::Reader::getClosed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UsageShare::Builder::getClosed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UsageShare::Builder::setClosed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageShare::Reader::getRequests() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageShare::Builder::getRequests() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UsageShare::Builder::setRequests( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageShare::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageShare::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader UsageShare::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder UsageShare::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageShare::Builder::setCounts( ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder UsageShare::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageShare::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>> UsageShare::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t UsageShares::Reader::getProcess() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageShares::Builder::getProcess() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageShares::Builder::setProcess( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageShares::Reader::hasShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageShares::Builder::hasShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader UsageShares::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder UsageShares::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageShares::Builder::setShares( ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder UsageShares::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageShares::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>> UsageShares::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t UsageReceipt::Reader::getProcess() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageReceipt::Builder::getProcess() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceipt::Builder::setProcess( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageReceipt::Reader::hasWindows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageReceipt::Builder::hasWindows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader UsageReceipt::Reader::getWindows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder UsageReceipt::Builder::getWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageReceipt::Builder::setWindows( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void UsageReceipt::Builder::setWindows(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder UsageReceipt::Builder::initWindows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageReceipt::Builder::adoptWindows(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> UsageReceipt::Builder::disownWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::cartsail::wire::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4239,6 +4946,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isUsage() const {
+  return which() == Datagram::USAGE;
+}
+inline bool Datagram::Builder::isUsage() {
+  return which() == Datagram::USAGE;
+}
+inline bool Datagram::Reader::hasUsage() const {
+  if (which() != Datagram::USAGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasUsage() {
+  if (which() != Datagram::USAGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::UsageShares::Reader Datagram::Reader::getUsage() const {
+  KJ_IREQUIRE((which() == Datagram::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageShares>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::UsageShares::Builder Datagram::Builder::getUsage() {
+  KJ_IREQUIRE((which() == Datagram::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageShares>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setUsage( ::cartsail::wire::UsageShares::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::USAGE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::UsageShares>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::UsageShares::Builder Datagram::Builder::initUsage() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::USAGE);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageShares>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptUsage(
+    ::capnp::Orphan< ::cartsail::wire::UsageShares>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::USAGE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::UsageShares>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::UsageShares> Datagram::Builder::disownUsage() {
+  KJ_IREQUIRE((which() == Datagram::USAGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageShares>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isUsageReceipt() const {
+  return which() == Datagram::USAGE_RECEIPT;
+}
+inline bool Datagram::Builder::isUsageReceipt() {
+  return which() == Datagram::USAGE_RECEIPT;
+}
+inline bool Datagram::Reader::hasUsageReceipt() const {
+  if (which() != Datagram::USAGE_RECEIPT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasUsageReceipt() {
+  if (which() != Datagram::USAGE_RECEIPT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::UsageReceipt::Reader Datagram::Reader::getUsageReceipt() const {
+  KJ_IREQUIRE((which() == Datagram::USAGE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageReceipt>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::UsageReceipt::Builder Datagram::Builder::getUsageReceipt() {
+  KJ_IREQUIRE((which() == Datagram::USAGE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageReceipt>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setUsageReceipt( ::cartsail::wire::UsageReceipt::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::USAGE_RECEIPT);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::UsageReceipt>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::UsageReceipt::Builder Datagram::Builder::initUsageReceipt() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::USAGE_RECEIPT);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageReceipt>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptUsageReceipt(
+    ::capnp::Orphan< ::cartsail::wire::UsageReceipt>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::USAGE_RECEIPT);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::UsageReceipt>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::UsageReceipt> Datagram::Builder::disownUsageReceipt() {
+  KJ_IREQUIRE((which() == Datagram::USAGE_RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::UsageReceipt>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/peer_exchange.cc
@@ -118,6 +118,11 @@
   context_.placement.SetTransport(
       {[this](const std::string& host, const Datagram& datagram) { (void)Send(host, datagram); },
        [this](const std::string& host) { SendDigestTo(host); }});
+  context_.usage.SetTransport(
+      {[this](const std::string& host, const UsageShares& shares) { (void)Send(host, shares); },
+       [this](const std::string& host, const UsageReceipt& receipt) {
+         (void)Send(host, receipt);
+       }});
   catalog_.SetOnDocument([this] {
     if (announcing_) return;  // goes on with the newest document
     announcing_ = true;
@@ -130,6 +135,9 @@
   asio::co_spawn(context_.io, Receive(), asio::detached);
   asio::co_spawn(context_.io, GossipPeriodically(), asio::detached);
   asio::co_spawn(context_.io, SendDigestsPeriodically(), asio::detached);
+  if (context_.options.duties.reports_usage) {
+    asio::co_spawn(context_.io, TellUsagePeriodically(), asio::detached);
+  }
   return absl::OkStatus();
 }
 
@@ -173,6 +181,12 @@
   if (const auto* notice = std::get_if<DocumentNotice>(&*datagram)) OnNotice(host, *notice);
   if (const auto* gossip = std::get_if<GossipMessage>(&*datagram)) OnGossip(host, *gossip);
   if (const auto* update = std::get_if<StoreUpdate>(&*datagram)) OnUpdate(host, *update);
+  if (const auto* shares = std::get_if<UsageShares>(&*datagram)) {
+    context_.usage.OnShares(host, *shares, now);
+  }
+  if (const auto* receipt = std::get_if<UsageReceipt>(&*datagram)) {
+    context_.usage.OnReceipt(host, *receipt);
+  }
 }
 
 StoreView PeerExchange::View(TimePoint now) const {
@@ -184,8 +198,9 @@
   return view;
 }
 
-void PeerExchange::SendAll(const std::vector<AddressedGossip>& messages) {
-  for (const AddressedGossip& message : messages) {
+void PeerExchange::SendAll(std::vector<AddressedGossip> messages) {
+  for (AddressedGossip& message : messages) {
+    message.message.wall = WallNow();
     (void)Send(message.host, message.message);
   }
 }
@@ -221,6 +236,7 @@
   const TimePoint now = Now();
   SendAll(gossip_.OnMessage(host, message, now, View(now)));
   catalog_.NotePeersHeard(gossip_.LastHeard());
+  context_.usage.Clock().NotePeer(host, message.wall, now);
   OnView(host, message.view, now);
 }
 
@@ -350,6 +366,16 @@
   }
 }
 
+asio::awaitable<void> PeerExchange::TellUsagePeriodically() {
+  asio::steady_timer timer(context_.io);
+  while (true) {
+    context_.usage.Tick(Now(), WallNow());
+    timer.expires_after(UsageCounting::kTick);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
 NodeDigest PeerExchange::MakeDigest(TimePoint now) {
   NodeDigest digest;
   digest.node = context_.options.node_id;
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/peer_exchange.h
@@ -37,11 +37,12 @@
   boost::asio::awaitable<void> Receive();
   boost::asio::awaitable<void> GossipPeriodically();
   boost::asio::awaitable<void> SendDigestsPeriodically();
+  boost::asio::awaitable<void> TellUsagePeriodically();
   boost::asio::awaitable<void> FetchCatalog(std::string host, FetchSchedule::Running fetch);
   boost::asio::awaitable<void> AnnounceDocument();
   void SendDigests();
   size_t Send(const std::string& host, const Datagram& datagram);
-  void SendAll(const std::vector<AddressedGossip>& messages);
+  void SendAll(std::vector<AddressedGossip> messages);
   void SendDigestTo(const std::string& host);
   void LogMemberChanges(TimePoint now);
   void Spread(StoreUpdate update, const std::vector<UpdateBranch>& branches);
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/peer_table.cc
@@ -131,6 +131,12 @@
   return static_cast<size_t>(std::find(ranked.begin(), ranked.end(), "") - ranked.begin());
 }
 
+std::optional<size_t> OwnRank(const std::vector<std::string>& ranked) {
+  const auto self = std::find(ranked.begin(), ranked.end(), "");
+  if (self == ranked.end()) return std::nullopt;
+  return static_cast<size_t>(self - ranked.begin());
+}
+
 std::string PeerTable::ZoneOf(const std::string& host) const {
   const PeerRecord* peer = Find(host);
   return peer == nullptr ? std::string() : peer->state.zone;
--- a/libs/relay/src/peer_table.h
+++ b/libs/relay/src/peer_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -121,4 +122,7 @@
   mutable std::map<std::string, Ranking> rankings_;  // by purpose
 };
 
+// This node's place in a ranking; nothing when it isn't in it.
+std::optional<size_t> OwnRank(const std::vector<std::string>& ranked);
+
 }  // namespace cartsail
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -15,6 +15,7 @@
 #include "peer_table.h"
 #include "placement_service.h"
 #include "upstream_pool.h"
+#include "usage_counting.h"
 
 namespace cartsail {
 
@@ -29,7 +30,8 @@
         peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}},
               Now()),
         pool(io_context.get_executor()),
-        placement(io_context, dispatcher, peers, pool) {}
+        placement(io_context, dispatcher, peers, pool),
+        usage(peers, relay_options.duties.usage, relay_options.duties.reports_usage) {}
 
   // The node knows the routing document and some back ends.
   bool HasCatalog() const { return routing.Table() != nullptr && dispatcher.Registry().Size() > 0; }
@@ -47,6 +49,7 @@
   PeerTable peers;
   UpstreamPool pool;
   PlacementService placement;
+  UsageCounting usage;
   std::map<std::string, ServiceRetryBudget> budgets;
   int64_t requests_in_flight = 0;
   bool draining = false;  // the node is to stop; running requests go on
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <optional>
 
 #include "cache_inventory.h"
 #include "cartsail/base/counters.h"
@@ -20,8 +21,10 @@
 #include "cartsail/net/http_server.h"
 #include "catalog_path.h"
 #include "catalog_sync.h"
+#include "engine_ordering.h"
 #include "peer_exchange.h"
 #include "relay_server.h"
+#include "usage_reporter.h"
 
 namespace cartsail {
 namespace {
@@ -93,11 +96,31 @@
     }
     catalog_.Start();
     inventory_.Start();
+    StartDuties();
     asio::co_spawn(io_, HandleSignals(), asio::detached);
     asio::co_spawn(io_, KeepHouse(), asio::detached);
     return absl::OkStatus();
   }
 
+  void StartDuties() {
+    const DutyOptions& duties = context_.options.duties;
+    if (!deployment_.make_duty_platform || !(duties.reports_usage || duties.orders_engines)) return;
+    duty_platform_ = deployment_.make_duty_platform(io_);
+    if (duties.reports_usage) {
+      usage_reporter_.emplace(context_, *store_, *duty_platform_);
+      usage_reporter_->Start();
+    }
+    if (duties.orders_engines) {
+      engine_ordering_.emplace(context_, *store_, *duty_platform_);
+      engine_ordering_->Start();
+    }
+  }
+
+  asio::awaitable<void> StopDuties() {
+    if (usage_reporter_.has_value()) co_await usage_reporter_->Stop();
+    if (engine_ordering_.has_value()) co_await engine_ordering_->Stop();
+  }
+
   bool IsReady() const { return !context_.draining && context_.HasCatalog(); }
 
   void NoteGauges() {
@@ -187,6 +210,7 @@
     const TimePoint begun = Now();
     context_.draining = true;
     context_.peers.SetStopping();
+    asio::co_spawn(io_, StopDuties(), asio::detached);
     Log(LogLevel::kInfo, "drain",
         {{"in_flight", std::to_string(context_.requests_in_flight)},
          {"connections", std::to_string(server_.OpenConnections())}});
@@ -215,6 +239,9 @@
   PeerExchange exchange_;
   CacheInventory inventory_;
   RelayServer server_;
+  std::unique_ptr<DutyPlatform> duty_platform_;
+  std::optional<UsageReporter> usage_reporter_;
+  std::optional<EngineOrdering> engine_ordering_;
   std::unique_ptr<HttpServer> status_server_;
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
--- /dev/null
+++ b/libs/relay/src/usage_counting.cc
@@ -0,0 +1,122 @@
+#include "usage_counting.h"
+
+#include <random>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/log.h"
+#include "duty_holder.h"
+
+namespace cartsail {
+namespace {
+
+// The running window is told so often: what is lost with a node is what it counted since.
+constexpr Duration kRunningInterval = milliseconds(700);
+// Of one message, so that it stays within a packet of 1,500 bytes: a name of 11 letters and its
+// count take about 20.
+constexpr size_t kMostTenants = 60;
+// Windows are kept until their reports are due, and some more, for a holder that comes late.
+constexpr int kWindowsBeyondDue = 2;
+
+}  // namespace
+
+UsageCounting::UsageCounting(const PeerTable& peers, UsageTerms terms, bool enabled)
+    : peers_(peers), terms_(terms), enabled_(enabled), process_(std::random_device{}()) {}
+
+void UsageCounting::NoteRun(const std::string& tenant, TimePoint now) {
+  if (!enabled_ || tenant.empty()) return;
+  ledger_.Note(tenant, WindowAt(clock_.At(now), terms_));
+}
+
+WindowNumber UsageCounting::FirstKept(TimePoint now) const {
+  const int64_t due_windows = terms_.due.count() / terms_.window.count();
+  return WindowAt(clock_.At(now), terms_) - due_windows - kWindowsBeyondDue;
+}
+
+UsageShare UsageCounting::ShareOf(WindowNumber window, bool closed) const {
+  UsageShare share;
+  share.window = window;
+  share.closed = closed;
+  share.counts = ledger_.Of(window);
+  for (const auto& [tenant, count] : share.counts) share.requests += count;
+  return share;
+}
+
+// What `host` is to be told now.
+std::vector<UsageShare> UsageCounting::SharesFor(const std::string& host, TimePoint now) {
+  const WindowNumber running = WindowAt(clock_.At(now), terms_);
+  std::set<WindowNumber>& received = received_[host];
+  received.erase(received.begin(), received.lower_bound(FirstKept(now)));
+  std::vector<UsageShare> shares;
+  for (WindowNumber window = FirstKept(now); window < running; ++window) {
+    if (!received.contains(window)) shares.push_back(ShareOf(window, true));
+  }
+  TimePoint& told = running_told_[host];
+  if (now - told >= kRunningInterval) {
+    told = now;
+    shares.push_back(ShareOf(running, false));
+  }
+  return shares;
+}
+
+void UsageCounting::SendShares(const std::string& host, const std::vector<UsageShare>& shares) {
+  for (const UsageShare& share : shares) {
+    UsageShares message{process_, {}};
+    UsageShare part = share;
+    part.counts.clear();
+    for (const auto& [tenant, count] : share.counts) {
+      part.counts[tenant] = count;
+      if (part.counts.size() < kMostTenants) continue;
+      message.shares = {part};
+      transport_.send_shares(host, message);
+      part.counts.clear();
+    }
+    if (part.counts.empty() && !share.counts.empty()) continue;
+    message.shares = {part};
+    transport_.send_shares(host, message);
+  }
+}
+
+void UsageCounting::Tick(TimePoint now, WallTime wall) {
+  if (!enabled_) return;
+  clock_.NoteOwn(wall, now);
+  const WindowNumber first = FirstKept(now);
+  ledger_.ForgetBefore(first);
+  collector_.ForgetBefore(first);
+  reported_.erase(reported_.begin(), reported_.lower_bound(first));
+  for (const std::string& host : peers_.RankCoordinators(kUsagePurpose, kDutyCandidates, now)) {
+    const std::vector<UsageShare> shares = SharesFor(host, now);
+    if (host.empty()) {
+      for (const UsageShare& share : shares) collector_.Merge({host, process_}, share);
+    } else if (transport_.send_shares) {
+      SendShares(host, shares);
+    }
+  }
+}
+
+void UsageCounting::OnShares(const std::string& host, const UsageShares& shares, TimePoint now) {
+  if (!enabled_) return;
+  const WindowNumber first = FirstKept(now);
+  const UsageSource source{host, shares.process};
+  UsageReceipt receipt{shares.process, {}};
+  for (const UsageShare& share : shares.shares) {
+    if (share.window < first) continue;
+    const bool is_new = !collector_.HasAllOf(source, share.window);
+    collector_.Merge(source, share);
+    if (!collector_.HasAllOf(source, share.window)) continue;
+    receipt.windows.push_back(share.window);
+    if (!is_new || !reported_.contains(share.window) || share.requests == 0) continue;
+    GlobalCounters().usage_late_requests_total.Add(share.requests);
+    Log(LogLevel::kWarning, "usage_late",
+        {{"host", host},
+         {"window", std::to_string(share.window)},
+         {"requests", std::to_string(share.requests)}});
+  }
+  if (!receipt.windows.empty()) transport_.send_receipt(host, receipt);
+}
+
+void UsageCounting::OnReceipt(const std::string& host, const UsageReceipt& receipt) {
+  if (receipt.process != process_) return;
+  received_[host].insert(receipt.windows.begin(), receipt.windows.end());
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/usage_reporter.cc
@@ -0,0 +1,253 @@
+#include "usage_reporter.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <vector>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/log.h"
+#include "cartsail/base/status.h"
+#include "cartsail/base/text.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr char kDutyKey[] = "cartsail/duty/usage";
+constexpr char kWindowPrefix[] = "cartsail/usage/";
+constexpr Duration kPoll = milliseconds(200);
+// Time that a holder needs from its decision to the platform's answer, repeats included, as a part
+// of the time until a report is due.
+constexpr int kSendingPart = 4;
+// Records of so many windows stay in the store, for the next holder.
+constexpr WindowNumber kRecordsKept = 8;
+
+std::string KeyOfWindow(WindowNumber window) { return fmt::format("{}{}", kWindowPrefix, window); }
+
+// "tenant=count" lines.
+std::string EncodeCounts(const TenantCounts& counts) {
+  std::string text;
+  for (const auto& [tenant, count] : counts) text += fmt::format("{}={}\n", tenant, count);
+  return text;
+}
+
+TenantCounts DecodeCounts(const std::string& text) {
+  TenantCounts counts;
+  for (const std::string_view line : SplitFields(text, '\n')) {
+    const size_t equals = line.rfind('=');
+    if (equals == std::string_view::npos) continue;
+    counts[std::string(line.substr(0, equals))] =
+        std::strtoll(std::string(line.substr(equals + 1)).c_str(), nullptr, 10);
+  }
+  return counts;
+}
+
+}  // namespace
+
+UsageReporter::UsageReporter(RelayContext& context, KeyValueStore& store, DutyPlatform& platform)
+    : io_(context.io),
+      store_(store),
+      platform_(platform),
+      counting_(context.usage),
+      peers_(context.peers),
+      node_(context.options.node_id),
+      terms_(context.options.duties.usage),
+      started_(Now()),
+      holder_(context.io, store, kDutyKey, context.options.duties.lease,
+              {context.options.node_id, context.options.first_start, [this] { return Rank(); }}) {}
+
+std::optional<size_t> UsageReporter::Rank() const {
+  return OwnRank(peers_.RankCoordinators(kUsagePurpose, kDutyCandidates, Now()));
+}
+
+void UsageReporter::Start() {
+  holder_.Start();
+  asio::co_spawn(io_, Run(), asio::detached);
+}
+
+asio::awaitable<void> UsageReporter::Run() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    timer.expires_after(kPoll);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    const std::optional<FencingToken> token = holder_.MayAct();
+    if (!token.has_value()) continue;
+    if (*token != token_) co_await TakeOver(*token);
+    if (*token != token_) continue;
+    AddDue(Now());
+    std::vector<WindowNumber> windows;
+    for (const auto& [window, report] : reports_) windows.push_back(window);
+    for (const WindowNumber window : windows) co_await Advance(window, *token);
+  }
+}
+
+// What earlier holders have recorded is sent again as it stands: they may not have sent it.
+asio::awaitable<void> UsageReporter::TakeOver(FencingToken token) {
+  RangeRequest request;
+  request.key = kWindowPrefix;
+  request.range_end = PrefixEnd(kWindowPrefix);
+  const absl::StatusOr<RangeResult> result = co_await store_.Range(request);
+  if (!result.ok()) co_return;
+  token_ = token;
+  reports_.clear();
+  ended_.clear();
+  const WindowNumber first = counting_.FirstKept(Now());
+  for (const KeyValue& item : result->kvs) {
+    const WindowNumber window =
+        std::strtoll(item.key.c_str() + std::string_view(kWindowPrefix).size(), nullptr, 10);
+    if (window < first) continue;
+    reports_.emplace(window, WindowReport(DecodeCounts(item.value), true));
+  }
+}
+
+// True when at least half of the nodes that are live have counted since the window began: what a
+// node counted before it was restarted is known to others up to some tenths of a second, but not
+// when most were lost at once.
+bool UsageReporter::KnowsWhole(WindowNumber window, TimePoint now) const {
+  const Duration since_begin = counting_.Clock().At(now) - EndOf(window - 1, terms_);
+  size_t before = now - started_ >= since_begin ? 1 : 0;
+  size_t live = 1;
+  for (const auto& [host, peer] : peers_.Peers()) {
+    if (!PeerTable::IsLive(peer)) continue;
+    ++live;
+    if (peer.state.uptime + (now - peer.noted) >= since_begin) ++before;
+  }
+  return 2 * before >= live;
+}
+
+// True when all nodes that are live, and those that told of the window before they were lost, have
+// told all.
+bool UsageReporter::IsComplete(WindowNumber window, TimePoint now) const {
+  const std::set<std::string> complete = counting_.Collected().Complete(window);
+  if (!complete.contains("")) return false;
+  for (const LivePeer& peer : peers_.LivePeers()) {
+    if (!complete.contains(peer.host)) return false;
+  }
+  for (const std::string& host : counting_.Collected().Heard(window)) {
+    if (!complete.contains(host)) return false;
+  }
+  return true;
+}
+
+void UsageReporter::AddDue(TimePoint now) {
+  const WallTime wall = counting_.Clock().At(now);
+  const WindowNumber running = WindowAt(wall, terms_);
+  const WindowNumber first = counting_.FirstKept(now);
+  ended_.erase(ended_.begin(), ended_.lower_bound(first));
+  for (WindowNumber window = first; window < running; ++window) {
+    if (ended_.contains(window) || reports_.contains(window)) continue;
+    const WallTime end = EndOf(window, terms_);
+    const bool is_urgent = wall >= end + terms_.due - terms_.due / kSendingPart;
+    if (!is_urgent && !IsComplete(window, now)) continue;
+    const bool is_over = wall >= end + terms_.due;
+    if (is_over || !KnowsWhole(window, now)) {
+      ended_.insert(window);
+      GlobalCounters().usage_windows_missed_total.Add();
+      Log(LogLevel::kWarning, "usage_not_reported",
+          {{"window", std::to_string(window)}, {"why", is_over ? "too_late" : "nodes_restarted"}});
+      continue;
+    }
+    reports_.emplace(window, WindowReport(counting_.Collected().Total(window), false));
+  }
+}
+
+asio::awaitable<void> UsageReporter::Advance(WindowNumber window, FencingToken token) {
+  while (holder_.MayAct() == token) {
+    const auto entry = reports_.find(window);
+    if (entry == reports_.end()) co_return;
+    WindowReport& report = entry->second;
+    const WindowReport::Step step = report.Next();
+    if (step == WindowReport::Step::kRecord) {
+      report.OnRecorded(co_await Record(window, token, report.Counts()));
+    } else if (step == WindowReport::Step::kRead) {
+      co_await Read(window, &report);
+      if (report.Next() == WindowReport::Step::kRead) co_return;  // the store is away
+    } else if (step == WindowReport::Step::kSend) {
+      const SendOutcome outcome = co_await Send(window, token, report.Counts());
+      report.OnSent(outcome);
+      if (outcome == SendOutcome::kUnknown) co_return;  // again at the next turn
+    } else {
+      End(window, report, token);
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<RecordOutcome> UsageReporter::Record(WindowNumber window, FencingToken token,
+                                                     const TenantCounts& counts) {
+  TxnRequest request;
+  Compare held;
+  held.key = holder_.Key();
+  held.equals = token;
+  Compare absent;
+  absent.key = KeyOfWindow(window);
+  request.compares = {held, absent};
+  Operation put;
+  put.kind = Operation::Kind::kPut;
+  put.put = {KeyOfWindow(window), EncodeCounts(counts), 0};
+  Operation remove;
+  remove.kind = Operation::Kind::kDelete;
+  remove.range.key = KeyOfWindow(window - kRecordsKept);
+  request.success = {put, remove};
+  const absl::StatusOr<TxnResult> result = co_await store_.Txn(request);
+  if (!result.ok()) co_return RecordOutcome::kUnknown;
+  co_return result->succeeded ? RecordOutcome::kWritten : RecordOutcome::kConditionFailed;
+}
+
+asio::awaitable<void> UsageReporter::Read(WindowNumber window, WindowReport* report) {
+  const std::optional<bool> holds = co_await holder_.Confirm();
+  if (!holds.has_value()) co_return;
+  RangeRequest request;
+  request.key = KeyOfWindow(window);
+  const absl::StatusOr<RangeResult> result = co_await store_.Range(request);
+  if (!result.ok()) co_return;
+  std::optional<TenantCounts> recorded;
+  for (const KeyValue& item : result->kvs) {
+    if (item.key == request.key) recorded = DecodeCounts(item.value);
+  }
+  report->OnRead(std::move(recorded), *holds);
+}
+
+asio::awaitable<SendOutcome> UsageReporter::Send(WindowNumber window, FencingToken token,
+                                                 const TenantCounts& counts) {
+  holder_.NoteAct();
+  const DutyCredentials credentials{node_, token};
+  const UsageReport report{window, counts};
+  const absl::Status status = co_await platform_.ReportUsage(credentials, report);
+  holder_.NoteAct();
+  if (status.ok()) co_return SendOutcome::kAccepted;
+  if (KindOf(status) != ErrorKind::kConflict) co_return SendOutcome::kUnknown;
+  // A greater token was seen: the record tells that as well, unless it is this node's own later
+  // one.
+  (void)co_await holder_.Confirm();
+  co_return SendOutcome::kFenced;
+}
+
+void UsageReporter::End(WindowNumber window, const WindowReport& report, FencingToken token) {
+  const bool is_done = report.Next() == WindowReport::Step::kDone;
+  int64_t requests = 0;
+  for (const auto& [tenant, count] : report.Counts()) requests += count;
+  const WallTime age = counting_.Clock().At(Now()) - EndOf(window, terms_);
+  Counters& counters = GlobalCounters();
+  (is_done ? counters.usage_windows_reported_total : counters.usage_windows_missed_total).Add();
+  Log(is_done ? LogLevel::kInfo : LogLevel::kWarning, "usage_reported",
+      {{"window", std::to_string(window)},
+       {"accepted", is_done ? "true" : "false"},
+       {"token", std::to_string(token)},
+       {"tenants", std::to_string(report.Counts().size())},
+       {"requests", std::to_string(requests)},
+       {"after_ms", std::to_string(age.count())}});
+  counting_.NoteReported(window);
+  ended_.insert(window);
+  reports_.erase(window);
+}
+
+}  // namespace cartsail
--- a/libs/relay/tests/support/scripted_store.cc
+++ b/libs/relay/tests/support/scripted_store.cc
@@ -40,6 +40,10 @@
 
 KeyValueStore::Result<int64_t> ScriptedStore::GrantLease(int64_t ttl_seconds) { co_return Away(); }
 
+asio::awaitable<absl::Status> ScriptedStore::KeepLease(int64_t lease) { co_return Away(); }
+
+asio::awaitable<absl::Status> ScriptedStore::EndLease(int64_t lease) { co_return Away(); }
+
 asio::awaitable<absl::Status> ScriptedStore::Watch(std::string key, std::string range_end,
                                                    int64_t start_revision,
                                                    WatchCallback on_events) {
--- a/libs/relay/tests/support/scripted_store.h
+++ b/libs/relay/tests/support/scripted_store.h
@@ -22,6 +22,8 @@
   Result<RangeResult> Range(RangeRequest request) override;
   Result<TxnResult> Txn(TxnRequest request) override;
   Result<int64_t> GrantLease(int64_t ttl_seconds) override;
+  boost::asio::awaitable<absl::Status> KeepLease(int64_t lease) override;
+  boost::asio::awaitable<absl::Status> EndLease(int64_t lease) override;
   boost::asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
                                              int64_t start_revision,
                                              WatchCallback on_events) override;
--- a/libs/store/include/cartsail/store/key_value_store.h
+++ b/libs/store/include/cartsail/store/key_value_store.h
@@ -99,6 +99,13 @@
   // A new lease's id. Its keys vanish `ttl_seconds` after the grant unless kept alive.
   virtual Result<int64_t> GrantLease(int64_t ttl_seconds) = 0;
 
+  // Renews a lease for its whole length, which runs from the call's arrival. kConflict when the
+  // lease is over.
+  virtual boost::asio::awaitable<absl::Status> KeepLease(int64_t lease) = 0;
+
+  // Ends a lease and removes its keys. kConflict when it is over already.
+  virtual boost::asio::awaitable<absl::Status> EndLease(int64_t lease) = 0;
+
   // Delivers events of keys in [key, range_end) from store revision `start_revision` on, until
   // the connection breaks or the callback ends it; then returns why (OK for the latter). One
   // waiting watch counts as one call.
--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -38,6 +38,21 @@
     co_return GetInt(*reply, "ID");
   }
 
+  asio::awaitable<absl::Status> KeepLease(int64_t lease) override {
+    json::object request{{"ID", std::to_string(lease)}};
+    const absl::StatusOr<json::object> reply =
+        co_await Call("/v3/lease/keepalive", std::move(request));
+    if (!reply.ok()) co_return reply.status();
+    const json::object* result = GetObject(*reply, "result");
+    if (result != nullptr && GetInt(*result, "TTL") > 0) co_return absl::OkStatus();
+    co_return MakeError(ErrorKind::kConflict, "the lease is over");
+  }
+
+  asio::awaitable<absl::Status> EndLease(int64_t lease) override {
+    json::object request{{"ID", std::to_string(lease)}};
+    co_return (co_await Call("/v3/lease/revoke", std::move(request))).status();
+  }
+
   asio::awaitable<absl::Status> Watch(std::string key, std::string range_end,
                                       int64_t start_revision, WatchCallback on_events) override {
     GlobalCounters().platform_calls_total.Add();
