Orders of engines: cheap ones at once at the first start, full price only for what would run full, replaced in parts; cartsailctl duties

Change: before any load was seen at the first start the full price is given up at once; it is paid where engines would run with most slots taken; cheap engines that are to be had again replace a quarter of the most at a time.

--- a/apps/cartsailctl/command.h
+++ b/apps/cartsailctl/command.h
@@ -63,6 +63,7 @@
 absl::StatusOr<CommandResult> RunCheckCommand(const Words& words);
 absl::StatusOr<CommandResult> RunTraceCommand(const Words& words);
 absl::StatusOr<CommandResult> RunLossesCommand(const Words& words);
+absl::StatusOr<CommandResult> RunDutiesCommand(const Words& words);
 
 // The lines of all `files`, each file's in its own order.
 absl::StatusOr<std::vector<LogLine>> ReadLogs(const Words& files);
--- a/apps/cartsailctl/main.cc
+++ b/apps/cartsailctl/main.cc
@@ -24,7 +24,7 @@
     "config add PATH | config remove PATH | config import FILE | config validate FILE | "
     "config explain PATH | config history [COUNT] | config diff FROM TO | "
     "key add TENANT ID [KEY] | key remove TENANT ID | status | check FILE | plan FILE | "
-    "replay [FILE] | trace REQUEST-ID LOG... | losses LOG... "
+    "replay [FILE] | trace REQUEST-ID LOG... | losses LOG... | duties LOG... "
     "PATH is root, TENANT, TENANT/SERVICE or TENANT/SERVICE/CLASS. "
     "Example: cartsailctl --nodes 127.0.0.1:8081 --wait config set airport/assistant/gate-change "
     "tier=0 ttft_target=500ms";
@@ -104,6 +104,7 @@
   if (command == "plan") co_return RunPlanCommand(words);
   if (command == "trace") co_return RunTraceCommand(words);
   if (command == "losses") co_return RunLossesCommand(words);
+  if (command == "duties") co_return RunDutiesCommand(words);
   if (command == "replay") {
     co_return co_await RunReplayCommand(context, std::move(options), std::move(words));
   }
--- a/libs/duties/include/cartsail/duties/capacity_planner.h
+++ b/libs/duties/include/cartsail/duties/capacity_planner.h
@@ -44,7 +44,10 @@
 // One for each service.
 class CapacityPlanner {
  public:
-  explicit CapacityPlanner(CapacityPolicy policy) : policy_(policy) {}
+  // `first_start`: of the whole system. Nothing runs at the engines yet, so that those at the full
+  // price may be given up before this planner has watched the load.
+  CapacityPlanner(CapacityPolicy policy, bool first_start)
+      : policy_(policy), first_start_(first_start) {}
 
   // The orders to give now.
   std::vector<EngineOrder> Plan(const CapacityView& view, TimePoint now);
@@ -71,8 +74,11 @@
     return policy_.uses_reclaimable && scaling.reclaimable_price > 0;
   }
   int64_t EnginesWanted(const CapacityView& view, TimePoint now);
-  int64_t FullPriceWanted(const ZonePlan& part, const ZoneEngines& present, int64_t zones,
-                          TimePoint now) const;
+  bool IsSettled(TimePoint now) const {
+    return (first_start_ && !has_seen_load_) || now - *first_plan_ >= policy_.settling;
+  }
+  int64_t FullPriceWanted(const std::string& zone, const ZonePlan& part, const ZoneEngines& present,
+                          const EngineScaling& scaling, TimePoint now);
   std::map<std::string, ZonePlan> Divide(const CapacityView& view);
   void AddFullPrice(const CapacityView& view, std::map<std::string, ZonePlan>* plan) const;
   void AddOrder(const std::string& zone, EngineKind kind, int64_t wanted, int64_t present,
@@ -81,6 +87,7 @@
   bool IsDry(const std::string& zone);
 
   CapacityPolicy policy_;
+  bool first_start_;
   std::map<std::string, Line> full_price_;   // by zone
   std::map<std::string, Line> reclaimable_;  // by zone
   double needed_ = 0;                        // engines, as seen, falling slowly
--- a/libs/duties/include/cartsail/duties/capacity_policy.h
+++ b/libs/duties/include/cartsail/duties/capacity_policy.h
@@ -16,7 +16,8 @@
   // within a second, and an engine takes seconds to start.
   double reserve = 3;
   // The same where reclaimable engines are not to be had and the full price is to be paid.
-  double full_price_reserve = 1.2;
+  // At 0.5 such engines are ordered when what is left would run with most slots taken.
+  double full_price_reserve = 0.5;
   // What is held before the load is known, and fades once it is: as many engines as cost this share
   // of what the most that may be ordered would cost at the full price. Of reclaimable ones at a
   // fifth of the price that is all that may be ordered.
@@ -28,9 +29,13 @@
   double target_slots_taken = 0.4;
   // Needs fall no faster than by half in this time: bursts come again.
   Duration memory = seconds(60);
-  // A new holder knows the load after this time: digests of nodes come within two seconds. Before,
-  // no engine at the full price is given up.
+  // A new holder knows the load and the engines after this time: digests of nodes come within two
+  // seconds, and engines that start together are listed within three. Before, no engine at the full
+  // price is given up, and nothing is ordered without a load.
   Duration settling = seconds(3);
+  // Where both kinds together reach the most there may be, engines at the full price are replaced
+  // in parts: this share of the most at a time.
+  double replaced_share = 0.25;
   // More engines are ordered at once, fewer at most so often.
   Duration shrink_interval = seconds(5);
   // Engines that were ordered and are not there are ordered again after their start and this time.
--- a/libs/duties/src/capacity_planner.cc
+++ b/libs/duties/src/capacity_planner.cc
@@ -83,7 +83,10 @@
   for (const ZonePrice& zone : by_price) {
     if (left <= 0) return;
     ZonePlan& part = (*plan)[zone.zone];
-    const int64_t more = std::min(left, view.scaling.most - part.full_price - part.reclaimable);
+    // One place stays free to ask for a reclaimable one.
+    const int64_t room = view.scaling.most - part.full_price - part.reclaimable;
+    const int64_t more = std::min(left, HasReclaimable(view.scaling) ? room - 1 : room);
+    if (more <= 0) continue;
     part.full_price += more;
     left -= more;
   }
@@ -94,9 +97,9 @@
                                std::vector<EngineOrder>* orders) {
   const Line& line = LineOf(zone, kind);
   if (line.is_dry) {
-    // Asked again now and then, for as many as this zone's part of all would be.
+    // Asked again now and then, for one more than there are.
     if (now - line.ordered_at < policy_.pause_after_none) return;
-    orders->push_back({zone, kind, std::max(wanted, line.ordered.value_or(0))});
+    orders->push_back({zone, kind, present + 1});
     return;
   }
   const bool is_late = now - line.ordered_at >= scaling.boot + policy_.late_margin;
@@ -109,13 +112,21 @@
 
 // Engines at the full price stay until the cheap ones that replace them serve, as far as the load
 // needs them: they make room for cheap ones, where both together reach the most there may be.
-int64_t CapacityPlanner::FullPriceWanted(const ZonePlan& part, const ZoneEngines& present,
-                                         int64_t zones, TimePoint now) const {
+int64_t CapacityPlanner::FullPriceWanted(const std::string& zone, const ZonePlan& part,
+                                         const ZoneEngines& present, const EngineScaling& scaling,
+                                         TimePoint now) {
   int64_t kept = part.full_price + part.reclaimable - present.reclaimable;
-  if (now - *first_plan_ >= policy_.settling) {
-    const double needed = std::ceil(needed_ * policy_.full_price_reserve);
-    const int64_t needed_here = (static_cast<int64_t>(needed) + zones - 1) / zones;
-    kept = std::min(kept, needed_here - present.reclaimable);
+  if (IsSettled(now)) {
+    const auto zones = static_cast<int64_t>(scaling.zones.size());
+    const auto needed = static_cast<int64_t>(std::ceil(needed_ * policy_.full_price_reserve));
+    kept = std::min(kept, (needed + zones - 1) / zones - present.reclaimable);
+    const int64_t starting =
+        LineOf(zone, EngineKind::kReclaimable).ordered.value_or(0) - present.reclaimable;
+    const bool lacks_room = present.full_price + part.reclaimable > scaling.most;
+    if (lacks_room && starting <= 0 && !IsDry(zone)) {
+      const double step = policy_.replaced_share * static_cast<double>(scaling.most);
+      kept = std::min(kept, present.full_price - static_cast<int64_t>(std::ceil(step)));
+    }
   }
   kept = std::clamp<int64_t>(kept, 0, present.full_price);
   return std::max(part.full_price, kept);
@@ -130,17 +141,17 @@
     needed_at_ = now;
   }
   const int64_t wanted = EnginesWanted(view, now);
+  if (!has_seen_load_ && !IsSettled(now)) return {};
   const bool may_shrink = now - shrunk_at_ >= policy_.shrink_interval;
   if (wanted > wanted_ || may_shrink) {
     if (wanted < wanted_) shrunk_at_ = now;
     wanted_ = wanted;
   }
-  const auto zones = static_cast<int64_t>(scaling.zones.size());
   std::vector<EngineOrder> orders;
   for (const auto& [zone, part] : Divide(view)) {
     const auto found = view.engines.find(zone);
     const ZoneEngines present = found == view.engines.end() ? ZoneEngines() : found->second;
-    const int64_t full_price = FullPriceWanted(part, present, zones, now);
+    const int64_t full_price = FullPriceWanted(zone, part, present, scaling, now);
     const int64_t room = std::max<int64_t>(view.scaling.most - full_price, 0);
     AddOrder(zone, EngineKind::kFullPrice, full_price, present.full_price, view.scaling, now,
              &orders);
--- a/libs/duties/tests/capacity_planner_test.cc
+++ b/libs/duties/tests/capacity_planner_test.cc
@@ -37,7 +37,8 @@
 }
 
 struct Fleet {
-  explicit Fleet(CapacityPolicy policy = Policy()) : planner(policy) {}
+  explicit Fleet(CapacityPolicy policy = Policy(), bool first_start = false)
+      : planner(policy, first_start) {}
 
   // Runs with `requests` at the engines; the fewest engines that served meanwhile.
   int64_t Run(Duration duration, int64_t requests) {
@@ -147,6 +148,34 @@
   cr_assert(fewest == 4 * kStanding);
 }
 
+// Nothing runs yet: three seconds of 112 engines at the full price are saved.
+Test(capacity_planner, at_the_first_start_of_the_system_cheap_engines_are_ordered_at_once) {
+  Fleet fleet(Policy(), true);
+  fleet.Run(milliseconds(500), 0);
+  for (const ZonePrice& zone : Scaling().zones) {
+    cr_assert(fleet.platform.Engines(zone.zone, EngineKind::kFullPrice, fleet.now) == 1);
+  }
+  fleet.Run(seconds(5), 0);
+  cr_assert(fleet.platform.Engines(fleet.now) >= 112);
+}
+
+// Its engines are there again while those at the full price still stand in for them under load.
+Test(capacity_planner, a_zone_that_has_cheap_engines_again_goes_over_to_them_in_parts) {
+  CapacityPolicy policy = Policy();
+  policy.full_price_reserve = 1.2;
+  Fleet fleet(policy);
+  fleet.Run(seconds(30), 1200);
+  fleet.platform.TakeAway("b");
+  fleet.Run(seconds(10), 1200);
+  cr_assert(fleet.platform.Engines("b", EngineKind::kFullPrice, fleet.now) == 55);
+  fleet.platform.SetDry("b", false);
+  const int64_t fewest = fleet.Run(seconds(40), 1200);
+  cr_assert(fewest >= 224 - 15, "%ld engines", fewest);
+  cr_assert(fleet.platform.Engines("b", EngineKind::kFullPrice, fleet.now) == 1);
+  cr_assert(fleet.platform.Engines("b", EngineKind::kReclaimable, fleet.now) == 55);
+  cr_assert(fleet.platform.MostOrdered() <= Scaling().most);
+}
+
 Test(capacity_planner, without_reclaimable_engines_all_are_ordered_at_the_full_price) {
   CapacityPolicy policy = Policy();
   policy.uses_reclaimable = false;
@@ -160,7 +189,7 @@
   CapacityView view;
   view.scaling = Scaling();
   view.scaling.least = 60;
-  CapacityPlanner planner(Policy());
+  CapacityPlanner planner(Policy(), false);
   cr_assert(planner.Plan(view, TimePoint() + seconds(10)).empty());
   view.scaling = Scaling();
   view.scaling.zones.clear();
--- a/libs/duties/tests/support/engine_platform.cc
+++ b/libs/duties/tests/support/engine_platform.cc
@@ -36,6 +36,7 @@
 
 void EnginePlatform::TakeAway(const std::string& zone) {
   engines_[{zone, EngineKind::kReclaimable}].clear();
+  ordered_[{zone, EngineKind::kReclaimable}] = 0;
   dry_[zone] = true;
 }
 
--- a/libs/relay/src/engine_ordering.cc
+++ b/libs/relay/src/engine_ordering.cc
@@ -95,8 +95,10 @@
 void EngineOrdering::PlanAll(FencingToken token, TimePoint now) {
   for (const ServiceRule& service : context_.routing.Table()->Document().services) {
     if (!service.scaling.has_value()) continue;
-    CapacityPlanner& planner =
-        planners_.try_emplace(service.name, context_.options.duties.capacity).first->second;
+    CapacityPlanner& planner = planners_
+                                   .try_emplace(service.name, context_.options.duties.capacity,
+                                                context_.options.first_start)
+                                   .first->second;
     const CapacityView view = View(service);
     for (const EngineOrder& order : planner.Plan(view, now)) {
       if (!under_way_.insert({service.name, order.zone, order.kind}).second) continue;
--- a/libs/relay/src/usage_reporter.cc
+++ b/libs/relay/src/usage_reporter.cc
@@ -60,6 +60,7 @@
       node_(context.options.node_id),
       terms_(context.options.duties.usage),
       started_(Now()),
+      first_start_(context.options.first_start),
       holder_(context.io, store, kDutyKey, context.options.duties.lease,
               {context.options.node_id, context.options.first_start, [this] { return Rank(); }}) {}
 
@@ -99,15 +100,28 @@
   token_ = token;
   reports_.clear();
   ended_.clear();
-  const WindowNumber first = counting_.FirstKept(Now());
+  const TimePoint now = Now();
+  PassOver(now);
+  const WindowNumber first = counting_.FirstKept(now);
   for (const KeyValue& item : result->kvs) {
     const WindowNumber window =
         std::strtoll(item.key.c_str() + std::string_view(kWindowPrefix).size(), nullptr, 10);
-    if (window < first) continue;
+    if (window < first || ended_.contains(window)) continue;
     reports_.emplace(window, WindowReport(DecodeCounts(item.value), true));
   }
 }
 
+// Windows that were due under an earlier holder, or began before the system was first started.
+void UsageReporter::PassOver(TimePoint now) {
+  const WallTime wall = counting_.Clock().At(now);
+  const WallTime process_began = wall - std::chrono::duration_cast<WallTime>(now - started_);
+  for (WindowNumber window = counting_.FirstKept(now); window < WindowAt(wall, terms_); ++window) {
+    const bool was_due = wall >= EndOf(window, terms_) + terms_.due;
+    const bool is_before = first_start_ && EndOf(window - 1, terms_) < process_began;
+    if (was_due || is_before) ended_.insert(window);
+  }
+}
+
 // True when at least half of the nodes that are live have counted since the window began: what a
 // node counted before it was restarted is known to others up to some tenths of a second, but not
 // when most were lost at once.
--- a/libs/relay/src/usage_reporter.h
+++ b/libs/relay/src/usage_reporter.h
@@ -31,6 +31,7 @@
   std::optional<size_t> Rank() const;
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<void> TakeOver(FencingToken token);
+  void PassOver(TimePoint now);
   void AddDue(TimePoint now);
   bool IsComplete(WindowNumber window, TimePoint now) const;
   bool KnowsWhole(WindowNumber window, TimePoint now) const;
@@ -50,6 +51,7 @@
   std::string node_;
   UsageTerms terms_;
   TimePoint started_;
+  bool first_start_;  // of the whole system
   DutyHolder holder_;
   FencingToken token_ = 0;  // under which `reports_` and `ended_` were made
   std::map<WindowNumber, WindowReport> reports_;
