--- a/libs/duties/include/cartsail/duties/usage_collector.h
+++ b/libs/duties/include/cartsail/duties/usage_collector.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "cartsail/duties/usage_window.h"
@@ -25,7 +26,9 @@
   std::string host;
   uint32_t process = 0;  // differs from one process of the host to the next
 
-  auto operator<=>(const UsageSource&) const = default;
+  bool operator<(const UsageSource& other) const {
+    return std::tie(host, process) < std::tie(other.host, other.process);
+  }
 };
 
 class UsageCollector {
