libs/relay: a folder for each subsystem

Change: moved into request/, catalog/, placement/, fleet/, duties/ and wire/; include paths name the folder.

--- a/libs/relay/src/catalog_message.cc
+++ b/libs/relay/src/catalog/catalog_message.cc
@@ -1,13 +1,13 @@
-#include "catalog_message.h"
+#include "catalog/catalog_message.h"
 
 #include <map>
 
-#include "capnp_bytes.h"
 #include "cartsail/net/http_types.h"
-#include "catalog_wire.h"
-#include "host_number.h"
-#include "wire_number.h"
-#include "zstd_frame.h"
+#include "catalog/catalog_wire.h"
+#include "wire/capnp_bytes.h"
+#include "wire/host_number.h"
+#include "wire/wire_number.h"
+#include "wire/zstd_frame.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/catalog_message.h
+++ b/libs/relay/src/catalog/catalog_message.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "cartsail/dispatch/backend_registry.h"
-#include "document_patch.h"
+#include "catalog/document_patch.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -1,4 +1,4 @@
-#include "catalog_sync.h"
+#include "catalog/catalog_sync.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -17,9 +17,9 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/base/text.h"
-#include "catalog_path.h"
-#include "document_patch.h"
-#include "reading_duty.h"
+#include "catalog/catalog_path.h"
+#include "catalog/document_patch.h"
+#include "catalog/reading_duty.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -10,16 +10,16 @@
 #include <string>
 #include <vector>
 
-#include "backend_changes.h"
 #include "cartsail/base/log.h"
 #include "cartsail/net/http_types.h"
 #include "cartsail/relay/catalog_codec.h"
 #include "cartsail/store/key_value_store.h"
-#include "catalog_message.h"
-#include "lapse_grace.h"
-#include "peer_table.h"
+#include "catalog/backend_changes.h"
+#include "catalog/catalog_message.h"
+#include "catalog/lapse_grace.h"
+#include "catalog/store_update.h"
+#include "fleet/peer_table.h"
 #include "relay_context.h"
-#include "store_update.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/catalog_wire.h
+++ b/libs/relay/src/catalog/catalog_wire.h
@@ -1,8 +1,8 @@
 // Encoding of catalogs as parts of messages (Cap'n Proto). Pure.
 #pragma once
 
-#include "catalog_message.h"
-#include "messages.capnp.h"
+#include "catalog/catalog_message.h"
+#include "wire/messages.capnp.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/document_announcer.cc
+++ b/libs/relay/src/catalog/document_announcer.cc
@@ -1,4 +1,4 @@
-#include "document_announcer.h"
+#include "catalog/document_announcer.h"
 
 #include <algorithm>
 #include <tuple>
--- a/libs/relay/src/document_announcer.h
+++ b/libs/relay/src/catalog/document_announcer.h
@@ -12,7 +12,7 @@
 
 #include "cartsail/base/clock.h"
 #include "cartsail/base/hash.h"
-#include "peer_table.h"
+#include "fleet/peer_table.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/document_notice.h
+++ b/libs/relay/src/catalog/document_notice.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 
 #include "cartsail/base/clock.h"
-#include "document_patch.h"
+#include "catalog/document_patch.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/document_patch.cc
+++ b/libs/relay/src/catalog/document_patch.cc
@@ -1,6 +1,6 @@
-#include "document_patch.h"
+#include "catalog/document_patch.h"
 
-#include "zstd_frame.h"
+#include "wire/zstd_frame.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/store_update.cc
+++ b/libs/relay/src/catalog/store_update.cc
@@ -1,4 +1,4 @@
-#include "store_update.h"
+#include "catalog/store_update.h"
 
 #include <algorithm>
 #include <map>
--- a/libs/relay/src/store_update.h
+++ b/libs/relay/src/catalog/store_update.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
-#include "catalog_message.h"
-#include "peer_table.h"
+#include "catalog/catalog_message.h"
+#include "fleet/peer_table.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/duty_holder.cc
+++ b/libs/relay/src/duties/duty_holder.cc
@@ -1,4 +1,4 @@
-#include "duty_holder.h"
+#include "duties/duty_holder.h"
 
 #include <fmt/format.h>
 
--- a/libs/relay/src/engine_ordering.cc
+++ b/libs/relay/src/duties/engine_ordering.cc
@@ -1,4 +1,4 @@
-#include "engine_ordering.h"
+#include "duties/engine_ordering.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/libs/relay/src/engine_ordering.h
+++ b/libs/relay/src/duties/engine_ordering.h
@@ -14,7 +14,7 @@
 #include "cartsail/relay/duty_options.h"
 #include "cartsail/relay/duty_platform.h"
 #include "cartsail/store/key_value_store.h"
-#include "duty_holder.h"
+#include "duties/duty_holder.h"
 #include "relay_context.h"
 
 namespace cartsail {
--- a/libs/relay/src/usage_counting.cc
+++ b/libs/relay/src/duties/usage_counting.cc
@@ -1,11 +1,11 @@
-#include "usage_counting.h"
+#include "duties/usage_counting.h"
 
 #include <algorithm>
 #include <random>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
-#include "duty_holder.h"
+#include "duties/duty_holder.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/usage_counting.h
+++ b/libs/relay/src/duties/usage_counting.h
@@ -14,8 +14,8 @@
 #include "cartsail/duties/usage_collector.h"
 #include "cartsail/duties/usage_ledger.h"
 #include "cartsail/duties/usage_window.h"
-#include "peer_table.h"
-#include "usage_message.h"
+#include "duties/usage_message.h"
+#include "fleet/peer_table.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/usage_reporter.cc
+++ b/libs/relay/src/duties/usage_reporter.cc
@@ -1,4 +1,4 @@
-#include "usage_reporter.h"
+#include "duties/usage_reporter.h"
 
 #include <fmt/format.h>
 
--- a/libs/relay/src/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -1,11 +1,11 @@
-#include "datagram.h"
+#include "fleet/datagram.h"
 
-#include "capnp_bytes.h"
-#include "catalog_wire.h"
-#include "digest_codec.h"
-#include "gossip_codec.h"
-#include "host_number.h"
-#include "wire_number.h"
+#include "catalog/catalog_wire.h"
+#include "fleet/digest_codec.h"
+#include "fleet/gossip_codec.h"
+#include "wire/capnp_bytes.h"
+#include "wire/host_number.h"
+#include "wire/wire_number.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/datagram.h
+++ b/libs/relay/src/fleet/datagram.h
@@ -6,12 +6,12 @@
 #include <string_view>
 #include <variant>
 
-#include "document_notice.h"
-#include "gossip_message.h"
-#include "node_digest.h"
-#include "placement_message.h"
-#include "store_update.h"
-#include "usage_message.h"
+#include "catalog/document_notice.h"
+#include "catalog/store_update.h"
+#include "duties/usage_message.h"
+#include "fleet/gossip_message.h"
+#include "fleet/node_digest.h"
+#include "placement/placement_message.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/digest_codec.cc
+++ b/libs/relay/src/fleet/digest_codec.cc
@@ -1,7 +1,7 @@
-#include "digest_codec.h"
+#include "fleet/digest_codec.h"
 
-#include "capnp_bytes.h"
-#include "wire_number.h"
+#include "wire/capnp_bytes.h"
+#include "wire/wire_number.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/digest_codec.h
+++ b/libs/relay/src/fleet/digest_codec.h
@@ -1,8 +1,8 @@
 // Encoding of node digests (Cap'n Proto). Pure.
 #pragma once
 
-#include "messages.capnp.h"
-#include "node_digest.h"
+#include "fleet/node_digest.h"
+#include "wire/messages.capnp.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/gossip_codec.cc
+++ b/libs/relay/src/fleet/gossip_codec.cc
@@ -1,8 +1,8 @@
-#include "gossip_codec.h"
+#include "fleet/gossip_codec.h"
 
-#include "capnp_bytes.h"
-#include "host_number.h"
-#include "wire_number.h"
+#include "wire/capnp_bytes.h"
+#include "wire/host_number.h"
+#include "wire/wire_number.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/gossip_codec.h
+++ b/libs/relay/src/fleet/gossip_codec.h
@@ -3,8 +3,8 @@
 
 #include <optional>
 
-#include "gossip_message.h"
-#include "messages.capnp.h"
+#include "fleet/gossip_message.h"
+#include "wire/messages.capnp.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/gossip_message.h
+++ b/libs/relay/src/fleet/gossip_message.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
-#include "peer_table.h"
+#include "fleet/peer_table.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -1,4 +1,4 @@
-#include "peer_exchange.h"
+#include "fleet/peer_exchange.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -17,8 +17,8 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_client.h"
-#include "catalog_message.h"
-#include "catalog_path.h"
+#include "catalog/catalog_message.h"
+#include "catalog/catalog_path.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/peer_exchange.h
+++ b/libs/relay/src/fleet/peer_exchange.h
@@ -13,12 +13,12 @@
 #include <string>
 #include <vector>
 
-#include "catalog_sync.h"
-#include "datagram.h"
-#include "document_announcer.h"
-#include "fetch_schedule.h"
-#include "peer_gossip.h"
-#include "peer_table.h"
+#include "catalog/catalog_sync.h"
+#include "catalog/document_announcer.h"
+#include "catalog/fetch_schedule.h"
+#include "fleet/datagram.h"
+#include "fleet/peer_gossip.h"
+#include "fleet/peer_table.h"
 #include "relay_context.h"
 
 namespace cartsail {
--- a/libs/relay/src/peer_gossip.cc
+++ b/libs/relay/src/fleet/peer_gossip.cc
@@ -1,4 +1,4 @@
-#include "peer_gossip.h"
+#include "fleet/peer_gossip.h"
 
 #include <algorithm>
 #include <unordered_set>
--- a/libs/relay/src/peer_gossip.h
+++ b/libs/relay/src/fleet/peer_gossip.h
@@ -12,8 +12,8 @@
 #include <string>
 #include <vector>
 
-#include "gossip_message.h"
-#include "peer_table.h"
+#include "fleet/gossip_message.h"
+#include "fleet/peer_table.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/peer_table.cc
+++ b/libs/relay/src/fleet/peer_table.cc
@@ -1,4 +1,4 @@
-#include "peer_table.h"
+#include "fleet/peer_table.h"
 
 #include <algorithm>
 #include <functional>
--- a/libs/relay/src/cache_inventory.cc
+++ b/libs/relay/src/placement/cache_inventory.cc
@@ -1,4 +1,4 @@
-#include "cache_inventory.h"
+#include "placement/cache_inventory.h"
 
 #include <fmt/format.h>
 
--- a/libs/relay/src/placement_service.cc
+++ b/libs/relay/src/placement/placement_service.cc
@@ -1,4 +1,4 @@
-#include "placement_service.h"
+#include "placement/placement_service.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
--- a/libs/relay/src/placement_service.h
+++ b/libs/relay/src/placement/placement_service.h
@@ -17,9 +17,9 @@
 
 #include "cartsail/dispatch/dispatcher.h"
 #include "cartsail/dispatch/grant_book.h"
-#include "datagram.h"
-#include "peer_table.h"
-#include "upstream_pool.h"
+#include "fleet/datagram.h"
+#include "fleet/peer_table.h"
+#include "request/upstream_pool.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -12,10 +12,10 @@
 #include "cartsail/relay/relay_options.h"
 #include "cartsail/relay/routing_state.h"
 #include "cartsail/relay/wire_format.h"
-#include "peer_table.h"
-#include "placement_service.h"
-#include "upstream_pool.h"
-#include "usage_counting.h"
+#include "duties/usage_counting.h"
+#include "fleet/peer_table.h"
+#include "placement/placement_service.h"
+#include "request/upstream_pool.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -11,7 +11,6 @@
 #include <csignal>
 #include <optional>
 
-#include "cache_inventory.h"
 #include "cartsail/base/counters.h"
 #include "cartsail/base/hash.h"
 #include "cartsail/base/histogram.h"
@@ -19,12 +18,13 @@
 #include "cartsail/base/signals.h"
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_server.h"
-#include "catalog_path.h"
-#include "catalog_sync.h"
-#include "engine_ordering.h"
-#include "peer_exchange.h"
-#include "relay_server.h"
-#include "usage_reporter.h"
+#include "catalog/catalog_path.h"
+#include "catalog/catalog_sync.h"
+#include "duties/engine_ordering.h"
+#include "duties/usage_reporter.h"
+#include "fleet/peer_exchange.h"
+#include "placement/cache_inventory.h"
+#include "request/relay_server.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/caller_connection.cc
+++ b/libs/relay/src/request/caller_connection.cc
@@ -1,4 +1,4 @@
-#include "caller_connection.h"
+#include "request/caller_connection.h"
 
 #include <fmt/format.h>
 #include <sys/socket.h>
--- a/libs/relay/src/event_splitter.cc
+++ b/libs/relay/src/request/event_splitter.cc
@@ -1,4 +1,4 @@
-#include "event_splitter.h"
+#include "request/event_splitter.h"
 
 #include <utility>
 
--- a/libs/relay/src/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -1,4 +1,4 @@
-#include "exchange.h"
+#include "request/exchange.h"
 
 #include <fmt/format.h>
 
@@ -11,7 +11,7 @@
 #include "cartsail/base/counters.h"
 #include "cartsail/base/json.h"
 #include "cartsail/base/log.h"
-#include "message_head.h"
+#include "request/message_head.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -7,10 +7,10 @@
 #include <string_view>
 #include <vector>
 
-#include "caller_connection.h"
 #include "cartsail/relay/admission.h"
-#include "event_splitter.h"
 #include "relay_context.h"
+#include "request/caller_connection.h"
+#include "request/event_splitter.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -6,7 +6,7 @@
 #include "cartsail/base/counters.h"
 #include "cartsail/base/histogram.h"
 #include "cartsail/base/log.h"
-#include "exchange.h"
+#include "request/exchange.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/message_head.cc
+++ b/libs/relay/src/request/message_head.cc
@@ -1,4 +1,4 @@
-#include "message_head.h"
+#include "request/message_head.h"
 
 #include <fmt/format.h>
 
--- a/libs/relay/src/relay_server.cc
+++ b/libs/relay/src/request/relay_server.cc
@@ -1,4 +1,4 @@
-#include "relay_server.h"
+#include "request/relay_server.h"
 
 #include <fmt/format.h>
 
@@ -11,8 +11,8 @@
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
-#include "exchange.h"
-#include "message_head.h"
+#include "request/exchange.h"
+#include "request/message_head.h"
 
 namespace cartsail {
 namespace {
--- a/libs/relay/src/relay_server.h
+++ b/libs/relay/src/request/relay_server.h
@@ -8,8 +8,8 @@
 #include <memory>
 #include <set>
 
-#include "caller_connection.h"
 #include "relay_context.h"
+#include "request/caller_connection.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/request/upstream_connection.cc
@@ -1,4 +1,4 @@
-#include "upstream_connection.h"
+#include "request/upstream_connection.h"
 
 #include <sys/socket.h>
 
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/request/upstream_pool.cc
@@ -1,4 +1,4 @@
-#include "upstream_pool.h"
+#include "request/upstream_pool.h"
 
 #include <utility>
 
--- a/libs/relay/src/upstream_pool.h
+++ b/libs/relay/src/request/upstream_pool.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "cartsail/dispatch/backend_registry.h"
-#include "upstream_connection.h"
+#include "request/upstream_connection.h"
 
 namespace cartsail {
 
--- a/libs/relay/src/capnp_bytes.cc
+++ b/libs/relay/src/wire/capnp_bytes.cc
@@ -1,4 +1,4 @@
-#include "capnp_bytes.h"
+#include "wire/capnp_bytes.h"
 
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
--- a/libs/relay/src/host_number.cc
+++ b/libs/relay/src/wire/host_number.cc
@@ -1,4 +1,4 @@
-#include "host_number.h"
+#include "wire/host_number.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
--- a/libs/relay/src/zstd_frame.cc
+++ b/libs/relay/src/wire/zstd_frame.cc
@@ -1,4 +1,4 @@
-#include "zstd_frame.h"
+#include "wire/zstd_frame.h"
 
 #include <fmt/format.h>
 #include <zstd.h>
--- a/libs/relay/tests/backend_changes_test.cc
+++ b/libs/relay/tests/backend_changes_test.cc
@@ -1,4 +1,4 @@
-#include "backend_changes.h"
+#include "catalog/backend_changes.h"
 
 #include "testing/criterion.h"
 
--- a/libs/relay/tests/cache_inventory_test.cc
+++ b/libs/relay/tests/cache_inventory_test.cc
@@ -1,5 +1,5 @@
 // What engines hold is asked for when this node becomes the coordinator.
-#include "cache_inventory.h"
+#include "placement/cache_inventory.h"
 
 #include <chrono>
 #include <thread>
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -1,10 +1,10 @@
 // How a node keeps its catalog while peers and the store tell of changes at the same time.
-#include "catalog_sync.h"
+#include "catalog/catalog_sync.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 
-#include "reading_duty.h"
+#include "catalog/reading_duty.h"
 #include "support/scripted_store.h"
 #include "support/version_codec.h"
 #include "testing/criterion.h"
--- a/libs/relay/tests/document_announcer_test.cc
+++ b/libs/relay/tests/document_announcer_test.cc
@@ -1,5 +1,5 @@
 // A version of the document reaches all nodes of a fleet, in virtual time and with hollow nodes.
-#include "document_announcer.h"
+#include "catalog/document_announcer.h"
 
 #include <fmt/format.h>
 
--- a/libs/relay/tests/document_patch_test.cc
+++ b/libs/relay/tests/document_patch_test.cc
@@ -1,4 +1,4 @@
-#include "document_patch.h"
+#include "catalog/document_patch.h"
 
 #include <fmt/format.h>
 
--- a/libs/relay/tests/duty_holder_test.cc
+++ b/libs/relay/tests/duty_holder_test.cc
@@ -1,5 +1,5 @@
 // How nodes take, keep, hand over and lose a duty, with the store as the judge.
-#include "duty_holder.h"
+#include "duties/duty_holder.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/libs/relay/tests/fetch_schedule_test.cc
+++ b/libs/relay/tests/fetch_schedule_test.cc
@@ -1,4 +1,4 @@
-#include "fetch_schedule.h"
+#include "catalog/fetch_schedule.h"
 
 #include "testing/criterion.h"
 
--- a/libs/relay/tests/peer_exchange_test.cc
+++ b/libs/relay/tests/peer_exchange_test.cc
@@ -1,5 +1,5 @@
 // Nodes that hear each other over loopback datagrams.
-#include "peer_exchange.h"
+#include "fleet/peer_exchange.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
--- a/libs/relay/tests/peer_gossip_test.cc
+++ b/libs/relay/tests/peer_gossip_test.cc
@@ -1,5 +1,5 @@
 // Which nodes are live, as fleets of hollow nodes find it out, in virtual time.
-#include "peer_gossip.h"
+#include "fleet/peer_gossip.h"
 
 #include "support/gossip_fleet.h"
 #include "testing/criterion.h"
--- a/libs/relay/tests/placement_service_test.cc
+++ b/libs/relay/tests/placement_service_test.cc
@@ -1,5 +1,5 @@
 // Placement through a coordinator: several nodes in one process, messages handed on in memory.
-#include "placement_service.h"
+#include "placement/placement_service.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -1,12 +1,12 @@
 // The relay's pure parts: admission, event splitting, heads, digests, document versions.
 #include "cartsail/relay/admission.h"
 #include "cartsail/relay/document_limits.h"
-#include "catalog_message.h"
-#include "datagram.h"
-#include "document_announcer.h"
-#include "event_splitter.h"
-#include "lapse_grace.h"
-#include "message_head.h"
+#include "catalog/catalog_message.h"
+#include "catalog/document_announcer.h"
+#include "catalog/lapse_grace.h"
+#include "fleet/datagram.h"
+#include "request/event_splitter.h"
+#include "request/message_head.h"
 #include "support/relay_fixture.h"
 #include "testing/criterion.h"
 
--- a/libs/relay/tests/support/fleet_node.cc
+++ b/libs/relay/tests/support/fleet_node.cc
@@ -8,8 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 
-#include "catalog_message.h"
-#include "catalog_path.h"
+#include "catalog/catalog_message.h"
+#include "catalog/catalog_path.h"
 
 namespace cartsail::testing {
 namespace {
--- a/libs/relay/tests/support/fleet_node.h
+++ b/libs/relay/tests/support/fleet_node.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "cartsail/net/http_server.h"
-#include "peer_exchange.h"
+#include "fleet/peer_exchange.h"
 #include "scripted_store.h"
 #include "version_codec.h"
 
--- a/libs/relay/tests/support/gossip_fleet.cc
+++ b/libs/relay/tests/support/gossip_fleet.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "datagram.h"
+#include "fleet/datagram.h"
 
 namespace cartsail::testing {
 namespace {
--- a/libs/relay/tests/support/gossip_fleet.h
+++ b/libs/relay/tests/support/gossip_fleet.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "peer_gossip.h"
+#include "fleet/peer_gossip.h"
 
 namespace cartsail::testing {
 
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -7,7 +7,7 @@
 #include <thread>
 #include <vector>
 
-#include "relay_server.h"
+#include "request/relay_server.h"
 
 namespace cartsail::testing {
 
--- a/libs/relay/tests/usage_counting_test.cc
+++ b/libs/relay/tests/usage_counting_test.cc
@@ -1,5 +1,5 @@
 // How counts get from the nodes to those that may report them.
-#include "usage_counting.h"
+#include "duties/usage_counting.h"
 
 #include <functional>
 #include <map>
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "datagram.h"
-#include "duty_holder.h"
+#include "duties/duty_holder.h"
+#include "fleet/datagram.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
