Drained zones, incarnations, warm-up, residency: what the parts share

What the store tells of drained zones reaches every node with the catalog, as of its revision, so that an older word never wins over a newer one. A back end's key names its incarnation (id and start): loads, prefixes, health, grants and idle connections of an earlier one end with its key. An entry of an earlier incarnation changes nothing; one with a field missing, of another type or out of range is no back end and takes what stood there before with it. The sender checks once more before it sends. Routes, tenants and services tell residency and warm-up; nothing acts on these two yet.

--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/zone_drains.h"
 
 namespace cartsail {
 
@@ -18,15 +20,20 @@
   kLeaving,  // takes no new request
 };
 
-// Names a back end in messages between nodes: a hash of its id.
+// Names one incarnation of a back end in messages between nodes: a hash of its id and its start.
+// What is kept or told by key of a process that has ended so never counts for the next one.
 using BackendKey = uint32_t;
 
-BackendKey KeyOf(std::string_view backend_id);
+// `started_ms`: as in Backend.
+BackendKey KeyOf(std::string_view backend_id, int64_t started_ms = 0);
 
-// One start of one back end. Another start has another id, also at the same address.
+// One incarnation of one back end. A back end that starts again may keep its id and its address.
 struct Backend {
   std::string id;
   BackendKey key = 0;  // set by the registry
+  // When its process started, in milliseconds since the start of 1970 on its own clock: orders its
+  // incarnations. 0: it does not tell.
+  int64_t started_ms = 0;
   std::string service;
   std::string address;  // IP:PORT
   std::string zone;
@@ -37,6 +44,8 @@
   // Its entry is missing, but may have lapsed while the store was away: gone at this time unless
   // the entry is back.
   std::optional<TimePoint> missing_until;
+  // It has told that it is still slow after its start, up to then.
+  std::optional<TimePoint> cold_until;
 };
 
 class BackendRegistry {
@@ -45,7 +54,8 @@
   // `missing_until` where that is given. Leaving ones are gone at once.
   void ReplaceAll(std::vector<Backend> backends, std::optional<TimePoint> missing_until = {});
 
-  // One entry was written. A back end that was marked as leaving stays so.
+  // One entry was written. An incarnation that was marked as leaving stays so; an entry of an
+  // earlier incarnation than the known one changes nothing.
   void Put(Backend backend);
 
   // The entry is gone: so is the back end, or at `missing_until` where that is given.
@@ -65,10 +75,25 @@
   // All entries, in the order of their ids.
   std::vector<Backend> All() const;
 
-  // The ready ones of `service`, in the order of their ids. Of two with one address only the one
-  // that was created last counts.
+  // Those of `service` that may get new requests, in the order of their ids. Of two with one
+  // address only the one that was created last counts.
   std::vector<const Backend*> ReadyOf(std::string_view service) const;
 
+  // Those of `service` that are ready in zones that are drained: they get no new request, and still
+  // hold prompt memory.
+  std::vector<const Backend*> DrainedOf(std::string_view service) const;
+
+  // It is ready and its zone is not drained.
+  bool MayReceive(const Backend& backend) const {
+    return backend.state == BackendState::kReady && !drains_.IsDrained(backend.zone);
+  }
+
+  // The zones that are drained. Each change returns true when there was one.
+  const ZoneDrains& Drains() const { return drains_; }
+  bool DrainZone(const std::string& zone, TimePoint now);
+  bool RestoreZone(const std::string& zone, TimePoint now);
+  bool ReplaceDrainedZones(const std::set<std::string>& zones, TimePoint now);
+
   // All that are leaving.
   std::vector<BackendKey> Leaving() const;
 
@@ -79,7 +104,10 @@
 
  private:
   void KeepMissing(std::vector<Backend>* backends, TimePoint until) const;
+  std::vector<const Backend*> NewestReadyOf(std::string_view service) const;
+  bool NoteChange(bool changed);
 
+  ZoneDrains drains_;
   std::map<std::string, Backend, std::less<>> backends_;
   std::unordered_map<BackendKey, std::string> ids_;
   int64_t changes_ = 0;
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -50,7 +50,7 @@
   // A back end for this node's request, none of `tried`; nothing when no ready one is left. Every
   // placement is to be ended by Finish().
   std::optional<Placement> Place(const RequestProfile& profile,
-                                 const std::vector<std::string>& tried, TimePoint now,
+                                 const std::vector<BackendKey>& tried, TimePoint now,
                                  std::vector<BackendKey> connected = {});
 
   // The same for another node's request.
@@ -62,6 +62,10 @@
   std::optional<Placement> Adopt(const std::string& coordinator, const PlacementGrant& grant,
                                  const RequestProfile& profile, TimePoint now);
 
+  // Asked right before a request is sent: the back end has not begun to leave since it was chosen,
+  // nor was its zone drained, nor has another incarnation taken its place.
+  bool MayReceive(BackendKey backend) const;
+
   // Some of the answer's body came; of a stream: an event.
   void Output(PlacementTicket ticket, TimePoint now);
 
--- a/libs/dispatch/include/cartsail/dispatch/request_profile.h
+++ b/libs/dispatch/include/cartsail/dispatch/request_profile.h
@@ -18,6 +18,9 @@
 
 struct RequestProfile {
   std::string service;
+  // Data residency: the request may be served, and what it holds kept, in these regions only, in
+  // alphabetical order. Nothing: anywhere. An empty list: nowhere.
+  std::optional<std::vector<std::string>> residency;
   int64_t tier = 0;
   Duration first_output_goal = seconds(1);
   bool is_generation = false;  // runs at a model engine; the fields below count
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -8,10 +8,25 @@
 
 namespace cartsail {
 
-BackendKey KeyOf(std::string_view backend_id) {
-  return static_cast<BackendKey>(Hash64(backend_id));
+BackendKey KeyOf(std::string_view backend_id, int64_t started_ms) {
+  return static_cast<BackendKey>(Hash64(backend_id, static_cast<uint64_t>(started_ms)));
 }
 
+namespace {
+
+// What is known of a back end when an entry of it comes: of the same incarnation that it leaves; of
+// a later one, that the entry is outdated.
+void TakeOver(const Backend& known, Backend* backend) {
+  if (backend->started_ms < known.started_ms) {
+    *backend = known;
+    return;
+  }
+  const bool is_same = backend->started_ms == known.started_ms;
+  if (is_same && known.state == BackendState::kLeaving) backend->state = BackendState::kLeaving;
+}
+
+}  // namespace
+
 // Adds to `backends` the ready ones that it lacks.
 void BackendRegistry::KeepMissing(std::vector<Backend>* backends, TimePoint until) const {
   std::set<std::string_view> listed;
@@ -34,10 +49,8 @@
   ++changes_;
   for (Backend& backend : backends) {
     const auto known = before.find(backend.id);
-    if (known != before.end() && known->second.state == BackendState::kLeaving) {
-      backend.state = BackendState::kLeaving;
-    }
-    backend.key = KeyOf(backend.id);
+    if (known != before.end()) TakeOver(known->second, &backend);
+    backend.key = KeyOf(backend.id, backend.started_ms);
     ids_[backend.key] = backend.id;
     if (backend.missing_until.has_value()) {
       next_gone_ = std::min(next_gone_, *backend.missing_until);
@@ -48,12 +61,16 @@
 }
 
 void BackendRegistry::Put(Backend backend) {
-  Backend& entry = backends_[backend.id];
-  if (entry.state == BackendState::kLeaving) backend.state = BackendState::kLeaving;
-  backend.key = KeyOf(backend.id);
+  const auto known = backends_.find(backend.id);
+  if (known != backends_.end()) {
+    TakeOver(known->second, &backend);
+    ids_.erase(known->second.key);
+  }
+  backend.key = KeyOf(backend.id, backend.started_ms);
   ids_[backend.key] = backend.id;
   if (backend.missing_until.has_value()) next_gone_ = std::min(next_gone_, *backend.missing_until);
-  entry = std::move(backend);
+  const std::string id = backend.id;
+  backends_[id] = std::move(backend);
   ++changes_;
 }
 
@@ -110,7 +127,7 @@
   return all;
 }
 
-std::vector<const Backend*> BackendRegistry::ReadyOf(std::string_view service) const {
+std::vector<const Backend*> BackendRegistry::NewestReadyOf(std::string_view service) const {
   std::map<std::string_view, const Backend*> newest_at;
   for (const auto& [id, backend] : backends_) {
     const Backend*& newest = newest_at[backend.address];
@@ -126,6 +143,36 @@
   return ready;
 }
 
+std::vector<const Backend*> BackendRegistry::ReadyOf(std::string_view service) const {
+  std::vector<const Backend*> ready = NewestReadyOf(service);
+  std::erase_if(ready, [this](const Backend* backend) { return !MayReceive(*backend); });
+  return ready;
+}
+
+std::vector<const Backend*> BackendRegistry::DrainedOf(std::string_view service) const {
+  if (drains_.IsEmpty()) return {};
+  std::vector<const Backend*> drained = NewestReadyOf(service);
+  std::erase_if(drained, [this](const Backend* backend) { return MayReceive(*backend); });
+  return drained;
+}
+
+bool BackendRegistry::NoteChange(bool changed) {
+  if (changed) ++changes_;
+  return changed;
+}
+
+bool BackendRegistry::DrainZone(const std::string& zone, TimePoint now) {
+  return NoteChange(drains_.Drain(zone, now));
+}
+
+bool BackendRegistry::RestoreZone(const std::string& zone, TimePoint now) {
+  return NoteChange(drains_.Restore(zone, now));
+}
+
+bool BackendRegistry::ReplaceDrainedZones(const std::set<std::string>& zones, TimePoint now) {
+  return NoteChange(drains_.ReplaceAll(zones, now));
+}
+
 std::vector<BackendKey> BackendRegistry::Leaving() const {
   std::vector<BackendKey> leaving;
   for (const auto& [id, backend] : backends_) {
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -20,13 +20,10 @@
       pools_(policy.partition) {}
 
 std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
-                                           const std::vector<std::string>& tried, TimePoint now,
+                                           const std::vector<BackendKey>& tried, TimePoint now,
                                            std::vector<BackendKey> connected) {
-  std::vector<BackendKey> keys;
-  keys.reserve(tried.size());
-  for (const std::string& id : tried) keys.push_back(KeyOf(id));
   std::optional<Placement> placement =
-      Choose({"", zone_, std::move(connected)}, profile, keys, now);
+      Choose({"", zone_, std::move(connected)}, profile, tried, now);
   if (placement.has_value()) Begin(profile, AttemptOrigin::kOwn, &*placement, now);
   return placement;
 }
@@ -43,7 +40,7 @@
                                            const PlacementGrant& grant,
                                            const RequestProfile& profile, TimePoint now) {
   const Backend* backend = registry_.FindByKey(grant.backend);
-  if (backend == nullptr || backend->state != BackendState::kReady) return std::nullopt;
+  if (backend == nullptr || !registry_.MayReceive(*backend)) return std::nullopt;
   if (backend->service != profile.service) return std::nullopt;
   Placement placement;
   placement.backend = *backend;
@@ -63,6 +60,11 @@
   return placement;
 }
 
+bool Dispatcher::MayReceive(BackendKey backend) const {
+  const Backend* known = registry_.FindByKey(backend);
+  return known != nullptr && registry_.MayReceive(*known);
+}
+
 void Dispatcher::Begin(const RequestProfile& profile, AttemptOrigin origin, Placement* placement,
                        TimePoint now) {
   placement->ticket = next_ticket_++;
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -54,7 +54,7 @@
   Dispatcher dispatcher = MakeDispatcher(0);
   cr_assert(!dispatcher.Place(Urgent(), {}, kStart).has_value());
   dispatcher = MakeDispatcher(1);
-  cr_assert(!dispatcher.Place(Urgent(), {"e0"}, kStart).has_value());
+  cr_assert(!dispatcher.Place(Urgent(), {KeyOf("e0")}, kStart).has_value());
 }
 
 Test(dispatcher, requests_about_one_subject_meet_at_one_engine_when_it_has_time) {
@@ -98,11 +98,11 @@
   cr_assert(second->backend.id == first->backend.id, "it will hold the prompt when it is through");
   // Elsewhere it would be read a second time, and can't be asked for yet.
   const std::optional<Placement> elsewhere =
-      dispatcher.Place(Patient(5), {first->backend.id}, kStart + milliseconds(2));
+      dispatcher.Place(Patient(5), {first->backend.key}, kStart + milliseconds(2));
   cr_assert(elsewhere->fetch_prefix_from.empty());
   dispatcher.Output(first->ticket, kStart + milliseconds(200));
   const std::optional<Placement> later = dispatcher.Place(
-      Patient(5), {first->backend.id, elsewhere->backend.id}, kStart + milliseconds(201));
+      Patient(5), {first->backend.key, elsewhere->backend.key}, kStart + milliseconds(201));
   cr_assert(later->fetch_prefix_from == first->backend.address);
 }
 
@@ -283,7 +283,7 @@
         default: {
           const uint64_t subject = random() % 4;
           const RequestProfile profile = random() % 2 == 0 ? Urgent(subject) : Patient(subject);
-          const std::optional<Placement> placement = dispatcher.Place(profile, {engine}, now);
+          const std::optional<Placement> placement = dispatcher.Place(profile, {KeyOf(engine)}, now);
           if (!placement.has_value()) break;
           const Backend* placed = dispatcher.Registry().Find(placement->backend.id);
           cr_assert(placed != nullptr && placed->state == BackendState::kReady);
--- a/libs/relay/include/cartsail/relay/catalog_codec.h
+++ b/libs/relay/include/cartsail/relay/catalog_codec.h
@@ -16,6 +16,8 @@
   std::string prefix;          // of all keys below: one watch follows them
   std::string document;        // key of the routing document
   std::string backend_prefix;  // keys of back ends: prefix and id
+  // Keys of drained zones: prefix and zone; the value does not matter. Empty: there are none.
+  std::string drained_zone_prefix;
 };
 
 class CatalogCodec {
@@ -24,8 +26,9 @@
 
   // kInvalidSetting names the field that is missing or malformed.
   virtual absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const = 0;
-  virtual absl::StatusOr<Backend> DecodeBackend(std::string_view id,
-                                                std::string_view text) const = 0;
+  // The entry was read at `now`.
+  virtual absl::StatusOr<Backend> DecodeBackend(std::string_view id, std::string_view text,
+                                                TimePoint now) const = 0;
 };
 
 }  // namespace cartsail
--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -1,6 +1,7 @@
 // Settings of a relay node, as a plain struct.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,11 +16,13 @@
 struct RelayOptions {
   std::string node_id;
   std::string zone;
-  double capacity = 1;             // share of a core that this node may use
-  Endpoint listen;                 // callers
-  Endpoint ready;                  // the balancer's readiness checks, and metrics
-  Endpoint metrics;                // metrics; port 0: at `ready` only
-  Endpoint peer;                   // other nodes: datagrams, and documents by HTTP
+  std::string region;                               // of `zone`; empty: not told
+  std::map<std::string, std::string> zone_regions;  // the region of each zone
+  double capacity = 1;                              // share of a core that this node may use
+  Endpoint listen;                                  // callers
+  Endpoint ready;                                   // the balancer's readiness checks, and metrics
+  Endpoint metrics;                                 // metrics; port 0: at `ready` only
+  Endpoint peer;                                    // other nodes: datagrams, and documents by HTTP
   std::vector<std::string> seeds;  // hosts of nodes that may be up; they share `peer`'s port
   bool first_start = false;        // of the whole system: all nodes start about now
   Duration digest_interval = milliseconds(100);  // between digests to coordinators
@@ -29,6 +32,12 @@
   Duration balancer_delay = seconds(3);  // the balancer's time to notice that a node is not ready
   // From the store's acknowledgement until a document has to be in force at every node.
   Duration document_deadline = seconds(2);
+  // From the store's acknowledgement of a zone's drain until no request may reach its back ends.
+  Duration zone_drain_deadline = seconds(5);
+  // Requests that a cold back end may get in any second, over all nodes: its rate times the
+  // overage, plus the slack.
+  double cold_overage = 1.5;
+  double cold_slack = 5;
   RetryBudgetOptions retry_budget;
   PlacementPolicy placement;
   DutyOptions duties;
--- a/libs/relay/src/catalog/catalog_message.cc
+++ b/libs/relay/src/catalog/catalog_message.cc
@@ -58,6 +58,10 @@
   entry.setReclaimable(backend.reclaimable);
   const int64_t before = catalog_revision - backend.created_revision;
   entry.setCreatedBefore(BoundedTo<uint32_t>(static_cast<double>(before)));
+  entry.setStartedMs(backend.started_ms);
+  if (backend.cold_until.has_value() && *backend.cold_until > now) {
+    entry.setColdMs(BoundedTo<uint32_t>(ToMillis(*backend.cold_until - now)));
+  }
   if (!backend.missing_until.has_value()) return;
   entry.setMissingMs(BoundedTo<int32_t>(ToMillis(*backend.missing_until - now)));
 }
@@ -72,6 +76,8 @@
   backend.state = entry.getLeaving() ? BackendState::kLeaving : BackendState::kReady;
   backend.reclaimable = entry.getReclaimable();
   backend.created_revision = catalog.getRevision() - entry.getCreatedBefore();
+  backend.started_ms = entry.getStartedMs();
+  if (entry.getColdMs() > 0) backend.cold_until = now + milliseconds(entry.getColdMs());
   if (entry.getMissingMs() >= 0) {
     backend.missing_until = now + milliseconds(entry.getMissingMs());
   }
@@ -89,6 +95,8 @@
   root.setSince(catalog.since.value_or(-1));
   auto gone = root.initGone(static_cast<unsigned>(catalog.gone.size()));
   for (unsigned i = 0; i < gone.size(); ++i) gone.set(i, catalog.gone[i]);
+  auto drained = root.initDrainedZones(static_cast<unsigned>(catalog.drained_zones.size()));
+  for (unsigned i = 0; i < drained.size(); ++i) drained.set(i, catalog.drained_zones[i]);
   auto entries = root.initBackends(static_cast<unsigned>(catalog.backends.size()));
   NameTable names;
   for (unsigned i = 0; i < entries.size(); ++i) {
@@ -105,6 +113,7 @@
   catalog.document_age = milliseconds(root.getDocumentAgeMs());
   if (root.getSince() >= 0) catalog.since = root.getSince();
   for (const auto id : root.getGone()) catalog.gone.push_back(TextOf(id));
+  for (const auto zone : root.getDrainedZones()) catalog.drained_zones.push_back(TextOf(zone));
   for (const auto entry : root.getBackends()) {
     catalog.backends.push_back(DecodeBackend(entry, root, now));
   }
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -219,11 +219,50 @@
   return key.substr(keys_.backend_prefix.size());
 }
 
+bool CatalogSync::IsDrainedZone(const std::string& key) const {
+  const std::string& prefix = keys_.drained_zone_prefix;
+  return !prefix.empty() && key.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::string CatalogSync::DrainedZone(const std::string& key) const {
+  return key.substr(keys_.drained_zone_prefix.size());
+}
+
+std::set<std::string> CatalogSync::DrainedZonesIn(const std::vector<KeyValue>& items) const {
+  std::set<std::string> zones;
+  for (const KeyValue& item : items) {
+    if (IsDrainedZone(item.key)) zones.insert(DrainedZone(item.key));
+  }
+  return zones;
+}
+
+void CatalogSync::ReplaceDrainedZones(const std::set<std::string>& zones, std::string_view source) {
+  if (!context_.dispatcher.Registry().ReplaceDrainedZones(zones, Now())) return;
+  LogDrainedZones(source);
+}
+
+void CatalogSync::ApplyDrainedZone(const WatchEvent& event, TimePoint now) {
+  BackendRegistry& registry = context_.dispatcher.Registry();
+  const std::string zone = DrainedZone(event.kv.key);
+  const bool changed =
+      event.deleted ? registry.RestoreZone(zone, now) : registry.DrainZone(zone, now);
+  if (changed) LogDrainedZones("store");
+}
+
+void CatalogSync::LogDrainedZones(std::string_view source) const {
+  const std::vector<std::string> zones = context_.dispatcher.Registry().Drains().Zones();
+  Log(LogLevel::kInfo, "drained_zones",
+      {{"zones", fmt::format("{}", fmt::join(zones, ","))},
+       {"revision", std::to_string(revision_)},
+       {"source", std::string(source)}});
+}
+
 std::vector<Backend> CatalogSync::BackendsIn(const std::vector<KeyValue>& items) const {
+  const TimePoint now = Now();
   std::vector<Backend> backends;
   for (const KeyValue& item : items) {
     if (!IsBackend(item.key)) continue;
-    absl::StatusOr<Backend> backend = codec_.DecodeBackend(BackendId(item.key), item.value);
+    absl::StatusOr<Backend> backend = codec_.DecodeBackend(BackendId(item.key), item.value, now);
     if (!backend.ok()) {
       NoteInvalidBackend(BackendId(item.key), backend.status());
       continue;
@@ -252,6 +291,7 @@
     revision_ = revision;
     changes_.Reset(revision);
     ReplaceBackends(BackendsIn(items), "store", grace_.MissingUntil(now));
+    ReplaceDrainedZones(DrainedZonesIn(items), "store");
   }
   if (!asked.has_value()) return;
   // What the list says held when it was asked for; the answer may have been long on its way.
@@ -266,6 +306,7 @@
   update.document_version = context_.routing.Version();
   update.confirmed_age = Now() - confirmed;
   update.changes.revision = revision_;
+  update.changes.drained_zones = context_.dispatcher.Registry().Drains().Zones();
   FillBackends(since, &update.changes);
   const bool is_short =
       update.changes.since.has_value() &&
@@ -291,6 +332,7 @@
   revision_ = changes.revision;
   must_list_ = false;
   if (!changes.backends.empty() || !changes.gone.empty()) ApplyChanges(changes, source);
+  ReplaceDrainedZones({changes.drained_zones.begin(), changes.drained_zones.end()}, source);
   return update.document_version <= context_.routing.Version();
 }
 
@@ -359,6 +401,7 @@
   catalog.revision = revision_;
   if (context_.routing.Version() > have) catalog.document = PatchFor(have);
   catalog.document_age = Now() - context_.routing.KnownSince();
+  catalog.drained_zones = context_.dispatcher.Registry().Drains().Zones();
   FillBackends(since, &catalog);
   return catalog;
 }
@@ -377,6 +420,7 @@
   revision_ = catalog.revision;
   // From here on the store's changes since this revision are enough.
   must_list_ = false;
+  ReplaceDrainedZones({catalog.drained_zones.begin(), catalog.drained_zones.end()}, source);
   if (catalog.since.has_value()) return ApplyChanges(catalog, source);
   changes_.Reset(revision_);
   ReplaceBackends(catalog.backends, source, grace_.MissingUntil(Now()));
@@ -422,6 +466,7 @@
     if (event.kv.mod_revision <= known) continue;  // from a peer
     if (key == keys_.document && !event.deleted)
       ApplyDocument(event.kv.value, "store", Duration(0));
+    if (IsDrainedZone(key)) ApplyDrainedZone(event, now);
     if (IsBackend(key)) changes_.Note(BackendId(key), event.kv.mod_revision);
     if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
     if (IsBackend(key) && event.deleted) RemoveBackend(BackendId(key), LogLevel::kInfo, now);
@@ -434,8 +479,14 @@
 
 void CatalogSync::ApplyBackend(const KeyValue& item) {
   const std::string id = BackendId(item.key);
-  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value);
-  if (!backend.ok()) return NoteInvalidBackend(id, backend.status());
+  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, Now());
+  if (!backend.ok()) {
+    NoteInvalidBackend(id, backend.status());
+    // Whoever wrote it: what stood there before holds no longer.
+    context_.dispatcher.Registry().Remove(id);
+    context_.dispatcher.ForgetGone();
+    return;
+  }
   backend->created_revision = item.create_revision;
   Log(LogLevel::kInfo, "backend_seen",
       {{"backend", id},
@@ -443,6 +494,7 @@
        {"state", backend->state == BackendState::kReady ? "ready" : "leaving"},
        {"revision", std::to_string(item.mod_revision)}});
   context_.dispatcher.Registry().Put(std::move(*backend));
+  context_.dispatcher.ForgetGone();
 }
 
 void CatalogSync::ApplyPatch(const DocumentPatch& patch, std::string_view source, Duration age) {
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,12 @@
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
   void ApplyBackend(const KeyValue& item);
+  bool IsDrainedZone(const std::string& key) const;
+  std::string DrainedZone(const std::string& key) const;
+  std::set<std::string> DrainedZonesIn(const std::vector<KeyValue>& items) const;
+  void ReplaceDrainedZones(const std::set<std::string>& zones, std::string_view source);
+  void ApplyDrainedZone(const WatchEvent& event, TimePoint now);
+  void LogDrainedZones(std::string_view source) const;
   CatalogMessage MakeCatalog(int64_t have, int64_t since);
   void FillBackends(int64_t since, CatalogMessage* catalog) const;
   void ApplyChanges(const CatalogMessage& catalog, std::string_view source);
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -44,6 +44,11 @@
     parts[i].setId(profile.prompt_parts[i].id);
     parts[i].setTokens(BoundedTo<uint32_t>(static_cast<double>(profile.prompt_parts[i].tokens)));
   }
+  if (profile.residency.has_value()) {
+    message.setRestricted(true);
+    auto regions = message.initResidency(static_cast<unsigned>(profile.residency->size()));
+    for (unsigned i = 0; i < regions.size(); ++i) regions.set(i, (*profile.residency)[i]);
+  }
   FillKeys(question.tried, message.initTried(static_cast<unsigned>(question.tried.size())));
   FillKeys(question.connected,
            message.initConnected(static_cast<unsigned>(question.connected.size())));
@@ -185,6 +190,12 @@
   for (const auto part : message.getParts()) {
     profile.prompt_parts.push_back({part.getId(), part.getTokens()});
   }
+  if (message.getRestricted()) {
+    profile.residency.emplace();
+    for (const auto region : message.getResidency()) {
+      profile.residency->push_back(TextOf(region));
+    }
+  }
   question.tried = KeysOf(message.getTried());
   question.connected = KeysOf(message.getConnected());
   return question;
--- a/libs/relay/src/placement/placement_service.cc
+++ b/libs/relay/src/placement/placement_service.cc
@@ -61,7 +61,7 @@
 }
 
 asio::awaitable<std::optional<Placement>> PlacementService::Place(
-    const RequestProfile& profile, const std::vector<std::string>& tried) {
+    const RequestProfile& profile, const std::vector<BackendKey>& tried) {
   std::optional<Placement> placement;
   if (transport_.send) placement = co_await PlaceByCoordinator(profile, tried);
   if (placement.has_value()) {
@@ -74,7 +74,7 @@
 
 // Nothing when this node is to place the request itself.
 asio::awaitable<std::optional<Placement>> PlacementService::PlaceByCoordinator(
-    const RequestProfile& profile, const std::vector<std::string>& tried) {
+    const RequestProfile& profile, const std::vector<BackendKey>& tried) {
   const std::vector<std::string> hosts =
       peers_.RankCoordinators(profile.service, kCoordinatorsAsked, Now());
   for (const std::string& host : hosts) {
@@ -89,11 +89,11 @@
 }
 
 PlacementQuestion PlacementService::MakeQuestion(const RequestProfile& profile,
-                                                 const std::vector<std::string>& tried) {
+                                                 const std::vector<BackendKey>& tried) {
   PlacementQuestion question;
   question.id = next_question_++;
   question.profile = profile;
-  for (const std::string& id : tried) question.tried.push_back(KeyOf(id));
+  question.tried = tried;
   question.connected = pool_.Connected(kMostConnected);
   return question;
 }
--- a/libs/relay/src/placement/placement_service.h
+++ b/libs/relay/src/placement/placement_service.h
@@ -40,7 +40,7 @@
 
   // As Dispatcher::Place(); may wait some milliseconds for the coordinator.
   boost::asio::awaitable<std::optional<Placement>> Place(const RequestProfile& profile,
-                                                         const std::vector<std::string>& tried);
+                                                         const std::vector<BackendKey>& tried);
 
   void Output(PlacementTicket ticket, TimePoint now);
   void Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now);
@@ -82,9 +82,9 @@
   };
 
   boost::asio::awaitable<std::optional<Placement>> PlaceByCoordinator(
-      const RequestProfile& profile, const std::vector<std::string>& tried);
+      const RequestProfile& profile, const std::vector<BackendKey>& tried);
   PlacementQuestion MakeQuestion(const RequestProfile& profile,
-                                 const std::vector<std::string>& tried);
+                                 const std::vector<BackendKey>& tried);
   std::optional<Placement> TakeAnswer(const std::string& host, const PlacementAnswer& answer,
                                       const RequestProfile& profile);
   boost::asio::awaitable<std::optional<PlacementAnswer>> Ask(const std::string& host,
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -139,7 +139,8 @@
       context_.placement.Finish(placement->ticket, AttemptOutcome::kCallerGone, Now());
       break;
     }
-    tried_.push_back(placement->backend.id);
+    tried_.push_back(placement->backend.key);
+    last_backend_ = placement->backend.id;
     placed_by_ = placement->placed_by;
     outcome = co_await Attempt(*placement);
     context_.placement.Finish(placement->ticket, outcome, Now());
@@ -200,6 +201,10 @@
     ++history_.connects_failed;
     co_return Now() >= deadline_ ? AttemptOutcome::kTimedOut : AttemptOutcome::kNotSent;
   }
+  if (!context_.dispatcher.MayReceive(placement.backend.key)) {
+    context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
+    co_return AttemptOutcome::kNotSent;
+  }
   ++history_.attempts;
   ++history_.may_have_run;
   upstream_->StartRequest(UpstreamHead(placement, Now()), request_.body);
@@ -209,17 +214,17 @@
     GlobalCounters().backend_refusals_total.Add();
   }
   const std::shared_ptr<UpstreamConnection> used = std::exchange(upstream_, nullptr);
-  context_.pool.Return(placement.backend.id, used);
+  context_.pool.Return(placement.backend.key, used);
   const bool is_silent = outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kTimedOut;
   // Links may drop all open connections without a word while new ones work.
-  if (is_silent) context_.pool.CloseIdle(placement.backend.id);
+  if (is_silent) context_.pool.CloseIdle(placement.backend.key);
   co_return caller_gone_ ? AttemptOutcome::kCallerGone : outcome;
 }
 
 asio::awaitable<std::shared_ptr<UpstreamConnection>> Exchange::OpenUpstream(
     const Placement& placement) {
   std::shared_ptr<UpstreamConnection> connection =
-      context_.pool.TakeIdle(placement.backend.id, Now());
+      context_.pool.TakeIdle(placement.backend.key, Now());
   if (connection != nullptr) co_return connection;
   connection = context_.pool.MakeNew();
   GlobalCounters().backend_connects_total.Add();
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -74,8 +74,9 @@
   CallerRequest request_;
   AdmittedRequest admitted_;
   AttemptHistory history_;
-  std::vector<std::string> tried_;
-  std::string placed_by_;  // the coordinator of the last attempt; empty: this node
+  std::vector<BackendKey> tried_;
+  std::string last_backend_;  // id of the one tried last
+  std::string placed_by_;     // the coordinator of the last attempt; empty: this node
   std::string request_id_;
   std::string last_event_id_;  // of the events passed on, for a continuation
   std::shared_ptr<UpstreamConnection> upstream_;
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -113,7 +113,7 @@
        {"tier", std::to_string(admitted_.tier)},
        {"config", std::to_string(context_.routing.Version())},
        {"config_age_ms", ConfigAgeText()},
-       {"backend", tried_.empty() ? "" : tried_.back()},
+       {"backend", last_backend_},
        {"placed_by", tried_.empty() ? "" : PlacedByText(placed_by_)},
        {"attempts", std::to_string(history_.attempts)},
        {"result", std::string(result)},
--- a/libs/relay/src/request/upstream_pool.cc
+++ b/libs/relay/src/request/upstream_pool.cc
@@ -9,8 +9,7 @@
 
 }  // namespace
 
-std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(const std::string& backend,
-                                                           TimePoint now) {
+std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(BackendKey backend, TimePoint now) {
   const auto idle = idle_.find(backend);
   if (idle == idle_.end()) return nullptr;
   while (!idle->second.empty()) {
@@ -26,8 +25,7 @@
   return std::make_shared<UpstreamConnection>(executor_);
 }
 
-void UpstreamPool::Return(const std::string& backend,
-                          std::shared_ptr<UpstreamConnection> connection) {
+void UpstreamPool::Return(BackendKey backend, std::shared_ptr<UpstreamConnection> connection) {
   std::vector<std::shared_ptr<UpstreamConnection>>& idle = idle_[backend];
   if (!connection->IsReusable() || idle.size() >= kMostIdle) {
     connection->Close();
@@ -36,7 +34,7 @@
   idle.push_back(std::move(connection));
 }
 
-void UpstreamPool::CloseIdle(const std::string& backend) {
+void UpstreamPool::CloseIdle(BackendKey backend) {
   const auto idle = idle_.find(backend);
   if (idle == idle_.end()) return;
   for (const std::shared_ptr<UpstreamConnection>& connection : idle->second) connection->Close();
@@ -47,7 +45,7 @@
   std::vector<BackendKey> keys;
   for (const auto& [backend, connections] : idle_) {
     if (keys.size() >= most) break;
-    if (!connections.empty()) keys.push_back(KeyOf(backend));
+    if (!connections.empty()) keys.push_back(backend);
   }
   return keys;
 }
--- a/libs/relay/src/request/upstream_pool.h
+++ b/libs/relay/src/request/upstream_pool.h
@@ -1,9 +1,9 @@
-// Idle connections to back ends, by the back end's id. One thread.
+// Idle connections to back ends, by the back end's incarnation: those of an earlier one are never
+// used again. One thread.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
 #include <memory>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -17,16 +17,16 @@
   explicit UpstreamPool(boost::asio::any_io_executor executor) : executor_(executor) {}
 
   // An idle connection that is still quiet, or nullptr.
-  std::shared_ptr<UpstreamConnection> TakeIdle(const std::string& backend, TimePoint now);
+  std::shared_ptr<UpstreamConnection> TakeIdle(BackendKey backend, TimePoint now);
 
   // Not yet connected.
   std::shared_ptr<UpstreamConnection> MakeNew();
 
   // Keeps a reusable connection, closes any other.
-  void Return(const std::string& backend, std::shared_ptr<UpstreamConnection> connection);
+  void Return(BackendKey backend, std::shared_ptr<UpstreamConnection> connection);
 
   // Closes the idle connections to a back end: the next request gets a new one.
-  void CloseIdle(const std::string& backend);
+  void CloseIdle(BackendKey backend);
 
   // Back ends to which there is an idle connection, `most` at most.
   std::vector<BackendKey> Connected(size_t most) const;
@@ -36,7 +36,7 @@
 
  private:
   boost::asio::any_io_executor executor_;
-  std::unordered_map<std::string, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
+  std::unordered_map<BackendKey, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -96,6 +96,9 @@
   connected @9 :List(UInt32);
   # Longest pause between events within the goal; 0: none is set.
   longestPauseMs @10 :UInt32;
+  # Regions in which the request may be served, where it is not in all.
+  restricted @11 :Bool;
+  residency @12 :List(Text);
 }
 
 struct PlacementAnswer {
@@ -150,6 +153,10 @@
   # Its entry is missing: milliseconds until it counts as gone; -1: not missing.
   missingMs @9 :Int32 = -1;
   reclaimable @10 :Bool;
+  # When its process started, in milliseconds since the start of 1970; 0: not told.
+  startedMs @11 :Int64;
+  # Milliseconds for which it is still slow after its start; 0: it is not.
+  coldMs @12 :UInt32;
 }
 
 # All that a node knows from the store.
@@ -168,6 +175,8 @@
   gone @6 :List(Text);
   # Of services and zones.
   names @7 :List(Text);
+  # All there are, also beside changes.
+  drainedZones @8 :List(Text);
 }
 
 # What the store told a reader, on its way to all nodes.
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -155,7 +155,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -215,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fda596282b449bf2, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fda596282b449bf2, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -230,7 +230,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1139,6 +1139,11 @@
 
   inline  ::uint32_t getLongestPauseMs() const;
 
+  inline bool getRestricted() const;
+
+  inline bool hasResidency() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getResidency() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1218,6 +1223,17 @@
   inline  ::uint32_t getLongestPauseMs();
   inline void setLongestPauseMs( ::uint32_t value);
 
+  inline bool getRestricted();
+  inline void setRestricted(bool value);
+
+  inline bool hasResidency();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getResidency();
+  inline void setResidency( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setResidency(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initResidency(unsigned int size);
+  inline void adoptResidency(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownResidency();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1608,6 +1624,10 @@
 
   inline bool getReclaimable() const;
 
+  inline  ::int64_t getStartedMs() const;
+
+  inline  ::uint32_t getColdMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1677,6 +1697,12 @@
   inline bool getReclaimable();
   inline void setReclaimable(bool value);
 
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline  ::uint32_t getColdMs();
+  inline void setColdMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1740,6 +1766,9 @@
   inline bool hasNames() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
 
+  inline bool hasDrainedZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDrainedZones() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1810,6 +1839,14 @@
   inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
 
+  inline bool hasDrainedZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDrainedZones();
+  inline void setDrainedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDrainedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDrainedZones(unsigned int size);
+  inline void adoptDrainedZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDrainedZones();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3522,6 +3559,58 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementQuestion::Reader::getRestricted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementQuestion::Builder::getRestricted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void PlacementQuestion::Builder::setRestricted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PlacementQuestion::Reader::hasResidency() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementQuestion::Builder::hasResidency() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PlacementQuestion::Reader::getResidency() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementQuestion::Builder::getResidency() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PlacementQuestion::Builder::setResidency( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PlacementQuestion::Builder::setResidency(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementQuestion::Builder::initResidency(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PlacementQuestion::Builder::adoptResidency(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PlacementQuestion::Builder::disownResidency() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t PlacementAnswer::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4030,6 +4119,34 @@
       ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Backend::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Backend::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Backend::Reader::getColdMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Backend::Builder::getColdMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setColdMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t Catalog::Reader::getRevision() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4230,6 +4347,44 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Catalog::Reader::hasDrainedZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalog::Builder::hasDrainedZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getDrainedZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getDrainedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Catalog::Builder::setDrainedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Catalog::Builder::setDrainedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initDrainedZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Catalog::Builder::adoptDrainedZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownDrainedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool StoreUpdate::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/relay/tests/cache_inventory_test.cc
+++ b/libs/relay/tests/cache_inventory_test.cc
@@ -41,7 +41,7 @@
   int64_t held = -1;
   relay.OnRelayThread([&] {
     Dispatcher& dispatcher = relay.Context().dispatcher;
-    const auto placement = dispatcher.Place(ProfileOf(part), {other}, Now());
+    const auto placement = dispatcher.Place(ProfileOf(part), {KeyOf(other)}, Now());
     held = placement->held_tokens;
     dispatcher.Finish(placement->ticket, AttemptOutcome::kCallerGone, Now());
   });
--- a/libs/relay/tests/support/version_codec.cc
+++ b/libs/relay/tests/support/version_codec.cc
@@ -26,8 +26,8 @@
   return document;
 }
 
-absl::StatusOr<Backend> VersionCodec::DecodeBackend(std::string_view id,
-                                                    std::string_view text) const {
+absl::StatusOr<Backend> VersionCodec::DecodeBackend(std::string_view id, std::string_view text,
+                                                    TimePoint /*now*/) const {
   Backend backend;
   backend.id = std::string(id);
   backend.service = std::string(text);
--- a/libs/relay/tests/support/version_codec.h
+++ b/libs/relay/tests/support/version_codec.h
@@ -14,7 +14,8 @@
 class VersionCodec : public CatalogCodec {
  public:
   absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const override;
-  absl::StatusOr<Backend> DecodeBackend(std::string_view id, std::string_view text) const override;
+  absl::StatusOr<Backend> DecodeBackend(std::string_view id, std::string_view text,
+                                        TimePoint now) const override;
 };
 
 }  // namespace cartsail::testing
--- a/libs/routing/include/cartsail/routing/routing_document.h
+++ b/libs/routing/include/cartsail/routing/routing_document.h
@@ -41,6 +41,8 @@
   bool is_public = false;                   // needs no API key
   bool resumable = false;                   // a stream may go on at another back end
   bool prefers_cached_prefix = false;       // requests name the parts of their prompt
+  // Data residency: regions in which requests may be served; nothing: in all.
+  std::optional<std::vector<std::string>> residency;
 };
 
 // Figures of a model engine that placement uses.
@@ -67,17 +69,26 @@
   std::vector<ZonePrice> zones;  // in which engines may be ordered
 };
 
+// Back ends that have just started are slow for a while and bear few requests.
+struct WarmUp {
+  Duration length{};          // from the start of a back end
+  double requests_per_s = 0;  // that it bears meanwhile
+};
+
 struct ServiceRule {
   std::string name;
   int64_t max_connections = 0;           // a back end's limit for all callers; 0: none
   std::optional<EngineProfile> engine;   // absent: a plain service
   std::optional<EngineScaling> scaling;  // absent: the number of back ends is not ordered
+  std::optional<WarmUp> warm_up;         // absent: back ends serve at full rate from their start
 };
 
 struct TenantRule {
   std::string name;
   std::vector<std::string> api_keys;
   std::optional<int64_t> tier;  // takes precedence over the route's
+  // Data residency, as of a route; where both tell regions, both bind.
+  std::optional<std::vector<std::string>> residency;
 };
 
 // Bounds of what a caller may send.
