--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -479,7 +479,8 @@
 
 void CatalogSync::ApplyBackend(const KeyValue& item) {
   const std::string id = BackendId(item.key);
-  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, Now());
+  const TimePoint now = Now();
+  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, now);
   if (!backend.ok()) {
     NoteInvalidBackend(id, backend.status());
     // Whoever wrote it: what stood there before holds no longer.
@@ -492,6 +493,8 @@
       {{"backend", id},
        {"address", backend->address},
        {"state", backend->state == BackendState::kReady ? "ready" : "leaving"},
+       {"started_ms", std::to_string(backend->started_ms)},
+       {"cold_ms", FormatMillis(backend->cold_until.value_or(now) - now)},
        {"revision", std::to_string(item.mod_revision)}});
   context_.dispatcher.Registry().Put(std::move(*backend));
   context_.dispatcher.ForgetGone();
