--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -67,6 +67,8 @@
   X(placements_own_total, counter, "Requests that this node placed itself")                      \
   X(placements_for_peers_total, counter, "Requests of other nodes that this node placed")        \
   X(requests_followed, gauge, "Running requests of other nodes that this node placed")           \
+  X(cold_placements_total, counter, "Requests that this node placed at cold back ends")          \
+  X(cold_refusals_total, counter, "Requests refused because only cold back ends were left")      \
   X(cache_inventories_total, counter, "Engines that told which parts of prompts they hold")      \
   X(cache_inventories_failed_total, counter, "Engines that were asked in vain")                  \
   X(coordinator_losses_total, counter, "Times a coordinator did not answer")                     \
--- a/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
+++ b/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
@@ -19,9 +19,10 @@
   kSilent,         // nothing came for too long
   kTimedOut,       // the request's own time ended
   kCallerGone,
+  kWithheld,  // this node did not send it: the back end may not receive it any more
 };
 
-inline constexpr int kAttemptOutcomes = 10;  // the number of them
+inline constexpr int kAttemptOutcomes = 11;  // the number of them
 
 std::string_view AttemptOutcomeName(AttemptOutcome outcome);
 
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include "cartsail/dispatch/attempt_outcome.h"
 #include "cartsail/dispatch/backend_health.h"
 #include "cartsail/dispatch/backend_registry.h"
+#include "cartsail/dispatch/cold_back_ends.h"
 #include "cartsail/dispatch/load_ledger.h"
 #include "cartsail/dispatch/pause_model.h"
 #include "cartsail/dispatch/placement.h"
@@ -23,6 +24,8 @@
 #include "cartsail/dispatch/run_time.h"
 #include "cartsail/dispatch/service_pools.h"
 #include "cartsail/dispatch/stream_risk.h"
+#include "cartsail/dispatch/warm_up_limiter.h"
+#include "cartsail/dispatch/warm_up_right.h"
 
 namespace cartsail {
 
@@ -40,6 +43,12 @@
   std::vector<ServiceWork> work;
 };
 
+// A cold back end of a service with a warm-up.
+struct ColdBackEnd {
+  Backend backend;
+  ColdSpell spell;
+};
+
 class Dispatcher {
  public:
   Dispatcher(PlacementPolicy policy, std::string zone);
@@ -48,17 +57,25 @@
   const BackendRegistry& Registry() const { return registry_; }
 
   // A back end for this node's request, none of `tried`; nothing when no ready one is left. Every
-  // placement is to be ended by Finish().
+  // placement is to be ended by Finish(). Cold back ends are chosen with the right to grant only.
   std::optional<Placement> Place(const RequestProfile& profile,
                                  const std::vector<BackendKey>& tried, TimePoint now,
-                                 std::vector<BackendKey> connected = {});
+                                 std::vector<BackendKey> connected = {},
+                                 ColdRight right = ColdRight::kNo);
 
   // The same for another node's request.
   std::optional<Placement> PlaceFor(const Requester& requester, const RequestProfile& profile,
-                                    const std::vector<BackendKey>& tried, TimePoint now);
+                                    const std::vector<BackendKey>& tried, TimePoint now,
+                                    ColdRight right = ColdRight::kNo);
+
+  // Where only cold back ends are left, and none may get the request now: the time after which it
+  // is worth to try again.
+  std::optional<Duration> ColdWait(const RequestProfile& profile,
+                                   const std::vector<BackendKey>& tried, TimePoint now,
+                                   ColdRight right);
 
   // This node's request, placed by `coordinator`. Nothing when the back end isn't ready as far as
-  // this node knows.
+  // this node knows, or cold without the coordinator knowing it.
   std::optional<Placement> Adopt(const std::string& coordinator, const PlacementGrant& grant,
                                  const RequestProfile& profile, TimePoint now);
 
@@ -66,6 +83,9 @@
   // nor was its zone drained, nor has another incarnation taken its place.
   bool MayReceive(BackendKey backend) const;
 
+  // The same, and a request to a cold back end has a grant that still holds.
+  bool MaySend(const Placement& placement, TimePoint now) const;
+
   // Some of the answer's body came; of a stream: an event.
   void Output(PlacementTicket ticket, TimePoint now);
 
@@ -108,6 +128,16 @@
   // Nodes heard lately, this one included.
   int64_t LiveNodes(TimePoint now) const { return loads_.PeersHeard(now) + 1; }
 
+  // The warm-up of each service, as the routing document tells it.
+  void SetWarmUps(const std::vector<ServiceRule>& services, const ColdBound& bound) {
+    cold_.SetRules(services, bound);
+  }
+  bool HasWarmUp(const std::string& service) const { return cold_.RuleOf(service) != nullptr; }
+  std::vector<std::string> ServicesWithWarmUp() const { return cold_.Services(); }
+
+  // The cold back ends of `service` that may receive requests.
+  std::vector<ColdBackEnd> ColdOf(const std::string& service, TimePoint now) const;
+
   // To be called about twice a second.
   void Tick(TimePoint now);
 
@@ -155,15 +185,23 @@
     const Backend* holder = nullptr;  // has read most of the prompt and can hand it over
     int64_t holder_tokens = 0;
     int64_t known_tokens = 0;  // read or being read at one engine, at most
+    // Until one of the cold back ends that were left out may be chosen.
+    std::optional<Duration> cold_wait;
   };
 
   void RemoveMissing(TimePoint now);
   PlacementView View(const RequestProfile& profile, const std::vector<BackendKey>& tried,
-                     TimePoint now);
+                     TimePoint now, ColdRight right);
+  Duration WaitForCold(const Backend& backend, const ServiceWarmUp& warm_up, TimePoint now,
+                       ColdRight right) const;
+  std::optional<ColdSpell> SpellOf(const Backend& backend, TimePoint now) const;
+  bool IsToldCold(const Backend& backend, TimePoint now) const;
+  void NoteCold(Placement* placement, TimePoint now);
   void FindHolder(const RequestProfile& profile, const std::vector<PoolMember>& members,
                   TimePoint now, PlacementView* view) const;
   std::optional<Placement> Choose(const Requester& requester, const RequestProfile& profile,
-                                  const std::vector<BackendKey>& tried, TimePoint now);
+                                  const std::vector<BackendKey>& tried, TimePoint now,
+                                  ColdRight right);
   Estimate EstimatePrompt(const RequestProfile& profile, const Candidate& candidate,
                           const PlacementView& view) const;
   Estimate EstimateGeneration(const RequestProfile& profile, const Candidate& candidate,
@@ -200,6 +238,8 @@
   std::string zone_;
   BackendRegistry registry_;
   BackendHealth health_;
+  ColdBackEnds cold_;
+  WarmUpLimiter cold_grants_;
   PauseModel pauses_;
   StreamRisk risk_;
   ReadingBacklog backlog_;
--- a/libs/dispatch/include/cartsail/dispatch/placement.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   int64_t held_tokens = 0;
   int64_t candidates = 0;
   BackendLoad load;  // at the back end before this request
+  // The back end is cold: the request is sent until then or not at all.
+  std::optional<TimePoint> send_by;
 };
 
 // The same in a message: back ends are named by their keys.
@@ -37,6 +40,7 @@
   int64_t held_tokens = 0;
   int64_t candidates = 0;
   int64_t load_requests = 0;  // at the back end before this request
+  bool is_cold = false;       // the back end
 };
 
 // Who asks for a placement.
--- /dev/null
+++ b/libs/dispatch/src/cold_back_ends.cc
@@ -0,0 +1,104 @@
+#include "cartsail/dispatch/cold_back_ends.h"
+
+namespace cartsail {
+namespace {
+
+// A back end that was lost and does not answer is held for lost so long. One that is away for
+// longer has no entry any more, and the one that it writes when it is back tells whether it is
+// cold.
+constexpr Duration kLongestAbsence = seconds(10);
+
+bool IsLoss(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kCut ||
+         outcome == AttemptOutcome::kSilent;
+}
+
+bool IsAnswer(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kFailedAnswer ||
+         outcome == AttemptOutcome::kRefused;
+}
+
+void TakeLater(const ColdSpell& spell, TimePoint now, std::optional<ColdSpell>* last) {
+  if (spell.until <= now) return;
+  if (!last->has_value() || spell.until > (*last)->until) *last = spell;
+}
+
+}  // namespace
+
+std::string_view ColdReasonName(ColdReason reason) {
+  switch (reason) {
+    case ColdReason::kEntry:
+      return "entry";
+    case ColdReason::kRestored:
+      return "restored";
+    case ColdReason::kLost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+void ColdBackEnds::SetRules(const std::vector<ServiceRule>& services, const ColdBound& bound) {
+  rules_.clear();
+  for (const ServiceRule& service : services) {
+    if (!service.warm_up.has_value()) continue;
+    const int64_t grants = ColdGrantsOfOneNode(*service.warm_up, bound);
+    rules_[service.name] = {service.warm_up->length, grants};
+  }
+}
+
+const ServiceWarmUp* ColdBackEnds::RuleOf(const std::string& service) const {
+  if (rules_.empty()) return nullptr;
+  const auto rule = rules_.find(service);
+  return rule == rules_.end() ? nullptr : &rule->second;
+}
+
+std::vector<std::string> ColdBackEnds::Services() const {
+  std::vector<std::string> services;
+  for (const auto& [service, rule] : rules_) services.push_back(service);
+  return services;
+}
+
+void ColdBackEnds::NoteOutcome(const Backend& backend, AttemptOutcome outcome, TimePoint begun,
+                               TimePoint now) {
+  const ServiceWarmUp* rule = RuleOf(backend.service);
+  if (rule == nullptr) return;
+  if (IsLoss(outcome)) {
+    losses_[backend.key] = {now, now + kLongestAbsence + rule->length, false};
+    return;
+  }
+  if (!IsAnswer(outcome)) return;
+  const auto loss = losses_.find(backend.key);
+  if (loss == losses_.end() || loss->second.answered) return;
+  // An answer to an earlier request may have been on its way when the back end was lost.
+  if (begun <= loss->second.lost) return;
+  loss->second.answered = true;
+  loss->second.warm = now + rule->length;
+}
+
+std::optional<ColdSpell> ColdBackEnds::ToldSpellOf(const Backend& backend,
+                                                   const ServiceWarmUp& rule,
+                                                   const ZoneDrains& drains, TimePoint now) const {
+  std::optional<ColdSpell> last;
+  if (backend.cold_until.has_value()) {
+    TakeLater({ColdReason::kEntry, *backend.cold_until}, now, &last);
+  }
+  const std::optional<TimePoint> restored = drains.RestoredAt(backend.zone);
+  if (restored.has_value()) {
+    TakeLater({ColdReason::kRestored, *restored + rule.length}, now, &last);
+  }
+  return last;
+}
+
+std::optional<ColdSpell> ColdBackEnds::SpellOf(const Backend& backend, const ServiceWarmUp& rule,
+                                               const ZoneDrains& drains, TimePoint now) const {
+  std::optional<ColdSpell> last = ToldSpellOf(backend, rule, drains, now);
+  const auto loss = losses_.find(backend.key);
+  if (loss != losses_.end()) TakeLater({ColdReason::kLost, loss->second.warm}, now, &last);
+  return last;
+}
+
+void ColdBackEnds::Expire(TimePoint now) {
+  std::erase_if(losses_, [now](const auto& entry) { return entry.second.warm <= now; });
+}
+
+}  // namespace cartsail
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -21,17 +21,18 @@
 
 std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
                                            const std::vector<BackendKey>& tried, TimePoint now,
-                                           std::vector<BackendKey> connected) {
+                                           std::vector<BackendKey> connected, ColdRight right) {
   std::optional<Placement> placement =
-      Choose({"", zone_, std::move(connected)}, profile, tried, now);
+      Choose({"", zone_, std::move(connected)}, profile, tried, now, right);
   if (placement.has_value()) Begin(profile, AttemptOrigin::kOwn, &*placement, now);
   return placement;
 }
 
 std::optional<Placement> Dispatcher::PlaceFor(const Requester& requester,
                                               const RequestProfile& profile,
-                                              const std::vector<BackendKey>& tried, TimePoint now) {
-  std::optional<Placement> placement = Choose(requester, profile, tried, now);
+                                              const std::vector<BackendKey>& tried, TimePoint now,
+                                              ColdRight right) {
+  std::optional<Placement> placement = Choose(requester, profile, tried, now, right);
   if (placement.has_value()) Begin(profile, AttemptOrigin::kPeer, &*placement, now);
   return placement;
 }
@@ -42,6 +43,7 @@
   const Backend* backend = registry_.FindByKey(grant.backend);
   if (backend == nullptr || !registry_.MayReceive(*backend)) return std::nullopt;
   if (backend->service != profile.service) return std::nullopt;
+  if (!grant.is_cold && IsToldCold(*backend, now)) return std::nullopt;
   Placement placement;
   placement.backend = *backend;
   placement.placed_by = coordinator;
@@ -133,6 +135,8 @@
   backlog_.Remove(running.backend, running.backlog_ms, now);
   for (const uint64_t part : running.shared_parts) prefixes_.NoteRead(part, running.backend);
   loads_.FirstOutput(running.backend, running.reading_ms);
+  const Backend* known = registry_.FindByKey(running.backend);
+  if (known != nullptr) cold_.NoteOutcome(*known, AttemptOutcome::kAnswered, running.begun, now);
   health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
 }
 
@@ -177,6 +181,7 @@
   const Running& running = entry->second;
   const BackendKey backend = running.backend;
   const AttemptOrigin origin = running.origin;
+  const TimePoint begun = running.begun;
   if (origin == AttemptOrigin::kOwn) NotePauses(ticket, PausesOf(ticket), now);
   if (outcome == AttemptOutcome::kAnswered && running.outputs > 0) {
     run_times_.Note(running.service, running.pause_bound, now - running.first_output);
@@ -185,6 +190,7 @@
   const Backend* known = registry_.FindByKey(backend);
   if (known == nullptr) return;
   health_.Note(backend, outcome, origin, now);
+  cold_.NoteOutcome(*known, outcome, begun, now);
   if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(known->id);
 }
 
@@ -202,6 +208,8 @@
 
 void Dispatcher::Tick(TimePoint now) {
   prefixes_.Expire(now);
+  cold_.Expire(now);
+  cold_grants_.Expire(now);
   RemoveMissing(now);
 }
 
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -25,16 +25,25 @@
 }
 
 Dispatcher::PlacementView Dispatcher::View(const RequestProfile& profile,
-                                           const std::vector<BackendKey>& tried, TimePoint now) {
+                                           const std::vector<BackendKey>& tried, TimePoint now,
+                                           ColdRight right) {
   loads_.ExpirePeers(now);
   RemoveMissing(now);
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
   const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now);
   PlacementView view;
   std::vector<Candidate> suspended;
+  const ServiceWarmUp* warm_up = cold_.RuleOf(profile.service);
   for (const PoolMember& member : members) {
     const BackendKey key = member.backend->key;
     if (Contains(tried, key)) continue;
+    if (warm_up != nullptr) {
+      const Duration wait = WaitForCold(*member.backend, *warm_up, now, right);
+      if (wait > Duration(0)) {
+        view.cold_wait = std::min(view.cold_wait.value_or(wait), wait);
+        continue;
+      }
+    }
     const Candidate candidate{member.backend, member.for_light, 0};
     (IsSuspended(key, now) ? suspended : view.candidates).push_back(candidate);
   }
@@ -65,8 +74,9 @@
 
 std::optional<Placement> Dispatcher::Choose(const Requester& requester,
                                             const RequestProfile& profile,
-                                            const std::vector<BackendKey>& tried, TimePoint now) {
-  PlacementView view = View(profile, tried, now);
+                                            const std::vector<BackendKey>& tried, TimePoint now,
+                                            ColdRight right) {
+  PlacementView view = View(profile, tried, now, right);
   if (view.candidates.empty()) return std::nullopt;
   view.requester = &requester;
 
@@ -92,6 +102,7 @@
   placement.held_tokens = best_estimate.held_tokens;
   placement.load = best_estimate.load;
   placement.candidates = static_cast<int64_t>(view.candidates.size());
+  NoteCold(&placement, now);
   return placement;
 }
 
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -58,6 +58,8 @@
   auto message = root.initAnswer();
   message.setId(answer.id);
   message.setPlaced(answer.grant.has_value());
+  message.setColdOnly(answer.cold_wait.has_value());
+  message.setColdWaitMs(BoundedTo<uint32_t>(ToMillis(answer.cold_wait.value_or(Duration(0)))));
   if (!answer.grant.has_value()) return;
   const PlacementGrant& grant = *answer.grant;
   message.setBackend(grant.backend);
@@ -68,6 +70,7 @@
   message.setHeldTokens(BoundedTo<uint32_t>(static_cast<double>(grant.held_tokens)));
   message.setCandidates(BoundedTo<uint16_t>(static_cast<double>(grant.candidates)));
   message.setLoadRequests(BoundedTo<uint16_t>(static_cast<double>(grant.load_requests)));
+  message.setCold(grant.is_cold);
 }
 
 void Encode(const ProgressReport& report, wire::Datagram::Builder root) {
@@ -204,6 +207,7 @@
 PlacementAnswer DecodeAnswer(wire::PlacementAnswer::Reader message) {
   PlacementAnswer answer;
   answer.id = message.getId();
+  if (message.getColdOnly()) answer.cold_wait = milliseconds(message.getColdWaitMs());
   if (!message.getPlaced()) return answer;
   PlacementGrant& grant = answer.grant.emplace();
   grant.backend = message.getBackend();
@@ -214,6 +218,7 @@
   grant.held_tokens = message.getHeldTokens();
   grant.candidates = message.getCandidates();
   grant.load_requests = message.getLoadRequests();
+  grant.is_cold = message.getCold();
   return answer;
 }
 
--- a/libs/relay/src/fleet/peer_table.cc
+++ b/libs/relay/src/fleet/peer_table.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr Duration kForgottenAfter = seconds(30);
+// A part of a fleet that is cut off must not take itself for the whole when it has forgotten the
+// others; nodes that were lost for good stand in the way of a majority until then.
+constexpr Duration kCountedAfterForgotten = std::chrono::minutes(5);
 constexpr Duration kSettledAfter = seconds(3);  // uptime from which all nodes know a node
 constexpr int64_t kAssumedWhenYoung = 64;       // nodes, by one that has not heard them yet
 constexpr double kCapacityClasses = 10;         // of a core: small differences don't count
@@ -56,6 +59,7 @@
 
 bool PeerTable::Heard(const std::string& host, const NodeState& state, TimePoint now) {
   AddHost(host, now);
+  forgotten_.erase(host);
   PeerRecord& peer = peers_[host];
   const bool regained = !IsLive(peer);
   if (regained || peer.state.stopping != state.stopping) ++epoch_;
@@ -143,10 +147,29 @@
 }
 
 void PeerTable::ForgetSilent(TimePoint now) {
-  std::erase_if(peers_, [now](const auto& entry) {
+  std::erase_if(peers_, [this, now](const auto& entry) {
     const PeerRecord& peer = entry.second;
-    return !IsLive(peer) && now - std::max(peer.added, peer.changed) > kForgottenAfter;
+    if (IsLive(peer) || now - std::max(peer.added, peer.changed) <= kForgottenAfter) return false;
+    if (!peer.state.stopping) forgotten_[entry.first] = now;
+    return true;
   });
+  std::erase_if(forgotten_, [now](const auto& entry) {
+    return now - entry.second > kCountedAfterForgotten;
+  });
+}
+
+FleetView PeerTable::FleetOf(const std::string& service, TimePoint now) const {
+  FleetView view;
+  view.is_first = OwnRank(RankCoordinators(service, 1, now)) == 0U;
+  view.is_settled = now - started_ >= kSettledAfter;
+  for (const auto& [host, peer] : peers_) {
+    const bool is_live = IsLive(peer);
+    view.live += is_live ? 1 : 0;
+    // One that told that it stops, and is gone, has ended.
+    view.known += is_live || !peer.state.stopping ? 1 : 0;
+  }
+  for (const auto& [host, since] : forgotten_) view.known += peers_.contains(host) ? 0 : 1;
+  return view;
 }
 
 std::vector<LivePeer> PeerTable::LivePeers() const {
--- a/libs/relay/src/fleet/peer_table.h
+++ b/libs/relay/src/fleet/peer_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/warm_up_right.h"
 
 namespace cartsail {
 
@@ -74,7 +75,7 @@
   // Live nodes that have not told that they have this version of the document, or a later one.
   std::vector<LivePeer> PeersBehind(int64_t version) const;
 
-  // Forgets hosts that have not been live for long.
+  // Forgets hosts that have not been live for long. FleetOf() goes on counting them for a while.
   void ForgetSilent(TimePoint now);
 
   static bool IsLive(const PeerRecord& peer) {
@@ -91,6 +92,9 @@
   std::vector<std::string> RankCoordinators(const std::string& service, size_t count,
                                             TimePoint now) const;
 
+  // The fleet as this node sees it, for what only one node may do for `service`.
+  FleetView FleetOf(const std::string& service, TimePoint now) const;
+
   // The zone of the node at `host`; empty when it wasn't heard.
   std::string ZoneOf(const std::string& host) const;
 
@@ -118,6 +122,7 @@
   const std::string self_host_;  // empty, as rankings name this node
   TimePoint started_;
   std::map<std::string, PeerRecord> peers_;          // by host
+  std::map<std::string, TimePoint> forgotten_;       // hosts that may still be up, since when
   uint64_t epoch_ = 1;                               // grows with each change of who is live
   mutable std::map<std::string, Ranking> rankings_;  // by purpose
 };
--- a/libs/relay/src/placement/placement_message.h
+++ b/libs/relay/src/placement/placement_message.h
@@ -22,6 +22,9 @@
 struct PlacementAnswer {
   QuestionId id = 0;
   std::optional<PlacementGrant> grant;  // nothing: the coordinator knows no back end
+  // Where only cold back ends are left, and none may get the request now: the time after which it
+  // is worth to try again.
+  std::optional<Duration> cold_wait;
 };
 
 // First output has come, or the request has ended.
--- a/libs/relay/src/placement/placement_service.cc
+++ b/libs/relay/src/placement/placement_service.cc
@@ -60,32 +60,58 @@
   transport_.announce(host);
 }
 
-asio::awaitable<std::optional<Placement>> PlacementService::Place(
-    const RequestProfile& profile, const std::vector<BackendKey>& tried) {
-  std::optional<Placement> placement;
-  if (transport_.send) placement = co_await PlaceByCoordinator(profile, tried);
-  if (placement.has_value()) {
+ColdRight PlacementService::RightOf(const std::string& service, TimePoint now) const {
+  if (!dispatcher_.HasWarmUp(service)) return ColdRight::kNo;
+  return ColdRightOf(peers_.FleetOf(service, now));
+}
+
+asio::awaitable<PlacementResult> PlacementService::Place(const RequestProfile& profile,
+                                                         const std::vector<BackendKey>& tried) {
+  PlacementResult result;
+  if (transport_.send) result = co_await PlaceByCoordinator(profile, tried);
+  if (result.placement.has_value()) {
     GlobalCounters().placements_asked_total.Add();
-    co_return placement;
+    co_return result;
   }
+  // The coordinator knows best which back ends are cold.
+  if (!result.cold_wait.has_value()) result = PlaceHere(profile, tried);
+  if (result.cold_wait.has_value()) cold_watch_.NoteRefused(profile.service, *result.cold_wait);
+  co_return result;
+}
+
+PlacementResult PlacementService::PlaceHere(const RequestProfile& profile,
+                                            const std::vector<BackendKey>& tried) {
   GlobalCounters().placements_own_total.Add();
-  co_return dispatcher_.Place(profile, tried, Now(), pool_.Connected(kMostConnected));
+  const TimePoint now = Now();
+  const ColdRight right = RightOf(profile.service, now);
+  PlacementResult result;
+  result.placement = dispatcher_.Place(profile, tried, now, pool_.Connected(kMostConnected), right);
+  if (!result.placement.has_value()) {
+    result.cold_wait = dispatcher_.ColdWait(profile, tried, now, right);
+  } else if (result.placement->send_by.has_value()) {
+    GlobalCounters().cold_placements_total.Add();
+  }
+  return result;
 }
 
 // Nothing when this node is to place the request itself.
-asio::awaitable<std::optional<Placement>> PlacementService::PlaceByCoordinator(
+asio::awaitable<PlacementResult> PlacementService::PlaceByCoordinator(
     const RequestProfile& profile, const std::vector<BackendKey>& tried) {
   const std::vector<std::string> hosts =
       peers_.RankCoordinators(profile.service, kCoordinatorsAsked, Now());
+  PlacementResult result;
   for (const std::string& host : hosts) {
-    if (host.empty()) co_return std::nullopt;  // this node is the coordinator
+    if (host.empty()) break;  // this node is the coordinator
     if (IsSuspected(host, Now())) continue;
     NoteCoordinator(profile.service, host);
+    const TimePoint asked = Now();
     const std::optional<PlacementAnswer> answer = co_await Ask(host, MakeQuestion(profile, tried));
     if (!answer.has_value()) continue;
-    co_return TakeAnswer(host, *answer, profile);
+    result.placement = TakeAnswer(host, *answer, profile, asked);
+    result.cold_wait = answer->cold_wait;
+    break;
   }
-  co_return std::nullopt;
+  co_return result;
 }
 
 PlacementQuestion PlacementService::MakeQuestion(const RequestProfile& profile,
@@ -100,11 +126,13 @@
 
 std::optional<Placement> PlacementService::TakeAnswer(const std::string& host,
                                                       const PlacementAnswer& answer,
-                                                      const RequestProfile& profile) {
+                                                      const RequestProfile& profile,
+                                                      TimePoint asked) {
   if (!answer.grant.has_value()) return std::nullopt;
   std::optional<Placement> placement = dispatcher_.Adopt(host, *answer.grant, profile, Now());
   if (placement.has_value()) {
     questions_[placement->ticket] = {host, answer.id};
+    if (answer.grant->is_cold) placement->send_by = asked + kColdGrantHolds;
   } else {
     // This node knows better: the back end is leaving or gone, or not known here yet.
     Tell(host, {answer.id, true, std::nullopt, {}});
@@ -193,7 +221,7 @@
 void PlacementService::OnQuestion(const std::string& host, const PlacementQuestion& question,
                                   TimePoint now) {
   grants_.Heard(host, now);
-  PlacementAnswer answer{question.id, std::nullopt};
+  PlacementAnswer answer{question.id, std::nullopt, std::nullopt};
   const OutstandingGrant* known = grants_.Find(host, question.id);
   if (known != nullptr) {
     answer.grant = known->grant;
@@ -201,12 +229,16 @@
     return;
   }
   const Requester requester{host, peers_.ZoneOf(host), question.connected};
+  const ColdRight right = RightOf(question.profile.service, now);
   const std::optional<Placement> placement =
-      dispatcher_.PlaceFor(requester, question.profile, question.tried, now);
-  if (placement.has_value()) {
+      dispatcher_.PlaceFor(requester, question.profile, question.tried, now, right);
+  if (!placement.has_value()) {
+    answer.cold_wait = dispatcher_.ColdWait(question.profile, question.tried, now, right);
+  } else {
     answer.grant = GrantOf(*placement);
     grants_.Add(host, question.id, {placement->ticket, *answer.grant, now});
     GlobalCounters().placements_for_peers_total.Add();
+    if (answer.grant->is_cold) GlobalCounters().cold_placements_total.Add();
   }
   transport_.send(host, answer);
 }
@@ -249,6 +281,13 @@
 
 void PlacementService::Tick(TimePoint now) {
   for (const PlacementTicket ticket : grants_.TakeSilent(now)) dispatcher_.Drop(ticket, now);
+  for (const std::string& service : dispatcher_.ServicesWithWarmUp()) {
+    if (RightOf(service, now) == ColdRight::kYes) {
+      cold_watch_.NoteCold(service, dispatcher_.ColdOf(service, now), now);
+    } else {
+      cold_watch_.Forget(service);
+    }
+  }
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/placement/placement_service.h
+++ b/libs/relay/src/placement/placement_service.h
@@ -19,10 +19,19 @@
 #include "cartsail/dispatch/grant_book.h"
 #include "fleet/datagram.h"
 #include "fleet/peer_table.h"
+#include "placement/cold_watch.h"
 #include "request/upstream_pool.h"
 
 namespace cartsail {
 
+// Where a request goes.
+struct PlacementResult {
+  std::optional<Placement> placement;  // nothing: no back end is left
+  // Only cold back ends are left, and none may get the request now: it is to be refused, and may be
+  // tried again after this time.
+  std::optional<Duration> cold_wait;
+};
+
 class PlacementService {
  public:
   // How messages reach the node at `host`.
@@ -39,8 +48,8 @@
   void SetTransport(Transport transport) { transport_ = std::move(transport); }
 
   // As Dispatcher::Place(); may wait some milliseconds for the coordinator.
-  boost::asio::awaitable<std::optional<Placement>> Place(const RequestProfile& profile,
-                                                         const std::vector<BackendKey>& tried);
+  boost::asio::awaitable<PlacementResult> Place(const RequestProfile& profile,
+                                                const std::vector<BackendKey>& tried);
 
   void Output(PlacementTicket ticket, TimePoint now);
   void Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now);
@@ -81,12 +90,15 @@
     int failures = 0;
   };
 
-  boost::asio::awaitable<std::optional<Placement>> PlaceByCoordinator(
+  // The right to grant requests to cold back ends, which only services with a warm-up need.
+  ColdRight RightOf(const std::string& service, TimePoint now) const;
+  PlacementResult PlaceHere(const RequestProfile& profile, const std::vector<BackendKey>& tried);
+  boost::asio::awaitable<PlacementResult> PlaceByCoordinator(
       const RequestProfile& profile, const std::vector<BackendKey>& tried);
   PlacementQuestion MakeQuestion(const RequestProfile& profile,
                                  const std::vector<BackendKey>& tried);
   std::optional<Placement> TakeAnswer(const std::string& host, const PlacementAnswer& answer,
-                                      const RequestProfile& profile);
+                                      const RequestProfile& profile, TimePoint asked);
   boost::asio::awaitable<std::optional<PlacementAnswer>> Ask(const std::string& host,
                                                              PlacementQuestion question);
   boost::asio::awaitable<bool> WaitForAnswer(Waiting& waiting, Duration patience);
@@ -108,6 +120,7 @@
   std::map<std::string, std::string> coordinators_;  // host by service, as last used
   std::map<std::string, ProgressReport> progress_;   // not sent yet, by host
   boost::asio::steady_timer progress_timer_;
+  ColdWatch cold_watch_;
   QuestionId next_question_;
 };
 
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -132,8 +132,9 @@
   budget.NoteRequest(request_.received);
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
   while (true) {
-    const std::optional<Placement> placement =
-        co_await context_.placement.Place(admitted_.profile, tried_);
+    const PlacementResult result = co_await context_.placement.Place(admitted_.profile, tried_);
+    const std::optional<Placement>& placement = result.placement;
+    cold_wait_ = result.cold_wait;
     if (!placement.has_value()) break;
     if (caller_gone_) {
       context_.placement.Finish(placement->ticket, AttemptOutcome::kCallerGone, Now());
@@ -187,7 +188,8 @@
     co_return false;
   }
   if (history_.may_have_run == 0) {
-    co_return co_await AnswerRefusal(ErrorKind::kOverloaded, kRetryAfterNotRun);
+    co_return co_await AnswerRefusal(ErrorKind::kOverloaded,
+                                     cold_wait_.value_or(kRetryAfterNotRun));
   }
   const bool out_of_time = last == AttemptOutcome::kTimedOut || last == AttemptOutcome::kSilent;
   co_return co_await AnswerRefusal(out_of_time ? ErrorKind::kTimeout : ErrorKind::kBackendFailed,
@@ -201,9 +203,9 @@
     ++history_.connects_failed;
     co_return Now() >= deadline_ ? AttemptOutcome::kTimedOut : AttemptOutcome::kNotSent;
   }
-  if (!context_.dispatcher.MayReceive(placement.backend.key)) {
+  if (!context_.dispatcher.MaySend(placement, Now())) {
     context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
-    co_return AttemptOutcome::kNotSent;
+    co_return AttemptOutcome::kWithheld;
   }
   ++history_.attempts;
   ++history_.may_have_run;
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,6 +85,7 @@
   TimePoint first_output_;
   TimePoint last_output_;
   Duration longest_pause_{};  // between two pieces of the answer
+  std::optional<Duration> cold_wait_;  // only cold back ends were left, and none was free
   bool head_sent_ = false;
   bool run_noted_ = false;  // it counts as usage
   int status_sent_ = 0;     // of the head that the caller was sent
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -112,6 +112,11 @@
   heldTokens @7 :UInt32;
   candidates @8 :UInt16;
   loadRequests @9 :UInt16;
+  # The back end is cold: the request is sent soon or not at all.
+  cold @10 :Bool;
+  # Where not placed: only cold back ends are left, and the time after which to try again.
+  coldOnly @11 :Bool;
+  coldWaitMs @12 :UInt32;
 }
 
 # What became of a request that was placed.
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -1297,6 +1297,12 @@
 
   inline  ::uint16_t getLoadRequests() const;
 
+  inline bool getCold() const;
+
+  inline bool getColdOnly() const;
+
+  inline  ::uint32_t getColdWaitMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1355,6 +1361,15 @@
   inline  ::uint16_t getLoadRequests();
   inline void setLoadRequests( ::uint16_t value);
 
+  inline bool getCold();
+  inline void setCold(bool value);
+
+  inline bool getColdOnly();
+  inline void setColdOnly(bool value);
+
+  inline  ::uint32_t getColdWaitMs();
+  inline void setColdWaitMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3751,6 +3766,48 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PlacementAnswer::Reader::getCold() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAnswer::Builder::getCold() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setCold(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PlacementAnswer::Reader::getColdOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline bool PlacementAnswer::Builder::getColdOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setColdOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PlacementAnswer::Reader::getColdWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacementAnswer::Builder::getColdWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setColdWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RequestProgress::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/relay/tests/placement_service_test.cc
+++ b/libs/relay/tests/placement_service_test.cc
@@ -111,7 +111,8 @@
  private:
   static asio::awaitable<void> PlaceOne(TestNode* node, RequestProfile profile,
                                         std::optional<Placement>* placement) {
-    *placement = co_await node->service.Place(profile, {});
+    PlacementResult result = co_await node->service.Place(profile, {});
+    *placement = std::move(result.placement);
   }
 
   TestNode* Find(const std::string& host) {
