--- a/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
+++ b/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
@@ -1,6 +1,6 @@
-// Which back ends are cold, as far as this node knows: slow after a start for a while. Their entries
-// tell; a zone that was restored, and a back end that was lost and answers again, may have started
-// before their entries tell. Only services with a warm-up count. Pure.
+// Which back ends are cold, as far as this node knows: slow after a start for a while. Their
+// entries tell; a zone that was restored, and a back end that was lost and answers again, may have
+// started before their entries tell. Only services with a warm-up count. Pure.
 #pragma once
 
 #include <map>
--- a/libs/dispatch/src/dispatcher_cold.cc
+++ b/libs/dispatch/src/dispatcher_cold.cc
@@ -28,8 +28,8 @@
   return std::min(left, cold_grants_.WaitFor(backend.key, warm_up.grants, now));
 }
 
-// Known by its entry or its zone. What nodes saw lost differs from node to node, and the coordinator
-// hears most of it.
+// Known by its entry or its zone. What nodes saw lost differs from node to node, and the
+// coordinator hears most of it.
 bool Dispatcher::IsToldCold(const Backend& backend, TimePoint now) const {
   const ServiceWarmUp* warm_up = cold_.RuleOf(backend.service);
   if (warm_up == nullptr) return false;
--- a/libs/dispatch/tests/attempt_outcome_test.cc
+++ b/libs/dispatch/tests/attempt_outcome_test.cc
@@ -9,10 +9,10 @@
 namespace {
 
 const std::vector<AttemptOutcome> kAll = {
-    AttemptOutcome::kAnswered,  AttemptOutcome::kFailedAnswer,  AttemptOutcome::kNotSent,
-    AttemptOutcome::kRefused,   AttemptOutcome::kWrongInstance, AttemptOutcome::kCut,
-    AttemptOutcome::kSpoilt,    AttemptOutcome::kSilent,        AttemptOutcome::kTimedOut,
-    AttemptOutcome::kCallerGone};
+    AttemptOutcome::kAnswered,   AttemptOutcome::kFailedAnswer,  AttemptOutcome::kNotSent,
+    AttemptOutcome::kRefused,    AttemptOutcome::kWrongInstance, AttemptOutcome::kCut,
+    AttemptOutcome::kSpoilt,     AttemptOutcome::kSilent,        AttemptOutcome::kTimedOut,
+    AttemptOutcome::kCallerGone, AttemptOutcome::kWithheld};
 
 RouteRule MakeRoute(RequestKind kind, int64_t attempts, bool resumable = false) {
   RouteRule route;
--- a/libs/relay/src/fleet/peer_table.cc
+++ b/libs/relay/src/fleet/peer_table.cc
@@ -153,9 +153,8 @@
     if (!peer.state.stopping) forgotten_[entry.first] = now;
     return true;
   });
-  std::erase_if(forgotten_, [now](const auto& entry) {
-    return now - entry.second > kCountedAfterForgotten;
-  });
+  std::erase_if(forgotten_,
+                [now](const auto& entry) { return now - entry.second > kCountedAfterForgotten; });
 }
 
 FleetView PeerTable::FleetOf(const std::string& service, TimePoint now) const {
--- a/libs/relay/src/placement/placement_service.h
+++ b/libs/relay/src/placement/placement_service.h
@@ -93,8 +93,8 @@
   // The right to grant requests to cold back ends, which only services with a warm-up need.
   ColdRight RightOf(const std::string& service, TimePoint now) const;
   PlacementResult PlaceHere(const RequestProfile& profile, const std::vector<BackendKey>& tried);
-  boost::asio::awaitable<PlacementResult> PlaceByCoordinator(
-      const RequestProfile& profile, const std::vector<BackendKey>& tried);
+  boost::asio::awaitable<PlacementResult> PlaceByCoordinator(const RequestProfile& profile,
+                                                             const std::vector<BackendKey>& tried);
   PlacementQuestion MakeQuestion(const RequestProfile& profile,
                                  const std::vector<BackendKey>& tried);
   std::optional<Placement> TakeAnswer(const std::string& host, const PlacementAnswer& answer,
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -84,7 +84,7 @@
   TimePoint deadline_;
   TimePoint first_output_;
   TimePoint last_output_;
-  Duration longest_pause_{};  // between two pieces of the answer
+  Duration longest_pause_{};           // between two pieces of the answer
   std::optional<Duration> cold_wait_;  // only cold back ends were left, and none was free
   bool head_sent_ = false;
   bool run_noted_ = false;  // it counts as usage
