Data residency: requests stay in the regions that their route and tenant allow

Cause: the document's residency was decoded and carried, and nothing acted on it.

RegionMap (pure) numbers the regions of the settings' zones; the registry gives each back end its number, so placement compares integers. Admission takes what route and tenant both allow; no common region is refused at once, 503 not run. The dispatcher leaves out candidates and memory holders elsewhere, checks a coordinator's grant again, and the sender checks by the document then in force right before it sends. Repeats and continuations go the same way. Prompt memory moves within one region only, for all requests. ResidencyAudit logs rules that cannot be kept, each once. Ruled out: sending a restricted request elsewhere when its home is full or gone.

--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -77,6 +77,7 @@
   X(usage_late_requests_total, counter, "Requests counted after their window was reported")      \
   X(engine_orders_total, counter, "Orders of engines given to the platform")                     \
   X(engine_orders_failed_total, counter, "Of these: refused or without an answer")               \
+  X(residency_refusals_total, counter, "Requests refused for their data residency")              \
   X(log_lines_total, counter, "Log lines written")                                               \
   X(log_lines_dropped_total, counter, "Log lines dropped to keep the log bounded")               \
   X(ready, gauge, "1 if this node asks the balancer for traffic")
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/region_map.h"
 #include "cartsail/dispatch/zone_drains.h"
 
 namespace cartsail {
@@ -37,7 +38,8 @@
   std::string service;
   std::string address;  // IP:PORT
   std::string zone;
-  int64_t slots = 1;  // requests that it runs at once
+  RegionIndex region = kUnknownRegion;  // of the zone; set by the registry
+  int64_t slots = 1;                    // requests that it runs at once
   BackendState state = BackendState::kReady;
   bool reclaimable = false;      // the platform may take it away after a short notice
   int64_t created_revision = 0;  // of its entry in the store: orders two entries with one address
@@ -50,6 +52,11 @@
 
 class BackendRegistry {
  public:
+  BackendRegistry() = default;
+  explicit BackendRegistry(RegionMap regions) : regions_(std::move(regions)) {}
+
+  const RegionMap& Regions() const { return regions_; }
+
   // The whole list, as read at one moment: back ends that are not in it are gone, or at
   // `missing_until` where that is given. Leaving ones are gone at once.
   void ReplaceAll(std::vector<Backend> backends, std::optional<TimePoint> missing_until = {});
@@ -88,6 +95,11 @@
     return backend.state == BackendState::kReady && !drains_.IsDrained(backend.zone);
   }
 
+  // The same for a request that may be served in `allowed` only.
+  bool MayReceive(const Backend& backend, const RegionSet& allowed) const {
+    return MayReceive(backend) && allowed.Allows(backend.region);
+  }
+
   // The zones that are drained. Each change returns true when there was one.
   const ZoneDrains& Drains() const { return drains_; }
   bool DrainZone(const std::string& zone, TimePoint now);
@@ -106,7 +118,9 @@
   void KeepMissing(std::vector<Backend>* backends, TimePoint until) const;
   std::vector<const Backend*> NewestReadyOf(std::string_view service) const;
   bool NoteChange(bool changed);
+  void Identify(Backend* backend) const;
 
+  RegionMap regions_;
   ZoneDrains drains_;
   std::map<std::string, Backend, std::less<>> backends_;
   std::unordered_map<BackendKey, std::string> ids_;
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -3,6 +3,8 @@
 // for other nodes' requests and follows them. Pure: time goes in with every call.
 #pragma once
 
+#include <absl/container/inlined_vector.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -42,7 +44,7 @@
 
 class Dispatcher {
  public:
-  Dispatcher(PlacementPolicy policy, std::string zone);
+  Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions = {});
 
   BackendRegistry& Registry() { return registry_; }
   const BackendRegistry& Registry() const { return registry_; }
@@ -58,13 +60,17 @@
                                     const std::vector<BackendKey>& tried, TimePoint now);
 
   // This node's request, placed by `coordinator`. Nothing when the back end isn't ready as far as
-  // this node knows.
+  // this node knows, or the request's data residency doesn't allow it.
   std::optional<Placement> Adopt(const std::string& coordinator, const PlacementGrant& grant,
                                  const RequestProfile& profile, TimePoint now);
 
   // Asked right before a request is sent: the back end has not begun to leave since it was chosen,
-  // nor was its zone drained, nor has another incarnation taken its place.
-  bool MayReceive(BackendKey backend) const;
+  // nor was its zone drained, nor has another incarnation taken its place, and the request's data
+  // residency, as it is in force now, allows it.
+  bool MayReceive(BackendKey backend, const RequestProfile& profile) const;
+
+  // Ready back ends of the request's service that its data residency allows.
+  size_t ReadyFor(const RequestProfile& profile, TimePoint now);
 
   // Some of the answer's body came; of a stream: an event.
   void Output(PlacementTicket ticket, TimePoint now);
@@ -148,20 +154,28 @@
     int64_t held_tokens = 0;  // of the request's prompt
   };
 
+  // A back end that has read most of the prompt and can hand it over within its region.
+  struct Holder {
+    const Backend* backend = nullptr;
+    int64_t tokens = 0;
+  };
+
   // What all candidates for one request are weighed against.
   struct PlacementView {
     const Requester* requester = nullptr;
     std::vector<Candidate> candidates;
-    const Backend* holder = nullptr;  // has read most of the prompt and can hand it over
-    int64_t holder_tokens = 0;
+    // By region, those of no known region last.
+    absl::InlinedVector<Holder, 3> holders;
     int64_t known_tokens = 0;  // read or being read at one engine, at most
   };
 
   void RemoveMissing(TimePoint now);
   PlacementView View(const RequestProfile& profile, const std::vector<BackendKey>& tried,
                      TimePoint now);
-  void FindHolder(const RequestProfile& profile, const std::vector<PoolMember>& members,
-                  TimePoint now, PlacementView* view) const;
+  void FindHolders(const RequestProfile& profile, const std::vector<PoolMember>& members,
+                   const RegionSet& allowed, TimePoint now, PlacementView* view) const;
+  size_t HolderSlot(const Backend& backend) const;
+  Holder HolderFor(const Backend& backend, const PlacementView& view) const;
   std::optional<Placement> Choose(const Requester& requester, const RequestProfile& profile,
                                   const std::vector<BackendKey>& tried, TimePoint now);
   Estimate EstimatePrompt(const RequestProfile& profile, const Candidate& candidate,
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -27,6 +27,11 @@
 
 }  // namespace
 
+void BackendRegistry::Identify(Backend* backend) const {
+  backend->key = KeyOf(backend->id, backend->started_ms);
+  backend->region = regions_.IndexOfZone(backend->zone);
+}
+
 // Adds to `backends` the ready ones that it lacks.
 void BackendRegistry::KeepMissing(std::vector<Backend>* backends, TimePoint until) const {
   std::set<std::string_view> listed;
@@ -50,7 +55,7 @@
   for (Backend& backend : backends) {
     const auto known = before.find(backend.id);
     if (known != before.end()) TakeOver(known->second, &backend);
-    backend.key = KeyOf(backend.id, backend.started_ms);
+    Identify(&backend);
     ids_[backend.key] = backend.id;
     if (backend.missing_until.has_value()) {
       next_gone_ = std::min(next_gone_, *backend.missing_until);
@@ -66,7 +71,7 @@
     TakeOver(known->second, &backend);
     ids_.erase(known->second.key);
   }
-  backend.key = KeyOf(backend.id, backend.started_ms);
+  Identify(&backend);
   ids_[backend.key] = backend.id;
   if (backend.missing_until.has_value()) next_gone_ = std::min(next_gone_, *backend.missing_until);
   const std::string id = backend.id;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -11,9 +11,10 @@
 constexpr int64_t kLeastEventsForPause = 12;  // of a stream whose pace is measured
 }  // namespace
 
-Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone)
+Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions)
     : policy_(policy),
       zone_(std::move(zone)),
+      registry_(std::move(regions)),
       run_times_(policy.stream_life),
       prefixes_(policy.prefix_lifetime),
       work_(kWorkWindow),
@@ -40,13 +41,18 @@
                                            const PlacementGrant& grant,
                                            const RequestProfile& profile, TimePoint now) {
   const Backend* backend = registry_.FindByKey(grant.backend);
-  if (backend == nullptr || !registry_.MayReceive(*backend)) return std::nullopt;
+  if (backend == nullptr) return std::nullopt;
+  // The coordinator may have another document in force.
+  const RegionSet allowed = registry_.Regions().AllowedFor(profile);
+  if (!registry_.MayReceive(*backend, allowed)) return std::nullopt;
   if (backend->service != profile.service) return std::nullopt;
   Placement placement;
   placement.backend = *backend;
   placement.placed_by = coordinator;
   const Backend* holder = registry_.FindByKey(grant.fetch_prefix_from);
-  if (holder != nullptr) {
+  const bool may_share =
+      holder != nullptr && registry_.Regions().MayShareMemory(holder->region, backend->region);
+  if (may_share) {
     placement.fetch_prefix_from = holder->address;
     placement.fetch_prefix_key = holder->key;
   }
@@ -60,9 +66,20 @@
   return placement;
 }
 
-bool Dispatcher::MayReceive(BackendKey backend) const {
+bool Dispatcher::MayReceive(BackendKey backend, const RequestProfile& profile) const {
   const Backend* known = registry_.FindByKey(backend);
-  return known != nullptr && registry_.MayReceive(*known);
+  if (known == nullptr) return false;
+  return registry_.MayReceive(*known, registry_.Regions().AllowedFor(profile));
+}
+
+size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now) {
+  const RegionSet allowed = registry_.Regions().AllowedFor(profile);
+  const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
+  const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now);
+  const auto is_allowed = [&allowed](const PoolMember& member) {
+    return allowed.Allows(member.backend->region);
+  };
+  return static_cast<size_t>(std::count_if(members.begin(), members.end(), is_allowed));
 }
 
 void Dispatcher::Begin(const RequestProfile& profile, AttemptOrigin origin, Placement* placement,
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -30,11 +30,12 @@
   RemoveMissing(now);
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
   const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now);
+  const RegionSet allowed = registry_.Regions().AllowedFor(profile);
   PlacementView view;
   std::vector<Candidate> suspended;
   for (const PoolMember& member : members) {
     const BackendKey key = member.backend->key;
-    if (Contains(tried, key)) continue;
+    if (!allowed.Allows(member.backend->region) || Contains(tried, key)) continue;
     const Candidate candidate{member.backend, member.for_light, 0};
     (IsSuspended(key, now) ? suspended : view.candidates).push_back(candidate);
   }
@@ -44,25 +45,37 @@
   for (Candidate& candidate : view.candidates) {
     candidate.held_tokens = prefixes_.HeldTokens(profile.prompt_parts, candidate.backend->key, now);
   }
-  FindHolder(profile, members, now, &view);
+  FindHolders(profile, members, allowed, now, &view);
   return view;
 }
 
+size_t Dispatcher::HolderSlot(const Backend& backend) const {
+  const size_t regions = registry_.Regions().Count();
+  return backend.region == kUnknownRegion ? regions : static_cast<size_t>(backend.region);
+}
+
 // Also engines that were tried may hand their memory over.
-void Dispatcher::FindHolder(const RequestProfile& profile, const std::vector<PoolMember>& members,
-                            TimePoint now, PlacementView* view) const {
+void Dispatcher::FindHolders(const RequestProfile& profile, const std::vector<PoolMember>& members,
+                             const RegionSet& allowed, TimePoint now, PlacementView* view) const {
+  view->holders.resize(registry_.Regions().Count() + 1);
   for (const PoolMember& member : members) {
     const BackendKey key = member.backend->key;
-    if (IsSuspended(key, now)) continue;
+    if (!allowed.Allows(member.backend->region) || IsSuspended(key, now)) continue;
     const int64_t known = prefixes_.HeldTokens(profile.prompt_parts, key, now);
     view->known_tokens = std::max(view->known_tokens, known);
     const int64_t held = prefixes_.ReadTokens(profile.prompt_parts, key, now);
-    if (held <= view->holder_tokens) continue;
-    view->holder = member.backend;
-    view->holder_tokens = held;
+    Holder& holder = view->holders[HolderSlot(*member.backend)];
+    if (held > holder.tokens) holder = {member.backend, held};
   }
 }
 
+// The engine that may hand prompt memory to `backend`; none where its region has none.
+Dispatcher::Holder Dispatcher::HolderFor(const Backend& backend, const PlacementView& view) const {
+  if (!registry_.Regions().MayShareMemory(backend.region, backend.region)) return {};
+  const size_t slot = HolderSlot(backend);
+  return slot < view.holders.size() ? view.holders[slot] : Holder();
+}
+
 std::optional<Placement> Dispatcher::Choose(const Requester& requester,
                                             const RequestProfile& profile,
                                             const std::vector<BackendKey>& tried, TimePoint now) {
--- a/libs/dispatch/src/dispatcher_loss.cc
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -152,15 +152,16 @@
   Estimate estimate;
   estimate.held_tokens = candidate.held_tokens;
   int64_t held = estimate.held_tokens;
-  const int64_t missing = view.holder_tokens - held;
+  const Holder holder = HolderFor(*candidate.backend, view);
+  const int64_t missing = holder.tokens - held;
   const bool movable = profile.bytes_per_token > 0 && !IsOff(Mechanism::kMemoryMoves);
   if (missing > 0) {
     const auto tokens = static_cast<double>(missing);
     if (movable) {
-      estimate.fetch_from = view.holder;
+      estimate.fetch_from = holder.backend;
       estimate.first_output_ms = policy_.move_setup_ms + tokens / policy_.move_tokens_per_ms;
       estimate.loss = tokens * policy_.loss_per_moved_token;
-      held = view.holder_tokens;
+      held = holder.tokens;
     } else {
       estimate.loss = tokens * policy_.loss_per_reread_token;
     }
--- a/libs/relay/include/cartsail/relay/admission.h
+++ b/libs/relay/include/cartsail/relay/admission.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cartsail/base/status.h"
+#include "cartsail/dispatch/region_map.h"
 #include "cartsail/relay/routing_state.h"
 #include "cartsail/relay/wire_format.h"
 
@@ -41,9 +42,13 @@
 
 struct AdmissionResult {
   std::optional<Refusal> refusal;
-  AdmittedRequest admitted;  // where there is no refusal
+  AdmittedRequest admitted;  // where there is no refusal, or the data residency is the reason
 };
 
+// The data residency of an admitted request by `table`, which may be newer than the one by which it
+// was admitted, with `admitted`. What the newer one no longer knows binds as it did.
+Residency ResidencyIn(const RouteTable& table, const RequestHead& head, const Residency& admitted);
+
 // A view of the store older than `trusted_for` does not justify refusing unknown routes and keys:
 // the caller is told to come back then.
 AdmissionResult Admit(const RequestHead& head, const RoutingState& state, const WireFormat& format,
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -20,6 +20,7 @@
 #include "cartsail/net/http_server.h"
 #include "catalog/catalog_path.h"
 #include "catalog/catalog_sync.h"
+#include "catalog/residency_audit.h"
 #include "duties/engine_ordering.h"
 #include "duties/usage_reporter.h"
 #include "fleet/peer_exchange.h"
@@ -177,10 +178,25 @@
       context_.pool.Sweep(now);
       context_.dispatcher.Tick(now);
       context_.placement.Tick(now);
+      AuditResidency(now);
       FlushLog();
     }
   }
 
+  void AuditResidency(TimePoint now) {
+    if (!context_.HasCatalog()) return;
+    const RoutingDocument& document = context_.routing.Table()->Document();
+    const BackendRegistry& registry = context_.dispatcher.Registry();
+    for (const ResidencyFault& fault : residency_audit_.Check(document, registry, now)) {
+      Log(LogLevel::kWarning, "residency_fault",
+          {{"field", fault.field},
+           {"value", fault.value},
+           {"why", fault.why},
+           {"service", fault.service},
+           {"config", std::to_string(document.version)}});
+    }
+  }
+
   asio::awaitable<void> HandleSignals() {
     while (true) {
       boost::system::error_code error;
@@ -238,6 +254,7 @@
   CatalogSync catalog_;
   PeerExchange exchange_;
   CacheInventory inventory_;
+  ResidencyAudit residency_audit_;
   RelayServer server_;
   std::unique_ptr<DutyPlatform> duty_platform_;
   std::optional<UsageReporter> usage_reporter_;
--- a/libs/relay/src/request/admission.cc
+++ b/libs/relay/src/request/admission.cc
@@ -39,6 +39,15 @@
   return route.tier * kTenantTiers + std::min(*tenant.tier, kTenantTiers - 1);
 }
 
+// What the route and the tenant allow together; `tenant` may be nullptr.
+Residency CombinedResidency(const RouteRule& route, const TenantRule* tenant) {
+  return tenant == nullptr ? route.residency : Intersection(route.residency, tenant->residency);
+}
+
+bool AllowsNothing(const Residency& residency) {
+  return residency.has_value() && residency->empty();
+}
+
 void FillGeneration(const RequestHead& head, const WireFormat& format, const ServiceRule& service,
                     RequestProfile* profile) {
   profile->is_generation = true;
@@ -54,6 +63,16 @@
 
 }  // namespace
 
+Residency ResidencyIn(const RouteTable& table, const RequestHead& head, const Residency& admitted) {
+  const RouteRule* route = table.FindRoute(head.host, PathOf(head.target));
+  const std::string_view key = BearerKey(head.authorization);
+  const TenantRule* tenant = table.FindTenant(key);
+  if (route == nullptr) return admitted;
+  const Residency now = CombinedResidency(*route, tenant);
+  const bool tenant_gone = tenant == nullptr && !key.empty();
+  return tenant_gone ? Intersection(now, admitted) : now;
+}
+
 AdmissionResult Admit(const RequestHead& head, const RoutingState& state, const WireFormat& format,
                       Duration trusted_for, TimePoint now) {
   if (state.Table() == nullptr) return Refuse(ErrorKind::kNotReady, kUnknownRetryAfter);
@@ -86,6 +105,13 @@
   profile.tier = admitted.tier;
   profile.first_output_goal = route->first_output_goal;
   profile.longest_pause = route->longest_pause;
+  profile.residency = CombinedResidency(*route, tenant);
+  if (AllowsNothing(profile.residency)) {
+    // Only another document can change that: one that is written already is known here by then. A
+    // status other than 503 would not tell callers that the request has not run and may come again.
+    result.refusal = Refusal{ErrorKind::kNoBackend, trusted_for};
+    return result;
+  }
   const ServiceRule* service = table.FindService(profile.service);
   if (service != nullptr && service->engine.has_value()) {
     FillGeneration(head, format, *service, &profile);
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -88,23 +88,24 @@
     co_return co_await AnswerRefusal(ErrorKind::kDraining, kRetryAfterNotRun);
   }
   co_await WaitForCatalog();
-  RequestHead head;
-  head.method = request_.method;
-  head.target = request_.target;
-  head.host = std::string(request_.Header("Host"));
-  head.request_id = std::string(request_.Header(names.request_id));
-  head.authorization = std::string(request_.Header("Authorization"));
-  head.time_left = std::string(request_.Header(names.time_left));
-  head.prompt_parts = std::string(request_.Header(names.prompt_parts));
-  head.token_counts = std::string(request_.Header(names.token_counts));
-  request_id_ = head.request_id;
-
-  AdmissionResult result = Admit(head, context_.routing, context_.format,
+  head_.method = request_.method;
+  head_.target = request_.target;
+  head_.host = std::string(request_.Header("Host"));
+  head_.request_id = std::string(request_.Header(names.request_id));
+  head_.authorization = std::string(request_.Header("Authorization"));
+  head_.time_left = std::string(request_.Header(names.time_left));
+  head_.prompt_parts = std::string(request_.Header(names.prompt_parts));
+  head_.token_counts = std::string(request_.Header(names.token_counts));
+  request_id_ = head_.request_id;
+
+  AdmissionResult result = Admit(head_, context_.routing, context_.format,
                                  context_.document_limits.refusing_unknown, request_.received);
+  admitted_ = std::move(result.admitted);
+  residency_table_ = admitted_.table;
   if (result.refusal.has_value()) {
+    if (admitted_.route != nullptr) LogResidencyRefusal("no_common_region");
     co_return co_await AnswerRefusal(result.refusal->kind, result.refusal->retry_after);
   }
-  admitted_ = std::move(result.admitted);
   deadline_ = request_.received + admitted_.time_left;
   last_event_id_ = std::string(request_.Header("Last-Event-ID"));
 
@@ -132,6 +133,7 @@
   budget.NoteRequest(request_.received);
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
   while (true) {
+    FollowDocument();
     const std::optional<Placement> placement =
         co_await context_.placement.Place(admitted_.profile, tried_);
     if (!placement.has_value()) break;
@@ -157,6 +159,20 @@
   co_return co_await FinishUnserved(outcome);
 }
 
+// The data residency in force now binds, also where the request waited through a change.
+void Exchange::FollowDocument() {
+  if (residency_table_ == context_.routing.Table()) return;
+  residency_table_ = context_.routing.Table();
+  Residency& residency = admitted_.profile.residency;
+  residency = ResidencyIn(*residency_table_, head_, residency);
+}
+
+// Its data residency leaves it no back end.
+bool Exchange::IsWithoutHome(TimePoint now) {
+  const RequestProfile& profile = admitted_.profile;
+  return profile.residency.has_value() && context_.dispatcher.ReadyFor(profile, now) == 0;
+}
+
 bool Exchange::MayTakeRepeat(ServiceRetryBudget& budget) {
   // Only bytes that reached a back end count as a repeat there.
   if (history_.attempts == 0) return true;
@@ -186,6 +202,10 @@
     caller_->Close();
     co_return false;
   }
+  if (history_.may_have_run == 0 && IsWithoutHome(Now())) {
+    LogResidencyRefusal("no_backend");
+    co_return co_await AnswerRefusal(ErrorKind::kNoBackend, kRetryAfterNotRun);
+  }
   if (history_.may_have_run == 0) {
     co_return co_await AnswerRefusal(ErrorKind::kOverloaded, kRetryAfterNotRun);
   }
@@ -201,7 +221,8 @@
     ++history_.connects_failed;
     co_return Now() >= deadline_ ? AttemptOutcome::kTimedOut : AttemptOutcome::kNotSent;
   }
-  if (!context_.dispatcher.MayReceive(placement.backend.key)) {
+  FollowDocument();
+  if (!context_.dispatcher.MayReceive(placement.backend.key, admitted_.profile)) {
     context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
     co_return AttemptOutcome::kNotSent;
   }
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -64,6 +64,9 @@
   std::string ConfigAgeText() const;
   std::string GoalText() const;
   std::string PauseGoalText() const;
+  void FollowDocument();
+  bool IsWithoutHome(TimePoint now);
+  void LogResidencyRefusal(std::string_view why);
   bool MayTakeRepeat(ServiceRetryBudget& budget);
   void CountEnd(std::string_view result, Duration took) const;
   void LogEnd(std::string_view result, int status) const;
@@ -72,7 +75,9 @@
   RelayContext& context_;
   std::shared_ptr<CallerConnection> caller_;
   CallerRequest request_;
+  RequestHead head_;
   AdmittedRequest admitted_;
+  std::shared_ptr<const RouteTable> residency_table_;  // from which the data residency was read
   AttemptHistory history_;
   std::vector<BackendKey> tried_;
   std::string last_backend_;  // id of the one tried last
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -1,4 +1,5 @@
 // What an exchange tells of itself: log lines, counters, histograms.
+#include <absl/strings/str_join.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -93,6 +94,23 @@
   return fmt::format("{:.0f}", ToMillis(*admitted_.route->longest_pause));
 }
 
+void Exchange::LogResidencyRefusal(std::string_view why) {
+  GlobalCounters().residency_refusals_total.Add();
+  const RequestProfile& profile = admitted_.profile;
+  const TimePoint now = Now();
+  Log(LogLevel::kWarning, "residency_refused",
+      {{"request", request_id_},
+       {"route", admitted_.route->name},
+       {"tenant", admitted_.tenant},
+       {"service", profile.service},
+       {"allowed", absl::StrJoin(profile.residency.value_or(std::vector<std::string>()), ",")},
+       {"why", std::string(why)},
+       {"ready", std::to_string(context_.dispatcher.ReadyFor(profile, now))},
+       {"tried", std::to_string(tried_.size())},
+       {"config", std::to_string(context_.routing.Version())},
+       {"config_age_ms", ConfigAgeText()}});
+}
+
 // The whole answer of a back end was passed on; it may tell a failure.
 void Exchange::LogAnswered() const {
   const bool failed = status_sent_ >= kLeastFailureStatus;
--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -53,9 +53,11 @@
   return document;
 }
 
-RelayFixture::RelayFixture(WireNames names)
+RelayFixture::RelayFixture(WireNames names, const std::map<std::string, std::string>& zone_regions)
     : guard_(io_.get_executor()), format_(std::move(names)), document_(PlainDocument()) {
-  context_ = std::make_unique<RelayContext>(io_, TestOptions(), format_);
+  RelayOptions options = TestOptions();
+  options.zone_regions = zone_regions;
+  context_ = std::make_unique<RelayContext>(io_, options, format_);
   server_ = std::make_unique<RelayServer>(*context_);
 }
 
@@ -65,12 +67,12 @@
 }
 
 void RelayFixture::AddBackend(const std::string& id, const std::string& service,
-                              const std::string& address) {
+                              const std::string& address, const std::string& zone) {
   Backend backend;
   backend.id = id;
   backend.service = service;
   backend.address = address;
-  backend.zone = "z1";
+  backend.zone = zone;
   backend.slots = 4;
   context_->dispatcher.Registry().Put(backend);
 }
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -13,11 +14,13 @@
 
 class RelayFixture {
  public:
-  explicit RelayFixture(WireNames names = {});
+  explicit RelayFixture(WireNames names = {},
+                        const std::map<std::string, std::string>& zone_regions = {});
   ~RelayFixture();
 
   // Before Start(): a ready back end of `service`.
-  void AddBackend(const std::string& id, const std::string& service, const std::string& address);
+  void AddBackend(const std::string& id, const std::string& service, const std::string& address,
+                  const std::string& zone = "z1");
 
   RoutingDocument& Document() { return document_; }
   RelayContext& Context() { return *context_; }
