--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -3,6 +3,8 @@
 // for other nodes' requests and follows them. Pure: time goes in with every call.
 #pragma once
 
+#include <absl/container/inlined_vector.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -51,7 +53,7 @@
 
 class Dispatcher {
  public:
-  Dispatcher(PlacementPolicy policy, std::string zone);
+  Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions = {});
 
   BackendRegistry& Registry() { return registry_; }
   const BackendRegistry& Registry() const { return registry_; }
@@ -75,16 +77,21 @@
                                    ColdRight right);
 
   // This node's request, placed by `coordinator`. Nothing when the back end isn't ready as far as
-  // this node knows, or cold without the coordinator knowing it.
+  // this node knows, or cold without the coordinator knowing it, or the request's data residency
+  // doesn't allow it.
   std::optional<Placement> Adopt(const std::string& coordinator, const PlacementGrant& grant,
                                  const RequestProfile& profile, TimePoint now);
 
   // Asked right before a request is sent: the back end has not begun to leave since it was chosen,
-  // nor was its zone drained, nor has another incarnation taken its place.
-  bool MayReceive(BackendKey backend) const;
+  // nor was its zone drained, nor has another incarnation taken its place, and the request's data
+  // residency, as it is in force now, allows it.
+  bool MayReceive(BackendKey backend, const RequestProfile& profile) const;
+
+  // Ready back ends of the request's service that its data residency allows.
+  size_t ReadyFor(const RequestProfile& profile, TimePoint now);
 
   // The same, and a request to a cold back end has a grant that still holds.
-  bool MaySend(const Placement& placement, TimePoint now) const;
+  bool MaySend(const Placement& placement, const RequestProfile& profile, TimePoint now) const;
 
   // Some of the answer's body came; of a stream: an event.
   void Output(PlacementTicket ticket, TimePoint now);
@@ -178,12 +185,18 @@
     int64_t held_tokens = 0;  // of the request's prompt
   };
 
+  // A back end that has read most of the prompt and can hand it over within its region.
+  struct Holder {
+    const Backend* backend = nullptr;
+    int64_t tokens = 0;
+  };
+
   // What all candidates for one request are weighed against.
   struct PlacementView {
     const Requester* requester = nullptr;
     std::vector<Candidate> candidates;
-    const Backend* holder = nullptr;  // has read most of the prompt and can hand it over
-    int64_t holder_tokens = 0;
+    // By region, those of no known region last.
+    absl::InlinedVector<Holder, 3> holders;
     int64_t known_tokens = 0;  // read or being read at one engine, at most
     // Until one of the cold back ends that were left out may be chosen.
     std::optional<Duration> cold_wait;
@@ -197,8 +210,10 @@
   std::optional<ColdSpell> SpellOf(const Backend& backend, TimePoint now) const;
   bool IsToldCold(const Backend& backend, TimePoint now) const;
   void NoteCold(Placement* placement, TimePoint now);
-  void FindHolder(const RequestProfile& profile, const std::vector<PoolMember>& members,
-                  TimePoint now, PlacementView* view) const;
+  void FindHolders(const RequestProfile& profile, const std::vector<PoolMember>& members,
+                   const RegionSet& allowed, TimePoint now, PlacementView* view) const;
+  size_t HolderSlot(const Backend& backend) const;
+  Holder HolderFor(const Backend& backend, const PlacementView& view) const;
   std::optional<Placement> Choose(const Requester& requester, const RequestProfile& profile,
                                   const std::vector<BackendKey>& tried, TimePoint now,
                                   ColdRight right);
--- a/libs/dispatch/src/dispatcher_cold.cc
+++ b/libs/dispatch/src/dispatcher_cold.cc
@@ -36,10 +36,11 @@
   return cold_.ToldSpellOf(backend, *warm_up, registry_.Drains(), now).has_value();
 }
 
-bool Dispatcher::MaySend(const Placement& placement, TimePoint now) const {
-  const Backend* known = registry_.FindByKey(placement.backend.key);
-  if (known == nullptr || !registry_.MayReceive(*known)) return false;
+bool Dispatcher::MaySend(const Placement& placement, const RequestProfile& profile,
+                         TimePoint now) const {
+  if (!MayReceive(placement.backend.key, profile)) return false;
   if (placement.send_by.has_value()) return now <= *placement.send_by;
+  const Backend* known = registry_.FindByKey(placement.backend.key);
   return !IsToldCold(*known, now);
 }
 
--- a/libs/dispatch/tests/warm_up_test.cc
+++ b/libs/dispatch/tests/warm_up_test.cc
@@ -207,12 +207,12 @@
       MakeDispatcher({ColdEngine("cold", seconds(20)), MakeEngine("warm", "z1")});
   const auto granted = dispatcher.Place(Question(), {KeyOf("warm")}, kStart, {}, ColdRight::kYes);
   cr_assert(granted->backend.id == "cold");
-  cr_assert(dispatcher.MaySend(*granted, kStart + kColdGrantHolds));
-  cr_assert(!dispatcher.MaySend(*granted, kStart + kColdGrantHolds + milliseconds(1)));
+  cr_assert(dispatcher.MaySend(*granted, Question(), kStart + kColdGrantHolds));
+  cr_assert(!dispatcher.MaySend(*granted, Question(), kStart + kColdGrantHolds + milliseconds(1)));
   const auto free = dispatcher.Place(Question(), {}, kStart, {}, ColdRight::kNo);
-  cr_assert(dispatcher.MaySend(*free, kStart + seconds(1)));
+  cr_assert(dispatcher.MaySend(*free, Question(), kStart + seconds(1)));
   dispatcher.Registry().Put(ColdEngine("warm", seconds(20)));
-  cr_assert(!dispatcher.MaySend(*free, kStart + seconds(1)));
+  cr_assert(!dispatcher.MaySend(*free, Question(), kStart + seconds(1)));
 }
 
 Test(cold_back_ends, a_grant_of_a_coordinator_that_does_not_know_of_the_cold_is_not_taken) {
