libs/relay: a log line tells what a node sends to others, by kind of message

An operator who saw a node send more than its callers explain had to compare counters of many nodes by hand. Every 10 s at most a line says what was sent since the last one.

--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -23,6 +23,7 @@
 #include "duties/engine_ordering.h"
 #include "duties/usage_reporter.h"
 #include "fleet/peer_exchange.h"
+#include "fleet/traffic_log.h"
 #include "placement/cache_inventory.h"
 #include "request/relay_server.h"
 
@@ -177,6 +178,8 @@
       context_.pool.Sweep(now);
       context_.dispatcher.Tick(now);
       context_.placement.Tick(now);
+      const std::optional<TrafficSent> sent = traffic_.Take(GlobalCounters(), now);
+      if (sent.has_value()) LogTraffic(*sent);
       FlushLog();
     }
   }
@@ -246,6 +249,7 @@
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
   asio::signal_set signals_;
+  TrafficLog traffic_{Now()};
   int catalogs_under_way_ = 0;
 };
 
