--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -376,23 +376,25 @@
   return encoded;
 }
 
+// As the back end is now.
+void CatalogSync::AddChange(const std::string& id, CatalogMessage* catalog) const {
+  const Backend* backend = context_.dispatcher.Registry().Find(id);
+  if (backend != nullptr) {
+    catalog->backends.push_back(*backend);
+  } else {
+    catalog->gone.push_back(id);
+  }
+}
+
 // Back ends that changed after revision `since`; all of them when that is too long ago.
 void CatalogSync::FillBackends(int64_t since, CatalogMessage* catalog) const {
-  const BackendRegistry& registry = context_.dispatcher.Registry();
-  const std::optional<std::set<std::string>> changed = changes_.Since(since);
+  const std::optional<std::vector<BackendChanges::Change>> changed = changes_.Since(since);
   if (!changed.has_value()) {
-    catalog->backends = registry.All();
+    catalog->backends = context_.dispatcher.Registry().All();
     return;
   }
   catalog->since = since;
-  for (const std::string& id : *changed) {
-    const Backend* backend = registry.Find(id);
-    if (backend != nullptr) {
-      catalog->backends.push_back(*backend);
-    } else {
-      catalog->gone.push_back(id);
-    }
-  }
+  for (const BackendChanges::Change& change : *changed) AddChange(change.id, catalog);
 }
 
 // Without the document when the asker has version `have`.
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -105,6 +105,7 @@
   void ApplyDrainedZone(const WatchEvent& event, TimePoint now);
   void LogDrainedZones(std::string_view source) const;
   CatalogMessage MakeCatalog(int64_t have, int64_t since);
+  void AddChange(const std::string& id, CatalogMessage* catalog) const;
   void FillBackends(int64_t since, CatalogMessage* catalog) const;
   void ApplyChanges(const CatalogMessage& catalog, std::string_view source);
   const DocumentPatch& PatchFor(int64_t have);
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 
+#include "catalog/catalog_path.h"
 #include "catalog/reading_duty.h"
 #include "support/scripted_store.h"
 #include "support/version_codec.h"
@@ -308,5 +309,41 @@
   cr_assert(node.catalog.IsReading(later + seconds(2)));
 }
 
+Backend EngineNumber(int number) {
+  Backend backend;
+  backend.id = "i-" + std::to_string(1000000 + number);
+  backend.service = "s";
+  backend.address = "10.1.0.1:" + std::to_string(10000 + number);
+  return backend;
+}
+
+CatalogMessage AnswerOf(Node& node, int64_t have, int64_t since) {
+  HttpRequest request;
+  request.target = "/?" + std::string(kHaveParameter) + "=" + std::to_string(have) + "&" +
+                   std::string(kSinceParameter) + "=" + std::to_string(since);
+  return *DecodeCatalog(node.catalog.AnswerPeer(request), Now());
+}
+
+// A third of 3,000 engines is lost with its zone and comes back. Were fewer changes remembered than
+// that, every node that missed some of them would take the list of all engines (48 KB).
+Test(catalog_sync, after_the_loss_of_a_zone_peers_are_told_of_its_engines_alone) {
+  constexpr int kAll = 3000;
+  constexpr int kZone = 1000;
+  Node node;
+  CatalogMessage catalog = CatalogOf(5, 1, "b");
+  for (int i = 0; i < kAll; ++i) catalog.backends.push_back(EngineNumber(i));
+  node.catalog.ApplyCatalog(catalog, "peer");
+  StoreUpdate update = UpdateOf(5, 5, 1);
+  for (int i = 0; i < kZone; ++i) {
+    update.changes.since = update.changes.revision;
+    update.changes.revision += 1;
+    update.changes.backends = {EngineNumber(i)};
+    cr_assert(node.catalog.ApplyUpdate(update, "reader"));
+  }
+  const CatalogMessage answer = AnswerOf(node, 1, 5);
+  cr_assert(answer.since.has_value(), "told all %zu engines", answer.backends.size());
+  cr_assert(answer.backends.size() == kZone);
+}
+
 }  // namespace
 }  // namespace cartsail
