libs/relay: some hundred changes of back ends are told in parcels, and fetched within the zone

Of more than ten changes at a time nodes were told the revision alone. All of them then asked the node that had told them, which mostly had not fetched the changes itself, and after that whoever's gossip named a newer revision, also in other zones: a new connection each time.

One that overtakes the one before it waits for it; a node that still lacks that one after 60 to 120 ms fetches it. The first node of a zone fetches from the reader at once, the others from who passes updates on to them. A node of another zone is asked for changes only after 0.6 s, and for the first catalog only when nobody of the own zone has been up for 3 s.

--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -34,8 +34,6 @@
 constexpr Duration kHearingCheck = milliseconds(10);
 constexpr size_t kIdsNamed = 5;                 // in one log line
 constexpr Duration kEncodedHolds = seconds(1);  // it names the document's age
-// Of more changes only the revision is told, and nodes fetch them: an update fits one packet.
-constexpr size_t kMostChangesTold = 10;
 
 std::string FormatMillis(Duration duration) { return fmt::format("{:.0f}", ToMillis(duration)); }
 
@@ -305,18 +303,22 @@
   StoreUpdate update;
   update.document_version = context_.routing.Version();
   update.confirmed_age = Now() - confirmed;
-  update.changes.revision = revision_;
   update.changes.drained_zones = context_.dispatcher.Registry().Drains().Zones();
-  FillBackends(since, &update.changes);
-  const bool is_short =
-      update.changes.since.has_value() &&
-      update.changes.backends.size() + update.changes.gone.size() <= kMostChangesTold;
-  if (!is_short) {
+  for (const ChangeParcel& parcel : ParcelsSince(since)) {
+    update.changes.since = parcel.since;
+    update.changes.revision = parcel.revision;
     update.changes.backends.clear();
     update.changes.gone.clear();
-    update.changes.since = revision_;
+    for (const std::string& id : parcel.ids) AddChange(id, &update.changes);
+    on_update_(update);
   }
-  on_update_(std::move(update));
+}
+
+// The revision alone when the changes since are forgotten.
+std::vector<ChangeParcel> CatalogSync::ParcelsSince(int64_t since) const {
+  const std::optional<std::vector<BackendChanges::Change>> changed = changes_.Since(since);
+  if (!changed.has_value()) return MakeParcels({}, revision_, revision_);
+  return MakeParcels(*changed, since, revision_);
 }
 
 bool CatalogSync::ApplyUpdate(const StoreUpdate& update, std::string_view source) {
@@ -327,13 +329,30 @@
   if (update.document_version == context_.routing.Version()) {
     ConfirmByPeer(now - update.confirmed_age, now);
   }
-  if (changes.revision <= revision_) return update.document_version <= context_.routing.Version();
-  if (revision_ == 0 || changes.since.value_or(0) > revision_) return false;
+  const bool has_document = update.document_version <= context_.routing.Version();
+  if (changes.revision <= revision_) return has_document;
+  if (revision_ == 0) return false;
+  if (changes.since.value_or(0) > revision_) {
+    early_.Keep(update);
+    return false;
+  }
+  ApplyNext(update, source);
+  ApplyEarly(source);
+  return has_document;
+}
+
+void CatalogSync::ApplyNext(const StoreUpdate& update, std::string_view source) {
+  const CatalogMessage& changes = update.changes;
   revision_ = changes.revision;
   must_list_ = false;
   if (!changes.backends.empty() || !changes.gone.empty()) ApplyChanges(changes, source);
   ReplaceDrainedZones({changes.drained_zones.begin(), changes.drained_zones.end()}, source);
-  return update.document_version <= context_.routing.Version();
+}
+
+void CatalogSync::ApplyEarly(std::string_view source) {
+  while (const std::optional<StoreUpdate> next = early_.TakeNext(revision_)) {
+    ApplyNext(*next, source);
+  }
 }
 
 void CatalogSync::ReplaceBackends(std::vector<Backend> backends, std::string_view source,
@@ -423,9 +442,13 @@
   // From here on the store's changes since this revision are enough.
   must_list_ = false;
   ReplaceDrainedZones({catalog.drained_zones.begin(), catalog.drained_zones.end()}, source);
-  if (catalog.since.has_value()) return ApplyChanges(catalog, source);
-  changes_.Reset(revision_);
-  ReplaceBackends(catalog.backends, source, grace_.MissingUntil(Now()));
+  if (catalog.since.has_value()) {
+    ApplyChanges(catalog, source);
+  } else {
+    changes_.Reset(revision_);
+    ReplaceBackends(catalog.backends, source, grace_.MissingUntil(Now()));
+  }
+  ApplyEarly(source);
 }
 
 // Of a peer that was asked for the changes since a revision that this node knew.
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -17,6 +17,8 @@
 #include "cartsail/store/key_value_store.h"
 #include "catalog/backend_changes.h"
 #include "catalog/catalog_message.h"
+#include "catalog/change_parcels.h"
+#include "catalog/early_updates.h"
 #include "catalog/lapse_grace.h"
 #include "catalog/store_update.h"
 #include "fleet/peer_table.h"
@@ -42,7 +44,7 @@
   }
 
   // What the store told a reader. False when this node knows too little to apply it: it has to
-  // fetch the catalog.
+  // fetch the catalog, unless the update overtook the one before it, which is still to come.
   bool ApplyUpdate(const StoreUpdate& update, std::string_view source);
 
   // This node has heard no other node since `last_heard`.
@@ -84,6 +86,9 @@
   Duration Unconfirmed(TimePoint now) const;
   void NoteAnswered(TimePoint now);
   void TellUpdate(int64_t since, TimePoint confirmed);
+  std::vector<ChangeParcel> ParcelsSince(int64_t since) const;
+  void ApplyNext(const StoreUpdate& update, std::string_view source);
+  void ApplyEarly(std::string_view source);
   boost::asio::awaitable<absl::Status> ReadAll(ReadMode mode);
   bool IsLeftBehind(TimePoint now) const;
   boost::asio::awaitable<void> Pause(Duration duration);
@@ -120,6 +125,7 @@
   CatalogKeys keys_;
   LapseGrace grace_;
   BackendChanges changes_;
+  EarlyUpdates early_;
   std::function<void()> on_document_;
   std::function<void(StoreUpdate)> on_update_;
   TimePoint started_ = Now();
--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -42,6 +42,15 @@
 // What the store told a reader reaches all nodes in some milliseconds; a node that still knows less
 // than a peer after this time has missed it and fetches the changes.
 constexpr Duration kUpdatePatience = milliseconds(150);
+// Nodes of other zones are asked for changes only by one that finds nobody of its own zone who has
+// them for so long: bytes between zones are dear.
+constexpr Duration kFarPatience = milliseconds(600);
+// An update that overtook the one before it: that one comes within some milliseconds, or is lost.
+// Not the same for all, so that those who pass updates on have fetched it before they are asked.
+constexpr Duration kGapPatience = milliseconds(60);
+constexpr int64_t kGapSpreadMs = 60;
+// A node that has been up for so long has the catalog, unless all were lost.
+constexpr Duration kHasCatalogAfter = seconds(3);
 constexpr Duration kMemberLogInterval = seconds(1);
 
 absl::StatusOr<CatalogMessage> CatalogIn(const absl::StatusOr<HttpResponse>& response,
@@ -240,8 +249,13 @@
   OnView(host, message.view, now);
 }
 
-// True when this node has had time to hear of `revision` and has not.
-bool PeerExchange::HasMissedUpdate(int64_t revision, TimePoint now) {
+bool PeerExchange::IsFar(const std::string& host) const {
+  return peers_.ZoneOf(host) != context_.options.zone;
+}
+
+// True when this node has had time to hear of `revision`, or to get it within its zone, and has
+// not.
+bool PeerExchange::HasMissedUpdate(const std::string& host, int64_t revision, TimePoint now) {
   const int64_t known = catalog_.Revision();
   if (revision <= known) return false;
   if (known == 0) return true;
@@ -249,7 +263,7 @@
     revision_elsewhere_ = revision;
     revision_elsewhere_since_ = now;
   }
-  return now - revision_elsewhere_since_ >= kUpdatePatience;
+  return now - revision_elsewhere_since_ >= (IsFar(host) ? kFarPatience : kUpdatePatience);
 }
 
 void PeerExchange::OnView(const std::string& host, const StoreView& view, TimePoint now) {
@@ -257,7 +271,7 @@
   if (view.document_version == version && view.confirmed_age.has_value()) {
     catalog_.ConfirmByPeer(now - *view.confirmed_age, now);
   }
-  if (view.document_version > version || HasMissedUpdate(view.catalog_revision, now)) {
+  if (view.document_version > version || HasMissedUpdate(host, view.catalog_revision, now)) {
     MaybeFetch(host, view.document_version, now);
   }
 }
@@ -271,7 +285,25 @@
 
 void PeerExchange::OnUpdate(const std::string& host, const StoreUpdate& update) {
   Spread(update, Branches(update.targets));
-  if (!catalog_.ApplyUpdate(update, host)) MaybeFetch(host, update.document_version, Now());
+  if (catalog_.ApplyUpdate(update, host)) return;
+  const bool has_newer_document = update.document_version > context_.routing.Version();
+  // The first one of a zone hands on what it fetches from the reader.
+  if (has_newer_document || catalog_.Revision() == 0 || IsFar(host)) {
+    return MaybeFetch(host, update.document_version, Now());
+  }
+  if (watching_gap_) return;
+  watching_gap_ = true;
+  asio::co_spawn(context_.io, FetchUnlessClosed(host, update.changes.revision), asio::detached);
+}
+
+// `revision`: told by `host`, when changes before it were not known here.
+asio::awaitable<void> PeerExchange::FetchUnlessClosed(std::string host, int64_t revision) {
+  const int64_t spread = std::uniform_int_distribution<int64_t>(0, kGapSpreadMs)(random_);
+  asio::steady_timer timer(context_.io, kGapPatience + milliseconds(spread));
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  watching_gap_ = false;
+  if (catalog_.Revision() < revision) MaybeFetch(host, context_.routing.Version(), Now());
 }
 
 DocumentNotice PeerExchange::MakeNotice(TimePoint now) const {
@@ -322,9 +354,22 @@
 void PeerExchange::MaybeFetch(const std::string& host, int64_t version, TimePoint now) {
   const bool has_newer_document = version > context_.routing.Version();
   if (has_newer_document) catalog_.NoteVersionElsewhere(version, now);
-  const bool is_urgent = has_newer_document || catalog_.Revision() == 0;
-  if (!fetches_.MayBegin(host, is_urgent, now)) return;
-  asio::co_spawn(context_.io, FetchCatalog(host, fetches_.Begin(host, now)), asio::detached);
+  const bool is_first = catalog_.Revision() == 0;
+  const std::string source = is_first && IsFar(host) ? NearSource(now).value_or(host) : host;
+  if (!fetches_.MayBegin(source, has_newer_document || is_first, now)) return;
+  asio::co_spawn(context_.io, FetchCatalog(source, fetches_.Begin(source, now)), asio::detached);
+}
+
+// A node of this zone that is likely to have a catalog, another one each time.
+std::optional<std::string> PeerExchange::NearSource(TimePoint now) {
+  std::vector<std::string> hosts;
+  for (const auto& [host, peer] : peers_.Peers()) {
+    const bool is_near = peer.status == PeerStatus::kAlive && !IsFar(host);
+    const Duration uptime = peer.state.uptime + (now - peer.noted);
+    if (is_near && uptime >= kHasCatalogAfter) hosts.push_back(host);
+  }
+  if (hosts.empty()) return std::nullopt;
+  return hosts[std::uniform_int_distribution<size_t>(0, hosts.size() - 1)(random_)];
 }
 
 asio::awaitable<void> PeerExchange::FetchCatalog(std::string host, FetchSchedule::Running fetch) {
@@ -409,7 +454,7 @@
   const udp::endpoint target(ip, context_.options.peer.port);
   socket_.send_to(asio::buffer(bytes), target, 0, error);
   const size_t sent = bytes.size() + kDatagramOverhead;
-  CountSent(datagram, static_cast<int64_t>(sent), peers_.ZoneOf(host) != context_.options.zone);
+  CountSent(datagram, static_cast<int64_t>(sent), IsFar(host));
   return sent;
 }
 
--- a/libs/relay/src/fleet/peer_exchange.h
+++ b/libs/relay/src/fleet/peer_exchange.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -39,6 +40,7 @@
   boost::asio::awaitable<void> SendDigestsPeriodically();
   boost::asio::awaitable<void> TellUsagePeriodically();
   boost::asio::awaitable<void> FetchCatalog(std::string host, FetchSchedule::Running fetch);
+  boost::asio::awaitable<void> FetchUnlessClosed(std::string host, int64_t revision);
   boost::asio::awaitable<void> AnnounceDocument();
   void SendDigests();
   size_t Send(const std::string& host, const Datagram& datagram);
@@ -53,7 +55,9 @@
   void OnNotice(const std::string& host, const DocumentNotice& notice);
   void OnDigest(const std::string& host, const NodeDigest& digest);
   void MaybeFetch(const std::string& host, int64_t version, TimePoint now);
-  bool HasMissedUpdate(int64_t revision, TimePoint now);
+  bool IsFar(const std::string& host) const;
+  bool HasMissedUpdate(const std::string& host, int64_t revision, TimePoint now);
+  std::optional<std::string> NearSource(TimePoint now);
   StoreView View(TimePoint now) const;
   DocumentNotice MakeNotice(TimePoint now) const;
   NodeDigest MakeDigest(TimePoint now);
@@ -70,6 +74,7 @@
   DocumentAnnouncer announcer_;
   bool announcing_ = false;
   FetchSchedule fetches_;
+  bool watching_gap_ = false;  // a fetch is due unless what was missed comes
   // A revision of a peer that this node had not reached at the time.
   int64_t revision_elsewhere_ = 0;
   TimePoint revision_elsewhere_since_{};
--- a/libs/relay/tests/catalog_spread_test.cc
+++ b/libs/relay/tests/catalog_spread_test.cc
@@ -92,5 +92,25 @@
   }
 }
 
+// Engines of a zone that is lost come and go by the hundred within a second: of more than ten
+// changes at a time nodes were told the revision only, and all of them fetched the changes.
+Test(catalog_spread, some_hundred_changes_at_once_are_told_without_a_fetch) {
+  constexpr int kChanges = 200;
+  testing::SpreadFleet fleet(12, 4);
+  fleet.RunFor(milliseconds(400));  // they know each other
+  const int reader = fleet.FirstReader();
+  fleet.At(reader).StartReading(10);
+  cr_assert(fleet.RunUntilAllKnow(10, seconds(5)));
+  const int copies = fleet.Copies();
+  for (int i = 1; i <= kChanges; ++i) {
+    fleet.At(reader).PushBackend("new-" + std::to_string(i), 10 + i);
+  }
+  cr_assert(fleet.RunUntilAllKnow(10 + kChanges, milliseconds(500)));
+  for (int node = 0; node < 12; ++node) {
+    cr_assert(fleet.At(node).Backends() == testing::kFleetBackends + kChanges);
+  }
+  cr_assert(fleet.Copies() == copies, "%d fetches", fleet.Copies() - copies);
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -345,5 +345,19 @@
   cr_assert(answer.backends.size() == kZone);
 }
 
+Test(catalog_sync, an_update_that_overtook_the_one_before_it_waits_for_it) {
+  Node node;
+  node.catalog.ApplyCatalog(CatalogOf(5, 1, "b"), "peer");
+  StoreUpdate later = UpdateOf(6, 7, 1);
+  later.changes.backends = {EngineNumber(2)};
+  cr_assert(!node.catalog.ApplyUpdate(later, "reader"));
+  cr_assert(node.catalog.Revision() == 5 && !node.Knows(EngineNumber(2).id));
+  StoreUpdate earlier = UpdateOf(5, 6, 1);
+  earlier.changes.backends = {EngineNumber(1)};
+  cr_assert(node.catalog.ApplyUpdate(earlier, "reader"));
+  cr_assert(node.catalog.Revision() == 7, "nothing need be fetched");
+  cr_assert(node.Knows(EngineNumber(1).id) && node.Knows(EngineNumber(2).id));
+}
+
 }  // namespace
 }  // namespace cartsail
