libs/relay: an entry that only counts down its slow start is told to nobody

A back end that is slow after its start writes its entry with each heartbeat, since the time left in it falls: four to five changes for each start, each told to all nodes and noted in the list of changes.

--- /dev/null
+++ b/libs/relay/src/catalog/backend_news.cc
@@ -0,0 +1,27 @@
+#include "catalog/backend_news.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cartsail {
+namespace {
+
+auto LastingFields(const Backend& backend) {
+  return std::tie(backend.id, backend.started_ms, backend.service, backend.address, backend.zone,
+                  backend.slots, backend.state, backend.reclaimable, backend.created_revision,
+                  backend.missing_until);
+}
+
+Duration ColdFor(const Backend& backend, TimePoint now) {
+  return std::max(backend.cold_until.value_or(now) - now, Duration(0));
+}
+
+}  // namespace
+
+bool TellsNothingNew(const Backend& known, const Backend& told, TimePoint now) {
+  if (LastingFields(known) != LastingFields(told)) return false;
+  const Duration later = ColdFor(told, now) - ColdFor(known, now);
+  return later <= kColdEndLag && later >= -kColdEndNews;
+}
+
+}  // namespace cartsail
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -17,6 +17,7 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/base/text.h"
+#include "catalog/backend_news.h"
 #include "catalog/catalog_path.h"
 #include "catalog/document_patch.h"
 #include "catalog/reading_duty.h"
@@ -492,6 +493,7 @@
     if (key == keys_.document && !event.deleted)
       ApplyDocument(event.kv.value, "store", Duration(0));
     if (IsDrainedZone(key)) ApplyDrainedZone(event, now);
+    if (IsBackend(key) && !event.deleted && IsKnownAlready(event.kv, now)) continue;
     if (IsBackend(key)) changes_.Note(BackendId(key), event.kv.mod_revision);
     if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
     if (IsBackend(key) && event.deleted) RemoveBackend(BackendId(key), LogLevel::kInfo, now);
@@ -502,6 +504,17 @@
   TellUpdate(known, now);
 }
 
+// Whatever is no news is neither noted as a change nor told to anybody.
+bool CatalogSync::IsKnownAlready(const KeyValue& item, TimePoint now) const {
+  const std::string id = BackendId(item.key);
+  const Backend* known = context_.dispatcher.Registry().Find(id);
+  if (known == nullptr) return false;
+  absl::StatusOr<Backend> told = codec_.DecodeBackend(id, item.value, now);
+  if (!told.ok()) return false;
+  told->created_revision = item.create_revision;
+  return TellsNothingNew(*known, *told, now);
+}
+
 void CatalogSync::ApplyBackend(const KeyValue& item) {
   const std::string id = BackendId(item.key);
   absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, Now());
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -102,6 +102,7 @@
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
+  bool IsKnownAlready(const KeyValue& item, TimePoint now) const;
   void ApplyBackend(const KeyValue& item);
   bool IsDrainedZone(const std::string& key) const;
   std::string DrainedZone(const std::string& key) const;
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -359,5 +359,34 @@
   cr_assert(node.Knows(EngineNumber(1).id) && node.Knows(EngineNumber(2).id));
 }
 
+// Engines that are slow after their start write their entries anew with each heartbeat.
+Test(catalog_sync, an_entry_that_says_nothing_new_is_not_told) {
+  Node node;
+  size_t changes = 0;
+  node.catalog.SetOnUpdate(
+      [&changes](const StoreUpdate& update) { changes += update.changes.backends.size(); });
+  KeyValue entry = ItemOf("backends/a", "s", 5);
+  node.store.SetList(ListOf(10, {ItemOf("document", DocumentText(3), 4), entry}));
+  node.catalog.Start();
+  node.RunFor(2 * kCallTime);
+  cr_assert(node.Knows("a"));
+  for (int64_t revision = 11; revision <= 13; ++revision) {
+    WatchEvent event;
+    event.kv = entry;
+    event.kv.mod_revision = revision;
+    node.store.Push(std::move(event));
+    node.RunFor(2 * kCallTime);
+  }
+  cr_assert(node.catalog.Revision() == 13);
+  cr_assert(changes == 0, "%zu changes told", changes);
+  WatchEvent event;
+  event.kv = entry;
+  event.kv.value = "other-service";
+  event.kv.mod_revision = 14;
+  node.store.Push(std::move(event));
+  node.RunFor(2 * kCallTime);
+  cr_assert(changes == 1);
+}
+
 }  // namespace
 }  // namespace cartsail
