Engine orders beside drained zones and cold engines

Cause: the planner knew engines that may receive and nothing of drains. A drained zone looked like one without engines, so that the same number was ordered there again, engines that nothing may be sent to; the missing capacity was not replaced elsewhere, and the load at its engines was forgotten.

Change: the view tells the drained zones, engines still cold and requests by zone. Nothing is ordered into a drained zone; its part goes to the others at the word. Idle engines there are given up when the drain has lasted twice boot and warm-up, none runs a request and no other zone is dry. Reclaimable engines are given up only beyond what bears the load now, cold ones counted at a quarter, so that those that stood in for a zone stay until its own are warm, also under a new holder. A zone that is drained is asked anew whether it has engines.

Ruled out: ordering more for cold engines (an engine ordered takes longer to bear load than a cold one to warm up); giving up the drained zone's engines at once (8 s drains are shorter than their return).

--- a/libs/duties/include/cartsail/duties/capacity_planner.h
+++ b/libs/duties/include/cartsail/duties/capacity_planner.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,17 +16,25 @@
 
 enum class EngineKind { kFullPrice, kReclaimable };
 
-// The engines of one zone that serve and are not leaving.
+// The engines of one zone that run and are not leaving, also where the zone is drained.
 struct ZoneEngines {
   int64_t full_price = 0;
   int64_t reclaimable = 0;
+  // Of these: still slow after their start.
+  int64_t cold_full_price = 0;
+  int64_t cold_reclaimable = 0;
+  int64_t requests = 0;  // that run or wait there
 };
 
 // What a plan is made from.
 struct CapacityView {
   EngineScaling scaling;
   std::map<std::string, ZoneEngines> engines;  // by zone
-  // Requests that run or wait at engines, and requests that one engine runs at once.
+  // Their engines get no new request: they bear nothing.
+  std::set<std::string> drained_zones;
+  Duration warm_up{};  // from an engine's start until it bears what the others bear
+  // Requests that run or wait at engines, and requests that one engine runs at once. Those in
+  // drained zones count: those that follow them come to the other zones.
   int64_t requests = 0;
   int64_t slots = 1;
 };
@@ -74,13 +83,24 @@
     return policy_.uses_reclaimable && scaling.reclaimable_price > 0;
   }
   int64_t EnginesWanted(const CapacityView& view, TimePoint now);
+  void NoteDrains(const CapacityView& view, TimePoint now);
+  void SetWanted(int64_t wanted, TimePoint now);
+  double Bearing(int64_t engines, int64_t cold) const;
+  double BearingOf(const CapacityView& view) const;
   bool IsSettled(TimePoint now) const {
     return (first_start_ && !has_seen_load_) || now - *first_plan_ >= policy_.settling;
   }
   int64_t FullPriceWanted(const std::string& zone, const ZonePlan& part, const ZoneEngines& present,
-                          const EngineScaling& scaling, TimePoint now);
+                          const CapacityView& view, TimePoint now);
+  int64_t ReclaimableWanted(const std::string& zone, int64_t planned, int64_t present,
+                            double* surplus);
   std::map<std::string, ZonePlan> Divide(const CapacityView& view);
   void AddFullPrice(const CapacityView& view, std::map<std::string, ZonePlan>* plan) const;
+  void AddOrdersForOpenZones(const CapacityView& view, TimePoint now,
+                             std::vector<EngineOrder>* orders);
+  void AddOrdersForDrainedZones(const CapacityView& view, TimePoint now,
+                                std::vector<EngineOrder>* orders);
+  bool MayGiveUp(const std::string& zone, const CapacityView& view, TimePoint now);
   void AddOrder(const std::string& zone, EngineKind kind, int64_t wanted, int64_t present,
                 const EngineScaling& scaling, TimePoint now, std::vector<EngineOrder>* orders);
   Line& LineOf(const std::string& zone, EngineKind kind);
@@ -90,8 +110,9 @@
   bool first_start_;
   std::map<std::string, Line> full_price_;   // by zone
   std::map<std::string, Line> reclaimable_;  // by zone
-  double needed_ = 0;                        // engines, as seen, falling slowly
-  double assumed_ = 0;                       // the same before the load is known
+  std::map<std::string, TimePoint> drained_since_;
+  double needed_ = 0;   // engines, as seen, falling slowly
+  double assumed_ = 0;  // the same before the load is known
   TimePoint needed_at_{};
   TimePoint shrunk_at_{};
   std::optional<TimePoint> first_plan_;
--- a/libs/duties/include/cartsail/duties/capacity_policy.h
+++ b/libs/duties/include/cartsail/duties/capacity_policy.h
@@ -40,6 +40,14 @@
   Duration shrink_interval = seconds(5);
   // Engines that were ordered and are not there are ordered again after their start and this time.
   Duration late_margin = seconds(3);
+  // What a cold engine bears, as a share of a warm one. Services tell the rate of a cold engine and
+  // not that of a warm one; at a quarter nothing else is given up for engines that cannot replace
+  // it.
+  double cold_share = 0.25;
+  // Idle engines of a drained zone are paid for until the drain has lasted this many times as long
+  // as others take to start and warm up: they hold prompts, and most drains are shorter. Paying for
+  // as long as a replacement would cost anyway at most doubles what the best guess would pay.
+  double drain_outlasts = 2;
   // After the platform had none to give.
   Duration pause_after_none = seconds(2);
 };
--- a/libs/duties/src/capacity_planner.cc
+++ b/libs/duties/src/capacity_planner.cc
@@ -4,6 +4,22 @@
 #include <cmath>
 
 namespace cartsail {
+namespace {
+
+ZoneEngines EnginesIn(const CapacityView& view, const std::string& zone) {
+  const auto found = view.engines.find(zone);
+  return found == view.engines.end() ? ZoneEngines() : found->second;
+}
+
+// The zones that may be given engines.
+std::vector<ZonePrice> OpenZones(const CapacityView& view) {
+  std::vector<ZonePrice> zones = view.scaling.zones;
+  std::erase_if(zones,
+                [&view](const ZonePrice& zone) { return view.drained_zones.contains(zone.zone); });
+  return zones;
+}
+
+}  // namespace
 
 CapacityPlanner::Line& CapacityPlanner::LineOf(const std::string& zone, EngineKind kind) {
   return kind == EngineKind::kReclaimable ? reclaimable_[zone] : full_price_[zone];
@@ -22,7 +38,7 @@
 
 // The greatest need of late, which fades, with its reserve.
 int64_t CapacityPlanner::EnginesWanted(const CapacityView& view, TimePoint now) {
-  const auto zones = static_cast<int64_t>(view.scaling.zones.size());
+  const auto zones = static_cast<int64_t>(OpenZones(view).size());
   const int64_t least = std::max<int64_t>(view.scaling.least, 0) * zones;
   const int64_t most = view.scaling.most * zones;
   const double slots = static_cast<double>(std::max<int64_t>(view.slots, 1));
@@ -45,7 +61,7 @@
   std::map<std::string, ZonePlan> plan;
   int64_t left = wanted_;
   std::vector<std::string> open;  // zones that may be given more
-  for (const ZonePrice& zone : scaling.zones) {
+  for (const ZonePrice& zone : OpenZones(view)) {
     ZonePlan& part = plan[zone.zone];
     part.full_price = std::min(policy_.full_price_base, scaling.most);
     left -= part.full_price;
@@ -54,8 +70,7 @@
       open.push_back(zone.zone);
       continue;
     }
-    const auto present = view.engines.find(zone.zone);
-    if (present != view.engines.end()) part.reclaimable = present->second.reclaimable;
+    part.reclaimable = EnginesIn(view, zone.zone).reclaimable;
     left -= part.reclaimable;
   }
   auto zones_left = static_cast<int64_t>(open.size());
@@ -77,7 +92,7 @@
                      ? static_cast<int64_t>(std::ceil(needed_ * policy_.full_price_reserve))
                      : wanted_;
   for (const auto& [zone, part] : *plan) left -= part.full_price + part.reclaimable;
-  std::vector<ZonePrice> by_price = view.scaling.zones;
+  std::vector<ZonePrice> by_price = OpenZones(view);
   std::sort(by_price.begin(), by_price.end(),
             [](const ZonePrice& a, const ZonePrice& b) { return a.price < b.price; });
   for (const ZonePrice& zone : by_price) {
@@ -113,13 +128,15 @@
 // Engines at the full price stay until the cheap ones that replace them serve, as far as the load
 // needs them: they make room for cheap ones, where both together reach the most there may be.
 int64_t CapacityPlanner::FullPriceWanted(const std::string& zone, const ZonePlan& part,
-                                         const ZoneEngines& present, const EngineScaling& scaling,
+                                         const ZoneEngines& present, const CapacityView& view,
                                          TimePoint now) {
-  int64_t kept = part.full_price + part.reclaimable - present.reclaimable;
+  const EngineScaling& scaling = view.scaling;
+  const auto bearing = static_cast<int64_t>(Bearing(present.reclaimable, present.cold_reclaimable));
+  int64_t kept = part.full_price + part.reclaimable - bearing;
   if (IsSettled(now)) {
-    const auto zones = static_cast<int64_t>(scaling.zones.size());
+    const auto zones = static_cast<int64_t>(OpenZones(view).size());
     const auto needed = static_cast<int64_t>(std::ceil(needed_ * policy_.full_price_reserve));
-    kept = std::min(kept, (needed + zones - 1) / zones - present.reclaimable);
+    kept = std::min(kept, (needed + zones - 1) / zones - bearing);
     const int64_t starting =
         LineOf(zone, EngineKind::kReclaimable).ordered.value_or(0) - present.reclaimable;
     const bool lacks_room = present.full_price + part.reclaimable > scaling.most;
@@ -132,6 +149,104 @@
   return std::max(part.full_price, kept);
 }
 
+// A zone that is drained or restored is asked anew whether it has engines: what it answered before
+// is old, and would keep the zone empty after its return.
+void CapacityPlanner::NoteDrains(const CapacityView& view, TimePoint now) {
+  for (const std::string& zone : view.drained_zones) {
+    const bool is_new = drained_since_.try_emplace(zone, now).second;
+    if (is_new) LineOf(zone, EngineKind::kReclaimable).is_dry = false;
+  }
+  std::erase_if(drained_since_,
+                [&view](const auto& entry) { return !view.drained_zones.contains(entry.first); });
+}
+
+void CapacityPlanner::SetWanted(int64_t wanted, TimePoint now) {
+  const bool may_shrink = now - shrunk_at_ >= policy_.shrink_interval;
+  if (wanted <= wanted_ && !may_shrink) return;
+  if (wanted < wanted_) shrunk_at_ = now;
+  wanted_ = wanted;
+}
+
+double CapacityPlanner::Bearing(int64_t engines, int64_t cold) const {
+  const auto warm = static_cast<double>(engines - cold);
+  return warm + static_cast<double>(cold) * policy_.cold_share;
+}
+
+// Warm engines that those in the zones that are not drained are worth.
+double CapacityPlanner::BearingOf(const CapacityView& view) const {
+  double bearing = 0;
+  for (const ZonePrice& zone : OpenZones(view)) {
+    const ZoneEngines present = EnginesIn(view, zone.zone);
+    bearing += Bearing(present.full_price, present.cold_full_price);
+    bearing += Bearing(present.reclaimable, present.cold_reclaimable);
+  }
+  return bearing;
+}
+
+// Engines are given up only beyond what the load needs of those that bear it now. So those that
+// stood in for a drained zone stay until its own have started and are warm; a new holder, which
+// knows nothing of the drain that has ended, keeps them as well.
+int64_t CapacityPlanner::ReclaimableWanted(const std::string& zone, int64_t planned,
+                                           int64_t present, double* surplus) {
+  if (planned >= present) return planned;
+  const auto fewer = static_cast<double>(present - planned);
+  if (fewer <= *surplus) {
+    *surplus -= fewer;
+    return planned;
+  }
+  const std::optional<int64_t> ordered = LineOf(zone, EngineKind::kReclaimable).ordered;
+  return std::max(planned, ordered.value_or(present));
+}
+
+void CapacityPlanner::AddOrdersForOpenZones(const CapacityView& view, TimePoint now,
+                                            std::vector<EngineOrder>* orders) {
+  const EngineScaling& scaling = view.scaling;
+  double surplus = BearingOf(view) - static_cast<double>(wanted_);
+  for (const auto& [zone, part] : Divide(view)) {
+    const ZoneEngines present = EnginesIn(view, zone);
+    const int64_t full_price = FullPriceWanted(zone, part, present, view, now);
+    const int64_t room = std::max<int64_t>(scaling.most - full_price, 0);
+    const int64_t reclaimable =
+        ReclaimableWanted(zone, part.reclaimable, present.reclaimable, &surplus);
+    AddOrder(zone, EngineKind::kFullPrice, full_price, present.full_price, scaling, now, orders);
+    AddOrder(zone, EngineKind::kReclaimable, std::min(reclaimable, room), present.reclaimable,
+             scaling, now, orders);
+  }
+}
+
+// Its engines are idle, the drain outlasts their start, and others are to be had: where another
+// zone has none to give, those given up here might not be had again.
+bool CapacityPlanner::MayGiveUp(const std::string& zone, const CapacityView& view, TimePoint now) {
+  if (EnginesIn(view, zone).requests > 0) return false;
+  const double start = ToSeconds(view.scaling.boot + view.warm_up);
+  if (ToSeconds(now - drained_since_[zone]) < policy_.drain_outlasts * start) return false;
+  const std::vector<ZonePrice> open = OpenZones(view);
+  return std::none_of(open.begin(), open.end(),
+                      [this](const ZonePrice& other) { return IsDry(other.zone); });
+}
+
+// Only downwards: what is ordered for a drained zone is paid for and bears nothing.
+void CapacityPlanner::AddOrdersForDrainedZones(const CapacityView& view, TimePoint now,
+                                               std::vector<EngineOrder>* orders) {
+  const EngineScaling& scaling = view.scaling;
+  for (const ZonePrice& zone : scaling.zones) {
+    if (!view.drained_zones.contains(zone.zone) || !MayGiveUp(zone.zone, view, now)) continue;
+    const ZoneEngines present = EnginesIn(view, zone.zone);
+    const int64_t base = std::min(policy_.full_price_base, scaling.most);
+    const int64_t full_price = std::min(present.full_price, base);
+    const int64_t reclaimable =
+        std::clamp<int64_t>(scaling.least - full_price, 0, present.reclaimable);
+    if (full_price < present.full_price) {
+      AddOrder(zone.zone, EngineKind::kFullPrice, full_price, present.full_price, scaling, now,
+               orders);
+    }
+    if (reclaimable < present.reclaimable) {
+      AddOrder(zone.zone, EngineKind::kReclaimable, reclaimable, present.reclaimable, scaling, now,
+               orders);
+    }
+  }
+}
+
 std::vector<EngineOrder> CapacityPlanner::Plan(const CapacityView& view, TimePoint now) {
   const EngineScaling& scaling = view.scaling;
   if (scaling.zones.empty() || scaling.least > scaling.most) return {};
@@ -140,24 +255,13 @@
     assumed_ = FirstNeed(scaling);
     needed_at_ = now;
   }
+  NoteDrains(view, now);
   const int64_t wanted = EnginesWanted(view, now);
   if (!has_seen_load_ && !IsSettled(now)) return {};
-  const bool may_shrink = now - shrunk_at_ >= policy_.shrink_interval;
-  if (wanted > wanted_ || may_shrink) {
-    if (wanted < wanted_) shrunk_at_ = now;
-    wanted_ = wanted;
-  }
+  SetWanted(wanted, now);
   std::vector<EngineOrder> orders;
-  for (const auto& [zone, part] : Divide(view)) {
-    const auto found = view.engines.find(zone);
-    const ZoneEngines present = found == view.engines.end() ? ZoneEngines() : found->second;
-    const int64_t full_price = FullPriceWanted(zone, part, present, scaling, now);
-    const int64_t room = std::max<int64_t>(view.scaling.most - full_price, 0);
-    AddOrder(zone, EngineKind::kFullPrice, full_price, present.full_price, view.scaling, now,
-             &orders);
-    AddOrder(zone, EngineKind::kReclaimable, std::min(part.reclaimable, room), present.reclaimable,
-             view.scaling, now, &orders);
-  }
+  AddOrdersForOpenZones(view, now, &orders);
+  AddOrdersForDrainedZones(view, now, &orders);
   return orders;
 }
 
--- a/libs/duties/tests/support/engine_platform.cc
+++ b/libs/duties/tests/support/engine_platform.cc
@@ -19,19 +19,49 @@
     --to_lose_;
     return OrderOutcome::kUnknown;
   }
-  const Line line{order.zone, order.kind};
-  std::vector<Engine>& engines = engines_[line];
-  const auto wanted = static_cast<size_t>(order.engines);
-  const bool grows = wanted > engines.size();
+  const size_t there = engines_[{order.zone, order.kind}].size();
+  const bool grows = static_cast<size_t>(order.engines) > there;
+  if (grows && drained_.contains(order.zone)) ++into_drained_;
+  if (to_delay_ > 0) {
+    --to_delay_;
+    delayed_.push_back({order, now + delay_});
+    return OrderOutcome::kUnknown;
+  }
   if (grows && order.kind == EngineKind::kReclaimable && dry_[order.zone]) {
     return OrderOutcome::kNoneToBeHad;
   }
+  CarryOut(order, now);
+  return OrderOutcome::kAccepted;
+}
+
+void EnginePlatform::CarryOut(const EngineOrder& order, TimePoint now) {
+  const Line line{order.zone, order.kind};
   ordered_[line] = order.engines;
   const int64_t both = ordered_[{order.zone, EngineKind::kFullPrice}] +
                        ordered_[{order.zone, EngineKind::kReclaimable}];
   most_ordered_ = std::max(most_ordered_, both);
-  engines.resize(wanted, Engine{now + scaling_.boot});
-  return OrderOutcome::kAccepted;
+  const TimePoint ready = now + scaling_.boot;
+  engines_[line].resize(static_cast<size_t>(order.engines), Engine{ready, ready + warm_up_});
+}
+
+void EnginePlatform::DelayNext(int orders, Duration delay) {
+  to_delay_ = orders;
+  delay_ = delay;
+}
+
+void EnginePlatform::Advance(TimePoint now) {
+  for (const DelayedOrder& delayed : delayed_) {
+    if (delayed.due <= now) CarryOut(delayed.order, now);
+  }
+  std::erase_if(delayed_, [now](const DelayedOrder& delayed) { return delayed.due <= now; });
+}
+
+void EnginePlatform::Restore(const std::string& zone, TimePoint now) {
+  drained_.erase(zone);
+  for (auto& [line, engines] : engines_) {
+    if (line.first != zone) continue;
+    for (Engine& engine : engines) engine.warm = std::max(engine.ready, now) + warm_up_;
+  }
 }
 
 void EnginePlatform::TakeAway(const std::string& zone) {
@@ -70,11 +100,34 @@
   view.scaling = scaling_;
   view.requests = requests;
   view.slots = 12;
+  view.warm_up = warm_up_;
+  view.drained_zones = drained_;
   for (const ZonePrice& zone : scaling_.zones) {
-    view.engines[zone.zone] = {Engines(zone.zone, EngineKind::kFullPrice, now),
-                               Engines(zone.zone, EngineKind::kReclaimable, now)};
+    ZoneEngines& engines = view.engines[zone.zone];
+    engines.full_price = Engines(zone.zone, EngineKind::kFullPrice, now);
+    engines.reclaimable = Engines(zone.zone, EngineKind::kReclaimable, now);
+    engines.cold_full_price = engines.full_price - Warm(zone.zone, EngineKind::kFullPrice, now);
+    engines.cold_reclaimable = engines.reclaimable - Warm(zone.zone, EngineKind::kReclaimable, now);
+    engines.requests = running_[zone.zone];
   }
   return view;
 }
 
+int64_t EnginePlatform::Warm(const std::string& zone, EngineKind kind, TimePoint now) const {
+  const auto found = engines_.find({zone, kind});
+  if (found == engines_.end()) return 0;
+  return std::count_if(found->second.begin(), found->second.end(),
+                       [now](const Engine& engine) { return engine.warm <= now; });
+}
+
+int64_t EnginePlatform::Bearing(TimePoint now) const {
+  int64_t sum = 0;
+  for (const ZonePrice& zone : scaling_.zones) {
+    if (drained_.contains(zone.zone)) continue;
+    sum += Warm(zone.zone, EngineKind::kFullPrice, now);
+    sum += Warm(zone.zone, EngineKind::kReclaimable, now);
+  }
+  return sum;
+}
+
 }  // namespace cartsail::testing
--- a/libs/relay/src/duties/engine_ordering.cc
+++ b/libs/relay/src/duties/engine_ordering.cc
@@ -80,15 +80,26 @@
   }
 }
 
-CapacityView EngineOrdering::View(const ServiceRule& service) const {
+void EngineOrdering::AddTo(CapacityView* view, const Backend& backend, TimePoint now) const {
+  ZoneEngines& zone = view->engines[backend.zone];
+  const bool is_cold = backend.cold_until.has_value() && now < *backend.cold_until;
+  ++(backend.reclaimable ? zone.reclaimable : zone.full_price);
+  if (is_cold) ++(backend.reclaimable ? zone.cold_reclaimable : zone.cold_full_price);
+  const int64_t requests = context_.dispatcher.RequestsAt(backend.key);
+  zone.requests += requests;
+  view->requests += requests;
+  view->slots = backend.slots;
+}
+
+CapacityView EngineOrdering::View(const ServiceRule& service, TimePoint now) const {
+  const BackendRegistry& registry = context_.dispatcher.Registry();
   CapacityView view;
   view.scaling = *service.scaling;
-  for (const Backend* backend : context_.dispatcher.Registry().ReadyOf(service.name)) {
-    ZoneEngines& zone = view.engines[backend->zone];
-    ++(backend->reclaimable ? zone.reclaimable : zone.full_price);
-    view.slots = backend->slots;
-    view.requests += context_.dispatcher.RequestsAt(backend->key);
-  }
+  if (service.warm_up.has_value()) view.warm_up = service.warm_up->length;
+  const std::vector<std::string> drained = registry.Drains().Zones();
+  view.drained_zones = {drained.begin(), drained.end()};
+  for (const Backend* backend : registry.ReadyOf(service.name)) AddTo(&view, *backend, now);
+  for (const Backend* backend : registry.DrainedOf(service.name)) AddTo(&view, *backend, now);
   return view;
 }
 
@@ -99,7 +110,7 @@
                                    .try_emplace(service.name, context_.options.duties.capacity,
                                                 context_.options.first_start)
                                    .first->second;
-    const CapacityView view = View(service);
+    const CapacityView view = View(service, now);
     for (const EngineOrder& order : planner.Plan(view, now)) {
       if (!under_way_.insert({service.name, order.zone, order.kind}).second) continue;
       const auto zone = view.engines.find(order.zone);
@@ -111,6 +122,8 @@
            {"engines", std::to_string(order.engines)},
            {"full_price_there", std::to_string(there.full_price)},
            {"reclaimable_there", std::to_string(there.reclaimable)},
+           {"cold_there", std::to_string(there.cold_full_price + there.cold_reclaimable)},
+           {"zone_drained", view.drained_zones.contains(order.zone) ? "true" : "false"},
            {"requests", std::to_string(view.requests)},
            {"wanted", std::to_string(planner.Wanted())},
            {"token", std::to_string(token)}});
--- a/libs/relay/src/duties/engine_ordering.h
+++ b/libs/relay/src/duties/engine_ordering.h
@@ -37,7 +37,8 @@
   std::optional<size_t> Rank() const;
   std::string FirstScaledService() const;
   void PlanAll(FencingToken token, TimePoint now);
-  CapacityView View(const ServiceRule& service) const;
+  CapacityView View(const ServiceRule& service, TimePoint now) const;
+  void AddTo(CapacityView* view, const Backend& backend, TimePoint now) const;
   boost::asio::awaitable<void> Give(std::string service, EngineOrder order, FencingToken token);
 
   RelayContext& context_;
