Operators see drains, regions and why a back end gets no request

The nodes serve a bounded, read-only JSON status at /status (of one back end: ?backend=ID), rendered by a pure module. cartsailctl zones, regions and explain-backend put together what the nodes tell; status works with relay nodes as well. Gauges of drained zones and of the requests that still run there; a warning, at most every 10 s for a service, when a drain leaves less than a fifth of the slots free. Entries of back ends that cannot be read are counted and named once in a minute each: a writer that goes on writing them would crowd out the other lines.

--- a/apps/cartsailctl/command.h
+++ b/apps/cartsailctl/command.h
@@ -59,6 +59,17 @@
     boost::asio::io_context& context, CommandOptions options, Words words);
 boost::asio::awaitable<absl::StatusOr<CommandResult>> RunStatusCommand(
     boost::asio::io_context& context, CommandOptions options);
+boost::asio::awaitable<absl::StatusOr<CommandResult>> RunZonesCommand(
+    boost::asio::io_context& context, CommandOptions options);
+boost::asio::awaitable<absl::StatusOr<CommandResult>> RunRegionsCommand(
+    boost::asio::io_context& context, CommandOptions options);
+boost::asio::awaitable<absl::StatusOr<CommandResult>> RunExplainBackendCommand(
+    boost::asio::io_context& context, CommandOptions options, Words words);
+
+// What the node tells at `target`. kInvalidArgument: it does not know what was asked for;
+// kPlatformUnavailable: it has nothing to tell yet.
+boost::asio::awaitable<absl::StatusOr<json::object>> FetchNodeStatus(
+    boost::asio::io_context& context, Endpoint node, std::string target);
 
 absl::StatusOr<CommandResult> RunCheckCommand(const Words& words);
 absl::StatusOr<CommandResult> RunTraceCommand(const Words& words);
--- a/apps/cartsailctl/status_command.cc
+++ b/apps/cartsailctl/status_command.cc
@@ -15,24 +15,29 @@
 constexpr Duration kNodeTimeout = seconds(2);
 constexpr Duration kPollInterval = milliseconds(10);
 
-asio::awaitable<absl::StatusOr<json::object>> NodeStatus(asio::io_context& context, Endpoint node) {
+}  // namespace
+
+asio::awaitable<absl::StatusOr<json::object>> FetchNodeStatus(asio::io_context& context,
+                                                              Endpoint node, std::string target) {
   HttpRequest request;
-  request.target = "/status";
+  request.target = std::move(target);
   const absl::StatusOr<HttpResponse> response =
       co_await Fetch(context.get_executor(), node, std::move(request), kNodeTimeout);
   if (!response.ok()) co_return response.status();
+  if (response->status == 404) co_return MakeError(ErrorKind::kInvalidArgument, "it knows none");
+  if (response->status == 503) {
+    co_return MakeError(ErrorKind::kPlatformUnavailable, "it has no configuration yet");
+  }
   co_return ParseJsonObject(response->body);
 }
 
-}  // namespace
-
 asio::awaitable<absl::StatusOr<CommandResult>> RunStatusCommand(asio::io_context& context,
                                                                 CommandOptions options) {
   if (options.nodes.empty()) co_return Usage("status needs --nodes ADMIN,ADMIN,...");
   CommandResult result;
   json::array array;
   for (const Endpoint& node : options.nodes) {
-    absl::StatusOr<json::object> status = co_await NodeStatus(context, node);
+    absl::StatusOr<json::object> status = co_await FetchNodeStatus(context, node, "/status");
     if (!status.ok()) {
       result.exit_code = kExitFailed;
       result.text += fmt::format("{} does not answer\n", node.ToString());
@@ -60,7 +65,8 @@
   while (true) {
     std::string lagging;
     for (const Endpoint& node : options.nodes) {
-      const absl::StatusOr<json::object> status = co_await NodeStatus(context, node);
+      const absl::StatusOr<json::object> status =
+          co_await FetchNodeStatus(context, node, "/status");
       if (status.ok() && GetInt(*status, "revision") >= revision) continue;
       lagging += " " + node.ToString();
     }
--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -61,6 +61,11 @@
   X(backend_connects_failed_total, counter, "Connections to back ends that failed")              \
   X(backend_refusals_total, counter, "Requests that a back end said it did not run")             \
   X(backends_known, gauge, "Back ends in the catalog, leaving ones included")                    \
+  X(backends_invalid_total, counter, "Entries of back ends that could not be read")              \
+  X(backends_invalid_unlogged_total, counter, "Of these: without a line in the log")             \
+  X(zones_drained, gauge, "Zones that operators have drained")                                   \
+  X(drained_requests, gauge, "Requests running at back ends of drained zones")                   \
+  X(drain_alarms_total, counter, "Times a drain left too little room for a service")             \
   X(catalog_fetches_total, counter, "Catalogs fetched from other nodes")                         \
   X(catalog_fetches_failed_total, counter, "Catalogs that another node did not hand over")       \
   X(placements_asked_total, counter, "Requests placed by the coordinator of their service")      \
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -105,6 +105,9 @@
   // Requests that run or wait at the back end, of this node and its peers.
   int64_t RequestsAt(BackendKey backend) const { return loads_.Total(backend).requests; }
 
+  // It has failed lately: others are chosen before it.
+  bool IsSuspended(BackendKey backend, TimePoint now) const;
+
   // Nodes heard lately, this one included.
   int64_t LiveNodes(TimePoint now) const { return loads_.PeersHeard(now) + 1; }
 
@@ -184,7 +187,6 @@
   double CrowdingLoss(const Backend& backend, const BackendLoad& load) const;
   double LossElsewhere(const RequestProfile& profile, const Candidate& candidate,
                        double reading_ms) const;
-  bool IsSuspended(BackendKey backend, TimePoint now) const;
   bool IsOff(Mechanism mechanism) const { return policy_.disabled.Has(mechanism); }
   bool IsDisturbing(BackendKey backend, double reading_ms) const;
   double FailureShareOf(BackendKey backend, TimePoint now) const;
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -56,11 +56,6 @@
   return {ids.begin(), end};
 }
 
-void NoteInvalidBackend(const std::string& id, const absl::Status& why) {
-  Log(LogLevel::kWarning, "backend_invalid",
-      {{"backend", id}, {"why", std::string(why.message())}});
-}
-
 }  // namespace
 
 void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
@@ -257,7 +252,17 @@
        {"source", std::string(source)}});
 }
 
-std::vector<Backend> CatalogSync::BackendsIn(const std::vector<KeyValue>& items) const {
+void CatalogSync::NoteInvalidBackend(const std::string& id, const absl::Status& why) {
+  GlobalCounters().backends_invalid_total.Add();
+  if (!invalid_entries_.MayLog(id, Now())) {
+    GlobalCounters().backends_invalid_unlogged_total.Add();
+    return;
+  }
+  Log(LogLevel::kWarning, "backend_invalid",
+      {{"backend", id}, {"why", std::string(why.message())}});
+}
+
+std::vector<Backend> CatalogSync::BackendsIn(const std::vector<KeyValue>& items) {
   const TimePoint now = Now();
   std::vector<Backend> backends;
   for (const KeyValue& item : items) {
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -17,6 +17,7 @@
 #include "cartsail/store/key_value_store.h"
 #include "catalog/backend_changes.h"
 #include "catalog/catalog_message.h"
+#include "catalog/invalid_entry_log.h"
 #include "catalog/lapse_grace.h"
 #include "catalog/store_update.h"
 #include "fleet/peer_table.h"
@@ -93,7 +94,8 @@
   void RemoveBackend(const std::string& id, LogLevel level, TimePoint now);
   void ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
                 std::optional<TimePoint> asked);
-  std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items) const;
+  std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items);
+  void NoteInvalidBackend(const std::string& id, const absl::Status& why);
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
@@ -119,6 +121,7 @@
   CatalogKeys keys_;
   LapseGrace grace_;
   BackendChanges changes_;
+  InvalidEntryLog invalid_entries_;
   std::function<void()> on_document_;
   std::function<void(StoreUpdate)> on_update_;
   TimePoint started_ = Now();
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -25,6 +25,8 @@
 #include "fleet/peer_exchange.h"
 #include "placement/cache_inventory.h"
 #include "request/relay_server.h"
+#include "status/drain_alarm.h"
+#include "status/node_status.h"
 
 namespace cartsail {
 namespace {
@@ -131,10 +133,70 @@
     counters.requests_followed.Set(static_cast<int64_t>(context_.placement.Followed()));
     counters.members_live.Set(static_cast<int64_t>(context_.peers.LiveCount()) + 1);
     counters.catalog_reader.Set(catalog_.IsReading(now) ? 1 : 0);
+    counters.zones_drained.Set(DrainedZones());
+    counters.drained_requests.Set(DrainedRequests(now));
     const Duration age = now - context_.routing.Confirmed();
     counters.config_age_milliseconds.Set(static_cast<int64_t>(ToMillis(age)));
   }
 
+  int64_t DrainedZones() const {
+    return static_cast<int64_t>(context_.dispatcher.Registry().Drains().Zones().size());
+  }
+
+  std::vector<ServiceRoom> Rooms(TimePoint now) const {
+    if (context_.routing.Table() == nullptr) return {};
+    return RoomOfAll(context_.routing.Table()->Document(), context_.dispatcher, now);
+  }
+
+  int64_t DrainedRequests(TimePoint now) const {
+    if (context_.dispatcher.Registry().Drains().IsEmpty()) return 0;
+    int64_t requests = 0;
+    for (const ServiceRoom& room : Rooms(now)) requests += room.drained_requests;
+    return requests;
+  }
+
+  void CheckDrains(TimePoint now) {
+    if (context_.dispatcher.Registry().Drains().IsEmpty()) return;
+    for (const ServiceRoom& room : Rooms(now)) {
+      if (!drain_alarm_.IsDue(room, now)) continue;
+      GlobalCounters().drain_alarms_total.Add();
+      Log(LogLevel::kWarning, "drain_leaves_little_room",
+          {{"service", room.service},
+           {"requests", std::to_string(room.AllRequests())},
+           {"of_these_in_drained_zones", std::to_string(room.drained_requests)},
+           {"slots_left", std::to_string(room.slots)},
+           {"share", fmt::format("{:.2f}", DrainAlarm::kCrowdedShare)},
+           {"backends_left", std::to_string(room.backends)},
+           {"cold", std::to_string(room.cold)},
+           {"backends_drained", std::to_string(room.drained_backends)}});
+    }
+  }
+
+  // What operators' tools read: the whole, or one back end.
+  HttpResponse DescribeSelf(const HttpRequest& request) const {
+    HttpResponse response;
+    if (context_.routing.Table() == nullptr) {
+      response.status = 503;
+      return response;
+    }
+    const RelayOptions& options = context_.options;
+    const NodeView view{options.node_id,      options.zone,
+                        options.region,       IsReady(),
+                        options.zone_regions, context_.routing.Table()->Document(),
+                        context_.dispatcher};
+    const std::string_view id = request.QueryParameter(kBackendParameter);
+    const TimePoint now = Now();
+    const std::optional<json::object> described =
+        id.empty() ? DescribeNode(view, now) : DescribeBackend(view, id, now);
+    if (!described.has_value()) {
+      response.status = 404;
+      return response;
+    }
+    response.headers = {{"Content-Type", "application/json"}};
+    response.body = json::serialize(*described);
+    return response;
+  }
+
   asio::awaitable<void> AnswerStatus(HttpExchange& exchange) {
     HttpResponse response;
     const std::string_view path = exchange.Request().Path();
@@ -144,6 +206,8 @@
       NoteGauges();
       response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
       response.body = RenderCounters(GlobalCounters()) + RenderHistograms(GlobalHistograms());
+    } else if (path == kStatusPath) {
+      response = DescribeSelf(exchange.Request());
     } else if (path == kCatalogPath && context_.routing.Table() != nullptr) {
       co_await AnswerCatalog(exchange);
       co_return;
@@ -177,6 +241,7 @@
       context_.pool.Sweep(now);
       context_.dispatcher.Tick(now);
       context_.placement.Tick(now);
+      CheckDrains(now);
       FlushLog();
     }
   }
@@ -239,6 +304,7 @@
   PeerExchange exchange_;
   CacheInventory inventory_;
   RelayServer server_;
+  DrainAlarm drain_alarm_;
   std::unique_ptr<DutyPlatform> duty_platform_;
   std::optional<UsageReporter> usage_reporter_;
   std::optional<EngineOrdering> engine_ordering_;
