--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -19,6 +19,7 @@
 #include "catalog/catalog_message.h"
 #include "catalog/change_parcels.h"
 #include "catalog/early_updates.h"
+#include "catalog/invalid_entry_log.h"
 #include "catalog/lapse_grace.h"
 #include "catalog/store_update.h"
 #include "fleet/peer_table.h"
@@ -98,7 +99,8 @@
   void RemoveBackend(const std::string& id, LogLevel level, TimePoint now);
   void ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
                 std::optional<TimePoint> asked);
-  std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items) const;
+  std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items);
+  void NoteInvalidBackend(const std::string& id, const absl::Status& why);
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
@@ -127,6 +129,7 @@
   LapseGrace grace_;
   BackendChanges changes_;
   EarlyUpdates early_;
+  InvalidEntryLog invalid_entries_;
   std::function<void()> on_document_;
   std::function<void(StoreUpdate)> on_update_;
   TimePoint started_ = Now();
