--- a/libs/dispatch/tests/residency_test.cc
+++ b/libs/dispatch/tests/residency_test.cc
@@ -47,7 +47,7 @@
     const std::vector<std::string> zones = {"e1", "e2", "w1", "n1", "unnamed"};
     const int engines = 1 + Pick(12);
     for (int i = 0; i < engines; ++i) {
-      const std::string zone = zones[static_cast<size_t>(Pick(5))];
+      const std::string& zone = zones[static_cast<size_t>(Pick(5))];
       dispatcher_.Registry().Put(MakeEngine("e" + std::to_string(i), zone));
     }
   }
--- a/libs/relay/tests/residency_relay_test.cc
+++ b/libs/relay/tests/residency_relay_test.cc
@@ -227,13 +227,13 @@
     address.sin_family = AF_INET;
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
     socklen_t length = sizeof(address);
-    bind(socket_, reinterpret_cast<sockaddr*>(&address), length);
+    (void)bind(socket_, reinterpret_cast<sockaddr*>(&address), length);
     getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &length);
     port_ = ntohs(address.sin_port);
     listen(socket_, 0);
     for (int i = 0; i < kFilling; ++i) {
       const int filling = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(filling, reinterpret_cast<sockaddr*>(&address), length);
+      (void)connect(filling, reinterpret_cast<sockaddr*>(&address), length);
       filling_.push_back(filling);
     }
   }
