--- a/apps/cartsailctl/status_command.cc
+++ b/apps/cartsailctl/status_command.cc
@@ -15,6 +15,16 @@
 constexpr Duration kNodeTimeout = seconds(2);
 constexpr Duration kPollInterval = milliseconds(10);
 
+// What only nodes tell that own engines; nothing for the others.
+std::string OwnerText(const json::object& status) {
+  const json::array* owned = GetArray(status, "owned_engines");
+  const json::array* members = GetArray(status, "members");
+  if (owned == nullptr || members == nullptr) return {};
+  return fmt::format(" owns {} engines, {} members, platform {}", owned->size(),
+                     members->size() + 1,
+                     GetBool(status, "platform_reachable") ? "reachable" : "out of reach");
+}
+
 }  // namespace
 
 asio::awaitable<absl::StatusOr<json::object>> FetchNodeStatus(asio::io_context& context,
@@ -44,14 +54,10 @@
       array.push_back(json::object{{"address", node.ToString()}, {"error", "unreachable"}});
       continue;
     }
-    const json::array* owned = GetArray(*status, "owned_engines");
-    const json::array* members = GetArray(*status, "members");
-    result.text += fmt::format(
-        "{:<12} zone {:<8} {:<9} revision {:<6} owns {} engines, {} members, platform {}\n",
-        GetString(*status, "node"), GetString(*status, "zone"),
-        GetBool(*status, "ready") ? "ready" : "not ready", GetInt(*status, "revision"),
-        owned == nullptr ? 0 : owned->size(), members == nullptr ? 0 : members->size() + 1,
-        GetBool(*status, "platform_reachable") ? "reachable" : "out of reach");
+    result.text +=
+        fmt::format("{:<12} zone {:<8} {:<9} revision {:<6}{}\n", GetString(*status, "node"),
+                    GetString(*status, "zone"), GetBool(*status, "ready") ? "ready" : "not ready",
+                    GetInt(*status, "revision"), OwnerText(*status));
     array.push_back(std::move(*status));
   }
   result.object = std::move(array);
