libs/relay: one reader tells a change, and nodes that start ask any settled node of their zone

Three readers hear each change at the same moment, and each told it to all nodes: three times the bytes. Now the first one tells it at once, the second and third 25 and 50 ms later, and only what nobody has told by then; beside that they confirm the document as before.

Now the first try goes to a random node of the zone that has been up for 3 s, the next ones to who was heard.

catalog_sync_test (two tests) and catalog_spread_test failed before: both readers told the change, and the seed handed over 8 of 8 catalogs.

--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -32,6 +32,8 @@
 constexpr int64_t kItemsPerPage = 500;
 constexpr Duration kPauseAfterEvents = milliseconds(150);
 constexpr Duration kReaderCheck = milliseconds(250);
+// From one reader to the next: an update reaches the other readers within some milliseconds.
+constexpr Duration kTurnToTell = milliseconds(25);
 constexpr Duration kHearingCheck = milliseconds(10);
 constexpr size_t kIdsNamed = 5;                 // in one log line
 constexpr Duration kEncodedHolds = seconds(1);  // it names the document's age
@@ -288,6 +290,7 @@
   // the watch goes on from the newer revision.
   if (revision >= revision_) {
     revision_ = revision;
+    told_revision_ = std::max(told_revision_, revision_);
     changes_.Reset(revision);
     ReplaceBackends(BackendsIn(items), "store", grace_.MissingUntil(now));
     ReplaceDrainedZones(DrainedZonesIn(items), "store");
@@ -313,6 +316,7 @@
     for (const std::string& id : parcel.ids) AddChange(id, &update.changes);
     on_update_(update);
   }
+  told_revision_ = revision_;
 }
 
 // The revision alone when the changes since are forgotten.
@@ -330,6 +334,7 @@
   if (update.document_version == context_.routing.Version()) {
     ConfirmByPeer(now - update.confirmed_age, now);
   }
+  told_revision_ = std::max(told_revision_, changes.revision);
   const bool has_document = update.document_version <= context_.routing.Version();
   if (changes.revision <= revision_) return has_document;
   if (revision_ == 0) return false;
@@ -440,6 +445,7 @@
   }
   if (catalog.revision <= revision_) return;
   revision_ = catalog.revision;
+  told_revision_ = std::max(told_revision_, revision_);
   // From here on the store's changes since this revision are enough.
   must_list_ = false;
   ReplaceDrainedZones({catalog.drained_zones.begin(), catalog.drained_zones.end()}, source);
@@ -501,7 +507,25 @@
   for (const WatchEvent& event : events) revision_ = std::max(revision_, event.kv.mod_revision);
   context_.routing.Confirm(now);
   encoded_whole_.clear();
-  TellUpdate(known, now);
+  TellInTurn(now);
+}
+
+// All readers hear a change at the same moment. The first one tells it at once, the others what was
+// not told by then: changes so travel once, and still do when the first one does not hear the
+// store.
+void CatalogSync::TellInTurn(TimePoint confirmed) {
+  const size_t rank = std::min(peers_.ReadingRank(confirmed), kStoreReaders);
+  if (rank == 0) return TellUpdate(told_revision_, confirmed);
+  if (telling_soon_) return;
+  telling_soon_ = true;
+  asio::co_spawn(context_.io, TellAfter(static_cast<int64_t>(rank) * kTurnToTell, confirmed),
+                 asio::detached);
+}
+
+asio::awaitable<void> CatalogSync::TellAfter(Duration wait, TimePoint confirmed) {
+  co_await Pause(wait);
+  telling_soon_ = false;
+  TellUpdate(told_revision_, confirmed);
 }
 
 // Whatever is no news is neither noted as a change nor told to anybody.
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -86,6 +86,8 @@
   Duration Unconfirmed(TimePoint now) const;
   void NoteAnswered(TimePoint now);
   void TellUpdate(int64_t since, TimePoint confirmed);
+  void TellInTurn(TimePoint confirmed);
+  boost::asio::awaitable<void> TellAfter(Duration wait, TimePoint confirmed);
   std::vector<ChangeParcel> ParcelsSince(int64_t since) const;
   void ApplyNext(const StoreUpdate& update, std::string_view source);
   void ApplyEarly(std::string_view source);
@@ -133,6 +135,8 @@
   TimePoint peers_heard_ = started_;
   TimePoint reading_until_{};  // though others come first
   int64_t revision_ = 0;
+  int64_t told_revision_ = 0;  // up to which all nodes were told of changes, by whatever reader
+  bool telling_soon_ = false;
   DocumentPatch patch_;        // of the document in force, made of the one before
   DocumentPatch whole_;        // of the document in force; empty until somebody needs it
   std::string encoded_whole_;  // catalog for nodes that know nothing; empty until one asks
--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -355,8 +355,12 @@
   const bool has_newer_document = version > context_.routing.Version();
   if (has_newer_document) catalog_.NoteVersionElsewhere(version, now);
   const bool is_first = catalog_.Revision() == 0;
-  const std::string source = is_first && IsFar(host) ? NearSource(now).value_or(host) : host;
+  std::string source = host;
+  // Whoever starts hears the seeds first: were all to ask these, a restart of the fleet would keep
+  // them busy. Should the other one not have it either, who was heard is asked next.
+  if (is_first && !asked_near_) source = NearSource(now).value_or(host);
   if (!fetches_.MayBegin(source, has_newer_document || is_first, now)) return;
+  asked_near_ = true;
   asio::co_spawn(context_.io, FetchCatalog(source, fetches_.Begin(source, now)), asio::detached);
 }
 
--- a/libs/relay/src/fleet/peer_exchange.h
+++ b/libs/relay/src/fleet/peer_exchange.h
@@ -74,6 +74,7 @@
   DocumentAnnouncer announcer_;
   bool announcing_ = false;
   FetchSchedule fetches_;
+  bool asked_near_ = false;    // for the first catalog
   bool watching_gap_ = false;  // a fetch is due unless what was missed comes
   // A revision of a peer that this node had not reached at the time.
   int64_t revision_elsewhere_ = 0;
--- a/libs/relay/tests/catalog_spread_test.cc
+++ b/libs/relay/tests/catalog_spread_test.cc
@@ -112,5 +112,29 @@
   cr_assert(fleet.Copies() == copies, "%d fetches", fleet.Copies() - copies);
 }
 
+// Whoever starts hears its seeds first, and all took the catalog from these: when 300 nodes were
+// restarted, the seeds sent three times as much as any other node.
+Test(catalog_spread, nodes_that_start_do_not_all_ask_their_seed) {
+  constexpr int kSettled = 4;
+  constexpr int kStarting = 8;
+  boost::asio::io_context io;
+  const std::string seed = "127.0.5.1";
+  std::vector<std::unique_ptr<testing::FleetNode>> nodes;
+  const auto start = [&io, &nodes, &seed] {
+    const std::string host = "127.0.5." + std::to_string(nodes.size() + 1);
+    nodes.push_back(std::make_unique<testing::FleetNode>(io, host, std::vector<std::string>{seed}));
+  };
+  for (int i = 0; i < kSettled; ++i) start();
+  for (const auto& node : nodes) node->Apply(1);
+  io.run_for(milliseconds(3200));  // such nodes count as those that have the catalog
+  const int copies = nodes[0]->Copies();
+  for (int i = 0; i < kStarting; ++i) start();
+  io.restart();
+  io.run_for(milliseconds(600));
+  for (const auto& node : nodes) cr_assert(node->Revision() == 1);
+  const int of_seed = nodes[0]->Copies() - copies;
+  cr_assert(of_seed < kStarting, "the seed handed over %d of %d", of_seed, kStarting);
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -388,5 +388,42 @@
   cr_assert(changes == 1);
 }
 
+// Reads the store beside one other node, which comes before it.
+struct SecondReader : Node {
+  SecondReader() {
+    context.peers.Heard("10.0.0.1", {"reader", "z1", false, 1, seconds(60)}, Now());
+    catalog.ApplyCatalog(CatalogOf(10, 3, "b"), "peer");
+    catalog.SetOnUpdate([this](const StoreUpdate& update) {
+      ++updates;
+      changes += update.changes.backends.size();
+    });
+    catalog.Start();
+    RunFor(kCallTime);
+    WatchEvent event;
+    event.kv = ItemOf("backends/new", "s", 11);
+    store.Push(std::move(event));
+    RunFor(milliseconds(10));
+  }
+
+  size_t updates = 0;
+  size_t changes = 0;
+};
+
+Test(catalog_sync, what_another_reader_has_told_is_not_told_again) {
+  SecondReader node;
+  cr_assert(node.Knows("new") && node.updates == 0, "the other one comes first");
+  StoreUpdate update = UpdateOf(10, 11, 3);
+  update.changes.backends = {EngineNumber(1)};
+  (void)node.catalog.ApplyUpdate(update, "reader");
+  node.RunFor(kCallTime);
+  cr_assert(node.updates == 1 && node.changes == 0, "it confirms the document");
+}
+
+Test(catalog_sync, what_the_first_reader_does_not_tell_the_second_one_does) {
+  SecondReader node;
+  node.RunFor(kCallTime);
+  cr_assert(node.updates == 1 && node.changes == 1);
+}
+
 }  // namespace
 }  // namespace cartsail
