libs/dispatch: an entry of an unnamed service hides no back end; withheld requests are no failures

Causes, found by reading while the tests were written. (1) Of two entries with one address the later one counts, whatever its service: an entry of a service that no document names took a live back end out of use. The registry is now told the services of the document in force; before that all count. (2) A request held back by the last check before it is sent counted as a lost connection of its back end: the back end was suspended for 0.25 to 3 s, also beyond the end of a short drain, and peers were told that it fails. It has an outcome of its own now (kWithheld), last in the enumeration, so that what nodes of before send is read as it was.

--- a/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
+++ b/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
@@ -19,9 +19,12 @@
   kSilent,         // nothing came for too long
   kTimedOut,       // the request's own time ended
   kCallerGone,
+  // The back end began to leave, or its zone was drained, after it was chosen: nothing was sent,
+  // and it says nothing about the back end.
+  kWithheld,
 };
 
-inline constexpr int kAttemptOutcomes = 10;  // the number of them
+inline constexpr int kAttemptOutcomes = 11;  // the number of them
 
 std::string_view AttemptOutcomeName(AttemptOutcome outcome);
 
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -75,8 +75,12 @@
   // All entries, in the order of their ids.
   std::vector<Backend> All() const;
 
+  // The services of the routing document in force. Before they are known, every service counts.
+  void SetServices(std::set<std::string> services);
+
   // Those of `service` that may get new requests, in the order of their ids. Of two with one
-  // address only the one that was created last counts.
+  // address only the one that was created last counts; an entry of a service that the routing
+  // document does not name is nobody's and hides none.
   std::vector<const Backend*> ReadyOf(std::string_view service) const;
 
   // Those of `service` that are ready in zones that are drained: they get no new request, and still
@@ -105,9 +109,11 @@
  private:
   void KeepMissing(std::vector<Backend>* backends, TimePoint until) const;
   std::vector<const Backend*> NewestReadyOf(std::string_view service) const;
+  bool IsService(const std::string& service) const;
   bool NoteChange(bool changed);
 
   ZoneDrains drains_;
+  std::optional<std::set<std::string>> services_;
   std::map<std::string, Backend, std::less<>> backends_;
   std::unordered_map<BackendKey, std::string> ids_;
   int64_t changes_ = 0;
--- a/libs/dispatch/src/attempt_outcome.cc
+++ b/libs/dispatch/src/attempt_outcome.cc
@@ -35,13 +35,15 @@
       return "timed_out";
     case AttemptOutcome::kCallerGone:
       return "caller_gone";
+    case AttemptOutcome::kWithheld:
+      return "withheld";
   }
   return "unknown";
 }
 
 bool ProvablyNotRun(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kRefused ||
-         outcome == AttemptOutcome::kWrongInstance;
+         outcome == AttemptOutcome::kWrongInstance || outcome == AttemptOutcome::kWithheld;
 }
 
 bool MayTryAgain(const RouteRule& route, AttemptOutcome outcome, const AttemptHistory& history) {
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -37,7 +37,7 @@
 
 void BackendHealth::Note(BackendKey backend, AttemptOutcome outcome, AttemptOrigin origin,
                          TimePoint now) {
-  if (outcome == AttemptOutcome::kCallerGone) return;
+  if (outcome == AttemptOutcome::kCallerGone || outcome == AttemptOutcome::kWithheld) return;
   const RecentAttempts faded = Recent(backend, origin, now);
   Record& record = records_[backend];
   FadingAttempts& attempts = origin == AttemptOrigin::kOwn ? record.own : record.of_peers;
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -127,9 +127,20 @@
   return all;
 }
 
+void BackendRegistry::SetServices(std::set<std::string> services) {
+  if (services_ == services) return;
+  services_ = std::move(services);
+  ++changes_;
+}
+
+bool BackendRegistry::IsService(const std::string& service) const {
+  return !services_.has_value() || services_->contains(service);
+}
+
 std::vector<const Backend*> BackendRegistry::NewestReadyOf(std::string_view service) const {
   std::map<std::string_view, const Backend*> newest_at;
   for (const auto& [id, backend] : backends_) {
+    if (!IsService(backend.service)) continue;
     const Backend*& newest = newest_at[backend.address];
     if (newest == nullptr || backend.created_revision > newest->created_revision) {
       newest = &backend;
--- a/libs/dispatch/tests/attempt_outcome_test.cc
+++ b/libs/dispatch/tests/attempt_outcome_test.cc
@@ -9,10 +9,10 @@
 namespace {
 
 const std::vector<AttemptOutcome> kAll = {
-    AttemptOutcome::kAnswered,  AttemptOutcome::kFailedAnswer,  AttemptOutcome::kNotSent,
-    AttemptOutcome::kRefused,   AttemptOutcome::kWrongInstance, AttemptOutcome::kCut,
-    AttemptOutcome::kSpoilt,    AttemptOutcome::kSilent,        AttemptOutcome::kTimedOut,
-    AttemptOutcome::kCallerGone};
+    AttemptOutcome::kAnswered,   AttemptOutcome::kFailedAnswer,  AttemptOutcome::kNotSent,
+    AttemptOutcome::kRefused,    AttemptOutcome::kWrongInstance, AttemptOutcome::kCut,
+    AttemptOutcome::kSpoilt,     AttemptOutcome::kSilent,        AttemptOutcome::kTimedOut,
+    AttemptOutcome::kCallerGone, AttemptOutcome::kWithheld};
 
 RouteRule MakeRoute(RequestKind kind, int64_t attempts, bool resumable = false) {
   RouteRule route;
@@ -29,6 +29,7 @@
   cr_assert(MayTryAgain(route, AttemptOutcome::kRefused, history));
   cr_assert(MayTryAgain(route, AttemptOutcome::kWrongInstance, history));
   cr_assert(MayTryAgain(route, AttemptOutcome::kNotSent, history));
+  cr_assert(MayTryAgain(route, AttemptOutcome::kWithheld, history));
   history.may_have_run = 1;
   for (const AttemptOutcome outcome : kAll) cr_assert(!MayTryAgain(route, outcome, history));
 }
--- a/libs/dispatch/tests/backend_registry_test.cc
+++ b/libs/dispatch/tests/backend_registry_test.cc
@@ -97,5 +97,65 @@
   cr_assert(registry.RemoveMissing(now + seconds(1)) && registry.Find("b") == nullptr);
 }
 
+Backend MakeIn(const std::string& zone, const std::string& id) {
+  Backend backend = Make(id, id + ":1");
+  backend.zone = zone;
+  return backend;
+}
+
+Test(registry, back_ends_of_a_drained_zone_get_nothing_and_those_of_another_do) {
+  const TimePoint now = TimePoint(seconds(1000));
+  BackendRegistry registry;
+  registry.Put(MakeIn("a", "in-a"));
+  registry.Put(MakeIn("b", "in-b"));
+  cr_assert(registry.DrainedOf("s").empty());
+  const int64_t before = registry.Changes();
+  cr_assert(registry.DrainZone("a", now));
+  cr_assert(registry.Changes() > before, "what was derived from the registry is outdated");
+  cr_assert(registry.ReadyOf("s").size() == 1 && registry.ReadyOf("s")[0]->id == "in-b");
+  cr_assert(registry.DrainedOf("s").size() == 1 && registry.DrainedOf("s")[0]->id == "in-a");
+  cr_assert(!registry.MayReceive(*registry.Find("in-a")));
+  cr_assert(registry.MayReceive(*registry.Find("in-b")));
+  const int64_t drained = registry.Changes();
+  cr_assert(!registry.DrainZone("a", now) && registry.Changes() == drained);
+  cr_assert(registry.RestoreZone("a", now) && registry.Changes() > drained);
+  cr_assert(registry.ReadyOf("s").size() == 2 && registry.DrainedOf("s").empty());
+}
+
+Test(registry, a_zone_stays_drained_for_back_ends_that_come_later) {
+  const TimePoint now = TimePoint(seconds(1000));
+  BackendRegistry registry;
+  cr_assert(registry.ReplaceDrainedZones({"a"}, now));
+  registry.Put(MakeIn("a", "new"));
+  registry.ReplaceAll({MakeIn("a", "newer"), MakeIn("a", "new")});
+  cr_assert(registry.ReadyOf("s").empty() && registry.DrainedOf("s").size() == 2);
+}
+
+Test(registry, one_that_leaves_a_drained_zone_is_not_among_the_drained) {
+  const TimePoint now = TimePoint(seconds(1000));
+  BackendRegistry registry;
+  registry.Put(MakeIn("a", "b"));
+  registry.DrainZone("a", now);
+  registry.MarkLeaving("b");
+  cr_assert(registry.DrainedOf("s").empty());
+  registry.RestoreZone("a", now);
+  cr_assert(registry.ReadyOf("s").empty() && !registry.MayReceive(*registry.Find("b")));
+}
+
+Test(registry, an_entry_of_a_service_that_nobody_names_hides_no_live_back_end) {
+  BackendRegistry registry;
+  registry.Put(Make("live", "a:1", 5));
+  Backend stranger = Make("stranger", "a:1", 9);
+  stranger.service = "unheard-of";
+  registry.Put(stranger);
+  cr_assert(registry.ReadyOf("s").empty(), "which services there are is not known yet");
+  const int64_t before = registry.Changes();
+  registry.SetServices({"s", "t"});
+  cr_assert(registry.Changes() > before);
+  cr_assert(registry.ReadyOf("s").size() == 1 && registry.ReadyOf("s")[0]->id == "live");
+  registry.SetServices({"s", "unheard-of"});
+  cr_assert(registry.ReadyOf("s").empty(), "a document has named it: the address is its own now");
+}
+
 }  // namespace
 }  // namespace cartsail
