libs/relay: entries that were overwritten are gone at once; tests of drains under failure

Causes: (1) after an absence of the store, an entry overwritten by bytes that are no back end counted as lapsed and its back end was kept for up to 1.8 s, though its entry is there. (2) An entry that has lost its start changed nothing where the start was known, as one of an earlier incarnation would; now it names no back end, as any entry with a field missing. (3) The encoded catalog for nodes that start was not renewed when an update brought a drain alone: for 1 s they were handed the revision before.

The node of catalog_sync_test is now in support/catalog_node.h; its tests are as they were.

--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -61,6 +61,12 @@
       {{"backend", id}, {"why", std::string(why.message())}});
 }
 
+std::set<std::string> ServicesOf(const RoutingDocument& document) {
+  std::set<std::string> services;
+  for (const ServiceRule& service : document.services) services.insert(service.name);
+  return services;
+}
+
 }  // namespace
 
 void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
@@ -257,22 +263,48 @@
        {"source", std::string(source)}});
 }
 
+// Also an error: the entry does not tell a start, and earlier ones with this id did. Whoever wrote
+// it is not the back end.
+absl::StatusOr<Backend> CatalogSync::DecodeEntry(const KeyValue& item, TimePoint now) const {
+  const std::string id = BackendId(item.key);
+  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, now);
+  if (!backend.ok()) return backend;
+  const Backend* known = context_.dispatcher.Registry().Find(id);
+  const bool lacks_start = known != nullptr && known->started_ms != 0 && backend->started_ms == 0;
+  if (lacks_start) return MakeError(ErrorKind::kInvalidSetting, "start: missing");
+  backend->created_revision = item.create_revision;
+  return backend;
+}
+
 std::vector<Backend> CatalogSync::BackendsIn(const std::vector<KeyValue>& items) const {
   const TimePoint now = Now();
   std::vector<Backend> backends;
   for (const KeyValue& item : items) {
     if (!IsBackend(item.key)) continue;
-    absl::StatusOr<Backend> backend = codec_.DecodeBackend(BackendId(item.key), item.value, now);
+    absl::StatusOr<Backend> backend = DecodeEntry(item, now);
     if (!backend.ok()) {
       NoteInvalidBackend(BackendId(item.key), backend.status());
       continue;
     }
-    backend->created_revision = item.create_revision;
     backends.push_back(std::move(*backend));
   }
   return backends;
 }
 
+// An entry that is there but names no back end has not lapsed: what stood there before is gone,
+// also while those whose entries are missing are kept.
+void CatalogSync::RemoveOverwritten(const std::vector<KeyValue>& items) {
+  const TimePoint now = Now();
+  BackendRegistry& registry = context_.dispatcher.Registry();
+  for (const KeyValue& item : items) {
+    if (!IsBackend(item.key)) continue;
+    const std::string id = BackendId(item.key);
+    const bool is_kept = registry.Find(id) != nullptr;
+    if (is_kept && !DecodeEntry(item, now).ok()) registry.Remove(id);
+  }
+  context_.dispatcher.ForgetGone();
+}
+
 // `revision`: of the store in the list; `asked`: when it held, where that is known.
 void CatalogSync::ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
                            std::optional<TimePoint> asked) {
@@ -291,6 +323,7 @@
     revision_ = revision;
     changes_.Reset(revision);
     ReplaceBackends(BackendsIn(items), "store", grace_.MissingUntil(now));
+    RemoveOverwritten(items);
     ReplaceDrainedZones(DrainedZonesIn(items), "store");
   }
   if (!asked.has_value()) return;
@@ -331,6 +364,7 @@
   if (revision_ == 0 || changes.since.value_or(0) > revision_) return false;
   revision_ = changes.revision;
   must_list_ = false;
+  encoded_whole_.clear();
   if (!changes.backends.empty() || !changes.gone.empty()) ApplyChanges(changes, source);
   ReplaceDrainedZones({changes.drained_zones.begin(), changes.drained_zones.end()}, source);
   return update.document_version <= context_.routing.Version();
@@ -479,7 +513,7 @@
 
 void CatalogSync::ApplyBackend(const KeyValue& item) {
   const std::string id = BackendId(item.key);
-  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, Now());
+  absl::StatusOr<Backend> backend = DecodeEntry(item, Now());
   if (!backend.ok()) {
     NoteInvalidBackend(id, backend.status());
     // Whoever wrote it: what stood there before holds no longer.
@@ -487,7 +521,6 @@
     context_.dispatcher.ForgetGone();
     return;
   }
-  backend->created_revision = item.create_revision;
   Log(LogLevel::kInfo, "backend_seen",
       {{"backend", id},
        {"address", backend->address},
@@ -523,6 +556,7 @@
   whole_ = {};
   encoded_whole_.clear();
   behind_since_.reset();
+  context_.dispatcher.Registry().SetServices(ServicesOf((*table)->Document()));
   context_.routing.Apply(std::move(*table), text, now - age);
   GlobalHistograms().document_spread_ms.Note(age);
   Log(LogLevel::kInfo, "document_applied",
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -93,6 +93,8 @@
   void RemoveBackend(const std::string& id, LogLevel level, TimePoint now);
   void ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
                 std::optional<TimePoint> asked);
+  void RemoveOverwritten(const std::vector<KeyValue>& items);
+  absl::StatusOr<Backend> DecodeEntry(const KeyValue& item, TimePoint now) const;
   std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items) const;
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -203,7 +203,7 @@
   }
   if (!context_.dispatcher.MayReceive(placement.backend.key)) {
     context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
-    co_return AttemptOutcome::kNotSent;
+    co_return AttemptOutcome::kWithheld;
   }
   ++history_.attempts;
   ++history_.may_have_run;
--- a/libs/relay/tests/catalog_sync_test.cc
+++ b/libs/relay/tests/catalog_sync_test.cc
@@ -2,73 +2,20 @@
 #include "catalog/catalog_sync.h"
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
 
 #include "catalog/reading_duty.h"
-#include "support/scripted_store.h"
-#include "support/version_codec.h"
+#include "support/catalog_node.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
 namespace {
 
-namespace asio = boost::asio;
+using testing::CatalogOf;
 using testing::DocumentText;
 using testing::ItemOf;
-using testing::ScriptedStore;
-using testing::VersionCodec;
-
-constexpr Duration kCallTime = milliseconds(100);
-
-RelayOptions Options() {
-  RelayOptions options;
-  options.node_id = "n1";
-  options.zone = "z1";
-  return options;
-}
-
-struct Node {
-  Node()
-      : store(io, kCallTime),
-        context(io, Options(), format),
-        catalog(context, context.peers, store, codec, Keys()) {}
-
-  static CatalogKeys Keys() { return {"", "document", "backends/"}; }
-
-  void RunFor(Duration duration) {
-    io.restart();
-    io.run_for(duration);
-  }
-
-  bool Knows(const std::string& backend) {
-    return context.dispatcher.Registry().Find(backend) != nullptr;
-  }
-
-  asio::io_context io;
-  WireFormat format;
-  VersionCodec codec;
-  ScriptedStore store;
-  RelayContext context;
-  CatalogSync catalog;
-};
-
-RangeResult ListOf(int64_t revision, std::vector<KeyValue> items) {
-  RangeResult list;
-  list.revision = revision;
-  list.kvs = std::move(items);
-  return list;
-}
-
-CatalogMessage CatalogOf(int64_t revision, int64_t version, const std::string& backend) {
-  CatalogMessage catalog;
-  catalog.revision = revision;
-  catalog.document = {0, MakeDocumentPatch({}, DocumentText(version))};
-  catalog.backends.resize(1);
-  catalog.backends[0].id = backend;
-  catalog.backends[0].service = "s";
-  catalog.backends[0].address = "127.0.0.1:1";
-  return catalog;
-}
+using testing::kCallTime;
+using testing::ListOf;
+using Node = testing::CatalogNode;
 
 Test(catalog_sync, a_list_older_than_a_peers_catalog_does_not_replace_it) {
   Node node;
--- a/libs/relay/tests/support/fleet_node.cc
+++ b/libs/relay/tests/support/fleet_node.cc
@@ -19,6 +19,7 @@
 constexpr uint16_t kPeerPort = 28742;
 constexpr double kLinkBytesPerSecond = 10e6 / 8;
 constexpr char kBackendPrefix[] = "backends/";
+constexpr char kDrainPrefix[] = "drains/";
 constexpr char kDocumentKey[] = "document";
 
 std::vector<Backend> ManyBackends() {
@@ -42,7 +43,7 @@
   return options;
 }
 
-CatalogKeys Keys() { return {"", kDocumentKey, kBackendPrefix}; }
+CatalogKeys Keys() { return {"", kDocumentKey, kBackendPrefix, kDrainPrefix}; }
 
 }  // namespace
 
@@ -86,16 +87,31 @@
 }
 
 void FleetNode::PushBackend(const std::string& id, int64_t revision) {
-  WatchEvent event;
-  event.kv = ItemOf(kBackendPrefix + id, "s", revision);
-  store_.Push(std::move(event));
+  store_.Push(WrittenAt(kBackendPrefix + id, "s", revision));
 }
 
 void FleetNode::PushGone(const std::string& id, int64_t revision) {
-  WatchEvent event;
-  event.deleted = true;
-  event.kv = ItemOf(kBackendPrefix + id, "", revision);
-  store_.Push(std::move(event));
+  store_.Push(GoneAt(kBackendPrefix + id, revision));
+}
+
+void FleetNode::PushDrain(const std::string& zone, int64_t revision) {
+  store_.Push(WrittenAt(kDrainPrefix + zone, "", revision));
+}
+
+void FleetNode::PushRestore(const std::string& zone, int64_t revision) {
+  store_.Push(GoneAt(kDrainPrefix + zone, revision));
+}
+
+void FleetNode::ApplyDrain(const std::string& zone, int64_t revision) {
+  CatalogMessage catalog;
+  catalog.revision = revision;
+  catalog.backends = ManyBackends();
+  catalog.drained_zones = {zone};
+  catalog_.ApplyCatalog(catalog, "store");
+}
+
+bool FleetNode::IsDrained(const std::string& zone) const {
+  return context_.dispatcher.Registry().Drains().IsDrained(zone);
 }
 
 bool FleetNode::Knows(const std::string& backend) const {
--- a/libs/relay/tests/support/fleet_node.h
+++ b/libs/relay/tests/support/fleet_node.h
@@ -35,11 +35,20 @@
   void PushBackend(const std::string& id, int64_t revision);
   void PushGone(const std::string& id, int64_t revision);
 
+  // The store tells that a zone is drained or restored.
+  void PushDrain(const std::string& zone, int64_t revision);
+  void PushRestore(const std::string& zone, int64_t revision);
+
+  // The node learns that `zone`, and no other, is drained, and nobody is told by a message of its
+  // own.
+  void ApplyDrain(const std::string& zone, int64_t revision);
+
   // From now on its catalog is asked for in vain.
   void FallSilent() { silent_ = true; }
 
   bool IsReading() const { return catalog_.IsReading(Now()); }
   bool Knows(const std::string& backend) const;
+  bool IsDrained(const std::string& zone) const;
   size_t Backends() const { return context_.dispatcher.Registry().Size(); }
   int64_t Revision() const { return catalog_.Revision(); }
   int64_t Version() const { return context_.routing.Version(); }
--- a/libs/relay/tests/support/scripted_store.cc
+++ b/libs/relay/tests/support/scripted_store.cc
@@ -27,6 +27,24 @@
   return item;
 }
 
+WatchEvent GoneAt(const std::string& key, int64_t revision) {
+  WatchEvent event;
+  event.deleted = true;
+  event.kv = ItemOf(key, "", revision);
+  return event;
+}
+
+WatchEvent WrittenAt(const std::string& key, const std::string& value, int64_t revision) {
+  WatchEvent event;
+  event.kv = ItemOf(key, value, revision);
+  return event;
+}
+
+void ScriptedStore::LoseHistory() {
+  events_.clear();
+  history_lost_ = true;
+}
+
 KeyValueStore::Result<RangeResult> ScriptedStore::Range(RangeRequest request) {
   ++lists_;
   stale_lists_ += request.may_be_stale ? 1 : 0;
@@ -47,7 +65,10 @@
 asio::awaitable<absl::Status> ScriptedStore::Watch(std::string key, std::string range_end,
                                                    int64_t start_revision,
                                                    WatchCallback on_events) {
-  while (events_.empty()) co_await Wait(kPoll);
+  while (events_.empty() && !history_lost_) co_await Wait(kPoll);
+  if (std::exchange(history_lost_, false)) {
+    co_return MakeError(ErrorKind::kHistoryLost, "compacted");
+  }
   std::vector<WatchEvent> events = std::exchange(events_, {});
   const int64_t revision = events.back().kv.mod_revision;
   on_events(std::move(events), revision);
--- a/libs/relay/tests/support/scripted_store.h
+++ b/libs/relay/tests/support/scripted_store.h
@@ -13,6 +13,12 @@
 // An item that was made and last written at `revision`.
 KeyValue ItemOf(const std::string& key, const std::string& value, int64_t revision);
 
+// An item that is gone since `revision`.
+WatchEvent GoneAt(const std::string& key, int64_t revision);
+
+// An item that was made and written at `revision`.
+WatchEvent WrittenAt(const std::string& key, const std::string& value, int64_t revision);
+
 class ScriptedStore : public KeyValueStore {
  public:
   // `call_time`: what a list takes.
@@ -32,6 +38,9 @@
   void SetList(RangeResult list) { list_ = std::move(list); }
   void Push(WatchEvent event) { events_.push_back(std::move(event)); }
 
+  // The changes that were not yet told are dropped: the next watch has lost its history.
+  void LoseHistory();
+
   // Lists that were asked for, and those of them that may be stale.
   int Lists() const { return lists_; }
   int StaleLists() const { return stale_lists_; }
@@ -43,6 +52,7 @@
   Duration call_time_;
   RangeResult list_;
   std::vector<WatchEvent> events_;
+  bool history_lost_ = false;
   int lists_ = 0;
   int stale_lists_ = 0;
 };
--- a/libs/relay/tests/support/version_codec.cc
+++ b/libs/relay/tests/support/version_codec.cc
@@ -28,6 +28,8 @@
 
 absl::StatusOr<Backend> VersionCodec::DecodeBackend(std::string_view id, std::string_view text,
                                                     TimePoint /*now*/) const {
+  if (text.starts_with(kUnreadableEntry))
+    return MakeError(ErrorKind::kInvalidSetting, "unreadable");
   Backend backend;
   backend.id = std::string(id);
   backend.service = std::string(text);
--- a/libs/relay/tests/support/version_codec.h
+++ b/libs/relay/tests/support/version_codec.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "cartsail/relay/catalog_codec.h"
 
@@ -11,6 +12,9 @@
 // As long as the document of a deployment of 84 nodes.
 std::string DocumentText(int64_t version);
 
+// Begins the text of an entry that is no back end.
+inline constexpr std::string_view kUnreadableEntry = "\xff\xfe";
+
 class VersionCodec : public CatalogCodec {
  public:
   absl::StatusOr<RoutingDocument> DecodeDocument(std::string_view text) const override;
