--- a/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
+++ b/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
@@ -19,7 +19,9 @@
   kSilent,         // nothing came for too long
   kTimedOut,       // the request's own time ended
   kCallerGone,
-  kWithheld,  // this node did not send it: the back end may not receive it any more
+  // The back end began to leave, its zone was drained, or it became cold after it was chosen:
+  // nothing was sent, and it says nothing about the back end.
+  kWithheld,
 };
 
 inline constexpr int kAttemptOutcomes = 11;  // the number of them
--- a/libs/dispatch/tests/attempt_outcome_test.cc
+++ b/libs/dispatch/tests/attempt_outcome_test.cc
@@ -29,6 +29,7 @@
   cr_assert(MayTryAgain(route, AttemptOutcome::kRefused, history));
   cr_assert(MayTryAgain(route, AttemptOutcome::kWrongInstance, history));
   cr_assert(MayTryAgain(route, AttemptOutcome::kNotSent, history));
+  cr_assert(MayTryAgain(route, AttemptOutcome::kWithheld, history));
   history.may_have_run = 1;
   for (const AttemptOutcome outcome : kAll) cr_assert(!MayTryAgain(route, outcome, history));
 }
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -57,6 +57,12 @@
   return {ids.begin(), end};
 }
 
+std::set<std::string> ServicesOf(const RoutingDocument& document) {
+  std::set<std::string> services;
+  for (const ServiceRule& service : document.services) services.insert(service.name);
+  return services;
+}
+
 }  // namespace
 
 void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
@@ -263,22 +269,48 @@
       {{"backend", id}, {"why", std::string(why.message())}});
 }
 
+// Also an error: the entry does not tell a start, and earlier ones with this id did. Whoever wrote
+// it is not the back end.
+absl::StatusOr<Backend> CatalogSync::DecodeEntry(const KeyValue& item, TimePoint now) const {
+  const std::string id = BackendId(item.key);
+  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, now);
+  if (!backend.ok()) return backend;
+  const Backend* known = context_.dispatcher.Registry().Find(id);
+  const bool lacks_start = known != nullptr && known->started_ms != 0 && backend->started_ms == 0;
+  if (lacks_start) return MakeError(ErrorKind::kInvalidSetting, "start: missing");
+  backend->created_revision = item.create_revision;
+  return backend;
+}
+
 std::vector<Backend> CatalogSync::BackendsIn(const std::vector<KeyValue>& items) {
   const TimePoint now = Now();
   std::vector<Backend> backends;
   for (const KeyValue& item : items) {
     if (!IsBackend(item.key)) continue;
-    absl::StatusOr<Backend> backend = codec_.DecodeBackend(BackendId(item.key), item.value, now);
+    absl::StatusOr<Backend> backend = DecodeEntry(item, now);
     if (!backend.ok()) {
       NoteInvalidBackend(BackendId(item.key), backend.status());
       continue;
     }
-    backend->created_revision = item.create_revision;
     backends.push_back(std::move(*backend));
   }
   return backends;
 }
 
+// An entry that is there but names no back end has not lapsed: what stood there before is gone,
+// also while those whose entries are missing are kept.
+void CatalogSync::RemoveOverwritten(const std::vector<KeyValue>& items) {
+  const TimePoint now = Now();
+  BackendRegistry& registry = context_.dispatcher.Registry();
+  for (const KeyValue& item : items) {
+    if (!IsBackend(item.key)) continue;
+    const std::string id = BackendId(item.key);
+    const bool is_kept = registry.Find(id) != nullptr;
+    if (is_kept && !DecodeEntry(item, now).ok()) registry.Remove(id);
+  }
+  context_.dispatcher.ForgetGone();
+}
+
 // `revision`: of the store in the list; `asked`: when it held, where that is known.
 void CatalogSync::ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
                            std::optional<TimePoint> asked) {
@@ -298,6 +330,7 @@
     told_revision_ = std::max(told_revision_, revision_);
     changes_.Reset(revision);
     ReplaceBackends(BackendsIn(items), "store", grace_.MissingUntil(now));
+    RemoveOverwritten(items);
     ReplaceDrainedZones(DrainedZonesIn(items), "store");
   }
   if (!asked.has_value()) return;
@@ -356,6 +389,7 @@
   const CatalogMessage& changes = update.changes;
   revision_ = changes.revision;
   must_list_ = false;
+  encoded_whole_.clear();
   if (!changes.backends.empty() || !changes.gone.empty()) ApplyChanges(changes, source);
   ReplaceDrainedZones({changes.drained_zones.begin(), changes.drained_zones.end()}, source);
 }
@@ -547,7 +581,7 @@
 void CatalogSync::ApplyBackend(const KeyValue& item) {
   const std::string id = BackendId(item.key);
   const TimePoint now = Now();
-  absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, now);
+  absl::StatusOr<Backend> backend = DecodeEntry(item, now);
   if (!backend.ok()) {
     NoteInvalidBackend(id, backend.status());
     // Whoever wrote it: what stood there before holds no longer.
@@ -555,7 +589,6 @@
     context_.dispatcher.ForgetGone();
     return;
   }
-  backend->created_revision = item.create_revision;
   Log(LogLevel::kInfo, "backend_seen",
       {{"backend", id},
        {"address", backend->address},
@@ -593,6 +626,7 @@
   whole_ = {};
   encoded_whole_.clear();
   behind_since_.reset();
+  context_.dispatcher.Registry().SetServices(ServicesOf((*table)->Document()));
   context_.routing.Apply(std::move(*table), text, now - age);
   const ColdBound cold_bound{context_.options.cold_overage, context_.options.cold_slack};
   context_.dispatcher.SetWarmUps(context_.routing.Table()->Document().services, cold_bound);
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -103,6 +103,8 @@
                 std::optional<TimePoint> asked);
   std::vector<Backend> BackendsIn(const std::vector<KeyValue>& items);
   void NoteInvalidBackend(const std::string& id, const absl::Status& why);
+  void RemoveOverwritten(const std::vector<KeyValue>& items);
+  absl::StatusOr<Backend> DecodeEntry(const KeyValue& item, TimePoint now) const;
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
