--- a/libs/dispatch/tests/incarnation_test.cc
+++ b/libs/dispatch/tests/incarnation_test.cc
@@ -99,12 +99,13 @@
   dispatcher.ForgetGone();
   const BackendKey reborn = KeyOf("b", kSecond);
   cr_assert(dispatcher.RequestsAt(reborn) == 0);
-  cr_assert(!dispatcher.MayReceive(running->backend.key), "the process it was meant for has ended");
+  cr_assert(!dispatcher.MayReceive(running->backend.key, Prompt()),
+            "the process it was meant for has ended");
   const auto next = dispatcher.Place(Prompt(), {}, kStart + milliseconds(1));
   cr_assert(next->backend.key == reborn && dispatcher.RequestsAt(reborn) == 1);
   dispatcher.Finish(running->ticket, AttemptOutcome::kWrongInstance, kStart + milliseconds(2));
   cr_assert(dispatcher.RequestsAt(reborn) == 1);
-  cr_assert(dispatcher.MayReceive(reborn), "only the earlier one has gone");
+  cr_assert(dispatcher.MayReceive(reborn, Prompt()), "only the earlier one has gone");
 }
 
 Test(incarnation, failures_of_the_earlier_one_do_not_keep_requests_from_the_new_one) {
@@ -169,7 +170,7 @@
   digest.leaving = {KeyOf("b", kFirst)};
   dispatcher.ApplyDigest("peer", digest, seconds(10), kStart);
   const BackendKey reborn = KeyOf("b", kSecond);
-  cr_assert(dispatcher.MayReceive(reborn), "the peer has not heard of the new one yet");
+  cr_assert(dispatcher.MayReceive(reborn, Prompt()), "the peer has not heard of the new one yet");
   cr_assert(dispatcher.RequestsAt(reborn) == 0);
   cr_assert(dispatcher.Place(Prompt(), {}, kStart)->held_tokens == 0);
 }
