--- a/libs/dispatch/tests/zone_drains_test.cc
+++ b/libs/dispatch/tests/zone_drains_test.cc
@@ -7,7 +7,7 @@
 namespace cartsail {
 namespace {
 
-const TimePoint kNow = TimePoint() + seconds(1000);
+constexpr TimePoint kNow = TimePoint() + seconds(1000);
 
 Backend Make(const std::string& id, const std::string& zone, int64_t started_ms = 1) {
   Backend backend;
--- a/libs/relay/tests/node_status_test.cc
+++ b/libs/relay/tests/node_status_test.cc
@@ -9,7 +9,7 @@
 namespace cartsail {
 namespace {
 
-const TimePoint kNow = TimePoint() + seconds(1000);
+constexpr TimePoint kNow = TimePoint() + seconds(1000);
 
 Backend MakeBackend(const std::string& id, const std::string& zone) {
   Backend backend;
