--- /dev/null
+++ b/libs/relay/src/catalog/catalog_answers.cc
@@ -0,0 +1,129 @@
+// What a node hands on to its peers: its catalog, and what the store told it.
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "cartsail/base/text.h"
+#include "catalog/catalog_path.h"
+#include "catalog/catalog_sync.h"
+#include "catalog/document_patch.h"
+#include "catalog/reading_duty.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kEncodedHolds = seconds(1);  // it names the document's age
+// From one reader to the next: an update reaches the other readers within some milliseconds.
+constexpr Duration kTurnToTell = milliseconds(25);
+
+}  // namespace
+
+// Tells the others which back ends changed after revision `since`, and that nothing else did.
+void CatalogSync::TellUpdate(int64_t since, TimePoint confirmed) {
+  if (!on_update_ || context_.routing.Table() == nullptr) return;
+  StoreUpdate update;
+  update.document_version = context_.routing.Version();
+  update.confirmed_age = Now() - confirmed;
+  update.changes.drained_zones = context_.dispatcher.Registry().Drains().Zones();
+  for (const ChangeParcel& parcel : ParcelsSince(since)) {
+    update.changes.since = parcel.since;
+    update.changes.revision = parcel.revision;
+    update.changes.backends.clear();
+    update.changes.gone.clear();
+    for (const std::string& id : parcel.ids) AddChange(id, &update.changes);
+    on_update_(update);
+  }
+  told_revision_ = revision_;
+}
+
+// The revision alone when the changes since are forgotten.
+std::vector<ChangeParcel> CatalogSync::ParcelsSince(int64_t since) const {
+  const std::optional<std::vector<BackendChanges::Change>> changed = changes_.Since(since);
+  if (!changed.has_value()) return MakeParcels({}, revision_, revision_);
+  return MakeParcels(*changed, since, revision_);
+}
+
+const DocumentPatch& CatalogSync::PatchFor(int64_t have) {
+  if (have != 0 && patch_.base_version == have) return patch_;
+  if (whole_.bytes.empty()) whole_.bytes = MakeDocumentPatch({}, context_.routing.Encoded());
+  return whole_;
+}
+
+std::string CatalogSync::AnswerPeer(const HttpRequest& request) {
+  int64_t have = 0;
+  (void)ParseInteger(request.QueryParameter(kHaveParameter), &have);
+  int64_t since = 0;
+  (void)ParseInteger(request.QueryParameter(kSinceParameter), &since);
+  return have == 0 && since == 0 ? EncodedWhole() : EncodeCatalog(MakeCatalog(have, since), Now());
+}
+
+// Nodes that start together all ask for it.
+std::string CatalogSync::EncodedWhole() {
+  const TimePoint now = Now();
+  if (!encoded_whole_.empty() && now - encoded_whole_at_ < kEncodedHolds) return encoded_whole_;
+  const CatalogMessage catalog = MakeCatalog(0, 0);
+  const auto is_missing = [](const Backend& backend) { return backend.missing_until.has_value(); };
+  const bool changes_soon =
+      std::any_of(catalog.backends.begin(), catalog.backends.end(), is_missing);
+  std::string encoded = EncodeCatalog(catalog, now);
+  encoded_whole_at_ = now;
+  if (!changes_soon) encoded_whole_ = encoded;
+  return encoded;
+}
+
+// As the back end is now.
+void CatalogSync::AddChange(const std::string& id, CatalogMessage* catalog) const {
+  const Backend* backend = context_.dispatcher.Registry().Find(id);
+  if (backend != nullptr) {
+    catalog->backends.push_back(*backend);
+  } else {
+    catalog->gone.push_back(id);
+  }
+}
+
+// Back ends that changed after revision `since`; all of them when that is too long ago.
+void CatalogSync::FillBackends(int64_t since, CatalogMessage* catalog) const {
+  const std::optional<std::vector<BackendChanges::Change>> changed = changes_.Since(since);
+  if (!changed.has_value()) {
+    catalog->backends = context_.dispatcher.Registry().All();
+    return;
+  }
+  catalog->since = since;
+  for (const BackendChanges::Change& change : *changed) AddChange(change.id, catalog);
+}
+
+// Without the document when the asker has version `have`.
+CatalogMessage CatalogSync::MakeCatalog(int64_t have, int64_t since) {
+  CatalogMessage catalog;
+  catalog.revision = revision_;
+  if (context_.routing.Version() > have) catalog.document = PatchFor(have);
+  catalog.document_age = Now() - context_.routing.KnownSince();
+  catalog.drained_zones = context_.dispatcher.Registry().Drains().Zones();
+  FillBackends(since, &catalog);
+  return catalog;
+}
+
+// All readers hear a change at the same moment. The first one tells it at once, the others what was
+// not told by then: changes so travel once, and still do when the first one does not hear the
+// store.
+void CatalogSync::TellInTurn(TimePoint confirmed) {
+  const size_t rank = std::min(peers_.ReadingRank(confirmed), kStoreReaders);
+  if (rank == 0) return TellUpdate(told_revision_, confirmed);
+  if (telling_soon_) return;
+  telling_soon_ = true;
+  asio::co_spawn(context_.io, TellAfter(static_cast<int64_t>(rank) * kTurnToTell, confirmed),
+                 asio::detached);
+}
+
+asio::awaitable<void> CatalogSync::TellAfter(Duration wait, TimePoint confirmed) {
+  co_await Pause(wait);
+  telling_soon_ = false;
+  TellUpdate(told_revision_, confirmed);
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/catalog/catalog_reading.cc
@@ -0,0 +1,204 @@
+// Reading the store: who of the nodes does, when, and what follows from its answers.
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <limits>
+#include <random>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/histogram.h"
+#include "cartsail/base/log.h"
+#include "cartsail/base/status.h"
+#include "cartsail/base/text.h"
+#include "catalog/catalog_sync.h"
+#include "catalog/reading_duty.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kFirstPause = milliseconds(100);
+constexpr Duration kLongestPause = milliseconds(800);
+constexpr int64_t kItemsPerPage = 500;
+constexpr Duration kPauseAfterEvents = milliseconds(150);
+constexpr Duration kReaderCheck = milliseconds(250);
+constexpr Duration kHearingCheck = milliseconds(10);
+
+double RandomShare() {
+  thread_local std::minstd_rand generator(std::random_device{}());
+  return std::uniform_real_distribution<double>(0, 1)(generator);
+}
+
+Duration JitteredPause(int failures) {
+  Duration pause = kFirstPause;
+  for (int i = 1; i < failures && pause < kLongestPause; ++i) pause *= 2;
+  pause = std::min(pause, kLongestPause);
+  return FromSeconds(ToSeconds(pause) * (0.7 + 0.6 * RandomShare()));
+}
+
+}  // namespace
+
+void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
+
+asio::awaitable<void> CatalogSync::Pause(Duration duration) {
+  asio::steady_timer timer(context_.io, duration);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+Duration CatalogSync::Unconfirmed(TimePoint now) const {
+  return now - std::max(started_, context_.routing.Confirmed());
+}
+
+bool CatalogSync::IsAlone(TimePoint now) const {
+  return peers_.LiveCount() == 0 || now - peers_heard_ > kAloneAfter;
+}
+
+bool CatalogSync::IsReading(TimePoint now) const {
+  if (IsLeftBehind(now) || now < reading_until_) return true;
+  if (peers_.Peers().empty()) return true;  // no other node is known of
+  if (IsAlone(now)) {
+    return Unconfirmed(now) > context_.document_limits.own_reading_when_unconfirmed;
+  }
+  return HasReadingTurn(peers_.ReadingRank(now), peers_.LiveCount() + 1, Unconfirmed(now),
+                        context_.document_limits);
+}
+
+bool CatalogSync::IsLeftBehind(TimePoint now) const {
+  if (!behind_since_.has_value()) return false;
+  return now - *behind_since_ >= context_.document_limits.own_reading_when_behind;
+}
+
+void CatalogSync::NoteVersionElsewhere(int64_t version, TimePoint now) {
+  if (version > context_.routing.Version() && !behind_since_.has_value()) behind_since_ = now;
+}
+
+Duration CatalogSync::HearingTime() const {
+  if (context_.options.first_start) return kHearingAtFirstStart;
+  if (peers_.Peers().empty()) return Duration(0);
+  return kHearing + FromSeconds(ToSeconds(kHearingSpread) * RandomShare());
+}
+
+bool CatalogSync::MayListFirst(TimePoint now) const {
+  if (peers_.LiveCount() == 0 || now - started_ >= kLongestHearing) return true;
+  return peers_.ReadingRank(now) < kStoreReaders;
+}
+
+// Until a peer has handed over its catalog, or none has done so for long enough: then the node
+// lists the store as it was some seconds ago. It is not known to be the newest, so nothing is
+// refused on it for good; changes since then come from peers, or by a watch. Were all of 295 nodes
+// to wait for the first ones to find each other, their callers would wait 0.2 s longer; were they
+// to list the store as it is, that would cost ten times as much.
+asio::awaitable<void> CatalogSync::GetFirstCatalog() {
+  const TimePoint last = Now() + HearingTime();
+  while (Now() < last && !context_.HasCatalog()) co_await Pause(kHearingCheck);
+  if (context_.options.first_start || peers_.Peers().empty()) co_return;
+  int failures = 0;
+  while (!context_.HasCatalog()) {
+    if (!MayListFirst(Now())) {
+      co_await Pause(kHearingCheck);
+      continue;
+    }
+    const absl::Status read = co_await ReadAll(ReadMode::kMayBeStale);
+    NoteReachable(read.ok(), std::string(read.message()));
+    // Also where the store had nothing to tell yet.
+    if (!context_.HasCatalog()) co_await Pause(JitteredPause(++failures));
+  }
+}
+
+// To be called before the answer confirms anything. A node that had to read since the first ones of
+// the order did not hear the store goes on for a while.
+void CatalogSync::NoteAnswered(TimePoint now) {
+  const size_t rank = peers_.ReadingRank(now);
+  if (rank < kStoreReaders) return;
+  const bool has_turn =
+      HasReadingTurn(rank, peers_.LiveCount() + 1, Unconfirmed(now), context_.document_limits);
+  if (has_turn) reading_until_ = now + kReadingHolds;
+}
+
+asio::awaitable<void> CatalogSync::Follow() {
+  const std::string range_end = PrefixEnd(keys_.prefix);
+  co_await GetFirstCatalog();
+  int failures = 0;
+  const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events, int64_t at) {
+    NoteReachable(true, {});
+    ApplyEvents(events);
+    failures = 0;
+    return events.empty() && IsReading(Now());
+  };
+  while (true) {
+    if (!IsReading(Now())) {
+      co_await Pause(kReaderCheck);
+      continue;
+    }
+    // The document may be older than the revision that this node knows: a watch would not tell it.
+    if (must_list_ || IsLeftBehind(Now())) {
+      const absl::Status read = co_await ReadAll(ReadMode::kNewest);
+      NoteReachable(read.ok(), std::string(read.message()));
+      if (!read.ok()) {
+        co_await Pause(JitteredPause(++failures));
+        continue;
+      }
+      failures = 0;
+    }
+    const absl::Status ended =
+        co_await store_.Watch(keys_.prefix, range_end, revision_ + 1, on_events);
+    if (ended.ok()) {
+      // Changes that follow closely come together in one answer.
+      co_await Pause(kPauseAfterEvents);
+      continue;
+    }
+    if (KindOf(ended) == ErrorKind::kHistoryLost) {
+      Log(LogLevel::kWarning, "store_history_lost", {{"revision", std::to_string(revision_)}});
+      must_list_ = true;
+      continue;
+    }
+    NoteReachable(false, std::string(ended.message()));
+    co_await Pause(JitteredPause(++failures));
+  }
+}
+
+asio::awaitable<absl::Status> CatalogSync::ReadAll(ReadMode mode) {
+  const bool may_be_stale = mode == ReadMode::kMayBeStale;
+  std::vector<KeyValue> items;
+  int64_t revision = std::numeric_limits<int64_t>::max();
+  const TimePoint asked = Now();
+  RangeRequest request;
+  request.key = keys_.prefix;
+  request.range_end = PrefixEnd(keys_.prefix);
+  request.limit = kItemsPerPage;
+  request.may_be_stale = may_be_stale;
+  while (true) {
+    const TimePoint begun = Now();
+    absl::StatusOr<RangeResult> page = co_await store_.Range(request);
+    GlobalHistograms().store_call_ms.Note(Now() - begun);
+    if (!page.ok()) co_return page.status();
+    // A peer was faster than many pages.
+    if (may_be_stale && context_.HasCatalog()) co_return absl::OkStatus();
+    // Pages form no snapshot: changes since the oldest one come again as events.
+    revision = std::min(revision, page->revision);
+    for (KeyValue& item : page->kvs) items.push_back(std::move(item));
+    if (!page->more || items.empty()) break;
+    request.key = items.back().key + '\0';
+  }
+  must_list_ = false;
+  ApplyAll(items, revision, may_be_stale ? std::nullopt : std::make_optional(asked));
+  co_return absl::OkStatus();
+}
+
+void CatalogSync::NoteReachable(bool reachable, std::string_view why) {
+  GlobalCounters().platform_calls_total.Add();
+  if (!reachable) GlobalCounters().platform_errors_total.Add();
+  GlobalCounters().platform_reachable.Set(reachable ? 1 : 0);
+  if (was_known_ && reachable == reachable_) return;
+  was_known_ = true;
+  reachable_ = reachable;
+  Log(reachable ? LogLevel::kInfo : LogLevel::kWarning, reachable ? "store_regained" : "store_lost",
+      {{"why", std::string(why)}});
+}
+
+}  // namespace cartsail
