--- a/libs/dispatch/tests/registry_drains_test.cc
+++ b/libs/dispatch/tests/registry_drains_test.cc
@@ -1,12 +1,13 @@
 // Drained zones, and incarnations of one back end, as the registry keeps them.
-#include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/dispatch/zone_drains.h"
+
+#include "cartsail/dispatch/backend_registry.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
 namespace {
 
-const TimePoint kNow = TimePoint() + seconds(1000);
+constexpr TimePoint kNow = TimePoint() + seconds(1000);
 
 Backend Make(const std::string& id, const std::string& zone, int64_t started_ms = 1) {
   Backend backend;
--- a/libs/operations/tests/fleet_view_test.cc
+++ b/libs/operations/tests/fleet_view_test.cc
@@ -11,13 +11,13 @@
   return std::move(*object);
 }
 
-const char kFirst[] = R"({"zones":[
+constexpr char kFirst[] = R"({"zones":[
   {"zone":"a","region":"north","drained":false,"backends":2,"requests":9},
   {"zone":"b","region":"south","drained":true,"drained_for_ms":900,"backends":3,"requests":4}],
   "services":[{"service":"chat","backends":2,"cold":1,"slots":64,"requests":9,
                "drained_backends":3,"drained_requests":4}],
   "residency":[{"kind":"tenant","name":"t","regions":["north"]}],"omitted":2})";
-const char kSecond[] = R"({"zones":[
+constexpr char kSecond[] = R"({"zones":[
   {"zone":"a","region":"north","drained":false,"backends":2,"requests":1},
   {"zone":"b","region":"south","drained":false,"backends":3,"requests":1}],
   "services":[{"service":"chat","backends":5,"slots":160,"requests":2}],
