The store is read for the nearer of two deadlines: documents and zone drains

Cause: the deadline of drains was read from the settings and used nowhere; a deployment whose drains are due before its documents would have been read too rarely. Test files formatted.

--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -283,7 +283,8 @@
         default: {
           const uint64_t subject = random() % 4;
           const RequestProfile profile = random() % 2 == 0 ? Urgent(subject) : Patient(subject);
-          const std::optional<Placement> placement = dispatcher.Place(profile, {KeyOf(engine)}, now);
+          const std::optional<Placement> placement =
+              dispatcher.Place(profile, {KeyOf(engine)}, now);
           if (!placement.has_value()) break;
           const Backend* placed = dispatcher.Registry().Find(placement->backend.id);
           cr_assert(placed != nullptr && placed->state == BackendState::kReady);
--- a/libs/dispatch/tests/registry_drains_test.cc
+++ b/libs/dispatch/tests/registry_drains_test.cc
@@ -1,7 +1,6 @@
 // Drained zones, and incarnations of one back end, as the registry keeps them.
-#include "cartsail/dispatch/zone_drains.h"
-
 #include "cartsail/dispatch/backend_registry.h"
+#include "cartsail/dispatch/zone_drains.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -1,6 +1,7 @@
 // What all exchanges of one node share. One thread.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
@@ -24,7 +25,9 @@
                const WireFormat& wire_format)
       : io(io_context),
         options(relay_options),
-        document_limits(LimitsWithin(relay_options.document_deadline)),
+        // One reading of the store serves both: the nearer deadline decides how it is kept up.
+        document_limits(LimitsWithin(
+            std::min(relay_options.document_deadline, relay_options.zone_drain_deadline))),
         format(wire_format),
         dispatcher(relay_options.placement, relay_options.zone,
                    RegionMap(relay_options.zone_regions)),
