--- a/libs/dispatch/include/cartsail/dispatch/warm_up_limiter.h
+++ b/libs/dispatch/include/cartsail/dispatch/warm_up_limiter.h
@@ -13,11 +13,11 @@
 
 namespace cartsail {
 
-// What a cold back end may get in any second, over all nodes: its rate times the overage, plus the
-// slack.
+// What a cold back end may get in any second, over all nodes: its rate times the factor, plus the
+// burst. The defaults are those of the first deployment that asked for it.
 struct ColdBound {
-  double overage = 1.5;
-  double slack = 5;
+  double rate_factor = 1.5;
+  double burst = 5;  // requests
 };
 
 // While coordinators take over from each other, or views of the fleet differ, so many nodes may
--- a/libs/dispatch/src/warm_up_limiter.cc
+++ b/libs/dispatch/src/warm_up_limiter.cc
@@ -6,7 +6,7 @@
 namespace cartsail {
 
 int64_t ColdGrantsOfOneNode(const WarmUp& warm_up, const ColdBound& bound) {
-  const double all = warm_up.requests_per_s * bound.overage + bound.slack;
+  const double all = warm_up.requests_per_s * bound.rate_factor + bound.burst;
   return std::max<int64_t>(static_cast<int64_t>(std::floor(all / kMostGrantingNodes)), 1);
 }
 
--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -8,6 +8,7 @@
 #include "cartsail/base/clock.h"
 #include "cartsail/dispatch/placement_policy.h"
 #include "cartsail/dispatch/retry_budget.h"
+#include "cartsail/dispatch/warm_up_limiter.h"
 #include "cartsail/net/http_types.h"
 #include "cartsail/relay/duty_options.h"
 
@@ -34,10 +35,7 @@
   Duration document_deadline = seconds(2);
   // From the store's acknowledgement of a zone's drain until no request may reach its back ends.
   Duration zone_drain_deadline = seconds(5);
-  // Requests that a cold back end may get in any second, over all nodes: its rate times the
-  // overage, plus the slack.
-  double cold_overage = 1.5;
-  double cold_slack = 5;
+  ColdBound cold_bound;
   RetryBudgetOptions retry_budget;
   PlacementPolicy placement;
   DutyOptions duties;
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -344,8 +344,8 @@
   behind_since_.reset();
   context_.dispatcher.Registry().SetServices(ServicesOf((*table)->Document()));
   context_.routing.Apply(std::move(*table), text, now - age);
-  const ColdBound cold_bound{context_.options.cold_overage, context_.options.cold_slack};
-  context_.dispatcher.SetWarmUps(context_.routing.Table()->Document().services, cold_bound);
+  context_.dispatcher.SetWarmUps(context_.routing.Table()->Document().services,
+                                 context_.options.cold_bound);
   GlobalHistograms().document_spread_ms.Note(age);
   Log(LogLevel::kInfo, "document_applied",
       {{"version", std::to_string(version)},
--- /dev/null
+++ b/libs/relay/src/fleet/peer_fetching.cc
@@ -0,0 +1,144 @@
+// How a node fetches from its peers what it has missed of the store.
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/histogram.h"
+#include "cartsail/base/log.h"
+#include "cartsail/base/status.h"
+#include "cartsail/net/http_client.h"
+#include "catalog/catalog_message.h"
+#include "catalog/catalog_path.h"
+#include "fleet/peer_exchange.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kFetchTimeout = milliseconds(800);
+// What the store told a reader reaches all nodes in some milliseconds; a node that still knows less
+// than a peer after this time has missed it and fetches the changes.
+constexpr Duration kUpdatePatience = milliseconds(150);
+// Nodes of other zones are asked for changes only by one that finds nobody of its own zone who has
+// them for so long: bytes between zones are dear.
+constexpr Duration kFarPatience = milliseconds(600);
+// An update that overtook the one before it: that one comes within some milliseconds, or is lost.
+// Not the same for all, so that those who pass updates on have fetched it before they are asked.
+constexpr Duration kGapPatience = milliseconds(60);
+constexpr int64_t kGapSpreadMs = 60;
+// A node that has been up for so long has the catalog, unless all were lost.
+constexpr Duration kHasCatalogAfter = seconds(3);
+
+absl::StatusOr<CatalogMessage> CatalogIn(const absl::StatusOr<HttpResponse>& response,
+                                         TimePoint now) {
+  if (!response.ok()) return response.status();
+  if (response->status != 200) {
+    return MakeError(ErrorKind::kNotReady, fmt::format("status {}", response->status));
+  }
+  std::optional<CatalogMessage> catalog = DecodeCatalog(response->body, now);
+  if (!catalog.has_value()) return MakeError(ErrorKind::kInvalidArgument, "no catalog");
+  return std::move(*catalog);
+}
+
+void NoteFetchFailed(const std::string& host, Duration duration, const absl::Status& why) {
+  GlobalCounters().catalog_fetches_failed_total.Add();
+  Log(LogLevel::kWarning, "catalog_fetch_failed",
+      {{"host", host},
+       {"ms", fmt::format("{:.0f}", ToMillis(duration))},
+       {"why", std::string(why.message())}});
+}
+
+}  // namespace
+
+Duration PeerExchange::UpdatePatience(const std::string& host) const {
+  return IsFar(host) ? kFarPatience : kUpdatePatience;
+}
+
+// True when this node has had time to hear of `revision`, or to get it within its zone, and has
+// not.
+bool PeerExchange::HasMissedUpdate(const std::string& host, int64_t revision, TimePoint now) {
+  const int64_t known = catalog_.Revision();
+  if (revision <= known) return false;
+  if (known == 0) return true;
+  if (revision_elsewhere_ <= known) {
+    revision_elsewhere_ = revision;
+    revision_elsewhere_since_ = now;
+    // The host may not be heard again for seconds: of 24 nodes that lost every message of a change,
+    // the last knew it after 3.0 to 3.4 s when each waited for another word of a newer revision.
+    asio::co_spawn(context_.io, FetchUnlessClosed(host, revision, UpdatePatience(host)),
+                   asio::detached);
+  }
+  return now - revision_elsewhere_since_ >= UpdatePatience(host);
+}
+
+// `revision`: told by `host`, when changes before it were not known here.
+asio::awaitable<void> PeerExchange::WatchGap(std::string host, int64_t revision) {
+  const int64_t spread = std::uniform_int_distribution<int64_t>(0, kGapSpreadMs)(random_);
+  const Duration patience = kGapPatience + milliseconds(spread);
+  co_await FetchUnlessClosed(std::move(host), revision, patience);
+  watching_gap_ = false;
+}
+
+// Fetches from `host` what this node still lacks of `revision` when `patience` is over.
+asio::awaitable<void> PeerExchange::FetchUnlessClosed(std::string host, int64_t revision,
+                                                      Duration patience) {
+  asio::steady_timer timer(context_.io, patience);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  if (catalog_.Revision() < revision) MaybeFetch(host, context_.routing.Version(), Now());
+}
+
+// `version`: of the document at `host`.
+void PeerExchange::MaybeFetch(const std::string& host, int64_t version, TimePoint now) {
+  const bool has_newer_document = version > context_.routing.Version();
+  if (has_newer_document) catalog_.NoteVersionElsewhere(version, now);
+  const bool is_first = catalog_.Revision() == 0;
+  std::string source = host;
+  // Whoever starts hears the seeds first: were all to ask these, a restart of the fleet would keep
+  // them busy. Should the other one not have it either, who was heard is asked next.
+  if (is_first && !asked_near_) source = NearSource(now).value_or(host);
+  if (!fetches_.MayBegin(source, has_newer_document || is_first, now)) return;
+  asked_near_ = true;
+  asio::co_spawn(context_.io, FetchCatalog(source, fetches_.Begin(source, now)), asio::detached);
+}
+
+// A node of this zone that is likely to have a catalog, another one each time.
+std::optional<std::string> PeerExchange::NearSource(TimePoint now) {
+  std::vector<std::string> hosts;
+  for (const auto& [host, peer] : peers_.Peers()) {
+    const bool is_near = peer.status == PeerStatus::kAlive && !IsFar(host);
+    const Duration uptime = peer.state.uptime + (now - peer.noted);
+    if (is_near && uptime >= kHasCatalogAfter) hosts.push_back(host);
+  }
+  if (hosts.empty()) return std::nullopt;
+  return hosts[std::uniform_int_distribution<size_t>(0, hosts.size() - 1)(random_)];
+}
+
+asio::awaitable<void> PeerExchange::FetchCatalog(std::string host, FetchSchedule::Running fetch) {
+  HttpRequest request;
+  request.target = fmt::format("{}?{}={}&{}={}", kCatalogPath, kHaveParameter,
+                               context_.routing.Version(), kSinceParameter, catalog_.Revision());
+  const Endpoint endpoint{host, context_.options.peer.port};
+  const absl::StatusOr<HttpResponse> response =
+      co_await Fetch(context_.io.get_executor(), endpoint, request, kFetchTimeout);
+  const TimePoint ended = Now();
+  const Duration duration = ended - fetch->begun;
+  fetches_.End(fetch, ended);
+  GlobalCounters().catalog_fetches_total.Add();
+  GlobalHistograms().catalog_fetch_ms.Note(duration);
+  const absl::StatusOr<CatalogMessage> catalog = CatalogIn(response, ended);
+  if (!catalog.ok()) {
+    NoteFetchFailed(host, duration, catalog.status());
+    co_return;
+  }
+  catalog_.ApplyCatalog(*catalog, host);
+}
+
+}  // namespace cartsail
