--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <thread>
 
+#include "cartsail/base/counters.h"
 #include "support/relay_fixture.h"
 #include "support/stub_backend.h"
 #include "testing/criterion.h"
@@ -356,7 +357,9 @@
   relay.StartEmpty();
   Client client(relay.Port());
   client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
-  std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  while (GlobalCounters().requests_total.Get() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
   relay.PutInForce("b1", backend.Address());
   cr_assert(client.ReadAnswer().rfind("HTTP/1.1 200 ", 0) == 0);
 }
--- a/libs/relay/tests/support/stub_backend.cc
+++ b/libs/relay/tests/support/stub_backend.cc
@@ -10,8 +10,6 @@
 namespace cartsail::testing {
 namespace {
 
-void SleepMillis(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
-
 // Reads one request; empty when the connection ended.
 std::string ReadRequest(int socket, std::string* buffer) {
   char bytes[4096];
@@ -69,11 +67,16 @@
 }
 
 StubBackend::~StubBackend() {
-  stopping_ = true;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+    for (const int socket : sockets_) shutdown(socket, SHUT_RDWR);
+  }
+  ending_.notify_all();
   shutdown(listener_, SHUT_RDWR);
-  close(listener_);
   acceptor_.join();
-  for (std::thread& thread : threads_) thread.detach();
+  close(listener_);
+  for (std::thread& thread : threads_) thread.join();
 }
 
 std::string StubBackend::Address() const { return "127.0.0.1:" + std::to_string(port_); }
@@ -92,26 +95,42 @@
   }
 }
 
+bool StubBackend::Pause(int millis) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  return !ending_.wait_for(lock, std::chrono::milliseconds(millis), [this] { return !!stopping_; });
+}
+
 void StubBackend::Serve(int socket) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    sockets_.insert(socket);
+    if (stopping_) shutdown(socket, SHUT_RDWR);
+  }
+  Converse(socket);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  sockets_.erase(socket);
+  close(socket);
+}
+
+void StubBackend::Converse(int socket) {
   std::string buffer;
   while (true) {
     const std::string request = ReadRequest(socket, &buffer);
-    if (request.empty()) break;
+    if (request.empty()) return;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       requests_.push_back(request);
     }
     const StubAnswer answer = handler_(request);
-    SleepMillis(answer.delay_ms);
+    if (!Pause(answer.delay_ms)) return;
     for (size_t i = 0; i < answer.pieces.size(); ++i) {
-      if (i > 0) SleepMillis(answer.pause_ms);
+      if (i > 0 && !Pause(answer.pause_ms)) return;
       if (i > 0 && answer.before_next) answer.before_next();
       send(socket, answer.pieces[i].data(), answer.pieces[i].size(), MSG_NOSIGNAL);
     }
     if (answer.reset_after) Reset(socket);
-    if (answer.close_after || answer.reset_after) break;
+    if (answer.close_after || answer.reset_after) return;
   }
-  close(socket);
 }
 
 }  // namespace cartsail::testing
--- a/libs/relay/tests/support/stub_backend.h
+++ b/libs/relay/tests/support/stub_backend.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +28,7 @@
   using Handler = std::function<StubAnswer(const std::string& request)>;
 
   explicit StubBackend(Handler handler);
+  // Ends all connections and waits for their threads, which use the handler and what it captures.
   ~StubBackend();
 
   std::string Address() const;
@@ -35,6 +38,9 @@
  private:
   void Accept();
   void Serve(int socket);
+  void Converse(int socket);
+  // False when this ends meanwhile.
+  bool Pause(int millis);
 
   Handler handler_;
   int listener_ = -1;
@@ -42,6 +48,8 @@
   std::atomic<bool> stopping_{false};
   std::atomic<int> connections_{0};
   std::mutex mutex_;
+  std::condition_variable ending_;
+  std::set<int> sockets_;  // of open connections
   std::vector<std::string> requests_;
   std::vector<std::thread> threads_;
   std::thread acceptor_;
