--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -1,5 +1,7 @@
 #include "fleet/datagram.h"
 
+#include <cmath>
+
 #include "catalog/catalog_wire.h"
 #include "fleet/digest_codec.h"
 #include "fleet/gossip_codec.h"
@@ -59,7 +61,9 @@
   message.setId(answer.id);
   message.setPlaced(answer.grant.has_value());
   message.setColdOnly(answer.cold_wait.has_value());
-  message.setColdWaitMs(BoundedTo<uint32_t>(ToMillis(answer.cold_wait.value_or(Duration(0)))));
+  // Rounded up: a wait of 0 would be answered without a time to come back.
+  message.setColdWaitMs(
+      BoundedTo<uint32_t>(std::ceil(ToMillis(answer.cold_wait.value_or(Duration(0))))));
   if (!answer.grant.has_value()) return;
   const PlacementGrant& grant = *answer.grant;
   message.setBackend(grant.backend);
