--- a/libs/relay/src/fleet/peer_fetching.cc
+++ b/libs/relay/src/fleet/peer_fetching.cc
@@ -70,8 +70,9 @@
   if (revision_elsewhere_ <= known) {
     revision_elsewhere_ = revision;
     revision_elsewhere_since_ = now;
-    // The host may not be heard again for seconds: of 24 nodes that lost every message of a change,
-    // the last knew it after 3.0 to 3.4 s when each waited for another word of a newer revision.
+    // The host may not be heard again for seconds: when each node waited for another word of a
+    // newer revision, some of 24 nodes that lost every message of a change did not know it after
+    // 3.0 s in 6 of 13 runs; with this timer in none of 15.
     asio::co_spawn(context_.io, FetchUnlessClosed(host, revision, UpdatePatience(host)),
                    asio::detached);
   }
