Sight: logs tell a request that comes again under another id, and why a connection was not made

Change: `fingerprint` (method, host, path, caller, body) on the lines attempt and request; `connect` on attempt.

--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -101,6 +101,8 @@
   AdmissionResult result = Admit(head_, context_.routing, context_.format,
                                  context_.document_limits.refusing_unknown, request_.received);
   admitted_ = std::move(result.admitted);
+  fingerprint_ = FingerprintOf({request_.method, head_.host, head_.target, admitted_.tenant,
+                                std::string_view(*request_.body)});
   residency_table_ = admitted_.table;
   if (result.refusal.has_value()) {
     if (admitted_.route != nullptr) LogResidencyRefusal("no_common_region");
@@ -248,15 +250,16 @@
     const Placement& placement) {
   std::shared_ptr<UpstreamConnection> connection =
       context_.pool.TakeIdle(placement.backend.key, Now());
+  connect_result_ = ConnectResult::kConnected;
   if (connection != nullptr) co_return connection;
   connection = context_.pool.MakeNew();
   GlobalCounters().backend_connects_total.Add();
   upstream_ = connection;  // so that the caller's going ends the wait
   const TimePoint limit = std::min(deadline_, Now() + context_.options.connect_timeout);
-  const bool connected = co_await connection->Connect(placement.backend.address, limit);
-  if (!connected) GlobalCounters().backend_connects_failed_total.Add();
-  if (!connected) co_return nullptr;
-  co_return connection;
+  connect_result_ = co_await connection->Connect(placement.backend.address, limit);
+  if (connect_result_ == ConnectResult::kConnected) co_return connection;
+  GlobalCounters().backend_connects_failed_total.Add();
+  co_return nullptr;
 }
 
 std::string Exchange::UpstreamHead(const Placement& placement, TimePoint now) const {
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cartsail/quarantine/request_fingerprint.h"
 #include "cartsail/relay/admission.h"
 #include "relay_context.h"
 #include "request/caller_connection.h"
@@ -84,6 +85,8 @@
   std::string last_backend_;  // id of the one tried last
   std::string placed_by_;     // the coordinator of the last attempt; empty: this node
   std::string request_id_;
+  RequestFingerprint fingerprint_ = 0;
+  ConnectResult connect_result_ = ConnectResult::kConnected;  // of the last attempt
   std::string last_event_id_;  // of the events passed on, for a continuation
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -40,9 +40,11 @@
   if (outcome == AttemptOutcome::kAnswered) return;
   Log(LogLevel::kWarning, "attempt",
       {{"request", request_id_},
+       {"fingerprint", FingerprintText(fingerprint_)},
        {"backend", placement.backend.id},
        {"address", placement.backend.address},
        {"outcome", std::string(AttemptOutcomeName(outcome))},
+       {"connect", std::string(ConnectResultName(connect_result_))},
        {"attempts", std::to_string(history_.attempts)},
        {"may_have_run", std::to_string(history_.may_have_run)},
        {"expected_loss", fmt::format("{:.3f}", placement.expected_loss)},
@@ -126,6 +128,7 @@
                        first_output_ - request_.received > admitted_.route->first_output_goal;
   Log(answered && !is_slow ? LogLevel::kInfo : LogLevel::kWarning, "request",
       {{"request", request_id_},
+       {"fingerprint", FingerprintText(fingerprint_)},
        {"route", admitted_.route == nullptr ? "" : admitted_.route->name},
        {"tenant", admitted_.tenant},
        {"tier", std::to_string(admitted_.tier)},
--- a/libs/relay/src/request/upstream_connection.cc
+++ b/libs/relay/src/request/upstream_connection.cc
@@ -56,18 +56,32 @@
   return UpstreamError::kBroken;
 }
 
-asio::awaitable<bool> UpstreamConnection::Connect(const std::string& address, TimePoint deadline) {
+std::string_view ConnectResultName(ConnectResult result) {
+  switch (result) {
+    case ConnectResult::kConnected:
+      return "connected";
+    case ConnectResult::kRefused:
+      return "refused";
+    case ConnectResult::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+asio::awaitable<ConnectResult> UpstreamConnection::Connect(const std::string& address,
+                                                           TimePoint deadline) {
   Endpoint endpoint;
-  if (!ParseEndpoint(address, &endpoint)) co_return false;
+  if (!ParseEndpoint(address, &endpoint)) co_return ConnectResult::kFailed;
   beast::error_code error;
   const auto ip = asio::ip::make_address(endpoint.host, error);
-  if (error) co_return false;
+  if (error) co_return ConnectResult::kFailed;
   stream_.expires_at(deadline);
   const tcp::endpoint target(ip, endpoint.port);
   co_await stream_.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return false;
+  if (error == asio::error::connection_refused) co_return ConnectResult::kRefused;
+  if (error) co_return ConnectResult::kFailed;
   stream_.socket().set_option(tcp::no_delay(true), error);
-  co_return true;
+  co_return ConnectResult::kConnected;
 }
 
 void UpstreamConnection::StartRequest(std::string head, std::shared_ptr<const std::string> body) {
--- a/libs/relay/src/request/upstream_connection.h
+++ b/libs/relay/src/request/upstream_connection.h
@@ -24,6 +24,14 @@
   kMalformed,  // bytes that are no answer
 };
 
+enum class ConnectResult {
+  kConnected,
+  kRefused,  // its host answers that nobody listens there: the process has ended
+  kFailed,   // no answer in time, or no way there
+};
+
+std::string_view ConnectResultName(ConnectResult result);
+
 struct ResponseHead {
   int status = 0;
   std::string reason;
@@ -37,8 +45,8 @@
  public:
   explicit UpstreamConnection(boost::asio::any_io_executor executor);
 
-  // False when no connection could be made by `deadline`; nothing was sent then.
-  boost::asio::awaitable<bool> Connect(const std::string& address, TimePoint deadline);
+  // Unless it is connected by `deadline`, nothing was sent.
+  boost::asio::awaitable<ConnectResult> Connect(const std::string& address, TimePoint deadline);
 
   // Starts sending; the answer may be read meanwhile. A failure to send shows when reading.
   void StartRequest(std::string head, std::shared_ptr<const std::string> body);
--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -1,5 +1,7 @@
 // The log line of a request tells what its caller got, not what was meant to be sent.
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cartsail/base/counters.h"
 #include "support/log_capture.h"
@@ -48,5 +50,30 @@
   cr_assert(GlobalCounters().requests_completed_total.Get() == 1);
 }
 
+std::string FieldOf(const std::string& line, const std::string& name) {
+  const size_t start = line.find(" " + name + "=") + name.size() + 2;
+  return line.substr(start, line.find(' ', start) - start);
+}
+
+// Callers try again under a new id: without the fingerprint no line tells that it is the same.
+Test(request_log, a_request_that_comes_again_has_the_same_fingerprint) {
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "made")}}; });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  std::vector<std::string> fingerprints;
+  for (const auto& [id, body] : {std::pair("r1", "x"), std::pair("r2", "x"), std::pair("r3", "y")}) {
+    LogCapture log;
+    Client client(relay.Port());
+    client.Send(MakeRequest("POST", "/once/a", id, body));
+    (void)client.ReadAnswer();
+    fingerprints.push_back(FieldOf(log.LineOf("request"), "fingerprint"));
+  }
+  cr_assert(fingerprints[0].size() == 16, "%s", fingerprints[0].c_str());
+  cr_assert(fingerprints[0] == fingerprints[1]);
+  cr_assert(fingerprints[0] != fingerprints[2]);
+}
+
 }  // namespace
 }  // namespace cartsail::testing
