--- a/libs/relay/tests/support/stub_backend.cc
+++ b/libs/relay/tests/support/stub_backend.cc
@@ -66,7 +66,7 @@
   acceptor_ = std::thread([this] { Accept(); });
 }
 
-StubBackend::~StubBackend() {
+void StubBackend::Crash() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stopping_ = true;
@@ -74,6 +74,10 @@
   }
   ending_.notify_all();
   shutdown(listener_, SHUT_RDWR);
+}
+
+StubBackend::~StubBackend() {
+  Crash();
   acceptor_.join();
   close(listener_);
   for (std::thread& thread : threads_) thread.join();
--- a/libs/relay/tests/support/stub_backend.h
+++ b/libs/relay/tests/support/stub_backend.h
@@ -35,6 +35,10 @@
   std::vector<std::string> Requests();
   int Connections() const { return connections_; }
 
+  // As a process that ends: all connections break at once, and new ones are refused. May be called
+  // by the handler.
+  void Crash();
+
  private:
   void Accept();
   void Serve(int socket);
