--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -60,6 +60,11 @@
   X(backend_connects_total, counter, "New connections made to back ends")                        \
   X(backend_connects_failed_total, counter, "Connections to back ends that failed")              \
   X(backend_refusals_total, counter, "Requests that a back end said it did not run")             \
+  X(strikes_total, counter, "Requests that were at a back end when it ended without notice")       \
+  X(quarantines_total, counter, "Requests that are kept from back ends, as back ends end by them") \
+  X(quarantines_lifted_total, counter, "Of these: found innocent, or taken back")                \
+  X(quarantine_refusals_total, counter, "Requests refused since they are kept from back ends")   \
+  X(requests_quarantined, gauge, "Different requests that are kept from back ends")              \
   X(backends_known, gauge, "Back ends in the catalog, leaving ones included")                    \
   X(backends_invalid_total, counter, "Entries of back ends that could not be read")              \
   X(backends_invalid_unlogged_total, counter, "Of these: without a line in the log")             \
--- a/libs/base/src/status.cc
+++ b/libs/base/src/status.cc
@@ -38,6 +38,7 @@
     KindInfo{ErrorKind::kOverloaded, "overloaded", 503, absl::StatusCode::kResourceExhausted},
     KindInfo{ErrorKind::kQueueTimeout, "queue_timeout", 503, absl::StatusCode::kDeadlineExceeded},
     KindInfo{ErrorKind::kNoBackend, "no_backend", 503, absl::StatusCode::kUnavailable},
+    KindInfo{ErrorKind::kQuarantined, "quarantined", 503, absl::StatusCode::kUnavailable},
     KindInfo{ErrorKind::kBackendRefused, "backend_refused", 503, absl::StatusCode::kUnavailable},
     KindInfo{ErrorKind::kBackendFailed, "backend_failed", 502, absl::StatusCode::kUnavailable},
     KindInfo{ErrorKind::kConnectFailed, "connect_failed", 503, absl::StatusCode::kUnavailable},
--- a/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
+++ b/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
@@ -22,9 +22,11 @@
   // The back end began to leave, its zone was drained, or it became cold after it was chosen:
   // nothing was sent, and it says nothing about the back end.
   kWithheld,
+  // This node broke it off, since back ends end under the request: it says nothing about this one.
+  kGivenUp,
 };
 
-inline constexpr int kAttemptOutcomes = 11;  // the number of them
+inline constexpr int kAttemptOutcomes = 12;  // the number of them
 
 std::string_view AttemptOutcomeName(AttemptOutcome outcome);
 
--- a/libs/dispatch/src/attempt_outcome.cc
+++ b/libs/dispatch/src/attempt_outcome.cc
@@ -37,6 +37,8 @@
       return "caller_gone";
     case AttemptOutcome::kWithheld:
       return "withheld";
+    case AttemptOutcome::kGivenUp:
+      return "given_up";
   }
   return "unknown";
 }
@@ -48,7 +50,7 @@
 
 bool MayTryAgain(const RouteRule& route, AttemptOutcome outcome, const AttemptHistory& history) {
   if (outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kTimedOut ||
-      outcome == AttemptOutcome::kCallerGone) {
+      outcome == AttemptOutcome::kCallerGone || outcome == AttemptOutcome::kGivenUp) {
     return false;
   }
   if (history.attempts + history.connects_failed >= kMostOffers) return false;
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -18,8 +18,13 @@
   return outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kSilent;
 }
 
+bool SaysNothing(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kCallerGone || outcome == AttemptOutcome::kWithheld ||
+         outcome == AttemptOutcome::kGivenUp;
+}
+
 bool CountsAsFailure(AttemptOutcome outcome) {
-  return outcome != AttemptOutcome::kAnswered && outcome != AttemptOutcome::kCallerGone;
+  return outcome != AttemptOutcome::kAnswered && !SaysNothing(outcome);
 }
 
 Duration SuspensionAfter(int losses) {
@@ -37,7 +42,7 @@
 
 void BackendHealth::Note(BackendKey backend, AttemptOutcome outcome, AttemptOrigin origin,
                          TimePoint now) {
-  if (outcome == AttemptOutcome::kCallerGone || outcome == AttemptOutcome::kWithheld) return;
+  if (SaysNothing(outcome)) return;
   const RecentAttempts faded = Recent(backend, origin, now);
   Record& record = records_[backend];
   FadingAttempts& attempts = origin == AttemptOrigin::kOwn ? record.own : record.of_peers;
--- /dev/null
+++ b/libs/quarantine/include/cartsail/quarantine/backend_end_watch.h
@@ -0,0 +1,45 @@
+// Finds out which back ends ended while requests of this node ran there. A connection that breaks
+// is no proof: links are reset, failing back ends close, this node may have stood still. The proof
+// is that the back end's host refuses connections, or that its entry goes. Pure.
+#pragma once
+
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include "cartsail/base/clock.h"
+#include "cartsail/quarantine/strike.h"
+
+namespace cartsail {
+
+class BackendEndWatch {
+ public:
+  // The connection broke while the back end had the request. Returns strikes where the back end is
+  // known to have ended.
+  std::vector<Strike> NoteBroken(const Strike& suspected, TimePoint now);
+
+  // The back end has ended. Returns what that says of the requests that broke there.
+  std::vector<Strike> NoteEnded(BackendKey backend, TimePoint now);
+
+  // The back end takes connections: what broke there broke for another reason.
+  void NoteAlive(BackendKey backend);
+
+  // True once a while for a back end that may have ended: whether it takes connections is to be
+  // found out.
+  bool TakeProbe(BackendKey backend, TimePoint now);
+
+  // Forgets what could not be settled in time, and settles it for back ends whose entry has gone.
+  std::vector<Strike> Settle(const std::function<bool(BackendKey)>& has_entry, TimePoint now);
+
+ private:
+  struct Doubt {
+    std::vector<RequestFingerprint> requests;
+    TimePoint since;
+    TimePoint next_probe;
+  };
+
+  std::unordered_map<BackendKey, Doubt> doubts_;
+  std::unordered_map<BackendKey, TimePoint> ended_;  // when that became known
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/quarantine/src/strike_ledger.cc
@@ -0,0 +1,95 @@
+#include "cartsail/quarantine/strike_ledger.h"
+
+#include <algorithm>
+
+#include "cartsail/base/hash.h"
+
+namespace cartsail {
+namespace {
+
+// Twice as long as a request is kept from back ends: the first end after that is its fourth.
+constexpr Duration kStrikeMemory = seconds(1200);
+// Of 3,400 back ends with 40 requests each a zone of 200 has 8,000; a node keeps the count of 50 of
+// those. 10,000 have 1 MB.
+constexpr size_t kMostRecords = 10000;
+
+// Strikes that no explanation outweighs: two requests that end back ends may have shared some.
+constexpr size_t kStrikesDespiteExplanation = 5;
+
+bool Contains(const std::vector<BackendKey>& backends, BackendKey backend) {
+  return std::find(backends.begin(), backends.end(), backend) != backends.end();
+}
+
+}  // namespace
+
+std::optional<Verdict> StrikeLedger::Note(const Strike& strike, TimePoint now) {
+  if (records_.size() >= kMostRecords) MakeRoom();
+  const auto [entry, is_new] = records_.try_emplace(strike.request);
+  Record& record = entry->second;
+  if (is_new) record.first = now;
+  if (Contains(record.backends, strike.backend)) return std::nullopt;
+  record.backends.push_back(strike.backend);
+  record.last = now;
+  const size_t strikes = record.backends.size();
+  if (strikes < kStrikesToQuarantine) return std::nullopt;
+  const bool is_explained = IsExplained(strike.request, record.backends);
+  if (is_explained && strikes < kStrikesDespiteExplanation) return std::nullopt;
+  return Verdict{strike.request, record.backends, record.first};
+}
+
+void StrikeLedger::Explain(const std::vector<BackendKey>& backends, RequestFingerprint by,
+                           TimePoint now) {
+  explanations_[by] = {backends, now};
+}
+
+// Some quarantined request was at most of the same back ends, and at one more where this one was
+// not. Of two that were at all the same ones either may have ended them.
+bool StrikeLedger::IsExplained(RequestFingerprint request,
+                               const std::vector<BackendKey>& backends) const {
+  for (const auto& [by, explanation] : explanations_) {
+    if (by == request) continue;
+    const auto is_shared = [&backends](BackendKey backend) { return Contains(backends, backend); };
+    const auto shared = static_cast<size_t>(std::count_if(
+        explanation.backends.begin(), explanation.backends.end(), is_shared));
+    if (shared == explanation.backends.size()) continue;
+    if (backends.size() - shared < kStrikesToQuarantine) return true;
+  }
+  return false;
+}
+
+size_t StrikeLedger::StrikesOf(RequestFingerprint request) const {
+  const auto record = records_.find(request);
+  return record == records_.end() ? 0 : record->second.backends.size();
+}
+
+void StrikeLedger::Expire(TimePoint now) {
+  std::erase_if(records_,
+                [now](const auto& entry) { return now - entry.second.last > kStrikeMemory; });
+  std::erase_if(explanations_,
+                [now](const auto& entry) { return now - entry.second.since > kStrikeMemory; });
+}
+
+// Forgets the older half.
+void StrikeLedger::MakeRoom() {
+  std::vector<TimePoint> times;
+  times.reserve(records_.size());
+  for (const auto& [request, record] : records_) times.push_back(record.last);
+  const auto middle = times.begin() + static_cast<int64_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  const TimePoint limit = *middle;
+  std::erase_if(records_, [limit](const auto& entry) { return entry.second.last <= limit; });
+}
+
+std::vector<std::string> StrikeCountersOf(RequestFingerprint request,
+                                          std::vector<std::string> hosts) {
+  const auto ranks_before = [request](const std::string& left, const std::string& right) {
+    return Hash64(left, request) > Hash64(right, request);
+  };
+  const size_t count = std::min(kStrikeCounters, hosts.size());
+  const auto end = hosts.begin() + static_cast<int64_t>(count);
+  std::partial_sort(hosts.begin(), end, hosts.end(), ranks_before);
+  hosts.resize(count);
+  return hosts;
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/quarantine/tests/backend_end_watch_test.cc
@@ -0,0 +1,66 @@
+// Which broken connections are held against requests.
+#include "cartsail/quarantine/backend_end_watch.h"
+
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+const TimePoint kStart{seconds(1000)};
+constexpr BackendKey kEngine = 7;
+
+bool Gone(BackendKey) { return false; }
+bool There(BackendKey) { return true; }
+
+Test(backend_end_watch, a_refused_connection_proves_the_end) {
+  BackendEndWatch watch;
+  cr_assert(watch.NoteBroken({1, kEngine}, kStart).empty());
+  cr_assert(watch.NoteBroken({2, kEngine}, kStart).empty());
+  const std::vector<Strike> strikes = watch.NoteEnded(kEngine, kStart);
+  cr_assert((strikes == std::vector<Strike>{{1, kEngine}, {2, kEngine}}));
+  // One whose connection breaks a moment later.
+  cr_assert((watch.NoteBroken({3, kEngine}, kStart + milliseconds(3)) ==
+             std::vector<Strike>{{3, kEngine}}));
+  cr_assert(watch.NoteEnded(kEngine, kStart).empty(), "told once");
+}
+
+// Resets of links, back ends that cut answers off, a node that stood still.
+Test(backend_end_watch, a_back_end_that_lives_holds_nothing_against_anybody) {
+  BackendEndWatch watch;
+  (void)watch.NoteBroken({1, kEngine}, kStart);
+  watch.NoteAlive(kEngine);
+  cr_assert(watch.NoteEnded(kEngine, kStart).empty());
+  cr_assert(watch.Settle(Gone, kStart).empty());
+}
+
+Test(backend_end_watch, a_refused_connection_alone_says_nothing) {
+  BackendEndWatch watch;
+  cr_assert(watch.NoteEnded(kEngine, kStart).empty());
+  cr_assert(watch.NoteBroken({1, kEngine}, kStart).empty(), "the end was not seen to break it");
+}
+
+Test(backend_end_watch, an_entry_that_goes_proves_the_end) {
+  BackendEndWatch watch;
+  (void)watch.NoteBroken({1, kEngine}, kStart);
+  cr_assert(watch.Settle(There, kStart + seconds(2)).empty());
+  cr_assert(watch.Settle(Gone, kStart + seconds(4)).size() == 1);
+}
+
+Test(backend_end_watch, what_is_not_settled_in_time_is_forgotten) {
+  BackendEndWatch watch;
+  (void)watch.NoteBroken({1, kEngine}, kStart);
+  cr_assert(watch.Settle(There, kStart + seconds(11)).empty());
+  cr_assert(watch.Settle(Gone, kStart + seconds(12)).empty());
+}
+
+Test(backend_end_watch, one_probe_a_second) {
+  BackendEndWatch watch;
+  cr_assert(!watch.TakeProbe(kEngine, kStart), "nothing is in doubt");
+  (void)watch.NoteBroken({1, kEngine}, kStart);
+  cr_assert(watch.TakeProbe(kEngine, kStart));
+  cr_assert(!watch.TakeProbe(kEngine, kStart + milliseconds(900)));
+  cr_assert(watch.TakeProbe(kEngine, kStart + seconds(1)));
+}
+
+}  // namespace
+}  // namespace cartsail
--- /dev/null
+++ b/libs/quarantine/tests/quarantine_list_test.cc
@@ -0,0 +1,63 @@
+#include "cartsail/quarantine/quarantine_list.h"
+
+#include "cartsail/quarantine/recent_runs.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+const TimePoint kStart{seconds(1000)};
+constexpr RequestFingerprint kRequest = 5;
+
+Test(quarantine_list, a_request_is_kept_until_its_time_is_over) {
+  QuarantineList list;
+  cr_assert(!list.LeftFor(kRequest, kStart).has_value());
+  cr_assert(list.Add({kRequest, kStart + seconds(600)}, kStart));
+  cr_assert(!list.Add({kRequest, kStart + seconds(900)}, kStart), "known already");
+  cr_assert(list.LeftFor(kRequest, kStart + seconds(10)) == Duration(seconds(590)));
+  cr_assert(!list.LeftFor(kRequest, kStart + seconds(600)).has_value());
+  list.Expire(kStart + seconds(600));
+  cr_assert(list.Size() == 0);
+}
+
+// Word of the quarantine may come after word of its end.
+Test(quarantine_list, a_lifted_request_is_not_added_by_late_word) {
+  QuarantineList list;
+  (void)list.Add({kRequest, kStart + seconds(600)}, kStart);
+  cr_assert(list.Lift(kRequest, kStart + seconds(1)));
+  cr_assert(!list.Add({kRequest, kStart + seconds(600)}, kStart + seconds(2)));
+  cr_assert(list.Add({kRequest, kStart + seconds(900)}, kStart + seconds(32)));
+}
+
+Test(quarantine_list, the_newest_are_told) {
+  QuarantineList list;
+  for (RequestFingerprint request = 0; request < 2000; ++request) {
+    (void)list.Add({request, kStart + seconds(600) + milliseconds(request)}, kStart);
+  }
+  cr_assert(list.Size() == 1000);
+  const std::vector<QuarantinedRequest> newest = list.Newest(3, kStart);
+  cr_assert(newest.size() == 3);
+  cr_assert(newest.front().request == 1999);
+}
+
+Test(recent_runs, remembers_for_a_minute_and_forgets) {
+  RecentRuns runs;
+  runs.Note(kRequest, kStart);
+  cr_assert(runs.RanSince(kRequest, kStart - seconds(1)));
+  cr_assert(!runs.RanSince(kRequest, kStart), "not after");
+  runs.Note(6, kStart + seconds(59));
+  cr_assert(runs.RanSince(kRequest, kStart - seconds(1)));
+  runs.Note(7, kStart + seconds(130));
+  runs.Note(8, kStart + seconds(200));
+  cr_assert(!runs.RanSince(kRequest, kStart - seconds(1)));
+}
+
+Test(recent_runs, is_bounded) {
+  RecentRuns runs;
+  for (RequestFingerprint request = 0; request < 100000; ++request) runs.Note(request, kStart);
+  cr_assert(!runs.RanSince(0, kStart - seconds(1)));
+  cr_assert(runs.RanSince(99999, kStart - seconds(1)));
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/include/cartsail/relay/catalog_codec.h
+++ b/libs/relay/include/cartsail/relay/catalog_codec.h
@@ -18,6 +18,9 @@
   std::string backend_prefix;  // keys of back ends: prefix and id
   // Keys of drained zones: prefix and zone; the value does not matter. Empty: there are none.
   std::string drained_zone_prefix;
+  // Keys of quarantined requests, which nodes write themselves: prefix and fingerprint; no value.
+  // Empty: they are not kept in the store.
+  std::string quarantine_prefix = {};
 };
 
 class CatalogCodec {
--- a/libs/relay/src/catalog/catalog_answers.cc
+++ b/libs/relay/src/catalog/catalog_answers.cc
@@ -17,6 +17,9 @@
 
 namespace asio = boost::asio;
 
+// In an update, which has to fit one packet beside its changes: 12 bytes each.
+constexpr size_t kMostQuarantinedTold = 16;
+constexpr size_t kMostQuarantinedHanded = 1000;  // in a catalog
 constexpr Duration kEncodedHolds = seconds(1);  // it names the document's age
 // From one reader to the next: an update reaches the other readers within some milliseconds.
 constexpr Duration kTurnToTell = milliseconds(25);
@@ -30,6 +33,7 @@
   update.document_version = context_.routing.Version();
   update.confirmed_age = Now() - confirmed;
   update.changes.drained_zones = context_.dispatcher.Registry().Drains().Zones();
+  update.changes.quarantined = context_.quarantine.List().Newest(kMostQuarantinedTold, Now());
   for (const ChangeParcel& parcel : ParcelsSince(since)) {
     update.changes.since = parcel.since;
     update.changes.revision = parcel.revision;
@@ -65,7 +69,11 @@
 // Nodes that start together all ask for it.
 std::string CatalogSync::EncodedWhole() {
   const TimePoint now = Now();
-  if (!encoded_whole_.empty() && now - encoded_whole_at_ < kEncodedHolds) return encoded_whole_;
+  const int64_t quarantine_changes = context_.quarantine.List().Changes();
+  const bool holds = now - encoded_whole_at_ < kEncodedHolds &&
+                     encoded_whole_quarantine_ == quarantine_changes;
+  if (!encoded_whole_.empty() && holds) return encoded_whole_;
+  encoded_whole_quarantine_ = quarantine_changes;
   const CatalogMessage catalog = MakeCatalog(0, 0);
   const auto is_missing = [](const Backend& backend) { return backend.missing_until.has_value(); };
   const bool changes_soon =
@@ -104,6 +112,7 @@
   if (context_.routing.Version() > have) catalog.document = PatchFor(have);
   catalog.document_age = Now() - context_.routing.KnownSince();
   catalog.drained_zones = context_.dispatcher.Registry().Drains().Zones();
+  catalog.quarantined = context_.quarantine.List().Newest(kMostQuarantinedHanded, Now());
   FillBackends(since, &catalog);
   return catalog;
 }
--- a/libs/relay/src/catalog/catalog_message.h
+++ b/libs/relay/src/catalog/catalog_message.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cartsail/dispatch/backend_registry.h"
+#include "cartsail/quarantine/quarantine_list.h"
 #include "catalog/document_patch.h"
 
 namespace cartsail {
@@ -19,6 +20,7 @@
   std::vector<Backend> backends;
   std::vector<std::string> gone;           // ids
   std::vector<std::string> drained_zones;  // all there are, also beside changes
+  std::vector<QuarantinedRequest> quarantined;  // the newest ones, also beside changes
   Duration document_age{};  // since the first node on its way put the document in force
 };
 
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -78,6 +78,24 @@
        {"source", std::string(source)}});
 }
 
+std::optional<RequestFingerprint> CatalogSync::QuarantinedIn(const std::string& key) const {
+  const std::string& prefix = keys_.quarantine_prefix;
+  if (prefix.empty() || key.compare(0, prefix.size(), prefix) != 0) return std::nullopt;
+  RequestFingerprint request = 0;
+  if (!ParseFingerprint(std::string_view(key).substr(prefix.size()), &request)) return std::nullopt;
+  return request;
+}
+
+void CatalogSync::ApplyQuarantine(const WatchEvent& event, TimePoint now) {
+  const std::optional<RequestFingerprint> request = QuarantinedIn(event.kv.key);
+  if (!request.has_value()) return;
+  if (event.deleted) {
+    context_.quarantine.NoteErased(*request, now);
+  } else {
+    context_.quarantine.NoteRecorded(*request, now);
+  }
+}
+
 void CatalogSync::NoteInvalidBackend(const std::string& id, const absl::Status& why) {
   GlobalCounters().backends_invalid_total.Add();
   if (!invalid_entries_.MayLog(id, Now())) {
@@ -137,6 +155,7 @@
     if (item.key == keys_.document) ApplyDocument(item.value, "store", Duration(0));
   }
   const TimePoint now = Now();
+  for (const KeyValue& item : items) ApplyQuarantine({false, item}, now);
   if (asked.has_value()) {
     behind_since_.reset();
     grace_.NoteAnswer(context_.routing.Confirmed(), now, now);
@@ -184,6 +203,7 @@
   revision_ = changes.revision;
   must_list_ = false;
   encoded_whole_.clear();
+  context_.quarantine.Merge(changes.quarantined, Now());
   if (!changes.backends.empty() || !changes.gone.empty()) ApplyChanges(changes, source);
   ReplaceDrainedZones({changes.drained_zones.begin(), changes.drained_zones.end()}, source);
 }
@@ -213,6 +233,7 @@
 }
 
 void CatalogSync::ApplyCatalog(const CatalogMessage& catalog, std::string_view source) {
+  context_.quarantine.Merge(catalog.quarantined, Now());
   if (!catalog.document.bytes.empty()) {
     ApplyPatch(catalog.document, source, catalog.document_age);
   }
@@ -272,6 +293,7 @@
     if (key == keys_.document && !event.deleted)
       ApplyDocument(event.kv.value, "store", Duration(0));
     if (IsDrainedZone(key)) ApplyDrainedZone(event, now);
+    ApplyQuarantine(event, now);
     if (IsBackend(key) && !event.deleted && IsKnownAlready(event.kv, now)) continue;
     if (IsBackend(key)) changes_.Note(BackendId(key), event.kv.mod_revision);
     if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -116,6 +116,9 @@
   void ReplaceDrainedZones(const std::set<std::string>& zones, std::string_view source);
   void ApplyDrainedZone(const WatchEvent& event, TimePoint now);
   void LogDrainedZones(std::string_view source) const;
+  // The request whose record has this key; nothing for any other key.
+  std::optional<RequestFingerprint> QuarantinedIn(const std::string& key) const;
+  void ApplyQuarantine(const WatchEvent& event, TimePoint now);
   CatalogMessage MakeCatalog(int64_t have, int64_t since);
   void AddChange(const std::string& id, CatalogMessage* catalog) const;
   void FillBackends(int64_t since, CatalogMessage* catalog) const;
@@ -146,6 +149,7 @@
   DocumentPatch whole_;        // of the document in force; empty until somebody needs it
   std::string encoded_whole_;  // catalog for nodes that know nothing; empty until one asks
   TimePoint encoded_whole_at_{};
+  int64_t encoded_whole_quarantine_ = 0;  // changes of the quarantine list by then
   // While a peer has a newer document than this node: since when.
   std::optional<TimePoint> behind_since_;
   bool must_list_ = true;  // the changes since `revision_` are not to be had from the store
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -5,6 +5,7 @@
 #include "catalog/catalog_wire.h"
 #include "fleet/digest_codec.h"
 #include "fleet/gossip_codec.h"
+#include "quarantine/quarantine_codec.h"
 #include "wire/capnp_bytes.h"
 #include "wire/host_number.h"
 #include "wire/wire_number.h"
@@ -131,6 +132,14 @@
   for (unsigned i = 0; i < windows.size(); ++i) windows.set(i, receipt.windows[i]);
 }
 
+void Encode(const StrikeReport& report, wire::Datagram::Builder root) {
+  EncodeStrikes(report, root);
+}
+
+void Encode(const QuarantineNotice& notice, wire::Datagram::Builder root) {
+  EncodeQuarantine(notice, root.initQuarantine());
+}
+
 UsageShares DecodeUsage(wire::UsageShares::Reader message) {
   UsageShares usage;
   usage.process = message.getProcess();
@@ -262,6 +271,10 @@
       return DecodeUsage(root.getUsage());
     case wire::Datagram::USAGE_RECEIPT:
       return DecodeReceipt(root.getUsageReceipt());
+    case wire::Datagram::STRIKES:
+      return DecodeStrikes(root.getStrikes());
+    case wire::Datagram::QUARANTINE:
+      return DecodeQuarantine(root.getQuarantine());
   }
   return std::nullopt;  // of a later version
 }
--- a/libs/relay/src/fleet/datagram.h
+++ b/libs/relay/src/fleet/datagram.h
@@ -12,12 +12,14 @@
 #include "fleet/gossip_message.h"
 #include "fleet/node_digest.h"
 #include "placement/placement_message.h"
+#include "quarantine/quarantine_message.h"
 
 namespace cartsail {
 
 using Datagram =
     std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport, DocumentNotice,
-                 GossipMessage, StoreUpdate, UsageShares, UsageReceipt>;
+                 GossipMessage, StoreUpdate, UsageShares, UsageReceipt, StrikeReport,
+                 QuarantineNotice>;
 
 // Times are sent as what is left or past at `now`.
 std::string EncodeDatagram(const Datagram& datagram, TimePoint now = {});
--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -97,6 +97,12 @@
        [this](const std::string& host, const UsageReceipt& receipt) {
          (void)Send(host, receipt);
        }});
+  context_.quarantine.SetTransport(
+      {[this](const std::string& host, const StrikeReport& report) { (void)Send(host, report); },
+       [this](const QuarantineNotice& notice) {
+         const std::vector<LivePeer> live = peers_.LivePeers();
+         SpreadQuarantine(notice, BranchesByZone(live, context_.options.zone, random_));
+       }});
   catalog_.SetOnDocument([this] {
     if (announcing_) return;  // goes on with the newest document
     announcing_ = true;
@@ -161,6 +167,23 @@
   if (const auto* receipt = std::get_if<UsageReceipt>(&*datagram)) {
     context_.usage.OnReceipt(host, *receipt);
   }
+  if (const auto* report = std::get_if<StrikeReport>(&*datagram)) {
+    context_.quarantine.OnStrikes(*report, now);
+  }
+  if (const auto* notice = std::get_if<QuarantineNotice>(&*datagram)) OnQuarantine(*notice, now);
+}
+
+void PeerExchange::SpreadQuarantine(QuarantineNotice notice,
+                                    const std::vector<UpdateBranch>& branches) {
+  for (const UpdateBranch& branch : branches) {
+    notice.targets = branch.targets;
+    (void)Send(branch.host, notice);
+  }
+}
+
+void PeerExchange::OnQuarantine(const QuarantineNotice& notice, TimePoint now) {
+  SpreadQuarantine(notice, Branches(notice.targets));
+  context_.quarantine.OnNotice(notice, now);
 }
 
 StoreView PeerExchange::View(TimePoint now) const {
--- a/libs/relay/src/fleet/peer_exchange.h
+++ b/libs/relay/src/fleet/peer_exchange.h
@@ -55,6 +55,8 @@
   void OnGossip(const std::string& host, const GossipMessage& message);
   void OnView(const std::string& host, const StoreView& view, TimePoint now);
   void OnUpdate(const std::string& host, const StoreUpdate& update);
+  void SpreadQuarantine(QuarantineNotice notice, const std::vector<UpdateBranch>& branches);
+  void OnQuarantine(const QuarantineNotice& notice, TimePoint now);
   void OnNotice(const std::string& host, const DocumentNotice& notice);
   void OnDigest(const std::string& host, const NodeDigest& digest);
   void MaybeFetch(const std::string& host, int64_t version, TimePoint now);
--- /dev/null
+++ b/libs/relay/src/quarantine/quarantine_codec.h
@@ -0,0 +1,21 @@
+// Encoding of strikes and quarantines as parts of messages (Cap'n Proto). Pure.
+#pragma once
+
+#include "quarantine/quarantine_message.h"
+#include "wire/messages.capnp.h"
+
+namespace cartsail {
+
+void EncodeStrikes(const StrikeReport& report, wire::Datagram::Builder root);
+StrikeReport DecodeStrikes(capnp::List<wire::Strike>::Reader strikes);
+
+void EncodeQuarantine(const QuarantineNotice& notice, wire::QuarantineNotice::Builder message);
+QuarantineNotice DecodeQuarantine(wire::QuarantineNotice::Reader message);
+
+// As a part of catalogs: times are sent as what is left at `now`.
+void FillQuarantined(const std::vector<QuarantinedRequest>& quarantined, TimePoint now,
+                     capnp::List<wire::QuarantineEntry>::Builder list);
+std::vector<QuarantinedRequest> QuarantinedFrom(capnp::List<wire::QuarantineEntry>::Reader list,
+                                                TimePoint now);
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/quarantine/quarantine_recorder.h
@@ -0,0 +1,37 @@
+// Keeps quarantines in the store, each as a record under a lease that lasts as long: a fleet that
+// starts anew as a whole finds them there. One thread.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <set>
+#include <string>
+
+#include "cartsail/store/key_value_store.h"
+#include "quarantine/quarantine_service.h"
+
+namespace cartsail {
+
+class QuarantineRecorder {
+ public:
+  // `prefix`: of the records' keys; FingerprintText() follows.
+  QuarantineRecorder(boost::asio::io_context& io, KeyValueStore& store, std::string prefix,
+                     QuarantineService& service);
+
+ private:
+  boost::asio::awaitable<void> Record(RequestFingerprint request, size_t rank);
+  boost::asio::awaitable<void> Erase(RequestFingerprint request);
+  boost::asio::awaitable<bool> IsRecorded(const std::string& key);
+  boost::asio::awaitable<absl::Status> Write(const std::string& key);
+  boost::asio::awaitable<void> Pause(Duration duration);
+  std::string KeyOf(RequestFingerprint request) const;
+  bool IsStillQuarantined(RequestFingerprint request) const;
+
+  boost::asio::io_context& io_;
+  KeyValueStore& store_;
+  std::string prefix_;
+  QuarantineService& service_;
+  std::set<RequestFingerprint> recording_;  // tries under way
+};
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -0,0 +1,252 @@
+#include "quarantine/quarantine_service.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "cartsail/base/counters.h"
+#include "cartsail/base/log.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+// A strike is sent at these times after the end of the back end: with 5 in 100 datagrams lost, one
+// in 8,000 strikes misses a node that counts.
+constexpr std::array<Duration, 3> kStrikePauses = {milliseconds(0), milliseconds(150),
+                                                   milliseconds(450)};
+// The same for word of a quarantine. Nodes that miss all of them learn it with the next change of
+// the catalog.
+constexpr std::array<Duration, 3> kNoticePauses = {milliseconds(0), milliseconds(250),
+                                                   milliseconds(750)};
+// A request that a back end has run to the end at this node within that time is not held
+// responsible for the end of another one: of many copies of a popular request some run wherever a
+// back end ends.
+constexpr Duration kAlibiTime = seconds(10);
+
+}  // namespace
+
+QuarantineService::QuarantineService(asio::io_context& io, std::string host,
+                                     Duration connect_timeout, const Dispatcher& dispatcher,
+                                     const PeerTable& peers, UpstreamPool& pool)
+    : io_(io),
+      host_(std::move(host)),
+      connect_timeout_(connect_timeout),
+      dispatcher_(dispatcher),
+      peers_(peers),
+      pool_(pool) {}
+
+std::optional<Duration> QuarantineService::LeftFor(RequestFingerprint request,
+                                                   TimePoint now) const {
+  return list_.LeftFor(request, now);
+}
+
+QuarantineService::WatchId QuarantineService::Watch(RequestFingerprint request,
+                                                    std::function<void()> on_quarantined) {
+  const WatchId watch = next_watch_++;
+  watches_[request][watch] = std::move(on_quarantined);
+  return watch;
+}
+
+void QuarantineService::Unwatch(RequestFingerprint request, WatchId watch) {
+  const auto watches = watches_.find(request);
+  if (watches == watches_.end()) return;
+  watches->second.erase(watch);
+  if (watches->second.empty()) watches_.erase(watches);
+}
+
+void QuarantineService::NoteRun(RequestFingerprint request, TimePoint now) {
+  runs_.Note(request, now);
+  if (list_.LeftFor(request, now).has_value()) LiftEverywhere(request, "ran", now);
+}
+
+// The entry stands and does not announce an end: back ends that leave end when they are done.
+bool QuarantineService::IsReady(BackendKey backend) const {
+  const Backend* known = dispatcher_.Registry().FindByKey(backend);
+  return known != nullptr && known->state == BackendState::kReady &&
+         !known->missing_until.has_value();
+}
+
+void QuarantineService::NoteBroken(RequestFingerprint request, const Backend& backend,
+                                   TimePoint now) {
+  if (!IsReady(backend.key)) return;
+  Report(ends_.NoteBroken({request, backend.key}, now), now);
+  if (ends_.TakeProbe(backend.key, now)) asio::co_spawn(io_, Probe(backend), asio::detached);
+}
+
+// A process that has ended refuses connections at once; one that lives gets a connection that the
+// next request uses.
+asio::awaitable<void> QuarantineService::Probe(Backend backend) {
+  const std::shared_ptr<UpstreamConnection> connection = pool_.MakeNew();
+  GlobalCounters().backend_connects_total.Add();
+  const ConnectResult result =
+      co_await connection->Connect(backend.address, Now() + connect_timeout_);
+  NoteConnect(backend.key, result, Now());
+  if (result == ConnectResult::kConnected) pool_.Keep(backend.key, connection, Now());
+}
+
+void QuarantineService::NoteConnect(BackendKey backend, ConnectResult result, TimePoint now) {
+  if (result == ConnectResult::kConnected) ends_.NoteAlive(backend);
+  if (result == ConnectResult::kRefused) Report(ends_.NoteEnded(backend, now), now);
+}
+
+void QuarantineService::NoteReplaced(BackendKey backend, TimePoint now) {
+  Report(ends_.NoteEnded(backend, now), now);
+}
+
+void QuarantineService::Report(const std::vector<Strike>& strikes, TimePoint now) {
+  if (strikes.empty()) return;
+  std::vector<Strike> held;
+  for (const Strike& strike : strikes) {
+    if (!runs_.RanSince(strike.request, now - kAlibiTime)) held.push_back(strike);
+  }
+  GlobalCounters().strikes_total.Add(static_cast<int64_t>(held.size()));
+  Log(LogLevel::kWarning, "backend_ended",
+      {{"backend_key", std::to_string(strikes.front().backend)},
+       {"requests", std::to_string(strikes.size())},
+       {"strikes", std::to_string(held.size())},
+       {"first", FingerprintText(strikes.front().request)}});
+  // Also here: a node that reaches no other one keeps its own count.
+  for (const Strike& strike : held) Count(strike, now);
+  if (transport_.send && !held.empty()) {
+    asio::co_spawn(io_, TellStrikes(std::move(held)), asio::detached);
+  }
+}
+
+std::vector<std::string> QuarantineService::CountersOf(RequestFingerprint request) const {
+  std::vector<std::string> hosts = {host_};
+  for (const LivePeer& peer : peers_.LivePeers()) hosts.push_back(peer.host);
+  return StrikeCountersOf(request, std::move(hosts));
+}
+
+asio::awaitable<void> QuarantineService::TellStrikes(std::vector<Strike> strikes) {
+  for (const Duration pause : kStrikePauses) {
+    if (pause > Duration(0)) co_await Pause(pause);
+    std::map<std::string, StrikeReport> reports;  // by host
+    for (const Strike& strike : strikes) {
+      for (const std::string& host : CountersOf(strike.request)) {
+        if (host != host_) reports[host].strikes.push_back(strike);
+      }
+    }
+    for (const auto& [host, report] : reports) transport_.send(host, report);
+  }
+}
+
+void QuarantineService::OnStrikes(const StrikeReport& report, TimePoint now) {
+  for (const Strike& strike : report.strikes) Count(strike, now);
+}
+
+void QuarantineService::Count(const Strike& strike, TimePoint now) {
+  const std::optional<Verdict> verdict = ledger_.Note(strike, now);
+  if (verdict.has_value()) Decide(*verdict, now);
+}
+
+void QuarantineService::Decide(const Verdict& verdict, TimePoint now) {
+  if (list_.WasLifted(verdict.request, now)) return;
+  ledger_.Explain(verdict.backends, verdict.request, now);
+  Quarantine({verdict.request, now + kQuarantineTime}, "strikes", now);
+  QuarantineNotice notice;
+  notice.request = verdict.request;
+  notice.left = list_.LeftFor(verdict.request, now).value_or(kQuarantineTime);
+  notice.first_strike_age = now - verdict.first_strike;
+  notice.backends = verdict.backends;
+  if (transport_.spread) asio::co_spawn(io_, TellAll(notice), asio::detached);
+  const std::vector<std::string> counters = CountersOf(verdict.request);
+  const auto self = std::find(counters.begin(), counters.end(), host_);
+  const auto rank = static_cast<size_t>(self - counters.begin());
+  if (recorder_.record) recorder_.record(verdict.request, rank);
+}
+
+void QuarantineService::Quarantine(const QuarantinedRequest& quarantined, std::string_view source,
+                                   TimePoint now) {
+  if (!list_.Add(quarantined, now)) return;
+  GlobalCounters().quarantines_total.Add();
+  Log(LogLevel::kWarning, "request_quarantined",
+      {{"fingerprint", FingerprintText(quarantined.request)},
+       {"source", std::string(source)},
+       {"strikes_here", std::to_string(ledger_.StrikesOf(quarantined.request))},
+       {"for_s", std::to_string(static_cast<int64_t>(ToSeconds(quarantined.until - now)))}});
+  const auto watches = watches_.find(quarantined.request);
+  if (watches == watches_.end()) return;
+  // A callback may end its watch.
+  const std::map<WatchId, std::function<void()>> copies = watches->second;
+  for (const auto& [watch, on_quarantined] : copies) on_quarantined();
+}
+
+void QuarantineService::Lift(RequestFingerprint request, std::string_view why, TimePoint now) {
+  ledger_.Clear(request);
+  if (!list_.Lift(request, now)) return;
+  GlobalCounters().quarantines_lifted_total.Add();
+  Log(LogLevel::kWarning, "quarantine_lifted",
+      {{"fingerprint", FingerprintText(request)}, {"why", std::string(why)}});
+}
+
+void QuarantineService::LiftEverywhere(RequestFingerprint request, std::string_view why,
+                                       TimePoint now) {
+  Lift(request, why, now);
+  TellLifted(request);
+  if (recorder_.erase) recorder_.erase(request);
+}
+
+void QuarantineService::TellLifted(RequestFingerprint request) {
+  QuarantineNotice notice;
+  notice.request = request;
+  notice.is_lifted = true;
+  if (transport_.spread) asio::co_spawn(io_, TellAll(notice), asio::detached);
+}
+
+asio::awaitable<void> QuarantineService::TellAll(QuarantineNotice notice) {
+  for (const Duration pause : kNoticePauses) {
+    if (pause > Duration(0)) co_await Pause(pause);
+    const bool is_outdated = !notice.is_lifted && list_.WasLifted(notice.request, Now());
+    if (is_outdated) co_return;
+    transport_.spread(notice);
+  }
+}
+
+asio::awaitable<void> QuarantineService::Pause(Duration duration) {
+  asio::steady_timer timer(io_, duration);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void QuarantineService::OnNotice(const QuarantineNotice& notice, TimePoint now) {
+  if (notice.is_lifted) return Lift(notice.request, "peer", now);
+  ledger_.Explain(notice.backends, notice.request, now);
+  Quarantine({notice.request, now + notice.left}, "peer", now);
+  const bool is_innocent = runs_.RanSince(notice.request, now - notice.first_strike_age);
+  if (is_innocent) LiftEverywhere(notice.request, "ran_before", now);
+}
+
+void QuarantineService::NoteRecorded(RequestFingerprint request, TimePoint now) {
+  Quarantine({request, now + kQuarantineTime}, "store", now);
+}
+
+// An operator or another node has taken it back, or its time is over. The readers of the store tell
+// the others.
+void QuarantineService::NoteErased(RequestFingerprint request, TimePoint now) {
+  if (!list_.LeftFor(request, now).has_value()) return;
+  Lift(request, "record_gone", now);
+  TellLifted(request);
+}
+
+void QuarantineService::Merge(const std::vector<QuarantinedRequest>& quarantined, TimePoint now) {
+  for (const QuarantinedRequest& entry : quarantined) Quarantine(entry, "catalog", now);
+}
+
+void QuarantineService::Tick(TimePoint now) {
+  const auto has_entry = [this](BackendKey backend) {
+    return dispatcher_.Registry().FindByKey(backend) != nullptr;
+  };
+  Report(ends_.Settle(has_entry, now), now);
+  ledger_.Expire(now);
+  list_.Expire(now);
+}
+
+}  // namespace cartsail
--- /dev/null
+++ b/libs/relay/src/quarantine/quarantine_service.h
@@ -0,0 +1,122 @@
+// Keeps requests under which back ends end from all further back ends, whatever id they come under
+// and whichever node they come to. The node that had a request at a back end that ended tells a few
+// nodes, chosen by the request; each of them counts by itself, and the first that has counted
+// enough tells all nodes and has it recorded in the store, for nodes that start or come back later.
+// Any node at which a back end has run the request to the end since lifts that again. One thread.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cartsail/dispatch/dispatcher.h"
+#include "cartsail/quarantine/backend_end_watch.h"
+#include "cartsail/quarantine/quarantine_list.h"
+#include "cartsail/quarantine/recent_runs.h"
+#include "cartsail/quarantine/strike_ledger.h"
+#include "fleet/peer_table.h"
+#include "quarantine/quarantine_message.h"
+#include "request/upstream_pool.h"
+
+namespace cartsail {
+
+class QuarantineService {
+ public:
+  // How messages reach other nodes.
+  struct Transport {
+    std::function<void(const std::string& host, const StrikeReport& report)> send;
+    // To all live nodes.
+    std::function<void(const QuarantineNotice& notice)> spread;
+  };
+
+  // How the store keeps quarantines.
+  struct Recorder {
+    // `rank`: this node's place among those that count; the first one writes at once.
+    std::function<void(RequestFingerprint request, size_t rank)> record;
+    std::function<void(RequestFingerprint request)> erase;
+  };
+
+  using WatchId = uint64_t;
+
+  // `host`: of this node, as its peers know it. A probe of a back end takes `connect_timeout` at
+  // most.
+  QuarantineService(boost::asio::io_context& io, std::string host, Duration connect_timeout,
+                    const Dispatcher& dispatcher, const PeerTable& peers, UpstreamPool& pool);
+
+  // Without a transport this node counts by itself.
+  void SetTransport(Transport transport) { transport_ = std::move(transport); }
+
+  // Without a recorder nothing outlives the nodes.
+  void SetRecorder(Recorder recorder) { recorder_ = std::move(recorder); }
+
+  // How long the request is still kept from back ends; nothing when it may be sent. To be asked
+  // right before every send.
+  std::optional<Duration> LeftFor(RequestFingerprint request, TimePoint now) const;
+
+  // Calls `on_quarantined` when the request is quarantined before Unwatch().
+  WatchId Watch(RequestFingerprint request, std::function<void()> on_quarantined);
+  void Unwatch(RequestFingerprint request, WatchId watch);
+
+  // A back end has run the request to the end.
+  void NoteRun(RequestFingerprint request, TimePoint now);
+
+  // The connection to a back end broke while it had the request.
+  void NoteBroken(RequestFingerprint request, const Backend& backend, TimePoint now);
+
+  // What an attempt to connect told, or an answer by which another process has the address.
+  void NoteConnect(BackendKey backend, ConnectResult result, TimePoint now);
+  void NoteReplaced(BackendKey backend, TimePoint now);
+
+  void OnStrikes(const StrikeReport& report, TimePoint now);
+  void OnNotice(const QuarantineNotice& notice, TimePoint now);
+
+  // The store has a record, or no longer.
+  void NoteRecorded(RequestFingerprint request, TimePoint now);
+  void NoteErased(RequestFingerprint request, TimePoint now);
+
+  // As a peer's catalog tells them.
+  void Merge(const std::vector<QuarantinedRequest>& quarantined, TimePoint now);
+
+  const QuarantineList& List() const { return list_; }
+
+  // To be called about twice a second.
+  void Tick(TimePoint now);
+
+ private:
+  boost::asio::awaitable<void> Probe(Backend backend);
+  boost::asio::awaitable<void> TellStrikes(std::vector<Strike> strikes);
+  boost::asio::awaitable<void> TellAll(QuarantineNotice notice);
+  boost::asio::awaitable<void> Pause(Duration duration);
+  void Report(const std::vector<Strike>& strikes, TimePoint now);
+  void Count(const Strike& strike, TimePoint now);
+  void Decide(const Verdict& verdict, TimePoint now);
+  void Quarantine(const QuarantinedRequest& quarantined, std::string_view source, TimePoint now);
+  void Lift(RequestFingerprint request, std::string_view why, TimePoint now);
+  void LiftEverywhere(RequestFingerprint request, std::string_view why, TimePoint now);
+  void TellLifted(RequestFingerprint request);
+  std::vector<std::string> CountersOf(RequestFingerprint request) const;
+  bool IsReady(BackendKey backend) const;
+
+  boost::asio::io_context& io_;
+  std::string host_;
+  Duration connect_timeout_;
+  const Dispatcher& dispatcher_;
+  const PeerTable& peers_;
+  UpstreamPool& pool_;
+  Transport transport_;
+  Recorder recorder_;
+  BackendEndWatch ends_;
+  RecentRuns runs_;
+  StrikeLedger ledger_;
+  QuarantineList list_;
+  std::unordered_map<RequestFingerprint, std::map<WatchId, std::function<void()>>> watches_;
+  WatchId next_watch_ = 1;
+};
+
+}  // namespace cartsail
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -16,6 +16,7 @@
 #include "duties/usage_counting.h"
 #include "fleet/peer_table.h"
 #include "placement/placement_service.h"
+#include "quarantine/quarantine_service.h"
 #include "request/upstream_pool.h"
 
 namespace cartsail {
@@ -35,6 +36,8 @@
               Now()),
         pool(io_context.get_executor()),
         placement(io_context, dispatcher, peers, pool),
+        quarantine(io_context, relay_options.peer.host, relay_options.connect_timeout, dispatcher,
+                   peers, pool),
         usage(peers, relay_options.duties.usage, relay_options.duties.reports_usage) {}
 
   // The node knows the routing document and some back ends.
@@ -53,6 +56,7 @@
   PeerTable peers;
   UpstreamPool pool;
   PlacementService placement;
+  QuarantineService quarantine;
   UsageCounting usage;
   std::map<std::string, ServiceRetryBudget> budgets;
   int64_t requests_in_flight = 0;
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -26,6 +26,7 @@
 #include "fleet/peer_exchange.h"
 #include "fleet/traffic_log.h"
 #include "placement/cache_inventory.h"
+#include "quarantine/quarantine_recorder.h"
 #include "request/relay_server.h"
 #include "status/drain_alarm.h"
 #include "status/node_status.h"
@@ -60,6 +61,7 @@
         context_(io_, options, *deployment.format),
         store_(deployment.make_store(io_, WatchWait(options.node_id))),
         catalog_(context_, context_.peers, *store_, *deployment.codec, deployment.keys),
+        recorder_(io_, *store_, deployment.keys.quarantine_prefix, context_.quarantine),
         exchange_(context_, catalog_),
         inventory_(context_),
         server_(context_),
@@ -136,6 +138,7 @@
     counters.members_live.Set(static_cast<int64_t>(context_.peers.LiveCount()) + 1);
     counters.catalog_reader.Set(catalog_.IsReading(now) ? 1 : 0);
     counters.zones_drained.Set(DrainedZones());
+    counters.requests_quarantined.Set(static_cast<int64_t>(context_.quarantine.List().Size()));
     counters.drained_requests.Set(DrainedRequests(now));
     const Duration age = now - context_.routing.Confirmed();
     counters.config_age_milliseconds.Set(static_cast<int64_t>(ToMillis(age)));
@@ -243,6 +246,7 @@
       context_.pool.Sweep(now);
       context_.dispatcher.Tick(now);
       context_.placement.Tick(now);
+      context_.quarantine.Tick(now);
       AuditResidency(now);
       const std::optional<TrafficSent> sent = traffic_.Take(GlobalCounters(), now);
       if (sent.has_value()) LogTraffic(*sent);
@@ -320,6 +324,7 @@
   RelayContext context_;
   std::unique_ptr<KeyValueStore> store_;
   CatalogSync catalog_;
+  QuarantineRecorder recorder_;
   PeerExchange exchange_;
   CacheInventory inventory_;
   ResidencyAudit residency_audit_;
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -118,7 +118,13 @@
     self->caller_gone_ = true;
     if (self->upstream_ != nullptr) self->upstream_->Close();
   });
+  const auto on_quarantined = [weak = weak_from_this()] {
+    const std::shared_ptr<Exchange> self = weak.lock();
+    if (self != nullptr) self->OnQuarantined();
+  };
+  const QuarantineService::WatchId watch = context_.quarantine.Watch(fingerprint_, on_quarantined);
   const bool keep = co_await RunAdmitted();
+  context_.quarantine.Unwatch(fingerprint_, watch);
   caller_->StopWatch();
   GlobalCounters().requests_in_flight.Set(--context_.requests_in_flight);
   co_return keep && !caller_gone_;
@@ -136,6 +142,7 @@
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
   while (true) {
     FollowDocument();
+    if (IsQuarantined()) break;
     const PlacementResult result = co_await context_.placement.Place(admitted_.profile, tried_);
     const std::optional<Placement>& placement = result.placement;
     cold_wait_ = result.cold_wait;
@@ -150,6 +157,7 @@
     outcome = co_await Attempt(*placement);
     context_.placement.Finish(placement->ticket, outcome, Now());
     LogAttempt(*placement, outcome);
+    NoteEndOfAttempt(*placement, outcome);
     if (caller_gone_) break;
     if (outcome == AttemptOutcome::kAnswered) {
       LogAnswered();
@@ -176,6 +184,29 @@
   return profile.residency.has_value() && context_.dispatcher.ReadyFor(profile, now) == 0;
 }
 
+bool Exchange::IsQuarantined() const {
+  return context_.quarantine.LeftFor(fingerprint_, Now()).has_value();
+}
+
+// Where the back end has not begun to answer, the request may still wait there: a connection that
+// closes takes it out of the queue, before it ends one more back end.
+void Exchange::OnQuarantined() {
+  if (upstream_ == nullptr || has_output_) return;
+  given_up_ = true;
+  upstream_->Close();
+}
+
+void Exchange::NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome) {
+  const TimePoint now = Now();
+  if (outcome == AttemptOutcome::kCut) {
+    context_.quarantine.NoteBroken(fingerprint_, placement.backend, now);
+  } else if (outcome == AttemptOutcome::kWrongInstance) {
+    context_.quarantine.NoteReplaced(placement.backend.key, now);
+  } else if (outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kFailedAnswer) {
+    context_.quarantine.NoteRun(fingerprint_, now);
+  }
+}
+
 bool Exchange::MayTakeRepeat(ServiceRetryBudget& budget) {
   // Only bytes that reached a back end count as a repeat there.
   if (history_.attempts == 0) return true;
@@ -205,6 +236,11 @@
     caller_->Close();
     co_return false;
   }
+  const std::optional<Duration> quarantined = context_.quarantine.LeftFor(fingerprint_, Now());
+  if (history_.may_have_run == 0 && quarantined.has_value()) {
+    GlobalCounters().quarantine_refusals_total.Add();
+    co_return co_await AnswerRefusal(ErrorKind::kQuarantined, *quarantined);
+  }
   if (history_.may_have_run == 0 && IsWithoutHome(Now())) {
     LogResidencyRefusal("no_backend");
     co_return co_await AnswerRefusal(ErrorKind::kNoBackend, kRetryAfterNotRun);
@@ -226,12 +262,14 @@
     co_return Now() >= deadline_ ? AttemptOutcome::kTimedOut : AttemptOutcome::kNotSent;
   }
   FollowDocument();
-  if (!context_.dispatcher.MaySend(placement, admitted_.profile, Now())) {
+  const bool may_send = context_.dispatcher.MaySend(placement, admitted_.profile, Now());
+  if (!may_send || IsQuarantined()) {
     context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
     co_return AttemptOutcome::kWithheld;
   }
   ++history_.attempts;
   ++history_.may_have_run;
+  has_output_ = false;
   upstream_->StartRequest(UpstreamHead(placement, Now()), request_.body);
   const AttemptOutcome outcome = co_await Converse(placement);
   if (ProvablyNotRun(outcome)) {
@@ -243,7 +281,8 @@
   const bool is_silent = outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kTimedOut;
   // Links may drop all open connections without a word while new ones work.
   if (is_silent) context_.pool.CloseIdle(placement.backend.key);
-  co_return caller_gone_ ? AttemptOutcome::kCallerGone : outcome;
+  if (caller_gone_) co_return AttemptOutcome::kCallerGone;
+  co_return given_up_ ? AttemptOutcome::kGivenUp : outcome;
 }
 
 asio::awaitable<std::shared_ptr<UpstreamConnection>> Exchange::OpenUpstream(
@@ -257,6 +296,7 @@
   upstream_ = connection;  // so that the caller's going ends the wait
   const TimePoint limit = std::min(deadline_, Now() + context_.options.connect_timeout);
   connect_result_ = co_await connection->Connect(placement.backend.address, limit);
+  context_.quarantine.NoteConnect(placement.backend.key, connect_result_, Now());
   if (connect_result_ == ConnectResult::kConnected) co_return connection;
   GlobalCounters().backend_connects_failed_total.Add();
   co_return nullptr;
@@ -375,6 +415,7 @@
   do {
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+    has_output_ = true;
     context_.placement.Output(placement.ticket, Now());
     body += chunk;
   } while (!chunk.empty() && body.size() <= kMostWholeBytes);
@@ -424,6 +465,7 @@
     const bool at_end = chunk.empty();
     if (!at_end) {
       const TimePoint now = Now();
+      has_output_ = true;
       NoteOutput(now);
       context_.placement.Output(placement.ticket, now);
     }
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -69,6 +69,10 @@
   void FollowDocument();
   bool IsWithoutHome(TimePoint now);
   void LogResidencyRefusal(std::string_view why);
+  // Back ends end under this request: it may be sent to no further one.
+  bool IsQuarantined() const;
+  void OnQuarantined();
+  void NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome);
   bool MayTakeRepeat(ServiceRetryBudget& budget);
   void CountEnd(std::string_view result, Duration took) const;
   void LogEnd(std::string_view result, int status) const;
@@ -98,6 +102,8 @@
   bool run_noted_ = false;  // it counts as usage
   int status_sent_ = 0;     // of the head that the caller was sent
   bool caller_gone_ = false;
+  bool has_output_ = false;  // of the attempt under way
+  bool given_up_ = false;    // the attempt under way, since the request was quarantined
   bool keep_alive_ = true;
   int64_t bytes_out_ = 0;
 };
--- a/libs/relay/src/request/upstream_connection.cc
+++ b/libs/relay/src/request/upstream_connection.cc
@@ -158,7 +158,7 @@
     if (error) co_return ErrorOf(error);
   }
   stream_.expires_never();
-  usable_until_ = Now() + idle_limit_;
+  NoteIdle(Now());
   co_return broken_ ? UpstreamError::kBroken : UpstreamError::kNone;
 }
 
--- a/libs/relay/src/request/upstream_connection.h
+++ b/libs/relay/src/request/upstream_connection.h
@@ -69,6 +69,9 @@
 
   bool WasUsed() const { return exchanges_ > 0; }
 
+  // The connection is idle from now on.
+  void NoteIdle(TimePoint now) { usable_until_ = now + idle_limit_; }
+
   // Idle connections may be used until then.
   TimePoint UsableUntil() const { return usable_until_; }
 
--- a/libs/relay/src/request/upstream_pool.cc
+++ b/libs/relay/src/request/upstream_pool.cc
@@ -34,6 +34,12 @@
   idle.push_back(std::move(connection));
 }
 
+void UpstreamPool::Keep(BackendKey backend, std::shared_ptr<UpstreamConnection> connection,
+                        TimePoint now) {
+  connection->NoteIdle(now);
+  idle_[backend].push_back(std::move(connection));
+}
+
 void UpstreamPool::CloseIdle(BackendKey backend) {
   const auto idle = idle_.find(backend);
   if (idle == idle_.end()) return;
--- a/libs/relay/src/request/upstream_pool.h
+++ b/libs/relay/src/request/upstream_pool.h
@@ -25,6 +25,9 @@
   // Keeps a reusable connection, closes any other.
   void Return(BackendKey backend, std::shared_ptr<UpstreamConnection> connection);
 
+  // Keeps a connection that was made and not used yet.
+  void Keep(BackendKey backend, std::shared_ptr<UpstreamConnection> connection, TimePoint now);
+
   // Closes the idle connections to a back end: the next request gets a new one.
   void CloseIdle(BackendKey backend);
 
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -164,6 +164,31 @@
   coldMs @12 :UInt32;
 }
 
+# A back end ended while it had a request, which is named by its fingerprint.
+struct Strike {
+  request @0 :UInt64;
+  backend @1 :UInt32;
+}
+
+# A request that is kept from back ends, or no longer.
+struct QuarantineEntry {
+  request @0 :UInt64;
+  lifted @1 :Bool;
+  # How much longer it is kept from back ends.
+  leftMs @2 :UInt32;
+  # Milliseconds since the first back end ended under it.
+  firstStrikeAgeMs @3 :UInt32;
+  # Those that ended under it.
+  backends @4 :List(UInt32);
+}
+
+# On its way to all nodes.
+struct QuarantineNotice {
+  entry @0 :QuarantineEntry;
+  # IPv4 addresses of the nodes to which the receiver passes it on.
+  targets @1 :List(UInt32);
+}
+
 # All that a node knows from the store.
 struct Catalog {
   revision @0 :Int64;
@@ -182,6 +207,8 @@
   names @7 :List(Text);
   # All there are, also beside changes.
   drainedZones @8 :List(Text);
+  # The newest ones, also beside changes.
+  quarantined @9 :List(QuarantineEntry);
 }
 
 # What the store told a reader, on its way to all nodes.
@@ -231,5 +258,7 @@
     storeUpdate @6 :StoreUpdate;
     usage @7 :UsageShares;
     usageReceipt @8 :UsageReceipt;
+    strikes @9 :List(Strike);
+    quarantine @10 :QuarantineNotice;
   }
 }
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -28,6 +28,9 @@
 CAPNP_DECLARE_SCHEMA(9f5a10ff57841bdb);
 CAPNP_DECLARE_SCHEMA(ef673dbe5bf8067d);
 CAPNP_DECLARE_SCHEMA(fda596282b449bf2);
+CAPNP_DECLARE_SCHEMA(b974c443199238af);
+CAPNP_DECLARE_SCHEMA(f60e9eeef7c0639f);
+CAPNP_DECLARE_SCHEMA(e94c0010d4813aac);
 CAPNP_DECLARE_SCHEMA(fcbd87e46f033038);
 CAPNP_DECLARE_SCHEMA(d24718b90bf84405);
 CAPNP_DECLARE_SCHEMA(d9bf43abf2c8caa6);
@@ -222,6 +225,51 @@
   };
 };
 
+struct Strike {
+  Strike() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b974c443199238af, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuarantineEntry {
+  QuarantineEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f60e9eeef7c0639f, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuarantineNotice {
+  QuarantineNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e94c0010d4813aac, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Catalog {
   Catalog() = delete;
 
@@ -230,7 +278,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -328,6 +376,8 @@
     STORE_UPDATE,
     USAGE,
     USAGE_RECEIPT,
+    STRIKES,
+    QUARANTINE,
   };
 
   struct _capnpPrivate {
@@ -1744,6 +1794,282 @@
 };
 #endif  // !CAPNP_LITE
 
+class Strike::Reader {
+public:
+  typedef Strike Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint32_t getBackend() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Strike::Builder {
+public:
+  typedef Strike Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint32_t getBackend();
+  inline void setBackend( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Strike::Pipeline {
+public:
+  typedef Strike Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuarantineEntry::Reader {
+public:
+  typedef QuarantineEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline bool getLifted() const;
+
+  inline  ::uint32_t getLeftMs() const;
+
+  inline  ::uint32_t getFirstStrikeAgeMs() const;
+
+  inline bool hasBackends() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getBackends() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuarantineEntry::Builder {
+public:
+  typedef QuarantineEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline bool getLifted();
+  inline void setLifted(bool value);
+
+  inline  ::uint32_t getLeftMs();
+  inline void setLeftMs( ::uint32_t value);
+
+  inline  ::uint32_t getFirstStrikeAgeMs();
+  inline void setFirstStrikeAgeMs( ::uint32_t value);
+
+  inline bool hasBackends();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getBackends();
+  inline void setBackends( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBackends(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initBackends(unsigned int size);
+  inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownBackends();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuarantineEntry::Pipeline {
+public:
+  typedef QuarantineEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuarantineNotice::Reader {
+public:
+  typedef QuarantineNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntry() const;
+  inline  ::cartsail::wire::QuarantineEntry::Reader getEntry() const;
+
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuarantineNotice::Builder {
+public:
+  typedef QuarantineNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntry();
+  inline  ::cartsail::wire::QuarantineEntry::Builder getEntry();
+  inline void setEntry( ::cartsail::wire::QuarantineEntry::Reader value);
+  inline  ::cartsail::wire::QuarantineEntry::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::cartsail::wire::QuarantineEntry>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::QuarantineEntry> disownEntry();
+
+  inline bool hasTargets();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuarantineNotice::Pipeline {
+public:
+  typedef QuarantineNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cartsail::wire::QuarantineEntry::Pipeline getEntry();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Catalog::Reader {
 public:
   typedef Catalog Reads;
@@ -1784,6 +2110,9 @@
   inline bool hasDrainedZones() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDrainedZones() const;
 
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1862,6 +2191,13 @@
   inline void adoptDrainedZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDrainedZones();
 
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2400,6 +2736,14 @@
   inline bool hasUsageReceipt() const;
   inline  ::cartsail::wire::UsageReceipt::Reader getUsageReceipt() const;
 
+  inline bool isStrikes() const;
+  inline bool hasStrikes() const;
+  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
+
+  inline bool isQuarantine() const;
+  inline bool hasQuarantine() const;
+  inline  ::cartsail::wire::QuarantineNotice::Reader getQuarantine() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2501,6 +2845,22 @@
   inline void adoptUsageReceipt(::capnp::Orphan< ::cartsail::wire::UsageReceipt>&& value);
   inline ::capnp::Orphan< ::cartsail::wire::UsageReceipt> disownUsageReceipt();
 
+  inline bool isStrikes();
+  inline bool hasStrikes();
+  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder getStrikes();
+  inline void setStrikes( ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder initStrikes(unsigned int size);
+  inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>> disownStrikes();
+
+  inline bool isQuarantine();
+  inline bool hasQuarantine();
+  inline  ::cartsail::wire::QuarantineNotice::Builder getQuarantine();
+  inline void setQuarantine( ::cartsail::wire::QuarantineNotice::Reader value);
+  inline  ::cartsail::wire::QuarantineNotice::Builder initQuarantine();
+  inline void adoptQuarantine(::capnp::Orphan< ::cartsail::wire::QuarantineNotice>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::QuarantineNotice> disownQuarantine();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4204,6 +4564,205 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Strike::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Strike::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Strike::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Strike::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantineEntry::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineEntry::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineEntry::Reader::getLifted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantineEntry::Builder::getLifted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setLifted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getFirstStrikeAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getFirstStrikeAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setFirstStrikeAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineEntry::Reader::hasBackends() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineEntry::Builder::hasBackends() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineEntry::Reader::getBackends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::getBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuarantineEntry::Builder::setBackends( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void QuarantineEntry::Builder::setBackends(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::initBackends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineEntry::Builder::adoptBackends(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineEntry::Builder::disownBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QuarantineNotice::Reader::hasEntry() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineNotice::Builder::hasEntry() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::QuarantineEntry::Reader QuarantineNotice::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::QuarantineEntry::Builder QuarantineNotice::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cartsail::wire::QuarantineEntry::Pipeline QuarantineNotice::Pipeline::getEntry() {
+  return  ::cartsail::wire::QuarantineEntry::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void QuarantineNotice::Builder::setEntry( ::cartsail::wire::QuarantineEntry::Reader value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::QuarantineEntry::Builder QuarantineNotice::Builder::initEntry() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuarantineNotice::Builder::adoptEntry(
+    ::capnp::Orphan< ::cartsail::wire::QuarantineEntry>&& value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::QuarantineEntry> QuarantineNotice::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QuarantineNotice::Reader::hasTargets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineNotice::Builder::hasTargets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineNotice::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QuarantineNotice::Builder::setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void QuarantineNotice::Builder::setTargets(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineNotice::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineNotice::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::int64_t Catalog::Reader::getRevision() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4442,6 +5001,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Catalog::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Catalog::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Catalog::Builder::setQuarantined( ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Catalog::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool StoreUpdate::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5266,6 +5859,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isStrikes() const {
+  return which() == Datagram::STRIKES;
+}
+inline bool Datagram::Builder::isStrikes() {
+  return which() == Datagram::STRIKES;
+}
+inline bool Datagram::Reader::hasStrikes() const {
+  if (which() != Datagram::STRIKES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasStrikes() {
+  if (which() != Datagram::STRIKES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getStrikes() const {
+  KJ_IREQUIRE((which() == Datagram::STRIKES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getStrikes() {
+  KJ_IREQUIRE((which() == Datagram::STRIKES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setStrikes( ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STRIKES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initStrikes(unsigned int size) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STRIKES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptStrikes(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STRIKES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownStrikes() {
+  KJ_IREQUIRE((which() == Datagram::STRIKES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isQuarantine() const {
+  return which() == Datagram::QUARANTINE;
+}
+inline bool Datagram::Builder::isQuarantine() {
+  return which() == Datagram::QUARANTINE;
+}
+inline bool Datagram::Reader::hasQuarantine() const {
+  if (which() != Datagram::QUARANTINE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasQuarantine() {
+  if (which() != Datagram::QUARANTINE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::QuarantineNotice::Reader Datagram::Reader::getQuarantine() const {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::QuarantineNotice::Builder Datagram::Builder::getQuarantine() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setQuarantine( ::cartsail::wire::QuarantineNotice::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::QuarantineNotice::Builder Datagram::Builder::initQuarantine() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptQuarantine(
+    ::capnp::Orphan< ::cartsail::wire::QuarantineNotice>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::QuarantineNotice> Datagram::Builder::disownQuarantine() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
