Leases, deadlines and ages are taken from the clock that goes on while the machine is suspended

Cause: Now() and every timer read the steady clock, which a suspension stops; Beast's tcp_stream knows no other.

--- a/apps/cartsailctl/status_command.cc
+++ b/apps/cartsailctl/status_command.cc
@@ -1,9 +1,9 @@
 // cartsailctl status, and waiting until a revision is in force.
 #include <fmt/format.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_client.h"
 #include "command.h"
 
@@ -82,7 +82,7 @@
           ErrorKind::kTimeout,
           fmt::format("revision {} is written but not in force on{}", revision, lagging));
     }
-    asio::steady_timer timer(context);
+    Timer timer(context);
     timer.expires_after(kPollInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
--- a/apps/emulator/engine_server.cc
+++ b/apps/emulator/engine_server.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
 #include <map>
@@ -16,6 +15,7 @@
 #include "cartsail/base/hash.h"
 #include "cartsail/base/json.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_server.h"
 #include "cartsail/net/sse.h"
 #include "json_reply.h"
@@ -53,7 +53,7 @@
   int connection = 0;  // number of the connection that reads now
   bool connected = false;
   TimePoint idle_since{};
-  std::unique_ptr<asio::steady_timer> changed;
+  std::unique_ptr<Timer> changed;
 };
 
 using StreamPtr = std::shared_ptr<StreamState>;
@@ -186,7 +186,7 @@
     stream->seed = AnswerSeed(prompt.user_text);
     stream->base = prompt.continued_tokens;
     stream->length = std::max<int64_t>(1, prompt.output_tokens - prompt.continued_tokens);
-    stream->changed = std::make_unique<asio::steady_timer>(context_);
+    stream->changed = std::make_unique<Timer>(context_);
     streams_[id] = stream;
     active_[stream->sequence] = stream;
     ++starts_[id];
@@ -276,7 +276,7 @@
         Disconnected(stream, connection);
         co_return;
       }
-      stream->changed->expires_at(asio::steady_timer::time_point::max());
+      stream->changed->expires_at(Timer::time_point::max());
       boost::system::error_code ignored;
       co_await stream->changed->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -430,7 +430,7 @@
   }
 
   asio::awaitable<void> ReportLoad() {
-    asio::steady_timer timer(context_);
+    Timer timer(context_);
     while (true) {
       load_report_ = {{"running", model_.Running()}, {"queued", model_.Queued()}};
       timer.expires_after(options_.load_report_lag);
@@ -442,7 +442,7 @@
   EngineServerOptions options_;
   EngineModel model_;
   std::unique_ptr<HttpServer> server_;
-  asio::steady_timer tick_timer_;
+  Timer tick_timer_;
   TimePoint tick_time_ = TimePoint::max();  // of the tick that is scheduled
   TimePoint next_sweep_{};
   uint64_t next_sequence_ = 1;
--- a/apps/emulator/load.cc
+++ b/apps/emulator/load.cc
@@ -5,11 +5,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
 
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_client.h"
 #include "load_client.h"
 
@@ -59,7 +59,7 @@
   }
 
   asio::awaitable<void> Sleep(Duration duration) {
-    asio::steady_timer timer(context_);
+    Timer timer(context_);
     timer.expires_after(duration);
     co_await timer.async_wait(asio::use_awaitable);
   }
@@ -102,7 +102,7 @@
       next += FromSeconds(std::max(gap(random), kShortestGapSeconds));
       if (next - start >= options_.duration) break;
       if (next > Now()) {
-        asio::steady_timer timer(context_);
+        Timer timer(context_);
         timer.expires_at(next);
         co_await timer.async_wait(asio::use_awaitable);
       }
--- a/apps/emulator/load_client.cc
+++ b/apps/emulator/load_client.cc
@@ -2,10 +2,10 @@
 
 #include <fmt/format.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_client.h"
 #include "cartsail/net/sse.h"
 #include "engine_server.h"
@@ -184,7 +184,7 @@
   bool done =
       co_await OneConnection(executor, call, call.targets[target], FirstRequest(call), answer, out);
   while (!done && !answer.last_event_id.empty() && out.result.resumes < call.max_resumes) {
-    asio::steady_timer timer(executor);
+    Timer timer(executor);
     timer.expires_after(kResumePause);
     co_await timer.async_wait(asio::use_awaitable);
     target = (target + 1) % call.targets.size();
--- a/apps/emulator/platform_server.cc
+++ b/apps/emulator/platform_server.cc
@@ -2,13 +2,13 @@
 
 #include <fmt/format.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 #include <set>
 
 #include "cartsail/base/json.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_server.h"
 #include "cartsail/store/etcd_json.h"
 #include "cartsail/store/machine_list.h"
@@ -116,7 +116,7 @@
 
   asio::awaitable<void> Sleep(Duration duration) {
     if (duration <= Duration(0)) co_return;
-    asio::steady_timer timer(context_);
+    Timer timer(context_);
     timer.expires_after(duration);
     co_await timer.async_wait(asio::use_awaitable);
   }
--- a/apps/emulator/relay.cc
+++ b/apps/emulator/relay.cc
@@ -6,11 +6,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <set>
 
+#include "cartsail/base/timer.h"
+
 namespace cartsail::emulator {
 namespace {
 
@@ -50,7 +51,7 @@
 using StatePtr = std::shared_ptr<RelayState>;
 
 asio::awaitable<void> Sleep(StatePtr state, Duration duration) {
-  asio::steady_timer timer(state->context);
+  Timer timer(state->context);
   timer.expires_after(duration);
   co_await timer.async_wait(asio::use_awaitable);
 }
--- a/apps/emulator/service_server.cc
+++ b/apps/emulator/service_server.cc
@@ -2,12 +2,12 @@
 
 #include <fmt/format.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 
 #include "cartsail/base/hash.h"
 #include "cartsail/base/json.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_server.h"
 #include "json_reply.h"
 
@@ -53,7 +53,7 @@
     }
     ++calls_;
     ++starts_[std::string(exchange.Request().Header("X-Request-Id"))];
-    asio::steady_timer timer(context_);
+    Timer timer(context_);
     timer.expires_after(options_.latency);
     co_await timer.async_wait(asio::use_awaitable);
     if (drop_before_reply_ > 0) {
--- a/libs/daemon/src/claim_service.cc
+++ b/libs/daemon/src/claim_service.cc
@@ -6,6 +6,7 @@
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -163,7 +164,7 @@
       const absl::StatusOr<TxnResult> erased = co_await store_.Txn(std::move(txn));
       if (erased.ok()) co_return;
     }
-    asio::steady_timer timer(context_);
+    Timer timer(context_);
     timer.expires_after(pause);
     co_await timer.async_wait(asio::use_awaitable);
     pause = std::min(pause * 2, kLongestWithdrawPause);
--- a/libs/daemon/src/claim_service.h
+++ b/libs/daemon/src/claim_service.h
@@ -4,12 +4,12 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "cartsail/base/timer.h"
 #include "cartsail/claims/claim_batcher.h"
 #include "cartsail/membership/member_table.h"
 #include "cartsail/peer/peer_network.h"
@@ -50,7 +50,7 @@
   MemberTable& members_;
   PeerNetwork* network_ = nullptr;
   ClaimBatcher batcher_;
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   std::unordered_map<uint64_t, Done> done_;
   uint64_t next_ticket_ = 1;
   Duration retention_ = std::chrono::hours(24);
--- a/libs/daemon/src/config_service.cc
+++ b/libs/daemon/src/config_service.cc
@@ -4,12 +4,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -45,7 +45,7 @@
 }
 
 asio::awaitable<void> ConfigService::Sleep(Duration duration) {
-  asio::steady_timer timer(context_);
+  Timer timer(context_);
   timer.expires_after(duration);
   co_await timer.async_wait(asio::use_awaitable);
 }
--- a/libs/daemon/src/machine_service.cc
+++ b/libs/daemon/src/machine_service.cc
@@ -2,11 +2,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -36,7 +36,7 @@
 }
 
 asio::awaitable<void> MachineService::Run() {
-  asio::steady_timer timer(context_);
+  Timer timer(context_);
   while (true) {
     absl::StatusOr<MachineList> list = co_await FetchMachineList(
         context_.get_executor(), options_.platform, list_.version, kCallTimeout);
--- a/libs/daemon/src/node.cc
+++ b/libs/daemon/src/node.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <random>
 #include <set>
@@ -18,6 +17,7 @@
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/gateway/gateway.h"
 #include "cartsail/net/http_server.h"
 #include "cartsail/store/etcd_client.h"
@@ -225,7 +225,7 @@
     }
   }
 
-  void Repeat(asio::steady_timer& timer, Duration interval, std::function<void()> work) {
+  void Repeat(Timer& timer, Duration interval, std::function<void()> work) {
     timer.expires_after(interval);
     timer.async_wait(
         [this, &timer, interval, work = std::move(work)](const boost::system::error_code& error) {
@@ -456,11 +456,11 @@
   std::unique_ptr<HttpServer> admin_;
   std::vector<std::unique_ptr<TrafficThread>> traffic_;
   asio::signal_set signals_;
-  asio::steady_timer tick_timer_;
-  asio::steady_timer heartbeat_timer_;
-  asio::steady_timer reconcile_timer_;
-  asio::steady_timer meter_timer_;
-  asio::steady_timer drain_timer_;
+  Timer tick_timer_;
+  Timer heartbeat_timer_;
+  Timer reconcile_timer_;
+  Timer meter_timer_;
+  Timer drain_timer_;
   std::atomic<bool> settled_{false};
   TimePoint started_ = Now();
   bool peer_heard_ = false;
--- a/libs/daemon/src/slot_service.cc
+++ b/libs/daemon/src/slot_service.cc
@@ -1,12 +1,12 @@
 #include "slot_service.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <random>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -205,7 +205,7 @@
 }
 
 void SlotService::DeliverLater(uint64_t ask, AskReply reply) {
-  auto timer = std::make_shared<asio::steady_timer>(context_);
+  auto timer = std::make_shared<Timer>(context_);
   timer->expires_after(kAskAgainPause);
   timer->async_wait([this, timer, ask, reply](const boost::system::error_code& error) {
     if (!error) DeliverReply(ask, reply);
--- a/libs/gateway/src/chat_session.h
+++ b/libs/gateway/src/chat_session.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +12,7 @@
 #include "attempt_meter.h"
 #include "backend_work.h"
 #include "cartsail/base/json.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_server.h"
 
 namespace cartsail {
@@ -68,7 +68,7 @@
   ChatRequest request_;
   BackendWork work_;
   std::shared_ptr<Signals> signals_ = std::make_shared<Signals>();
-  boost::asio::steady_timer grace_timer_;
+  Timer grace_timer_;
   bool began_ = false;
   int64_t delivered_tokens_ = 0;
   std::string delivered_text_;
--- /dev/null
+++ b/libs/net/include/cartsail/net/timed_stream.h
@@ -0,0 +1,102 @@
+// A TCP connection whose calls end when its time is over, by the clock that goes on while the
+// machine is suspended; Beast's tcp_stream knows the steady clock only. Meets the requirements of
+// asynchronous streams. One thread.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/compose.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+#include <memory>
+#include <utility>
+
+#include "cartsail/base/timer.h"
+
+namespace cartsail {
+
+class TimedStream {
+ public:
+  using executor_type = boost::asio::any_io_executor;
+  using Socket = boost::asio::ip::tcp::socket;
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+
+  explicit TimedStream(const executor_type& executor);
+  explicit TimedStream(Socket socket);
+
+  executor_type get_executor() { return state_->socket.get_executor(); }
+  Socket& socket() { return state_->socket; }
+
+  // When that time has come, pending calls and all later ones fail with beast::error::timeout, and
+  // the connection is closed.
+  void expires_at(TimePoint time);
+  void expires_after(Duration duration) { expires_at(Now() + duration); }
+  void expires_never();
+
+  template <typename Token>
+  auto async_connect(const Endpoint& endpoint, Token&& token) {
+    const auto start = [endpoint](Socket& socket, auto self) {
+      socket.async_connect(endpoint, std::move(self));
+    };
+    return boost::asio::async_compose<Token, void(boost::beast::error_code)>(
+        Operation<decltype(start)>{state_, start}, token, state_->socket);
+  }
+
+  template <typename Buffers, typename Token>
+  auto async_read_some(const Buffers& buffers, Token&& token) {
+    const auto start = [buffers](Socket& socket, auto self) {
+      socket.async_read_some(buffers, std::move(self));
+    };
+    return boost::asio::async_compose<Token, void(boost::beast::error_code, size_t)>(
+        Operation<decltype(start)>{state_, start}, token, state_->socket);
+  }
+
+  template <typename Buffers, typename Token>
+  auto async_write_some(const Buffers& buffers, Token&& token) {
+    const auto start = [buffers](Socket& socket, auto self) {
+      socket.async_write_some(buffers, std::move(self));
+    };
+    return boost::asio::async_compose<Token, void(boost::beast::error_code, size_t)>(
+        Operation<decltype(start)>{state_, start}, token, state_->socket);
+  }
+
+ private:
+  struct State : std::enable_shared_from_this<State> {
+    explicit State(Socket stream_socket)
+        : socket(std::move(stream_socket)), timer(socket.get_executor()) {}
+
+    void Arm(TimePoint time);
+    void OnTimer(uint64_t wait);
+
+    Socket socket;
+    Timer timer;
+    TimePoint deadline = TimePoint::max();
+    TimePoint armed_for = TimePoint::max();  // of the timer's wait under way
+    uint64_t waits = 0;                      // number of the wait under way
+    bool expired = false;
+  };
+
+  // One call on the socket; tells a timeout from other failures.
+  template <typename Start>
+  struct Operation {
+    std::shared_ptr<State> state;
+    Start start;
+
+    template <typename Self>
+    void operator()(Self& self) {
+      // Kept beyond the move of `self`, of which this is a part.
+      const std::shared_ptr<State> kept = state;
+      const Start begin = start;
+      begin(kept->socket, std::move(self));
+    }
+
+    template <typename Self, typename... Results>
+    void operator()(Self& self, boost::beast::error_code error, Results... results) {
+      if (error && state->expired) error = boost::beast::error::timeout;
+      self.complete(error, results...);
+    }
+  };
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace cartsail
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -4,11 +4,11 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
 #include "cartsail/base/status.h"
+#include "cartsail/net/timed_stream.h"
 
 namespace cartsail {
 namespace {
@@ -106,7 +106,7 @@
   }
 
  private:
-  beast::tcp_stream stream_;
+  TimedStream stream_;
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::string host_;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -7,11 +7,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
 #include "cartsail/base/status.h"
+#include "cartsail/net/timed_stream.h"
 
 namespace cartsail {
 namespace {
@@ -46,7 +46,7 @@
 
 class ExchangeImpl final : public HttpExchange {
  public:
-  ExchangeImpl(beast::tcp_stream& stream, const HttpServerLimits& limits, HttpRequest request,
+  ExchangeImpl(TimedStream& stream, const HttpServerLimits& limits, HttpRequest request,
                bool keep_alive)
       : stream_(stream), limits_(limits), request_(std::move(request)), keep_alive_(keep_alive) {}
 
@@ -139,7 +139,7 @@
     return WriteError(error);
   }
 
-  beast::tcp_stream& stream_;
+  TimedStream& stream_;
   const HttpServerLimits& limits_;
   HttpRequest request_;
   bool keep_alive_;
@@ -222,12 +222,11 @@
       if (error == asio::error::operation_aborted) co_return;
       if (error) continue;
       socket.set_option(tcp::no_delay(true), error);
-      asio::co_spawn(self->context_, Serve(self, beast::tcp_stream(std::move(socket))),
-                     asio::detached);
+      asio::co_spawn(self->context_, Serve(self, TimedStream(std::move(socket))), asio::detached);
     }
   }
 
-  static asio::awaitable<void> Serve(std::shared_ptr<ServerImpl> self, beast::tcp_stream stream) {
+  static asio::awaitable<void> Serve(std::shared_ptr<ServerImpl> self, TimedStream stream) {
     beast::flat_buffer buffer;
     bool open = true;
     while (open) {
@@ -239,7 +238,7 @@
   }
 
   // Reads and answers one request; false when the connection must not be used again.
-  static asio::awaitable<bool> ServeOne(ServerImpl& self, beast::tcp_stream& stream,
+  static asio::awaitable<bool> ServeOne(ServerImpl& self, TimedStream& stream,
                                         beast::flat_buffer& buffer) {
     http::request_parser<http::string_body> parser;
     parser.header_limit(self.limits_.header_bytes);
@@ -259,7 +258,7 @@
     co_return keep_alive&& exchange.Finished();
   }
 
-  asio::awaitable<void> RefuseUnparsed(beast::tcp_stream& stream, absl::Status status) {
+  asio::awaitable<void> RefuseUnparsed(TimedStream& stream, absl::Status status) {
     HttpResponse response;
     response.status = HttpStatusFor(KindOf(status));
     if (on_parse_error_) response = on_parse_error_(status);
--- a/libs/peer/src/peer_network.cc
+++ b/libs/peer/src/peer_network.cc
@@ -4,7 +4,6 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -13,6 +12,7 @@
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "wire.h"
 
 namespace cartsail {
@@ -149,7 +149,7 @@
     auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<kj::Own<kj::AsyncIoStream>>>>(
         kj::mv(paf.fulfiller));
     auto socket = std::make_shared<tcp::socket>(context_);
-    auto timer = std::make_shared<asio::steady_timer>(context_);
+    auto timer = std::make_shared<Timer>(context_);
     timer->expires_after(kConnectTimeout);
     timer->async_wait([socket](const boost::system::error_code& error) {
       boost::system::error_code ignored;
@@ -367,9 +367,9 @@
   template <typename Promise, typename Finish, typename DecodeFunction>
   void Track(const std::string& address, Promise promise, Duration timeout, Finish finish,
              DecodeFunction decode) {
-    std::shared_ptr<asio::steady_timer> timer;
+    std::shared_ptr<Timer> timer;
     if (timeout > Duration(0)) {
-      timer = std::make_shared<asio::steady_timer>(context_);
+      timer = std::make_shared<Timer>(context_);
       timer->expires_after(timeout);
       timer->async_wait([finish](const boost::system::error_code& error) {
         if (!error) finish(MakeError(ErrorKind::kPeerUnavailable, "the node does not answer"));
--- a/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
+++ b/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
@@ -1,4 +1,5 @@
-// The requests that this node sends to no back end, because back ends end under them. Bounded. Pure.
+// The requests that this node sends to no back end, because back ends end under them. Bounded.
+// Pure.
 #pragma once
 
 #include <cstdint>
--- a/libs/quarantine/src/backend_end_watch.cc
+++ b/libs/quarantine/src/backend_end_watch.cc
@@ -61,9 +61,8 @@
     const std::vector<Strike> settled = NoteEnded(backend, now);
     strikes.insert(strikes.end(), settled.begin(), settled.end());
   }
-  std::erase_if(doubts_, [now](const auto& doubt) {
-    return now - doubt.second.since > kLongestDoubt;
-  });
+  std::erase_if(doubts_,
+                [now](const auto& doubt) { return now - doubt.second.since > kLongestDoubt; });
   std::erase_if(ended_, [now](const auto& ended) { return now - ended.second > kEndRemembered; });
   return strikes;
 }
--- a/libs/quarantine/src/request_fingerprint.cc
+++ b/libs/quarantine/src/request_fingerprint.cc
@@ -16,8 +16,8 @@
 RequestFingerprint FingerprintOf(const RequestIdentity& identity) {
   RequestFingerprint fingerprint = 0;
   // Each field is the seed of the next one: bytes that move from one field to another count.
-  for (const std::string_view field : {identity.method, identity.host, identity.target,
-                                       identity.caller, identity.body}) {
+  for (const std::string_view field :
+       {identity.method, identity.host, identity.target, identity.caller, identity.body}) {
     fingerprint = Hash64(field, fingerprint);
   }
   return fingerprint;
--- a/libs/quarantine/src/strike_ledger.cc
+++ b/libs/quarantine/src/strike_ledger.cc
@@ -49,8 +49,8 @@
   for (const auto& [by, explanation] : explanations_) {
     if (by == request) continue;
     const auto is_shared = [&backends](BackendKey backend) { return Contains(backends, backend); };
-    const auto shared = static_cast<size_t>(std::count_if(
-        explanation.backends.begin(), explanation.backends.end(), is_shared));
+    const auto shared = static_cast<size_t>(
+        std::count_if(explanation.backends.begin(), explanation.backends.end(), is_shared));
     if (shared == explanation.backends.size()) continue;
     if (backends.size() - shared < kStrikesToQuarantine) return true;
   }
--- a/libs/quarantine/tests/strike_ledger_test.cc
+++ b/libs/quarantine/tests/strike_ledger_test.cc
@@ -38,7 +38,8 @@
 
 Test(strike_ledger, a_fourth_strike_makes_a_verdict_again) {
   StrikeLedger ledger;
-  for (BackendKey backend = 1; backend <= 3; ++backend) (void)ledger.Note({kDeadly, backend}, kStart);
+  for (BackendKey backend = 1; backend <= 3; ++backend)
+    (void)ledger.Note({kDeadly, backend}, kStart);
   cr_assert(!ledger.Note({kDeadly, 3}, kStart).has_value());
   cr_assert(ledger.Note({kDeadly, 4}, kStart + seconds(601)).has_value());
 }
--- a/libs/relay/src/catalog/catalog_answers.cc
+++ b/libs/relay/src/catalog/catalog_answers.cc
@@ -3,10 +3,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "cartsail/base/text.h"
+#include "cartsail/base/timer.h"
 #include "catalog/catalog_path.h"
 #include "catalog/catalog_sync.h"
 #include "catalog/document_patch.h"
@@ -20,7 +20,7 @@
 // In an update, which has to fit one packet beside its changes: 12 bytes each.
 constexpr size_t kMostQuarantinedTold = 16;
 constexpr size_t kMostQuarantinedHanded = 1000;  // in a catalog
-constexpr Duration kEncodedHolds = seconds(1);  // it names the document's age
+constexpr Duration kEncodedHolds = seconds(1);   // it names the document's age
 // From one reader to the next: an update reaches the other readers within some milliseconds.
 constexpr Duration kTurnToTell = milliseconds(25);
 
@@ -70,8 +70,8 @@
 std::string CatalogSync::EncodedWhole() {
   const TimePoint now = Now();
   const int64_t quarantine_changes = context_.quarantine.List().Changes();
-  const bool holds = now - encoded_whole_at_ < kEncodedHolds &&
-                     encoded_whole_quarantine_ == quarantine_changes;
+  const bool holds =
+      now - encoded_whole_at_ < kEncodedHolds && encoded_whole_quarantine_ == quarantine_changes;
   if (!encoded_whole_.empty() && holds) return encoded_whole_;
   encoded_whole_quarantine_ = quarantine_changes;
   const CatalogMessage catalog = MakeCatalog(0, 0);
--- a/libs/relay/src/catalog/catalog_reading.cc
+++ b/libs/relay/src/catalog/catalog_reading.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <limits>
 #include <random>
@@ -13,6 +12,7 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/base/text.h"
+#include "cartsail/base/timer.h"
 #include "catalog/catalog_sync.h"
 #include "catalog/reading_duty.h"
 
@@ -45,7 +45,7 @@
 void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
 
 asio::awaitable<void> CatalogSync::Pause(Duration duration) {
-  asio::steady_timer timer(context_.io, duration);
+  Timer timer(context_.io, duration);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/libs/relay/src/duties/duty_holder.cc
+++ b/libs/relay/src/duties/duty_holder.cc
@@ -5,12 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
 
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -54,7 +54,7 @@
 bool DutyHolder::IsHeld() const { return lease_.IsHeld(Now()); }
 
 asio::awaitable<void> DutyHolder::Run() {
-  asio::steady_timer timer(io_);
+  Timer timer(io_);
   Duration pause = kHearing;
   while (!stopping_) {
     timer.expires_after(pause);
--- a/libs/relay/src/duties/engine_ordering.cc
+++ b/libs/relay/src/duties/engine_ordering.cc
@@ -4,13 +4,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <vector>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -65,7 +65,7 @@
 }
 
 asio::awaitable<void> EngineOrdering::Run() {
-  asio::steady_timer timer(context_.io);
+  Timer timer(context_.io);
   while (true) {
     timer.expires_after(kPlanInterval);
     boost::system::error_code ignored;
--- a/libs/relay/src/duties/usage_reporter.cc
+++ b/libs/relay/src/duties/usage_reporter.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <vector>
 
@@ -14,6 +13,7 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/base/text.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -74,7 +74,7 @@
 }
 
 asio::awaitable<void> UsageReporter::Run() {
-  asio::steady_timer timer(io_);
+  Timer timer(io_);
   while (true) {
     timer.expires_after(kPoll);
     boost::system::error_code ignored;
--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <utility>
@@ -15,6 +14,7 @@
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_client.h"
 
 namespace cartsail {
@@ -203,7 +203,7 @@
 }
 
 asio::awaitable<void> PeerExchange::GossipPeriodically() {
-  asio::steady_timer timer(context_.io);
+  Timer timer(context_.io);
   while (true) {
     const TimePoint now = Now();
     SendAll(gossip_.Tick(now, View(now)));
@@ -283,7 +283,7 @@
 // Messages about live nodes would take a second or two to tell all of a new version, more than half
 // of the time in which a change has to be in force everywhere.
 asio::awaitable<void> PeerExchange::AnnounceDocument() {
-  asio::steady_timer timer(context_.io);
+  Timer timer(context_.io);
   while (true) {
     const TimePoint now = Now();
     const int64_t version = context_.routing.Version();
@@ -325,7 +325,7 @@
 }
 
 asio::awaitable<void> PeerExchange::SendDigestsPeriodically() {
-  asio::steady_timer timer(context_.io);
+  Timer timer(context_.io);
   while (true) {
     SendDigests();
     timer.expires_after(digest_interval_);
@@ -335,7 +335,7 @@
 }
 
 asio::awaitable<void> PeerExchange::TellUsagePeriodically() {
-  asio::steady_timer timer(context_.io);
+  Timer timer(context_.io);
   while (true) {
     context_.usage.Tick(Now(), WallNow());
     timer.expires_after(UsageCounting::kTick);
--- a/libs/relay/src/fleet/peer_fetching.cc
+++ b/libs/relay/src/fleet/peer_fetching.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
@@ -12,6 +11,7 @@
 #include "cartsail/base/histogram.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_client.h"
 #include "catalog/catalog_message.h"
 #include "catalog/catalog_path.h"
@@ -90,7 +90,7 @@
 // Fetches from `host` what this node still lacks of `revision` when `patience` is over.
 asio::awaitable<void> PeerExchange::FetchUnlessClosed(std::string host, int64_t revision,
                                                       Duration patience) {
-  asio::steady_timer timer(context_.io, patience);
+  Timer timer(context_.io, patience);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   if (catalog_.Revision() < revision) MaybeFetch(host, context_.routing.Version(), Now());
--- a/libs/relay/src/placement/cache_inventory.cc
+++ b/libs/relay/src/placement/cache_inventory.cc
@@ -5,12 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -51,7 +51,7 @@
 }
 
 asio::awaitable<void> CacheInventory::Watch() {
-  asio::steady_timer timer(context_.io);
+  Timer timer(context_.io);
   while (true) {
     const bool just_started = Now() - started_ < kFirstIntervalsFor;
     timer.expires_after(just_started ? kFirstInterval : kInterval);
--- a/libs/relay/src/placement/placement_service.cc
+++ b/libs/relay/src/placement/placement_service.cc
@@ -7,6 +7,7 @@
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -144,7 +145,7 @@
                                                                       PlacementQuestion question) {
   const QuestionId id = question.id;
   const Datagram datagram = std::move(question);
-  Waiting waiting{host, asio::steady_timer(io_), std::nullopt};
+  Waiting waiting{host, Timer(io_), std::nullopt};
   waiting_[id] = &waiting;
   for (const Duration patience : {kFirstPatience, kSecondPatience}) {
     transport_.send(host, datagram);
--- a/libs/relay/src/placement/placement_service.h
+++ b/libs/relay/src/placement/placement_service.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cartsail/base/timer.h"
 #include "cartsail/dispatch/dispatcher.h"
 #include "cartsail/dispatch/grant_book.h"
 #include "fleet/datagram.h"
@@ -74,7 +74,7 @@
   // A question under way.
   struct Waiting {
     std::string host;
-    boost::asio::steady_timer timer;  // cancelled by the answer
+    Timer timer;  // cancelled by the answer
     std::optional<PlacementAnswer> answer;
   };
 
@@ -119,7 +119,7 @@
   std::map<std::string, Suspicion> suspicions_;      // by host
   std::map<std::string, std::string> coordinators_;  // host by service, as last used
   std::map<std::string, ProgressReport> progress_;   // not sent yet, by host
-  boost::asio::steady_timer progress_timer_;
+  Timer progress_timer_;
   ColdWatch cold_watch_;
   QuestionId next_question_;
 };
--- a/libs/relay/src/quarantine/quarantine_message.h
+++ b/libs/relay/src/quarantine/quarantine_message.h
@@ -19,8 +19,8 @@
 struct QuarantineNotice {
   RequestFingerprint request = 0;
   bool is_lifted = false;
-  Duration left{};              // where not lifted: how much longer it is kept from back ends
-  Duration first_strike_age{};  // where not lifted: since the first back end ended under it
+  Duration left{};                   // where not lifted: how much longer it is kept from back ends
+  Duration first_strike_age{};       // where not lifted: since the first back end ended under it
   std::vector<BackendKey> backends;  // where not lifted: those that ended under it
   std::vector<std::string> targets;  // hosts to which the receiver passes it on
 };
--- a/libs/relay/src/quarantine/quarantine_recorder.cc
+++ b/libs/relay/src/quarantine/quarantine_recorder.cc
@@ -4,12 +4,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail {
 namespace {
@@ -45,7 +45,7 @@
 }
 
 asio::awaitable<void> QuarantineRecorder::Pause(Duration duration) {
-  asio::steady_timer timer(io_, duration);
+  Timer timer(io_, duration);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <optional>
@@ -17,6 +16,7 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/signals.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_server.h"
 #include "catalog/catalog_path.h"
 #include "catalog/catalog_sync.h"
@@ -237,7 +237,7 @@
   }
 
   asio::awaitable<void> KeepHouse() {
-    asio::steady_timer timer(io_);
+    Timer timer(io_);
     while (true) {
       timer.expires_after(kHousekeeping);
       boost::system::error_code ignored;
@@ -304,7 +304,7 @@
          {"connections", std::to_string(server_.OpenConnections())}});
     const TimePoint last = begun + context_.options.grace - kGraceMargin;
     const TimePoint noticed = std::min(begun + context_.options.balancer_delay, last);
-    asio::steady_timer timer(io_);
+    Timer timer(io_);
     boost::system::error_code ignored;
     timer.expires_at(noticed);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/libs/relay/src/request/caller_connection.h
+++ b/libs/relay/src/request/caller_connection.h
@@ -4,9 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,7 +13,9 @@
 
 #include "cartsail/base/clock.h"
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 #include "cartsail/net/http_types.h"
+#include "cartsail/net/timed_stream.h"
 #include "cartsail/routing/routing_document.h"
 
 namespace cartsail {
@@ -68,9 +68,8 @@
   void StartReadTimer(Duration limit);
   void StopReadTimer();
 
-  boost::beast::tcp_stream stream_;
-  boost::asio::steady_timer
-      read_timer_;  // ends a read and leaves the connection open for an answer
+  TimedStream stream_;
+  Timer read_timer_;  // ends a read and leaves the connection open for an answer
   boost::beast::flat_buffer buffer_;
   std::function<void()> on_gone_;
   uint64_t watch_ = 0;  // number of the watch in force
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -4,13 +4,13 @@
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/json.h"
 #include "cartsail/base/log.h"
+#include "cartsail/base/timer.h"
 #include "request/message_head.h"
 
 namespace cartsail {
@@ -72,7 +72,7 @@
 
 asio::awaitable<void> Exchange::WaitForCatalog() {
   const TimePoint last = request_.received + kCatalogPatience;
-  asio::steady_timer timer(context_.io);
+  Timer timer(context_.io);
   while (!context_.HasCatalog() && Now() < last) {
     timer.expires_after(kCatalogPoll);
     boost::system::error_code ignored;
--- a/libs/relay/src/request/relay_server.cc
+++ b/libs/relay/src/request/relay_server.cc
@@ -5,12 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
+#include "cartsail/base/timer.h"
 #include "request/exchange.h"
 #include "request/message_head.h"
 
@@ -53,7 +53,7 @@
     co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (!acceptor_.is_open()) co_return;
     if (error) {
-      asio::steady_timer pause(context_.io, kAcceptPause);
+      Timer pause(context_.io, kAcceptPause);
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
--- a/libs/relay/src/request/upstream_connection.h
+++ b/libs/relay/src/request/upstream_connection.h
@@ -5,7 +5,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
@@ -14,6 +13,7 @@
 
 #include "cartsail/base/clock.h"
 #include "cartsail/net/http_types.h"
+#include "cartsail/net/timed_stream.h"
 
 namespace cartsail {
 
@@ -79,7 +79,7 @@
   UpstreamError ErrorOf(const boost::beast::error_code& error) const;
   void NoteKeepAlive(const ResponseHead& head);
 
-  boost::beast::tcp_stream stream_;
+  TimedStream stream_;
   boost::beast::flat_buffer buffer_;
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   std::string request_head_;
--- a/libs/relay/tests/support/fleet_node.cc
+++ b/libs/relay/tests/support/fleet_node.cc
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 
+#include "cartsail/base/timer.h"
 #include "catalog/catalog_message.h"
 #include "catalog/catalog_path.h"
 
@@ -133,7 +133,7 @@
   const Duration sending =
       FromSeconds(static_cast<double>(response.body.size()) / kLinkBytesPerSecond);
   link_free_ = std::max(link_free_, Now()) + sending;
-  asio::steady_timer timer(context_.io, link_free_);
+  Timer timer(context_.io, link_free_);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   (void)co_await request.Respond(std::move(response));
--- a/libs/relay/tests/support/lease_store.cc
+++ b/libs/relay/tests/support/lease_store.cc
@@ -1,10 +1,10 @@
 #include "support/lease_store.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <vector>
 
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail::testing {
 namespace {
@@ -113,7 +113,7 @@
 
 asio::awaitable<absl::Status> LeaseStore::Watch(std::string key, std::string range_end,
                                                 int64_t start_revision, WatchCallback on_events) {
-  asio::steady_timer timer(io_, seconds(60));
+  Timer timer(io_, seconds(60));
   co_await timer.async_wait(asio::use_awaitable);
   co_return absl::OkStatus();
 }
--- a/libs/relay/tests/support/scripted_store.cc
+++ b/libs/relay/tests/support/scripted_store.cc
@@ -1,11 +1,11 @@
 #include "scripted_store.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "cartsail/base/status.h"
+#include "cartsail/base/timer.h"
 
 namespace cartsail::testing {
 namespace {
@@ -76,7 +76,7 @@
 }
 
 asio::awaitable<void> ScriptedStore::Wait(Duration duration) {
-  asio::steady_timer timer(io_, duration);
+  Timer timer(io_, duration);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
