--- a/libs/base/include/cartsail/base/clock.h
+++ b/libs/base/include/cartsail/base/clock.h
@@ -18,7 +18,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming): as chrono asks
 
   static time_point now() noexcept {
     timespec time{};
--- a/libs/relay/src/catalog/catalog_message.h
+++ b/libs/relay/src/catalog/catalog_message.h
@@ -18,8 +18,8 @@
   // Given: `backends` and `gone` are the changes after this revision. Else `backends` are all.
   std::optional<int64_t> since;
   std::vector<Backend> backends;
-  std::vector<std::string> gone;           // ids
-  std::vector<std::string> drained_zones;  // all there are, also beside changes
+  std::vector<std::string> gone;                // ids
+  std::vector<std::string> drained_zones;       // all there are, also beside changes
   std::vector<QuarantinedRequest> quarantined;  // the newest ones, also beside changes
   Duration document_age{};  // since the first node on its way put the document in force
 };
--- a/libs/relay/src/fleet/datagram.h
+++ b/libs/relay/src/fleet/datagram.h
@@ -16,10 +16,9 @@
 
 namespace cartsail {
 
-using Datagram =
-    std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport, DocumentNotice,
-                 GossipMessage, StoreUpdate, UsageShares, UsageReceipt, StrikeReport,
-                 QuarantineNotice>;
+using Datagram = std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport,
+                              DocumentNotice, GossipMessage, StoreUpdate, UsageShares, UsageReceipt,
+                              StrikeReport, QuarantineNotice>;
 
 // Times are sent as what is left or past at `now`.
 std::string EncodeDatagram(const Datagram& datagram, TimePoint now = {});
--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -63,7 +63,8 @@
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
   std::vector<std::string> fingerprints;
-  for (const auto& [id, body] : {std::pair("r1", "x"), std::pair("r2", "x"), std::pair("r3", "y")}) {
+  for (const auto& [id, body] :
+       {std::pair("r1", "x"), std::pair("r2", "x"), std::pair("r3", "y")}) {
     LogCapture log;
     Client client(relay.Port());
     client.Send(MakeRequest("POST", "/once/a", id, body));
--- a/libs/relay/tests/suspension_test.cc
+++ b/libs/relay/tests/suspension_test.cc
@@ -1,6 +1,8 @@
 // A machine is suspended while requests are under way and connections wait. The steady clock does
 // not count that time: deadlines then ended later by the whole suspension, so that callers whose
 // time was over got no final answer, and back ends worked on for nobody.
+#include "testing/suspension.h"
+
 #include <atomic>
 #include <chrono>
 #include <thread>
@@ -8,7 +10,6 @@
 #include "support/relay_fixture.h"
 #include "support/stub_backend.h"
 #include "testing/criterion.h"
-#include "testing/suspension.h"
 
 namespace cartsail::testing {
 namespace {
@@ -57,11 +58,11 @@
 Test(suspension, a_stream_whose_pause_is_over_by_then_ends) {
   StubBackend backend([](const std::string& request) {
     StubAnswer answer;
-    answer.pieces = {"HTTP/1.1 200 OK\r\nCartsail-Request-Id: " +
-                         HeaderOf(request, "Cartsail-Request-Id") +
-                         "\r\nCartsail-Signature: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                         "a\r\nid: 1\ndata\n\r\n",
-                     "0\r\n\r\n"};
+    answer.pieces = {
+        "HTTP/1.1 200 OK\r\nCartsail-Request-Id: " + HeaderOf(request, "Cartsail-Request-Id") +
+            "\r\nCartsail-Signature: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "a\r\nid: 1\ndata\n\r\n",
+        "0\r\n\r\n"};
     answer.pause_ms = kSilenceMs;
     return answer;
   });
--- a/libs/testing/include/testing/suspension.h
+++ b/libs/testing/include/testing/suspension.h
@@ -19,7 +19,8 @@
 
 }  // namespace cartsail::testing
 
-extern "C" inline __attribute__((used)) int clock_gettime(clockid_t clock, timespec* time) noexcept {
+extern "C" inline __attribute__((used)) int clock_gettime(clockid_t clock,
+                                                          timespec* time) noexcept {
   constexpr int64_t kNanosecondsPerSecond = 1000000000;
   const long failed = syscall(SYS_clock_gettime, clock, time);
   if (failed != 0) return -1;
