--- a/apps/cartsailctl/command.h
+++ b/apps/cartsailctl/command.h
@@ -63,6 +63,8 @@
     boost::asio::io_context& context, CommandOptions options);
 boost::asio::awaitable<absl::StatusOr<CommandResult>> RunRegionsCommand(
     boost::asio::io_context& context, CommandOptions options);
+boost::asio::awaitable<absl::StatusOr<CommandResult>> RunQuarantineCommand(
+    boost::asio::io_context& context, CommandOptions options);
 boost::asio::awaitable<absl::StatusOr<CommandResult>> RunExplainBackendCommand(
     boost::asio::io_context& context, CommandOptions options, Words words);
 
--- a/apps/cartsailctl/main.cc
+++ b/apps/cartsailctl/main.cc
@@ -24,7 +24,7 @@
     "config add PATH | config remove PATH | config import FILE | config validate FILE | "
     "config explain PATH | config history [COUNT] | config diff FROM TO | "
     "key add TENANT ID [KEY] | key remove TENANT ID | status | zones | regions | "
-    "explain-backend ID | check FILE | plan FILE | "
+    "quarantine | explain-backend ID | check FILE | plan FILE | "
     "replay [FILE] | trace REQUEST-ID LOG... | losses LOG... | duties LOG... "
     "PATH is root, TENANT, TENANT/SERVICE or TENANT/SERVICE/CLASS. "
     "Example: cartsailctl --nodes 127.0.0.1:8081 --wait config set airport/assistant/gate-change "
@@ -110,6 +110,9 @@
     co_return co_await RunReplayCommand(context, std::move(options), std::move(words));
   }
   if (command == "zones") co_return co_await RunZonesCommand(context, std::move(options));
+  if (command == "quarantine") {
+    co_return co_await RunQuarantineCommand(context, std::move(options));
+  }
   if (command == "regions") co_return co_await RunRegionsCommand(context, std::move(options));
   if (command == "explain-backend") {
     co_return co_await RunExplainBackendCommand(context, std::move(options), std::move(words));
--- a/apps/cartsailctl/zones_command.cc
+++ b/apps/cartsailctl/zones_command.cc
@@ -1,5 +1,5 @@
-// cartsailctl zones, regions and explain-backend: what the nodes tell of drains, regions and one
-// back end.
+// cartsailctl zones, regions, quarantine and explain-backend: what the nodes tell of drains,
+// regions, requests that are kept from back ends, and one back end.
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
@@ -117,6 +117,27 @@
           {"omitted", view.omitted}};
 }
 
+std::string QuarantineText(const FleetView& view) {
+  if (view.quarantined.empty()) return "no request is quarantined\n";
+  std::string text = fmt::format("{:<18} {:>8} {:>10}\n", "fingerprint", "left s", "in force");
+  for (const QuarantinedOnNodes& request : view.quarantined) {
+    text += fmt::format("{:<18} {:>8.0f} {:>10}\n", request.fingerprint,
+                        static_cast<double>(request.left_ms) / 1e3,
+                        fmt::format("{}/{}", request.nodes, view.nodes));
+  }
+  return text;
+}
+
+json::object QuarantineJson(const FleetView& view) {
+  json::array quarantined;
+  for (const QuarantinedOnNodes& request : view.quarantined) {
+    quarantined.push_back(json::object{{"fingerprint", request.fingerprint},
+                                       {"left_ms", request.left_ms},
+                                       {"nodes", request.nodes}});
+  }
+  return {{"nodes", view.nodes}, {"quarantined", std::move(quarantined)}};
+}
+
 std::string ReasonsOf(const json::object& told) {
   const json::array* reasons = GetArray(told, "not_chosen");
   if (reasons == nullptr || reasons->empty()) return "may be chosen";
@@ -168,6 +189,18 @@
   co_return result;
 }
 
+asio::awaitable<absl::StatusOr<CommandResult>> RunQuarantineCommand(asio::io_context& context,
+                                                                    CommandOptions options) {
+  if (options.nodes.empty()) co_return Usage(fmt::format(kNodesNeeded, "quarantine"));
+  const Answers answers = co_await AskAll(context, options);
+  const FleetView view = MakeFleetView(answers.nodes);
+  CommandResult result;
+  result.text = answers.SilentText() + QuarantineText(view);
+  result.object = QuarantineJson(view);
+  result.exit_code = answers.silent.empty() ? kExitOk : kExitFailed;
+  co_return result;
+}
+
 asio::awaitable<absl::StatusOr<CommandResult>> RunExplainBackendCommand(asio::io_context& context,
                                                                         CommandOptions options,
                                                                         Words words) {
--- a/libs/operations/include/cartsail/operations/fleet_view.h
+++ b/libs/operations/include/cartsail/operations/fleet_view.h
@@ -41,12 +41,20 @@
   }
 };
 
+// A request that is sent to no back end, since back ends ended under it.
+struct QuarantinedOnNodes {
+  std::string fingerprint;
+  int64_t left_ms = 0;  // the longest of any node
+  int64_t nodes = 0;    // that keep it from back ends
+};
+
 struct FleetView {
   int64_t nodes = 0;  // that answered
   std::vector<DrainedZone> drained;
   std::vector<RoomElsewhere> rooms;
   std::map<std::string, std::set<std::string>> zones_by_region;
   std::vector<ResidencyRule> residency;
+  std::vector<QuarantinedOnNodes> quarantined;
   int64_t omitted = 0;  // rows that nodes left out of their answers
 
   // All nodes that answered have the same drains in force.
--- a/libs/operations/src/fleet_view.cc
+++ b/libs/operations/src/fleet_view.cc
@@ -48,6 +48,13 @@
   RaiseTo(&room.requests, GetInt(row, "requests") + GetInt(row, "drained_requests"));
 }
 
+void AddQuarantined(const json::object& row, FleetView* view) {
+  QuarantinedOnNodes& quarantined =
+      RowOf(&view->quarantined, &QuarantinedOnNodes::fingerprint, GetString(row, "fingerprint"));
+  RaiseTo(&quarantined.left_ms, GetInt(row, "left_ms"));
+  ++quarantined.nodes;
+}
+
 void AddResidency(const json::object& row, FleetView* view) {
   ResidencyRule rule{GetString(row, "kind"), GetString(row, "name"), {}, 1};
   if (const json::array* regions = GetArray(row, "regions")) {
@@ -79,6 +86,7 @@
     for (const json::object& row : Rows(answer, "zones")) AddZone(row, &view);
     for (const json::object& row : Rows(answer, "services")) AddRoom(row, &view);
     for (const json::object& row : Rows(answer, "residency")) AddResidency(row, &view);
+    for (const json::object& row : Rows(answer, "quarantined")) AddQuarantined(row, &view);
   }
   return view;
 }
--- a/libs/operations/tests/fleet_view_test.cc
+++ b/libs/operations/tests/fleet_view_test.cc
@@ -16,7 +16,8 @@
   {"zone":"b","region":"south","drained":true,"drained_for_ms":900,"backends":3,"requests":4}],
   "services":[{"service":"chat","backends":2,"cold":1,"slots":64,"requests":9,
                "drained_backends":3,"drained_requests":4}],
-  "residency":[{"kind":"tenant","name":"t","regions":["north"]}],"omitted":2})";
+  "residency":[{"kind":"tenant","name":"t","regions":["north"]}],"omitted":2,
+  "quarantined":[{"fingerprint":"00000000000000ab","left_ms":590000}]})";
 constexpr char kSecond[] = R"({"zones":[
   {"zone":"a","region":"north","drained":false,"backends":2,"requests":1},
   {"zone":"b","region":"south","drained":false,"backends":3,"requests":1}],
@@ -46,6 +47,13 @@
   cr_assert(view.residency.size() == 1 && view.residency[0].nodes == 2);
 }
 
+Test(fleet_view, tells_which_nodes_keep_a_request_from_back_ends) {
+  const FleetView view = MakeFleetView({Answer(kFirst), Answer(kSecond), Answer(kFirst)});
+  cr_assert(view.quarantined.size() == 1);
+  cr_assert(view.quarantined[0].fingerprint == "00000000000000ab");
+  cr_assert(view.quarantined[0].left_ms == 590000 && view.quarantined[0].nodes == 2);
+}
+
 Test(fleet_view, skips_what_it_cannot_read) {
   const FleetView view = MakeFleetView({Answer(R"({"zones":[7,{"zone":5}],"services":"none"})")});
   cr_assert(view.nodes == 1 && view.drained.empty() && view.rooms.empty());
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -188,7 +188,7 @@
     const NodeView view{options.node_id,      options.zone,
                         options.region,       IsReady(),
                         options.zone_regions, context_.routing.Table()->Document(),
-                        context_.dispatcher};
+                        context_.dispatcher,  context_.quarantine.List()};
     const std::string_view id = request.QueryParameter(kBackendParameter);
     const TimePoint now = Now();
     const std::optional<json::object> described =
--- a/libs/relay/src/status/node_status.cc
+++ b/libs/relay/src/status/node_status.cc
@@ -85,6 +85,15 @@
   return {{"kind", kind}, {"name", name}, {"regions", std::move(list)}};
 }
 
+RowList QuarantinedRows(const QuarantineList& quarantined, TimePoint now) {
+  RowList rows;
+  for (const QuarantinedRequest& entry : quarantined.Newest(quarantined.Size(), now)) {
+    rows.Add({{"fingerprint", FingerprintText(entry.request)},
+              {"left_ms", MillisUntil(entry.until, now)}});
+  }
+  return rows;
+}
+
 void AddResidency(const RoutingDocument& document, RowList* rows) {
   for (const TenantRule& tenant : document.tenants) {
     if (tenant.residency.has_value()) {
@@ -131,7 +140,9 @@
   }
   RowList residency;
   AddResidency(view.document, &residency);
-  const int64_t omitted = zones.Omitted() + services.Omitted() + residency.Omitted();
+  RowList quarantined = QuarantinedRows(view.quarantined, now);
+  const int64_t omitted =
+      zones.Omitted() + services.Omitted() + residency.Omitted() + quarantined.Omitted();
   return {{"node", view.node},
           {"zone", view.zone},
           {"region", view.region},
@@ -140,6 +151,7 @@
           {"zones", zones.Take()},
           {"services", services.Take()},
           {"residency", residency.Take()},
+          {"quarantined", quarantined.Take()},
           {"omitted", omitted}};
 }
 
--- a/libs/relay/src/status/node_status.h
+++ b/libs/relay/src/status/node_status.h
@@ -1,5 +1,5 @@
-// What a node tells operators of its own view: drained zones, room, regions in force, and why a
-// back end gets no request. Bounded in size. Pure.
+// What a node tells operators of its own view: drained zones, room, regions in force, quarantined
+// requests, and why a back end gets no request. Bounded in size. Pure.
 #pragma once
 
 #include <map>
@@ -10,6 +10,7 @@
 #include "cartsail/base/clock.h"
 #include "cartsail/base/json.h"
 #include "cartsail/dispatch/dispatcher.h"
+#include "cartsail/quarantine/quarantine_list.h"
 #include "cartsail/routing/routing_document.h"
 
 namespace cartsail {
@@ -30,6 +31,7 @@
   const std::map<std::string, std::string>& zone_regions;
   const RoutingDocument& document;
   const Dispatcher& dispatcher;
+  const QuarantineList& quarantined;
 };
 
 json::object DescribeNode(const NodeView& view, TimePoint now);
--- a/libs/relay/tests/node_status_test.cc
+++ b/libs/relay/tests/node_status_test.cc
@@ -41,7 +41,9 @@
     }
   }
 
-  NodeView View() const { return {"n1", "a", "north", true, zone_regions, document, dispatcher}; }
+  NodeView View() const {
+    return {"n1", "a", "north", true, zone_regions, document, dispatcher, quarantined};
+  }
 
   json::array Reasons(const std::string& id) const {
     const std::optional<json::object> told = DescribeBackend(View(), id, kNow);
@@ -51,6 +53,7 @@
 
   std::map<std::string, std::string> zone_regions{{"a", "north"}, {"b", "south"}};
   RoutingDocument document;
+  QuarantineList quarantined;
   Dispatcher dispatcher;
 };
 
@@ -159,5 +162,15 @@
   cr_assert(log.MayLog("later", kNow + InvalidEntryLog::kInterval));
 }
 
+Test(node_status, tells_which_requests_are_quarantined) {
+  Node node;
+  (void)node.quarantined.Add({0xab, kNow + seconds(60)}, kNow);
+  const json::object told = DescribeNode(node.View(), kNow);
+  const json::array* rows = GetArray(told, "quarantined");
+  cr_assert(rows != nullptr && rows->size() == 1);
+  cr_assert(GetString(rows->at(0).as_object(), "fingerprint") == "00000000000000ab");
+  cr_assert(GetInt(rows->at(0).as_object(), "left_ms") == 60000);
+}
+
 }  // namespace
 }  // namespace cartsail
