--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -18,8 +18,6 @@
 
 namespace asio = boost::asio;
 
-constexpr size_t kMostWholeBytes = 1 << 18;  // larger answers are passed on in pieces
-constexpr int kMostStrayAnswers = 3;         // skipped on one connection
 constexpr Duration kLeastTimeForAttempt = milliseconds(20);
 constexpr Duration kRetryAfterNotRun = milliseconds(100);
 // A node that starts has its catalog after 0.05 to 0.3 s. Callers that come before wait for it: a
@@ -58,8 +56,6 @@
   }
 }
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 bool HasNoBody(int status) { return status == 204 || status == 304; }
 
 }  // namespace
@@ -356,133 +352,6 @@
   return AttemptOutcome::kCut;
 }
 
-asio::awaitable<AttemptOutcome> Exchange::SkipStrayAnswer() {
-  std::string chunk;
-  do {
-    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
-  } while (!chunk.empty());
-  co_return AttemptOutcome::kAnswered;
-}
-
-// Reads heads until one that answers this request; others belong to requests before it.
-asio::awaitable<AttemptOutcome> Exchange::ReadOwnHead(ResponseHead* head, TimePoint patience) {
-  const bool is_head_request = request_.method == "HEAD";
-  for (int i = 0; i <= kMostStrayAnswers; ++i) {
-    const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, patience);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
-    const std::string_view id = head->Header(context_.format.Names().request_id);
-    if (id == request_id_) co_return AttemptOutcome::kAnswered;
-    // An answer without an id on a new connection can only be the back end's own refusal.
-    const bool refused = !head->Header(context_.format.Names().not_run).empty();
-    if (id.empty() && (refused || head->status == 421)) co_return AttemptOutcome::kAnswered;
-    const AttemptOutcome skipped = co_await SkipStrayAnswer();
-    if (skipped != AttemptOutcome::kAnswered) co_return skipped;
-  }
-  co_return AttemptOutcome::kSpoilt;
-}
-
-asio::awaitable<AttemptOutcome> Exchange::Converse(const Placement& placement) {
-  ResponseHead head;
-  const AttemptOutcome outcome = co_await ReadOwnHead(&head, Patience(placement, Now()));
-  if (outcome != AttemptOutcome::kAnswered) co_return outcome;
-  co_return co_await RelayAnswer(placement, head);
-}
-
-asio::awaitable<AttemptOutcome> Exchange::RelayAnswer(const Placement& placement,
-                                                      const ResponseHead& head) {
-  const WireNames& names = context_.format.Names();
-  if (head.status == 421 || !head.Header(names.not_run).empty()) {
-    (void)co_await SkipStrayAnswer();
-    co_return head.status == 421 ? AttemptOutcome::kWrongInstance : AttemptOutcome::kRefused;
-  }
-  const bool signed_answer = !head.Header(names.signature).empty();
-  if (IsSuccess(head.status)) {
-    if (!signed_answer || !head.Header("Content-Encoding").empty()) {
-      co_return AttemptOutcome::kSpoilt;
-    }
-    if (admitted_.route->kind == RequestKind::kStream)
-      co_return co_await RelayStream(placement, head);
-  }
-  if (signed_answer) NoteRun(Now());
-  co_return co_await RelayWhole(placement, head);
-}
-
-asio::awaitable<AttemptOutcome> Exchange::RelayWhole(const Placement& placement,
-                                                     const ResponseHead& head) {
-  std::string body;
-  std::string chunk;
-  do {
-    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
-    has_output_ = true;
-    context_.placement.Output(placement.ticket, Now());
-    body += chunk;
-  } while (!chunk.empty() && body.size() <= kMostWholeBytes);
-
-  const bool failed = head.status >= kLeastFailureStatus;
-  const bool may_repeat = MayRepeat() && history_.may_have_run < admitted_.route->max_attempts;
-  if (failed && (may_repeat || head_sent_)) co_return AttemptOutcome::kFailedAnswer;
-  if (head_sent_) co_return AttemptOutcome::kSpoilt;  // a continuation cannot end in another head
-
-  HttpHeaders headers = EndToEndHeaders(head.headers, {});
-  if (chunk.empty()) {
-    const bool sent = co_await Answer(head.status, head.reason, std::move(headers), body);
-    if (!sent) co_return AttemptOutcome::kCallerGone;
-    co_return AttemptOutcome::kAnswered;
-  }
-  // Too large to hold: the rest is passed on as it comes.
-  if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
-  while (!body.empty()) {
-    if (!co_await caller_->WriteChunk(body, false)) co_return AttemptOutcome::kCallerGone;
-    const UpstreamError error = co_await upstream_->ReadBody(&body, deadline_);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
-  }
-  if (!co_await caller_->WriteChunk({}, true)) co_return AttemptOutcome::kCallerGone;
-  co_return AttemptOutcome::kAnswered;
-}
-
-asio::awaitable<bool> Exchange::StartStreamAnswer(const ResponseHead& head) {
-  HttpHeaders headers = EndToEndHeaders(head.headers, {});
-  headers.push_back({"Transfer-Encoding", "chunked"});
-  if (context_.draining) keep_alive_ = false;
-  if (!keep_alive_) headers.push_back({"Connection", "close"});
-  head_sent_ = true;
-  status_sent_ = head.status;
-  co_return co_await caller_->Write(ResponseHeadText(head.status, head.reason, headers));
-}
-
-asio::awaitable<AttemptOutcome> Exchange::RelayStream(const Placement& placement,
-                                                      const ResponseHead& head) {
-  const bool resumable = admitted_.route->resumable;
-  EventSplitter splitter;
-  std::string chunk;
-  while (true) {
-    const bool may_move = resumable && history_.may_have_run < admitted_.route->max_attempts;
-    const TimePoint patience = may_move ? std::min(deadline_, Now() + PauseLimit()) : deadline_;
-    const UpstreamError error = co_await upstream_->ReadBody(&chunk, patience);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
-    const bool at_end = chunk.empty();
-    if (!at_end) {
-      const TimePoint now = Now();
-      has_output_ = true;
-      NoteOutput(now);
-      context_.placement.Output(placement.ticket, now);
-    }
-    std::string bytes = resumable ? splitter.Feed(chunk) : std::move(chunk);
-    if (at_end && splitter.HasPartial()) bytes += splitter.TakePartial();
-    if (!head_sent_ && (!bytes.empty() || at_end)) {
-      if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
-    }
-    if (!bytes.empty() || at_end) {
-      bytes_out_ += static_cast<int64_t>(bytes.size());
-      if (!co_await caller_->WriteChunk(bytes, at_end)) co_return AttemptOutcome::kCallerGone;
-    }
-    if (resumable && !splitter.LastId().empty()) last_event_id_ = splitter.LastId();
-    if (at_end) co_return AttemptOutcome::kAnswered;
-  }
-}
-
 asio::awaitable<bool> Exchange::Answer(int status, std::string_view reason, HttpHeaders headers,
                                        std::string_view body) {
   const bool has_body = !HasNoBody(status);
