A fourth engine that ends under a request is never explained by another one

Change: four instead of five. Figures: 1,000 simulated storms, most ends under one of two deadly requests 5 before, 4 after; innocent requests refused beside two 1,355 before, 1,645 after, of 180,000.

--- a/libs/quarantine/src/strike_ledger.cc
+++ b/libs/quarantine/src/strike_ledger.cc
@@ -13,8 +13,10 @@
 // those. 10,000 have 1 MB.
 constexpr size_t kMostRecords = 10000;
 
-// Strikes that no explanation outweighs: two requests that end back ends may have shared some.
-constexpr size_t kStrikesDespiteExplanation = 5;
+// Strikes that no explanation outweighs: requests that end back ends may have shared some. In 1,000
+// simulated storms with two of them each ends 4 at most, 5 with a limit of five; 1,645 instead of
+// 1,355 of 180,000 innocent requests are refused.
+constexpr size_t kStrikesDespiteExplanation = 4;
 
 bool Contains(const std::vector<BackendKey>& backends, BackendKey backend) {
   return std::find(backends.begin(), backends.end(), backend) != backends.end();
