--- /dev/null
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -0,0 +1,211 @@
+// Who tells whom when back ends end: strikes to the nodes that count, verdicts to all, and who
+// lifts them. One node, whose messages the test carries.
+#include "quarantine/quarantine_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "quarantine/quarantine_recorder.h"
+#include "support/lease_store.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr RequestFingerprint kRequest = 0xab;
+constexpr char kRecord[] = "quarantine/00000000000000ab";
+constexpr char kHost[] = "10.0.0.1";
+constexpr Duration kConnectTimeout = milliseconds(50);
+// Until all that is told several times was told.
+constexpr Duration kTellingTime = milliseconds(1200);
+constexpr int kBackends = 6;
+
+NodeState StateOf(const std::string& node) {
+  NodeState state;
+  state.node = node;
+  state.zone = "z1";
+  return state;
+}
+
+// A node that reaches five others.
+struct Node {
+  Node()
+      : peers(StateOf("n1"), Now()),
+        dispatcher(PlacementPolicy(), "z1"),
+        pool(io.get_executor()),
+        service(io, kHost, kConnectTimeout, dispatcher, peers, pool) {
+    for (int i = 2; i <= 6; ++i) {
+      const std::string number = std::to_string(i);
+      peers.Heard("10.0.0." + number, StateOf("n" + number), Now());
+    }
+    for (int i = 0; i < kBackends; ++i) {
+      Backend backend;
+      backend.id = "b" + std::to_string(i);
+      backend.service = "s";
+      backend.address = "127.0.0.1:1";  // nobody listens there
+      backend.zone = "z1";
+      dispatcher.Registry().Put(backend);
+    }
+    service.SetTransport({[this](const std::string& host, const StrikeReport& report) {
+                            for (const Strike& strike : report.strikes)
+                              strikes.emplace_back(host, strike);
+                          },
+                          [this](const QuarantineNotice& notice) { notices.push_back(notice); }});
+  }
+
+  const Backend& At(int index) { return *dispatcher.Registry().Find("b" + std::to_string(index)); }
+
+  // The back end ends while it has the request.
+  void End(int backend, RequestFingerprint request = kRequest) {
+    service.NoteBroken(request, At(backend), Now());
+    RunFor(kConnectTimeout);
+  }
+
+  void RunFor(Duration time) {
+    io.restart();
+    io.run_for(time);
+  }
+
+  bool IsKept() { return service.LeftFor(kRequest, Now()).has_value(); }
+
+  asio::io_context io;
+  PeerTable peers;
+  Dispatcher dispatcher;
+  UpstreamPool pool;
+  std::vector<std::pair<std::string, Strike>> strikes;  // by whom they were told to
+  std::vector<QuarantineNotice> notices;
+  QuarantineService service;
+};
+
+Test(quarantine_service, a_strike_is_told_to_the_nodes_that_count_until_it_can_hardly_be_lost) {
+  Node node;
+  node.End(0);
+  node.RunFor(kTellingTime);
+  const std::vector<std::string> counters = StrikeCountersOf(
+      kRequest, {kHost, "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6"});
+  for (const std::string& host : counters) {
+    const auto is_told = [&host](const auto& told) { return told.first == host; };
+    const auto times = std::count_if(node.strikes.begin(), node.strikes.end(), is_told);
+    cr_assert(times == (host == kHost ? 0 : 3), "%s: %ld", host.c_str(), times);
+  }
+  cr_assert(!node.IsKept());
+}
+
+Test(quarantine_service, the_third_end_is_told_to_all_with_the_back_ends) {
+  Node node;
+  for (int i = 0; i < 3; ++i) node.End(i);
+  cr_assert(node.IsKept());
+  cr_assert(!node.notices.empty());
+  cr_assert(node.notices[0].request == kRequest && node.notices[0].backends.size() == 3);
+}
+
+// Counted by this node for others.
+Test(quarantine_service, strikes_of_different_nodes_add_up) {
+  Node node;
+  for (const BackendKey backend : {1U, 2U, 2U}) {
+    node.service.OnStrikes({{{kRequest, backend}}}, Now());
+  }
+  cr_assert(!node.IsKept());
+  node.service.OnStrikes({{{kRequest, 3}}}, Now());
+  cr_assert(node.IsKept());
+}
+
+Test(quarantine_service, a_request_under_way_is_told_once) {
+  Node node;
+  int told = 0;
+  int told_after_its_end = 0;
+  (void)node.service.Watch(kRequest, [&told] { ++told; });
+  const auto ended = node.service.Watch(kRequest, [&] { ++told_after_its_end; });
+  node.service.Unwatch(kRequest, ended);
+  for (int i = 0; i < 4; ++i) node.End(i);
+  cr_assert(told == 1 && told_after_its_end == 0);
+}
+
+Test(quarantine_service, a_back_end_that_leaves_is_held_against_nobody) {
+  Node node;
+  for (int i = 0; i < 4; ++i) {
+    node.dispatcher.Registry().MarkLeaving(node.At(i).id);
+    node.End(i);
+  }
+  cr_assert(!node.IsKept() && node.strikes.empty());
+}
+
+// A popular request runs wherever a back end ends.
+Test(quarantine_service, a_request_that_has_just_run_here_is_not_held_responsible) {
+  Node node;
+  node.service.NoteRun(kRequest, Now());
+  for (int i = 0; i < 4; ++i) node.End(i);
+  cr_assert(!node.IsKept() && node.strikes.empty());
+}
+
+// The nodes that count had not seen it run; one that had says so.
+Test(quarantine_service, a_node_that_has_seen_it_run_since_lifts_it) {
+  Node node;
+  node.service.NoteRun(kRequest, Now());
+  node.service.OnNotice({kRequest, false, seconds(600), seconds(5), {1, 2, 3}, {}}, Now());
+  node.RunFor(milliseconds(1));
+  cr_assert(!node.IsKept());
+  cr_assert(!node.notices.empty() && node.notices.back().is_lifted);
+}
+
+Test(quarantine_service, a_run_before_the_first_end_does_not_lift_it) {
+  Node node;
+  node.service.NoteRun(kRequest, Now() - seconds(8));
+  node.service.OnNotice({kRequest, false, seconds(600), seconds(5), {1, 2, 3}, {}}, Now());
+  cr_assert(node.IsKept());
+}
+
+Test(quarantine_service, one_under_way_that_ends_well_lifts_it) {
+  Node node;
+  for (int i = 0; i < 3; ++i) node.End(i);
+  node.service.NoteRun(kRequest, Now());
+  node.RunFor(milliseconds(1));
+  cr_assert(!node.IsKept() && node.notices.back().is_lifted);
+}
+
+// The record that a fleet finds that starts anew as a whole.
+Test(quarantine_service, is_recorded_once_the_store_is_back) {
+  Node node;
+  testing::LeaseStore store(node.io);
+  const QuarantineRecorder recorder(node.io, store, "quarantine/", node.service);
+  store.SetAway(true);
+  for (int i = 0; i < 3; ++i) node.End(i);
+  node.RunFor(seconds(3));
+  cr_assert(store.Find(kRecord) == nullptr);
+  store.SetAway(false);
+  node.RunFor(seconds(5));
+  cr_assert(store.Find(kRecord) != nullptr);
+  cr_assert(store.Find(kRecord)->lease != 0, "it goes by itself");
+}
+
+Test(quarantine_service, a_lost_answer_of_the_store_makes_no_second_record) {
+  Node node;
+  testing::LeaseStore store(node.io);
+  const QuarantineRecorder recorder(node.io, store, "quarantine/", node.service);
+  store.LoseAnswers(2);
+  for (int i = 0; i < 3; ++i) node.End(i);
+  node.RunFor(seconds(5));
+  cr_assert(store.Find(kRecord) != nullptr);
+  const int calls = store.Calls();
+  node.RunFor(seconds(2));
+  cr_assert(store.Calls() == calls, "no more calls when it stands");
+}
+
+Test(quarantine_service, the_record_goes_when_it_is_lifted) {
+  Node node;
+  testing::LeaseStore store(node.io);
+  const QuarantineRecorder recorder(node.io, store, "quarantine/", node.service);
+  for (int i = 0; i < 3; ++i) node.End(i);
+  node.RunFor(seconds(3));
+  cr_assert(store.Find(kRecord) != nullptr);
+  node.service.NoteRun(kRequest, Now());
+  node.RunFor(seconds(1));
+  cr_assert(store.Find(kRecord) == nullptr);
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/tests/support/catalog_node.h
+++ b/libs/relay/tests/support/catalog_node.h
@@ -22,7 +22,9 @@
   return options;
 }
 
-inline CatalogKeys PlainCatalogKeys() { return {"", "document", "backends/", "drains/"}; }
+inline CatalogKeys PlainCatalogKeys() {
+  return {"", "document", "backends/", "drains/", "quarantine/"};
+}
 
 // Of texts as version_codec.h has them.
 inline const CatalogCodec& PlainCodec() {
