--- a/apps/cartsailctl/zones_command.cc
+++ b/apps/cartsailctl/zones_command.cc
@@ -39,6 +39,15 @@
   co_return answers;
 }
 
+// Fails where a node does not answer.
+CommandResult ResultOf(const Answers& answers, const std::string& text, json::object object) {
+  CommandResult result;
+  result.text = answers.SilentText() + text;
+  result.object = std::move(object);
+  result.exit_code = answers.silent.empty() ? kExitOk : kExitFailed;
+  return result;
+}
+
 std::string DrainsText(const FleetView& view) {
   if (view.drained.empty()) return "no zone is drained\n";
   std::string text = fmt::format("{:<14} {:>10} {:>10} {:>9} {:>9}\n", "drained zone", "for s",
@@ -169,11 +178,8 @@
   if (options.nodes.empty()) co_return Usage(fmt::format(kNodesNeeded, "zones"));
   const Answers answers = co_await AskAll(context, options);
   const FleetView view = MakeFleetView(answers.nodes);
-  CommandResult result;
-  result.text = answers.SilentText() + DrainsText(view) + RoomsText(view);
-  result.object = ZonesJson(view);
-  const bool is_whole = answers.silent.empty() && view.IsAgreed();
-  result.exit_code = is_whole ? kExitOk : kExitFailed;
+  CommandResult result = ResultOf(answers, DrainsText(view) + RoomsText(view), ZonesJson(view));
+  if (!view.IsAgreed()) result.exit_code = kExitFailed;
   co_return result;
 }
 
@@ -182,11 +188,7 @@
   if (options.nodes.empty()) co_return Usage(fmt::format(kNodesNeeded, "regions"));
   const Answers answers = co_await AskAll(context, options);
   const FleetView view = MakeFleetView(answers.nodes);
-  CommandResult result;
-  result.text = answers.SilentText() + RegionsText(view);
-  result.object = RegionsJson(view);
-  result.exit_code = answers.silent.empty() ? kExitOk : kExitFailed;
-  co_return result;
+  co_return ResultOf(answers, RegionsText(view), RegionsJson(view));
 }
 
 asio::awaitable<absl::StatusOr<CommandResult>> RunQuarantineCommand(asio::io_context& context,
@@ -194,11 +196,7 @@
   if (options.nodes.empty()) co_return Usage(fmt::format(kNodesNeeded, "quarantine"));
   const Answers answers = co_await AskAll(context, options);
   const FleetView view = MakeFleetView(answers.nodes);
-  CommandResult result;
-  result.text = answers.SilentText() + QuarantineText(view);
-  result.object = QuarantineJson(view);
-  result.exit_code = answers.silent.empty() ? kExitOk : kExitFailed;
-  co_return result;
+  co_return ResultOf(answers, QuarantineText(view), QuarantineJson(view));
 }
 
 asio::awaitable<absl::StatusOr<CommandResult>> RunExplainBackendCommand(asio::io_context& context,
--- a/libs/relay/tests/suspension_test.cc
+++ b/libs/relay/tests/suspension_test.cc
@@ -4,9 +4,13 @@
 #include "testing/suspension.h"
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <optional>
 #include <thread>
 
+#include "duties/duty_holder.h"
+#include "support/lease_store.h"
 #include "support/relay_fixture.h"
 #include "support/stub_backend.h"
 #include "testing/criterion.h"
@@ -95,5 +99,38 @@
   cr_assert(closes);
 }
 
+// Another node may hold the duty by then: this one may not act before it has asked.
+Test(suspension, a_lease_that_ran_out_meanwhile_is_not_held) {
+  const LeaseTerms terms{seconds(3), milliseconds(300)};
+  boost::asio::io_context io;
+  LeaseStore store(io);
+  const auto first = []() -> std::optional<size_t> { return 0; };
+  DutyHolder holder(io, store, "duty/test", terms, {"n1", true, first});
+  holder.Start();
+  const auto end = Clock::now() + std::chrono::seconds(10);
+  while (!holder.MayAct().has_value() && Clock::now() < end) {
+    io.restart();
+    io.run_for(milliseconds(10));
+  }
+  cr_assert(holder.MayAct().has_value());
+  Suspend(terms.lease);
+  cr_assert(!holder.MayAct().has_value());
+}
+
+// A route may have been added meanwhile: what the node knows is too old to refuse it for good.
+Test(suspension, what_was_known_before_is_old_afterwards) {
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", "127.0.0.1:1");
+  relay.Start();
+  const auto answer_to_unknown_route = [&relay] {
+    Client client(relay.Port());
+    client.Send(MakeRequest("POST", "/unknown/a", "r1", "x"));
+    return client.ReadAnswer();
+  };
+  cr_assert(Has(answer_to_unknown_route(), "HTTP/1.1 404 "));
+  Suspend(kSuspension);
+  cr_assert(Has(answer_to_unknown_route(), "HTTP/1.1 503 "));
+}
+
 }  // namespace
 }  // namespace cartsail::testing
