--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -251,6 +251,7 @@
 }
 
 asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
+  answer_ = {};
   upstream_ = co_await OpenUpstream(placement);
   if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   if (upstream_ == nullptr) {
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -25,6 +25,13 @@
 // Statuses from here on tell a failure of the back end.
 inline constexpr int kLeastFailureStatus = 500;
 
+// What the log tells of a back end's answer to an attempt.
+struct AnswerHead {
+  int status = 0;           // 0: there was none
+  std::string retry_after;  // as the back end wrote it
+  bool leaving = false;
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller, CallerRequest request);
@@ -43,6 +50,7 @@
       const Placement& placement);
   boost::asio::awaitable<AttemptOutcome> ReadOwnHead(ResponseHead* head, TimePoint patience);
   boost::asio::awaitable<AttemptOutcome> SkipStrayAnswer();
+  void NoteAnswerHead(const ResponseHead& head);
   boost::asio::awaitable<AttemptOutcome> RelayAnswer(const Placement& placement,
                                                      const ResponseHead& head);
   boost::asio::awaitable<AttemptOutcome> RelayWhole(const Placement& placement,
@@ -91,6 +99,7 @@
   std::string request_id_;
   RequestFingerprint fingerprint_ = 0;
   ConnectResult connect_result_ = ConnectResult::kConnected;  // of the last attempt
+  AnswerHead answer_;                                         // of the last attempt
   std::string last_event_id_;  // of the events passed on, for a continuation
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -45,10 +45,17 @@
   co_return AttemptOutcome::kSpoilt;
 }
 
+void Exchange::NoteAnswerHead(const ResponseHead& head) {
+  answer_.status = head.status;
+  answer_.retry_after = std::string(head.Header("Retry-After"));
+  answer_.leaving = !head.Header(context_.format.Names().leaving).empty();
+}
+
 asio::awaitable<AttemptOutcome> Exchange::Converse(const Placement& placement) {
   ResponseHead head;
   const AttemptOutcome outcome = co_await ReadOwnHead(&head, Patience(placement, Now()));
   if (outcome != AttemptOutcome::kAnswered) co_return outcome;
+  NoteAnswerHead(head);
   co_return co_await RelayAnswer(placement, head);
 }
 
--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -76,5 +76,23 @@
   cr_assert(fingerprints[0] != fingerprints[2]);
 }
 
+// Whether a back end that turned a request away asked for rest could be told from no line.
+Test(request_log, a_refusal_of_a_back_end_is_logged_as_it_was_told) {
+  StubBackend backend([](const std::string& request) {
+    return StubAnswer{{SignedAnswer(request, "", 503,
+                                    "Cartsail-Not-Run: 1\r\nRetry-After: 2.5\r\n"
+                                    "Cartsail-Leaving: 1\r\n")}};
+  });
+  LogCapture log;
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  (void)client.ReadAnswer();
+  const std::string line = log.LineOf("attempt");
+  cr_assert(Has(line, " status=503 retry_after=2.5 leaving=true "), "%s", line.c_str());
+}
+
 }  // namespace
 }  // namespace cartsail::testing
