What back ends say of themselves in answers is kept by incarnation and asked on every way to them

Cause: a node read of an answer 503 that the request had not run, and nothing else. Ruled out: that only coordinators did not know (the node itself placed 1 of 11 late requests, and nothing at it kept the other 10 back), and requests under way (they were 0.5 to 2.5 s late). Change: BackendNotices in the registry (rest of this node, leaving for good), asked by choice, adoption, last check before sending, probe and question for cached parts; coordinators are told resting back ends among those tried, so that messages stay as they are; refused callers are told the shortest rest left. Changed: tests name incarnations instead of ids to mark them as leaving; dispatcher_test's random schedules start engines anew, since leaving is final for one start.

--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/backend_notices.h"
 #include "cartsail/dispatch/region_map.h"
 #include "cartsail/dispatch/zone_drains.h"
 
@@ -23,8 +24,6 @@
 
 // Names one incarnation of a back end in messages between nodes: a hash of its id and its start.
 // What is kept or told by key of a process that has ended so never counts for the next one.
-using BackendKey = uint32_t;
-
 // `started_ms`: as in Backend.
 BackendKey KeyOf(std::string_view backend_id, int64_t started_ms = 0);
 
@@ -71,8 +70,21 @@
   // Removes those that are missing for too long. True when there were some.
   bool RemoveMissing(TimePoint now);
 
-  // Told by the back end or by another node. Unknown ids are ignored.
-  void MarkLeaving(std::string_view id);
+  // Told by the back end or by another node. Holds also for an entry of this incarnation that is
+  // removed and comes back. True when it was not known.
+  bool MarkLeaving(BackendKey backend);
+
+  // The back end wants nothing from this node for `rest`. True when it did not rest before.
+  bool NoteRest(BackendKey backend, Duration rest, TimePoint now) {
+    return notices_.NoteRest(backend, rest, now);
+  }
+  std::optional<Duration> RestLeft(BackendKey backend, TimePoint now) const {
+    return notices_.RestLeft(backend, now);
+  }
+  void ExpireRests(TimePoint now) { notices_.Expire(now); }
+
+  // Those of `service` that rest now.
+  std::vector<BackendKey> RestingOf(std::string_view service, TimePoint now) const;
 
   const Backend* Find(std::string_view id) const;
 
@@ -94,14 +106,21 @@
   // hold prompt memory.
   std::vector<const Backend*> DrainedOf(std::string_view service) const;
 
-  // It is ready and its zone is not drained.
-  bool MayReceive(const Backend& backend) const {
+  // It is ready and its zone is not drained: some node may send it requests.
+  bool IsOpen(const Backend& backend) const {
     return backend.state == BackendState::kReady && !drains_.IsDrained(backend.zone);
   }
 
-  // The same for a request that may be served in `allowed` only.
-  bool MayReceive(const Backend& backend, const RegionSet& allowed) const {
-    return MayReceive(backend) && allowed.Allows(backend.region);
+  // This node may turn to it at all, be it with a probe or a question: it is known, neither leaves
+  // nor is missing, and does not rest.
+  bool MayContact(BackendKey key, TimePoint now) const;
+
+  // This node may send it a request that may be served in `allowed` only. To be asked on every way
+  // to a back end, right before something is sent: three requests of 2 s reached an engine that had
+  // asked its node for 3 s of rest, each by another way.
+  bool MayReceive(const Backend& backend, const RegionSet& allowed, TimePoint now) const {
+    return IsOpen(backend) && allowed.Allows(backend.region) &&
+           !notices_.RestLeft(backend.key, now).has_value();
   }
 
   // The zones that are drained. Each change returns true when there was one.
@@ -123,10 +142,11 @@
   std::vector<const Backend*> NewestReadyOf(std::string_view service) const;
   bool IsService(const std::string& service) const;
   bool NoteChange(bool changed);
-  void Identify(Backend* backend) const;
+  void Identify(Backend* backend);
 
   RegionMap regions_;
   ZoneDrains drains_;
+  BackendNotices notices_;
   std::optional<std::set<std::string>> services_;
   std::map<std::string, Backend, std::less<>> backends_;
   std::unordered_map<BackendKey, std::string> ids_;
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -14,22 +14,18 @@
 
 namespace {
 
-// What is known of a back end when an entry of it comes: of the same incarnation that it leaves; of
-// a later one, that the entry is outdated.
+// An entry of an earlier incarnation than the known one is outdated.
 void TakeOver(const Backend& known, Backend* backend) {
-  if (backend->started_ms < known.started_ms) {
-    *backend = known;
-    return;
-  }
-  const bool is_same = backend->started_ms == known.started_ms;
-  if (is_same && known.state == BackendState::kLeaving) backend->state = BackendState::kLeaving;
+  if (backend->started_ms < known.started_ms) *backend = known;
 }
 
 }  // namespace
 
-void BackendRegistry::Identify(Backend* backend) const {
+void BackendRegistry::Identify(Backend* backend) {
   backend->key = KeyOf(backend->id, backend->started_ms);
   backend->region = regions_.IndexOfZone(backend->zone);
+  if (backend->state == BackendState::kLeaving) notices_.NoteLeaving(backend->key);
+  if (notices_.IsLeaving(backend->key)) backend->state = BackendState::kLeaving;
 }
 
 // Adds to `backends` the ready ones that it lacks.
@@ -108,11 +104,27 @@
   ++changes_;
 }
 
-void BackendRegistry::MarkLeaving(std::string_view id) {
-  const auto entry = backends_.find(id);
-  if (entry == backends_.end() || entry->second.state == BackendState::kLeaving) return;
-  entry->second.state = BackendState::kLeaving;
+bool BackendRegistry::MarkLeaving(BackendKey backend) {
+  if (!notices_.NoteLeaving(backend)) return false;
+  const auto id = ids_.find(backend);
+  if (id != ids_.end()) backends_.find(id->second)->second.state = BackendState::kLeaving;
   ++changes_;
+  return true;
+}
+
+bool BackendRegistry::MayContact(BackendKey key, TimePoint now) const {
+  const Backend* backend = FindByKey(key);
+  return backend != nullptr && backend->state == BackendState::kReady &&
+         !backend->missing_until.has_value() && !notices_.RestLeft(key, now).has_value();
+}
+
+std::vector<BackendKey> BackendRegistry::RestingOf(std::string_view service, TimePoint now) const {
+  std::vector<BackendKey> resting = notices_.Resting(now);
+  std::erase_if(resting, [this, service](BackendKey key) {
+    const Backend* backend = FindByKey(key);
+    return backend == nullptr || backend->service != service;
+  });
+  return resting;
 }
 
 const Backend* BackendRegistry::Find(std::string_view id) const {
@@ -161,14 +173,14 @@
 
 std::vector<const Backend*> BackendRegistry::ReadyOf(std::string_view service) const {
   std::vector<const Backend*> ready = NewestReadyOf(service);
-  std::erase_if(ready, [this](const Backend* backend) { return !MayReceive(*backend); });
+  std::erase_if(ready, [this](const Backend* backend) { return !IsOpen(*backend); });
   return ready;
 }
 
 std::vector<const Backend*> BackendRegistry::DrainedOf(std::string_view service) const {
   if (drains_.IsEmpty()) return {};
   std::vector<const Backend*> drained = NewestReadyOf(service);
-  std::erase_if(drained, [this](const Backend* backend) { return MayReceive(*backend); });
+  std::erase_if(drained, [this](const Backend* backend) { return IsOpen(*backend); });
   return drained;
 }
 
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -23,8 +23,8 @@
 std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
                                            const std::vector<BackendKey>& tried, TimePoint now,
                                            std::vector<BackendKey> connected, ColdRight right) {
-  std::optional<Placement> placement =
-      Choose({"", zone_, std::move(connected)}, profile, tried, now, right);
+  std::optional<Placement> placement = Choose({"", zone_, std::move(connected)}, profile,
+                                              ExcludedFor(profile, tried, now), now, right);
   if (placement.has_value()) Begin(profile, AttemptOrigin::kOwn, &*placement, now);
   return placement;
 }
@@ -45,7 +45,7 @@
   if (backend == nullptr) return std::nullopt;
   // The coordinator may have another document in force.
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
-  if (!registry_.MayReceive(*backend, allowed)) return std::nullopt;
+  if (!registry_.MayReceive(*backend, allowed, now)) return std::nullopt;
   if (backend->service != profile.service) return std::nullopt;
   if (!grant.is_cold && IsToldCold(*backend, now)) return std::nullopt;
   Placement placement;
@@ -68,10 +68,45 @@
   return placement;
 }
 
-bool Dispatcher::MayReceive(BackendKey backend, const RequestProfile& profile) const {
+bool Dispatcher::MayReceive(BackendKey backend, const RequestProfile& profile,
+                            TimePoint now) const {
   const Backend* known = registry_.FindByKey(backend);
   if (known == nullptr) return false;
-  return registry_.MayReceive(*known, registry_.Regions().AllowedFor(profile));
+  return registry_.MayReceive(*known, registry_.Regions().AllowedFor(profile), now);
+}
+
+NoticeChange Dispatcher::NoteNotice(BackendKey backend, const BackendNotice& notice,
+                                    TimePoint now) {
+  NoticeChange change;
+  if (notice.leaving) change.leaves = registry_.MarkLeaving(backend);
+  if (notice.rest.has_value()) change.rests = registry_.NoteRest(backend, *notice.rest, now);
+  return change;
+}
+
+std::vector<BackendKey> Dispatcher::ExcludedFor(const RequestProfile& profile,
+                                                const std::vector<BackendKey>& tried,
+                                                TimePoint now) const {
+  std::vector<BackendKey> excluded = tried;
+  const std::vector<BackendKey> resting = registry_.RestingOf(profile.service, now);
+  excluded.insert(excluded.end(), resting.begin(), resting.end());
+  return excluded;
+}
+
+Dispatcher::Rests Dispatcher::RestsFor(const RequestProfile& profile, TimePoint now) const {
+  const RegionSet allowed = registry_.Regions().AllowedFor(profile);
+  Rests rests;
+  bool some_awake = false;
+  for (const Backend* backend : registry_.ReadyOf(profile.service)) {
+    if (!allowed.Allows(backend->region)) continue;
+    const std::optional<Duration> left = registry_.RestLeft(backend->key, now);
+    if (!left.has_value()) {
+      some_awake = true;
+      continue;
+    }
+    rests.shortest = std::min(rests.shortest.value_or(*left), *left);
+  }
+  rests.all = rests.shortest.has_value() && !some_awake;
+  return rests;
 }
 
 size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now) {
@@ -208,7 +243,7 @@
   if (known == nullptr) return;
   health_.Note(backend, outcome, origin, now);
   cold_.NoteOutcome(*known, outcome, begun, now);
-  if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(known->id);
+  if (outcome == AttemptOutcome::kWrongInstance) registry_.MarkLeaving(backend);
 }
 
 void Dispatcher::NoteHeld(BackendKey backend, const std::vector<PromptPart>& parts, TimePoint now) {
@@ -227,6 +262,7 @@
   prefixes_.Expire(now);
   cold_.Expire(now);
   cold_grants_.Expire(now);
+  registry_.ExpireRests(now);
   RemoveMissing(now);
 }
 
@@ -318,10 +354,7 @@
     prefixes_.Note(placed.part, placed.backend, now);
     prefixes_.NoteRead(placed.part, placed.backend);
   }
-  for (const BackendKey key : digest.leaving) {
-    const Backend* backend = registry_.FindByKey(key);
-    if (backend != nullptr) registry_.MarkLeaving(backend->id);
-  }
+  for (const BackendKey key : digest.leaving) registry_.MarkLeaving(key);
 }
 
 }  // namespace cartsail
--- a/libs/dispatch/src/dispatcher_cold.cc
+++ b/libs/dispatch/src/dispatcher_cold.cc
@@ -38,7 +38,7 @@
 
 bool Dispatcher::MaySend(const Placement& placement, const RequestProfile& profile,
                          TimePoint now) const {
-  if (!MayReceive(placement.backend.key, profile)) return false;
+  if (!MayReceive(placement.backend.key, profile, now)) return false;
   if (placement.send_by.has_value()) return now <= *placement.send_by;
   const Backend* known = registry_.FindByKey(placement.backend.key);
   return !IsToldCold(*known, now);
--- /dev/null
+++ b/libs/dispatch/tests/backend_notices_test.cc
@@ -0,0 +1,229 @@
+// What back ends say of themselves in answers: it binds every way to one incarnation of one back
+// end, at the node that was told, and nobody else.
+#include "cartsail/dispatch/backend_notices.h"
+
+#include <random>
+#include <set>
+
+#include "cartsail/dispatch/dispatcher.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(seconds(1000));
+constexpr int64_t kFirst = 100;   // starts
+constexpr int64_t kSecond = 200;  // later
+constexpr Duration kRest = seconds(3);
+
+Backend Make(const std::string& id, int64_t started_ms = kFirst) {
+  Backend backend;
+  backend.id = id;
+  backend.started_ms = started_ms;
+  backend.service = "s";
+  backend.address = id + ":1";
+  backend.zone = "z1";
+  backend.slots = 8;
+  return backend;
+}
+
+RequestProfile Plain() {
+  RequestProfile profile;
+  profile.service = "s";
+  return profile;
+}
+
+BackendKey Key(const std::string& id) { return KeyOf(id, kFirst); }
+
+Dispatcher Three() {
+  Dispatcher dispatcher(PlacementPolicy(), "z1");
+  for (const char* id : {"a", "b", "c"}) dispatcher.Registry().Put(Make(id));
+  return dispatcher;
+}
+
+void Rest(Dispatcher& dispatcher, const std::string& id, Duration rest, TimePoint now) {
+  dispatcher.NoteNotice(Key(id), {false, rest}, now);
+}
+
+PlacementGrant GrantAt(const std::string& id) {
+  PlacementGrant grant;
+  grant.backend = Key(id);
+  return grant;
+}
+
+Test(backend_notices, a_rest_ends_by_itself_and_the_last_end_holds) {
+  BackendNotices notices;
+  cr_assert(!notices.RestLeft(1, kStart).has_value());
+  cr_assert(notices.NoteRest(1, kRest, kStart));
+  cr_assert(!notices.NoteRest(1, seconds(1), kStart + seconds(1)), "it rests already");
+  cr_assert(notices.RestLeft(1, kStart + seconds(1)) == seconds(2),
+            "a shorter one changes nothing");
+  notices.NoteRest(1, kRest, kStart + seconds(1));
+  cr_assert(notices.RestLeft(1, kStart + seconds(3)) == seconds(1));
+  cr_assert(!notices.RestLeft(1, kStart + seconds(4)).has_value());
+  cr_assert(notices.NoteRest(1, kRest, kStart + seconds(5)), "again");
+  notices.Expire(kStart + seconds(9));
+  cr_assert(notices.Resting(kStart + seconds(5)).empty(), "forgotten");
+}
+
+Test(backend_notices, no_rest_is_none) {
+  BackendNotices notices;
+  cr_assert(!notices.NoteRest(1, Duration(0), kStart));
+  cr_assert(!notices.NoteRest(1, -seconds(1), kStart));
+  cr_assert(!notices.RestLeft(1, kStart).has_value());
+}
+
+Test(backend_notices, leaving_ones_are_remembered_up_to_a_bound) {
+  BackendNotices notices;
+  for (BackendKey key = 0; key <= BackendNotices::kMostLeaving; ++key) notices.NoteLeaving(key);
+  cr_assert(!notices.IsLeaving(0) && notices.IsLeaving(1));
+  cr_assert(notices.IsLeaving(BackendNotices::kMostLeaving));
+}
+
+// By every way: a choice of this node, a repeat, a coordinator's choice, a request that was placed
+// before and waits for its connection, a probe.
+Test(backend_notices, nothing_reaches_a_resting_back_end_by_any_way) {
+  Dispatcher dispatcher = Three();
+  const std::optional<Placement> placed = dispatcher.Adopt("node", GrantAt("a"), Plain(), kStart);
+  cr_assert(dispatcher.MaySend(*placed, Plain(), kStart));
+  Rest(dispatcher, "a", kRest, kStart);
+  const TimePoint later = kStart + seconds(1);
+  cr_assert(!dispatcher.MaySend(*placed, Plain(), later), "under way");
+  cr_assert(!dispatcher.Adopt("node", GrantAt("a"), Plain(), later).has_value());
+  cr_assert(!dispatcher.Registry().MayContact(Key("a"), later), "probe");
+  for (int i = 0; i < 20; ++i) {
+    const auto own = dispatcher.Place(Plain(), {Key("b")}, later);
+    cr_assert(own->backend.id == "c");
+  }
+  cr_assert(!dispatcher.Place(Plain(), {Key("b"), Key("c")}, later).has_value(), "the last one");
+  const TimePoint over = kStart + kRest;
+  cr_assert(dispatcher.MaySend(*placed, Plain(), over));
+  cr_assert(dispatcher.Place(Plain(), {Key("b"), Key("c")}, over).has_value());
+}
+
+// It wants nothing from this node: a coordinator that is turned away still places others there.
+Test(backend_notices, a_rest_binds_only_the_node_that_was_told) {
+  Dispatcher dispatcher = Three();
+  Rest(dispatcher, "a", kRest, kStart);
+  const Requester other{"other", "z1", {}};
+  const std::vector<BackendKey> tried = {Key("b"), Key("c")};
+  cr_assert(dispatcher.PlaceFor(other, Plain(), tried, kStart)->backend.id == "a");
+  cr_assert(!dispatcher.Place(Plain(), tried, kStart).has_value());
+}
+
+Test(backend_notices, a_question_to_a_coordinator_excludes_resting_ones_of_the_service) {
+  Dispatcher dispatcher = Three();
+  Backend other = Make("x");
+  other.service = "t";
+  dispatcher.Registry().Put(other);
+  Rest(dispatcher, "a", kRest, kStart);
+  Rest(dispatcher, "x", kRest, kStart);
+  const std::vector<BackendKey> excluded =
+      dispatcher.ExcludedFor(Plain(), {Key("b")}, kStart + seconds(1));
+  cr_assert(excluded == (std::vector<BackendKey>{Key("b"), Key("a")}));
+  cr_assert(dispatcher.ExcludedFor(Plain(), {}, kStart + kRest).empty());
+}
+
+Test(backend_notices, the_shortest_rest_is_told_only_when_all_rest) {
+  Dispatcher dispatcher = Three();
+  Rest(dispatcher, "a", kRest, kStart);
+  Rest(dispatcher, "b", seconds(2), kStart);
+  cr_assert(!dispatcher.RestsFor(Plain(), kStart).all);
+  Rest(dispatcher, "c", seconds(5), kStart);
+  const Dispatcher::Rests rests = dispatcher.RestsFor(Plain(), kStart + milliseconds(500));
+  cr_assert(rests.all && rests.shortest == milliseconds(1500));
+  dispatcher.NoteNotice(Key("b"), {true, std::nullopt}, kStart);
+  cr_assert(dispatcher.RestsFor(Plain(), kStart).shortest == kRest,
+            "one that leaves never returns");
+  dispatcher.Registry().Remove("a");
+  dispatcher.Registry().Remove("c");
+  cr_assert(!dispatcher.RestsFor(Plain(), kStart).all, "there is none");
+}
+
+Test(backend_notices, an_engine_that_starts_again_is_bound_by_nothing) {
+  Dispatcher dispatcher = Three();
+  dispatcher.NoteNotice(Key("a"), {true, kRest}, kStart);
+  dispatcher.Registry().Put(Make("a", kSecond));
+  const std::vector<BackendKey> tried = {Key("b"), Key("c")};
+  cr_assert(dispatcher.Place(Plain(), tried, kStart)->backend.started_ms == kSecond);
+  // An answer of the process that ended, read late.
+  dispatcher.NoteNotice(Key("a"), {true, kRest}, kStart);
+  cr_assert(dispatcher.Place(Plain(), tried, kStart)->backend.started_ms == kSecond);
+}
+
+// Its entry lapses while the store is away, or another reader has not heard: it is back as ready.
+Test(backend_notices, an_entry_that_comes_back_makes_no_leaving_one_ready) {
+  Dispatcher dispatcher = Three();
+  dispatcher.NoteNotice(Key("a"), {true, std::nullopt}, kStart);
+  dispatcher.Registry().Remove("a");
+  dispatcher.Registry().Put(Make("a"));
+  cr_assert(!dispatcher.MayReceive(Key("a"), Plain(), kStart));
+  dispatcher.Registry().ReplaceAll({});
+  dispatcher.Registry().ReplaceAll({Make("a"), Make("b")});
+  cr_assert(!dispatcher.MayReceive(Key("a"), Plain(), kStart));
+  cr_assert(dispatcher.MayReceive(Key("b"), Plain(), kStart));
+  cr_assert(dispatcher.TakeDigest(kStart).leaving == std::vector<BackendKey>{Key("a")});
+}
+
+// A peer that has heard first tells of a back end whose entry is not known here yet.
+Test(backend_notices, leaving_told_by_a_peer_holds_for_an_entry_that_comes_later) {
+  Dispatcher dispatcher = Three();
+  DispatchDigest digest;
+  digest.leaving = {Key("late")};
+  dispatcher.ApplyDigest("peer", digest, seconds(1), kStart);
+  dispatcher.Registry().Put(Make("late"));
+  cr_assert(!dispatcher.MayReceive(Key("late"), Plain(), kStart));
+}
+
+// Random rests, leavings, starts and entries that go and come: no request goes to a back end that
+// rests or leaves, and one that may receive it is found.
+Test(backend_notices, thousand_random_schedules_keep_to_what_was_told) {
+  for (uint32_t seed = 0; seed < 1000; ++seed) {
+    std::mt19937 random(seed);
+    Dispatcher dispatcher(PlacementPolicy(), "z1");
+    std::map<std::string, int64_t> starts;
+    std::map<BackendKey, TimePoint> rests;
+    std::set<BackendKey> leaving;
+    TimePoint now = kStart;
+    for (int step = 0; step < 80; ++step) {
+      now += milliseconds(random() % 300);
+      const std::string id = "e" + std::to_string(random() % 4);
+      const BackendKey key = KeyOf(id, starts[id]);
+      switch (random() % 6) {
+        case 0:
+          dispatcher.Registry().Put(Make(id, starts[id]));
+          break;
+        case 1:
+          dispatcher.Registry().Put(Make(id, ++starts[id]));
+          break;
+        case 2:
+          dispatcher.Registry().Remove(id);
+          break;
+        case 3: {
+          const Duration rest = milliseconds(random() % 2000);
+          dispatcher.NoteNotice(key, {false, rest}, now);
+          rests[key] = std::max(rests[key], now + rest);
+          break;
+        }
+        case 4:
+          dispatcher.NoteNotice(key, {true, std::nullopt}, now);
+          leaving.insert(key);
+          break;
+        default: {
+          const auto placement = dispatcher.Place(Plain(), {}, now);
+          const auto is_open = [&](const Backend& backend) {
+            return !leaving.contains(backend.key) && rests[backend.key] <= now;
+          };
+          const std::vector<Backend> all = dispatcher.Registry().All();
+          const bool some_open = std::any_of(all.begin(), all.end(), is_open);
+          cr_assert(placement.has_value() == some_open, "seed %u step %d", seed, step);
+          if (placement.has_value()) cr_assert(is_open(placement->backend), "seed %u", seed);
+        }
+      }
+      dispatcher.Tick(now);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/dispatch/tests/backend_registry_test.cc
+++ b/libs/dispatch/tests/backend_registry_test.cc
@@ -35,7 +35,7 @@
 Test(registry, leaving_is_final_for_one_start) {
   BackendRegistry registry;
   registry.Put(Make("b", "a:1"));
-  registry.MarkLeaving("b");
+  registry.MarkLeaving(KeyOf("b"));
   cr_assert(registry.ReadyOf("s").empty());
   registry.Put(Make("b", "a:1"));
   cr_assert(registry.ReadyOf("s").empty());
@@ -51,7 +51,7 @@
   registry.Put(Make("lapsed", "a:1"));
   registry.Put(Make("dead", "a:2"));
   registry.Put(Make("left", "a:3"));
-  registry.MarkLeaving("left");
+  registry.MarkLeaving(KeyOf("left"));
   registry.ReplaceAll({}, kNow + seconds(2));
   cr_assert(registry.ReadyOf("s").size() == 2);
   cr_assert(registry.Find("left") == nullptr, "a leaving one is gone at once");
@@ -69,7 +69,7 @@
   registry.Put(Make("b", "a:1"));
   registry.Remove("b", kNow + seconds(2));
   cr_assert(registry.ReadyOf("s").size() == 1);
-  registry.MarkLeaving("b");
+  registry.MarkLeaving(KeyOf("b"));
   cr_assert(registry.ReadyOf("s").empty());
   cr_assert(registry.RemoveMissing(kNow + seconds(2)));
   cr_assert(registry.Size() == 0);
@@ -82,7 +82,7 @@
   cr_assert(registry.Find("b") == nullptr);
   registry.Remove("c");
   cr_assert(registry.Size() == 0);
-  registry.MarkLeaving("c");
+  registry.MarkLeaving(KeyOf("c"));
   cr_assert(registry.Size() == 0);
 }
 
@@ -114,8 +114,8 @@
   cr_assert(registry.Changes() > before, "what was derived from the registry is outdated");
   cr_assert(registry.ReadyOf("s").size() == 1 && registry.ReadyOf("s")[0]->id == "in-b");
   cr_assert(registry.DrainedOf("s").size() == 1 && registry.DrainedOf("s")[0]->id == "in-a");
-  cr_assert(!registry.MayReceive(*registry.Find("in-a")));
-  cr_assert(registry.MayReceive(*registry.Find("in-b")));
+  cr_assert(!registry.IsOpen(*registry.Find("in-a")));
+  cr_assert(registry.IsOpen(*registry.Find("in-b")));
   const int64_t drained = registry.Changes();
   cr_assert(!registry.DrainZone("a", now) && registry.Changes() == drained);
   cr_assert(registry.RestoreZone("a", now) && registry.Changes() > drained);
@@ -136,10 +136,10 @@
   BackendRegistry registry;
   registry.Put(MakeIn("a", "b"));
   registry.DrainZone("a", now);
-  registry.MarkLeaving("b");
+  registry.MarkLeaving(KeyOf("b"));
   cr_assert(registry.DrainedOf("s").empty());
   registry.RestoreZone("a", now);
-  cr_assert(registry.ReadyOf("s").empty() && !registry.MayReceive(*registry.Find("b")));
+  cr_assert(registry.ReadyOf("s").empty() && !registry.IsOpen(*registry.Find("b")));
 }
 
 Test(registry, an_entry_of_a_service_that_nobody_names_hides_no_live_back_end) {
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -260,15 +260,20 @@
       const std::string engine = "e" + std::to_string(random() % 5);
       switch (random() % 8) {
         case 0:
-          dispatcher.Registry().MarkLeaving(engine);
+          if (dispatcher.Registry().Find(engine) == nullptr) break;
+          dispatcher.Registry().MarkLeaving(dispatcher.Registry().Find(engine)->key);
           break;
         case 1:
           dispatcher.Registry().Remove(engine);
           dispatcher.ForgetGone();
           break;
-        case 2:
-          dispatcher.Registry().Put(MakeEngine("e" + std::to_string(random() % 5)));
+        case 2: {
+          // Another start: leaving is final for one.
+          Backend started = MakeEngine("e" + std::to_string(random() % 5));
+          started.started_ms = step + 1;
+          dispatcher.Registry().Put(started);
           break;
+        }
         case 3: {
           if (running.empty()) break;
           const size_t index = random() % running.size();
@@ -283,8 +288,10 @@
         default: {
           const uint64_t subject = random() % 4;
           const RequestProfile profile = random() % 2 == 0 ? Urgent(subject) : Patient(subject);
-          const std::optional<Placement> placement =
-              dispatcher.Place(profile, {KeyOf(engine)}, now);
+          const Backend* tried = dispatcher.Registry().Find(engine);
+          const std::vector<BackendKey> keys =
+              tried == nullptr ? std::vector<BackendKey>{} : std::vector<BackendKey>{tried->key};
+          const std::optional<Placement> placement = dispatcher.Place(profile, keys, now);
           if (!placement.has_value()) break;
           const Backend* placed = dispatcher.Registry().Find(placement->backend.id);
           cr_assert(placed != nullptr && placed->state == BackendState::kReady);
--- a/libs/dispatch/tests/incarnation_test.cc
+++ b/libs/dispatch/tests/incarnation_test.cc
@@ -46,10 +46,10 @@
 Test(incarnation, one_that_starts_again_is_not_leaving_any_more) {
   BackendRegistry registry;
   registry.Put(Make("b", kFirst));
-  registry.MarkLeaving("b");
+  registry.MarkLeaving(KeyOf("b", kFirst));
   registry.Put(Make("b", kSecond));
   cr_assert(registry.ReadyOf("s").size() == 1 && registry.Leaving().empty());
-  registry.MarkLeaving("b");
+  registry.MarkLeaving(KeyOf("b", kSecond));
   registry.ReplaceAll({Make("b", kThird)});
   cr_assert(registry.ReadyOf("s").size() == 1 && registry.Leaving().empty());
 }
@@ -99,13 +99,13 @@
   dispatcher.ForgetGone();
   const BackendKey reborn = KeyOf("b", kSecond);
   cr_assert(dispatcher.RequestsAt(reborn) == 0);
-  cr_assert(!dispatcher.MayReceive(running->backend.key, Prompt()),
+  cr_assert(!dispatcher.MayReceive(running->backend.key, Prompt(), kStart),
             "the process it was meant for has ended");
   const auto next = dispatcher.Place(Prompt(), {}, kStart + milliseconds(1));
   cr_assert(next->backend.key == reborn && dispatcher.RequestsAt(reborn) == 1);
   dispatcher.Finish(running->ticket, AttemptOutcome::kWrongInstance, kStart + milliseconds(2));
   cr_assert(dispatcher.RequestsAt(reborn) == 1);
-  cr_assert(dispatcher.MayReceive(reborn, Prompt()), "only the earlier one has gone");
+  cr_assert(dispatcher.MayReceive(reborn, Prompt(), kStart), "only the earlier one has gone");
 }
 
 Test(incarnation, failures_of_the_earlier_one_do_not_keep_requests_from_the_new_one) {
@@ -170,7 +170,8 @@
   digest.leaving = {KeyOf("b", kFirst)};
   dispatcher.ApplyDigest("peer", digest, seconds(10), kStart);
   const BackendKey reborn = KeyOf("b", kSecond);
-  cr_assert(dispatcher.MayReceive(reborn, Prompt()), "the peer has not heard of the new one yet");
+  cr_assert(dispatcher.MayReceive(reborn, Prompt(), kStart),
+            "the peer has not heard of the new one yet");
   cr_assert(dispatcher.RequestsAt(reborn) == 0);
   cr_assert(dispatcher.Place(Prompt(), {}, kStart)->held_tokens == 0);
 }
--- a/libs/dispatch/tests/registry_drains_test.cc
+++ b/libs/dispatch/tests/registry_drains_test.cc
@@ -39,7 +39,7 @@
   cr_assert(registry.Changes() > before, "what was derived from the registry is made anew");
   cr_assert(registry.ReadyOf("s").size() == 1 && registry.ReadyOf("s")[0]->id == "y");
   cr_assert(registry.DrainedOf("s").size() == 1 && registry.DrainedOf("s")[0]->id == "x");
-  cr_assert(!registry.MayReceive(*registry.Find("x")));
+  cr_assert(!registry.IsOpen(*registry.Find("x")));
   cr_assert(registry.RestoreZone("a", kNow + seconds(1)));
   cr_assert(registry.ReadyOf("s").size() == 2 && registry.DrainedOf("s").empty());
 }
@@ -60,7 +60,7 @@
   BackendRegistry registry;
   registry.Put(Make("x", "a", 5));
   const BackendKey first = registry.Find("x")->key;
-  registry.MarkLeaving("x");
+  registry.MarkLeaving(KeyOf("x"));
   registry.Put(Make("x", "a", 6));
   const BackendKey second = registry.Find("x")->key;
   cr_assert(first != second);
--- a/libs/dispatch/tests/residency_test.cc
+++ b/libs/dispatch/tests/residency_test.cc
@@ -123,7 +123,7 @@
     const std::string& zone = placement.backend.zone;
     const RegionMap regions(kZones);
     cr_assert(regions.Allows(profile, zone), "a request reached zone %s", zone.c_str());
-    cr_assert(dispatcher_.MayReceive(placement.backend.key, profile));
+    cr_assert(dispatcher_.MayReceive(placement.backend.key, profile, kStart));
     if (placement.fetch_prefix_from.empty()) return;
     ++fetches_;
     const Backend* holder = dispatcher_.Registry().FindByKey(placement.fetch_prefix_key);
@@ -206,10 +206,10 @@
 Test(residency, the_last_check_goes_by_the_residency_in_force_then) {
   Dispatcher dispatcher = EastAndWest();
   RequestProfile profile = MakeProfile(1);
-  cr_assert(dispatcher.MayReceive(KeyOf("west1"), profile));
+  cr_assert(dispatcher.MayReceive(KeyOf("west1"), profile, kStart));
   profile.residency = std::vector<std::string>{"east"};
-  cr_assert(!dispatcher.MayReceive(KeyOf("west1"), profile));
-  cr_assert(dispatcher.MayReceive(KeyOf("east1"), profile));
+  cr_assert(!dispatcher.MayReceive(KeyOf("west1"), profile, kStart));
+  cr_assert(dispatcher.MayReceive(KeyOf("east1"), profile, kStart));
 }
 
 Test(residency, an_engine_elsewhere_reads_a_prompt_again_rather_than_fetch_it) {
--- a/libs/relay/src/placement/cache_inventory.cc
+++ b/libs/relay/src/placement/cache_inventory.cc
@@ -11,6 +11,7 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 #include "cartsail/base/timer.h"
+#include "request/answer_notices.h"
 
 namespace cartsail {
 namespace {
@@ -100,11 +101,17 @@
 asio::awaitable<void> CacheInventory::Ask(Backend engine) {
   Endpoint endpoint;
   if (!ParseEndpoint(engine.address, &endpoint)) co_return;
+  // What it holds is learned from requests then.
+  if (!context_.dispatcher.Registry().MayContact(engine.key, Now())) {
+    Log(LogLevel::kInfo, "cache_inventory_skipped", {{"backend", engine.id}});
+    co_return;
+  }
   HttpRequest request;
   request.method = "GET";
   request.target = context_.format.Names().cached_parts_path;
   const auto response =
       co_await Fetch(context_.io.get_executor(), endpoint, request, kTimeout, kMostBytes);
+  if (response.ok()) NoteAnswer(context_, engine, response->status, response->headers);
   const absl::StatusOr<std::vector<PromptPart>> parts = PartsOf(response);
   if (parts.ok()) context_.dispatcher.NoteHeld(engine.key, *parts, Now());
   Counters& counters = GlobalCounters();
--- a/libs/relay/src/placement/placement_service.cc
+++ b/libs/relay/src/placement/placement_service.cc
@@ -22,7 +22,9 @@
 constexpr Duration kLongestSuspicion = seconds(4);
 constexpr Duration kProgressDelay = milliseconds(5);  // progress of this time goes in one message
 constexpr size_t kMostConnected = 32;                 // back ends named in a question
-constexpr size_t kMostProgress = 64;                  // in one message
+// Back ends that a question excludes, 4 bytes each. A choice of one beyond them is not adopted.
+constexpr size_t kMostExcluded = 128;
+constexpr size_t kMostProgress = 64;  // in one message
 
 }  // namespace
 
@@ -120,7 +122,9 @@
   PlacementQuestion question;
   question.id = next_question_++;
   question.profile = profile;
-  question.tried = tried;
+  // A coordinator does not know which back ends want nothing from this node.
+  question.tried = dispatcher_.ExcludedFor(profile, tried, Now());
+  if (question.tried.size() > kMostExcluded) question.tried.resize(kMostExcluded);
   question.connected = pool_.Connected(kMostConnected);
   return question;
 }
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -25,6 +25,9 @@
 // the catalog.
 constexpr std::array<Duration, 3> kNoticePauses = {milliseconds(0), milliseconds(250),
                                                    milliseconds(750)};
+// A back end that wants nothing from this node is probed when its rest is over, while a doubt
+// lasts: BackendEndWatch.
+constexpr Duration kLongestProbeDelay = seconds(10);
 // A request that a back end has run to the end at this node within that time is not held
 // responsible for the end of another one: of many copies of a popular request some run wherever a
 // back end ends.
@@ -83,6 +86,10 @@
 // A process that has ended refuses connections at once; one that lives gets a connection that the
 // next request uses.
 asio::awaitable<void> QuarantineService::Probe(Backend backend) {
+  const std::optional<Duration> rest = dispatcher_.Registry().RestLeft(backend.key, Now());
+  if (rest.has_value()) co_await Pause(std::min(*rest, kLongestProbeDelay));
+  // Otherwise the end of its entry tells.
+  if (!dispatcher_.Registry().MayContact(backend.key, Now())) co_return;
   const std::shared_ptr<UpstreamConnection> connection = pool_.MakeNew();
   GlobalCounters().backend_connects_total.Add();
   const ConnectResult result =
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -12,6 +12,7 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/timer.h"
 #include "request/message_head.h"
+#include "request/retry_after.h"
 
 namespace cartsail {
 namespace {
@@ -242,14 +243,22 @@
     co_return co_await AnswerRefusal(ErrorKind::kNoBackend, kRetryAfterNotRun);
   }
   if (history_.may_have_run == 0) {
-    co_return co_await AnswerRefusal(ErrorKind::kOverloaded,
-                                     cold_wait_.value_or(kRetryAfterNotRun));
+    const Dispatcher::Rests rests = context_.dispatcher.RestsFor(admitted_.profile, Now());
+    if (rests.all) GlobalCounters().rest_refusals_total.Add();
+    co_return co_await AnswerRefusal(ErrorKind::kOverloaded, WaitUntilServed(rests));
   }
   const bool out_of_time = last == AttemptOutcome::kTimedOut || last == AttemptOutcome::kSilent;
   co_return co_await AnswerRefusal(out_of_time ? ErrorKind::kTimeout : ErrorKind::kBackendFailed,
                                    Duration(0));
 }
 
+// The request was not run: the time after which some back end may take it.
+Duration Exchange::WaitUntilServed(const Dispatcher::Rests& rests) const {
+  if (cold_wait_.has_value()) return std::min(*cold_wait_, rests.shortest.value_or(*cold_wait_));
+  // A caller told less would be refused again: 0.1 s was told with 2.5 s of rest left.
+  return rests.all ? *rests.shortest : kRetryAfterNotRun;
+}
+
 asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
   answer_ = {};
   upstream_ = co_await OpenUpstream(placement);
@@ -372,7 +381,7 @@
   HttpHeaders headers{{"Content-Type", "application/json"}};
   if (!request_id_.empty()) headers.push_back({context_.format.Names().request_id, request_id_});
   if (retry_after > Duration(0)) {
-    headers.push_back({"Retry-After", fmt::format("{:.3f}", ToSeconds(retry_after))});
+    headers.push_back({"Retry-After", RetryAfterText(retry_after)});
   }
   const Outcome outcome = history_.may_have_run > 0 ? Outcome::kUnknown : Outcome::kNotRun;
   const std::string body = json::serialize(
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -48,7 +48,8 @@
   boost::asio::awaitable<AttemptOutcome> Converse(const Placement& placement);
   boost::asio::awaitable<std::shared_ptr<UpstreamConnection>> OpenUpstream(
       const Placement& placement);
-  boost::asio::awaitable<AttemptOutcome> ReadOwnHead(ResponseHead* head, TimePoint patience);
+  boost::asio::awaitable<AttemptOutcome> ReadOwnHead(const Placement& placement, ResponseHead* head,
+                                                     TimePoint patience);
   boost::asio::awaitable<AttemptOutcome> SkipStrayAnswer();
   void NoteAnswerHead(const ResponseHead& head);
   boost::asio::awaitable<AttemptOutcome> RelayAnswer(const Placement& placement,
@@ -61,6 +62,7 @@
   boost::asio::awaitable<bool> Answer(int status, std::string_view reason, HttpHeaders headers,
                                       std::string_view body);
   boost::asio::awaitable<bool> FinishUnserved(AttemptOutcome last);
+  Duration WaitUntilServed(const Dispatcher::Rests& rests) const;
   boost::asio::awaitable<bool> AnswerRefusal(ErrorKind kind, Duration retry_after);
 
   std::string UpstreamHead(const Placement& placement, TimePoint now) const;
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <utility>
 
+#include "request/answer_notices.h"
 #include "request/event_splitter.h"
 #include "request/exchange.h"
 #include "request/message_head.h"
@@ -29,11 +30,14 @@
 }
 
 // Reads heads until one that answers this request; others belong to requests before it.
-asio::awaitable<AttemptOutcome> Exchange::ReadOwnHead(ResponseHead* head, TimePoint patience) {
+asio::awaitable<AttemptOutcome> Exchange::ReadOwnHead(const Placement& placement,
+                                                      ResponseHead* head, TimePoint patience) {
   const bool is_head_request = request_.method == "HEAD";
   for (int i = 0; i <= kMostStrayAnswers; ++i) {
     const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, patience);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
+    // Also where it answers a request before this one: the back end is the same.
+    NoteAnswer(context_, placement.backend, head->status, head->headers);
     const std::string_view id = head->Header(context_.format.Names().request_id);
     if (id == request_id_) co_return AttemptOutcome::kAnswered;
     // An answer without an id on a new connection can only be the back end's own refusal.
@@ -53,7 +57,7 @@
 
 asio::awaitable<AttemptOutcome> Exchange::Converse(const Placement& placement) {
   ResponseHead head;
-  const AttemptOutcome outcome = co_await ReadOwnHead(&head, Patience(placement, Now()));
+  const AttemptOutcome outcome = co_await ReadOwnHead(placement, &head, Patience(placement, Now()));
   if (outcome != AttemptOutcome::kAnswered) co_return outcome;
   NoteAnswerHead(head);
   co_return co_await RelayAnswer(placement, head);
--- a/libs/relay/tests/cache_inventory_test.cc
+++ b/libs/relay/tests/cache_inventory_test.cc
@@ -80,5 +80,33 @@
   cr_assert(HeldAt(relay, "holder", 0xa1) == 0, "the other one told nothing");
 }
 
+// It wants nothing from this node, questions included; what it says in its answer to one binds
+// requests.
+Test(cache_inventory, asks_no_engine_that_rests_and_hears_which_does) {
+  testing::StubBackend resting([](const std::string&) { return Listing(R"({"parts":[]})"); });
+  testing::StubBackend full([](const std::string&) {
+    return testing::StubAnswer{
+        {"HTTP/1.1 503 Busy\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n"}};
+  });
+  testing::RelayFixture relay(NamesWithInventory());
+  relay.Document().services[0].engine = EngineProfile{};
+  relay.AddBackend("resting", "s", resting.Address());
+  relay.AddBackend("full", "s", full.Address());
+  relay.Start();
+  CacheInventory inventory(relay.Context());
+  relay.OnRelayThread([&] {
+    relay.Context().dispatcher.NoteNotice(KeyOf("resting"), {false, seconds(60)}, Now());
+    inventory.Start();
+  });
+  const auto rests = [&relay] {
+    bool all = false;
+    relay.OnRelayThread(
+        [&] { all = relay.Context().dispatcher.RestsFor(ProfileOf(1), Now()).all; });
+    return all;
+  };
+  cr_assert(WaitFor(rests));
+  cr_assert(full.Requests().size() == 1 && resting.Requests().empty());
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/tests/node_status_test.cc
+++ b/libs/relay/tests/node_status_test.cc
@@ -110,7 +110,7 @@
   cr_assert(!DescribeBackend(node.View(), "unknown", kNow).has_value());
   node.dispatcher.Registry().DrainZone("b", kNow);
   cr_assert((node.Reasons("b3") == json::array{"zone_drained"}));
-  node.dispatcher.Registry().MarkLeaving("b1");
+  node.dispatcher.Registry().MarkLeaving(KeyOf("b1"));
   cr_assert((node.Reasons("b1") == json::array{"leaving"}));
   node.Run(2);
   cr_assert((node.Reasons("b2") == json::array{"all_slots_taken"}));
--- a/libs/relay/tests/placement_service_test.cc
+++ b/libs/relay/tests/placement_service_test.cc
@@ -84,13 +84,41 @@
   Network network(3);
   TestNode& asker = network.Other();
   const std::string home = network.PlaceAll({&asker}, Question())[0]->backend.id;
-  asker.dispatcher.Registry().MarkLeaving(home);
+  asker.dispatcher.Registry().MarkLeaving(KeyOf(home));
   for (int i = 0; i < 5; ++i) {
     const auto placement = network.PlaceAll({&asker}, Question())[0];
     cr_assert(placement->backend.id != home);
   }
 }
 
+// It wants nothing from the node that asks; the coordinator may send it what it likes.
+Test(placement_service, a_coordinator_chooses_no_engine_that_wants_nothing_from_the_asking_node) {
+  Network network(3);
+  TestNode& asker = network.Other();
+  const std::string home = network.PlaceAll({&asker}, Question())[0]->backend.id;
+  asker.dispatcher.NoteNotice(KeyOf(home), {false, seconds(60)}, Now());
+  for (int i = 0; i < 5; ++i) {
+    const auto placement = network.PlaceAll({&asker}, Question())[0];
+    cr_assert(placement->backend.id != home);
+    cr_assert(placement->placed_by == network.Coordinator().host, "chosen anew by itself");
+  }
+}
+
+// The engine asked for rest while the question was under way.
+Test(placement_service, a_choice_that_rests_by_then_is_not_taken) {
+  Network network(3);
+  TestNode& asker = network.Other();
+  const std::string home = network.PlaceAll({&asker}, Question())[0]->backend.id;
+  network.loses = [&](const TestNode&, const Datagram& datagram) {
+    if (std::holds_alternative<PlacementAnswer>(datagram)) {
+      asker.dispatcher.NoteNotice(KeyOf(home), {false, seconds(60)}, Now());
+    }
+    return false;
+  };
+  const auto placement = network.PlaceAll({&asker}, Question())[0];
+  cr_assert(placement.has_value() && placement->backend.id != home);
+}
+
 Test(placement_service, requests_that_ended_unheard_are_dropped_at_the_next_list) {
   Network network(3);
   TestNode& asker = network.Other();
--- a/libs/relay/tests/quarantine_service_test.cc
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "cartsail/base/counters.h"
 #include "quarantine/quarantine_recorder.h"
 #include "support/lease_store.h"
 #include "testing/criterion.h"
@@ -128,7 +129,7 @@
 Test(quarantine_service, a_back_end_that_leaves_is_held_against_nobody) {
   Node node;
   for (int i = 0; i < 4; ++i) {
-    node.dispatcher.Registry().MarkLeaving(node.At(i).id);
+    node.dispatcher.Registry().MarkLeaving(node.At(i).key);
     node.End(i);
   }
   cr_assert(!node.IsKept() && node.strikes.empty());
@@ -207,5 +208,16 @@
   cr_assert(store.Find(kRecord) == nullptr);
 }
 
+// A back end that wants nothing from this node is probed when its rest is over.
+Test(quarantine_service, a_resting_back_end_is_probed_after_its_rest) {
+  Node node;
+  node.dispatcher.NoteNotice(node.At(0).key, {false, milliseconds(300)}, Now());
+  node.End(0);
+  cr_assert(node.strikes.empty() && GlobalCounters().backend_connects_total.Get() == 0);
+  node.RunFor(milliseconds(400));
+  cr_assert(GlobalCounters().backend_connects_total.Get() == 1);
+  cr_assert(!node.strikes.empty());
+}
+
 }  // namespace
 }  // namespace cartsail
