--- a/libs/relay/tests/node_status_test.cc
+++ b/libs/relay/tests/node_status_test.cc
@@ -110,7 +110,7 @@
   cr_assert(!DescribeBackend(node.View(), "unknown", kNow).has_value());
   node.dispatcher.Registry().DrainZone("b", kNow);
   cr_assert((node.Reasons("b3") == json::array{"zone_drained"}));
-  node.dispatcher.Registry().MarkLeaving(KeyOf("b1"));
+  node.dispatcher.Registry().MarkLeaving(node.dispatcher.Registry().Find("b1")->key);
   cr_assert((node.Reasons("b1") == json::array{"leaving"}));
   node.Run(2);
   cr_assert((node.Reasons("b2") == json::array{"all_slots_taken"}));
@@ -124,6 +124,8 @@
   newer.created_revision = 9;
   node.dispatcher.Registry().Put(newer);
   cr_assert((node.Reasons("b4") == json::array{"newer_entry_at_its_address", "cold"}));
+  node.dispatcher.NoteNotice(node.dispatcher.Registry().Find("b5")->key, {false, seconds(1)}, kNow);
+  cr_assert((node.Reasons("b5") == json::array{"rests"}));
 }
 
 Test(drain_alarm, is_given_where_little_room_is_left_and_seldom) {
