--- a/libs/relay/src/duties/usage_reporter.cc
+++ b/libs/relay/src/duties/usage_reporter.cc
@@ -12,8 +12,8 @@
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
-#include "cartsail/base/text.h"
 #include "cartsail/base/timer.h"
+#include "cartsail/duties/usage_record.h"
 
 namespace cartsail {
 namespace {
@@ -21,7 +21,6 @@
 namespace asio = boost::asio;
 
 constexpr char kDutyKey[] = "cartsail/duty/usage";
-constexpr char kWindowPrefix[] = "cartsail/usage/";
 constexpr Duration kPoll = milliseconds(200);
 // Time that a holder needs from its decision to the platform's answer, repeats included, as a part
 // of the time until a report is due.
@@ -29,26 +28,6 @@
 // Records of so many windows stay in the store, for the next holder.
 constexpr WindowNumber kRecordsKept = 8;
 
-std::string KeyOfWindow(WindowNumber window) { return fmt::format("{}{}", kWindowPrefix, window); }
-
-// "tenant=count" lines.
-std::string EncodeCounts(const TenantCounts& counts) {
-  std::string text;
-  for (const auto& [tenant, count] : counts) text += fmt::format("{}={}\n", tenant, count);
-  return text;
-}
-
-TenantCounts DecodeCounts(const std::string& text) {
-  TenantCounts counts;
-  for (const std::string_view line : SplitFields(text, '\n')) {
-    const size_t equals = line.rfind('=');
-    if (equals == std::string_view::npos) continue;
-    counts[std::string(line.substr(0, equals))] =
-        std::strtoll(std::string(line.substr(equals + 1)).c_str(), nullptr, 10);
-  }
-  return counts;
-}
-
 }  // namespace
 
 UsageReporter::UsageReporter(RelayContext& context, KeyValueStore& store, DutyPlatform& platform)
@@ -93,8 +72,8 @@
 // What earlier holders have recorded is sent again as it stands: they may not have sent it.
 asio::awaitable<void> UsageReporter::TakeOver(FencingToken token) {
   RangeRequest request;
-  request.key = kWindowPrefix;
-  request.range_end = PrefixEnd(kWindowPrefix);
+  request.key = std::string(kUsageRecordPrefix);
+  request.range_end = PrefixEnd(request.key);
   const absl::StatusOr<RangeResult> result = co_await store_.Range(request);
   if (!result.ok()) co_return;
   token_ = token;
@@ -104,10 +83,9 @@
   PassOver(now);
   const WindowNumber first = counting_.FirstKept(now);
   for (const KeyValue& item : result->kvs) {
-    const WindowNumber window =
-        std::strtoll(item.key.c_str() + std::string_view(kWindowPrefix).size(), nullptr, 10);
+    const WindowNumber window = WindowOfUsageRecord(item.key);
     if (window < first || ended_.contains(window)) continue;
-    reports_.emplace(window, WindowReport(DecodeCounts(item.value), true));
+    reports_.emplace(window, WindowReport(DecodeUsageRecord(item.value), true));
   }
 }
 
@@ -202,14 +180,14 @@
   held.key = holder_.Key();
   held.equals = token;
   Compare absent;
-  absent.key = KeyOfWindow(window);
+  absent.key = KeyOfUsageRecord(window);
   request.compares = {held, absent};
   Operation put;
   put.kind = Operation::Kind::kPut;
-  put.put = {KeyOfWindow(window), EncodeCounts(counts), 0};
+  put.put = {KeyOfUsageRecord(window), EncodeUsageRecord(counts), 0};
   Operation remove;
   remove.kind = Operation::Kind::kDelete;
-  remove.range.key = KeyOfWindow(window - kRecordsKept);
+  remove.range.key = KeyOfUsageRecord(window - kRecordsKept);
   request.success = {put, remove};
   const absl::StatusOr<TxnResult> result = co_await store_.Txn(request);
   if (!result.ok()) co_return RecordOutcome::kUnknown;
@@ -220,12 +198,12 @@
   const std::optional<bool> holds = co_await holder_.Confirm();
   if (!holds.has_value()) co_return;
   RangeRequest request;
-  request.key = KeyOfWindow(window);
+  request.key = KeyOfUsageRecord(window);
   const absl::StatusOr<RangeResult> result = co_await store_.Range(request);
   if (!result.ok()) co_return;
   std::optional<TenantCounts> recorded;
   for (const KeyValue& item : result->kvs) {
-    if (item.key == request.key) recorded = DecodeCounts(item.value);
+    if (item.key == request.key) recorded = DecodeUsageRecord(item.value);
   }
   report->OnRead(std::move(recorded), *holds);
 }
