What a new process said before this node heard of its start binds it

Ruled out: a rest too short (2.19 s noted, sent 1.41 s later). Change: what was read after the start of the later incarnation passes on to it, by the two clocks; within 5 s of doubt a rest does, leaving doesn't.

--- a/libs/dispatch/include/cartsail/dispatch/backend_notices.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_notices.h
@@ -3,12 +3,12 @@
 // the entries in the store, which may lapse and come back. Pure.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "cartsail/base/clock.h"
@@ -22,6 +22,8 @@
 struct BackendNotice {
   bool leaving = false;
   std::optional<Duration> rest;  // from now on
+  // When it was read, in milliseconds since the start of 1970 on this node's clock.
+  std::chrono::milliseconds told{};
 };
 
 // What was not known before.
@@ -32,12 +34,20 @@
 
 class BackendNotices {
  public:
-  // Leaving is final. True when it was not known.
-  bool NoteLeaving(BackendKey backend);
+  // Leaving is final. `told`: as in BackendNotice; 0 where it was not read in an answer. True when
+  // it was not known.
+  bool NoteLeaving(BackendKey backend, std::chrono::milliseconds told = {});
   bool IsLeaving(BackendKey backend) const { return leaving_.contains(backend); }
 
   // Of several rests the one that ends last holds. True when the back end did not rest before.
-  bool NoteRest(BackendKey backend, Duration rest, TimePoint now);
+  bool NoteRest(BackendKey backend, Duration rest, TimePoint now,
+                std::chrono::milliseconds told = {});
+
+  // `later`, which has started at `start`, has taken the place of `earlier` under the same id, as
+  // this node hears now. What was read in answers after that start was said by `later`: three
+  // requests reached a resting engine from each of four nodes, which had not heard of its new start
+  // when it asked for rest.
+  void Succeed(BackendKey earlier, BackendKey later, std::chrono::milliseconds start);
 
   // How much longer the back end wants no request from this node; nothing when it wants some.
   std::optional<Duration> RestLeft(BackendKey backend, TimePoint now) const;
@@ -52,10 +62,20 @@
   // those of a day, in 250 KB at most.
   static constexpr size_t kMostLeaving = 4096;
 
+  // By which the clocks of this node and a back end may differ: times of day jump by some seconds.
+  // A rest read so shortly before a start is taken to be of the new process, since that costs it
+  // some seconds; leaving is not, since that costs it for good.
+  static constexpr std::chrono::milliseconds kMostClockSkew{5000};
+
  private:
-  std::unordered_set<BackendKey> leaving_;
-  std::deque<BackendKey> leaving_order_;  // the earliest first
-  std::unordered_map<BackendKey, TimePoint> rests_until_;
+  struct Rest {
+    TimePoint until{};
+    std::chrono::milliseconds told{};
+  };
+
+  std::unordered_map<BackendKey, std::chrono::milliseconds> leaving_;  // when that was told
+  std::deque<BackendKey> leaving_order_;                               // the earliest first
+  std::unordered_map<BackendKey, Rest> rests_;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -71,12 +71,12 @@
   bool RemoveMissing(TimePoint now);
 
   // Told by the back end or by another node. Holds also for an entry of this incarnation that is
-  // removed and comes back. True when it was not known.
-  bool MarkLeaving(BackendKey backend);
+  // removed and comes back. `told`: as in BackendNotice. True when it was not known.
+  bool MarkLeaving(BackendKey backend, milliseconds told = {});
 
   // The back end wants nothing from this node for `rest`. True when it did not rest before.
-  bool NoteRest(BackendKey backend, Duration rest, TimePoint now) {
-    return notices_.NoteRest(backend, rest, now);
+  bool NoteRest(BackendKey backend, Duration rest, TimePoint now, milliseconds told) {
+    return notices_.NoteRest(backend, rest, now, told);
   }
   std::optional<Duration> RestLeft(BackendKey backend, TimePoint now) const {
     return notices_.RestLeft(backend, now);
@@ -142,7 +142,7 @@
   std::vector<const Backend*> NewestReadyOf(std::string_view service) const;
   bool IsService(const std::string& service) const;
   bool NoteChange(bool changed);
-  void Identify(Backend* backend);
+  void Identify(const Backend* known, Backend* backend);
 
   RegionMap regions_;
   ZoneDrains drains_;
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -21,8 +21,12 @@
 
 }  // namespace
 
-void BackendRegistry::Identify(Backend* backend) {
+// `known`: the entry under the id before; or nullptr.
+void BackendRegistry::Identify(const Backend* known, Backend* backend) {
   backend->key = KeyOf(backend->id, backend->started_ms);
+  if (known != nullptr && known->key != backend->key) {
+    notices_.Succeed(known->key, backend->key, milliseconds(backend->started_ms));
+  }
   backend->region = regions_.IndexOfZone(backend->zone);
   if (backend->state == BackendState::kLeaving) notices_.NoteLeaving(backend->key);
   if (notices_.IsLeaving(backend->key)) backend->state = BackendState::kLeaving;
@@ -51,7 +55,7 @@
   for (Backend& backend : backends) {
     const auto known = before.find(backend.id);
     if (known != before.end()) TakeOver(known->second, &backend);
-    Identify(&backend);
+    Identify(known == before.end() ? nullptr : &known->second, &backend);
     ids_[backend.key] = backend.id;
     if (backend.missing_until.has_value()) {
       next_gone_ = std::min(next_gone_, *backend.missing_until);
@@ -67,7 +71,7 @@
     TakeOver(known->second, &backend);
     ids_.erase(known->second.key);
   }
-  Identify(&backend);
+  Identify(known == backends_.end() ? nullptr : &known->second, &backend);
   ids_[backend.key] = backend.id;
   if (backend.missing_until.has_value()) next_gone_ = std::min(next_gone_, *backend.missing_until);
   const std::string id = backend.id;
@@ -104,8 +108,8 @@
   ++changes_;
 }
 
-bool BackendRegistry::MarkLeaving(BackendKey backend) {
-  if (!notices_.NoteLeaving(backend)) return false;
+bool BackendRegistry::MarkLeaving(BackendKey backend, milliseconds told) {
+  if (!notices_.NoteLeaving(backend, told)) return false;
   const auto id = ids_.find(backend);
   if (id != ids_.end()) backends_.find(id->second)->second.state = BackendState::kLeaving;
   ++changes_;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -78,8 +78,10 @@
 NoticeChange Dispatcher::NoteNotice(BackendKey backend, const BackendNotice& notice,
                                     TimePoint now) {
   NoticeChange change;
-  if (notice.leaving) change.leaves = registry_.MarkLeaving(backend);
-  if (notice.rest.has_value()) change.rests = registry_.NoteRest(backend, *notice.rest, now);
+  if (notice.leaving) change.leaves = registry_.MarkLeaving(backend, notice.told);
+  if (notice.rest.has_value()) {
+    change.rests = registry_.NoteRest(backend, *notice.rest, now, notice.told);
+  }
   return change;
 }
 
--- a/libs/dispatch/tests/backend_notices_test.cc
+++ b/libs/dispatch/tests/backend_notices_test.cc
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr TimePoint kStart = TimePoint(seconds(1000));
-constexpr int64_t kFirst = 100;   // starts
-constexpr int64_t kSecond = 200;  // later
+constexpr int64_t kFirst = 1800000000000;    // starts, in milliseconds since 1970
+constexpr int64_t kSecond = kFirst + 60000;  // later
 constexpr Duration kRest = seconds(3);
 
 Backend Make(const std::string& id, int64_t started_ms = kFirst) {
@@ -142,15 +142,46 @@
 
 Test(backend_notices, an_engine_that_starts_again_is_bound_by_nothing) {
   Dispatcher dispatcher = Three();
-  dispatcher.NoteNotice(Key("a"), {true, kRest}, kStart);
+  dispatcher.NoteNotice(Key("a"), {true, kRest, milliseconds(kSecond - 20000)}, kStart);
   dispatcher.Registry().Put(Make("a", kSecond));
   const std::vector<BackendKey> tried = {Key("b"), Key("c")};
   cr_assert(dispatcher.Place(Plain(), tried, kStart)->backend.started_ms == kSecond);
   // An answer of the process that ended, read late.
-  dispatcher.NoteNotice(Key("a"), {true, kRest}, kStart);
+  dispatcher.NoteNotice(Key("a"), {true, kRest, milliseconds(kSecond)}, kStart);
   cr_assert(dispatcher.Place(Plain(), tried, kStart)->backend.started_ms == kSecond);
 }
 
+// It asked before this node heard of its start, while the store was away: what it said was noted
+// as of the process before. Four nodes sent one engine three requests each so.
+Test(backend_notices, what_a_new_process_said_before_its_entry_came_binds_it) {
+  for (const bool by_list : {false, true}) {
+    Dispatcher dispatcher = Three();
+    dispatcher.NoteNotice(Key("a"), {false, kRest, milliseconds(kSecond + 10)}, kStart);
+    dispatcher.NoteNotice(Key("b"), {true, std::nullopt, milliseconds(kSecond + 9000)}, kStart);
+    if (by_list) {
+      dispatcher.Registry().ReplaceAll({Make("a", kSecond), Make("b", kSecond), Make("c")});
+    } else {
+      dispatcher.Registry().Put(Make("a", kSecond));
+      dispatcher.Registry().Put(Make("b", kSecond));
+    }
+    cr_assert(!dispatcher.MayReceive(KeyOf("a", kSecond), Plain(), kStart + seconds(1)));
+    cr_assert(dispatcher.MayReceive(KeyOf("a", kSecond), Plain(), kStart + kRest));
+    cr_assert(!dispatcher.MayReceive(KeyOf("b", kSecond), Plain(), kStart + kRest));
+  }
+}
+
+// The clocks may differ: leaving that may have been told by the process before does not bind.
+Test(backend_notices, of_two_clocks_the_doubt_costs_an_engine_seconds_at_most) {
+  Dispatcher dispatcher = Three();
+  dispatcher.NoteNotice(Key("a"), {true, kRest, milliseconds(kSecond - 1000)}, kStart);
+  dispatcher.NoteNotice(Key("b"), {true, kRest, milliseconds(kSecond + 1000)}, kStart);
+  for (const char* id : {"a", "b"}) {
+    dispatcher.Registry().Put(Make(id, kSecond));
+    cr_assert(!dispatcher.MayReceive(KeyOf(id, kSecond), Plain(), kStart));
+    cr_assert(dispatcher.MayReceive(KeyOf(id, kSecond), Plain(), kStart + kRest));
+  }
+}
+
 // Its entry lapses while the store is away, or another reader has not heard: it is back as ready.
 Test(backend_notices, an_entry_that_comes_back_makes_no_leaving_one_ready) {
   Dispatcher dispatcher = Three();
@@ -194,19 +225,20 @@
           dispatcher.Registry().Put(Make(id, starts[id]));
           break;
         case 1:
-          dispatcher.Registry().Put(Make(id, ++starts[id]));
+          starts[id] += 60000;
+          dispatcher.Registry().Put(Make(id, starts[id]));
           break;
         case 2:
           dispatcher.Registry().Remove(id);
           break;
         case 3: {
           const Duration rest = milliseconds(random() % 2000);
-          dispatcher.NoteNotice(key, {false, rest}, now);
-          rests[key] = std::max(rests[key], now + rest);
+          dispatcher.NoteNotice(key, {false, rest, milliseconds(starts[id])}, now);
+          if (rest > Duration(0)) rests[key] = std::max(rests[key], now + rest);
           break;
         }
         case 4:
-          dispatcher.NoteNotice(key, {true, std::nullopt}, now);
+          dispatcher.NoteNotice(key, {true, std::nullopt, milliseconds(starts[id])}, now);
           leaving.insert(key);
           break;
         default: {
--- a/libs/relay/src/request/answer_notices.cc
+++ b/libs/relay/src/request/answer_notices.cc
@@ -29,7 +29,8 @@
 
 void NoteAnswer(RelayContext& context, const Backend& backend, int status,
                 const HttpHeaders& headers) {
-  const BackendNotice notice = NoticeIn(status, headers, context.format.Names());
+  BackendNotice notice = NoticeIn(status, headers, context.format.Names());
+  notice.told = WallNow();
   const NoticeChange change = context.dispatcher.NoteNotice(backend.key, notice, Now());
   if (change.leaves) {
     Log(LogLevel::kInfo, "backend_leaves", {{"backend", backend.id}, {"source", "answer"}});
--- a/libs/relay/src/request/answer_notices.h
+++ b/libs/relay/src/request/answer_notices.h
@@ -6,8 +6,8 @@
 
 namespace cartsail {
 
-// Of an answer with this status and these headers. An answer by another process than the one that
-// was meant (421) says nothing of that one.
+// Of an answer with this status and these headers, without the time. An answer by another process
+// than the one that was meant (421) says nothing of that one.
 BackendNotice NoticeIn(int status, const HttpHeaders& headers, const WireNames& names);
 
 // To be called for the head of every answer of `backend`, as soon as it is read.
--- a/libs/relay/tests/backend_rest_test.cc
+++ b/libs/relay/tests/backend_rest_test.cc
@@ -190,7 +190,7 @@
     BackendRegistry& registry = relay.Context().dispatcher.Registry();
     Backend reborn = *registry.Find("b1");
     reborn.state = BackendState::kReady;
-    reborn.started_ms = 1;
+    reborn.started_ms = WallNow().count() + 60000;
     registry.Put(reborn);
   });
   (void)Ask(relay, "r3");
