Names: back-off where a back end asks a node to send it nothing for a time; what all ask for is looked up in the pools

Without a back-off under way a refusal looks at no back end at all (before: all of the service, some 3,400 at the size aimed at).

--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -60,8 +60,8 @@
   X(backend_connects_total, counter, "New connections made to back ends")                          \
   X(backend_connects_failed_total, counter, "Connections to back ends that failed")                \
   X(backend_refusals_total, counter, "Requests that a back end said it did not run")               \
-  X(backend_rests_total, counter, "Times a back end began to want no request from this node")      \
-  X(rest_refusals_total, counter, "Requests refused because all back ends wanted none")            \
+  X(backend_backoffs_total, counter, "Times a back end began to want no request from this node")   \
+  X(backoff_refusals_total, counter, "Requests refused because all back ends wanted none")         \
   X(strikes_total, counter, "Requests that were at a back end when it ended without notice")       \
   X(quarantines_total, counter, "Requests that are kept from back ends, as back ends end by them") \
   X(quarantines_lifted_total, counter, "Of these: found innocent, or taken back")                  \
--- a/libs/dispatch/include/cartsail/dispatch/backend_notices.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_notices.h
@@ -1,5 +1,5 @@
-// What back ends have told of themselves: that they leave, and that they want no request from this
-// node for some time. Kept by incarnation, so that nothing of it binds a later one, and apart from
+// What back ends have told of themselves: that they leave, and that this node is to back off for
+// some time. Kept by incarnation, so that nothing of it binds a later one, and apart from
 // the entries in the store, which may lapse and come back. Pure.
 #pragma once
 
@@ -21,7 +21,7 @@
 // One answer's word.
 struct BackendNotice {
   bool leaving = false;
-  std::optional<Duration> rest;  // from now on
+  std::optional<Duration> backoff;  // from now on
   // When it was read, in milliseconds since the start of 1970 on this node's clock.
   std::chrono::milliseconds told{};
 };
@@ -29,7 +29,7 @@
 // What was not known before.
 struct NoticeChange {
   bool leaves = false;
-  bool rests = false;
+  bool backs_off = false;  // this node
 };
 
 class BackendNotices {
@@ -39,23 +39,23 @@
   bool NoteLeaving(BackendKey backend, std::chrono::milliseconds told = {});
   bool IsLeaving(BackendKey backend) const { return leaving_.contains(backend); }
 
-  // Of several rests the one that ends last holds. True when the back end did not rest before.
-  bool NoteRest(BackendKey backend, Duration rest, TimePoint now,
-                std::chrono::milliseconds told = {});
+  // Of several back-offs the one that ends last holds. True when there was none before.
+  bool NoteBackoff(BackendKey backend, Duration backoff, TimePoint now,
+                   std::chrono::milliseconds told = {});
 
   // `later`, which has started at `start`, has taken the place of `earlier` under the same id, as
   // this node hears now. What was read in answers after that start was said by `later`: three
-  // requests reached a resting engine from each of four nodes, which had not heard of its new start
-  // when it asked for rest.
+  // requests of each of four nodes reached an engine that had asked them to back off before they
+  // had heard of its new start.
   void Succeed(BackendKey earlier, BackendKey later, std::chrono::milliseconds start);
 
   // How much longer the back end wants no request from this node; nothing when it wants some.
-  std::optional<Duration> RestLeft(BackendKey backend, TimePoint now) const;
+  std::optional<Duration> BackoffLeft(BackendKey backend, TimePoint now) const;
 
-  // Those that rest now.
-  std::vector<BackendKey> Resting(TimePoint now) const;
+  // Those from which this node backs off now.
+  std::vector<BackendKey> BackingOff(TimePoint now) const;
 
-  // Forgets rests that are over.
+  // Forgets back-offs that are over.
   void Expire(TimePoint now);
 
   // Leaving incarnations that are remembered: in a fleet of 3,400 back ends at 4,000 changes a day
@@ -63,19 +63,19 @@
   static constexpr size_t kMostLeaving = 4096;
 
   // By which the clocks of this node and a back end may differ: times of day jump by some seconds.
-  // A rest read so shortly before a start is taken to be of the new process, since that costs it
-  // some seconds; leaving is not, since that costs it for good.
+  // A back-off read so shortly before a start is taken to be of the new process, since that costs
+  // it some seconds; leaving is not, since that costs it for good.
   static constexpr std::chrono::milliseconds kMostClockSkew{5000};
 
  private:
-  struct Rest {
+  struct Backoff {
     TimePoint until{};
     std::chrono::milliseconds told{};
   };
 
   std::unordered_map<BackendKey, std::chrono::milliseconds> leaving_;  // when that was told
   std::deque<BackendKey> leaving_order_;                               // the earliest first
-  std::unordered_map<BackendKey, Rest> rests_;
+  std::unordered_map<BackendKey, Backoff> backoffs_;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -74,17 +74,17 @@
   // removed and comes back. `told`: as in BackendNotice. True when it was not known.
   bool MarkLeaving(BackendKey backend, milliseconds told = {});
 
-  // The back end wants nothing from this node for `rest`. True when it did not rest before.
-  bool NoteRest(BackendKey backend, Duration rest, TimePoint now, milliseconds told) {
-    return notices_.NoteRest(backend, rest, now, told);
+  // This node is to send it nothing for `backoff`. True when it was not backing off before.
+  bool NoteBackoff(BackendKey backend, Duration backoff, TimePoint now, milliseconds told) {
+    return notices_.NoteBackoff(backend, backoff, now, told);
   }
-  std::optional<Duration> RestLeft(BackendKey backend, TimePoint now) const {
-    return notices_.RestLeft(backend, now);
+  std::optional<Duration> BackoffLeft(BackendKey backend, TimePoint now) const {
+    return notices_.BackoffLeft(backend, now);
   }
-  void ExpireRests(TimePoint now) { notices_.Expire(now); }
+  void ExpireBackoffs(TimePoint now) { notices_.Expire(now); }
 
-  // Those of `service` that rest now.
-  std::vector<BackendKey> RestingOf(std::string_view service, TimePoint now) const;
+  // Those of `service` from which this node backs off now.
+  std::vector<BackendKey> BackingOffFrom(std::string_view service, TimePoint now) const;
 
   const Backend* Find(std::string_view id) const;
 
@@ -112,15 +112,15 @@
   }
 
   // This node may turn to it at all, be it with a probe or a question: it is known, neither leaves
-  // nor is missing, and does not rest.
+  // nor is missing, and does not backoff.
   bool MayContact(BackendKey key, TimePoint now) const;
 
   // This node may send it a request that may be served in `allowed` only. To be asked on every way
   // to a back end, right before something is sent: three requests of 2 s reached an engine that had
-  // asked its node for 3 s of rest, each by another way.
+  // asked its node to back off for 3 s, each by another way.
   bool MayReceive(const Backend& backend, const RegionSet& allowed, TimePoint now) const {
     return IsOpen(backend) && allowed.Allows(backend.region) &&
-           !notices_.RestLeft(backend.key, now).has_value();
+           !notices_.BackoffLeft(backend.key, now).has_value();
   }
 
   // The zones that are drained. Each change returns true when there was one.
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -77,29 +77,29 @@
                                    ColdRight right);
 
   // This node's request, placed by `coordinator`. Nothing when the back end isn't ready as far as
-  // this node knows, or wants rest from it, or is cold without the coordinator knowing it, or the
-  // request's data residency doesn't allow it.
+  // this node knows, or has asked it to back off, or is cold without the coordinator knowing it, or
+  // the request's data residency doesn't allow it.
   std::optional<Placement> Adopt(const std::string& coordinator, const PlacementGrant& grant,
                                  const RequestProfile& profile, TimePoint now);
 
   // Asked right before a request is sent: the back end has not begun to leave since it was chosen,
-  // nor asked for rest, nor was its zone drained, nor has another incarnation taken its place, and
-  // the request's data residency, as it is in force now, allows it.
+  // nor asked to back off, nor was its zone drained, nor has another incarnation taken its place,
+  // and the request's data residency, as it is in force now, allows it.
   bool MayReceive(BackendKey backend, const RequestProfile& profile, TimePoint now) const;
 
   // What a back end said of itself in an answer to this node.
   NoticeChange NoteNotice(BackendKey backend, const BackendNotice& notice, TimePoint now);
 
-  // Back ends that this node may not choose for the request: those tried, and those that rest.
+  // Back ends that this node may not choose for the request: those tried, and those that backoff.
   std::vector<BackendKey> ExcludedFor(const RequestProfile& profile,
                                       const std::vector<BackendKey>& tried, TimePoint now) const;
 
-  // The shortest rest left among the ready back ends that the request may be served by.
-  struct Rests {
-    bool all = false;  // each of them rests
+  // The shortest back-off left among the ready back ends that the request may be served by.
+  struct Backoffs {
+    bool all = false;  // there is one from each of them
     std::optional<Duration> shortest;
   };
-  Rests RestsFor(const RequestProfile& profile, TimePoint now) const;
+  Backoffs BackoffsFor(const RequestProfile& profile, TimePoint now);
 
   // Ready back ends of the request's service that its data residency allows.
   size_t ReadyFor(const RequestProfile& profile, TimePoint now);
--- a/libs/dispatch/src/backend_notices.cc
+++ b/libs/dispatch/src/backend_notices.cc
@@ -14,22 +14,22 @@
   return true;
 }
 
-bool BackendNotices::NoteRest(BackendKey backend, Duration rest, TimePoint now,
-                              std::chrono::milliseconds told) {
-  if (rest <= Duration(0)) return false;
-  Rest& known = rests_[backend];
+bool BackendNotices::NoteBackoff(BackendKey backend, Duration backoff, TimePoint now,
+                                 std::chrono::milliseconds told) {
+  if (backoff <= Duration(0)) return false;
+  Backoff& known = backoffs_[backend];
   const bool is_new = known.until <= now;
-  known.until = std::max(known.until, now + rest);
+  known.until = std::max(known.until, now + backoff);
   known.told = told;
   return is_new;
 }
 
 void BackendNotices::Succeed(BackendKey earlier, BackendKey later,
                              std::chrono::milliseconds start) {
-  const auto rest = rests_.find(earlier);
-  if (rest != rests_.end() && rest->second.told + kMostClockSkew >= start) {
-    const Rest carried = rest->second;
-    rests_[later] = carried;
+  const auto backoff = backoffs_.find(earlier);
+  if (backoff != backoffs_.end() && backoff->second.told + kMostClockSkew >= start) {
+    const Backoff carried = backoff->second;
+    backoffs_[later] = carried;
   }
   const auto leaving = leaving_.find(earlier);
   if (leaving == leaving_.end() || leaving->second < start + kMostClockSkew) return;
@@ -37,22 +37,22 @@
   NoteLeaving(later, told);
 }
 
-std::optional<Duration> BackendNotices::RestLeft(BackendKey backend, TimePoint now) const {
-  const auto rest = rests_.find(backend);
-  if (rest == rests_.end() || rest->second.until <= now) return std::nullopt;
-  return rest->second.until - now;
+std::optional<Duration> BackendNotices::BackoffLeft(BackendKey backend, TimePoint now) const {
+  const auto backoff = backoffs_.find(backend);
+  if (backoff == backoffs_.end() || backoff->second.until <= now) return std::nullopt;
+  return backoff->second.until - now;
 }
 
-std::vector<BackendKey> BackendNotices::Resting(TimePoint now) const {
-  std::vector<BackendKey> resting;
-  for (const auto& [backend, rest] : rests_) {
-    if (rest.until > now) resting.push_back(backend);
+std::vector<BackendKey> BackendNotices::BackingOff(TimePoint now) const {
+  std::vector<BackendKey> backing_off;
+  for (const auto& [backend, backoff] : backoffs_) {
+    if (backoff.until > now) backing_off.push_back(backend);
   }
-  return resting;
+  return backing_off;
 }
 
 void BackendNotices::Expire(TimePoint now) {
-  std::erase_if(rests_, [now](const auto& entry) { return entry.second.until <= now; });
+  std::erase_if(backoffs_, [now](const auto& entry) { return entry.second.until <= now; });
 }
 
 }  // namespace cartsail
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -119,16 +119,17 @@
 bool BackendRegistry::MayContact(BackendKey key, TimePoint now) const {
   const Backend* backend = FindByKey(key);
   return backend != nullptr && backend->state == BackendState::kReady &&
-         !backend->missing_until.has_value() && !notices_.RestLeft(key, now).has_value();
+         !backend->missing_until.has_value() && !notices_.BackoffLeft(key, now).has_value();
 }
 
-std::vector<BackendKey> BackendRegistry::RestingOf(std::string_view service, TimePoint now) const {
-  std::vector<BackendKey> resting = notices_.Resting(now);
-  std::erase_if(resting, [this, service](BackendKey key) {
+std::vector<BackendKey> BackendRegistry::BackingOffFrom(std::string_view service,
+                                                        TimePoint now) const {
+  std::vector<BackendKey> backing_off = notices_.BackingOff(now);
+  std::erase_if(backing_off, [this, service](BackendKey key) {
     const Backend* backend = FindByKey(key);
     return backend == nullptr || backend->service != service;
   });
-  return resting;
+  return backing_off;
 }
 
 const Backend* BackendRegistry::Find(std::string_view id) const {
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -79,8 +79,8 @@
                                     TimePoint now) {
   NoticeChange change;
   if (notice.leaving) change.leaves = registry_.MarkLeaving(backend, notice.told);
-  if (notice.rest.has_value()) {
-    change.rests = registry_.NoteRest(backend, *notice.rest, now, notice.told);
+  if (notice.backoff.has_value()) {
+    change.backs_off = registry_.NoteBackoff(backend, *notice.backoff, now, notice.told);
   }
   return change;
 }
@@ -89,26 +89,25 @@
                                                 const std::vector<BackendKey>& tried,
                                                 TimePoint now) const {
   std::vector<BackendKey> excluded = tried;
-  const std::vector<BackendKey> resting = registry_.RestingOf(profile.service, now);
-  excluded.insert(excluded.end(), resting.begin(), resting.end());
+  const std::vector<BackendKey> backing_off = registry_.BackingOffFrom(profile.service, now);
+  excluded.insert(excluded.end(), backing_off.begin(), backing_off.end());
   return excluded;
 }
 
-Dispatcher::Rests Dispatcher::RestsFor(const RequestProfile& profile, TimePoint now) const {
+Dispatcher::Backoffs Dispatcher::BackoffsFor(const RequestProfile& profile, TimePoint now) {
+  Backoffs backoffs;
+  if (registry_.BackingOffFrom(profile.service, now).empty()) return backoffs;
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
-  Rests rests;
-  bool some_awake = false;
-  for (const Backend* backend : registry_.ReadyOf(profile.service)) {
-    if (!allowed.Allows(backend->region)) continue;
-    const std::optional<Duration> left = registry_.RestLeft(backend->key, now);
-    if (!left.has_value()) {
-      some_awake = true;
-      continue;
-    }
-    rests.shortest = std::min(rests.shortest.value_or(*left), *left);
+  const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
+  bool some_free = false;
+  for (const PoolMember& member : pools_.Of(profile.service, inputs, now)) {
+    if (!allowed.Allows(member.backend->region)) continue;
+    const std::optional<Duration> left = registry_.BackoffLeft(member.backend->key, now);
+    some_free = some_free || !left.has_value();
+    if (left.has_value()) backoffs.shortest = std::min(backoffs.shortest.value_or(*left), *left);
   }
-  rests.all = rests.shortest.has_value() && !some_awake;
-  return rests;
+  backoffs.all = backoffs.shortest.has_value() && !some_free;
+  return backoffs;
 }
 
 size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now) {
@@ -264,7 +263,7 @@
   prefixes_.Expire(now);
   cold_.Expire(now);
   cold_grants_.Expire(now);
-  registry_.ExpireRests(now);
+  registry_.ExpireBackoffs(now);
   RemoveMissing(now);
 }
 
--- a/libs/dispatch/tests/backend_notices_test.cc
+++ b/libs/dispatch/tests/backend_notices_test.cc
@@ -14,7 +14,7 @@
 constexpr TimePoint kStart = TimePoint(seconds(1000));
 constexpr int64_t kFirst = 1800000000000;    // starts, in milliseconds since 1970
 constexpr int64_t kSecond = kFirst + 60000;  // later
-constexpr Duration kRest = seconds(3);
+constexpr Duration kBackoff = seconds(3);
 
 Backend Make(const std::string& id, int64_t started_ms = kFirst) {
   Backend backend;
@@ -41,8 +41,8 @@
   return dispatcher;
 }
 
-void Rest(Dispatcher& dispatcher, const std::string& id, Duration rest, TimePoint now) {
-  dispatcher.NoteNotice(Key(id), {false, rest}, now);
+void Backoff(Dispatcher& dispatcher, const std::string& id, Duration backoff, TimePoint now) {
+  dispatcher.NoteNotice(Key(id), {false, backoff}, now);
 }
 
 PlacementGrant GrantAt(const std::string& id) {
@@ -51,26 +51,26 @@
   return grant;
 }
 
-Test(backend_notices, a_rest_ends_by_itself_and_the_last_end_holds) {
+Test(backend_notices, a_backoff_ends_by_itself_and_the_last_end_holds) {
   BackendNotices notices;
-  cr_assert(!notices.RestLeft(1, kStart).has_value());
-  cr_assert(notices.NoteRest(1, kRest, kStart));
-  cr_assert(!notices.NoteRest(1, seconds(1), kStart + seconds(1)), "it rests already");
-  cr_assert(notices.RestLeft(1, kStart + seconds(1)) == seconds(2),
+  cr_assert(!notices.BackoffLeft(1, kStart).has_value());
+  cr_assert(notices.NoteBackoff(1, kBackoff, kStart));
+  cr_assert(!notices.NoteBackoff(1, seconds(1), kStart + seconds(1)), "it is backing off already");
+  cr_assert(notices.BackoffLeft(1, kStart + seconds(1)) == seconds(2),
             "a shorter one changes nothing");
-  notices.NoteRest(1, kRest, kStart + seconds(1));
-  cr_assert(notices.RestLeft(1, kStart + seconds(3)) == seconds(1));
-  cr_assert(!notices.RestLeft(1, kStart + seconds(4)).has_value());
-  cr_assert(notices.NoteRest(1, kRest, kStart + seconds(5)), "again");
+  notices.NoteBackoff(1, kBackoff, kStart + seconds(1));
+  cr_assert(notices.BackoffLeft(1, kStart + seconds(3)) == seconds(1));
+  cr_assert(!notices.BackoffLeft(1, kStart + seconds(4)).has_value());
+  cr_assert(notices.NoteBackoff(1, kBackoff, kStart + seconds(5)), "again");
   notices.Expire(kStart + seconds(9));
-  cr_assert(notices.Resting(kStart + seconds(5)).empty(), "forgotten");
+  cr_assert(notices.BackingOff(kStart + seconds(5)).empty(), "forgotten");
 }
 
-Test(backend_notices, no_rest_is_none) {
+Test(backend_notices, no_time_is_none) {
   BackendNotices notices;
-  cr_assert(!notices.NoteRest(1, Duration(0), kStart));
-  cr_assert(!notices.NoteRest(1, -seconds(1), kStart));
-  cr_assert(!notices.RestLeft(1, kStart).has_value());
+  cr_assert(!notices.NoteBackoff(1, Duration(0), kStart));
+  cr_assert(!notices.NoteBackoff(1, -seconds(1), kStart));
+  cr_assert(!notices.BackoffLeft(1, kStart).has_value());
 }
 
 Test(backend_notices, leaving_ones_are_remembered_up_to_a_bound) {
@@ -82,11 +82,11 @@
 
 // By every way: a choice of this node, a repeat, a coordinator's choice, a request that was placed
 // before and waits for its connection, a probe.
-Test(backend_notices, nothing_reaches_a_resting_back_end_by_any_way) {
+Test(backend_notices, nothing_reaches_one_that_asked_to_back_off_by_any_way) {
   Dispatcher dispatcher = Three();
   const std::optional<Placement> placed = dispatcher.Adopt("node", GrantAt("a"), Plain(), kStart);
   cr_assert(dispatcher.MaySend(*placed, Plain(), kStart));
-  Rest(dispatcher, "a", kRest, kStart);
+  Backoff(dispatcher, "a", kBackoff, kStart);
   const TimePoint later = kStart + seconds(1);
   cr_assert(!dispatcher.MaySend(*placed, Plain(), later), "under way");
   cr_assert(!dispatcher.Adopt("node", GrantAt("a"), Plain(), later).has_value());
@@ -96,58 +96,58 @@
     cr_assert(own->backend.id == "c");
   }
   cr_assert(!dispatcher.Place(Plain(), {Key("b"), Key("c")}, later).has_value(), "the last one");
-  const TimePoint over = kStart + kRest;
+  const TimePoint over = kStart + kBackoff;
   cr_assert(dispatcher.MaySend(*placed, Plain(), over));
   cr_assert(dispatcher.Place(Plain(), {Key("b"), Key("c")}, over).has_value());
 }
 
 // It wants nothing from this node: a coordinator that is turned away still places others there.
-Test(backend_notices, a_rest_binds_only_the_node_that_was_told) {
+Test(backend_notices, a_backoff_binds_only_the_node_that_was_told) {
   Dispatcher dispatcher = Three();
-  Rest(dispatcher, "a", kRest, kStart);
+  Backoff(dispatcher, "a", kBackoff, kStart);
   const Requester other{"other", "z1", {}};
   const std::vector<BackendKey> tried = {Key("b"), Key("c")};
   cr_assert(dispatcher.PlaceFor(other, Plain(), tried, kStart)->backend.id == "a");
   cr_assert(!dispatcher.Place(Plain(), tried, kStart).has_value());
 }
 
-Test(backend_notices, a_question_to_a_coordinator_excludes_resting_ones_of_the_service) {
+Test(backend_notices, a_question_to_a_coordinator_excludes_those_of_the_service) {
   Dispatcher dispatcher = Three();
   Backend other = Make("x");
   other.service = "t";
   dispatcher.Registry().Put(other);
-  Rest(dispatcher, "a", kRest, kStart);
-  Rest(dispatcher, "x", kRest, kStart);
+  Backoff(dispatcher, "a", kBackoff, kStart);
+  Backoff(dispatcher, "x", kBackoff, kStart);
   const std::vector<BackendKey> excluded =
       dispatcher.ExcludedFor(Plain(), {Key("b")}, kStart + seconds(1));
   cr_assert(excluded == (std::vector<BackendKey>{Key("b"), Key("a")}));
-  cr_assert(dispatcher.ExcludedFor(Plain(), {}, kStart + kRest).empty());
+  cr_assert(dispatcher.ExcludedFor(Plain(), {}, kStart + kBackoff).empty());
 }
 
-Test(backend_notices, the_shortest_rest_is_told_only_when_all_rest) {
+Test(backend_notices, the_shortest_backoff_is_told_only_when_all_ask_for_one) {
   Dispatcher dispatcher = Three();
-  Rest(dispatcher, "a", kRest, kStart);
-  Rest(dispatcher, "b", seconds(2), kStart);
-  cr_assert(!dispatcher.RestsFor(Plain(), kStart).all);
-  Rest(dispatcher, "c", seconds(5), kStart);
-  const Dispatcher::Rests rests = dispatcher.RestsFor(Plain(), kStart + milliseconds(500));
-  cr_assert(rests.all && rests.shortest == milliseconds(1500));
+  Backoff(dispatcher, "a", kBackoff, kStart);
+  Backoff(dispatcher, "b", seconds(2), kStart);
+  cr_assert(!dispatcher.BackoffsFor(Plain(), kStart).all);
+  Backoff(dispatcher, "c", seconds(5), kStart);
+  const Dispatcher::Backoffs backoffs = dispatcher.BackoffsFor(Plain(), kStart + milliseconds(500));
+  cr_assert(backoffs.all && backoffs.shortest == milliseconds(1500));
   dispatcher.NoteNotice(Key("b"), {true, std::nullopt}, kStart);
-  cr_assert(dispatcher.RestsFor(Plain(), kStart).shortest == kRest,
+  cr_assert(dispatcher.BackoffsFor(Plain(), kStart).shortest == kBackoff,
             "one that leaves never returns");
   dispatcher.Registry().Remove("a");
   dispatcher.Registry().Remove("c");
-  cr_assert(!dispatcher.RestsFor(Plain(), kStart).all, "there is none");
+  cr_assert(!dispatcher.BackoffsFor(Plain(), kStart).all, "there is none");
 }
 
 Test(backend_notices, an_engine_that_starts_again_is_bound_by_nothing) {
   Dispatcher dispatcher = Three();
-  dispatcher.NoteNotice(Key("a"), {true, kRest, milliseconds(kSecond - 20000)}, kStart);
+  dispatcher.NoteNotice(Key("a"), {true, kBackoff, milliseconds(kSecond - 20000)}, kStart);
   dispatcher.Registry().Put(Make("a", kSecond));
   const std::vector<BackendKey> tried = {Key("b"), Key("c")};
   cr_assert(dispatcher.Place(Plain(), tried, kStart)->backend.started_ms == kSecond);
   // An answer of the process that ended, read late.
-  dispatcher.NoteNotice(Key("a"), {true, kRest, milliseconds(kSecond)}, kStart);
+  dispatcher.NoteNotice(Key("a"), {true, kBackoff, milliseconds(kSecond)}, kStart);
   cr_assert(dispatcher.Place(Plain(), tried, kStart)->backend.started_ms == kSecond);
 }
 
@@ -156,7 +156,7 @@
 Test(backend_notices, what_a_new_process_said_before_its_entry_came_binds_it) {
   for (const bool by_list : {false, true}) {
     Dispatcher dispatcher = Three();
-    dispatcher.NoteNotice(Key("a"), {false, kRest, milliseconds(kSecond + 10)}, kStart);
+    dispatcher.NoteNotice(Key("a"), {false, kBackoff, milliseconds(kSecond + 10)}, kStart);
     dispatcher.NoteNotice(Key("b"), {true, std::nullopt, milliseconds(kSecond + 9000)}, kStart);
     if (by_list) {
       dispatcher.Registry().ReplaceAll({Make("a", kSecond), Make("b", kSecond), Make("c")});
@@ -165,20 +165,20 @@
       dispatcher.Registry().Put(Make("b", kSecond));
     }
     cr_assert(!dispatcher.MayReceive(KeyOf("a", kSecond), Plain(), kStart + seconds(1)));
-    cr_assert(dispatcher.MayReceive(KeyOf("a", kSecond), Plain(), kStart + kRest));
-    cr_assert(!dispatcher.MayReceive(KeyOf("b", kSecond), Plain(), kStart + kRest));
+    cr_assert(dispatcher.MayReceive(KeyOf("a", kSecond), Plain(), kStart + kBackoff));
+    cr_assert(!dispatcher.MayReceive(KeyOf("b", kSecond), Plain(), kStart + kBackoff));
   }
 }
 
 // The clocks may differ: leaving that may have been told by the process before does not bind.
 Test(backend_notices, of_two_clocks_the_doubt_costs_an_engine_seconds_at_most) {
   Dispatcher dispatcher = Three();
-  dispatcher.NoteNotice(Key("a"), {true, kRest, milliseconds(kSecond - 1000)}, kStart);
-  dispatcher.NoteNotice(Key("b"), {true, kRest, milliseconds(kSecond + 1000)}, kStart);
+  dispatcher.NoteNotice(Key("a"), {true, kBackoff, milliseconds(kSecond - 1000)}, kStart);
+  dispatcher.NoteNotice(Key("b"), {true, kBackoff, milliseconds(kSecond + 1000)}, kStart);
   for (const char* id : {"a", "b"}) {
     dispatcher.Registry().Put(Make(id, kSecond));
     cr_assert(!dispatcher.MayReceive(KeyOf(id, kSecond), Plain(), kStart));
-    cr_assert(dispatcher.MayReceive(KeyOf(id, kSecond), Plain(), kStart + kRest));
+    cr_assert(dispatcher.MayReceive(KeyOf(id, kSecond), Plain(), kStart + kBackoff));
   }
 }
 
@@ -206,14 +206,14 @@
   cr_assert(!dispatcher.MayReceive(Key("late"), Plain(), kStart));
 }
 
-// Random rests, leavings, starts and entries that go and come: no request goes to a back end that
-// rests or leaves, and one that may receive it is found.
+// Random back-offs, leavings, starts and entries that go and come: no request goes to a back end
+// that leaves or asked to back off, and one that may receive it is found.
 Test(backend_notices, thousand_random_schedules_keep_to_what_was_told) {
   for (uint32_t seed = 0; seed < 1000; ++seed) {
     std::mt19937 random(seed);
     Dispatcher dispatcher(PlacementPolicy(), "z1");
     std::map<std::string, int64_t> starts;
-    std::map<BackendKey, TimePoint> rests;
+    std::map<BackendKey, TimePoint> backoffs;
     std::set<BackendKey> leaving;
     TimePoint now = kStart;
     for (int step = 0; step < 80; ++step) {
@@ -232,9 +232,9 @@
           dispatcher.Registry().Remove(id);
           break;
         case 3: {
-          const Duration rest = milliseconds(random() % 2000);
-          dispatcher.NoteNotice(key, {false, rest, milliseconds(starts[id])}, now);
-          if (rest > Duration(0)) rests[key] = std::max(rests[key], now + rest);
+          const Duration backoff = milliseconds(random() % 2000);
+          dispatcher.NoteNotice(key, {false, backoff, milliseconds(starts[id])}, now);
+          if (backoff > Duration(0)) backoffs[key] = std::max(backoffs[key], now + backoff);
           break;
         }
         case 4:
@@ -244,7 +244,7 @@
         default: {
           const auto placement = dispatcher.Place(Plain(), {}, now);
           const auto is_open = [&](const Backend& backend) {
-            return !leaving.contains(backend.key) && rests[backend.key] <= now;
+            return !leaving.contains(backend.key) && backoffs[backend.key] <= now;
           };
           const std::vector<Backend> all = dispatcher.Registry().All();
           const bool some_open = std::any_of(all.begin(), all.end(), is_open);
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -25,7 +25,7 @@
 // the catalog.
 constexpr std::array<Duration, 3> kNoticePauses = {milliseconds(0), milliseconds(250),
                                                    milliseconds(750)};
-// A back end that wants nothing from this node is probed when its rest is over, while a doubt
+// A back end that has asked this node to back off is probed when that is over, while a doubt
 // lasts: BackendEndWatch.
 constexpr Duration kLongestProbeDelay = seconds(10);
 // A request that a back end has run to the end at this node within that time is not held
@@ -86,8 +86,8 @@
 // A process that has ended refuses connections at once; one that lives gets a connection that the
 // next request uses.
 asio::awaitable<void> QuarantineService::Probe(Backend backend) {
-  const std::optional<Duration> rest = dispatcher_.Registry().RestLeft(backend.key, Now());
-  if (rest.has_value()) co_await Pause(std::min(*rest, kLongestProbeDelay));
+  const std::optional<Duration> backoff = dispatcher_.Registry().BackoffLeft(backend.key, Now());
+  if (backoff.has_value()) co_await Pause(std::min(*backoff, kLongestProbeDelay));
   // Otherwise the end of its entry tells.
   if (!dispatcher_.Registry().MayContact(backend.key, Now())) co_return;
   const std::shared_ptr<UpstreamConnection> connection = pool_.MakeNew();
--- a/libs/relay/src/request/answer_notices.cc
+++ b/libs/relay/src/request/answer_notices.cc
@@ -23,7 +23,7 @@
   notice.leaving = !FindHeader(headers, names.leaving).empty();
   const std::string_view retry_after = FindHeader(headers, "Retry-After");
   if (!TurnsAway(status) || retry_after.empty()) return notice;
-  notice.rest = ParseRetryAfter(retry_after, FindHeader(headers, "Date"));
+  notice.backoff = ParseRetryAfter(retry_after, FindHeader(headers, "Date"));
   return notice;
 }
 
@@ -35,13 +35,13 @@
   if (change.leaves) {
     Log(LogLevel::kInfo, "backend_leaves", {{"backend", backend.id}, {"source", "answer"}});
   }
-  if (!change.rests) return;
-  GlobalCounters().backend_rests_total.Add();
-  Log(LogLevel::kWarning, "backend_rests",
+  if (!change.backs_off) return;
+  GlobalCounters().backend_backoffs_total.Add();
+  Log(LogLevel::kWarning, "backend_backoff",
       {{"backend", backend.id},
        {"status", std::to_string(status)},
        {"retry_after", std::string(FindHeader(headers, "Retry-After"))},
-       {"rest_ms", fmt::format("{:.0f}", ToMillis(*notice.rest))}});
+       {"backoff_ms", fmt::format("{:.0f}", ToMillis(*notice.backoff))}});
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -243,9 +243,9 @@
     co_return co_await AnswerRefusal(ErrorKind::kNoBackend, kRetryAfterNotRun);
   }
   if (history_.may_have_run == 0) {
-    const Dispatcher::Rests rests = context_.dispatcher.RestsFor(admitted_.profile, Now());
-    if (rests.all) GlobalCounters().rest_refusals_total.Add();
-    co_return co_await AnswerRefusal(ErrorKind::kOverloaded, WaitUntilServed(rests));
+    const Dispatcher::Backoffs backoffs = context_.dispatcher.BackoffsFor(admitted_.profile, Now());
+    if (backoffs.all) GlobalCounters().backoff_refusals_total.Add();
+    co_return co_await AnswerRefusal(ErrorKind::kOverloaded, WaitUntilServed(backoffs));
   }
   const bool out_of_time = last == AttemptOutcome::kTimedOut || last == AttemptOutcome::kSilent;
   co_return co_await AnswerRefusal(out_of_time ? ErrorKind::kTimeout : ErrorKind::kBackendFailed,
@@ -253,10 +253,10 @@
 }
 
 // The request was not run: the time after which some back end may take it.
-Duration Exchange::WaitUntilServed(const Dispatcher::Rests& rests) const {
-  if (cold_wait_.has_value()) return std::min(*cold_wait_, rests.shortest.value_or(*cold_wait_));
-  // A caller told less would be refused again: 0.1 s was told with 2.5 s of rest left.
-  return rests.all ? *rests.shortest : kRetryAfterNotRun;
+Duration Exchange::WaitUntilServed(const Dispatcher::Backoffs& backoffs) const {
+  if (cold_wait_.has_value()) return std::min(*cold_wait_, backoffs.shortest.value_or(*cold_wait_));
+  // A caller told less would be refused again: 0.1 s was told with 2.5 s of back-off left.
+  return backoffs.all ? *backoffs.shortest : kRetryAfterNotRun;
 }
 
 asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -62,7 +62,7 @@
   boost::asio::awaitable<bool> Answer(int status, std::string_view reason, HttpHeaders headers,
                                       std::string_view body);
   boost::asio::awaitable<bool> FinishUnserved(AttemptOutcome last);
-  Duration WaitUntilServed(const Dispatcher::Rests& rests) const;
+  Duration WaitUntilServed(const Dispatcher::Backoffs& backoffs) const;
   boost::asio::awaitable<bool> AnswerRefusal(ErrorKind kind, Duration retry_after);
 
   std::string UpstreamHead(const Placement& placement, TimePoint now) const;
--- a/libs/relay/src/status/node_status.cc
+++ b/libs/relay/src/status/node_status.cc
@@ -118,7 +118,8 @@
   json::array reasons;
   if (backend.state == BackendState::kLeaving) reasons.emplace_back("leaving");
   if (dispatcher.Registry().Drains().IsDrained(backend.zone)) reasons.emplace_back("zone_drained");
-  if (dispatcher.Registry().RestLeft(backend.key, now).has_value()) reasons.emplace_back("rests");
+  if (dispatcher.Registry().BackoffLeft(backend.key, now).has_value())
+    reasons.emplace_back("backoff");
   if (IsReplacedAtItsAddress(backend, dispatcher.Registry())) {
     reasons.emplace_back("newer_entry_at_its_address");
   }
--- a/libs/relay/tests/backend_rest_test.cc
+++ b/libs/relay/tests/backend_backoff_test.cc
@@ -1,5 +1,5 @@
-// A relay before back ends that ask it for rest or leave: by no way does it send them more, and it
-// tells callers the truth.
+// A relay before back ends that ask it to back off or leave: by no way does it send them more, and
+// it tells callers the truth.
 #include <atomic>
 #include <chrono>
 #include <string>
@@ -31,9 +31,9 @@
 }
 
 // Turns all away, as a back end does that is full.
-class RestingBackend {
+class BusyBackend {
  public:
-  explicit RestingBackend(std::string headers)
+  explicit BusyBackend(std::string headers)
       : server_([headers = std::move(headers)](const std::string& request) {
           return TurnedAway(request, headers);
         }) {}
@@ -45,8 +45,8 @@
   StubBackend server_;
 };
 
-Test(backend_rest, is_kept_and_the_caller_told_until_when) {
-  RestingBackend backend("Retry-After: 0.8\r\n");
+Test(backend_backoff, is_kept_and_the_caller_told_until_when) {
+  BusyBackend backend("Retry-After: 0.8\r\n");
   LogCapture log;
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
@@ -58,17 +58,18 @@
     cr_assert(told > 0.3 && told <= 0.8, "%f", told);
   }
   cr_assert(backend.Arrivals() == 1, "%zu", backend.Arrivals());
-  cr_assert(GlobalCounters().backend_rests_total.Get() == 1);
-  cr_assert(GlobalCounters().rest_refusals_total.Get() == 5);
-  cr_assert(Has(log.LineOf("backend_rests"), " backend=b1 status=503 retry_after=0.8 rest_ms=800"));
+  cr_assert(GlobalCounters().backend_backoffs_total.Get() == 1);
+  cr_assert(GlobalCounters().backoff_refusals_total.Get() == 5);
+  cr_assert(
+      Has(log.LineOf("backend_backoff"), " backend=b1 status=503 retry_after=0.8 backoff_ms=800"));
   std::this_thread::sleep_for(milliseconds(850));
   (void)Ask(relay, "later");
-  cr_assert(backend.Arrivals() == 2, "the rest is over");
+  cr_assert(backend.Arrivals() == 2, "it is over");
 }
 
 // Without a time the back end may be asked again at once.
-Test(backend_rest, is_not_assumed_where_none_was_asked) {
-  RestingBackend backend("");
+Test(backend_backoff, is_not_assumed_where_none_was_asked) {
+  BusyBackend backend("");
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
@@ -76,13 +77,13 @@
   cr_assert(backend.Arrivals() == 3);
 }
 
-Test(backend_rest, of_an_absurd_time_is_bounded_and_others_serve) {
+Test(backend_backoff, of_an_absurd_time_is_bounded_and_others_serve) {
   for (const std::string text : {"999999999999", "soon", "-1", "Thu, 03 Dec 2026 04:00:07 GMT"}) {
-    RestingBackend resting("Retry-After: " + text + "\r\n");
+    BusyBackend busy("Retry-After: " + text + "\r\n");
     StubBackend other(
         [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "ok")}}; });
     RelayFixture relay;
-    relay.AddBackend("b1", "s", resting.Address());
+    relay.AddBackend("b1", "s", busy.Address());
     relay.AddBackend("b2", "s", other.Address());
     relay.Start();
     // A node that has just started may repeat few requests.
@@ -91,17 +92,17 @@
       const std::string answer = Ask(relay, "r" + std::to_string(i));
       cr_assert(Has(answer, "HTTP/1.1 200 "), "%s", answer.c_str());
     }
-    cr_assert(resting.Arrivals() <= 1, "%s: %zu", text.c_str(), resting.Arrivals());
+    cr_assert(busy.Arrivals() <= 1, "%s: %zu", text.c_str(), busy.Arrivals());
     relay.OnRelayThread([&relay] {
-      const auto left = relay.Context().dispatcher.Registry().RestLeft(KeyOf("b1"), Now());
+      const auto left = relay.Context().dispatcher.Registry().BackoffLeft(KeyOf("b1"), Now());
       cr_assert(left.value_or(Duration(0)) <= std::chrono::hours(1));
     });
   }
 }
 
 // What was under way before the first answer is answered by the back end; all of it counts as one
-// rest, and the longest holds.
-Test(backend_rest, asked_of_several_requests_under_way) {
+// back-off, and the longest holds.
+Test(backend_backoff, asked_of_several_requests_under_way) {
   constexpr int kUnderWay = 6;
   std::atomic<int> number{0};
   StubBackend backend([&number](const std::string& request) {
@@ -125,8 +126,8 @@
 }
 
 // A request that was placed, and waits until the document is followed and the connection stands.
-Test(backend_rest, asked_while_a_request_waits_for_its_connection) {
-  RestingBackend backend("Retry-After: 5\r\n");
+Test(backend_backoff, asked_while_a_request_waits_for_its_connection) {
+  BusyBackend backend("Retry-After: 5\r\n");
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
@@ -141,9 +142,9 @@
   });
 }
 
-// The rest of a stream is asked of another back end, and of none that rests.
-Test(backend_rest, a_stream_goes_on_elsewhere) {
-  RestingBackend resting("Retry-After: 5\r\n");
+// The rest of a stream is asked of another back end, and of none that has asked to back off.
+Test(backend_backoff, a_stream_goes_on_elsewhere) {
+  BusyBackend busy("Retry-After: 5\r\n");
   StubBackend cutting([](const std::string& request) {
     StubAnswer answer;
     answer.pieces = {
@@ -154,15 +155,15 @@
     return answer;
   });
   RelayFixture relay;
-  relay.AddBackend("b1", "s", resting.Address());
+  relay.AddBackend("b1", "s", busy.Address());
   relay.AddBackend("b2", "s", cutting.Address());
   relay.Start();
   for (int i = 0; i < 6; ++i) (void)Ask(relay, "r" + std::to_string(i), "/resume/a");
-  cr_assert(resting.Arrivals() == 1, "%zu", resting.Arrivals());
+  cr_assert(busy.Arrivals() == 1, "%zu", busy.Arrivals());
 }
 
 // A late answer to an earlier request comes in place of the next one's: the back end is the same.
-Test(backend_rest, asked_in_an_answer_to_another_request) {
+Test(backend_backoff, asked_in_an_answer_to_another_request) {
   StubBackend backend([](const std::string& request) {
     return StubAnswer{
         {"HTTP/1.1 503 Busy\r\nCartsail-Request-Id: other\r\nCartsail-Not-Run: 1\r\n"
@@ -178,8 +179,8 @@
 }
 
 // The process that asked has ended, another one has its id and address.
-Test(backend_rest, does_not_bind_a_back_end_that_started_again) {
-  RestingBackend backend("Retry-After: 60\r\nCartsail-Leaving: 1\r\n");
+Test(backend_backoff, does_not_bind_a_back_end_that_started_again) {
+  BusyBackend backend("Retry-After: 60\r\nCartsail-Leaving: 1\r\n");
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
@@ -198,8 +199,8 @@
 }
 
 // The time of a suspension counts: the back end has waited through it.
-Test(backend_rest, goes_on_while_the_machine_is_suspended) {
-  RestingBackend backend("Retry-After: 60\r\n");
+Test(backend_backoff, goes_on_while_the_machine_is_suspended) {
+  BusyBackend backend("Retry-After: 60\r\n");
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
--- a/libs/relay/tests/cache_inventory_test.cc
+++ b/libs/relay/tests/cache_inventory_test.cc
@@ -82,30 +82,30 @@
 
 // It wants nothing from this node, questions included; what it says in its answer to one binds
 // requests.
-Test(cache_inventory, asks_no_engine_that_rests_and_hears_which_does) {
-  testing::StubBackend resting([](const std::string&) { return Listing(R"({"parts":[]})"); });
+Test(cache_inventory, asks_no_engine_that_backoffs_and_hears_which_does) {
+  testing::StubBackend busy([](const std::string&) { return Listing(R"({"parts":[]})"); });
   testing::StubBackend full([](const std::string&) {
     return testing::StubAnswer{
         {"HTTP/1.1 503 Busy\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n"}};
   });
   testing::RelayFixture relay(NamesWithInventory());
   relay.Document().services[0].engine = EngineProfile{};
-  relay.AddBackend("resting", "s", resting.Address());
+  relay.AddBackend("busy", "s", busy.Address());
   relay.AddBackend("full", "s", full.Address());
   relay.Start();
   CacheInventory inventory(relay.Context());
   relay.OnRelayThread([&] {
-    relay.Context().dispatcher.NoteNotice(KeyOf("resting"), {false, seconds(60)}, Now());
+    relay.Context().dispatcher.NoteNotice(KeyOf("busy"), {false, seconds(60)}, Now());
     inventory.Start();
   });
-  const auto rests = [&relay] {
+  const auto backs_off = [&relay] {
     bool all = false;
     relay.OnRelayThread(
-        [&] { all = relay.Context().dispatcher.RestsFor(ProfileOf(1), Now()).all; });
+        [&] { all = relay.Context().dispatcher.BackoffsFor(ProfileOf(1), Now()).all; });
     return all;
   };
-  cr_assert(WaitFor(rests));
-  cr_assert(full.Requests().size() == 1 && resting.Requests().empty());
+  cr_assert(WaitFor(backs_off));
+  cr_assert(full.Requests().size() == 1 && busy.Requests().empty());
 }
 
 }  // namespace
--- a/libs/relay/tests/node_status_test.cc
+++ b/libs/relay/tests/node_status_test.cc
@@ -125,7 +125,7 @@
   node.dispatcher.Registry().Put(newer);
   cr_assert((node.Reasons("b4") == json::array{"newer_entry_at_its_address", "cold"}));
   node.dispatcher.NoteNotice(node.dispatcher.Registry().Find("b5")->key, {false, seconds(1)}, kNow);
-  cr_assert((node.Reasons("b5") == json::array{"rests"}));
+  cr_assert((node.Reasons("b5") == json::array{"backoff"}));
 }
 
 Test(drain_alarm, is_given_where_little_room_is_left_and_seldom) {
--- a/libs/relay/tests/placement_service_test.cc
+++ b/libs/relay/tests/placement_service_test.cc
@@ -104,8 +104,8 @@
   }
 }
 
-// The engine asked for rest while the question was under way.
-Test(placement_service, a_choice_that_rests_by_then_is_not_taken) {
+// The engine asked to back off while the question was under way.
+Test(placement_service, a_choice_that_backoffs_by_then_is_not_taken) {
   Network network(3);
   TestNode& asker = network.Other();
   const std::string home = network.PlaceAll({&asker}, Question())[0]->backend.id;
--- a/libs/relay/tests/quarantine_service_test.cc
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -208,8 +208,8 @@
   cr_assert(store.Find(kRecord) == nullptr);
 }
 
-// A back end that wants nothing from this node is probed when its rest is over.
-Test(quarantine_service, a_resting_back_end_is_probed_after_its_rest) {
+// A back end that has asked this node to back off is probed when that is over.
+Test(quarantine_service, is_probed_when_a_backoff_is_over) {
   Node node;
   node.dispatcher.NoteNotice(node.At(0).key, {false, milliseconds(300)}, Now());
   node.End(0);
--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -76,7 +76,7 @@
   cr_assert(fingerprints[0] != fingerprints[2]);
 }
 
-// Whether a back end that turned a request away asked for rest could be told from no line.
+// Whether a back end that turned a request away asked to back off could be told from no line.
 Test(request_log, a_refusal_of_a_back_end_is_logged_as_it_was_told) {
   StubBackend backend([](const std::string& request) {
     return StubAnswer{{SignedAnswer(request, "", 503,
--- a/libs/relay/tests/retry_after_test.cc
+++ b/libs/relay/tests/retry_after_test.cc
@@ -19,16 +19,16 @@
 Test(retry_after, a_date_is_taken_against_the_answers_own) {
   cr_assert(ParseRetryAfter("Thu, 03 Dec 2026 04:00:07 GMT", kDate) == seconds(7));
   cr_assert(ParseRetryAfter("Thu, 03 Dec 2026 03:00:00 GMT", kDate) == Duration(0), "past");
-  cr_assert(ParseRetryAfter("Fri, 03 Dec 2027 04:00:00 GMT", kDate) == kLongestRest);
-  cr_assert(ParseRetryAfter("Thu, 03 Dec 2026 04:00:07 GMT", "") == kUnreadableRest);
-  cr_assert(ParseRetryAfter("Thu, 03 Dec 2026 04:00:07 GMT", "noon") == kUnreadableRest);
+  cr_assert(ParseRetryAfter("Fri, 03 Dec 2027 04:00:00 GMT", kDate) == kLongestBackoff);
+  cr_assert(ParseRetryAfter("Thu, 03 Dec 2026 04:00:07 GMT", "") == kUnreadableBackoff);
+  cr_assert(ParseRetryAfter("Thu, 03 Dec 2026 04:00:07 GMT", "noon") == kUnreadableBackoff);
 }
 
 Test(retry_after, absurd_times_are_bounded) {
-  cr_assert(ParseRetryAfter("999999999999", "") == kLongestRest);
-  cr_assert(ParseRetryAfter("1e300", "") == kLongestRest);
+  cr_assert(ParseRetryAfter("999999999999", "") == kLongestBackoff);
+  cr_assert(ParseRetryAfter("1e300", "") == kLongestBackoff);
   for (const char* text : {"inf", "nan", "-3", "1e999", "soon", "3 s", "3,5", "\xff\xfe"}) {
-    cr_assert(ParseRetryAfter(text, kDate) == kUnreadableRest, "%s", text);
+    cr_assert(ParseRetryAfter(text, kDate) == kUnreadableBackoff, "%s", text);
   }
   cr_assert(ParseRetryAfter("", kDate) == Duration(0), "missing");
 }
@@ -40,16 +40,16 @@
   cr_assert(RetryAfterText(seconds(600)) == "600.000");
 }
 
-Test(answer_notices, only_who_turns_a_request_away_asks_for_rest) {
+Test(answer_notices, only_who_turns_a_request_away_asks_to_back_off) {
   const WireNames names;
   const HttpHeaders headers = {{"Retry-After", "3"}};
   for (const int status : {503, 429}) {
-    cr_assert(NoticeIn(status, headers, names).rest == seconds(3));
+    cr_assert(NoticeIn(status, headers, names).backoff == seconds(3));
   }
   for (const int status : {200, 404, 421, 500, 504}) {
-    cr_assert(!NoticeIn(status, headers, names).rest.has_value(), "%d", status);
+    cr_assert(!NoticeIn(status, headers, names).backoff.has_value(), "%d", status);
   }
-  cr_assert(!NoticeIn(503, {}, names).rest.has_value());
+  cr_assert(!NoticeIn(503, {}, names).backoff.has_value());
 }
 
 Test(answer_notices, any_answer_may_say_that_its_back_end_leaves) {
--- a/libs/relay/tests/wire_compatibility_test.cc
+++ b/libs/relay/tests/wire_compatibility_test.cc
@@ -55,8 +55,8 @@
   }
 }
 
-// Resting back ends are named among those tried: no field of its own that the earlier build would
-// not read.
+// Back ends from which a node backs off are named among those tried: no field of its own that the
+// earlier build would not read.
 Test(wire_compatibility, a_question_excludes_back_ends_where_the_earlier_build_looks) {
   const std::map<std::string, std::string> earlier = EarlierBytes();
   const auto read = DecodeDatagram(earlier.at("datagram/question"), kSampleTime);
