--- a/libs/dispatch/include/cartsail/dispatch/backend_notices.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_notices.h
@@ -1,6 +1,6 @@
 // What back ends have told of themselves: that they leave, and that this node is to back off for
-// some time. Kept by incarnation, so that nothing of it binds a later one, and apart from
-// the entries in the store, which may lapse and come back. Pure.
+// some time. Kept by incarnation, so that a later one is bound by nothing of it, and apart from the
+// entries in the store, which may lapse and come back. Pure.
 #pragma once
 
 #include <chrono>
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -112,12 +112,13 @@
   }
 
   // This node may turn to it at all, be it with a probe or a question: it is known, neither leaves
-  // nor is missing, and does not backoff.
+  // nor is missing, and has not asked this node to back off.
   bool MayContact(BackendKey key, TimePoint now) const;
 
   // This node may send it a request that may be served in `allowed` only. To be asked on every way
-  // to a back end, right before something is sent: three requests of 2 s reached an engine that had
-  // asked its node to back off for 3 s, each by another way.
+  // to a back end, right before something is sent. Without it an engine got three more requests of
+  // a node within the 3 s for which it had asked that node to back off, some placed by the node,
+  // some by a coordinator.
   bool MayReceive(const Backend& backend, const RegionSet& allowed, TimePoint now) const {
     return IsOpen(backend) && allowed.Allows(backend.region) &&
            !notices_.BackoffLeft(backend.key, now).has_value();
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -90,7 +90,8 @@
   // What a back end said of itself in an answer to this node.
   NoticeChange NoteNotice(BackendKey backend, const BackendNotice& notice, TimePoint now);
 
-  // Back ends that this node may not choose for the request: those tried, and those that backoff.
+  // Back ends that this node may not choose for the request: those tried, and those from which it
+  // backs off.
   std::vector<BackendKey> ExcludedFor(const RequestProfile& profile,
                                       const std::vector<BackendKey>& tried, TimePoint now) const;
 
--- a/libs/relay/src/placement/cache_inventory.cc
+++ b/libs/relay/src/placement/cache_inventory.cc
@@ -101,7 +101,7 @@
 asio::awaitable<void> CacheInventory::Ask(Backend engine) {
   Endpoint endpoint;
   if (!ParseEndpoint(engine.address, &endpoint)) co_return;
-  // What it holds is learned from requests then.
+  // It has asked this node to back off, or leaves: what it holds is learned from requests.
   if (!context_.dispatcher.Registry().MayContact(engine.key, Now())) {
     Log(LogLevel::kInfo, "cache_inventory_skipped", {{"backend", engine.id}});
     co_return;
--- a/libs/relay/src/placement/placement_service.cc
+++ b/libs/relay/src/placement/placement_service.cc
@@ -122,7 +122,7 @@
   PlacementQuestion question;
   question.id = next_question_++;
   question.profile = profile;
-  // A coordinator does not know which back ends want nothing from this node.
+  // A coordinator does not know from which back ends this node backs off.
   question.tried = dispatcher_.ExcludedFor(profile, tried, Now());
   if (question.tried.size() > kMostExcluded) question.tried.resize(kMostExcluded);
   question.connected = pool_.Connected(kMostConnected);
