--- a/libs/dispatch/tests/backend_notices_test.cc
+++ b/libs/dispatch/tests/backend_notices_test.cc
@@ -6,27 +6,19 @@
 #include <set>
 
 #include "cartsail/dispatch/dispatcher.h"
+#include "support/backends.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
 namespace {
 
+using testing::MakeBackend;
+
 constexpr TimePoint kStart = TimePoint(seconds(1000));
 constexpr int64_t kFirst = 1800000000000;    // starts, in milliseconds since 1970
 constexpr int64_t kSecond = kFirst + 60000;  // later
 constexpr Duration kBackoff = seconds(3);
 
-Backend Make(const std::string& id, int64_t started_ms = kFirst) {
-  Backend backend;
-  backend.id = id;
-  backend.started_ms = started_ms;
-  backend.service = "s";
-  backend.address = id + ":1";
-  backend.zone = "z1";
-  backend.slots = 8;
-  return backend;
-}
-
 RequestProfile Plain() {
   RequestProfile profile;
   profile.service = "s";
@@ -37,7 +29,7 @@
 
 Dispatcher Three() {
   Dispatcher dispatcher(PlacementPolicy(), "z1");
-  for (const char* id : {"a", "b", "c"}) dispatcher.Registry().Put(Make(id));
+  for (const char* id : {"a", "b", "c"}) dispatcher.Registry().Put(MakeBackend(id, kFirst));
   return dispatcher;
 }
 
@@ -113,7 +105,7 @@
 
 Test(backend_notices, a_question_to_a_coordinator_excludes_those_of_the_service) {
   Dispatcher dispatcher = Three();
-  Backend other = Make("x");
+  Backend other = MakeBackend("x", kFirst);
   other.service = "t";
   dispatcher.Registry().Put(other);
   Backoff(dispatcher, "a", kBackoff, kStart);
@@ -143,7 +135,7 @@
 Test(backend_notices, an_engine_that_starts_again_is_bound_by_nothing) {
   Dispatcher dispatcher = Three();
   dispatcher.NoteNotice(Key("a"), {true, kBackoff, milliseconds(kSecond - 20000)}, kStart);
-  dispatcher.Registry().Put(Make("a", kSecond));
+  dispatcher.Registry().Put(MakeBackend("a", kSecond));
   const std::vector<BackendKey> tried = {Key("b"), Key("c")};
   cr_assert(dispatcher.Place(Plain(), tried, kStart)->backend.started_ms == kSecond);
   // An answer of the process that ended, read late.
@@ -159,10 +151,11 @@
     dispatcher.NoteNotice(Key("a"), {false, kBackoff, milliseconds(kSecond + 10)}, kStart);
     dispatcher.NoteNotice(Key("b"), {true, std::nullopt, milliseconds(kSecond + 9000)}, kStart);
     if (by_list) {
-      dispatcher.Registry().ReplaceAll({Make("a", kSecond), Make("b", kSecond), Make("c")});
+      dispatcher.Registry().ReplaceAll(
+          {MakeBackend("a", kSecond), MakeBackend("b", kSecond), MakeBackend("c", kFirst)});
     } else {
-      dispatcher.Registry().Put(Make("a", kSecond));
-      dispatcher.Registry().Put(Make("b", kSecond));
+      dispatcher.Registry().Put(MakeBackend("a", kSecond));
+      dispatcher.Registry().Put(MakeBackend("b", kSecond));
     }
     cr_assert(!dispatcher.MayReceive(KeyOf("a", kSecond), Plain(), kStart + seconds(1)));
     cr_assert(dispatcher.MayReceive(KeyOf("a", kSecond), Plain(), kStart + kBackoff));
@@ -176,7 +169,7 @@
   dispatcher.NoteNotice(Key("a"), {true, kBackoff, milliseconds(kSecond - 1000)}, kStart);
   dispatcher.NoteNotice(Key("b"), {true, kBackoff, milliseconds(kSecond + 1000)}, kStart);
   for (const char* id : {"a", "b"}) {
-    dispatcher.Registry().Put(Make(id, kSecond));
+    dispatcher.Registry().Put(MakeBackend(id, kSecond));
     cr_assert(!dispatcher.MayReceive(KeyOf(id, kSecond), Plain(), kStart));
     cr_assert(dispatcher.MayReceive(KeyOf(id, kSecond), Plain(), kStart + kBackoff));
   }
@@ -187,10 +180,10 @@
   Dispatcher dispatcher = Three();
   dispatcher.NoteNotice(Key("a"), {true, std::nullopt}, kStart);
   dispatcher.Registry().Remove("a");
-  dispatcher.Registry().Put(Make("a"));
+  dispatcher.Registry().Put(MakeBackend("a", kFirst));
   cr_assert(!dispatcher.MayReceive(Key("a"), Plain(), kStart));
   dispatcher.Registry().ReplaceAll({});
-  dispatcher.Registry().ReplaceAll({Make("a"), Make("b")});
+  dispatcher.Registry().ReplaceAll({MakeBackend("a", kFirst), MakeBackend("b", kFirst)});
   cr_assert(!dispatcher.MayReceive(Key("a"), Plain(), kStart));
   cr_assert(dispatcher.MayReceive(Key("b"), Plain(), kStart));
   cr_assert(dispatcher.TakeDigest(kStart).leaving == std::vector<BackendKey>{Key("a")});
@@ -202,7 +195,7 @@
   DispatchDigest digest;
   digest.leaving = {Key("late")};
   dispatcher.ApplyDigest("peer", digest, seconds(1), kStart);
-  dispatcher.Registry().Put(Make("late"));
+  dispatcher.Registry().Put(MakeBackend("late", kFirst));
   cr_assert(!dispatcher.MayReceive(Key("late"), Plain(), kStart));
 }
 
@@ -222,11 +215,11 @@
       const BackendKey key = KeyOf(id, starts[id]);
       switch (random() % 6) {
         case 0:
-          dispatcher.Registry().Put(Make(id, starts[id]));
+          dispatcher.Registry().Put(MakeBackend(id, starts[id]));
           break;
         case 1:
           starts[id] += 60000;
-          dispatcher.Registry().Put(Make(id, starts[id]));
+          dispatcher.Registry().Put(MakeBackend(id, starts[id]));
           break;
         case 2:
           dispatcher.Registry().Remove(id);
--- a/libs/dispatch/tests/incarnation_test.cc
+++ b/libs/dispatch/tests/incarnation_test.cc
@@ -1,27 +1,19 @@
 // Back ends that start again under their id: what was known of the process that ended counts for
 // the new one in no place.
 #include "cartsail/dispatch/dispatcher.h"
+#include "support/backends.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
 namespace {
 
+using testing::MakeBackend;
+
 constexpr TimePoint kStart = TimePoint(seconds(1000));
 constexpr int64_t kFirst = 100;   // starts
 constexpr int64_t kSecond = 200;  // later
 constexpr int64_t kThird = 201;   // within a heartbeat of the second
 
-Backend Make(const std::string& id, int64_t started_ms) {
-  Backend backend;
-  backend.id = id;
-  backend.started_ms = started_ms;
-  backend.service = "s";
-  backend.address = id + ":1";
-  backend.zone = "z1";
-  backend.slots = 8;
-  return backend;
-}
-
 RequestProfile Prompt() {
   RequestProfile profile;
   profile.service = "s";
@@ -35,8 +27,8 @@
 
 Test(incarnation, a_new_one_has_another_key_and_the_old_key_names_nobody) {
   BackendRegistry registry;
-  registry.Put(Make("b", kFirst));
-  registry.Put(Make("b", kSecond));
+  registry.Put(MakeBackend("b", kFirst));
+  registry.Put(MakeBackend("b", kSecond));
   cr_assert(KeyOf("b", kFirst) != KeyOf("b", kSecond));
   cr_assert(registry.FindByKey(KeyOf("b", kFirst)) == nullptr);
   cr_assert(registry.FindByKey(KeyOf("b", kSecond)) == registry.Find("b"));
@@ -45,19 +37,19 @@
 
 Test(incarnation, one_that_starts_again_is_not_leaving_any_more) {
   BackendRegistry registry;
-  registry.Put(Make("b", kFirst));
+  registry.Put(MakeBackend("b", kFirst));
   registry.MarkLeaving(KeyOf("b", kFirst));
-  registry.Put(Make("b", kSecond));
+  registry.Put(MakeBackend("b", kSecond));
   cr_assert(registry.ReadyOf("s").size() == 1 && registry.Leaving().empty());
   registry.MarkLeaving(KeyOf("b", kSecond));
-  registry.ReplaceAll({Make("b", kThird)});
+  registry.ReplaceAll({MakeBackend("b", kThird)});
   cr_assert(registry.ReadyOf("s").size() == 1 && registry.Leaving().empty());
 }
 
 Test(incarnation, an_entry_of_an_earlier_start_changes_nothing) {
   BackendRegistry registry;
-  registry.Put(Make("b", kSecond));
-  Backend outdated = Make("b", kFirst);
+  registry.Put(MakeBackend("b", kSecond));
+  Backend outdated = MakeBackend("b", kFirst);
   outdated.address = "elsewhere:1";
   outdated.state = BackendState::kLeaving;
   registry.Put(outdated);
@@ -70,9 +62,9 @@
 
 Test(incarnation, a_whole_list_with_an_earlier_start_keeps_the_newer_one) {
   BackendRegistry registry;
-  registry.Put(Make("b", kSecond));
-  registry.Put(Make("c", kFirst));
-  registry.ReplaceAll({Make("b", kFirst), Make("c", kSecond)});
+  registry.Put(MakeBackend("b", kSecond));
+  registry.Put(MakeBackend("c", kFirst));
+  registry.ReplaceAll({MakeBackend("b", kFirst), MakeBackend("c", kSecond)});
   cr_assert(registry.Find("b")->started_ms == kSecond);
   cr_assert(registry.Find("c")->started_ms == kSecond);
   cr_assert(registry.FindByKey(KeyOf("b", kSecond)) != nullptr);
@@ -81,21 +73,21 @@
 
 Test(incarnation, of_two_starts_within_a_heartbeat_the_later_counts_in_either_order) {
   BackendRegistry registry;
-  registry.Put(Make("b", kFirst));
-  registry.Put(Make("b", kThird));
-  registry.Put(Make("b", kSecond));
+  registry.Put(MakeBackend("b", kFirst));
+  registry.Put(MakeBackend("b", kThird));
+  registry.Put(MakeBackend("b", kSecond));
   cr_assert(registry.Find("b")->started_ms == kThird);
   registry.ReplaceAll({});
-  registry.Put(Make("b", kSecond));
-  registry.Put(Make("b", kThird));
+  registry.Put(MakeBackend("b", kSecond));
+  registry.Put(MakeBackend("b", kThird));
   cr_assert(registry.Find("b")->started_ms == kThird && registry.Size() == 1);
 }
 
 Test(incarnation, a_request_of_the_earlier_one_ends_without_touching_the_new_one) {
   Dispatcher dispatcher(PlacementPolicy(), "z1");
-  dispatcher.Registry().Put(Make("b", kFirst));
+  dispatcher.Registry().Put(MakeBackend("b", kFirst));
   const auto running = dispatcher.Place(Prompt(), {}, kStart);
-  dispatcher.Registry().Put(Make("b", kSecond));
+  dispatcher.Registry().Put(MakeBackend("b", kSecond));
   dispatcher.ForgetGone();
   const BackendKey reborn = KeyOf("b", kSecond);
   cr_assert(dispatcher.RequestsAt(reborn) == 0);
@@ -110,8 +102,8 @@
 
 Test(incarnation, failures_of_the_earlier_one_do_not_keep_requests_from_the_new_one) {
   Dispatcher dispatcher(PlacementPolicy(), "z1");
-  dispatcher.Registry().Put(Make("b", kFirst));
-  dispatcher.Registry().Put(Make("other", kFirst));
+  dispatcher.Registry().Put(MakeBackend("b", kFirst));
+  dispatcher.Registry().Put(MakeBackend("other", kFirst));
   const BackendKey other = KeyOf("other", kFirst);
   for (int i = 0; i < 20; ++i) {
     const auto placed = dispatcher.Place(Prompt(), {other}, kStart);
@@ -120,7 +112,7 @@
   const auto wary = dispatcher.Place(Prompt(), {}, kStart);
   cr_assert(wary->backend.id == "other", "the failures count as long as the process lives");
   dispatcher.Finish(wary->ticket, AttemptOutcome::kCallerGone, kStart);
-  dispatcher.Registry().Put(Make("b", kSecond));
+  dispatcher.Registry().Put(MakeBackend("b", kSecond));
   dispatcher.ForgetGone();
   for (const BackendLoadEntry& entry : dispatcher.TakeDigest(kStart).loads) {
     cr_assert(entry.backend == other, "nobody is told of failures of the new one");
@@ -132,8 +124,8 @@
 // failures, and a zone restored soon after got nothing for up to 3 s more.
 Test(drained_zone, requests_withheld_from_its_back_ends_are_no_failures_of_them) {
   Dispatcher dispatcher(PlacementPolicy(), "z1");
-  dispatcher.Registry().Put(Make("b", kFirst));
-  dispatcher.Registry().Put(Make("other", kFirst));
+  dispatcher.Registry().Put(MakeBackend("b", kFirst));
+  dispatcher.Registry().Put(MakeBackend("other", kFirst));
   const BackendKey other = KeyOf("other", kFirst);
   for (int i = 0; i < 20; ++i) {
     const auto placed = dispatcher.Place(Prompt(), {other}, kStart);
@@ -146,7 +138,7 @@
 
 Test(incarnation, prompt_memory_of_the_earlier_one_is_gone) {
   Dispatcher dispatcher(PlacementPolicy(), "z1");
-  dispatcher.Registry().Put(Make("b", kFirst));
+  dispatcher.Registry().Put(MakeBackend("b", kFirst));
   const auto first = dispatcher.Place(Prompt(), {}, kStart);
   dispatcher.Output(first->ticket, kStart + milliseconds(300));
   dispatcher.Finish(first->ticket, AttemptOutcome::kAnswered, kStart + milliseconds(400));
@@ -154,14 +146,14 @@
   const auto again = dispatcher.Place(Prompt(), {}, later);
   cr_assert(again->held_tokens > 0);
   dispatcher.Finish(again->ticket, AttemptOutcome::kAnswered, later);
-  dispatcher.Registry().Put(Make("b", kSecond));
+  dispatcher.Registry().Put(MakeBackend("b", kSecond));
   dispatcher.ForgetGone();
   cr_assert(dispatcher.Place(Prompt(), {}, later)->held_tokens == 0);
 }
 
 Test(incarnation, what_peers_tell_of_the_earlier_one_does_not_count) {
   Dispatcher dispatcher(PlacementPolicy(), "z1");
-  dispatcher.Registry().Put(Make("b", kSecond));
+  dispatcher.Registry().Put(MakeBackend("b", kSecond));
   DispatchDigest digest;
   digest.loads.resize(1);
   digest.loads[0].backend = KeyOf("b", kFirst);
