Failing tests: a process that ends and stops listening last, or whose address another one has, is taken to live

Ruled out: late or lost strikes (none was sent), another process at the port (refused at the next try).

--- a/libs/relay/tests/quarantine_service_test.cc
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -2,7 +2,10 @@
 // lifts them. One node, whose messages the test carries.
 #include "quarantine/quarantine_service.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <string>
 #include <utility>
 #include <vector>
@@ -208,6 +211,64 @@
   cr_assert(store.Find(kRecord) == nullptr);
 }
 
+// One request ended six back ends where five may end, beside a store that turned all calls away. A
+// process that ends closes its connections before it stops listening now and then, and the kernel
+// takes connections for it until then: the node took the connection that it had made for a sign of
+// life, and forgot the end.
+struct ListeningBackend {
+  explicit ListeningBackend(Node& node) : acceptor(node.io), timer(node.io) {
+    using asio::ip::tcp;
+    acceptor.open(tcp::v4());
+    acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    acceptor.listen();
+    backend.id = "listening";
+    backend.service = "s";
+    backend.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    backend.zone = "z1";
+    node.dispatcher.Registry().Put(backend);
+    backend = *node.dispatcher.Registry().Find(backend.id);
+  }
+
+  // Connections that were made and not accepted are reset then.
+  void StopListeningAfter(Duration time) {
+    timer.expires_after(time);
+    timer.async_wait([this](const boost::system::error_code&) { acceptor.close(); });
+  }
+
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer timer;
+  Backend backend;
+};
+
+bool IsStruck(const Node& node, BackendKey backend) {
+  return std::any_of(node.strikes.begin(), node.strikes.end(),
+                     [backend](const auto& told) { return told.second.backend == backend; });
+}
+
+Test(quarantine_service, a_connection_to_a_process_that_is_ending_is_no_sign_of_life) {
+  for (const Duration time : {milliseconds(5), milliseconds(40), milliseconds(200)}) {
+    Node node;
+    ListeningBackend ending(node);
+    ending.StopListeningAfter(time);
+    node.service.NoteBroken(kRequest, ending.backend, Now());
+    node.RunFor(time + milliseconds(300));
+    cr_assert(IsStruck(node, ending.backend.key), "stopped listening after %.0f ms",
+              ToMillis(time));
+  }
+}
+
+// The address was taken over by another process, which says so when it gets a request.
+Test(quarantine_service, a_connection_to_another_process_is_no_sign_of_life) {
+  Node node;
+  const ListeningBackend other(node);
+  node.service.NoteBroken(kRequest, other.backend, Now());
+  node.RunFor(milliseconds(500));
+  cr_assert(!IsStruck(node, other.backend.key));
+  node.service.NoteReplaced(other.backend.key, Now());
+  node.RunFor(milliseconds(1));
+  cr_assert(IsStruck(node, other.backend.key));
+}
+
 // A back end that has asked this node to back off is probed when that is over.
 Test(quarantine_service, is_probed_when_a_backoff_is_over) {
   Node node;
--- a/libs/relay/tests/support/stub_backend.cc
+++ b/libs/relay/tests/support/stub_backend.cc
@@ -66,12 +66,17 @@
   acceptor_ = std::thread([this] { Accept(); });
 }
 
+void StubBackend::CloseConnections() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const int socket : sockets_) shutdown(socket, SHUT_RDWR);
+}
+
 void StubBackend::Crash() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stopping_ = true;
-    for (const int socket : sockets_) shutdown(socket, SHUT_RDWR);
   }
+  CloseConnections();
   ending_.notify_all();
   shutdown(listener_, SHUT_RDWR);
 }
--- a/libs/relay/tests/support/stub_backend.h
+++ b/libs/relay/tests/support/stub_backend.h
@@ -35,6 +35,9 @@
   std::vector<std::string> Requests();
   int Connections() const { return connections_; }
 
+  // New ones are taken.
+  void CloseConnections();
+
   // As a process that ends: all connections break at once, and new ones are refused. May be called
   // by the handler.
   void Crash();
