What an earlier process or a wrong clock may have said never binds a back end for good

Cause, found by reading what clocks that were set do to it: leaving that was read within the hour by which a node's clock is ahead passed on to every process that started again under the id, for good, and to all nodes. Of several back-offs the longest end stood with the latest time of reading, so that an hour asked by the process before bound the new one; and what was read before an entry lapsed was lost when the next one came.

--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -71,17 +71,17 @@
   bool RemoveMissing(TimePoint now);
 
   // Told by the back end or by another node. Holds also for an entry of this incarnation that is
-  // removed and comes back. `told`: as in BackendNotice. True when it was not known.
-  bool MarkLeaving(BackendKey backend, milliseconds told = {});
+  // removed and comes back. True when it was not known.
+  bool MarkLeaving(BackendKey backend, const NoticeTime& told = {});
 
   // This node is to send it nothing for `backoff`. True when it was not backing off before.
-  bool NoteBackoff(BackendKey backend, Duration backoff, TimePoint now, milliseconds told) {
-    return notices_.NoteBackoff(backend, backoff, now, told);
+  bool NoteBackoff(BackendKey backend, Duration backoff, const NoticeTime& told) {
+    return notices_.NoteBackoff(backend, backoff, told);
   }
   std::optional<Duration> BackoffLeft(BackendKey backend, TimePoint now) const {
     return notices_.BackoffLeft(backend, now);
   }
-  void ExpireBackoffs(TimePoint now) { notices_.Expire(now); }
+  void ExpireBackoffs(TimePoint now);
 
   // Those of `service` from which this node backs off now.
   std::vector<BackendKey> BackingOffFrom(std::string_view service, TimePoint now) const;
@@ -144,6 +144,8 @@
   bool IsService(const std::string& service) const;
   bool NoteChange(bool changed);
   void Identify(const Backend* known, Backend* backend);
+  void NoteDeparture(const Backend& backend);
+  std::optional<BackendKey> EarlierOf(const Backend* known, const Backend& backend);
 
   RegionMap regions_;
   ZoneDrains drains_;
@@ -151,6 +153,8 @@
   std::optional<std::set<std::string>> services_;
   std::map<std::string, Backend, std::less<>> backends_;
   std::unordered_map<BackendKey, std::string> ids_;
+  // Incarnations that have told something and whose entry is gone, by id.
+  std::map<std::string, BackendKey, std::less<>> departed_;
   int64_t changes_ = 0;
   TimePoint next_gone_ = TimePoint::max();  // no missing one is gone before
 };
--- a/libs/dispatch/src/backend_notices.cc
+++ b/libs/dispatch/src/backend_notices.cc
@@ -4,7 +4,7 @@
 
 namespace cartsail {
 
-bool BackendNotices::NoteLeaving(BackendKey backend, std::chrono::milliseconds told) {
+bool BackendNotices::NoteLeaving(BackendKey backend, const NoticeTime& told) {
   if (!leaving_.emplace(backend, told).second) return false;
   leaving_order_.push_back(backend);
   if (leaving_order_.size() > kMostLeaving) {
@@ -14,45 +14,63 @@
   return true;
 }
 
-bool BackendNotices::NoteBackoff(BackendKey backend, Duration backoff, TimePoint now,
-                                 std::chrono::milliseconds told) {
+bool BackendNotices::NoteBackoff(BackendKey backend, Duration backoff, const NoticeTime& told) {
   if (backoff <= Duration(0)) return false;
-  Backoff& known = backoffs_[backend];
-  const bool is_new = known.until <= now;
-  known.until = std::max(known.until, now + backoff);
-  known.told = told;
+  Backoffs& known = backoffs_[backend];
+  const bool is_new = known.longest.until <= told.at;
+  known.latest = {told.at + backoff, told};
+  if (known.latest.until >= known.longest.until) known.longest = known.latest;
   return is_new;
 }
 
+// Until when it binds a process that has started at `start`; long past where it does not.
+TimePoint BackendNotices::EndFor(const Backoff& backoff, std::chrono::milliseconds start) {
+  const std::chrono::milliseconds told = backoff.told.wall;
+  if (told + kMostClockSkew < start) return TimePoint{};
+  if (told >= start + kMostClockSkew) return backoff.until;
+  return std::min(backoff.until, backoff.told.at + kLongestDoubt);
+}
+
+void BackendNotices::Carry(BackendKey to, const Backoff& backoff, std::chrono::milliseconds start) {
+  const TimePoint until = EndFor(backoff, start);
+  if (until == TimePoint{}) return;
+  Backoffs& known = backoffs_[to];
+  known.latest = {until, backoff.told};
+  if (until >= known.longest.until) known.longest = known.latest;
+}
+
 void BackendNotices::Succeed(BackendKey earlier, BackendKey later,
                              std::chrono::milliseconds start) {
-  const auto backoff = backoffs_.find(earlier);
-  if (backoff != backoffs_.end() && backoff->second.told + kMostClockSkew >= start) {
-    const Backoff carried = backoff->second;
-    backoffs_[later] = carried;
+  const auto entry = backoffs_.find(earlier);
+  if (entry != backoffs_.end()) {
+    const Backoffs backoffs = entry->second;
+    Carry(later, backoffs.longest, start);
+    Carry(later, backoffs.latest, start);
   }
   const auto leaving = leaving_.find(earlier);
-  if (leaving == leaving_.end() || leaving->second < start + kMostClockSkew) return;
-  const std::chrono::milliseconds told = leaving->second;
-  NoteLeaving(later, told);
+  if (leaving == leaving_.end()) return;
+  // Never for good: a node whose clock was set ahead by an hour would take every engine that left
+  // and started again within that hour for a leaving one, and tell all nodes so.
+  const NoticeTime told = leaving->second;
+  Carry(later, {told.at + kLongestDoubt, told}, start);
 }
 
 std::optional<Duration> BackendNotices::BackoffLeft(BackendKey backend, TimePoint now) const {
   const auto backoff = backoffs_.find(backend);
-  if (backoff == backoffs_.end() || backoff->second.until <= now) return std::nullopt;
-  return backoff->second.until - now;
+  if (backoff == backoffs_.end() || backoff->second.longest.until <= now) return std::nullopt;
+  return backoff->second.longest.until - now;
 }
 
 std::vector<BackendKey> BackendNotices::BackingOff(TimePoint now) const {
   std::vector<BackendKey> backing_off;
-  for (const auto& [backend, backoff] : backoffs_) {
-    if (backoff.until > now) backing_off.push_back(backend);
+  for (const auto& [backend, backoffs] : backoffs_) {
+    if (backoffs.longest.until > now) backing_off.push_back(backend);
   }
   return backing_off;
 }
 
 void BackendNotices::Expire(TimePoint now) {
-  std::erase_if(backoffs_, [now](const auto& entry) { return entry.second.until <= now; });
+  std::erase_if(backoffs_, [now](const auto& entry) { return entry.second.longest.until <= now; });
 }
 
 }  // namespace cartsail
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -21,11 +21,27 @@
 
 }  // namespace
 
+// The entry of `backend` is gone. A later process may have told something before its entry comes.
+void BackendRegistry::NoteDeparture(const Backend& backend) {
+  if (notices_.Knows(backend.key)) departed_[backend.id] = backend.key;
+}
+
+// The incarnation under the id of `backend` before it. `known`: the entry before; or nullptr.
+std::optional<BackendKey> BackendRegistry::EarlierOf(const Backend* known, const Backend& backend) {
+  if (known != nullptr) return known->key;
+  const auto departed = departed_.find(backend.id);
+  if (departed == departed_.end()) return std::nullopt;
+  const BackendKey key = departed->second;
+  departed_.erase(departed);
+  return key;
+}
+
 // `known`: the entry under the id before; or nullptr.
 void BackendRegistry::Identify(const Backend* known, Backend* backend) {
   backend->key = KeyOf(backend->id, backend->started_ms);
-  if (known != nullptr && known->key != backend->key) {
-    notices_.Succeed(known->key, backend->key, milliseconds(backend->started_ms));
+  const std::optional<BackendKey> earlier = EarlierOf(known, *backend);
+  if (earlier.has_value() && *earlier != backend->key) {
+    notices_.Succeed(*earlier, backend->key, milliseconds(backend->started_ms));
   }
   backend->region = regions_.IndexOfZone(backend->zone);
   if (backend->state == BackendState::kLeaving) notices_.NoteLeaving(backend->key);
@@ -63,6 +79,9 @@
     const std::string id = backend.id;
     backends_[id] = std::move(backend);
   }
+  for (const auto& [id, backend] : before) {
+    if (!backends_.contains(id)) NoteDeparture(backend);
+  }
 }
 
 void BackendRegistry::Put(Backend backend) {
@@ -103,12 +122,13 @@
     next_gone_ = std::min(next_gone_, *missing_until);
     return;
   }
+  NoteDeparture(entry->second);
   ids_.erase(entry->second.key);
   backends_.erase(entry);
   ++changes_;
 }
 
-bool BackendRegistry::MarkLeaving(BackendKey backend, milliseconds told) {
+bool BackendRegistry::MarkLeaving(BackendKey backend, const NoticeTime& told) {
   if (!notices_.NoteLeaving(backend, told)) return false;
   const auto id = ids_.find(backend);
   if (id != ids_.end()) backends_.find(id->second)->second.state = BackendState::kLeaving;
@@ -116,6 +136,11 @@
   return true;
 }
 
+void BackendRegistry::ExpireBackoffs(TimePoint now) {
+  notices_.Expire(now);
+  std::erase_if(departed_, [this](const auto& entry) { return !notices_.Knows(entry.second); });
+}
+
 bool BackendRegistry::MayContact(BackendKey key, TimePoint now) const {
   const Backend* backend = FindByKey(key);
   return backend != nullptr && backend->state == BackendState::kReady &&
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -78,9 +78,10 @@
 NoticeChange Dispatcher::NoteNotice(BackendKey backend, const BackendNotice& notice,
                                     TimePoint now) {
   NoticeChange change;
-  if (notice.leaving) change.leaves = registry_.MarkLeaving(backend, notice.told);
+  const NoticeTime told{now, notice.told};
+  if (notice.leaving) change.leaves = registry_.MarkLeaving(backend, told);
   if (notice.backoff.has_value()) {
-    change.backs_off = registry_.NoteBackoff(backend, *notice.backoff, now, notice.told);
+    change.backs_off = registry_.NoteBackoff(backend, *notice.backoff, told);
   }
   return change;
 }
