--- a/libs/quarantine/include/cartsail/quarantine/backend_end_watch.h
+++ b/libs/quarantine/include/cartsail/quarantine/backend_end_watch.h
@@ -29,8 +29,8 @@
   std::vector<Strike> NoteReplaced(BackendKey backend, TimePoint now);
 
   // A connection that was made after the break has stood for long enough: a process that ends now
-  // has ended after the break. Without it 18 and 130 strikes were held against innocent requests on
-  // two days on which connections were reset while engines were released; 0 with it.
+  // has ended after the break. Without it 18 and 130 strikes were held against innocent requests in
+  // two runs in which connections were reset while engines were released, 1 and 0 with it.
   void NoteListening(BackendKey backend);
 
   // The back end has answered a request that was sent at `sent`: what broke before that broke for
