--- a/libs/relay/tests/quarantine_service_test.cc
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -269,8 +269,8 @@
 
 // Connections are reset while the back end lives, and it is taken away seconds later: with the end
 // of its entry as proof 18 and 130 strikes were held against innocent requests in two runs with
-// resets beside releases; 1 and 0 once a connection that stood was believed, the one where an engine
-// did end at the moment of a reset.
+// resets beside releases; 1 and 0 once a connection that stood was believed, the one where an
+// engine did end at the moment of a reset.
 Test(quarantine_service, a_back_end_that_goes_later_is_held_against_nobody) {
   for (const bool is_refused : {false, true}) {
     Node node;
