Ends of back ends at one moment are held against a request only if it runs nowhere else

Cause: strikes carried no time, so that three ends within a millisecond, which have a cause in common, made a verdict; a poll in flight at each was refused everywhere, and no run could clear it for 600 s. Ruled out: counting ends of one moment once (six copies of a deadly request end six back ends, and six more when these are back). Change: a strike tells how old it is (in the padding of its message: bytes of decode, and those of age 0 are the same); where all are of 50 ms, the nodes that count ask all nodes whether the request ran since, and decide after 0.5 s; an end at another moment decides at once. Nodes at which it ran tell those that count only.

--- a/libs/quarantine/include/cartsail/quarantine/backend_end_watch.h
+++ b/libs/quarantine/include/cartsail/quarantine/backend_end_watch.h
@@ -20,7 +20,7 @@
  public:
   // The connection broke while the back end had the request. Returns strikes where the back end is
   // known to have ended.
-  std::vector<Strike> NoteBroken(const Strike& suspected, TimePoint now);
+  std::vector<Strike> NoteBroken(const Strike& suspected);
 
   // Its host refuses connections. Returns what that says of the requests that broke there.
   std::vector<Strike> NoteEnded(BackendKey backend, TimePoint now);
--- a/libs/quarantine/include/cartsail/quarantine/strike.h
+++ b/libs/quarantine/include/cartsail/quarantine/strike.h
@@ -1,6 +1,7 @@
 // One engine's end, held against one of the requests that ran there. Plain structs.
 #pragma once
 
+#include "cartsail/base/clock.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/quarantine/request_fingerprint.h"
 
@@ -11,6 +12,7 @@
 struct Strike {
   RequestFingerprint request = 0;
   BackendKey backend = 0;
+  TimePoint when{};  // when the connection broke
 
   bool operator==(const Strike& other) const = default;
 };
@@ -20,4 +22,8 @@
 // one costs a back end with all that runs there.
 inline constexpr size_t kStrikesToQuarantine = 3;
 
+// Back ends that end within that time may have ended for one reason in common: a request that is
+// in flight everywhere is in flight there too.
+inline constexpr Duration kOneMoment = milliseconds(50);
+
 }  // namespace cartsail
--- a/libs/quarantine/include/cartsail/quarantine/strike_ledger.h
+++ b/libs/quarantine/include/cartsail/quarantine/strike_ledger.h
@@ -18,13 +18,17 @@
   RequestFingerprint request = 0;
   std::vector<BackendKey> backends;
   TimePoint first_strike;
+  bool is_of_one_moment = false;  // all of them ended within kOneMoment
 };
 
 class StrikeLedger {
  public:
   // The same strike counts once, however often it is told. Returns a verdict whenever a new strike
   // of the request is its third or a later one, unless quarantined requests explain them.
-  std::optional<Verdict> Note(const Strike& strike, TimePoint now);
+  std::optional<Verdict> Note(const Strike& strike);
+
+  // The verdict of which Note() told, unless the request was cleared or explained since.
+  std::optional<Verdict> VerdictOn(RequestFingerprint request) const;
 
   // `by` is quarantined, since these back ends ended under it: others that ran there may be
   // innocent.
--- a/libs/quarantine/src/backend_end_watch.cc
+++ b/libs/quarantine/src/backend_end_watch.cc
@@ -16,9 +16,9 @@
 
 }  // namespace
 
-std::vector<Strike> BackendEndWatch::NoteBroken(const Strike& suspected, TimePoint now) {
+std::vector<Strike> BackendEndWatch::NoteBroken(const Strike& suspected) {
   if (ended_.contains(suspected.backend)) return {suspected};
-  doubts_[suspected.backend].requests.push_back({suspected.request, now});
+  doubts_[suspected.backend].requests.push_back({suspected.request, suspected.when});
   return {};
 }
 
@@ -36,7 +36,7 @@
   if (doubt == doubts_.end()) return {};
   std::vector<Strike> strikes;
   for (const BrokenRequest& broken : doubt->second.requests) {
-    strikes.push_back({broken.request, backend});
+    strikes.push_back({broken.request, backend, broken.when});
   }
   doubts_.erase(doubt);
   if (!strikes.empty()) ended_[backend] = now;
--- a/libs/quarantine/src/strike_ledger.cc
+++ b/libs/quarantine/src/strike_ledger.cc
@@ -24,19 +24,27 @@
 
 }  // namespace
 
-std::optional<Verdict> StrikeLedger::Note(const Strike& strike, TimePoint now) {
+std::optional<Verdict> StrikeLedger::Note(const Strike& strike) {
   if (records_.size() >= kMostRecords) MakeRoom();
   const auto [entry, is_new] = records_.try_emplace(strike.request);
   Record& record = entry->second;
-  if (is_new) record.first = now;
   if (Contains(record.backends, strike.backend)) return std::nullopt;
   record.backends.push_back(strike.backend);
-  record.last = now;
+  record.first = is_new ? strike.when : std::min(record.first, strike.when);
+  record.last = is_new ? strike.when : std::max(record.last, strike.when);
+  return VerdictOn(strike.request);
+}
+
+std::optional<Verdict> StrikeLedger::VerdictOn(RequestFingerprint request) const {
+  const auto entry = records_.find(request);
+  if (entry == records_.end()) return std::nullopt;
+  const Record& record = entry->second;
   const size_t strikes = record.backends.size();
   if (strikes < kStrikesToQuarantine) return std::nullopt;
-  const bool is_explained = IsExplained(strike.request, record.backends);
+  const bool is_explained = IsExplained(request, record.backends);
   if (is_explained && strikes < kStrikesDespiteExplanation) return std::nullopt;
-  return Verdict{strike.request, record.backends, record.first};
+  const bool is_of_one_moment = record.last - record.first <= kOneMoment;
+  return Verdict{request, record.backends, record.first, is_of_one_moment};
 }
 
 void StrikeLedger::Explain(const std::vector<BackendKey>& backends, RequestFingerprint by,
--- a/libs/quarantine/tests/strike_ledger_test.cc
+++ b/libs/quarantine/tests/strike_ledger_test.cc
@@ -21,9 +21,9 @@
 
 Test(strike_ledger, the_third_back_end_makes_a_verdict) {
   StrikeLedger ledger;
-  cr_assert(!ledger.Note({kDeadly, 1}, kStart).has_value());
-  cr_assert(!ledger.Note({kDeadly, 2}, kStart + seconds(1)).has_value());
-  const std::optional<Verdict> verdict = ledger.Note({kDeadly, 3}, kStart + seconds(2));
+  cr_assert(!ledger.Note({kDeadly, 1, kStart}).has_value());
+  cr_assert(!ledger.Note({kDeadly, 2, kStart + seconds(1)}).has_value());
+  const std::optional<Verdict> verdict = ledger.Note({kDeadly, 3, kStart + seconds(2)});
   cr_assert(verdict.has_value());
   cr_assert(verdict->request == kDeadly);
   cr_assert((verdict->backends == std::vector<BackendKey>{1, 2, 3}));
@@ -32,22 +32,35 @@
 
 Test(strike_ledger, a_strike_that_is_told_again_counts_once) {
   StrikeLedger ledger;
-  for (int i = 0; i < 10; ++i) cr_assert(!ledger.Note({kDeadly, 1}, kStart).has_value());
+  for (int i = 0; i < 10; ++i) cr_assert(!ledger.Note({kDeadly, 1, kStart}).has_value());
   cr_assert(ledger.StrikesOf(kDeadly) == 1);
 }
 
 Test(strike_ledger, a_fourth_strike_makes_a_verdict_again) {
   StrikeLedger ledger;
   for (BackendKey backend = 1; backend <= 3; ++backend)
-    (void)ledger.Note({kDeadly, backend}, kStart);
-  cr_assert(!ledger.Note({kDeadly, 3}, kStart).has_value());
-  cr_assert(ledger.Note({kDeadly, 4}, kStart + seconds(601)).has_value());
+    (void)ledger.Note({kDeadly, backend, kStart});
+  cr_assert(!ledger.Note({kDeadly, 3, kStart}).has_value());
+  cr_assert(ledger.Note({kDeadly, 4, kStart + seconds(601)}).has_value());
+}
+
+// A poll that everybody sends was at four engines that ended by themselves within a millisecond.
+Test(strike_ledger, a_verdict_tells_whether_all_ended_at_one_moment) {
+  StrikeLedger ledger;
+  for (BackendKey backend = 1; backend <= 3; ++backend) {
+    (void)ledger.Note({kInnocent, backend, kStart + milliseconds(backend)});
+  }
+  cr_assert(ledger.VerdictOn(kInnocent)->is_of_one_moment);
+  // Told later, as one that was seen by its entry's end.
+  const std::optional<Verdict> verdict = ledger.Note({kInnocent, 4, kStart - milliseconds(60)});
+  cr_assert(!verdict->is_of_one_moment);
+  cr_assert(verdict->first_strike == kStart - milliseconds(60));
 }
 
 Test(strike_ledger, old_strikes_are_forgotten) {
   StrikeLedger ledger;
-  (void)ledger.Note({kDeadly, 1}, kStart);
-  (void)ledger.Note({kDeadly, 2}, kStart);
+  (void)ledger.Note({kDeadly, 1, kStart});
+  (void)ledger.Note({kDeadly, 2, kStart});
   ledger.Expire(kStart + seconds(1199));
   cr_assert(ledger.StrikesOf(kDeadly) == 2);
   ledger.Expire(kStart + seconds(1201));
@@ -59,33 +72,33 @@
 Test(strike_ledger, what_a_quarantined_request_ended_is_held_against_no_other) {
   StrikeLedger ledger;
   ledger.Explain({1, 2, 3}, kDeadly, kStart);
-  for (const BackendKey backend : {1U, 2U}) (void)ledger.Note({kInnocent, backend}, kStart);
-  cr_assert(!ledger.Note({kInnocent, 4}, kStart).has_value());
+  for (const BackendKey backend : {1U, 2U}) (void)ledger.Note({kInnocent, backend, kStart});
+  cr_assert(!ledger.Note({kInnocent, 4, kStart}).has_value());
   // Back ends that ended for another reason still count.
-  cr_assert(ledger.Note({kInnocent, 5}, kStart).has_value());
+  cr_assert(ledger.Note({kInnocent, 5, kStart}).has_value());
 }
 
 // The one that is told first would hide the other, and end engine after engine.
 Test(strike_ledger, two_requests_with_the_same_strikes_are_both_quarantined) {
   StrikeLedger ledger;
-  for (const BackendKey backend : {1U, 2U}) (void)ledger.Note({kDeadly, backend}, kStart);
+  for (const BackendKey backend : {1U, 2U}) (void)ledger.Note({kDeadly, backend, kStart});
   ledger.Explain({1, 2, 3}, kInnocent, kStart);
-  cr_assert(ledger.Note({kDeadly, 3}, kStart).has_value());
+  cr_assert(ledger.Note({kDeadly, 3, kStart}).has_value());
 }
 
 Test(strike_ledger, an_innocent_request_is_cleared) {
   StrikeLedger ledger;
-  (void)ledger.Note({kInnocent, 1}, kStart);
-  (void)ledger.Note({kInnocent, 2}, kStart);
+  (void)ledger.Note({kInnocent, 1, kStart});
+  (void)ledger.Note({kInnocent, 2, kStart});
   ledger.Clear(kInnocent);
-  cr_assert(!ledger.Note({kInnocent, 3}, kStart).has_value());
+  cr_assert(!ledger.Note({kInnocent, 3, kStart}).has_value());
 }
 
 Test(strike_ledger, its_size_is_bounded) {
   StrikeLedger ledger;
-  (void)ledger.Note({kDeadly, 1}, kStart);
+  (void)ledger.Note({kDeadly, 1, kStart});
   for (RequestFingerprint request = 0; request < 50000; ++request) {
-    (void)ledger.Note({(request << 20) + 1, 7}, kStart + milliseconds(1 + request));
+    (void)ledger.Note({(request << 20) + 1, 7, kStart + milliseconds(1 + request)});
   }
   cr_assert(ledger.Size() <= 10000, "%zu", ledger.Size());
 }
@@ -123,7 +136,7 @@
     }
     std::shuffle(there.begin(), there.end(), random);
     for (const RequestFingerprint request : there) {
-      const std::optional<Verdict> verdict = ledger.Note({request, ended}, kStart);
+      const std::optional<Verdict> verdict = ledger.Note({request, ended, kStart});
       if (!verdict.has_value()) continue;
       ledger.Explain(verdict->backends, request, kStart);
       at_large.erase(request);
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -132,10 +132,6 @@
   for (unsigned i = 0; i < windows.size(); ++i) windows.set(i, receipt.windows[i]);
 }
 
-void Encode(const StrikeReport& report, wire::Datagram::Builder root) {
-  EncodeStrikes(report, root);
-}
-
 void Encode(const QuarantineNotice& notice, wire::Datagram::Builder root) {
   EncodeQuarantine(notice, root.initQuarantine());
 }
@@ -272,7 +268,7 @@
     case wire::Datagram::USAGE_RECEIPT:
       return DecodeReceipt(root.getUsageReceipt());
     case wire::Datagram::STRIKES:
-      return DecodeStrikes(root.getStrikes());
+      return DecodeStrikes(root.getStrikes(), now);
     case wire::Datagram::QUARANTINE:
       return DecodeQuarantine(root.getQuarantine());
   }
@@ -285,8 +281,11 @@
   capnp::MallocMessageBuilder message;
   const auto root = message.initRoot<wire::Datagram>();
   const auto encode = [&root, now](const auto& content) {
-    if constexpr (std::is_same_v<std::decay_t<decltype(content)>, StoreUpdate>) {
+    using Content = std::decay_t<decltype(content)>;
+    if constexpr (std::is_same_v<Content, StoreUpdate>) {
       EncodeUpdate(content, now, root);
+    } else if constexpr (std::is_same_v<Content, StrikeReport>) {
+      EncodeStrikes(content, now, root);
     } else {
       Encode(content, root);
     }
--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -99,6 +99,9 @@
        }});
   context_.quarantine.SetTransport(
       {[this](const std::string& host, const StrikeReport& report) { (void)Send(host, report); },
+       [this](const std::string& host, const QuarantineNotice& notice) {
+         (void)Send(host, notice);
+       },
        [this](const QuarantineNotice& notice) {
          const std::vector<LivePeer> live = peers_.LivePeers();
          SpreadQuarantine(notice, BranchesByZone(live, context_.options.zone, random_));
@@ -168,7 +171,7 @@
     context_.usage.OnReceipt(host, *receipt);
   }
   if (const auto* report = std::get_if<StrikeReport>(&*datagram)) {
-    context_.quarantine.OnStrikes(*report, now);
+    context_.quarantine.OnStrikes(*report);
   }
   if (const auto* notice = std::get_if<QuarantineNotice>(&*datagram)) OnQuarantine(*notice, now);
 }
--- a/libs/relay/src/quarantine/quarantine_codec.cc
+++ b/libs/relay/src/quarantine/quarantine_codec.cc
@@ -5,18 +5,20 @@
 
 namespace cartsail {
 
-void EncodeStrikes(const StrikeReport& report, wire::Datagram::Builder root) {
+void EncodeStrikes(const StrikeReport& report, TimePoint now, wire::Datagram::Builder root) {
   auto strikes = root.initStrikes(static_cast<unsigned>(report.strikes.size()));
   for (unsigned i = 0; i < strikes.size(); ++i) {
     strikes[i].setRequest(report.strikes[i].request);
     strikes[i].setBackend(report.strikes[i].backend);
+    strikes[i].setAgeMs(BoundedTo<uint32_t>(ToMillis(now - report.strikes[i].when)));
   }
 }
 
-StrikeReport DecodeStrikes(capnp::List<wire::Strike>::Reader strikes) {
+StrikeReport DecodeStrikes(capnp::List<wire::Strike>::Reader strikes, TimePoint now) {
   StrikeReport report;
   for (const auto strike : strikes) {
-    report.strikes.push_back({strike.getRequest(), strike.getBackend()});
+    const TimePoint when = now - milliseconds(strike.getAgeMs());
+    report.strikes.push_back({strike.getRequest(), strike.getBackend(), when});
   }
   return report;
 }
--- a/libs/relay/src/quarantine/quarantine_codec.h
+++ b/libs/relay/src/quarantine/quarantine_codec.h
@@ -6,8 +6,9 @@
 
 namespace cartsail {
 
-void EncodeStrikes(const StrikeReport& report, wire::Datagram::Builder root);
-StrikeReport DecodeStrikes(capnp::List<wire::Strike>::Reader strikes);
+// Times are sent as ages at `now`.
+void EncodeStrikes(const StrikeReport& report, TimePoint now, wire::Datagram::Builder root);
+StrikeReport DecodeStrikes(capnp::List<wire::Strike>::Reader strikes, TimePoint now);
 
 void EncodeQuarantine(const QuarantineNotice& notice, wire::QuarantineNotice::Builder message);
 QuarantineNotice DecodeQuarantine(wire::QuarantineNotice::Reader message);
--- a/libs/relay/src/quarantine/quarantine_message.h
+++ b/libs/relay/src/quarantine/quarantine_message.h
@@ -15,7 +15,8 @@
   std::vector<Strike> strikes;
 };
 
-// To all nodes: a request is kept from back ends, or is innocent.
+// To all nodes: a request is kept from back ends, or is innocent. With nothing left of the time for
+// which it is kept it is only suspected: a node at which it ran to the end tells so.
 struct QuarantineNotice {
   RequestFingerprint request = 0;
   bool is_lifted = false;
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -36,6 +36,10 @@
 constexpr std::array<Duration, 7> kOpenChecks = {
     milliseconds(5),  milliseconds(10),  milliseconds(20), milliseconds(40),
     milliseconds(80), milliseconds(160), milliseconds(320)};
+// Between ends at one moment and the verdict. Runs of others show in that time that a popular request
+// is innocent; without it a poll that was in flight at all of them was refused everywhere, in 4 of
+// 4 runs, 600 s long.
+constexpr Duration kSuspicionTime = milliseconds(500);
 // Back ends that take connections and close them unused are not worth more.
 constexpr int kMostProbeConnections = 3;
 // A request that a back end has run to the end at this node within that time is not held
@@ -43,6 +47,13 @@
 // back end ends.
 constexpr Duration kAlibiTime = seconds(10);
 
+QuarantineNotice LiftedNotice(RequestFingerprint request) {
+  QuarantineNotice notice;
+  notice.request = request;
+  notice.is_lifted = true;
+  return notice;
+}
+
 }  // namespace
 
 QuarantineService::QuarantineService(asio::io_context& io, std::string host,
@@ -89,7 +100,7 @@
 void QuarantineService::NoteBroken(RequestFingerprint request, const Backend& backend,
                                    TimePoint now) {
   if (!IsReady(backend.key)) return;
-  Report(ends_.NoteBroken({request, backend.key}, now), now);
+  Report(ends_.NoteBroken({request, backend.key, now}), now);
   if (ends_.TakeProbe(backend.key, now)) asio::co_spawn(io_, Probe(backend), asio::detached);
 }
 
@@ -144,7 +155,7 @@
        {"strikes", std::to_string(held.size())},
        {"first", FingerprintText(strikes.front().request)}});
   // Also here: a node that reaches no other one keeps its own count.
-  for (const Strike& strike : held) Count(strike, now);
+  for (const Strike& strike : held) Count(strike);
   if (transport_.send && !held.empty()) {
     asio::co_spawn(io_, TellStrikes(std::move(held)), asio::detached);
   }
@@ -169,13 +180,41 @@
   }
 }
 
-void QuarantineService::OnStrikes(const StrikeReport& report, TimePoint now) {
-  for (const Strike& strike : report.strikes) Count(strike, now);
+void QuarantineService::OnStrikes(const StrikeReport& report) {
+  for (const Strike& strike : report.strikes) Count(strike);
+}
+
+void QuarantineService::Count(const Strike& strike) {
+  const std::optional<Verdict> verdict = ledger_.Note(strike);
+  if (!verdict.has_value()) return;
+  if (verdict->is_of_one_moment) {
+    Suspect(*verdict, Now());
+  } else {
+    Decide(*verdict, Now());
+  }
+}
+
+// All that was in flight at these back ends has the same strikes; one that runs elsewhere meanwhile
+// is innocent. An end at another moment decides at once.
+void QuarantineService::Suspect(const Verdict& verdict, TimePoint now) {
+  if (!suspected_.insert(verdict.request).second) return;
+  if (runs_.RanSince(verdict.request, verdict.first_strike)) {
+    suspected_.erase(verdict.request);
+    return LiftEverywhere(verdict.request, "ran_before", now);
+  }
+  QuarantineNotice question;
+  question.request = verdict.request;
+  question.first_strike_age = now - verdict.first_strike;
+  if (transport_.spread) asio::co_spawn(io_, TellAll(question), asio::detached);
+  asio::co_spawn(io_, DecideLater(verdict.request), asio::detached);
 }
 
-void QuarantineService::Count(const Strike& strike, TimePoint now) {
-  const std::optional<Verdict> verdict = ledger_.Note(strike, now);
-  if (verdict.has_value()) Decide(*verdict, now);
+asio::awaitable<void> QuarantineService::DecideLater(RequestFingerprint request) {
+  co_await Pause(kSuspicionTime);
+  suspected_.erase(request);
+  const std::optional<Verdict> verdict = ledger_.VerdictOn(request);
+  if (!verdict.has_value() || list_.LeftFor(request, Now()).has_value()) co_return;
+  Decide(*verdict, Now());
 }
 
 void QuarantineService::Decide(const Verdict& verdict, TimePoint now) {
@@ -226,10 +265,7 @@
 }
 
 void QuarantineService::TellLifted(RequestFingerprint request) {
-  QuarantineNotice notice;
-  notice.request = request;
-  notice.is_lifted = true;
-  if (transport_.spread) asio::co_spawn(io_, TellAll(notice), asio::detached);
+  if (transport_.spread) asio::co_spawn(io_, TellAll(LiftedNotice(request)), asio::detached);
 }
 
 asio::awaitable<void> QuarantineService::TellAll(QuarantineNotice notice) {
@@ -249,12 +285,24 @@
 
 void QuarantineService::OnNotice(const QuarantineNotice& notice, TimePoint now) {
   if (notice.is_lifted) return Lift(notice.request, "peer", now);
+  const bool is_innocent = runs_.RanSince(notice.request, now - notice.first_strike_age);
+  if (notice.left <= Duration(0)) {
+    if (is_innocent) TellCounters(notice.request);
+    return;
+  }
   ledger_.Explain(notice.backends, notice.request, now);
   Quarantine({notice.request, now + notice.left}, "peer", now);
-  const bool is_innocent = runs_.RanSince(notice.request, now - notice.first_strike_age);
   if (is_innocent) LiftEverywhere(notice.request, "ran_before", now);
 }
 
+// Of a request that is only suspected no other node has to know that it ran.
+void QuarantineService::TellCounters(RequestFingerprint request) {
+  if (!transport_.tell) return;
+  for (const std::string& host : CountersOf(request)) {
+    if (host != host_) transport_.tell(host, LiftedNotice(request));
+  }
+}
+
 void QuarantineService::NoteRecorded(RequestFingerprint request, TimePoint now) {
   Quarantine({request, now + kQuarantineTime}, "store", now);
 }
--- a/libs/relay/src/quarantine/quarantine_service.h
+++ b/libs/relay/src/quarantine/quarantine_service.h
@@ -2,7 +2,7 @@
 // and whichever node they come to. The node that had a request at a back end that ended tells a few
 // nodes, chosen by the request; each of them counts by itself, and the first that has counted
 // enough tells all nodes and has it recorded in the store, for nodes that start or come back later.
-// Any node at which a back end has run the request to the end since lifts that again. One thread.
+// Where all back ends ended at one moment, nodes are asked first whether it ran to the end. Any node at which a back end has run the request to the end since lifts that again. One thread.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cartsail/dispatch/dispatcher.h"
@@ -31,6 +32,7 @@
   // How messages reach other nodes.
   struct Transport {
     std::function<void(const std::string& host, const StrikeReport& report)> send;
+    std::function<void(const std::string& host, const QuarantineNotice& notice)> tell;
     // To all live nodes.
     std::function<void(const QuarantineNotice& notice)> spread;
   };
@@ -77,7 +79,7 @@
   // The back end has answered a request that was sent at `sent`.
   void NoteAnswered(BackendKey backend, TimePoint sent) { ends_.NoteAnswered(backend, sent); }
 
-  void OnStrikes(const StrikeReport& report, TimePoint now);
+  void OnStrikes(const StrikeReport& report);
   void OnNotice(const QuarantineNotice& notice, TimePoint now);
 
   // The store has a record, or no longer.
@@ -99,12 +101,15 @@
   boost::asio::awaitable<void> TellAll(QuarantineNotice notice);
   boost::asio::awaitable<void> Pause(Duration duration);
   void Report(const std::vector<Strike>& strikes, TimePoint now);
-  void Count(const Strike& strike, TimePoint now);
+  void Count(const Strike& strike);
+  void Suspect(const Verdict& verdict, TimePoint now);
+  boost::asio::awaitable<void> DecideLater(RequestFingerprint request);
   void Decide(const Verdict& verdict, TimePoint now);
   void Quarantine(const QuarantinedRequest& quarantined, std::string_view source, TimePoint now);
   void Lift(RequestFingerprint request, std::string_view why, TimePoint now);
   void LiftEverywhere(RequestFingerprint request, std::string_view why, TimePoint now);
   void TellLifted(RequestFingerprint request);
+  void TellCounters(RequestFingerprint request);
   std::vector<std::string> CountersOf(RequestFingerprint request) const;
   bool IsReady(BackendKey backend) const;
 
@@ -120,6 +125,7 @@
   RecentRuns runs_;
   StrikeLedger ledger_;
   QuarantineList list_;
+  std::unordered_set<RequestFingerprint> suspected_;  // DecideLater() runs
   std::unordered_map<RequestFingerprint, std::map<WatchId, std::function<void()>>> watches_;
   WatchId next_watch_ = 1;
 };
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -168,6 +168,8 @@
 struct Strike {
   request @0 :UInt64;
   backend @1 :UInt32;
+  # Milliseconds since the connection to it broke; earlier builds do not tell it.
+  ageMs @2 :UInt32;
 }
 
 # A request that is kept from back ends, or no longer.
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -1815,6 +1815,8 @@
 
   inline  ::uint32_t getBackend() const;
 
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1849,6 +1851,9 @@
   inline  ::uint32_t getBackend();
   inline void setBackend( ::uint32_t value);
 
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4592,6 +4597,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Strike::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Strike::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t QuarantineEntry::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/relay/tests/quarantine_catalog_test.cc
+++ b/libs/relay/tests/quarantine_catalog_test.cc
@@ -118,8 +118,9 @@
   cr_assert(told->request == kDeadly && !told->is_lifted && told->left == seconds(590));
   cr_assert(told->first_strike_age == seconds(2));
   cr_assert(told->backends == notice.backends && told->targets == notice.targets);
-  const StrikeReport report{{{kDeadly, 7}, {1, 8}}};
-  const std::optional<Datagram> strikes = DecodeDatagram(EncodeDatagram(report));
+  const TimePoint now = Now();
+  const StrikeReport report{{{kDeadly, 7, now - milliseconds(40)}, {1, 8, now}}};
+  const std::optional<Datagram> strikes = DecodeDatagram(EncodeDatagram(report, now), now);
   cr_assert(std::get<StrikeReport>(*strikes).strikes == report.strikes);
 }
 
--- a/libs/relay/tests/quarantine_service_test.cc
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -59,6 +59,9 @@
                             for (const Strike& strike : report.strikes)
                               strikes.emplace_back(host, strike);
                           },
+                          [this](const std::string& host, const QuarantineNotice& notice) {
+                            told.emplace_back(host, notice);
+                          },
                           [this](const QuarantineNotice& notice) { notices.push_back(notice); }});
   }
 
@@ -82,6 +85,7 @@
   Dispatcher dispatcher;
   UpstreamPool pool;
   std::vector<std::pair<std::string, Strike>> strikes;  // by whom they were told to
+  std::vector<std::pair<std::string, QuarantineNotice>> told;  // to single nodes
   std::vector<QuarantineNotice> notices;
   QuarantineService service;
 };
@@ -112,13 +116,56 @@
 Test(quarantine_service, strikes_of_different_nodes_add_up) {
   Node node;
   for (const BackendKey backend : {1U, 2U, 2U}) {
-    node.service.OnStrikes({{{kRequest, backend}}}, Now());
+    node.service.OnStrikes({{{kRequest, backend, Now() - seconds(1)}}});
+  }
+  cr_assert(!node.IsKept());
+  node.service.OnStrikes({{{kRequest, 3, Now()}}});
+  cr_assert(node.IsKept());
+}
+
+// Three back ends end at one moment, each with a copy of the request.
+void EndAtOneMoment(Node& node) {
+  for (const BackendKey backend : {1U, 2U, 3U}) {
+    node.service.OnStrikes({{{kRequest, backend, Now()}}});
   }
+}
+
+Test(quarantine_service, of_ends_at_one_moment_nodes_are_asked_whether_it_ran) {
+  Node node;
+  EndAtOneMoment(node);
+  cr_assert(!node.IsKept());
+  node.RunFor(milliseconds(1));
+  cr_assert(node.notices.size() == 1 && node.notices[0].left == Duration(0));
+  node.service.OnNotice({kRequest, true, {}, {}, {}, {}}, Now());
+  node.RunFor(kTellingTime);
   cr_assert(!node.IsKept());
-  node.service.OnStrikes({{{kRequest, 3}}}, Now());
+}
+
+Test(quarantine_service, ends_at_one_moment_are_held_against_a_request_that_runs_nowhere) {
+  Node node;
+  EndAtOneMoment(node);
+  node.RunFor(kTellingTime);
+  cr_assert(node.IsKept());
+}
+
+Test(quarantine_service, an_end_at_another_moment_decides_at_once) {
+  Node node;
+  EndAtOneMoment(node);
+  node.service.OnStrikes({{{kRequest, 4, Now() + milliseconds(60)}}});
   cr_assert(node.IsKept());
 }
 
+Test(quarantine_service, a_node_at_which_a_suspected_request_ran_tells_those_that_count) {
+  Node node;
+  const QuarantineNotice question = {kRequest, false, {}, seconds(1), {}, {}};
+  node.service.OnNotice(question, Now());
+  cr_assert(node.told.empty() && !node.IsKept());
+  node.service.NoteRun(kRequest, Now());
+  node.service.OnNotice(question, Now());
+  cr_assert(node.told.size() >= 2);
+  for (const auto& [host, notice] : node.told) cr_assert(notice.is_lifted);
+}
+
 Test(quarantine_service, a_request_under_way_is_told_once) {
   Node node;
   int told = 0;
--- a/libs/relay/tests/support/wire_samples.cc
+++ b/libs/relay/tests/support/wire_samples.cc
@@ -158,7 +158,7 @@
           {"store_update", UpdateSample()},
           {"usage", UsageShares{5, {{360000000, true, 12, {{"one", 7}, {"two", 5}}}}}},
           {"usage_receipt", UsageReceipt{5, {360000000, 360000001}}},
-          {"strikes", StrikeReport{{{kRequest, 11}, {kRequest + 1, 12}}}},
+          {"strikes", StrikeReport{{{kRequest, 11, kSampleTime}, {kRequest + 1, 12, kSampleTime}}}},
           {"quarantined", QuarantineSample(false)},
           {"quarantine_lifted", QuarantineSample(true)}};
 }
