The work of a placement no longer grows with the back ends of its service

Cause: a coordinator weighed all 9,468 engines for each request, looked at each twice more for holders of the prompt, searching each part's holders one by one, and made its pool anew, sorted, every 10 ms; questions came back late or not at all (5,618 of 12,739 requests took over half of their goal to the first engine), and nodes that then placed by themselves all chose the same engine (402 times the mean). Change: of a service of more than 256 back ends those that hold the prompt (64 at most), those connected to the requester and 128 drawn evenly are weighed, equal ones in random order, another draw at each node; where none of these is left, all; holders are found by part and by back end; a large pool is kept for 25 us for each member. Services of up to 256 are weighed as before.

--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -53,6 +53,11 @@
  public:
   BackendRegistry() = default;
   explicit BackendRegistry(RegionMap regions) : regions_(std::move(regions)) {}
+  // A copy would point into the entries of the original.
+  BackendRegistry(const BackendRegistry&) = delete;
+  BackendRegistry& operator=(const BackendRegistry&) = delete;
+  BackendRegistry(BackendRegistry&&) = default;
+  BackendRegistry& operator=(BackendRegistry&&) = default;
 
   const RegionMap& Regions() const { return regions_; }
 
@@ -111,6 +116,12 @@
     return backend.state == BackendState::kReady && !drains_.IsDrained(backend.zone);
   }
 
+  // The one with this key where it is open, or nullptr.
+  const Backend* FindOpen(BackendKey key) const {
+    const Backend* backend = FindByKey(key);
+    return backend != nullptr && IsOpen(*backend) ? backend : nullptr;
+  }
+
   // This node may turn to it at all, be it with a probe or a question: it is known, neither leaves
   // nor is missing, and has not asked this node to back off.
   bool MayContact(BackendKey key, TimePoint now) const;
@@ -144,6 +155,7 @@
   bool IsService(const std::string& service) const;
   bool NoteChange(bool changed);
   void Identify(const Backend* known, Backend* backend);
+  void Keep(Backend backend);
   void NoteDeparture(const Backend& backend);
   std::optional<BackendKey> EarlierOf(const Backend* known, const Backend& backend);
 
@@ -152,7 +164,7 @@
   BackendNotices notices_;
   std::optional<std::set<std::string>> services_;
   std::map<std::string, Backend, std::less<>> backends_;
-  std::unordered_map<BackendKey, std::string> ids_;
+  std::unordered_map<BackendKey, Backend*> by_key_;  // into `backends_`
   // Incarnations that have told something and whose entry is gone, by id.
   std::map<std::string, BackendKey, std::less<>> departed_;
   int64_t changes_ = 0;
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -53,7 +54,9 @@
 
 class Dispatcher {
  public:
-  Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions = {});
+  // `seed`: of the draws from large pools; another one at each node, so that nodes that place by
+  // themselves do not meet at the same back ends.
+  Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions = {}, uint32_t seed = 1);
 
   BackendRegistry& Registry() { return registry_; }
   const BackendRegistry& Registry() const { return registry_; }
@@ -221,8 +224,12 @@
   };
 
   void RemoveMissing(TimePoint now);
-  PlacementView View(const RequestProfile& profile, const std::vector<BackendKey>& tried,
-                     TimePoint now, ColdRight right);
+  std::vector<PoolMember> SomeOf(const ServicePool& pool, const Requester& requester,
+                                 const RequestProfile& profile, TimePoint now);
+  PlacementView View(const Requester& requester, const RequestProfile& profile,
+                     const std::vector<BackendKey>& tried, TimePoint now, ColdRight right);
+  PlacementView ViewOf(const std::vector<PoolMember>& members, const RequestProfile& profile,
+                       const std::vector<BackendKey>& tried, TimePoint now, ColdRight right) const;
   Duration WaitForCold(const Backend& backend, const ServiceWarmUp& warm_up, TimePoint now,
                        ColdRight right) const;
   std::optional<ColdSpell> SpellOf(const Backend& backend, TimePoint now) const;
@@ -280,6 +287,7 @@
   PrefixDirectory prefixes_;
   ServiceWorkView work_;
   ServicePools pools_;
+  std::minstd_rand draws_;  // of members of large pools
   std::unordered_map<PlacementTicket, Running> running_;
   std::vector<PrefixPlacement> new_prefixes_;
   PlacementTicket next_ticket_ = 1;
--- a/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
+++ b/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cartsail/base/clock.h"
@@ -32,11 +34,13 @@
   // True when some back end holds the part.
   bool AnyHolds(uint64_t part, TimePoint now) const;
 
-  // The back end is gone, and so is what it held.
-  void Forget(BackendKey backend);
+  // Back ends that hold or read shared parts of the prompt, those of longer prefixes first; `most`
+  // at most. Looks at no more than `most` holders of each part.
+  std::vector<BackendKey> HoldersOf(const std::vector<PromptPart>& parts, size_t most,
+                                    TimePoint now) const;
 
-  // All back ends that hold something, each once.
-  std::vector<BackendKey> Backends() const;
+  // Back ends that are gone hold nothing any more.
+  void ForgetUnless(const std::function<bool(BackendKey)>& is_known);
 
   // Drops what has expired. To be called about once a second.
   void Expire(TimePoint now);
@@ -45,16 +49,20 @@
 
  private:
   struct Holder {
-    BackendKey backend;
     TimePoint last_use;
     bool read = false;
   };
 
+  using Holders = std::unordered_map<BackendKey, Holder>;
+
   // nullptr when it does not hold the part any more.
   const Holder* Find(uint64_t part, BackendKey backend, TimePoint now) const;
 
+  void Forget(BackendKey backend);
+
   Duration lifetime_;
-  std::unordered_map<uint64_t, std::vector<Holder>> holders_;
+  std::unordered_map<uint64_t, Holders> holders_;                           // by part
+  std::unordered_map<BackendKey, std::unordered_set<uint64_t>> parts_of_;  // those in `holders_`
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/src/backend_registry.cc
+++ b/libs/dispatch/src/backend_registry.cc
@@ -66,18 +66,16 @@
   if (missing_until.has_value()) KeepMissing(&backends, *missing_until);
   std::map<std::string, Backend, std::less<>> before = std::move(backends_);
   backends_.clear();
-  ids_.clear();
+  by_key_.clear();
   ++changes_;
   for (Backend& backend : backends) {
     const auto known = before.find(backend.id);
     if (known != before.end()) TakeOver(known->second, &backend);
     Identify(known == before.end() ? nullptr : &known->second, &backend);
-    ids_[backend.key] = backend.id;
     if (backend.missing_until.has_value()) {
       next_gone_ = std::min(next_gone_, *backend.missing_until);
     }
-    const std::string id = backend.id;
-    backends_[id] = std::move(backend);
+    Keep(std::move(backend));
   }
   for (const auto& [id, backend] : before) {
     if (!backends_.contains(id)) NoteDeparture(backend);
@@ -88,16 +86,20 @@
   const auto known = backends_.find(backend.id);
   if (known != backends_.end()) {
     TakeOver(known->second, &backend);
-    ids_.erase(known->second.key);
+    by_key_.erase(known->second.key);
   }
   Identify(known == backends_.end() ? nullptr : &known->second, &backend);
-  ids_[backend.key] = backend.id;
   if (backend.missing_until.has_value()) next_gone_ = std::min(next_gone_, *backend.missing_until);
-  const std::string id = backend.id;
-  backends_[id] = std::move(backend);
+  Keep(std::move(backend));
   ++changes_;
 }
 
+void BackendRegistry::Keep(Backend backend) {
+  Backend& kept = backends_[backend.id];
+  kept = std::move(backend);
+  by_key_[kept.key] = &kept;
+}
+
 bool BackendRegistry::RemoveMissing(TimePoint now) {
   if (now < next_gone_) return false;
   next_gone_ = TimePoint::max();
@@ -123,15 +125,15 @@
     return;
   }
   NoteDeparture(entry->second);
-  ids_.erase(entry->second.key);
+  by_key_.erase(entry->second.key);
   backends_.erase(entry);
   ++changes_;
 }
 
 bool BackendRegistry::MarkLeaving(BackendKey backend, const NoticeTime& told) {
   if (!notices_.NoteLeaving(backend, told)) return false;
-  const auto id = ids_.find(backend);
-  if (id != ids_.end()) backends_.find(id->second)->second.state = BackendState::kLeaving;
+  const auto known = by_key_.find(backend);
+  if (known != by_key_.end()) known->second->state = BackendState::kLeaving;
   ++changes_;
   return true;
 }
@@ -163,8 +165,8 @@
 }
 
 const Backend* BackendRegistry::FindByKey(BackendKey key) const {
-  const auto id = ids_.find(key);
-  return id == ids_.end() ? nullptr : Find(id->second);
+  const auto known = by_key_.find(key);
+  return known == by_key_.end() ? nullptr : known->second;
 }
 
 std::vector<Backend> BackendRegistry::All() const {
@@ -185,7 +187,8 @@
 }
 
 std::vector<const Backend*> BackendRegistry::NewestReadyOf(std::string_view service) const {
-  std::map<std::string_view, const Backend*> newest_at;
+  std::unordered_map<std::string_view, const Backend*> newest_at;
+  newest_at.reserve(backends_.size());
   for (const auto& [id, backend] : backends_) {
     if (!IsService(backend.service)) continue;
     const Backend*& newest = newest_at[backend.address];
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -11,14 +11,15 @@
 constexpr int64_t kLeastEventsForPause = 12;  // of a stream whose pace is measured
 }  // namespace
 
-Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions)
+Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions, uint32_t seed)
     : policy_(policy),
       zone_(std::move(zone)),
       registry_(std::move(regions)),
       run_times_(policy.stream_life),
       prefixes_(policy.prefix_lifetime),
       work_(kWorkWindow),
-      pools_(policy.partition) {}
+      pools_(policy.partition),
+      draws_(seed) {}
 
 std::optional<Placement> Dispatcher::Place(const RequestProfile& profile,
                                            const std::vector<BackendKey>& tried, TimePoint now,
@@ -101,9 +102,10 @@
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
   bool some_free = false;
-  for (const PoolMember& member : pools_.Of(profile.service, inputs, now)) {
-    if (!allowed.Allows(member.backend->region)) continue;
-    const std::optional<Duration> left = registry_.BackoffLeft(member.backend->key, now);
+  for (const PoolMember& member : pools_.Of(profile.service, inputs, now).Members()) {
+    const Backend* backend = registry_.FindOpen(member.key);
+    if (backend == nullptr || !allowed.Allows(backend->region)) continue;
+    const std::optional<Duration> left = registry_.BackoffLeft(member.key, now);
     some_free = some_free || !left.has_value();
     if (left.has_value()) backoffs.shortest = std::min(backoffs.shortest.value_or(*left), *left);
   }
@@ -114,9 +116,10 @@
 size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now) {
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
-  const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now);
-  const auto is_allowed = [&allowed](const PoolMember& member) {
-    return allowed.Allows(member.backend->region);
+  const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now).Members();
+  const auto is_allowed = [this, &allowed](const PoolMember& member) {
+    const Backend* backend = registry_.FindOpen(member.key);
+    return backend != nullptr && allowed.Allows(backend->region);
   };
   return static_cast<size_t>(std::count_if(members.begin(), members.end(), is_allowed));
 }
@@ -269,12 +272,10 @@
 }
 
 void Dispatcher::ForgetGone() {
-  for (const BackendKey backend : prefixes_.Backends()) {
-    if (registry_.FindByKey(backend) == nullptr) prefixes_.Forget(backend);
-  }
   const auto is_known = [this](BackendKey backend) {
     return registry_.FindByKey(backend) != nullptr;
   };
+  prefixes_.ForgetUnless(is_known);
   health_.ForgetUnless(is_known);
   pauses_.ForgetUnless(is_known);
   risk_.ForgetUnless(is_known);
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -1,5 +1,6 @@
 // How the dispatcher chooses the back end of one request: the one with the least expected loss.
 #include <algorithm>
+#include <random>
 
 #include "cartsail/dispatch/dispatcher.h"
 
@@ -7,11 +8,27 @@
 namespace {
 
 constexpr double kLikely = 0.5;  // chances above it
+// Of a large pool, for one request.
+constexpr size_t kMostHoldersWeighed = 64;
+constexpr size_t kMembersDrawn = 128;
 
 bool Contains(const std::vector<BackendKey>& keys, BackendKey key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
+// One place out of each of `draws` equal spans of `size`: light and heavy members, which stand in
+// this order, are drawn in proportion.
+std::vector<size_t> DrawEvenly(size_t size, size_t draws, std::minstd_rand* random) {
+  std::vector<size_t> places;
+  places.reserve(draws);
+  for (size_t i = 0; i < draws; ++i) {
+    const size_t begin = size * i / draws;
+    const size_t end = size * (i + 1) / draws;
+    if (begin < end) places.push_back(begin + (*random)() % (end - begin));
+  }
+  return places;
+}
+
 }  // namespace
 
 bool Dispatcher::IsSuspended(BackendKey backend, TimePoint now) const {
@@ -24,29 +41,68 @@
   return BreakChance(backend, 0, reading_ms, risk_.Bounds().front()) > kLikely;
 }
 
-Dispatcher::PlacementView Dispatcher::View(const RequestProfile& profile,
+// Engines that hold the prompt, those to which the requester is connected, and some drawn evenly
+// from the pool: the work of a placement does not grow with the pool.
+std::vector<PoolMember> Dispatcher::SomeOf(const ServicePool& pool, const Requester& requester,
+                                           const RequestProfile& profile, TimePoint now) {
+  std::vector<BackendKey> keys;
+  if (profile.is_generation && !IsOff(Mechanism::kPrefixAffinity)) {
+    keys = prefixes_.HoldersOf(profile.prompt_parts, kMostHoldersWeighed, now);
+  }
+  keys.insert(keys.end(), requester.connected.begin(), requester.connected.end());
+  for (const size_t place : DrawEvenly(pool.Size(), kMembersDrawn, &draws_)) {
+    keys.push_back(pool.Members()[place].key);
+  }
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+  // Of equal ones the first is chosen: not the same one by all nodes.
+  std::shuffle(keys.begin(), keys.end(), draws_);
+  std::vector<PoolMember> members;
+  for (const BackendKey key : keys) {
+    const PoolMember* member = pool.Find(key);
+    if (member != nullptr) members.push_back(*member);
+  }
+  return members;
+}
+
+Dispatcher::PlacementView Dispatcher::View(const Requester& requester,
+                                           const RequestProfile& profile,
                                            const std::vector<BackendKey>& tried, TimePoint now,
                                            ColdRight right) {
   loads_.ExpirePeers(now);
   RemoveMissing(now);
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
-  const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now);
+  const ServicePool& pool = pools_.Of(profile.service, inputs, now);
+  if (pool.Size() > kSmallPool) {
+    const std::vector<PoolMember> some = SomeOf(pool, requester, profile, now);
+    PlacementView view = ViewOf(some, profile, tried, now, right);
+    if (!view.candidates.empty()) return view;
+    // All of these were tried, or are cold: some of the others may not be.
+  }
+  return ViewOf(pool.Members(), profile, tried, now, right);
+}
+
+Dispatcher::PlacementView Dispatcher::ViewOf(const std::vector<PoolMember>& members,
+                                             const RequestProfile& profile,
+                                             const std::vector<BackendKey>& tried, TimePoint now,
+                                             ColdRight right) const {
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
   PlacementView view;
   std::vector<Candidate> suspended;
   const ServiceWarmUp* warm_up = cold_.RuleOf(profile.service);
   for (const PoolMember& member : members) {
-    const BackendKey key = member.backend->key;
-    if (!allowed.Allows(member.backend->region) || Contains(tried, key)) continue;
+    const Backend* backend = registry_.FindOpen(member.key);
+    if (backend == nullptr || !allowed.Allows(backend->region)) continue;
+    if (Contains(tried, member.key)) continue;
     if (warm_up != nullptr) {
-      const Duration wait = WaitForCold(*member.backend, *warm_up, now, right);
+      const Duration wait = WaitForCold(*backend, *warm_up, now, right);
       if (wait > Duration(0)) {
         view.cold_wait = std::min(view.cold_wait.value_or(wait), wait);
         continue;
       }
     }
-    const Candidate candidate{member.backend, member.for_light, 0};
-    (IsSuspended(key, now) ? suspended : view.candidates).push_back(candidate);
+    const Candidate candidate{backend, member.for_light, 0};
+    (IsSuspended(member.key, now) ? suspended : view.candidates).push_back(candidate);
   }
   if (view.candidates.empty()) view.candidates = std::move(suspended);
   if (!profile.is_generation) return view;
@@ -68,13 +124,14 @@
                              const RegionSet& allowed, TimePoint now, PlacementView* view) const {
   view->holders.resize(registry_.Regions().Count() + 1);
   for (const PoolMember& member : members) {
-    const BackendKey key = member.backend->key;
-    if (!allowed.Allows(member.backend->region) || IsSuspended(key, now)) continue;
-    const int64_t known = prefixes_.HeldTokens(profile.prompt_parts, key, now);
+    const Backend* backend = registry_.FindOpen(member.key);
+    if (backend == nullptr || !allowed.Allows(backend->region)) continue;
+    if (IsSuspended(member.key, now)) continue;
+    const int64_t known = prefixes_.HeldTokens(profile.prompt_parts, member.key, now);
     view->known_tokens = std::max(view->known_tokens, known);
-    const int64_t held = prefixes_.ReadTokens(profile.prompt_parts, key, now);
-    Holder& holder = view->holders[HolderSlot(*member.backend)];
-    if (held > holder.tokens) holder = {member.backend, held};
+    const int64_t held = prefixes_.ReadTokens(profile.prompt_parts, member.key, now);
+    Holder& holder = view->holders[HolderSlot(*backend)];
+    if (held > holder.tokens) holder = {backend, held};
   }
 }
 
@@ -89,7 +146,7 @@
                                             const RequestProfile& profile,
                                             const std::vector<BackendKey>& tried, TimePoint now,
                                             ColdRight right) {
-  PlacementView view = View(profile, tried, now, right);
+  PlacementView view = View(requester, profile, tried, now, right);
   if (view.candidates.empty()) return std::nullopt;
   view.requester = &requester;
 
--- a/libs/dispatch/src/dispatcher_cold.cc
+++ b/libs/dispatch/src/dispatcher_cold.cc
@@ -54,7 +54,7 @@
 std::optional<Duration> Dispatcher::ColdWait(const RequestProfile& profile,
                                              const std::vector<BackendKey>& tried, TimePoint now,
                                              ColdRight right) {
-  const PlacementView view = View(profile, tried, now, right);
+  const PlacementView view = View({"", zone_, {}}, profile, tried, now, right);
   return view.candidates.empty() ? view.cold_wait : std::nullopt;
 }
 
--- a/libs/dispatch/src/service_pools.cc
+++ b/libs/dispatch/src/service_pools.cc
@@ -7,81 +7,91 @@
 namespace cartsail {
 namespace {
 
-constexpr Duration kLongestKept = milliseconds(10);
+constexpr Duration kShortestKept = milliseconds(10);
+// A large pool is kept for so long for each member: 40,000 of them are looked at in a second,
+// however many there are.
+constexpr Duration kKeptPerMember = std::chrono::microseconds(25);
 // An engine whose events follow each other that much slower than the fastest one's is kept for
 // heavy requests.
 constexpr double kSlowEngineRatio = 1.15;
 
-// Where an engine stands in the order that all nodes agree on: the first ones serve light
-// requests.
-struct OrderedEngine {
-  const Backend* backend;
-  bool slow;
-  uint64_t hash;
-};
-
-std::vector<OrderedEngine> InShareOrder(const std::vector<const Backend*>& backends,
-                                        const PauseModel& pauses) {
-  const double slow_pause = pauses.FastestBase() * kSlowEngineRatio;
-  std::vector<OrderedEngine> ordered;
-  ordered.reserve(backends.size());
-  for (const Backend* backend : backends) {
-    const bool slow = pauses.BasePause(backend->key) > slow_pause;
-    ordered.push_back({backend, slow, Hash64(backend->id)});
-  }
-  std::sort(ordered.begin(), ordered.end(),
-            [](const OrderedEngine& left, const OrderedEngine& right) {
-              if (left.slow != right.slow) return right.slow;
-              return left.hash < right.hash;
-            });
-  return ordered;
+Duration KeptFor(size_t members) {
+  return std::max<Duration>(kShortestKept, static_cast<int64_t>(members) * kKeptPerMember);
 }
 
 }  // namespace
 
-const std::vector<PoolMember>& ServicePools::Of(const std::string& service, const Inputs& inputs,
-                                                TimePoint now) {
+const PoolMember* ServicePool::Find(BackendKey backend) const {
+  const auto place = places_.find(backend);
+  return place == places_.end() ? nullptr : &members_[place->second];
+}
+
+void ServicePool::Replace(std::vector<PoolMember> members) {
+  members_ = std::move(members);
+  places_.clear();
+  for (size_t i = 0; i < members_.size(); ++i) places_[members_[i].key] = i;
+}
+
+const ServicePool& ServicePools::Of(const std::string& service, const Inputs& inputs,
+                                    TimePoint now) {
   Pool& pool = pools_[service];
-  const bool changed = pool.registry_changes != inputs.registry.Changes();
-  if (changed || now - pool.made > kLongestKept) Refresh(service, inputs, now, &pool);
-  return pool.members;
+  const bool is_old = now - pool.made > KeptFor(pool.ordered.size());
+  const bool has_changed = pool.registry_changes != inputs.registry.Changes();
+  if (has_changed && (is_old || pool.ordered.size() <= kSmallPool)) {
+    List(service, inputs, &pool);
+    Divide(service, inputs, now, &pool);
+  } else if (is_old) {
+    Divide(service, inputs, now, &pool);
+  }
+  return pool.pool;
 }
 
-void ServicePools::Refresh(const std::string& service, const Inputs& inputs, TimePoint now,
-                           Pool* pool) const {
-  if (pool->registry_changes != inputs.registry.Changes()) {
-    pool->members.clear();
-    for (const Backend* backend : inputs.registry.ReadyOf(service)) {
-      pool->members.push_back({backend, false});
-    }
-    pool->registry_changes = inputs.registry.Changes();
+void ServicePools::List(const std::string& service, const Inputs& inputs, Pool* pool) {
+  pool->registry_changes = inputs.registry.Changes();
+  pool->ordered.clear();
+  for (const Backend* backend : inputs.registry.ReadyOf(service)) {
+    pool->ordered.push_back({backend->key, Hash64(backend->id), backend->slots});
   }
-  pool->made = now;
-  std::vector<const Backend*> backends;
-  backends.reserve(pool->members.size());
-  for (const PoolMember& member : pool->members) backends.push_back(member.backend);
+  std::sort(pool->ordered.begin(), pool->ordered.end(),
+            [](const OrderedBackend& left, const OrderedBackend& right) {
+              return left.hash < right.hash;
+            });
+}
 
+// The first ones serve light requests, slow ones last.
+void ServicePools::Divide(const std::string& service, const Inputs& inputs, TimePoint now,
+                          Pool* pool) {
+  pool->made = now;
+  looked_ += static_cast<int64_t>(pool->ordered.size());
+  const double slow_pause = inputs.pauses.FastestBase() * kSlowEngineRatio;
+  const auto is_slow = [&inputs, slow_pause](const OrderedBackend& backend) {
+    return inputs.pauses.BasePause(backend.key) > slow_pause;
+  };
   const auto light = static_cast<size_t>(LightCount(service, inputs, now, pool));
-  const std::vector<OrderedEngine> ordered = InShareOrder(backends, inputs.pauses);
-  pool->members.clear();
-  for (size_t i = 0; i < ordered.size(); ++i) {
-    pool->members.push_back({ordered[i].backend, i < light});
+  std::vector<PoolMember> members;
+  members.reserve(pool->ordered.size());
+  for (const bool wants_slow : {false, true}) {
+    for (const OrderedBackend& backend : pool->ordered) {
+      if (is_slow(backend) != wants_slow) continue;
+      members.push_back({backend.key, members.size() < light});
+    }
   }
+  pool->pool.Replace(std::move(members));
 }
 
 int64_t ServicePools::LightCount(const std::string& service, const Inputs& inputs, TimePoint now,
-                                 Pool* pool) const {
+                                 Pool* pool) {
   const ServiceWork rates = inputs.work.Total(service, now);
   EngineWork work;
   work.light_ms_per_s = rates.light_ms_per_s;
   work.heavy_ms_per_s = rates.heavy_ms_per_s;
-  for (const PoolMember& member : pool->members) {
-    const BackendLoad load = inputs.loads.Total(member.backend->key);
+  for (const OrderedBackend& backend : pool->ordered) {
+    const BackendLoad load = inputs.loads.Total(backend.key);
     work.light_requests += static_cast<double>(load.light_requests);
     work.heavy_requests += static_cast<double>(load.requests - load.light_requests);
-    work.slots = std::max(work.slots, static_cast<double>(member.backend->slots));
+    work.slots = std::max(work.slots, static_cast<double>(backend.slots));
   }
-  const auto total = static_cast<int64_t>(pool->members.size());
+  const auto total = static_cast<int64_t>(pool->ordered.size());
   return pool->light_target.Update(WantedLightEngines(policy_, work, total), total);
 }
 
