--- a/libs/relay/src/placement/cache_inventory.cc
+++ b/libs/relay/src/placement/cache_inventory.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -29,6 +30,9 @@
 constexpr Duration kAlone = seconds(1);
 // An engine holds its work up while it lists, so few nodes ask, and few engines at a time.
 constexpr int kMostAtOnce = 8;
+// Of one service, when this node becomes its coordinator: asking each of 10,000 engines would take
+// longer than what they hold is remembered, and cost as many probes and new connections.
+constexpr size_t kMostAsked = 256;
 constexpr Duration kTimeout = milliseconds(500);  // a list of some thousand parts over a slow link
 constexpr size_t kMostBytes = 4 << 20;
 constexpr int kOk = 200;
@@ -80,8 +84,11 @@
 }
 
 void CacheInventory::Enqueue(const std::string& service) {
-  for (const Backend* engine : context_.dispatcher.Registry().ReadyOf(service)) {
-    if (known_.insert(engine->key).second) waiting_.push_back(*engine);
+  std::vector<const Backend*> engines = context_.dispatcher.Registry().ReadyOf(service);
+  std::shuffle(engines.begin(), engines.end(), random_);
+  const size_t asked = std::min(engines.size(), kMostAsked);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    if (known_.insert(engines[i]->key).second && i < asked) waiting_.push_back(*engines[i]);
   }
   while (asking_ < kMostAtOnce && asking_ < static_cast<int>(waiting_.size())) {
     ++asking_;
--- a/libs/relay/src/placement/cache_inventory.h
+++ b/libs/relay/src/placement/cache_inventory.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 
@@ -44,6 +45,7 @@
   std::set<BackendKey> known_;  // asked, or new since this node became the coordinator
   std::deque<Backend> waiting_;
   int asking_ = 0;
+  std::minstd_rand random_{std::random_device{}()};
 };
 
 }  // namespace cartsail
--- a/libs/relay/tests/cache_inventory_test.cc
+++ b/libs/relay/tests/cache_inventory_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <thread>
 
+#include "cartsail/base/counters.h"
 #include "support/relay_fixture.h"
 #include "support/stub_backend.h"
 #include "testing/criterion.h"
@@ -80,6 +81,34 @@
   cr_assert(HeldAt(relay, "holder", 0xa1) == 0, "the other one told nothing");
 }
 
+// An engine holds its work up while it lists, and each question is a new connection: a coordinator
+// of a large service asks some of its engines.
+Test(cache_inventory, asks_no_more_engines_of_a_larger_service) {
+  constexpr int kEngines = 1000;
+  constexpr int64_t kMostAsked = 256;
+  testing::StubBackend engine([](const std::string&) { return Listing(R"({"parts":[]})"); });
+  testing::RelayFixture relay(NamesWithInventory());
+  relay.Document().services[0].engine = EngineProfile{};
+  // Nobody listens at most of the addresses: a question there is over at once.
+  for (int i = 0; i < kEngines; ++i) {
+    const std::string port = engine.Address().substr(engine.Address().find(':'));
+    relay.AddBackend("e" + std::to_string(i),
+                     "s", "127.0." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + port);
+  }
+  relay.Start();
+  const int64_t before = GlobalCounters().cache_inventories_failed_total.Get() +
+                         GlobalCounters().cache_inventories_total.Get();
+  const auto asked = [before] {
+    return GlobalCounters().cache_inventories_failed_total.Get() +
+           GlobalCounters().cache_inventories_total.Get() - before;
+  };
+  CacheInventory inventory(relay.Context());
+  relay.OnRelayThread([&] { inventory.Start(); });
+  cr_assert(WaitFor([&] { return asked() == kMostAsked; }), "%ld", asked());
+  std::this_thread::sleep_for(milliseconds(200));
+  cr_assert(asked() == kMostAsked, "%ld", asked());
+}
+
 // It wants nothing from this node, questions included; what it says in its answer to one binds
 // requests.
 Test(cache_inventory, asks_no_engine_that_backoffs_and_hears_which_does) {
