Callers that read slowly do not hold up back ends, and what is held for all of them is bounded

Cause: each piece of an answer was read when the caller had taken the one before, so that a back end's answer was left unread while its caller stalled (back ends cut such an answer after seconds), and nothing bounded what 4,100 connections hold together on machines of 88 MB. Change: an answer is read on, 256 KB of it at most, and its back end is free while the caller takes the rest; requests, bodies and answers count against two fifths of the process's memory; where that is not enough the answer left alone for longest is given up, with a line and a counter; where all callers read, a new request gets 503 before its body is read. The kernel holds 64 KB a caller.

--- a/libs/relay/include/cartsail/relay/relay_options.h
+++ b/libs/relay/include/cartsail/relay/relay_options.h
@@ -20,6 +20,7 @@
   std::string region;                               // of `zone`; empty: not told
   std::map<std::string, std::string> zone_regions;  // the region of each zone
   double capacity = 1;                              // share of a core that this node may use
+  int64_t memory_bytes = int64_t{256} << 20;        // that this process may use
   Endpoint listen;                                  // callers
   Endpoint ready;                                   // the balancer's readiness checks, and metrics
   Endpoint metrics;                                 // metrics; port 0: at `ready` only
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -5,8 +5,10 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 
+#include "cartsail/base/hash.h"
 #include "cartsail/dispatch/dispatcher.h"
 #include "cartsail/dispatch/retry_budget.h"
 #include "cartsail/relay/document_limits.h"
@@ -17,10 +19,19 @@
 #include "fleet/peer_table.h"
 #include "placement/placement_service.h"
 #include "quarantine/quarantine_service.h"
+#include "request/held_memory.h"
 #include "request/upstream_pool.h"
 
 namespace cartsail {
 
+// Of the process's memory, for requests and answers. The rest is for what the node knows of the
+// fleet, and for what the allocator leaves unused between large and small blocks.
+inline constexpr double kHeldShare = 0.4;
+
+inline int64_t HeldLimit(const RelayOptions& options) {
+  return static_cast<int64_t>(kHeldShare * static_cast<double>(options.memory_bytes));
+}
+
 struct RelayContext {
   RelayContext(boost::asio::io_context& io_context, const RelayOptions& relay_options,
                const WireFormat& wire_format)
@@ -31,9 +42,11 @@
             std::min(relay_options.document_deadline, relay_options.zone_drain_deadline))),
         format(wire_format),
         dispatcher(relay_options.placement, relay_options.zone,
-                   RegionMap(relay_options.zone_regions)),
+                   RegionMap(relay_options.zone_regions),
+                   static_cast<uint32_t>(Hash64(relay_options.node_id))),
         peers({relay_options.node_id, relay_options.zone, false, relay_options.capacity, {}},
               Now()),
+        held(std::make_shared<HeldMemory>(HeldLimit(relay_options))),
         pool(io_context.get_executor()),
         placement(io_context, dispatcher, peers, pool),
         quarantine(io_context, relay_options.peer.host, relay_options.connect_timeout, dispatcher,
@@ -54,6 +67,7 @@
   RoutingState routing;
   Dispatcher dispatcher;
   PeerTable peers;
+  std::shared_ptr<HeldMemory> held;
   UpstreamPool pool;
   PlacementService placement;
   QuarantineService quarantine;
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -135,6 +135,7 @@
     counters.ready.Set(IsReady() ? 1 : 0);
     counters.backends_known.Set(static_cast<int64_t>(context_.dispatcher.Registry().Size()));
     counters.requests_followed.Set(static_cast<int64_t>(context_.placement.Followed()));
+    counters.held_bytes.Set(context_.held->Total());
     counters.members_live.Set(static_cast<int64_t>(context_.peers.LiveCount()) + 1);
     counters.catalog_reader.Set(catalog_.IsReading(now) ? 1 : 0);
     counters.zones_drained.Set(DrainedZones());
--- a/libs/relay/src/request/caller_connection.cc
+++ b/libs/relay/src/request/caller_connection.cc
@@ -1,12 +1,10 @@
 #include "request/caller_connection.h"
 
-#include <fmt/format.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -24,6 +22,8 @@
 using asio::ip::tcp;
 
 constexpr size_t kReadBytes = 1 << 13;
+// Otherwise the kernel holds up to some megabytes for each caller that does not read.
+constexpr int kSendBufferBytes = 1 << 16;
 constexpr Duration kBodyTimeout = seconds(10);
 constexpr Duration kWriteTimeout = seconds(20);
 constexpr Duration kGentleCloseTime = milliseconds(500);
@@ -70,6 +70,7 @@
     : stream_(std::move(socket)), read_timer_(stream_.get_executor()), buffer_(1 << 20) {
   beast::error_code ignored;
   stream_.socket().set_option(tcp::no_delay(true), ignored);
+  stream_.socket().set_option(asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
 }
 
 asio::awaitable<bool> CallerConnection::AwaitFirstByte(Duration idle_timeout) {
@@ -85,7 +86,8 @@
   co_return !error;
 }
 
-asio::awaitable<ReadRequestResult> CallerConnection::ReadRequest(RequestLimits limits) {
+asio::awaitable<ReadRequestResult> CallerConnection::ReadRequest(
+    RequestLimits limits, const std::function<bool(int64_t body_bytes)>& has_room) {
   ReadRequestResult result;
   if (!co_await AwaitFirstByte(limits.idle_timeout)) co_return result;
   http::request_parser<http::string_body> parser;
@@ -98,6 +100,12 @@
                                    asio::redirect_error(asio::use_awaitable, error));
   StopReadTimer();
   if (error) co_return Ended(read_timed_out_ ? beast::error::timeout : error);
+  const uint64_t body_bytes = parser.chunked() ? limits.max_body_bytes
+                                               : parser.content_length().value_or(0);
+  if (!has_room(static_cast<int64_t>(body_bytes))) {
+    result.fault = ErrorKind::kOverloaded;
+    co_return result;
+  }
   if (EqualsIgnoreCase(std::string_view(parser.get()[http::field::expect]), "100-continue")) {
     if (!co_await Write(kContinue)) co_return result;
   }
@@ -127,23 +135,33 @@
 void CallerConnection::StopReadTimer() { read_timer_.cancel(); }
 
 asio::awaitable<bool> CallerConnection::Write(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const size_t taken = co_await WriteSome(bytes);
+    if (taken == 0) co_return false;
+    bytes.remove_prefix(taken);
+  }
+  co_return true;
+}
+
+asio::awaitable<size_t> CallerConnection::WriteSome(std::string_view bytes) {
   beast::error_code error;
   stream_.expires_after(kWriteTimeout);
-  co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()),
-                             asio::redirect_error(asio::use_awaitable, error));
+  const size_t taken =
+      co_await stream_.async_write_some(asio::buffer(bytes.data(), bytes.size()),
+                                        asio::redirect_error(asio::use_awaitable, error));
   if (error) gone_ = true;
-  co_return !error;
+  co_return error ? 0 : taken;
 }
 
-asio::awaitable<bool> CallerConnection::WriteChunk(std::string_view bytes, bool last) {
-  std::string framed;
-  framed.reserve(bytes.size() + 32);
-  if (!bytes.empty()) {
-    framed += fmt::format("{:x}\r\n", bytes.size());
-    framed.append(bytes).append("\r\n");
-  }
-  if (last) framed += "0\r\n\r\n";
-  co_return co_await Write(framed);
+std::optional<size_t> CallerConnection::WriteAtOnce(std::string_view bytes) {
+  beast::error_code error;
+  stream_.socket().non_blocking(true, error);
+  size_t taken = 0;
+  if (!error) taken = stream_.socket().write_some(asio::buffer(bytes.data(), bytes.size()), error);
+  if (!error) return taken;
+  if (error == asio::error::would_block || error == asio::error::try_again) return 0;
+  gone_ = true;
+  return std::nullopt;
 }
 
 void CallerConnection::WatchGone(std::function<void()> on_gone) {
--- a/libs/relay/src/request/caller_connection.h
+++ b/libs/relay/src/request/caller_connection.h
@@ -41,13 +41,19 @@
  public:
   explicit CallerConnection(boost::asio::ip::tcp::socket socket);
 
-  boost::asio::awaitable<ReadRequestResult> ReadRequest(RequestLimits limits);
+  // Asks `has_room` for the bytes of a request's body before it is read.
+  boost::asio::awaitable<ReadRequestResult> ReadRequest(
+      RequestLimits limits, const std::function<bool(int64_t body_bytes)>& has_room);
 
   // False when the caller has gone or takes nothing for long.
   boost::asio::awaitable<bool> Write(std::string_view bytes);
 
-  // Writes one chunk of a chunked body; `last` ends the body (and `bytes` may be empty).
-  boost::asio::awaitable<bool> WriteChunk(std::string_view bytes, bool last);
+  // Waits until the caller takes some bytes; returns how many, 0 when it has gone or takes nothing
+  // for long.
+  boost::asio::awaitable<size_t> WriteSome(std::string_view bytes);
+
+  // What the caller's connection takes without waiting, in bytes; nothing when the caller has gone.
+  std::optional<size_t> WriteAtOnce(std::string_view bytes);
 
   // Calls `on_gone` once when the caller closes before StopWatch().
   void WatchGone(std::function<void()> on_gone);
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -62,8 +62,12 @@
 }  // namespace
 
 Exchange::Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller,
-                   CallerRequest request)
-    : context_(context), caller_(std::move(caller)), request_(std::move(request)) {
+                   std::shared_ptr<HeldRequest> held, CallerRequest request)
+    : context_(context),
+      caller_(std::move(caller)),
+      held_(std::move(held)),
+      writer_(std::make_shared<AnswerWriter>(context.io, caller_, held_)),
+      request_(std::move(request)) {
   keep_alive_ = request_.keep_alive && !request_.http_1_0;
 }
 
@@ -115,6 +119,10 @@
     self->caller_gone_ = true;
     if (self->upstream_ != nullptr) self->upstream_->Close();
   });
+  held_->OnGiveUp([weak = weak_from_this()](int64_t bytes, Duration left_alone) {
+    const std::shared_ptr<Exchange> self = weak.lock();
+    if (self != nullptr) self->OnGiveUp(bytes, left_alone);
+  });
   const auto on_quarantined = [weak = weak_from_this()] {
     const std::shared_ptr<Exchange> self = weak.lock();
     if (self != nullptr) self->OnQuarantined();
@@ -157,6 +165,8 @@
     NoteEndOfAttempt(*placement, outcome);
     if (caller_gone_) break;
     if (outcome == AttemptOutcome::kAnswered) {
+      // The back end is free again while the caller takes the rest.
+      if (!co_await writer_->Finish()) co_return co_await FinishUnserved(AttemptOutcome::kCallerGone);
       LogAnswered();
       co_return keep_alive_;
     }
@@ -193,6 +203,20 @@
   upstream_->Close();
 }
 
+void Exchange::OnGiveUp(int64_t bytes, Duration left_alone) {
+  given_up_for_memory_ = true;
+  caller_gone_ = true;
+  GlobalCounters().answers_cut_for_memory_total.Add();
+  Log(LogLevel::kWarning, "answer_given_up",
+      {{"request", request_id_},
+       {"bytes", std::to_string(bytes)},
+       {"left_alone_ms", fmt::format("{:.0f}", ToMillis(left_alone))},
+       {"held", std::to_string(context_.held->Total())},
+       {"limit", std::to_string(context_.held->Limit())}});
+  caller_->Close();
+  if (upstream_ != nullptr) upstream_->Close();
+}
+
 void Exchange::NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome) {
   const TimePoint now = Now();
   if (outcome == AttemptOutcome::kCut) {
@@ -223,12 +247,13 @@
 
 asio::awaitable<bool> Exchange::FinishUnserved(AttemptOutcome last) {
   if (caller_gone_ || last == AttemptOutcome::kCallerGone) {
-    LogEnd(kCallerGoneResult, status_sent_);
+    LogEnd(given_up_for_memory_ ? kCutForMemoryResult : kCallerGoneResult, status_sent_);
     caller_->Close();
     co_return false;
   }
   if (head_sent_) {
     // Part of an answer was passed on: the caller must see that it is cut.
+    (void)co_await writer_->Finish();
     LogEnd(kCutResult, status_sent_);
     caller_->Close();
     co_return false;
@@ -376,7 +401,7 @@
   bytes_out_ += static_cast<int64_t>(body.size());
   head_sent_ = true;
   status_sent_ = status;
-  co_return co_await caller_->Write(text);
+  co_return co_await writer_->Write(text);
 }
 
 asio::awaitable<bool> Exchange::AnswerRefusal(ErrorKind kind, Duration retry_after) {
@@ -389,7 +414,8 @@
   const Outcome outcome = history_.may_have_run > 0 ? Outcome::kUnknown : Outcome::kNotRun;
   const std::string body = json::serialize(
       json::object{{"error", {{"kind", ErrorKindName(kind)}, {"outcome", OutcomeName(outcome)}}}});
-  const bool sent = co_await Answer(status, ReasonOf(status), std::move(headers), body);
+  bool sent = co_await Answer(status, ReasonOf(status), std::move(headers), body);
+  if (sent) sent = co_await writer_->Finish();
   LogEnd(sent ? ErrorKindName(kind) : kCallerGoneResult, status);
   co_return sent&& keep_alive_;
 }
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -11,8 +11,10 @@
 #include "cartsail/quarantine/request_fingerprint.h"
 #include "cartsail/relay/admission.h"
 #include "relay_context.h"
+#include "request/answer_writer.h"
 #include "request/caller_connection.h"
 #include "request/event_splitter.h"
+#include "request/held_memory.h"
 
 namespace cartsail {
 
@@ -21,6 +23,7 @@
 inline constexpr std::string_view kFailedAnswerResult = "failed_answer";
 inline constexpr std::string_view kCallerGoneResult = "caller_gone";
 inline constexpr std::string_view kCutResult = "cut";
+inline constexpr std::string_view kCutForMemoryResult = "cut_for_memory";
 
 // Statuses from here on tell a failure of the back end.
 inline constexpr int kLeastFailureStatus = 500;
@@ -34,7 +37,8 @@
 
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller, CallerRequest request);
+  Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller,
+           std::shared_ptr<HeldRequest> held, CallerRequest request);
 
   // True when the caller's connection may serve another request.
   boost::asio::awaitable<bool> Run();
@@ -82,6 +86,8 @@
   // Back ends end under this request: it may be sent to no further one.
   bool IsQuarantined() const;
   void OnQuarantined();
+  // The answer is given up, since its caller does not take it and others need the memory.
+  void OnGiveUp(int64_t bytes, Duration left_alone);
   void NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome);
   bool MayTakeRepeat(ServiceRetryBudget& budget);
   void CountEnd(std::string_view result, Duration took) const;
@@ -90,6 +96,8 @@
 
   RelayContext& context_;
   std::shared_ptr<CallerConnection> caller_;
+  std::shared_ptr<HeldRequest> held_;
+  std::shared_ptr<AnswerWriter> writer_;
   CallerRequest request_;
   RequestHead head_;
   AdmittedRequest admitted_;
@@ -114,6 +122,7 @@
   bool run_noted_ = false;  // it counts as usage
   int status_sent_ = 0;     // of the head that the caller was sent
   bool caller_gone_ = false;
+  bool given_up_for_memory_ = false;
   bool has_output_ = false;  // of the attempt under way
   bool given_up_ = false;    // the attempt under way, since the request was quarantined
   bool keep_alive_ = true;
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -110,11 +110,11 @@
   // Too large to hold: the rest is passed on as it comes.
   if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
   while (!body.empty()) {
-    if (!co_await caller_->WriteChunk(body, false)) co_return AttemptOutcome::kCallerGone;
+    if (!co_await writer_->Write(ChunkText(body, false))) co_return AttemptOutcome::kCallerGone;
     const UpstreamError error = co_await upstream_->ReadBody(&body, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
   }
-  if (!co_await caller_->WriteChunk({}, true)) co_return AttemptOutcome::kCallerGone;
+  if (!co_await writer_->Write(ChunkText({}, true))) co_return AttemptOutcome::kCallerGone;
   co_return AttemptOutcome::kAnswered;
 }
 
@@ -125,7 +125,7 @@
   if (!keep_alive_) headers.push_back({"Connection", "close"});
   head_sent_ = true;
   status_sent_ = head.status;
-  co_return co_await caller_->Write(ResponseHeadText(head.status, head.reason, headers));
+  co_return co_await writer_->Write(ResponseHeadText(head.status, head.reason, headers));
 }
 
 asio::awaitable<AttemptOutcome> Exchange::RelayStream(const Placement& placement,
@@ -152,7 +152,7 @@
     }
     if (!bytes.empty() || at_end) {
       bytes_out_ += static_cast<int64_t>(bytes.size());
-      if (!co_await caller_->WriteChunk(bytes, at_end)) co_return AttemptOutcome::kCallerGone;
+      if (!co_await writer_->Write(ChunkText(bytes, at_end))) co_return AttemptOutcome::kCallerGone;
     }
     if (resumable && !splitter.LastId().empty()) last_event_id_ = splitter.LastId();
     if (at_end) co_return AttemptOutcome::kAnswered;
--- a/libs/relay/src/request/relay_server.cc
+++ b/libs/relay/src/request/relay_server.cc
@@ -12,7 +12,9 @@
 #include "cartsail/base/log.h"
 #include "cartsail/base/timer.h"
 #include "request/exchange.h"
+#include "request/held_memory.h"
 #include "request/message_head.h"
+#include "request/retry_after.h"
 
 namespace cartsail {
 namespace {
@@ -21,6 +23,8 @@
 using asio::ip::tcp;
 
 constexpr int kBacklog = 1024;
+// Answers that were left alone are given up a second after: HeldMemory.
+constexpr Duration kRetryAfterNoRoom = seconds(1);
 constexpr Duration kAcceptPause = milliseconds(50);  // after a failure, such as no descriptors
 
 }  // namespace
@@ -68,12 +72,16 @@
   while (open) {
     const auto table = context_.routing.Table();
     const RequestLimits limits = table == nullptr ? RequestLimits() : table->Limits();
-    ReadRequestResult result = co_await caller->ReadRequest(limits);
+    const auto held = std::make_shared<HeldRequest>(context_.held);
+    const std::function<bool(int64_t)> has_room = [&held](int64_t body_bytes) {
+      return held->Reserve(body_bytes, Now());
+    };
+    ReadRequestResult result = co_await caller->ReadRequest(limits, has_room);
     if (!result.request.has_value()) {
       if (result.fault.has_value()) co_await AnswerFault(*caller, *result.fault);
       break;
     }
-    const auto exchange = std::make_shared<Exchange>(context_, caller, std::move(*result.request));
+    const auto exchange = std::make_shared<Exchange>(context_, caller, held, std::move(*result.request));
     open = co_await exchange->Run();
     // The answer may have begun before the node was to stop, and not have told so.
     if (context_.draining) open = false;
@@ -88,6 +96,10 @@
   Log(LogLevel::kWarning, "request_fault",
       {{"kind", std::string(ErrorKindName(fault))}, {"status", std::to_string(status)}});
   HttpHeaders headers{{"Content-Length", "0"}, {"Connection", "close"}};
+  if (fault == ErrorKind::kOverloaded) {
+    GlobalCounters().memory_refusals_total.Add();
+    headers.push_back({"Retry-After", RetryAfterText(kRetryAfterNoRoom)});
+  }
   if (co_await caller.Write(ResponseHeadText(status, "Refused", headers))) {
     co_await caller.CloseGently();
   }
--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -20,6 +20,7 @@
   RelayOptions options;
   options.node_id = "n1";
   options.zone = "z1";
+  options.memory_bytes = int64_t{8} << 20;
   options.listen = {"127.0.0.1", 0};
   return options;
 }
