Watches at the store last in proportion to the deadline of documents

Cause: readers made their watch anew after 1.4 to 2.4 s whatever the deadline, each time a call of the store; deadlines are 2 to 5 s.

--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -37,10 +37,6 @@
 namespace asio = boost::asio;
 
 constexpr Duration kHousekeeping = milliseconds(500);
-// A store that drops its history may leave a waiting watch in the dark, so watches are short. Nodes
-// wait for different times, so that one of them soon asks and tells the others.
-constexpr Duration kLeastWatchWait = milliseconds(1400);
-constexpr int64_t kWatchWaitSpreadMs = 1000;
 constexpr std::string_view kMetricsPath = "/metrics";
 // When a fleet starts as a whole, all nodes ask the few that have the catalog. Those that are
 // refused soon hear of others: a node's link of 10 Mbit/s carries six catalogs of 3,000 back ends
@@ -49,8 +45,10 @@
 constexpr Duration kDrainPoll = milliseconds(50);
 constexpr Duration kGraceMargin = milliseconds(400);  // before the process would be killed
 
-Duration WatchWait(const std::string& node_id) {
-  return kLeastWatchWait + milliseconds(Hash64(node_id) % kWatchWaitSpreadMs);
+Duration WatchWait(const DocumentLimits& limits, const std::string& node_id) {
+  const auto spread_ms = std::max<int64_t>(1, ToMillis(limits.watch_spread));
+  return limits.least_watch +
+         milliseconds(Hash64(node_id) % static_cast<uint64_t>(spread_ms));
 }
 
 class RelayNode {
@@ -59,7 +57,7 @@
       : deployment_(deployment),
         io_(1),
         context_(io_, options, *deployment.format),
-        store_(deployment.make_store(io_, WatchWait(options.node_id))),
+        store_(deployment.make_store(io_, WatchWait(context_.document_limits, options.node_id))),
         catalog_(context_, context_.peers, *store_, *deployment.codec, deployment.keys),
         recorder_(io_, *store_, deployment.keys.quarantine_prefix, context_.quarantine),
         exchange_(context_, catalog_),
