Few of the nodes that start together list the store

Cause: a node listed the store when it was among the first three of the nodes it had heard of, when it had heard of nobody after 80 ms, or after a second in any case. Of a thousand that start together each knows a few at first, so nearly all list 9,999 back ends in 50 pages, and the store's link is busy for longer than their callers wait: no request served for 18 s after all nodes of the fleet were killed (suspected cause; the pages read, 14,000 and more by the price of the calls, fit it). Change: seeds list at once; the others when they have heard of no further node for 0.2 s, three of the order, doubled each second up to 24; one that hears nobody after 0.3 to 1 s at a moment of its own.

--- a/libs/relay/src/catalog/catalog_reading.cc
+++ b/libs/relay/src/catalog/catalog_reading.cc
@@ -42,7 +42,10 @@
 
 }  // namespace
 
-void CatalogSync::Start() { asio::co_spawn(context_.io, Follow(), asio::detached); }
+void CatalogSync::Start() {
+  listing_share_ = RandomShare();
+  asio::co_spawn(context_.io, Follow(), asio::detached);
+}
 
 asio::awaitable<void> CatalogSync::Pause(Duration duration) {
   Timer timer(context_.io, duration);
@@ -83,16 +86,26 @@
   return kHearing + FromSeconds(ToSeconds(kHearingSpread) * RandomShare());
 }
 
-bool CatalogSync::MayListFirst(TimePoint now) const {
-  if (peers_.LiveCount() == 0 || now - started_ >= kLongestHearing) return true;
-  return peers_.ReadingRank(now) < kStoreReaders;
+bool CatalogSync::MayListFirst(TimePoint now) {
+  const size_t live = peers_.LiveCount();
+  if (live > most_live_) members_grew_ = now;
+  most_live_ = std::max(most_live_, live);
+  const std::vector<std::string>& seeds = context_.options.seeds;
+  StartingNode self;
+  self.is_seed =
+      std::find(seeds.begin(), seeds.end(), context_.options.peer.host) != seeds.end();
+  self.live_peers = live;
+  self.rank = peers_.ReadingRank(now);
+  self.since_growth = now - members_grew_;
+  self.since_start = now - started_;
+  self.share = listing_share_;
+  return MayListAtStart(self);
 }
 
 // Until a peer has handed over its catalog, or none has done so for long enough: then the node
 // lists the store as it was some seconds ago. It is not known to be the newest, so nothing is
-// refused on it for good; changes since then come from peers, or by a watch. Were all of 295 nodes
-// to wait for the first ones to find each other, their callers would wait 0.2 s longer; were they
-// to list the store as it is, that would cost ten times as much.
+// refused on it for good; changes since then come from peers, or by a watch. A list of the store as
+// it is would cost ten times as much.
 asio::awaitable<void> CatalogSync::GetFirstCatalog() {
   const TimePoint last = Now() + HearingTime();
   while (Now() < last && !context_.HasCatalog()) co_await Pause(kHearingCheck);
--- a/libs/relay/src/catalog/reading_duty.h
+++ b/libs/relay/src/catalog/reading_duty.h
@@ -60,9 +60,40 @@
 inline constexpr Duration kHearingAtFirstStart = milliseconds(900);
 inline constexpr Duration kHearing = milliseconds(40);
 inline constexpr Duration kHearingSpread = milliseconds(40);
-// A node that hears others waits longer, unless it is among the first of those it knows: the first
-// ones have a list of 3,000 back ends after 0.15 s and hand it on, while 300 nodes that list them
-// all at once keep the store busy for 2.5 s.
-inline constexpr Duration kLongestHearing = seconds(1);
+// A node that hears nobody lists at a moment of its own between these: of a thousand that start
+// together many hear nobody for some tenths of a second, since all ask the same seeds.
+inline constexpr Duration kShortestAlone = milliseconds(300);
+inline constexpr Duration kLongestAlone = seconds(1);
+// Between two steps in which more nodes may list, while nobody hands a catalog over.
+inline constexpr Duration kListingStep = seconds(1);
+// A node's place in the order tells something once it has heard of no further node for so long: of
+// a thousand that start together each knows a few at first, and is the first of these.
+inline constexpr Duration kMembersSettled = milliseconds(200);
+
+// What a node that has just started and has no catalog knows.
+struct StartingNode {
+  bool is_seed = false;       // others are told of it when they start, and ask it first
+  size_t live_peers = 0;      // that it has heard of
+  size_t rank = 0;            // among these and itself
+  Duration since_growth{};    // since it heard of a further one
+  Duration since_start{};
+  double share = 0;           // from 0 to 1, drawn by each node
+};
+
+// True when it may list the store, which costs a page for each 200 back ends. The seeds do at once,
+// and the others get the list from them; where there are none, the first ones of the order, more of
+// them with each step.
+inline bool MayListAtStart(const StartingNode& node) {
+  if (node.is_seed) return true;
+  if (node.live_peers == 0) {
+    const Duration spread = kLongestAlone - kShortestAlone;
+    return node.since_start >= kShortestAlone + FromSeconds(node.share * ToSeconds(spread));
+  }
+  if (node.since_growth < kMembersSettled) return false;
+  size_t listing = kStoreReaders;
+  const int64_t steps = node.since_start / kListingStep;
+  for (int64_t i = 0; i < steps && listing < kMostStoreReaders; ++i) listing *= 2;
+  return node.rank < std::min(listing, kMostStoreReaders);
+}
 
 }  // namespace cartsail
