--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -18,7 +18,7 @@
   X(requests_partial_total, counter, "Requests answered with outcome partial")                     \
   X(requests_in_flight, gauge, "Requests being handled now")                                       \
   X(requests_malformed_total, counter, "Requests refused as malformed or too large")               \
-  X(held_bytes, gauge, "Memory held for requests and answers that callers have not taken yet")      \
+  X(held_bytes, gauge, "Memory held for requests and answers that callers have not taken yet")     \
   X(answers_cut_for_memory_total, counter, "Answers given up since their callers left them alone") \
   X(memory_refusals_total, counter, "Requests refused before their body was read, for memory")     \
   X(callers_gone_total, counter, "Callers that disconnected before the end of their answer")       \
--- a/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
+++ b/libs/dispatch/include/cartsail/dispatch/prefix_directory.h
@@ -61,7 +61,7 @@
   void Forget(BackendKey backend);
 
   Duration lifetime_;
-  std::unordered_map<uint64_t, Holders> holders_;                           // by part
+  std::unordered_map<uint64_t, Holders> holders_;                          // by part
   std::unordered_map<BackendKey, std::unordered_set<uint64_t>> parts_of_;  // those in `holders_`
 };
 
--- a/libs/dispatch/src/prefix_directory.cc
+++ b/libs/dispatch/src/prefix_directory.cc
@@ -56,9 +56,9 @@
 bool PrefixDirectory::AnyHolds(uint64_t part, TimePoint now) const {
   const auto holders = holders_.find(part);
   if (holders == holders_.end()) return false;
-  return std::any_of(holders->second.begin(), holders->second.end(), [this, now](const auto& entry) {
-    return now - entry.second.last_use < lifetime_;
-  });
+  return std::any_of(
+      holders->second.begin(), holders->second.end(),
+      [this, now](const auto& entry) { return now - entry.second.last_use < lifetime_; });
 }
 
 std::vector<BackendKey> PrefixDirectory::HoldersOf(const std::vector<PromptPart>& parts,
--- a/libs/dispatch/tests/placement_at_size_test.cc
+++ b/libs/dispatch/tests/placement_at_size_test.cc
@@ -43,7 +43,7 @@
 
 struct Outcome {
   int64_t most_candidates = 0;
-  int held = 0;       // requests placed where their shared part was held
+  int held = 0;         // requests placed where their shared part was held
   int most_at_one = 0;  // running at once at one engine
 };
 
@@ -95,8 +95,8 @@
             of_few.most_at_one);
 }
 
-// Where no coordinator answers each node places by itself, and knows nothing of the others' requests.
-// All chose the same engine: one of 9,714 got 402 times as many requests as the mean.
+// Where no coordinator answers each node places by itself, and knows nothing of the others'
+// requests. All chose the same engine: one of 9,714 got 402 times as many requests as the mean.
 Test(placement_at_size, nodes_that_place_by_themselves_spread) {
   constexpr int kNodes = 100;
   std::map<BackendKey, int> at;
--- a/libs/quarantine/tests/backend_end_watch_test.cc
+++ b/libs/quarantine/tests/backend_end_watch_test.cc
@@ -39,7 +39,8 @@
   (void)watch.NoteBroken({1, kEngine, kStart});
   (void)watch.NoteBroken({2, kEngine, kStart + seconds(2)});
   watch.NoteAnswered(kEngine, kStart + seconds(1));
-  cr_assert(watch.NoteEnded(kEngine, kStart + seconds(3)) == (std::vector<Strike>{{2, kEngine, kStart + seconds(2)}}));
+  cr_assert(watch.NoteEnded(kEngine, kStart + seconds(3)) ==
+            (std::vector<Strike>{{2, kEngine, kStart + seconds(2)}}));
 }
 
 // Something went on there: a process that ends later has not ended under the request.
--- a/libs/relay/src/catalog/catalog_reading.cc
+++ b/libs/relay/src/catalog/catalog_reading.cc
@@ -92,8 +92,7 @@
   most_live_ = std::max(most_live_, live);
   const std::vector<std::string>& seeds = context_.options.seeds;
   StartingNode self;
-  self.is_seed =
-      std::find(seeds.begin(), seeds.end(), context_.options.peer.host) != seeds.end();
+  self.is_seed = std::find(seeds.begin(), seeds.end(), context_.options.peer.host) != seeds.end();
   self.live_peers = live;
   self.rank = peers_.ReadingRank(now);
   self.since_growth = now - members_grew_;
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -141,10 +141,10 @@
   std::function<void(StoreUpdate)> on_update_;
   TimePoint started_ = Now();
   TimePoint peers_heard_ = started_;
-  size_t most_live_ = 0;              // peers, at once, before the first catalog
+  size_t most_live_ = 0;               // peers, at once, before the first catalog
   TimePoint members_grew_ = started_;  // when a further one was heard of
-  double listing_share_ = 0;          // StartingNode::share
-  TimePoint reading_until_{};  // though others come first
+  double listing_share_ = 0;           // StartingNode::share
+  TimePoint reading_until_{};          // though others come first
   int64_t revision_ = 0;
   int64_t told_revision_ = 0;  // up to which all nodes were told of changes, by whatever reader
   bool telling_soon_ = false;
--- a/libs/relay/src/catalog/reading_duty.h
+++ b/libs/relay/src/catalog/reading_duty.h
@@ -72,12 +72,12 @@
 
 // What a node that has just started and has no catalog knows.
 struct StartingNode {
-  bool is_seed = false;       // others are told of it when they start, and ask it first
-  size_t live_peers = 0;      // that it has heard of
-  size_t rank = 0;            // among these and itself
-  Duration since_growth{};    // since it heard of a further one
+  bool is_seed = false;     // others are told of it when they start, and ask it first
+  size_t live_peers = 0;    // that it has heard of
+  size_t rank = 0;          // among these and itself
+  Duration since_growth{};  // since it heard of a further one
   Duration since_start{};
-  double share = 0;           // from 0 to 1, drawn by each node
+  double share = 0;  // from 0 to 1, drawn by each node
 };
 
 // True when it may list the store, which costs a page for each 200 back ends. The seeds do at once,
--- a/libs/relay/src/fleet/peer_gossip.cc
+++ b/libs/relay/src/fleet/peer_gossip.cc
@@ -36,7 +36,7 @@
 constexpr size_t kMostJoinsTold = 24;
 // A gap between ticks that means that this process did not run: answers may be waiting unread.
 constexpr Duration kPauseThreshold = milliseconds(400);
-constexpr int kQuickLoneCalls = 4;  // two of three seeds may be gone
+constexpr int kQuickLoneCalls = 4;                       // two of three seeds may be gone
 constexpr Duration kSilentInterval = milliseconds(500);  // between pings to hosts that are not live
 // A node learns the members that it doesn't know by syncs, more of them while there is much news.
 constexpr Duration kShortestSyncInterval = milliseconds(80);
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -36,9 +36,9 @@
 constexpr std::array<Duration, 7> kOpenChecks = {
     milliseconds(5),  milliseconds(10),  milliseconds(20), milliseconds(40),
     milliseconds(80), milliseconds(160), milliseconds(320)};
-// Between ends at one moment and the verdict. Runs of others show in that time that a popular request
-// is innocent; without it a poll that was in flight at all of them was refused everywhere, in 4 of
-// 4 runs, 600 s long.
+// Between ends at one moment and the verdict. Runs of others show in that time that a popular
+// request is innocent; without it a poll that was in flight at all of them was refused everywhere,
+// in 4 of 4 runs, 600 s long.
 constexpr Duration kSuspicionTime = milliseconds(500);
 // Back ends that take connections and close them unused are not worth more.
 constexpr int kMostProbeConnections = 3;
--- a/libs/relay/src/quarantine/quarantine_service.h
+++ b/libs/relay/src/quarantine/quarantine_service.h
@@ -2,7 +2,8 @@
 // and whichever node they come to. The node that had a request at a back end that ended tells a few
 // nodes, chosen by the request; each of them counts by itself, and the first that has counted
 // enough tells all nodes and has it recorded in the store, for nodes that start or come back later.
-// Where all back ends ended at one moment, nodes are asked first whether it ran to the end. Any node at which a back end has run the request to the end since lifts that again. One thread.
+// Where all back ends ended at one moment, nodes are asked first whether it ran to the end. Any
+// node at which a back end has run the request to the end since lifts that again. One thread.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -46,9 +46,9 @@
 constexpr Duration kGraceMargin = milliseconds(400);  // before the process would be killed
 
 Duration WatchWait(const DocumentLimits& limits, const std::string& node_id) {
-  const auto spread_ms = std::max<int64_t>(1, ToMillis(limits.watch_spread));
-  return limits.least_watch +
-         milliseconds(Hash64(node_id) % static_cast<uint64_t>(spread_ms));
+  const auto spread = std::chrono::duration_cast<milliseconds>(limits.watch_spread);
+  const int64_t spread_ms = std::max<int64_t>(1, spread.count());
+  return limits.least_watch + milliseconds(Hash64(node_id) % static_cast<uint64_t>(spread_ms));
 }
 
 class RelayNode {
--- a/libs/relay/src/request/answer_writer.cc
+++ b/libs/relay/src/request/answer_writer.cc
@@ -16,7 +16,7 @@
 
 // Of one answer. Streams of generated text are far smaller; a large body is read on when its caller
 // has taken some of this.
-constexpr size_t kMostWaitingBytes = 256 * 1024;
+constexpr size_t kMostWaitingBytes = size_t{256} << 10;
 
 }  // namespace
 
--- a/libs/relay/src/request/caller_connection.cc
+++ b/libs/relay/src/request/caller_connection.cc
@@ -100,8 +100,8 @@
                                    asio::redirect_error(asio::use_awaitable, error));
   StopReadTimer();
   if (error) co_return Ended(read_timed_out_ ? beast::error::timeout : error);
-  const uint64_t body_bytes = parser.chunked() ? limits.max_body_bytes
-                                               : parser.content_length().value_or(0);
+  const uint64_t body_bytes =
+      parser.chunked() ? limits.max_body_bytes : parser.content_length().value_or(0);
   if (!has_room(static_cast<int64_t>(body_bytes))) {
     result.fault = ErrorKind::kOverloaded;
     co_return result;
@@ -146,9 +146,8 @@
 asio::awaitable<size_t> CallerConnection::WriteSome(std::string_view bytes) {
   beast::error_code error;
   stream_.expires_after(kWriteTimeout);
-  const size_t taken =
-      co_await stream_.async_write_some(asio::buffer(bytes.data(), bytes.size()),
-                                        asio::redirect_error(asio::use_awaitable, error));
+  const size_t taken = co_await stream_.async_write_some(
+      asio::buffer(bytes.data(), bytes.size()), asio::redirect_error(asio::use_awaitable, error));
   if (error) gone_ = true;
   co_return error ? 0 : taken;
 }
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -166,7 +166,8 @@
     if (caller_gone_) break;
     if (outcome == AttemptOutcome::kAnswered) {
       // The back end is free again while the caller takes the rest.
-      if (!co_await writer_->Finish()) co_return co_await FinishUnserved(AttemptOutcome::kCallerGone);
+      if (!co_await writer_->Finish())
+        co_return co_await FinishUnserved(AttemptOutcome::kCallerGone);
       LogAnswered();
       co_return keep_alive_;
     }
--- a/libs/relay/src/request/held_memory.h
+++ b/libs/relay/src/request/held_memory.h
@@ -17,7 +17,7 @@
 
 // A request's own state beside its body and its answer: two connections with their buffers, the
 // coroutines.
-inline constexpr int64_t kRequestStateBytes = 40 * 1024;
+inline constexpr int64_t kRequestStateBytes = int64_t{40} << 10;
 
 class HeldMemory {
  public:
--- a/libs/relay/src/request/relay_server.cc
+++ b/libs/relay/src/request/relay_server.cc
@@ -81,7 +81,8 @@
       if (result.fault.has_value()) co_await AnswerFault(*caller, *result.fault);
       break;
     }
-    const auto exchange = std::make_shared<Exchange>(context_, caller, held, std::move(*result.request));
+    const auto exchange =
+        std::make_shared<Exchange>(context_, caller, held, std::move(*result.request));
     open = co_await exchange->Run();
     // The answer may have begun before the node was to stop, and not have told so.
     if (context_.draining) open = false;
--- a/libs/relay/tests/cache_inventory_test.cc
+++ b/libs/relay/tests/cache_inventory_test.cc
@@ -92,8 +92,8 @@
   // Nobody listens at most of the addresses: a question there is over at once.
   for (int i = 0; i < kEngines; ++i) {
     const std::string port = engine.Address().substr(engine.Address().find(':'));
-    relay.AddBackend("e" + std::to_string(i),
-                     "s", "127.0." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + port);
+    relay.AddBackend("e" + std::to_string(i), "s",
+                     "127.0." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + port);
   }
   relay.Start();
   const int64_t before = GlobalCounters().cache_inventories_failed_total.Get() +
--- a/libs/relay/tests/peer_gossip_test.cc
+++ b/libs/relay/tests/peer_gossip_test.cc
@@ -40,8 +40,8 @@
   }
 }
 
-// A thousand nodes that start together ask the same three seeds: 37,000 questions a second when each
-// asked all three every 80 ms.
+// A thousand nodes that start together ask the same three seeds: 37,000 questions a second when
+// each asked all three every 80 ms.
 Test(peer_gossip, a_node_that_hears_nobody_asks_less_and_less_often) {
   TimePoint now{seconds(1000)};
   PeerTable peers({"n1", "z1", false, 0.25, {}}, now);
--- a/libs/relay/tests/quarantine_service_test.cc
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -84,7 +84,7 @@
   PeerTable peers;
   Dispatcher dispatcher;
   UpstreamPool pool;
-  std::vector<std::pair<std::string, Strike>> strikes;  // by whom they were told to
+  std::vector<std::pair<std::string, Strike>> strikes;         // by whom they were told to
   std::vector<std::pair<std::string, QuarantineNotice>> told;  // to single nodes
   std::vector<QuarantineNotice> notices;
   QuarantineService service;
