--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -33,6 +33,7 @@
   int status = 0;           // 0: there was none
   std::string retry_after;  // as the back end wrote it
   bool leaving = false;
+  std::string rate_limit;  // as the back end wrote it
 };
 
 class Exchange : public std::enable_shared_from_this<Exchange> {
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -53,6 +53,7 @@
   answer_.status = head.status;
   answer_.retry_after = std::string(head.Header("Retry-After"));
   answer_.leaving = !head.Header(context_.format.Names().leaving).empty();
+  answer_.rate_limit = std::string(head.Header(context_.format.Names().rate_limit));
 }
 
 asio::awaitable<AttemptOutcome> Exchange::Converse(const Placement& placement) {
