Idle connections are kept in proportion to what a back end takes of all nodes

A bound kept by one node that should hold over all: a service tells how many connections its back ends take of all callers together, and each node kept up to 32 idle ones to each of them, so that 300 nodes could keep 9,600 where 310 are taken and the rest reset. The number was read from the document and used nowhere. Now three quarters of it are shared among the live nodes, one each at least; up to 9 nodes before engines that take 310 keep 25 to 32.

--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "cartsail/base/hash.h"
+#include "cartsail/dispatch/connection_share.h"
 #include "cartsail/dispatch/dispatcher.h"
 #include "cartsail/dispatch/retry_budget.h"
 #include "cartsail/relay/document_limits.h"
@@ -51,7 +52,9 @@
         placement(io_context, dispatcher, peers, pool),
         quarantine(io_context, relay_options.peer.host, relay_options.connect_timeout, dispatcher,
                    peers, pool),
-        usage(peers, relay_options.duties.usage, relay_options.duties.reports_usage) {}
+        usage(peers, relay_options.duties.usage, relay_options.duties.reports_usage) {
+    pool.SetMostIdle([this](BackendKey backend) { return MostIdleTo(backend); });
+  }
 
   // The node knows the routing document and some back ends.
   bool HasCatalog() const { return routing.Table() != nullptr && dispatcher.Registry().Size() > 0; }
@@ -60,6 +63,16 @@
     return budgets.try_emplace(service, options.retry_budget).first->second;
   }
 
+  // Idle connections that this node keeps to the back end.
+  size_t MostIdleTo(BackendKey backend) const {
+    const Backend* known = dispatcher.Registry().FindByKey(backend);
+    if (known == nullptr || routing.Table() == nullptr) return kMostIdleConnections;
+    const ServiceRule* service = routing.Table()->FindService(known->service);
+    if (service == nullptr) return kMostIdleConnections;
+    const auto nodes = static_cast<int64_t>(peers.LiveCount()) + 1;
+    return IdleConnectionsOfOneNode(service->max_connections, nodes);
+  }
+
   boost::asio::io_context& io;
   RelayOptions options;
   DocumentLimits document_limits;
--- a/libs/relay/src/request/upstream_pool.cc
+++ b/libs/relay/src/request/upstream_pool.cc
@@ -3,12 +3,6 @@
 #include <utility>
 
 namespace cartsail {
-namespace {
-
-constexpr size_t kMostIdle = 32;  // for one back end
-
-}  // namespace
-
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(BackendKey backend, TimePoint now) {
   const auto idle = idle_.find(backend);
   if (idle == idle_.end()) return nullptr;
@@ -27,7 +21,7 @@
 
 void UpstreamPool::Return(BackendKey backend, std::shared_ptr<UpstreamConnection> connection) {
   std::vector<std::shared_ptr<UpstreamConnection>>& idle = idle_[backend];
-  if (!connection->IsReusable() || idle.size() >= kMostIdle) {
+  if (!connection->IsReusable() || idle.size() >= most_idle_(backend)) {
     connection->Close();
     return;
   }
--- a/libs/relay/src/request/upstream_pool.h
+++ b/libs/relay/src/request/upstream_pool.h
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cartsail/dispatch/backend_registry.h"
+#include "cartsail/dispatch/connection_share.h"
 #include "request/upstream_connection.h"
 
 namespace cartsail {
@@ -16,6 +19,10 @@
  public:
   explicit UpstreamPool(boost::asio::any_io_executor executor) : executor_(executor) {}
 
+  // How many idle connections may be kept to a back end; kMostIdleConnections where it is not set.
+  using MostIdle = std::function<size_t(BackendKey backend)>;
+  void SetMostIdle(MostIdle most_idle) { most_idle_ = std::move(most_idle); }
+
   // An idle connection that is still quiet, or nullptr.
   std::shared_ptr<UpstreamConnection> TakeIdle(BackendKey backend, TimePoint now);
 
@@ -39,6 +46,7 @@
 
  private:
   boost::asio::any_io_executor executor_;
+  MostIdle most_idle_ = [](BackendKey) { return kMostIdleConnections; };
   std::unordered_map<BackendKey, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
 };
 
--- a/libs/relay/tests/relay_test.cc
+++ b/libs/relay/tests/relay_test.cc
@@ -409,6 +409,36 @@
   cr_assert(backend.Connections() == 3, "on a new connection");
 }
 
+// A back end takes 20 connections of all, and 9 other nodes may keep some, too: this node kept all
+// that it had used at once, up to 32, whatever the others did.
+Test(relay, idle_connections_are_kept_in_proportion_to_what_the_back_end_takes_of_all_nodes) {
+  constexpr int kAtOnce = 6;
+  StubBackend backend([](const std::string& request) {
+    StubAnswer answer{{SignedAnswer(request, "fine")}};
+    answer.delay_ms = 300;
+    return answer;
+  });
+  RelayFixture relay;
+  relay.Document().services[0].max_connections = 20;
+  relay.AddBackend("b1", "s", backend.Address());
+  for (int i = 1; i <= 9; ++i) {
+    NodeState other;
+    other.node = "n" + std::to_string(i);
+    relay.Context().peers.Heard("10.0.0." + std::to_string(i), other, Now());
+  }
+  relay.Start();
+  for (int round = 0; round < 2; ++round) {
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < kAtOnce; ++i) {
+      clients.push_back(std::make_unique<Client>(relay.Port()));
+      clients.back()->Send(MakeRequest("POST", "/once/a", std::to_string(10 * round + i), "x"));
+    }
+    for (const auto& client : clients) cr_assert(Has(client->ReadAnswer(), "HTTP/1.1 200 "));
+  }
+  cr_assert(backend.Connections() == 2 * kAtOnce - 1, "%d made; one was kept",
+            backend.Connections());
+}
+
 // What is sent to a cold back end in one second was granted within this time.
 constexpr Duration kColdWindow = seconds(1) + kGrantHolds;
 
