--- a/libs/relay/tests/limited_placement_test.cc
+++ b/libs/relay/tests/limited_placement_test.cc
@@ -143,6 +143,33 @@
   }
 }
 
+// A question with as many words as are told stays within one packet of 1,500 bytes.
+Test(limited_placement, rate_words_are_read_as_they_were_told) {
+  const TimePoint now = Now();
+  PlacementQuestion question;
+  question.profile = Question();
+  for (BackendKey key = 1; key <= 32; ++key) {
+    RateWord word;
+    if (key % 4 != 0) word.per_s = 0.1 * key;
+    word.read = {now - milliseconds(10 * key), WallNow() - milliseconds(10 * key)};
+    word.asked = word.read.at - milliseconds(7);
+    question.rate_words.push_back({0x9e3779b9U * key, word});
+  }
+  const std::string bytes = EncodeDatagram(question, now);
+  cr_assert(bytes.size() < 1400, "%zu", bytes.size());
+  const auto datagram = DecodeDatagram(bytes, now + seconds(100));
+  const auto& read = std::get<PlacementQuestion>(*datagram);
+  cr_assert(read.rate_words.size() == question.rate_words.size());
+  for (size_t i = 0; i < read.rate_words.size(); ++i) {
+    const RateWord& told = question.rate_words[i].word;
+    const RateWord& heard = read.rate_words[i].word;
+    cr_assert(read.rate_words[i].backend == question.rate_words[i].backend);
+    cr_assert(heard.per_s == told.per_s, "also where it is a decimal");
+    cr_assert(heard.read.at - told.read.at == seconds(100), "by the receiver's clock");
+    cr_assert(heard.read.at - heard.asked == milliseconds(7));
+  }
+}
+
 // Part of a fleet: it uses its part of the rate, not the whole, and not nothing.
 Test(limited_placement, a_node_that_is_cut_off_grants_its_part) {
   Network network(kNodes);
