--- a/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
+++ b/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
@@ -30,6 +30,8 @@
 struct ColdSpell {
   ColdReason reason = ColdReason::kEntry;
   TimePoint until;
+  // What it got before does not count: if it is cold, another process got it.
+  TimePoint since = TimePoint::min();
 };
 
 struct ServiceWarmUp {
--- a/libs/dispatch/src/cold_back_ends.cc
+++ b/libs/dispatch/src/cold_back_ends.cc
@@ -92,7 +92,9 @@
                                                const ZoneDrains& drains, TimePoint now) const {
   std::optional<ColdSpell> last = ToldSpellOf(backend, rule, drains, now);
   const auto loss = losses_.find(backend.key);
-  if (loss != losses_.end()) TakeLater({ColdReason::kLost, loss->second.warm}, now, &last);
+  if (loss != losses_.end()) {
+    TakeLater({ColdReason::kLost, loss->second.warm, loss->second.lost}, now, &last);
+  }
   return last;
 }
 
--- a/libs/dispatch/src/dispatcher_metered.cc
+++ b/libs/dispatch/src/dispatcher_metered.cc
@@ -27,7 +27,8 @@
   if (!spell.has_value()) return Duration(0);
   const Duration left = spell->until - now;
   if (!right.to_cold) return std::min<Duration>(left, kRetryWithoutRight);
-  const GrantAllowance& allowance = cold_.RuleOf(backend.service)->allowance;
+  GrantAllowance allowance = cold_.RuleOf(backend.service)->allowance;
+  allowance.since = spell->since;
   return std::min(left, grants_.WaitFor(backend.key, allowance, now));
 }
 
--- a/libs/dispatch/tests/warm_up_test.cc
+++ b/libs/dispatch/tests/warm_up_test.cc
@@ -182,6 +182,15 @@
   }
 }
 
+// A busy one that loses one connection is not shut out for what it got while it was warm.
+Test(cold_back_ends, what_a_lost_one_got_before_does_not_count) {
+  Dispatcher dispatcher = MakeDispatcher({MakeEngine("e", "z1")});
+  for (int i = 0; i < 40; ++i) (void)Place(dispatcher, kStart, kAll);
+  const auto lost = Place(dispatcher, kStart, kAll);
+  dispatcher.Finish(lost->ticket, AttemptOutcome::kCut, kStart + milliseconds(10));
+  cr_assert(PlaceMany(dispatcher, 50, kStart + milliseconds(20))["e"] == 5);
+}
+
 Test(cold_back_ends, another_incarnation_starts_a_window_of_its_own) {
   Backend engine = ColdEngine("e", seconds(20));
   engine.started_ms = 1;
