Back ends that were lost are asked how long they stay cold, or tried, instead of shunned until a request happens to come

Cause: a back end that lost a connection may have started again and be cold, so it was held for cold until `length` after its first answer, or for 10 s and the length. Nothing but a request's answer ended that, and no request came, as the others looked as good.

Change: the node that grants to cold back ends asks each one that was lost at its health path, after 50 ms and then less and less often; the answer tells how long it stays cold (0: warm) and settles the spell. A question counts as a granted request, and requests leave one grant for it. Where a service has no health path one request is sent there instead.

Weighed first: to let the store's silence end the spell. With the three heartbeats in which an entry lapses that is 9.7 s: no better than the 10 s before. A question is told within its round trip.

--- a/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
+++ b/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
@@ -1,6 +1,7 @@
 // Which back ends are cold, as far as this node knows: slow after a start for a while. Their
 // entries tell; a zone that was restored, and a back end that was lost and answers again, may have
-// started before their entries tell. Only services with a warm-up count. Pure.
+// started before their entries tell. One that was lost is asked, since requests go elsewhere while
+// it is held for cold. Only services with a warm-up count. Pure.
 #pragma once
 
 #include <map>
@@ -32,11 +33,19 @@
   TimePoint until;
   // What it got before does not count: if it is cold, another process got it.
   TimePoint since = TimePoint::min();
+  bool is_to_be_asked = false;  // it has not told since it was lost how long it stays cold
 };
 
 struct ServiceWarmUp {
   Duration length{};
-  GrantAllowance allowance;  // of one node to one cold back end
+  GrantAllowance allowance;   // of one node to one cold back end
+  bool tells_warmth = false;  // back ends can be asked how long they stay cold
+};
+
+// What a back end that was asked how long it stays cold has told.
+struct WarmthAnswer {
+  Duration cold_left{};  // 0: it is warm
+  TimePoint asked;       // when the question was sent
 };
 
 class ColdBackEnds {
@@ -60,6 +69,19 @@
   std::optional<ColdSpell> SpellOf(const Backend& backend, const ServiceWarmUp& rule,
                                    const ZoneDrains& drains, TimePoint now) const;
 
+  // Those that were lost, have not told since how long they stay cold, and were not asked just
+  // before.
+  std::vector<BackendKey> ToBeAsked(TimePoint now) const;
+
+  void NoteAsked(BackendKey backend, TimePoint now);
+
+  // The same for one that can't be asked: a request is to go there, whose answer tells that it is
+  // back.
+  bool IsToBeTried(const Backend& backend, TimePoint now) const;
+
+  // True when that ends or settles a spell after a loss: the question was sent after it.
+  bool NoteWarmth(BackendKey backend, const WarmthAnswer& answer, TimePoint now);
+
   // Drops losses that no longer matter. To be called about once a second.
   void Expire(TimePoint now);
 
@@ -68,8 +90,13 @@
     TimePoint lost;
     TimePoint warm;  // unless it is lost again
     bool answered = false;
+    bool told = false;  // how long it stays cold
+    int questions = 0;  // since it was lost
+    TimePoint next_question;
   };
 
+  void NoteLoss(BackendKey backend, TimePoint warm, TimePoint now);
+
   std::map<std::string, ServiceWarmUp> rules_;
   std::unordered_map<BackendKey, Loss> losses_;
 };
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -173,6 +173,15 @@
   // The cold back ends of `service` that may receive requests.
   std::vector<ColdBackEnd> ColdOf(const std::string& service, TimePoint now) const;
 
+  // Back ends of `service` that were lost and are to be asked now how long they stay cold, by a
+  // node with the right to grant to cold ones; `most` of them. Each question counts as a request.
+  std::vector<Backend> TakeWarmthQuestions(const std::string& service, size_t most, TimePoint now);
+
+  // True when that ends or settles a spell after a loss.
+  bool NoteWarmth(BackendKey backend, const WarmthAnswer& answer, TimePoint now) {
+    return cold_.NoteWarmth(backend, answer, now);
+  }
+
   // To be called about twice a second.
   void Tick(TimePoint now);
 
@@ -210,7 +219,8 @@
   struct Candidate {
     const Backend* backend = nullptr;
     bool for_light = false;
-    int64_t held_tokens = 0;  // of the request's prompt
+    int64_t held_tokens = 0;      // of the request's prompt
+    bool is_to_be_tried = false;  // chosen before all others, to learn whether it is back
   };
 
   // A back end that has read most of the prompt and can hand it over within its region.
--- a/libs/dispatch/src/cold_back_ends.cc
+++ b/libs/dispatch/src/cold_back_ends.cc
@@ -8,6 +8,17 @@
 // cold.
 constexpr Duration kLongestAbsence = seconds(10);
 
+// A back end that was lost is asked soon, since most are there, and less and less often, since the
+// others may be away for as long as they are held for lost.
+constexpr Duration kFirstQuestion = milliseconds(50);
+constexpr Duration kLongestPause = seconds(1);
+
+Duration PauseAfter(int questions) {
+  Duration pause = kFirstQuestion;
+  for (int i = 0; i < questions && pause < kLongestPause; ++i) pause *= 2;
+  return std::min(pause, kLongestPause);
+}
+
 bool IsLoss(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kCut ||
          outcome == AttemptOutcome::kSilent;
@@ -41,7 +52,8 @@
   rules_.clear();
   for (const ServiceRule& service : services) {
     if (!service.warm_up.has_value()) continue;
-    rules_[service.name] = {service.warm_up->length, AllowanceOfCold(*service.warm_up, bound)};
+    rules_[service.name] = {service.warm_up->length, AllowanceOfCold(*service.warm_up, bound),
+                            !service.health_path.empty()};
   }
 }
 
@@ -57,17 +69,32 @@
   return services;
 }
 
+// Requests that were under way together are lost one after the other: questions go on as they were
+// planned.
+void ColdBackEnds::NoteLoss(BackendKey backend, TimePoint warm, TimePoint now) {
+  Loss& loss = losses_[backend];
+  const bool is_known = loss.lost != TimePoint() && !loss.told;
+  if (!is_known) {
+    loss.questions = 0;
+    loss.next_question = now + PauseAfter(0);
+  }
+  loss.lost = now;
+  loss.warm = warm;
+  loss.answered = false;
+  loss.told = false;
+}
+
 void ColdBackEnds::NoteOutcome(const Backend& backend, AttemptOutcome outcome, TimePoint begun,
                                TimePoint now) {
   const ServiceWarmUp* rule = RuleOf(backend.service);
   if (rule == nullptr) return;
   if (IsLoss(outcome)) {
-    losses_[backend.key] = {now, now + kLongestAbsence + rule->length, false};
+    NoteLoss(backend.key, now + kLongestAbsence + rule->length, now);
     return;
   }
   if (!IsAnswer(outcome)) return;
   const auto loss = losses_.find(backend.key);
-  if (loss == losses_.end() || loss->second.answered) return;
+  if (loss == losses_.end() || loss->second.answered || loss->second.told) return;
   // An answer to an earlier request may have been on its way when the back end was lost.
   if (begun <= loss->second.lost) return;
   loss->second.answered = true;
@@ -93,11 +120,43 @@
   std::optional<ColdSpell> last = ToldSpellOf(backend, rule, drains, now);
   const auto loss = losses_.find(backend.key);
   if (loss != losses_.end()) {
-    TakeLater({ColdReason::kLost, loss->second.warm, loss->second.lost}, now, &last);
+    const bool is_to_be_asked = rule.tells_warmth && !loss->second.told;
+    TakeLater({ColdReason::kLost, loss->second.warm, loss->second.lost, is_to_be_asked}, now,
+              &last);
   }
   return last;
 }
 
+std::vector<BackendKey> ColdBackEnds::ToBeAsked(TimePoint now) const {
+  std::vector<BackendKey> due;
+  for (const auto& [backend, loss] : losses_) {
+    if (!loss.told && loss.warm > now && now >= loss.next_question) due.push_back(backend);
+  }
+  return due;
+}
+
+bool ColdBackEnds::IsToBeTried(const Backend& backend, TimePoint now) const {
+  const auto loss = losses_.find(backend.key);
+  if (loss == losses_.end() || loss->second.answered || loss->second.told) return false;
+  const ServiceWarmUp* rule = RuleOf(backend.service);
+  return rule != nullptr && !rule->tells_warmth && now >= loss->second.next_question;
+}
+
+void ColdBackEnds::NoteAsked(BackendKey backend, TimePoint now) {
+  const auto loss = losses_.find(backend);
+  if (loss == losses_.end()) return;
+  loss->second.next_question = now + PauseAfter(++loss->second.questions);
+}
+
+bool ColdBackEnds::NoteWarmth(BackendKey backend, const WarmthAnswer& answer, TimePoint now) {
+  const auto loss = losses_.find(backend);
+  // What was asked before it was lost may have been told by the process before.
+  if (loss == losses_.end() || answer.asked <= loss->second.lost) return false;
+  loss->second.told = true;
+  loss->second.warm = now + answer.cold_left;
+  return true;
+}
+
 void ColdBackEnds::Expire(TimePoint now) {
   std::erase_if(losses_, [now](const auto& entry) { return entry.second.warm <= now; });
 }
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -100,7 +100,8 @@
       view.limited_per_s += LimitedRate(*backend, right);
       continue;
     }
-    const Candidate candidate{backend, member.for_light, 0};
+    Candidate candidate{backend, member.for_light};
+    candidate.is_to_be_tried = cold_.IsToBeTried(*backend, now);
     (IsSuspended(member.key, now) ? suspended : view.candidates).push_back(candidate);
   }
   if (view.candidates.empty()) view.candidates = std::move(suspended);
@@ -155,9 +156,14 @@
     const Estimate estimate = profile.is_generation
                                   ? EstimateGeneration(profile, candidate, view, now)
                                   : EstimatePlain(candidate, view, now);
-    if (best != nullptr && estimate.loss >= best_estimate.loss) continue;
+    if (best != nullptr && !candidate.is_to_be_tried && estimate.loss >= best_estimate.loss) {
+      continue;
+    }
     best = candidate.backend;
     best_estimate = estimate;
+    if (!candidate.is_to_be_tried) continue;
+    cold_.NoteAsked(best->key, now);
+    break;
   }
   Placement placement;
   placement.backend = *best;
--- a/libs/dispatch/src/dispatcher_metered.cc
+++ b/libs/dispatch/src/dispatcher_metered.cc
@@ -29,6 +29,8 @@
   if (!right.to_cold) return std::min<Duration>(left, kRetryWithoutRight);
   GrantAllowance allowance = cold_.RuleOf(backend.service)->allowance;
   allowance.since = spell->since;
+  // Left for the question, which ends the spell: requests would take each grant as it comes about.
+  if (spell->is_to_be_asked) allowance.most = std::max<int64_t>(allowance.most - 1, 1);
   return std::min(left, grants_.WaitFor(backend.key, allowance, now));
 }
 
@@ -92,6 +94,23 @@
   return returns_[profile.service].Next(*view.metered_wait, view.limited_per_s, now);
 }
 
+std::vector<Backend> Dispatcher::TakeWarmthQuestions(const std::string& service, size_t most,
+                                                     TimePoint now) {
+  std::vector<Backend> questions;
+  const ServiceWarmUp* warm_up = cold_.RuleOf(service);
+  if (warm_up == nullptr || !warm_up->tells_warmth) return questions;
+  for (const BackendKey key : cold_.ToBeAsked(now)) {
+    if (questions.size() >= most) break;
+    const Backend* backend = registry_.FindOpen(key);
+    if (backend == nullptr || backend->service != service || !registry_.MayAsk(key, now)) continue;
+    if (grants_.WaitFor(key, warm_up->allowance, now) > Duration(0)) continue;
+    grants_.NoteGrant(key, now);
+    cold_.NoteAsked(key, now);
+    questions.push_back(*backend);
+  }
+  return questions;
+}
+
 std::vector<ColdBackEnd> Dispatcher::ColdOf(const std::string& service, TimePoint now) const {
   std::vector<ColdBackEnd> cold;
   for (const Backend* backend : registry_.ReadyOf(service)) {
--- a/libs/relay/src/placement/placement_service.cc
+++ b/libs/relay/src/placement/placement_service.cc
@@ -314,7 +314,7 @@
 void PlacementService::Tick(TimePoint now) {
   for (const PlacementTicket ticket : grants_.TakeSilent(now)) dispatcher_.Drop(ticket, now);
   for (const std::string& service : dispatcher_.ServicesWithWarmUp()) {
-    if (RightOf(service, now).to_cold) {
+    if (GrantsToCold(service, now)) {
       cold_watch_.NoteCold(service, dispatcher_.ColdOf(service, now), now);
     } else {
       cold_watch_.Forget(service);
--- a/libs/relay/src/placement/placement_service.h
+++ b/libs/relay/src/placement/placement_service.h
@@ -64,6 +64,11 @@
   // This node's questions to `host` whose requests have not ended.
   std::vector<QuestionId> LiveQuestions(const std::string& host) const;
 
+  // This node grants requests to cold back ends of `service`.
+  bool GrantsToCold(const std::string& service, TimePoint now) const {
+    return RightOf(service, now).to_cold;
+  }
+
   // To be called about twice a second.
   void Tick(TimePoint now);
 
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -26,6 +26,7 @@
 #include "fleet/peer_exchange.h"
 #include "fleet/traffic_log.h"
 #include "placement/cache_inventory.h"
+#include "placement/warmth_inquiry.h"
 #include "quarantine/quarantine_recorder.h"
 #include "request/relay_server.h"
 #include "status/drain_alarm.h"
@@ -62,6 +63,7 @@
         recorder_(io_, *store_, deployment.keys.quarantine_prefix, context_.quarantine),
         exchange_(context_, catalog_),
         inventory_(context_),
+        warmth_(context_),
         server_(context_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP) {
     ReleaseSignals();
@@ -100,6 +102,7 @@
     }
     catalog_.Start();
     inventory_.Start();
+    warmth_.Start();
     StartDuties();
     asio::co_spawn(io_, HandleSignals(), asio::detached);
     asio::co_spawn(io_, KeepHouse(), asio::detached);
@@ -326,6 +329,7 @@
   QuarantineRecorder recorder_;
   PeerExchange exchange_;
   CacheInventory inventory_;
+  WarmthInquiry warmth_;
   ResidencyAudit residency_audit_;
   RelayServer server_;
   DrainAlarm drain_alarm_;
--- a/libs/routing/include/cartsail/routing/routing_document.h
+++ b/libs/routing/include/cartsail/routing/routing_document.h
@@ -81,6 +81,7 @@
   std::optional<EngineProfile> engine;   // absent: a plain service
   std::optional<EngineScaling> scaling;  // absent: the number of back ends is not ordered
   std::optional<WarmUp> warm_up;         // absent: back ends serve at full rate from their start
+  std::string health_path;               // at its back ends; empty: they answer no such question
 };
 
 struct TenantRule {
