What an engine's pace was measured at fades: one that was slow is measured again

What callers saw: an engine that took several times as long as expected was avoided for that and so never measured again; one that had been slow for seconds stayed out of use while others looked better, as long as the node lived.

Cause: BackendHealth kept the ratio of measured to expected time until the next measurement, which only a request there makes: the class of the back ends held for lost.

Change: what is beyond 1 falls to a third in 10 s, as shares of failures do in 4 s.

--- a/libs/dispatch/include/cartsail/dispatch/backend_health.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_health.h
@@ -29,7 +29,7 @@
   void Note(BackendKey backend, AttemptOutcome outcome, AttemptOrigin origin, TimePoint now);
 
   // Time to the first output against what was expected of it, 1 being as expected.
-  void NotePace(BackendKey backend, double ratio);
+  void NotePace(BackendKey backend, double ratio, TimePoint now);
 
   bool IsSuspended(BackendKey backend, TimePoint now) const;
 
@@ -39,8 +39,9 @@
   // Back ends at which some attempt of this node failed lately.
   std::vector<BackendKey> FailingLately(TimePoint now) const;
 
-  // How many times longer than expected it takes, at least 1.
-  double Slowness(BackendKey backend) const;
+  // How many times longer than expected it takes, at least 1. What was measured fades, as one that
+  // is avoided for it is not measured again.
+  double Slowness(BackendKey backend, TimePoint now) const;
 
   // Forgets all back ends but those that `is_known` holds.
   void ForgetUnless(const std::function<bool(BackendKey backend)>& is_known);
@@ -54,7 +55,8 @@
   struct Record {
     FadingAttempts own;
     FadingAttempts of_peers;
-    double slowness = 1;
+    double slowness = 1;  // at `paced`
+    TimePoint paced;
     int consecutive_losses = 0;
     TimePoint suspended_until;
   };
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -273,7 +273,7 @@
   double ReadingMillis(int64_t held_tokens, int64_t prompt_tokens) const;
   double WayLoss(const Backend& backend, const Requester& requester) const;
   double BacklogMillis(BackendKey backend, TimePoint now) const;
-  double SlownessOf(BackendKey backend) const;
+  double SlownessOf(BackendKey backend, TimePoint now) const;
   double BreakChance(BackendKey backend, double backlog_ms, double reading_ms,
                      Duration bound) const;
   double LossOfStreams(const Backend& backend, double backlog_ms, double reading_ms) const;
--- a/libs/dispatch/src/backend_health.cc
+++ b/libs/dispatch/src/backend_health.cc
@@ -10,7 +10,8 @@
 constexpr double kLeastFailures = 0.2;   // that count as lately
 constexpr double kSlownessWeight = 0.1;  // of one measurement
 constexpr double kMostSlowness = 10;
-constexpr Duration kFadeTime = seconds(4);  // the share falls to a third in this time
+constexpr Duration kSlownessFade = seconds(10);  // what is beyond 1 falls to a third in this time
+constexpr Duration kFadeTime = seconds(4);       // the share falls to a third in this time
 constexpr Duration kFirstSuspension = milliseconds(250);
 constexpr Duration kLongestSuspension = seconds(3);
 
@@ -27,6 +28,11 @@
   return outcome != AttemptOutcome::kAnswered && !SaysNothing(outcome);
 }
 
+// What is left after `age` of what falls to a third in `fade`.
+double FadedShare(Duration age, Duration fade) {
+  return std::exp(-std::max(0.0, ToSeconds(age)) / ToSeconds(fade));
+}
+
 Duration SuspensionAfter(int losses) {
   Duration suspension = kFirstSuspension;
   for (int i = 1; i < losses && suspension < kLongestSuspension; ++i) suspension *= 2;
@@ -57,10 +63,12 @@
   record.suspended_until = now + SuspensionAfter(record.consecutive_losses);
 }
 
-void BackendHealth::NotePace(BackendKey backend, double ratio) {
+void BackendHealth::NotePace(BackendKey backend, double ratio, TimePoint now) {
   Record& record = records_[backend];
   const double bounded = std::clamp(ratio, 0.2, kMostSlowness);
-  record.slowness += kSlownessWeight * (bounded - record.slowness);
+  const double faded = 1 + (record.slowness - 1) * FadedShare(now - record.paced, kSlownessFade);
+  record.slowness = faded + kSlownessWeight * (bounded - faded);
+  record.paced = now;
 }
 
 bool BackendHealth::IsSuspended(BackendKey backend, TimePoint now) const {
@@ -74,8 +82,7 @@
   if (record == nullptr) return {};
   const FadingAttempts& attempts = origin == AttemptOrigin::kOwn ? record->own : record->of_peers;
   if (attempts.recent.attempts == 0) return {};
-  const double age = std::max(0.0, ToSeconds(now - attempts.updated));
-  const double fading = std::exp(-age / ToSeconds(kFadeTime));
+  const double fading = FadedShare(now - attempts.updated, kFadeTime);
   return {attempts.recent.attempts * fading, attempts.recent.failures * fading};
 }
 
@@ -92,9 +99,11 @@
   return recent.failures / (recent.attempts + kAssumedSuccesses);
 }
 
-double BackendHealth::Slowness(BackendKey backend) const {
+double BackendHealth::Slowness(BackendKey backend, TimePoint now) const {
   const Record* record = Find(backend);
-  return record == nullptr ? 1 : std::max(record->slowness, 1.0);
+  if (record == nullptr) return 1;
+  const double beyond = (record->slowness - 1) * FadedShare(now - record->paced, kSlownessFade);
+  return 1 + std::max(beyond, 0.0);
 }
 
 void BackendHealth::ForgetUnless(const std::function<bool(BackendKey backend)>& is_known) {
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -138,7 +138,7 @@
   running.reading_ms = placement->reading_ms;
   running.is_light =
       profile.is_generation &&
-      !IsDisturbing(running.backend, running.reading_ms * SlownessOf(running.backend));
+      !IsDisturbing(running.backend, running.reading_ms * SlownessOf(running.backend, now));
   running.is_generation = profile.is_generation;
   running.origin = origin;
   running.placed_by = placement->placed_by;
@@ -162,7 +162,7 @@
 void Dispatcher::BeginPrompt(const RequestProfile& profile, Running* running, TimePoint now) {
   const BackendKey backend = running->backend;
   const double before_ms = BacklogMillis(backend, now);
-  running->backlog_ms = running->reading_ms * SlownessOf(backend);
+  running->backlog_ms = running->reading_ms * SlownessOf(backend, now);
   backlog_.Add(backend, running->backlog_ms, now);
   for (const Duration bound : risk_.Bounds()) {
     const double chance = BreakChance(backend, before_ms, running->backlog_ms, bound);
@@ -200,7 +200,7 @@
   loads_.FirstOutput(running.backend, running.reading_ms);
   const Backend* known = registry_.FindByKey(running.backend);
   if (known != nullptr) cold_.NoteOutcome(*known, AttemptOutcome::kAnswered, running.begun, now);
-  health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms);
+  health_.NotePace(running.backend, ToMillis(now - running.begun) / running.expected_ms, now);
 }
 
 StreamPauses Dispatcher::PausesOf(PlacementTicket ticket) const {
--- a/libs/dispatch/src/dispatcher_loss.cc
+++ b/libs/dispatch/src/dispatcher_loss.cc
@@ -27,13 +27,13 @@
   return unread / policy_.read_tokens_per_ms + policy_.attention_ms_per_million * pairs / 1e6;
 }
 
-double Dispatcher::SlownessOf(BackendKey backend) const {
-  return IsOff(Mechanism::kPace) ? 1 : health_.Slowness(backend);
+double Dispatcher::SlownessOf(BackendKey backend, TimePoint now) const {
+  return IsOff(Mechanism::kPace) ? 1 : health_.Slowness(backend, now);
 }
 
 // Reading that waits at the engine: what this node follows, and what peers told.
 double Dispatcher::BacklogMillis(BackendKey backend, TimePoint now) const {
-  const double of_peers_ms = loads_.OfPeers(backend).reading_ms * SlownessOf(backend);
+  const double of_peers_ms = loads_.OfPeers(backend).reading_ms * SlownessOf(backend, now);
   return backlog_.Millis(backend, now) + of_peers_ms;
 }
 
@@ -137,7 +137,7 @@
   const double slots = static_cast<double>(std::max<int64_t>(backend.slots, 1));
   const double busy = static_cast<double>(estimate.load.requests) / slots;
   estimate.first_output_ms = policy_.plain_request_ms;
-  const double expected_ms = policy_.plain_request_ms * (1 + busy) * SlownessOf(backend.key);
+  const double expected_ms = policy_.plain_request_ms * (1 + busy) * SlownessOf(backend.key, now);
   estimate.loss = expected_ms * policy_.loss_per_ms;
   estimate.loss += WayLoss(backend, *view.requester);
   estimate.loss += FailureShareOf(backend.key, now);
@@ -183,7 +183,7 @@
   Estimate estimate = EstimatePrompt(profile, candidate, view);
   estimate.load = loads_.Total(backend.key);
   const double backlog_ms = BacklogMillis(backend.key, now);
-  const double reading_ms = estimate.reading_ms * SlownessOf(backend.key);
+  const double reading_ms = estimate.reading_ms * SlownessOf(backend.key, now);
   estimate.first_output_ms +=
       backlog_ms + reading_ms + kSendingMs + WaitForSlotMillis(profile, backend, estimate.load);
   estimate.loss += OwnLateProbability(profile, backend, estimate.first_output_ms, backlog_ms, now);
