All that is kept of an answer counts among what a node holds; 500 stalled callers stay within the memory of their node

What callers saw: beside 500 callers that ask for 1 MB each and stop reading a node of 88 MB grew to 190 MB; a machine with that limit ends the process, and all its callers lose their answers.

Cause: of an answer that is not a stream up to 256 KB are kept before anything is passed on (another back end may still take its place), and nobody counted them; besides, one string for what waits takes up to twice as much as it grows. When many come at once, the limit is reached before it shows who has stopped, so that answers were given up after 8 to 97 ms, those of callers that read among them.

Change: what is kept is reserved in HeldMemory, or passed on at once where there is no room; bytes wait in blocks of 16 KB; from three quarters of the limit on an answer of which something waits is read on no further, and only those left alone for a second are given up; the limit itself holds as before.

--- a/libs/relay/src/placement/warmth_inquiry.cc
+++ b/libs/relay/src/placement/warmth_inquiry.cc
@@ -30,16 +30,22 @@
 
 }  // namespace
 
-std::optional<Duration> ColdLeftIn(const HttpResponse& response, std::string_view id,
-                                   const WireNames& names) {
-  if (FindHeader(response.headers, names.instance) != id) return std::nullopt;
+HealthAnswer HealthAnswerIn(const HttpResponse& response, std::string_view id,
+                            const WireNames& names) {
+  HealthAnswer answer;
+  const std::string_view instance = FindHeader(response.headers, names.instance);
+  answer.is_of_another = !instance.empty() && instance != id;
+  if (instance != id) return answer;
   const std::string_view told = FindHeader(response.headers, names.cold_left);
-  if (told.empty()) return response.status == kOk ? std::optional(Duration(0)) : std::nullopt;
+  if (told.empty()) {
+    if (response.status == kOk) answer.cold_left = Duration(0);
+    return answer;
+  }
   double cold_ms = 0;
   const bool is_time = absl::SimpleAtod({told.data(), told.size()}, &cold_ms) && cold_ms >= 0 &&
                        cold_ms <= kLongestColdMs;
-  if (!is_time) return std::nullopt;
-  return FromSeconds(cold_ms / 1e3);
+  if (is_time) answer.cold_left = FromSeconds(cold_ms / 1e3);
+  return answer;
 }
 
 void WarmthInquiry::Start() { asio::co_spawn(context_.io, Watch(), asio::detached); }
@@ -78,19 +84,31 @@
   const absl::StatusOr<HttpResponse> response =
       co_await Fetch(context_.io.get_executor(), endpoint, request, kTimeout, kMostBytes);
   --asking_;
-  std::optional<Duration> cold_left;
+  HealthAnswer answer;
   if (response.ok()) {
     NoteAnswer(context_, backend, {response->status, response->headers, asked});
-    cold_left = ColdLeftIn(*response, backend.id, context_.format.Names());
+    answer = HealthAnswerIn(*response, backend.id, context_.format.Names());
+    NoteHealth(backend, answer, asked);
   }
-  const bool settles = cold_left.has_value() &&
-                       context_.dispatcher.NoteWarmth(backend.key, {*cold_left, asked}, Now());
-  if (settles) GlobalCounters().warmth_told_total.Add();
-  Log(settles ? LogLevel::kInfo : LogLevel::kDebug, "backend_warmth",
+  if (!lines_.Take(Now())) co_return;
+  const std::optional<Duration> cold_left = answer.cold_left;
+  Log(LogLevel::kInfo, "backend_warmth",
       {{"backend", backend.id},
        {"status", response.ok() ? std::to_string(response->status) : ""},
+       {"of_another", answer.is_of_another ? "true" : "false"},
        {"cold_ms", cold_left.has_value() ? fmt::format("{:.0f}", ToMillis(*cold_left)) : ""},
        {"why", std::string(response.status().message())}});
 }
 
+void WarmthInquiry::NoteHealth(const Backend& backend, const HealthAnswer& answer,
+                               TimePoint asked) {
+  Dispatcher& dispatcher = context_.dispatcher;
+  // As by a request that another one turned away: the process that had this name has ended.
+  if (answer.is_of_another) dispatcher.Registry().MarkLeaving(backend.key);
+  if (!answer.cold_left.has_value()) return;
+  if (dispatcher.NoteWarmth(backend.key, {*answer.cold_left, asked}, Now())) {
+    GlobalCounters().warmth_told_total.Add();
+  }
+}
+
 }  // namespace cartsail
--- a/libs/relay/src/placement/warmth_inquiry.h
+++ b/libs/relay/src/placement/warmth_inquiry.h
@@ -7,16 +7,22 @@
 #include <optional>
 #include <string_view>
 
+#include "cartsail/base/log.h"
 #include "cartsail/net/http_types.h"
 #include "relay_context.h"
 
 namespace cartsail {
 
-// How long the back end `id` says that it stays cold, in its answer at its health path. Nothing
-// when another one answers, when it turns the question away like a request, or when the time can't
-// be read.
-std::optional<Duration> ColdLeftIn(const HttpResponse& response, std::string_view id,
-                                   const WireNames& names);
+// What the answer at the health path of the back end `id` says.
+struct HealthAnswer {
+  bool is_of_another = false;  // one that has the address now
+  // How long it stays cold. Nothing when it turned the question away like a request, or when the
+  // time can't be read.
+  std::optional<Duration> cold_left;
+};
+
+HealthAnswer HealthAnswerIn(const HttpResponse& response, std::string_view id,
+                            const WireNames& names);
 
 class WarmthInquiry {
  public:
@@ -26,12 +32,18 @@
   void Start();
 
  private:
+  // A zone that comes back has some dozens of back ends.
+  static constexpr double kLinesPerSecond = 20;
+  static constexpr double kLinesAtOnce = 100;
+
   boost::asio::awaitable<void> Watch();
   boost::asio::awaitable<void> Ask(Backend backend, std::string path);
   void AskDue(TimePoint now);
+  void NoteHealth(const Backend& backend, const HealthAnswer& answer, TimePoint asked);
 
   RelayContext& context_;
   size_t asking_ = 0;
+  LogRateLimit lines_{kLinesPerSecond, kLinesAtOnce};
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/request/answer_writer.cc
+++ b/libs/relay/src/request/answer_writer.cc
@@ -17,6 +17,8 @@
 // Of one answer. Streams of generated text are far smaller; a large body is read on when its caller
 // has taken some of this.
 constexpr size_t kMostWaitingBytes = size_t{256} << 10;
+// While the node holds much: until it is looked again whether others have left room.
+constexpr Duration kRoomCheck = milliseconds(50);
 
 }  // namespace
 
@@ -34,16 +36,25 @@
     if (failed_ || *taken == bytes.size()) co_return !failed_;
     bytes.remove_prefix(*taken);
   }
-  waiting_.append(bytes);
+  waiting_.Append(bytes);
   if (!is_writing_) {
     is_writing_ = true;
     asio::co_spawn(io_, WriteWaiting(shared_from_this()), asio::detached);
   }
   held_->NoteWaiting(static_cast<int64_t>(Waiting()), Now());
-  while (!failed_ && Waiting() > kMostWaitingBytes) co_await WaitForProgress();
+  while (!failed_ && MustWait()) {
+    progress_.expires_after(kRoomCheck);
+    co_await WaitForProgress();
+  }
+  progress_.expires_at(TimePoint::max());
   co_return !failed_;
 }
 
+bool AnswerWriter::MustWait() {
+  if (Waiting() > kMostWaitingBytes) return true;
+  return Waiting() > 0 && held_->IsFull(Now());
+}
+
 asio::awaitable<bool> AnswerWriter::Finish() {
   while (!failed_ && is_writing_) co_await WaitForProgress();
   co_return !failed_;
@@ -55,13 +66,13 @@
 }
 
 asio::awaitable<void> AnswerWriter::WriteWaiting(std::shared_ptr<AnswerWriter> self) {
-  while (!self->failed_ && !self->waiting_.empty()) co_await self->WriteNext();
+  while (!self->failed_ && !self->waiting_.IsEmpty()) co_await self->WriteNext();
   self->is_writing_ = false;
   self->progress_.cancel();
 }
 
 asio::awaitable<void> AnswerWriter::WriteNext() {
-  writing_ = std::exchange(waiting_, {});
+  writing_ = waiting_.TakeFirst();
   written_ = 0;
   while (!failed_ && written_ < writing_.size()) {
     const size_t taken = co_await caller_->WriteSome(std::string_view(writing_).substr(written_));
--- a/libs/relay/src/request/answer_writer.h
+++ b/libs/relay/src/request/answer_writer.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "cartsail/base/timer.h"
+#include "request/byte_blocks.h"
 #include "request/caller_connection.h"
 #include "request/held_memory.h"
 
@@ -35,12 +36,13 @@
   static boost::asio::awaitable<void> WriteWaiting(std::shared_ptr<AnswerWriter> self);
   boost::asio::awaitable<void> WriteNext();
   boost::asio::awaitable<void> WaitForProgress();
-  size_t Waiting() const { return waiting_.size() + (writing_.size() - written_); }
+  bool MustWait();
+  size_t Waiting() const { return waiting_.Size() + (writing_.size() - written_); }
 
   boost::asio::io_context& io_;
   std::shared_ptr<CallerConnection> caller_;
   std::shared_ptr<HeldRequest> held_;
-  std::string waiting_;  // after `writing_`
+  ByteBlocks waiting_;  // after `writing_`
   std::string writing_;
   size_t written_ = 0;  // of `writing_`
   bool is_writing_ = false;
--- /dev/null
+++ b/libs/relay/src/request/byte_blocks.h
@@ -0,0 +1,49 @@
+// Bytes in the order in which they came, in blocks of bounded size: one string of all would take up
+// to twice as much memory as it grows, and leave gaps that nothing else fits.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cartsail {
+
+class ByteBlocks {
+ public:
+  static constexpr size_t kMostBlockBytes = size_t{16} << 10;
+
+  void Append(std::string_view bytes) {
+    size_ += bytes.size();
+    while (!bytes.empty()) {
+      if (blocks_.empty() || blocks_.back().size() == kMostBlockBytes) blocks_.emplace_back();
+      std::string& last = blocks_.back();
+      const std::string_view piece = bytes.substr(0, kMostBlockBytes - last.size());
+      // One that gets more than a few bytes soon gets all that it can hold.
+      if (last.capacity() < last.size() + piece.size() && !last.empty()) {
+        last.reserve(kMostBlockBytes);
+      }
+      last.append(piece);
+      bytes.remove_prefix(piece.size());
+    }
+  }
+
+  // The first block; there has to be one.
+  std::string TakeFirst() {
+    std::string first = std::move(blocks_.front());
+    blocks_.pop_front();
+    size_ -= first.size();
+    return first;
+  }
+
+  const std::deque<std::string>& Blocks() const { return blocks_; }
+  size_t Size() const { return size_; }
+  bool IsEmpty() const { return size_ == 0; }
+
+ private:
+  std::deque<std::string> blocks_;
+  size_t size_ = 0;
+};
+
+}  // namespace cartsail
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -393,14 +393,14 @@
 }
 
 asio::awaitable<bool> Exchange::Answer(int status, std::string_view reason, HttpHeaders headers,
-                                       std::string_view body) {
+                                       std::string_view body, size_t body_bytes) {
   const bool has_body = !HasNoBody(status);
-  if (has_body) headers.push_back({"Content-Length", std::to_string(body.size())});
+  if (has_body) headers.push_back({"Content-Length", std::to_string(body_bytes)});
   if (context_.draining) keep_alive_ = false;
   if (!keep_alive_) headers.push_back({"Connection", "close"});
   std::string text = ResponseHeadText(status, reason, headers);
   if (has_body && request_.method != "HEAD") text.append(body);
-  bytes_out_ += static_cast<int64_t>(body.size());
+  bytes_out_ += static_cast<int64_t>(body_bytes);
   head_sent_ = true;
   status_sent_ = status;
   co_return co_await writer_->Write(text);
@@ -416,7 +416,7 @@
   const Outcome outcome = history_.may_have_run > 0 ? Outcome::kUnknown : Outcome::kNotRun;
   const std::string body = json::serialize(
       json::object{{"error", {{"kind", ErrorKindName(kind)}, {"outcome", OutcomeName(outcome)}}}});
-  bool sent = co_await Answer(status, ReasonOf(status), std::move(headers), body);
+  bool sent = co_await Answer(status, ReasonOf(status), std::move(headers), body, body.size());
   if (sent) sent = co_await writer_->Finish();
   LogEnd(sent ? ErrorKindName(kind) : kCallerGoneResult, status);
   co_return sent&& keep_alive_;
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -12,6 +12,7 @@
 #include "cartsail/relay/admission.h"
 #include "relay_context.h"
 #include "request/answer_writer.h"
+#include "request/byte_blocks.h"
 #include "request/caller_connection.h"
 #include "request/event_splitter.h"
 #include "request/held_memory.h"
@@ -64,8 +65,11 @@
   boost::asio::awaitable<AttemptOutcome> RelayStream(const Placement& placement,
                                                      const ResponseHead& head);
   boost::asio::awaitable<bool> StartStreamAnswer(const ResponseHead& head);
+  boost::asio::awaitable<bool> AnswerWhole(const ResponseHead& head, HttpHeaders headers,
+                                           const ByteBlocks& body);
+  // `body`: the first part of `body_bytes`.
   boost::asio::awaitable<bool> Answer(int status, std::string_view reason, HttpHeaders headers,
-                                      std::string_view body);
+                                      std::string_view body, size_t body_bytes);
   boost::asio::awaitable<bool> FinishUnserved(AttemptOutcome last);
   Duration WaitUntilServed(const Dispatcher::Backoffs& backoffs) const;
   boost::asio::awaitable<bool> AnswerRefusal(ErrorKind kind, Duration retry_after);
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -6,6 +6,7 @@
 #include "request/answer_notices.h"
 #include "request/event_splitter.h"
 #include "request/exchange.h"
+#include "request/gathered_body.h"
 #include "request/message_head.h"
 
 namespace cartsail {
@@ -13,8 +14,7 @@
 
 namespace asio = boost::asio;
 
-constexpr size_t kMostWholeBytes = 1 << 18;  // larger answers are passed on in pieces
-constexpr int kMostStrayAnswers = 3;         // skipped on one connection
+constexpr int kMostStrayAnswers = 3;  // skipped on one connection
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -88,15 +88,17 @@
 
 asio::awaitable<AttemptOutcome> Exchange::RelayWhole(const Placement& placement,
                                                      const ResponseHead& head) {
-  std::string body;
+  GatheredBody body(held_);
   std::string chunk;
+  bool goes_on = true;
   do {
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
     has_output_ = true;
-    context_.placement.Output(placement.ticket, Now());
-    body += chunk;
-  } while (!chunk.empty() && body.size() <= kMostWholeBytes);
+    const TimePoint now = Now();
+    context_.placement.Output(placement.ticket, now);
+    goes_on = body.Append(chunk, now);
+  } while (!chunk.empty() && goes_on);
 
   const bool failed = head.status >= kLeastFailureStatus;
   const bool may_repeat = MayRepeat() && history_.may_have_run < admitted_.route->max_attempts;
@@ -105,21 +107,40 @@
 
   HttpHeaders headers = EndToEndHeaders(head.headers, {});
   if (chunk.empty()) {
-    const bool sent = co_await Answer(head.status, head.reason, std::move(headers), body);
-    if (!sent) co_return AttemptOutcome::kCallerGone;
-    co_return AttemptOutcome::kAnswered;
+    const bool sent = co_await AnswerWhole(head, std::move(headers), body.Bytes());
+    co_return sent ? AttemptOutcome::kAnswered : AttemptOutcome::kCallerGone;
   }
   // Too large to hold: the rest is passed on as it comes.
   if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
-  while (!body.empty()) {
-    if (!co_await writer_->Write(ChunkText(body, false))) co_return AttemptOutcome::kCallerGone;
-    const UpstreamError error = co_await upstream_->ReadBody(&body, deadline_);
+  while (!body.Bytes().IsEmpty()) {
+    const std::string block = body.TakeFirst();
+    if (!co_await writer_->Write(ChunkText(block, false))) co_return AttemptOutcome::kCallerGone;
+  }
+  while (!chunk.empty()) {
+    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+    if (chunk.empty()) break;
+    if (!co_await writer_->Write(ChunkText(chunk, false))) co_return AttemptOutcome::kCallerGone;
   }
   if (!co_await writer_->Write(ChunkText({}, true))) co_return AttemptOutcome::kCallerGone;
   co_return AttemptOutcome::kAnswered;
 }
 
+// No copy of all of a large body is made; a small one goes out with its head.
+asio::awaitable<bool> Exchange::AnswerWhole(const ResponseHead& head, HttpHeaders headers,
+                                            const ByteBlocks& body) {
+  const std::deque<std::string>& blocks = body.Blocks();
+  const std::string_view first = blocks.empty() ? std::string_view() : blocks.front();
+  if (!co_await Answer(head.status, head.reason, std::move(headers), first, body.Size())) {
+    co_return false;
+  }
+  if (request_.method == "HEAD") co_return true;
+  for (size_t i = 1; i < blocks.size(); ++i) {
+    if (!co_await writer_->Write(blocks[i])) co_return false;
+  }
+  co_return true;
+}
+
 asio::awaitable<bool> Exchange::StartStreamAnswer(const ResponseHead& head) {
   HttpHeaders headers = EndToEndHeaders(head.headers, {});
   headers.push_back({"Transfer-Encoding", "chunked"});
--- a/libs/relay/src/request/held_memory.cc
+++ b/libs/relay/src/request/held_memory.cc
@@ -1,5 +1,6 @@
 #include "request/held_memory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cartsail {
@@ -9,11 +10,15 @@
 // probably stopped.
 constexpr Duration kLeftAlone = seconds(1);
 
+// Of the limit. The rest is for requests that come meanwhile and for what is read before each of
+// the others is held back.
+constexpr double kFullShare = 0.75;
+
 }  // namespace
 
 bool HeldMemory::Reserve(HolderId holder, int64_t bytes, TimePoint now) {
-  MakeRoom(bytes, kLeftAlone, now);
-  if (!Fits(bytes)) return false;
+  ReduceTo(limit_ - bytes, kLeftAlone, now);
+  if (total_ + bytes > limit_) return false;
   Holder& entry = holders_[holder];
   entry.reserved += bytes;
   entry.taken = now;
@@ -21,6 +26,15 @@
   return true;
 }
 
+void HeldMemory::Free(HolderId holder, int64_t bytes) {
+  const auto entry = holders_.find(holder);
+  if (entry == holders_.end()) return;
+  // Of one that was given up nothing is reserved any more.
+  const int64_t freed = std::min(bytes, entry->second.reserved);
+  entry->second.reserved -= freed;
+  total_ -= freed;
+}
+
 void HeldMemory::OnGiveUp(HolderId holder,
                           std::function<void(int64_t bytes, Duration left_alone)> give_up) {
   holders_[holder].give_up = std::move(give_up);
@@ -31,9 +45,9 @@
   if (entry.waiting == 0) entry.taken = now;
   total_ += bytes - entry.waiting;
   entry.waiting = bytes;
-  MakeRoom(0, kLeftAlone, now);
+  ReduceTo(limit_, kLeftAlone, now);
   // All callers take something: the slowest one is given up.
-  MakeRoom(0, Duration(0), now);
+  ReduceTo(limit_, Duration(0), now);
 }
 
 void HeldMemory::NoteTaken(HolderId holder, int64_t bytes, TimePoint now) {
@@ -51,8 +65,14 @@
   holders_.erase(entry);
 }
 
-void HeldMemory::MakeRoom(int64_t bytes, Duration patience, TimePoint now) {
-  while (!Fits(bytes)) {
+bool HeldMemory::IsFull(TimePoint now) {
+  const auto full = static_cast<int64_t>(kFullShare * static_cast<double>(limit_));
+  ReduceTo(full, kLeftAlone, now);
+  return total_ > full;
+}
+
+void HeldMemory::ReduceTo(int64_t most, Duration patience, TimePoint now) {
+  while (total_ > most) {
     Holder* victim = nullptr;
     for (auto& [holder, entry] : holders_) {
       if (entry.waiting == 0 || entry.give_up == nullptr) continue;
--- a/libs/relay/src/request/held_memory.h
+++ b/libs/relay/src/request/held_memory.h
@@ -30,6 +30,14 @@
   // there is no room: the request is to be refused before its body is read.
   bool Reserve(HolderId holder, int64_t bytes, TimePoint now);
 
+  // The request needs `bytes` of what it took no longer.
+  void Free(HolderId holder, int64_t bytes);
+
+  // No answer is to be read on of which something waits already. Gives up those that were left
+  // alone: without it an answer whose caller reads could be the one that is given up when many
+  // come at once, before it shows which of them have stopped.
+  bool IsFull(TimePoint now);
+
   // The request's answer may be given up: `give_up` is called once, and has to free what is held.
   void OnGiveUp(HolderId holder, std::function<void(int64_t bytes, Duration left_alone)> give_up);
 
@@ -54,9 +62,9 @@
     std::function<void(int64_t bytes, Duration left_alone)> give_up;
   };
 
-  // Gives up answers until `bytes` more fit. Those left alone for less than `patience` are kept.
-  void MakeRoom(int64_t bytes, Duration patience, TimePoint now);
-  bool Fits(int64_t bytes) const { return total_ + bytes <= limit_; }
+  // Gives up answers until no more than `most` bytes are held. Those left alone for less than
+  // `patience` are kept.
+  void ReduceTo(int64_t most, Duration patience, TimePoint now);
 
   int64_t limit_;
   int64_t total_ = 0;
@@ -78,6 +86,10 @@
   bool Reserve(int64_t body_bytes, TimePoint now) {
     return memory_->Reserve(holder_, kRequestStateBytes + body_bytes, now);
   }
+  // The same for `bytes` more.
+  bool ReserveMore(int64_t bytes, TimePoint now) { return memory_->Reserve(holder_, bytes, now); }
+  void Free(int64_t bytes) { memory_->Free(holder_, bytes); }
+  bool IsFull(TimePoint now) { return memory_->IsFull(now); }
   void OnGiveUp(std::function<void(int64_t bytes, Duration left_alone)> give_up) {
     memory_->OnGiveUp(holder_, std::move(give_up));
   }
--- a/libs/relay/tests/held_memory_test.cc
+++ b/libs/relay/tests/held_memory_test.cc
@@ -76,6 +76,35 @@
   for (const auto& one : held) cr_assert(one->times_given_up <= 1);
 }
 
+// Before the limit is reached: what is given up then are answers that were left alone, and nothing
+// where all callers read.
+Test(held_memory, that_is_full_gives_up_only_what_was_left_alone) {
+  const auto memory = std::make_shared<HeldMemory>(kLimit);
+  const auto held = Some(6, memory);
+  cr_assert(!held[0]->request.IsFull(kStart));
+  for (const auto& one : held) one->request.NoteWaiting(kAnswer, kStart);
+  cr_assert(held[0]->request.IsFull(kStart + milliseconds(900)));
+  for (const auto& one : held) cr_assert(one->times_given_up == 0);
+  held[0]->request.NoteTaken(kAnswer, kStart + milliseconds(800));
+  cr_assert(!held[0]->request.IsFull(kStart + milliseconds(1100)));
+  cr_assert(held[0]->times_given_up == 0);
+  int given_up = 0;
+  for (const auto& one : held) given_up += one->times_given_up;
+  cr_assert(given_up == 1, "as many as it takes: %d", given_up);
+}
+
+Test(held_memory, what_is_freed_twice_or_after_it_was_given_up_counts_once) {
+  const auto memory = std::make_shared<HeldMemory>(kLimit);
+  const auto held = Some(1, memory);
+  cr_assert(held[0]->request.ReserveMore(1000, kStart));
+  held[0]->request.Free(1000);
+  cr_assert(memory->Total() == kRequestStateBytes);
+  held[0]->request.NoteWaiting(kLimit, kStart);
+  cr_assert(held[0]->times_given_up == 1 && memory->Total() == 0);
+  held[0]->request.Free(kRequestStateBytes);
+  cr_assert(memory->Total() == 0);
+}
+
 Test(held_memory, what_is_released_is_free) {
   const auto memory = std::make_shared<HeldMemory>(kLimit);
   {
