Tests of fleets in one process take addresses of their own, and count no time in which others had the processors

catalog_spread_test failed now and then beside load, and 24 of 24 times with twelve of them at once, which was taken for load. Two causes, by a run each: - All processes bound the same fixed addresses: with twelve at once eleven ended at the first bind (11 of 12 "CRASH", the exception of the acceptor), whatever the load. UndisturbedTime leaves out the time in which the thread was ready and the machine did not run it, by the kernel's statistics: where nobody disturbs, the bounds are as strict as before.

No check or bound was changed.

--- a/libs/relay/tests/catalog_spread_test.cc
+++ b/libs/relay/tests/catalog_spread_test.cc
@@ -17,6 +17,7 @@
 #include <memory>
 #include <vector>
 
+#include "support/own_hosts.h"
 #include "support/spread_fleet.h"
 #include "testing/criterion.h"
 
@@ -29,7 +30,7 @@
 constexpr Duration kBound = milliseconds(500);
 
 Test(catalog_spread, every_node_has_a_change_in_a_quarter_of_the_time_there_is) {
-  testing::SpreadFleet fleet(kNodes, 1);
+  testing::SpreadFleet fleet(kNodes);
   fleet.ApplyAtAll(1);
   fleet.RunFor(milliseconds(600));  // nodes hear each other, and the next digests are far away
   constexpr int64_t kVersion = 7;
@@ -53,7 +54,7 @@
   constexpr int kSilent = 0;
   constexpr int kGood = 1;
   constexpr int kAsking = 2;
-  testing::SpreadFleet fleet(3, 2);
+  testing::SpreadFleet fleet(3);
   fleet.ApplyAtAll(1);
   fleet.RunFor(milliseconds(400));  // they know each other
   fleet.At(kSilent).FallSilent();
@@ -69,7 +70,7 @@
 // 14 KB a second and node. Now changes are told; a node that missed some fetches just these.
 Test(catalog_spread, a_change_of_a_back_end_is_handed_over_without_the_others) {
   constexpr size_t kMostBytes = 500;
-  testing::SpreadFleet fleet(12, 3);
+  testing::SpreadFleet fleet(12);
   fleet.RunFor(milliseconds(400));  // they know each other
   const int reader = fleet.FirstReader();
   const int other = (reader + 5) % 12;
@@ -96,7 +97,7 @@
 // changes at a time nodes were told the revision only, and all of them fetched the changes.
 Test(catalog_spread, some_hundred_changes_at_once_are_told_without_a_fetch) {
   constexpr int kChanges = 200;
-  testing::SpreadFleet fleet(12, 4);
+  testing::SpreadFleet fleet(12);
   fleet.RunFor(milliseconds(400));  // they know each other
   const int reader = fleet.FirstReader();
   fleet.At(reader).StartReading(10);
@@ -118,10 +119,10 @@
   constexpr int kSettled = 4;
   constexpr int kStarting = 8;
   boost::asio::io_context io;
-  const std::string seed = "127.0.5.1";
+  const std::string seed = testing::OwnHost(1);
   std::vector<std::unique_ptr<testing::FleetNode>> nodes;
   const auto start = [&io, &nodes, &seed] {
-    const std::string host = "127.0.5." + std::to_string(nodes.size() + 1);
+    const std::string host = testing::OwnHost(static_cast<int>(nodes.size()) + 1);
     nodes.push_back(std::make_unique<testing::FleetNode>(io, host, std::vector<std::string>{seed}));
   };
   for (int i = 0; i < kSettled; ++i) start();
--- a/libs/relay/tests/drain_spread_test.cc
+++ b/libs/relay/tests/drain_spread_test.cc
@@ -18,7 +18,7 @@
 
 Test(drain_spread, a_readers_word_reaches_every_node_without_a_fetch) {
   constexpr Duration kOneTrip = milliseconds(200);
-  testing::SpreadFleet fleet(kNodes, 41);
+  testing::SpreadFleet fleet(kNodes);
   fleet.RunFor(milliseconds(400));  // they know each other
   const int reader = fleet.FirstReader();
   fleet.At(reader).StartReading(10);
@@ -36,7 +36,7 @@
 // No message of the change arrives anywhere: nodes hear in their gossip that another one knows
 // more.
 Test(drain_spread, with_every_message_lost_all_nodes_have_it_well_within_the_deadline) {
-  testing::SpreadFleet fleet(kNodes, 42);
+  testing::SpreadFleet fleet(kNodes);
   fleet.ApplyAtAll(1);
   fleet.RunFor(milliseconds(400));
   fleet.At(0).ApplyDrain("hall-a", 2);
@@ -47,7 +47,7 @@
 
 // The node that knows it is asked for it in vain; others got it from elsewhere and hand it on.
 Test(drain_spread, a_node_that_knows_and_does_not_answer_holds_up_nobody) {
-  testing::SpreadFleet fleet(kNodes, 43);
+  testing::SpreadFleet fleet(kNodes);
   fleet.ApplyAtAll(1);
   fleet.RunFor(milliseconds(400));
   fleet.At(0).FallSilent();
--- a/libs/relay/tests/peer_exchange_test.cc
+++ b/libs/relay/tests/peer_exchange_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "support/own_hosts.h"
 #include "support/relay_fixture.h"
 #include "support/scripted_store.h"
 #include "support/version_codec.h"
@@ -52,16 +53,16 @@
   asio::io_context io;
   // So long that within the test each node sends of its own accord once only.
   constexpr Duration kInterval = seconds(30);
-  Node first(io, "127.0.0.31", {}, kInterval);
-  Node second(io, "127.0.0.32", {"127.0.0.31"}, kInterval);
+  Node first(io, testing::OwnHost(31), {}, kInterval);
+  Node second(io, testing::OwnHost(32), {testing::OwnHost(31)}, kInterval);
   io.run_for(milliseconds(100));
-  cr_assert(first.Hears("127.0.0.32") && second.Hears("127.0.0.31"));
-  Node third(io, "127.0.0.33", {"127.0.0.31"}, kInterval);
+  cr_assert(first.Hears(testing::OwnHost(32)) && second.Hears(testing::OwnHost(31)));
+  Node third(io, testing::OwnHost(33), {testing::OwnHost(31)}, kInterval);
   io.restart();
   io.run_for(milliseconds(100));
-  cr_assert(third.Hears("127.0.0.31"));
+  cr_assert(third.Hears(testing::OwnHost(31)));
   const auto& known = third.context.peers.Peers();
-  cr_assert(known.count("127.0.0.32") == 1, "told of the second by the first");
+  cr_assert(known.count(testing::OwnHost(32)) == 1, "told of the second by the first");
 }
 
 Backend EngineOf(const std::string& service) {
@@ -79,9 +80,9 @@
   const std::string service = document.services[0].name;
   std::vector<std::unique_ptr<Node>> nodes;
   for (int i = 0; i < kNodes; ++i) {
-    const std::string host = "127.0.0." + std::to_string(41 + i);
-    nodes.push_back(
-        std::make_unique<Node>(io, host, std::vector<std::string>{"127.0.0.41"}, milliseconds(50)));
+    const std::string host = testing::OwnHost(41 + i);
+    nodes.push_back(std::make_unique<Node>(io, host, std::vector<std::string>{testing::OwnHost(41)},
+                                           milliseconds(50)));
     nodes.back()->context.routing.Apply(*RouteTable::Build(document), "");
     nodes.back()->context.dispatcher.Registry().Put(EngineOf(service));
   }
--- a/libs/relay/tests/support/spread_fleet.cc
+++ b/libs/relay/tests/support/spread_fleet.cc
@@ -1,9 +1,10 @@
 #include "spread_fleet.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 
+#include "support/own_hosts.h"
+#include "support/undisturbed_time.h"
+
 namespace cartsail::testing {
 namespace {
 
@@ -11,18 +12,21 @@
 
 }  // namespace
 
-SpreadFleet::SpreadFleet(int nodes, int network) {
+SpreadFleet::SpreadFleet(int nodes) {
   std::vector<std::string> hosts;
   hosts.reserve(static_cast<size_t>(nodes));
-  for (int i = 0; i < nodes; ++i) hosts.push_back(fmt::format("127.0.{}.{}", network, i + 1));
+  for (int i = 0; i < nodes; ++i) hosts.push_back(OwnHost(i + 1));
   for (const std::string& host : hosts) {
     nodes_.push_back(std::make_unique<FleetNode>(io_, host, hosts));
   }
 }
 
 void SpreadFleet::RunFor(Duration duration) {
-  io_.restart();
-  io_.run_for(duration);
+  const UndisturbedTime time;
+  for (Duration left = duration; left > Duration(0); left = duration - time.Passed()) {
+    io_.restart();
+    io_.run_for(left);
+  }
 }
 
 void SpreadFleet::ApplyAtAll(int64_t version) {
@@ -30,19 +34,19 @@
 }
 
 bool SpreadFleet::RunUntilAllHave(int64_t version, Duration limit) {
-  const TimePoint end = Now() + limit;
+  const UndisturbedTime time;
   const int all = static_cast<int>(nodes_.size());
-  while (Now() < end && NodesWith(version) < all) RunFor(kStep);
+  while (time.Passed() < limit && NodesWith(version) < all) RunFor(kStep);
   return NodesWith(version) == all;
 }
 
 bool SpreadFleet::RunUntilAllKnow(int64_t revision, Duration limit) {
-  const TimePoint end = Now() + limit;
+  const UndisturbedTime time;
   const auto all_know = [this, revision] {
     return std::all_of(nodes_.begin(), nodes_.end(),
                        [revision](const auto& node) { return node->Revision() >= revision; });
   };
-  while (Now() < end && !all_know()) RunFor(kStep);
+  while (time.Passed() < limit && !all_know()) RunFor(kStep);
   return all_know();
 }
 
--- a/libs/relay/tests/support/spread_fleet.h
+++ b/libs/relay/tests/support/spread_fleet.h
@@ -12,9 +12,9 @@
 
 class SpreadFleet {
  public:
-  // At 127.0.`network`.1 and so on: fleets at the same time need different ones.
-  SpreadFleet(int nodes, int network);
+  explicit SpreadFleet(int nodes);
 
+  // Durations and limits do not count time in which other processes had the processors.
   void RunFor(Duration duration);
 
   FleetNode& At(int node) { return *nodes_[static_cast<size_t>(node)]; }
