--- a/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
+++ b/libs/dispatch/include/cartsail/dispatch/cold_back_ends.h
@@ -69,6 +69,8 @@
   std::optional<ColdSpell> SpellOf(const Backend& backend, const ServiceWarmUp& rule,
                                    const ZoneDrains& drains, TimePoint now) const;
 
+  bool HasLosses() const { return !losses_.empty(); }
+
   // Those that were lost, have not told since how long they stay cold, and were not asked just
   // before.
   std::vector<BackendKey> ToBeAsked(TimePoint now) const;
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -177,6 +177,9 @@
   // node with the right to grant to cold ones; `most` of them. Each question counts as a request.
   std::vector<Backend> TakeWarmthQuestions(const std::string& service, size_t most, TimePoint now);
 
+  // Some may have to be asked.
+  bool HasLostBackEnds() const { return cold_.HasLosses(); }
+
   // True when that ends or settles a spell after a loss.
   bool NoteWarmth(BackendKey backend, const WarmthAnswer& answer, TimePoint now) {
     return cold_.NoteWarmth(backend, answer, now);
--- a/libs/relay/src/placement/warmth_inquiry.cc
+++ b/libs/relay/src/placement/warmth_inquiry.cc
@@ -20,6 +20,7 @@
 namespace asio = boost::asio;
 
 constexpr Duration kInterval = milliseconds(25);
+constexpr Duration kIdleInterval = milliseconds(200);  // while none is lost, as mostly
 // A zone that comes back has some dozens of back ends; a silent one keeps its place for kTimeout.
 constexpr size_t kMostAtOnce = 32;
 constexpr Duration kTimeout = milliseconds(500);
@@ -53,7 +54,7 @@
 asio::awaitable<void> WarmthInquiry::Watch() {
   Timer timer(context_.io);
   while (true) {
-    timer.expires_after(kInterval);
+    timer.expires_after(context_.dispatcher.HasLostBackEnds() ? kInterval : kIdleInterval);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     if (!context_.draining && context_.routing.Table() != nullptr) AskDue(Now());
