--- a/libs/relay/src/placement/warmth_inquiry.cc
+++ b/libs/relay/src/placement/warmth_inquiry.cc
@@ -11,6 +11,7 @@
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
 #include "cartsail/base/timer.h"
+#include "cartsail/dispatch/cold_limits.h"
 #include "cartsail/net/http_client.h"
 #include "request/answer_notices.h"
 
@@ -26,8 +27,6 @@
 constexpr Duration kTimeout = milliseconds(500);
 constexpr size_t kMostBytes = 64 << 10;
 constexpr int kOk = 200;
-// Far above what any back end tells.
-constexpr double kLongestColdMs = 3.6e6;
 
 }  // namespace
 
@@ -44,7 +43,7 @@
   }
   double cold_ms = 0;
   const bool is_time = absl::SimpleAtod({told.data(), told.size()}, &cold_ms) && cold_ms >= 0 &&
-                       cold_ms <= kLongestColdMs;
+                       cold_ms <= ToMillis(kLongestColdSpell);
   if (is_time) answer.cold_left = FromSeconds(cold_ms / 1e3);
   return answer;
 }
