--- a/libs/dispatch/tests/last_back_ends_test.cc
+++ b/libs/dispatch/tests/last_back_ends_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cartsail/dispatch/dispatcher.h"
+#include "support/backends.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
@@ -34,21 +35,11 @@
 class Fleet {
  public:
   Fleet() {
-    for (const std::string& id : Ids()) dispatcher_.Registry().Put(MakeEngine(id));
+    for (const std::string& id : Ids()) dispatcher_.Registry().Put(testing::MakeBackend(id, 0));
   }
 
   static std::vector<std::string> Ids() { return {"e0", "e1", "e2", "e3"}; }
 
-  static Backend MakeEngine(const std::string& id) {
-    Backend engine;
-    engine.id = id;
-    engine.service = "s";
-    engine.address = id + ":1";
-    engine.zone = "z1";
-    engine.slots = 32;
-    return engine;
-  }
-
   Dispatcher& Nodes() { return dispatcher_; }
 
   // A request at each engine ends like this.
@@ -159,7 +150,7 @@
   rule.warm_up = kWarmUp;
   fleet.Nodes().SetWarmUps({rule}, ColdBound());
   for (const std::string& id : Fleet::Ids()) {
-    Backend engine = Fleet::MakeEngine(id);
+    Backend engine = testing::MakeBackend(id, 0);
     engine.cold_until = kStart + seconds(3);
     fleet.Nodes().Registry().Put(engine);
   }
@@ -191,8 +182,7 @@
   Fleet fleet;
   for (const std::string& id : Fleet::Ids()) fleet.Nodes().Registry().MarkLeaving(KeyOf(id));
   cr_assert(fleet.Placed(kStart + seconds(600)) == 0);
-  Backend again = Fleet::MakeEngine("e0");
-  again.started_ms = 1;
+  const Backend again = testing::MakeBackend("e0", 1);
   fleet.Nodes().Registry().Put(again);
   cr_assert(fleet.Placed(kStart + seconds(600)) == kRequests);
 }
--- a/libs/dispatch/tests/lost_back_ends_test.cc
+++ b/libs/dispatch/tests/lost_back_ends_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cartsail/dispatch/dispatcher.h"
+#include "support/backends.h"
 #include "testing/criterion.h"
 
 namespace cartsail {
@@ -83,12 +84,8 @@
 
  private:
   void Add(const std::string& id, const std::string& zone) {
-    Backend engine;
-    engine.id = id;
-    engine.service = "s";
-    engine.address = id + ":1";
+    Backend engine = testing::MakeBackend(id, 0);
     engine.zone = zone;
-    engine.slots = 8;
     dispatcher_.Registry().Put(engine);
   }
 
@@ -106,10 +103,8 @@
   int questions_ = 0;
 };
 
-// Four engines lost connections, got no request since, as the others looked as good, and were then
-// the only ones left: three quarters of the requests were refused for more than a second.
-Test(lost_back_ends, serve_at_once_when_a_drain_leaves_only_them) {
-  Fleet fleet;
+// The engines of a zone are lost, and 4.7 s later those of the other one are drained.
+void CheckDrainOfTheOthers(Fleet& fleet) {
   fleet.Lose("z1", kStart);
   TimePoint now = kStart + kStep;
   cr_assert(fleet.ServedShare(&now, kStart + milliseconds(4700), 1) == 1);
@@ -118,6 +113,13 @@
   cr_assert(served == 1, "%.3f", served);
 }
 
+// Four engines lost connections, got no request since, as the others looked as good, and were then
+// the only ones left: three quarters of the requests were refused for more than a second.
+Test(lost_back_ends, serve_at_once_when_a_drain_leaves_only_them) {
+  Fleet fleet;
+  CheckDrainOfTheOthers(fleet);
+}
+
 // Also where nothing but them was there from the first moment on.
 Test(lost_back_ends, serve_as_soon_as_they_have_told_that_they_are_warm) {
   Fleet fleet;
@@ -200,12 +202,7 @@
 // Each gets one of the requests that go to the others, and is warm by its answer.
 Test(lost_back_ends, that_can_not_be_asked_are_tried_before_a_drain_leaves_only_them) {
   Fleet fleet("");
-  fleet.Lose("z1", kStart);
-  TimePoint now = kStart + kStep;
-  cr_assert(fleet.ServedShare(&now, kStart + milliseconds(4700), 1) == 1);
-  fleet.Nodes().Registry().DrainZone("z2", now);
-  const double served = fleet.ServedShare(&now, now + milliseconds(1400), 6);
-  cr_assert(served == 1, "%.3f", served);
+  CheckDrainOfTheOthers(fleet);
   cr_assert(fleet.Questions() == 0);
 }
 
