Two tests of the relay wait for answers, not for 3 s

Traced: at these moments (14:49:42, 14:50:14) the machine stood still; the kernel's log tells workqueue pools stuck for 30 and 61 s from 14:49:26 on. Both judged an answer that had 3 s and 4 s in real time for the thread of a stand-in. What they check is unchanged; their requests, routes and connects have 60 s.

--- a/libs/relay/tests/relay_drain_test.cc
+++ b/libs/relay/tests/relay_drain_test.cc
@@ -115,12 +115,13 @@
   CrowdedBackend crowded;
   StubBackend other(Hello);
   RelayFixture relay;
-  relay.Context().options.connect_timeout = seconds(4);
+  relay.Context().options.connect_timeout = testing::kLongPatience;
+  relay.BePatient();
   relay.AddBackend("b1", "s", crowded.Address());
   relay.Start();
   BackendRegistry& registry = relay.Context().dispatcher.Registry();
   Client client(relay.Port());
-  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
+  client.Send(testing::MakePatientRequest("POST", "/once/a", "r1", "x"));
   const auto requests_at = [&relay](const std::string& id) {
     int64_t requests = 0;
     relay.OnRelayThread([&] { requests = relay.Context().dispatcher.RequestsAt(KeyOf(id)); });
@@ -132,7 +133,7 @@
     registry.DrainZone("z1", Now());
   });
   crowded.Open();
-  const std::string answer = client.ReadAnswer();
+  const std::string answer = client.ReadAnswer(testing::kLongPatience);
   cr_assert(Has(answer, "HTTP/1.1 200 ") && Has(answer, "hello"), "%s", answer.c_str());
   cr_assert(!crowded.GotBytes() && other.Requests().size() == 1);
   cr_assert(requests_at("b1") == 0);
--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -85,11 +85,12 @@
   });
   LogCapture log;
   RelayFixture relay;
+  relay.BePatient();
   relay.AddBackend("b1", "s", backend.Address());
   relay.Start();
   Client client(relay.Port());
-  client.Send(MakeRequest("POST", "/once/a", "r1", "x"));
-  (void)client.ReadAnswer();
+  client.Send(MakePatientRequest("POST", "/once/a", "r1", "x"));
+  (void)client.ReadAnswer(kLongPatience);
   const std::string line = log.LineOf("attempt");
   cr_assert(Has(line, " status=503 retry_after=2.5 leaving=true "), "%s", line.c_str());
 }
--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -78,6 +78,10 @@
   context_->dispatcher.Registry().Put(backend);
 }
 
+void RelayFixture::BePatient() {
+  for (RouteRule& route : document_.routes) route.timeout = kLongPatience;
+}
+
 void RelayFixture::Start() {
   auto table = RouteTable::Build(document_);
   context_->routing.Apply(*table, "");
@@ -138,7 +142,7 @@
   return true;
 }
 
-std::string Client::ReadAnswer() {
+std::string Client::ReadAnswer(Duration patience) {
   while (true) {
     const size_t head_end = buffer_.find("\r\n\r\n");
     if (head_end != std::string::npos) {
@@ -156,7 +160,7 @@
         return answer;
       }
     }
-    if (!ReadMore(kPatienceMs)) return std::exchange(buffer_, {});
+    if (!ReadMore(static_cast<int>(ToMillis(patience)))) return std::exchange(buffer_, {});
   }
 }
 
@@ -177,12 +181,28 @@
   return false;
 }
 
-std::string MakeRequest(const std::string& method, const std::string& path, const std::string& id,
-                        const std::string& body, const std::string& more_headers) {
-  std::string text = method + " " + path + " HTTP/1.1\r\nHost: h\r\nCartsail-Request-Id: " + id +
-                     "\r\nCartsail-Time-Left-Ms: 3000\r\n" + more_headers;
+namespace {
+
+std::string RequestText(const std::string& method, const std::string& path, const std::string& id,
+                        const std::string& body, const std::string& headers) {
+  std::string text =
+      method + " " + path + " HTTP/1.1\r\nHost: h\r\nCartsail-Request-Id: " + id + "\r\n" + headers;
   if (!body.empty()) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return text + "\r\n" + body;
 }
 
+}  // namespace
+
+std::string MakeRequest(const std::string& method, const std::string& path, const std::string& id,
+                        const std::string& body, const std::string& more_headers) {
+  return RequestText(method, path, id, body, "Cartsail-Time-Left-Ms: 3000\r\n" + more_headers);
+}
+
+std::string MakePatientRequest(const std::string& method, const std::string& path,
+                               const std::string& id, const std::string& body) {
+  const auto patience = static_cast<int64_t>(ToMillis(kLongPatience));
+  return RequestText(method, path, id, body,
+                     "Cartsail-Time-Left-Ms: " + std::to_string(patience) + "\r\n");
+}
+
 }  // namespace cartsail::testing
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -25,6 +25,10 @@
   RoutingDocument& Document() { return document_; }
   RelayContext& Context() { return *context_; }
 
+  // Before Start(): no route gives a request up for kLongPatience, so that a machine that stands
+  // still for seconds changes no answer.
+  void BePatient();
+
   // Puts the document in force and listens.
   void Start();
 
@@ -62,8 +66,9 @@
 
   void Send(const std::string& bytes);
 
-  // Reads one whole answer (a length or chunks); what came so far when the connection ends.
-  std::string ReadAnswer();
+  // Reads one whole answer (a length or chunks); what came so far when the connection ends, or
+  // nothing more has come for `patience`.
+  std::string ReadAnswer(Duration patience = seconds(10));
 
   // Reads until `text` has come or the connection ends.
   std::string ReadUntil(const std::string& text);
@@ -84,6 +89,12 @@
   std::string buffer_;
 };
 
+inline constexpr Duration kLongPatience = seconds(60);
+
+// The same as MakeRequest(), and all the time that there is left.
+std::string MakePatientRequest(const std::string& method, const std::string& path,
+                               const std::string& id, const std::string& body);
+
 // A request to host "h" with an id and time left.
 std::string MakeRequest(const std::string& method, const std::string& path, const std::string& id,
                         const std::string& body = "", const std::string& more_headers = "");
