--- a/libs/dispatch/tests/lost_back_ends_test.cc
+++ b/libs/dispatch/tests/lost_back_ends_test.cc
@@ -140,7 +140,8 @@
   fleet.StayColdUntil(kStart + seconds(3));
   const int64_t most = AllowanceOfCold(kWarmUp, ColdBound()).most;
   TimePoint now = kStart + kStep;
-  std::vector<TimePoint> sent;  // to one of them, questions included
+  // To one of them: the request that was lost, questions, requests.
+  std::vector<TimePoint> sent = {kStart};
   const BackendKey engine = KeyOf("a0");
   std::vector<BackendKey> others;
   for (const Backend& other : fleet.Nodes().Registry().All()) {
