What an engine that named a rate gets is counted from the latest moment at which a grant is sent

By its nodes' logs 13 requests were granted before the rate could be known and arrived up to 9 ms later; the next one was granted 4 s after these grants. The window of the sum counts grants and left out the 0.25 s for which a grant holds, which the window for cold back ends includes. The fault is in the landed code.

--- a/libs/dispatch/include/cartsail/dispatch/grant_limiter.h
+++ b/libs/dispatch/include/cartsail/dispatch/grant_limiter.h
@@ -28,7 +28,7 @@
 class GrantLimiter {
  public:
   // Of allowances of more than one grant; longer ones are not kept to.
-  static constexpr Duration kLongestWindow = seconds(4);
+  static constexpr Duration kLongestWindow = seconds(4) + kGrantHolds;
   // The newest grant is remembered for so long, for allowances of one.
   static constexpr Duration kLongestPause = seconds(60);
 
--- a/libs/dispatch/src/grant_allowances.cc
+++ b/libs/dispatch/src/grant_allowances.cc
@@ -27,9 +27,11 @@
   const int64_t at_once = WholeRequests(rate / kPartsOfSecond);
   const GrantAllowance pace{at_once, FromSeconds(static_cast<double>(at_once) / rate)};
   const double in_window = bound.rate_factor * per_s * ToSeconds(bound.window) + bound.burst;
+  // What is sent in one window of the bound was granted within this one.
+  const Duration window = bound.window + kGrantHolds;
   // What was sent before the rate was named counts in the first windows for which the bound holds.
-  const GrantAllowance sum{WholeRequests(kShareOfRateBound * in_window), bound.window,
-                           first_named + bound.hearing - bound.window};
+  const GrantAllowance sum{WholeRequests(kShareOfRateBound * in_window), window,
+                           first_named + bound.hearing - window};
   return {pace, sum};
 }
 
--- a/libs/dispatch/tests/limited_back_ends_test.cc
+++ b/libs/dispatch/tests/limited_back_ends_test.cc
@@ -114,6 +114,26 @@
   }
 }
 
+// Eleven requests that were granted before the rate was named and sent as late as their grants hold
+// were followed by another one 4 s after the grants: twelve in 4 s, where eleven are allowed.
+Test(limited_back_ends, what_was_granted_counts_from_the_latest_moment_at_which_it_is_sent) {
+  constexpr double kRate = 1;
+  const auto allowed = static_cast<int>(MostInWindow(kRate));
+  Dispatcher dispatcher = MakeDispatcher({"e"});
+  for (int i = 0; i < allowed; ++i) {
+    cr_assert(dispatcher.Place(Question(), {}, kStart, {}, kAll).has_value());
+  }
+  std::vector<TimePoint> sent(static_cast<size_t>(allowed), kStart + kGrantHolds);
+  Name(dispatcher, "e", kRate, kStart + kGrantHolds);
+  const TimePoint holds = kStart + kGrantHolds + kBound.hearing;
+  for (TimePoint now = kStart + kGrantHolds; now < kStart + seconds(10); now += milliseconds(10)) {
+    if (dispatcher.Place(Question(), {}, now, {}, kAll).has_value()) sent.push_back(now);
+  }
+  const size_t most = MostInAnyWindow(sent, holds);
+  cr_assert(most <= static_cast<size_t>(allowed), "%zu in 4 s, %d allowed", most, allowed);
+  cr_assert(sent.size() > static_cast<size_t>(allowed), "it is not left out either");
+}
+
 Test(limited_back_ends, callers_do_not_wait_where_another_one_is_free) {
   Dispatcher dispatcher = MakeDispatcher({"limited", "free"});
   Name(dispatcher, "limited", 1, kStart);
