--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -282,9 +282,12 @@
   if (granted && head_sent_) counters.continuations_total.Add();
   Log(LogLevel::kWarning, "repeat",
       {{"request", request_id_},
+       {"service", admitted_.profile.service},
        {"granted", granted ? "true" : "false"},
        {"budget_left", fmt::format("{:.1f}", budget.Left(Now(), nodes))},
        {"nodes", std::to_string(nodes)},
+       {"known", std::to_string(context_.peers.FleetOf(admitted_.profile.service, Now()).known + 1)},
+       {"uptime_ms", fmt::format("{:.0f}", ToMillis(context_.peers.Self(Now()).uptime))},
        {"last_event", last_event_id_}});
   return granted;
 }
