--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -100,7 +100,8 @@
   // Whether the request may be sent to a back end now, as a repeat where it was sent to one before.
   boost::asio::awaitable<bool> TakeRepeat();
   void LogRepeat() const;
-  // The attempt under way has ended: when its bytes can no longer reach a back end.
+  // The attempt under way has ended. From then on its repeat counts for one window, or for longer
+  // where its bytes may still be on their way.
   void EndRepeat(AttemptOutcome outcome);
   void CountEnd(std::string_view result, Duration took) const;
   void LogEnd(std::string_view result, int status) const;
--- a/libs/relay/src/retries/retry_service.cc
+++ b/libs/relay/src/retries/retry_service.cc
@@ -44,7 +44,7 @@
   while (true) {
     const TimePoint now = Now();
     stalls_.Beat(now);
-    (void)ExtraPart(now);
+    FollowLease(now);
     if (now - tallies_logged_ >= options_.window) LogTallies(now);
     std::erase_if(refused_until_, [now](const auto& entry) { return now >= entry.second; });
     timer.expires_after(StallWatch::kInterval);
@@ -59,11 +59,15 @@
   return budget;
 }
 
-double RetryService::ExtraPart(TimePoint now) {
+void RetryService::FollowLease(TimePoint now) {
   extra_right_.Note(extra_lease_ ? extra_lease_() : std::nullopt, now);
-  const bool holds = extra_right_.Holds(now);
-  GlobalCounters().retry_extra_held.Set(holds ? 1 : 0);
-  return holds ? peers_.LendingShare() : 0;
+  GlobalCounters().retry_extra_held.Set(extra_right_.Holds(now) ? 1 : 0);
+}
+
+double RetryService::ExtraPart(TimePoint now) {
+  // The lease may have run out since it was last looked at.
+  FollowLease(now);
+  return extra_right_.Holds(now) ? peers_.LendingShare() : 0;
 }
 
 double RetryService::LeftOfExtra(const std::string& service) {
--- a/libs/relay/src/retries/retry_service.h
+++ b/libs/relay/src/retries/retry_service.h
@@ -91,6 +91,7 @@
 
   boost::asio::awaitable<void> Run();
   std::shared_ptr<ServiceRetryBudget> BudgetOf(const std::string& service);
+  void FollowLease(TimePoint now);
   // Of the extra, what this node may give out now.
   double ExtraPart(TimePoint now);
   boost::asio::awaitable<std::optional<Loan>> Borrow(const std::string& service);
