--- a/libs/relay/tests/retry_service_test.cc
+++ b/libs/relay/tests/retry_service_test.cc
@@ -85,8 +85,11 @@
   int Messages() const { return messages_; }
 
  private:
-  void Deliver(const std::string& from, const std::string& to, const Datagram& datagram) {
+  void Deliver(const std::string& from, const std::string& to, const Datagram& sent) {
     if (from == cut_off_ || to == cut_off_) return;
+    const std::optional<Datagram> read = DecodeDatagram(EncodeDatagram(sent));
+    cr_assert(read.has_value());
+    const Datagram& datagram = *read;
     for (const auto& node : nodes_) {
       if (node->host != to) continue;
       if (const auto* question = std::get_if<RepeatQuestion>(&datagram)) {
