--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -341,6 +341,8 @@
 
 asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
   answer_ = {};
+  answer_end_.reset();
+  events_ = {};
   const OpenedPath opened = co_await OpenUpstream(placement);
   upstream_ = opened.connection;
   over_ = upstream_ == nullptr ? std::string() : upstream_->Over();
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cartsail/net/event_scanner.h"
 #include "cartsail/quarantine/request_fingerprint.h"
 #include "cartsail/relay/admission.h"
 #include "relay_context.h"
@@ -37,6 +38,12 @@
   std::string rate_limit;  // as the back end wrote it
 };
 
+// How the body of an attempt's answer ended.
+struct AnswerEnd {
+  BodyEvidence evidence;
+  int64_t bytes = 0;  // of the body that came
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller,
@@ -61,6 +68,7 @@
                                                      TimePoint patience);
   boost::asio::awaitable<AttemptOutcome> SkipStrayAnswer();
   void NoteAnswerHead(const ResponseHead& head);
+  void NoteAnswerEnd();
   boost::asio::awaitable<AttemptOutcome> RelayAnswer(const Placement& placement,
                                                      const ResponseHead& head);
   boost::asio::awaitable<AttemptOutcome> RelayWhole(const Placement& placement,
@@ -125,9 +133,11 @@
   std::string request_id_;
   RequestFingerprint fingerprint_ = 0;
   ConnectResult connect_result_ = ConnectResult::kConnected;  // of the last attempt
-  std::string over_;           // the node over which the last attempt went; empty: none
-  AnswerHead answer_;          // of the last attempt
-  std::string last_event_id_;  // of the events passed on, for a continuation
+  std::string over_;                     // the node over which the last attempt went; empty: none
+  AnswerHead answer_;                    // of the last attempt
+  std::optional<AnswerEnd> answer_end_;  // of the last attempt; nothing: it had no head
+  EventScanner events_;                  // of the last attempt's answer
+  std::string last_event_id_;            // of the events passed on, for a continuation
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
   TimePoint sent_;  // to a back end, in the last attempt
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -19,6 +19,11 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+ContentEnd ContentEndOf(const EventScanner& events) {
+  if (events.IsInsideEvent()) return ContentEnd::kInsideEvent;
+  return events.HasEvent() ? ContentEnd::kBetweenEvents : ContentEnd::kNoEvent;
+}
+
 }  // namespace
 
 asio::awaitable<AttemptOutcome> Exchange::SkipStrayAnswer() {
@@ -67,7 +72,16 @@
   const AttemptOutcome outcome = co_await ReadOwnHead(placement, &head, Patience(placement, Now()));
   if (outcome != AttemptOutcome::kAnswered) co_return outcome;
   NoteAnswerHead(head);
-  co_return co_await RelayAnswer(placement, head);
+  answer_end_.emplace();
+  const AttemptOutcome relayed = co_await RelayAnswer(placement, head);
+  NoteAnswerEnd();
+  co_return relayed;
+}
+
+void Exchange::NoteAnswerEnd() {
+  BodyEvidence& evidence = answer_end_->evidence;
+  evidence.framing = upstream_->Framing();
+  evidence.reading = upstream_->HowReadingEnded();
 }
 
 asio::awaitable<AttemptOutcome> Exchange::RelayAnswer(const Placement& placement,
@@ -100,6 +114,7 @@
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
     has_output_ = true;
+    answer_end_->bytes += static_cast<int64_t>(chunk.size());
     const TimePoint now = Now();
     context_.placement.Output(placement.ticket, now);
     goes_on = body.Append(chunk, now);
@@ -125,6 +140,7 @@
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
     if (chunk.empty()) break;
+    answer_end_->bytes += static_cast<int64_t>(chunk.size());
     if (!co_await writer_->Write(ChunkText(chunk, false))) co_return AttemptOutcome::kCallerGone;
   }
   if (!co_await writer_->Write(ChunkText({}, true))) co_return AttemptOutcome::kCallerGone;
@@ -167,6 +183,9 @@
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, patience);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
     const bool at_end = chunk.empty();
+    answer_end_->bytes += static_cast<int64_t>(chunk.size());
+    (void)events_.Scan(chunk);
+    answer_end_->evidence.content = ContentEndOf(events_);
     if (!at_end) {
       const TimePoint now = Now();
       has_output_ = true;
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -34,10 +34,28 @@
   return coordinator.empty() ? "self" : coordinator;
 }
 
+// How the back end's answer ended, for the lines of attempts and of requests; empty: it had no
+// head.
+struct AnswerEndText {
+  std::string framing;
+  std::string reading;
+  std::string content;
+  std::string bytes;
+};
+
+AnswerEndText TextOf(const std::optional<AnswerEnd>& end) {
+  if (!end.has_value()) return {};
+  const BodyEvidence& evidence = end->evidence;
+  return {std::string(BodyFramingName(evidence.framing)),
+          std::string(ReadingEndName(evidence.reading)),
+          std::string(ContentEndName(evidence.content)), std::to_string(end->bytes)};
+}
+
 }  // namespace
 
 void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
   if (outcome == AttemptOutcome::kAnswered) return;
+  const AnswerEndText end = TextOf(answer_end_);
   Log(LogLevel::kWarning, "attempt",
       {{"request", request_id_},
        {"fingerprint", FingerprintText(fingerprint_)},
@@ -50,6 +68,10 @@
        {"retry_after", answer_.retry_after},
        {"leaving", answer_.leaving ? "true" : "false"},
        {"rate_limit", answer_.rate_limit},
+       {"framing", end.framing},
+       {"reading_end", end.reading},
+       {"content_end", end.content},
+       {"answer_bytes", end.bytes},
        {"attempts", std::to_string(history_.attempts)},
        {"may_have_run", std::to_string(history_.may_have_run)},
        {"expected_loss", fmt::format("{:.3f}", placement.expected_loss)},
@@ -147,6 +169,7 @@
   const bool has_output = first_output_ != TimePoint();
   const bool answered = result == kAnsweredResult;
   CountEnd(result, took);
+  const AnswerEndText end = TextOf(answer_end_);
   const bool is_slow = has_output && admitted_.route != nullptr &&
                        first_output_ - request_.received > admitted_.route->first_output_goal;
   Log(answered && !is_slow ? LogLevel::kInfo : LogLevel::kWarning, "request",
@@ -163,6 +186,10 @@
        {"attempts", std::to_string(history_.attempts)},
        {"connects_failed", std::to_string(history_.connects_failed)},
        {"rate_limit", answer_.rate_limit},
+       {"framing", end.framing},
+       {"reading_end", end.reading},
+       {"content_end", end.content},
+       {"answer_bytes", end.bytes},
        {"result", std::string(result)},
        {"status", std::to_string(status)},
        {"first_ms",
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -30,6 +30,12 @@
 
 bool IsTimeout(const beast::error_code& error) { return error == beast::error::timeout; }
 
+// The other side ended its side of the connection in order.
+bool IsClosedByPeer(const beast::error_code& error) {
+  return error == asio::error::eof || error == http::error::end_of_stream ||
+         error == http::error::partial_message;
+}
+
 // "timeout=5, max=100" -> 5 s.
 std::optional<Duration> KeepAliveTimeout(std::string_view text) {
   constexpr std::string_view kName = "timeout=";
@@ -58,6 +64,20 @@
   return UpstreamError::kBroken;
 }
 
+BodyFraming UpstreamConnection::FramingOfHead() const {
+  if (parser_->is_done()) return BodyFraming::kNone;
+  if (parser_->chunked()) return BodyFraming::kChunked;
+  return parser_->need_eof() ? BodyFraming::kConnection : BodyFraming::kLength;
+}
+
+ReadingEnd UpstreamConnection::EndOf(const beast::error_code& error) const {
+  if (!error && framing_ != BodyFraming::kConnection) return ReadingEnd::kFraming;
+  if (closed_here_) return ReadingEnd::kOwnClose;
+  if (IsTimeout(error)) return ReadingEnd::kTimeout;
+  if (IsLostOnTheWay()) return ReadingEnd::kLostOnTheWay;
+  return !error || IsClosedByPeer(error) ? ReadingEnd::kPeerClosed : ReadingEnd::kReset;
+}
+
 std::string_view ConnectResultName(ConnectResult result) {
   switch (result) {
     case ConnectResult::kConnected:
@@ -182,6 +202,8 @@
     head->length = std::nullopt;
     if (parser_->content_length()) head->length = *parser_->content_length();
     keep_alive_ = message.keep_alive();
+    framing_ = FramingOfHead();
+    reading_end_ = ReadingEnd::kFraming;
     NoteKeepAlive(*head);
     co_return UpstreamError::kNone;
   }
@@ -208,7 +230,10 @@
                                    asio::redirect_error(asio::use_awaitable, error));
     if (error == http::error::need_buffer) error = {};
     chunk->resize(chunk->size() - parser_->get().body().size);
-    if (error) broken_ = true;
+    if (error) {
+      if (reading_end_ == ReadingEnd::kFraming) reading_end_ = EndOf(error);
+      broken_ = true;
+    }
     if (broken_) EndWaiting();
     if (!chunk->empty()) {
       NoteHeard();
@@ -216,6 +241,7 @@
     }
     if (error) co_return ErrorOf(error);
   }
+  reading_end_ = EndOf({});
   stream_.Transport().expires_never();
   EndWaiting();
   TellAnswerRead();
@@ -248,6 +274,7 @@
 }
 
 void UpstreamConnection::Close() {
+  closed_here_ = true;
   broken_ = true;
   EndWaiting();
   beast::error_code ignored;
--- a/libs/relay/src/upstream/upstream_connection.h
+++ b/libs/relay/src/upstream/upstream_connection.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/net/body_end.h"
 #include "cartsail/net/http_types.h"
 #include "cartsail/reachability/end_evidence.h"
 #include "upstream/bridge_message.h"
@@ -73,6 +74,12 @@
   // Reads some of the body into `*chunk`; an empty one is its end.
   boost::asio::awaitable<UpstreamError> ReadBody(std::string* chunk, TimePoint deadline);
 
+  // What tells the end of the body whose head was read last.
+  BodyFraming Framing() const { return framing_; }
+
+  // How the reading of that body has ended; kFraming until then.
+  ReadingEnd HowReadingEnded() const { return reading_end_; }
+
   // True after a whole exchange that leaves the connection clean.
   bool IsReusable() const;
 
@@ -105,6 +112,8 @@
  private:
   UpstreamError ErrorOf(const boost::beast::error_code& error) const;
   void NoteKeepAlive(const ResponseHead& head);
+  BodyFraming FramingOfHead() const;
+  ReadingEnd EndOf(const boost::beast::error_code& error) const;
   void NoteHeard();
   void EndWaiting();
   void TellAnswerRead();
@@ -124,8 +133,11 @@
   std::shared_ptr<const std::string> request_body_;
   bool write_pending_ = false;
   bool write_failed_ = false;
+  BodyFraming framing_ = BodyFraming::kNone;
+  ReadingEnd reading_end_ = ReadingEnd::kFraming;
   bool keep_alive_ = false;
   bool broken_ = false;
+  bool closed_here_ = false;
   Duration idle_limit_;
   TimePoint usable_until_{};
 };
