One judge says how an answer's body ended; a stream broken off inside an event is a cut, in any framing

Cause: the end of the framing, or of the connection of an answer without a length and chunks, was taken for the end of the answer by each reader; the relay passed the part of an event on and vouched for it with its own last chunk. Now JudgeBodyEnd decides from framing, how the reading ended and what the content says. A stream broken off inside an event goes on at another engine from the last whole event if it may, otherwise the caller's connection closes without a last chunk. What is events is told by the answer's content type, no longer by its route. Events over 64 KiB, and such without an id, bind a stream to its engine until the next event with one. EventSplitter and SseParser share one splitter of lines (LF, CRLF, CR, byte order mark); before, a stream with CR lines was held to its end.

--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -23,6 +23,10 @@
   X(memory_refusals_total, counter, "Requests refused before their body was read, for memory")     \
   X(callers_gone_total, counter, "Callers that disconnected before the end of their answer")       \
   X(streams_resumed_total, counter, "Streams resumed by a caller")                                 \
+  X(answers_broken_off_total, counter,                                                             \
+    "Answers that engines broke off, by the judgement of their end")                               \
+  X(answers_ended_by_connection_total, counter,                                                    \
+    "Answers that only the end of their connection ended, taken for whole")                        \
   X(continuations_total, counter, "Cut answers continued on another engine")                       \
   X(retries_total, counter, "Requests tried again on another back end")                            \
   X(retries_denied_total, counter, "Retries refused by the retry budget")                          \
--- a/libs/net/include/cartsail/net/event_scanner.h
+++ b/libs/net/include/cartsail/net/event_scanner.h
@@ -1,11 +1,13 @@
-// Finds where server-sent events end in a byte stream, however it is cut into pieces. Lines end in
-// LF, CRLF or CR; a byte order mark may come first. Pure.
+// Finds where server-sent events end in a byte stream, however it is cut into pieces, without
+// keeping them. Pure.
 #pragma once
 
 #include <cstddef>
 #include <string>
 #include <string_view>
 
+#include "cartsail/net/line_splitter.h"
+
 namespace cartsail {
 
 class EventScanner {
@@ -16,7 +18,7 @@
 
   // A field of an event, or a line, was begun and not ended: a stream that ends here was broken
   // off. Comments and blank lines between events belong to none.
-  bool IsInsideEvent() const;
+  bool IsInsideEvent() const { return has_fields_ || lines_.HasPartialLine(); }
 
   // At least one event has come whole.
   bool HasEvent() const { return has_event_; }
@@ -24,21 +26,23 @@
   // The `id` of the last whole event that had one.
   const std::string& LastId() const { return last_id_; }
 
+  // A whole event with data has come since, or before the first one: a stream that is taken up
+  // behind the last id would repeat it.
+  bool HasEventBeyondLastId() const { return has_event_beyond_id_; }
+
  private:
-  // Takes what comes of a line before its end.
-  void BeginLine(std::string_view part);
-  // Takes the rest of a line without its end. True when no event is under way behind it.
-  bool EndLine(std::string_view rest);
-  bool TakeLine(std::string_view line);
-  void TakeId(std::string_view line);
-
-  std::string partial_line_;       // its first bytes, where it came in several pieces
-  bool has_partial_line_ = false;  // bytes of a line came, and its end did not
-  bool is_first_line_ = true;
-  bool after_return_ = false;  // a line ended in CR; an LF that follows belongs to the same end
-  bool has_fields_ = false;    // of the event under way
+  // Of a line that comes in pieces no more is kept: ids are shorter.
+  static constexpr size_t kMostPartialLine = 1024;
+
+  void TakeLine(std::string_view line);
+  void EndEvent();
+
+  LineSplitter lines_{kMostPartialLine};
+  std::string id_;           // of the event under way
+  bool has_fields_ = false;  // of the event under way
+  bool has_data_ = false;    // of the event under way
   bool has_event_ = false;
-  std::string id_;  // of the event under way
+  bool has_event_beyond_id_ = false;
   std::string last_id_;
 };
 
--- a/libs/net/include/cartsail/net/http_types.h
+++ b/libs/net/include/cartsail/net/http_types.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "cartsail/net/body_end.h"
+
 namespace cartsail {
 
 struct HttpHeader {
@@ -19,6 +21,9 @@
 // The first header called `name` (case-insensitive), or an empty view.
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
 
+// Answers of these statuses have no body.
+inline bool HasNoBody(int status) { return status == 204 || status == 304; }
+
 struct HttpRequest {
   std::string method = "GET";
   std::string target = "/";  // path and query as sent
@@ -36,6 +41,7 @@
   int status = 200;
   HttpHeaders headers;
   std::string body;
+  BodyEnd body_end = BodyEnd::kWhole;  // of one that was received
 
   std::string_view Header(std::string_view name) const { return FindHeader(headers, name); }
 };
--- a/libs/net/include/cartsail/net/sse.h
+++ b/libs/net/include/cartsail/net/sse.h
@@ -1,12 +1,30 @@
 // Server-sent events: splitting a byte stream into events and writing one.
 #pragma once
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "cartsail/net/line_splitter.h"
+
 namespace cartsail {
 
+inline constexpr std::string_view kSseId = "id";
+inline constexpr std::string_view kSseName = "event";
+inline constexpr std::string_view kSseData = "data";
+
+// One line of an event.
+struct SseField {
+  std::string_view name;
+  std::string_view value;
+};
+
+bool IsSseComment(std::string_view line);
+
+// Of a line that is neither blank nor a comment.
+SseField SseFieldOf(std::string_view line);
+
 struct SseEvent {
   std::string id;
   std::string name;
@@ -21,12 +39,17 @@
   // The next whole event, if one has arrived.
   std::optional<SseEvent> Next();
 
-  // Bytes held that are not yet a whole event.
-  size_t Pending() const { return buffer_.size() - start_; }
+  // An event was begun and is not whole.
+  bool IsInsideEvent() const { return has_fields_ || lines_.HasPartialLine(); }
 
  private:
-  std::string buffer_;
-  size_t start_ = 0;
+  void TakeLine(std::string_view line);
+
+  LineSplitter lines_;
+  SseEvent event_;  // under way
+  bool has_fields_ = false;
+  bool has_data_ = false;
+  std::deque<SseEvent> whole_;
 };
 
 // The event's text form, ending in a blank line.
--- a/libs/net/src/sse.cc
+++ b/libs/net/src/sse.cc
@@ -1,59 +1,47 @@
 #include "cartsail/net/sse.h"
 
-namespace cartsail {
-namespace {
+#include <utility>
 
-constexpr size_t kCompactAfter = 4096;
+namespace cartsail {
 
-std::string_view ValueOf(std::string_view line, std::string_view field) {
-  std::string_view value = line.substr(field.size() + 1);
-  if (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-  return value;
-}
+bool IsSseComment(std::string_view line) { return line.starts_with(':'); }
 
-bool IsField(std::string_view line, std::string_view field) {
-  return line.size() > field.size() && line.substr(0, field.size()) == field &&
-         line[field.size()] == ':';
+SseField SseFieldOf(std::string_view line) {
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return {line, {}};
+  std::string_view value = line.substr(colon + 1);
+  if (value.starts_with(' ')) value.remove_prefix(1);
+  return {line.substr(0, colon), value};
 }
 
-SseEvent ParseBlock(std::string_view block) {
-  SseEvent event;
-  bool has_data = false;
-  while (!block.empty()) {
-    const size_t end = block.find('\n');
-    std::string_view line = block.substr(0, end);
-    block = end == std::string_view::npos ? std::string_view() : block.substr(end + 1);
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    if (IsField(line, "id")) event.id = ValueOf(line, "id");
-    if (IsField(line, "event")) event.name = ValueOf(line, "event");
-    if (IsField(line, "data")) {
-      if (has_data) event.data.push_back('\n');
-      event.data += ValueOf(line, "data");
-      has_data = true;
-    }
+void SseParser::Feed(std::string_view chunk) {
+  while (!chunk.empty()) {
+    const std::optional<std::string_view> line = lines_.Take(&chunk);
+    if (line.has_value()) TakeLine(*line);
   }
-  return event;
 }
 
-}  // namespace
-
-void SseParser::Feed(std::string_view chunk) {
-  if (start_ > kCompactAfter) {
-    buffer_.erase(0, start_);
-    start_ = 0;
+void SseParser::TakeLine(std::string_view line) {
+  if (line.empty()) {
+    if (has_fields_) whole_.push_back(std::exchange(event_, {}));
+    has_fields_ = false;
+    has_data_ = false;
+    return;
   }
-  buffer_ += chunk;
+  if (IsSseComment(line)) return;
+  has_fields_ = true;
+  const SseField field = SseFieldOf(line);
+  if (field.name == kSseId) event_.id = field.value;
+  if (field.name == kSseName) event_.name = field.value;
+  if (field.name != kSseData) return;
+  if (std::exchange(has_data_, true)) event_.data.push_back('\n');
+  event_.data += field.value;
 }
 
 std::optional<SseEvent> SseParser::Next() {
-  const size_t end = buffer_.find("\n\n", start_);
-  if (end == std::string::npos) return std::nullopt;
-  const SseEvent event = ParseBlock(std::string_view(buffer_).substr(start_, end - start_));
-  start_ = end + 2;
-  if (start_ == buffer_.size()) {
-    buffer_.clear();
-    start_ = 0;
-  }
+  if (whole_.empty()) return std::nullopt;
+  SseEvent event = std::move(whole_.front());
+  whole_.pop_front();
   return event;
 }
 
--- a/libs/net/tests/event_scanner_test.cc
+++ b/libs/net/tests/event_scanner_test.cc
@@ -41,6 +41,7 @@
     }
     if (!is_blank && line[0] != ':') {
       has_fields = true;
+      if (line == "id") id.clear();
       if (line.rfind("id:", 0) == 0) id = line.substr(line.size() > 3 && line[3] == ' ' ? 4 : 3);
     }
     line.clear();
--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -18,7 +18,7 @@
     cr_assert(events.size() == 3);
     cr_assert(events[0].id == "1" && events[0].data == "{\"a\":1}");
     cr_assert(events[1].name == "error" && events[2].data == "[DONE]");
-    cr_assert(parser.Pending() == 0);
+    cr_assert(!parser.IsInsideEvent());
   }
 }
 
--- a/libs/relay/src/request/event_splitter.h
+++ b/libs/relay/src/request/event_splitter.h
@@ -1,29 +1,42 @@
-// Cuts a byte stream of server-sent events at the ends of whole events, so that a stream can go on
-// from the last whole one. Pure.
+// What of a stream's bytes may be passed on. Of a stream that can go on at another back end only
+// whole events are, so that nothing of another back end comes inside an event. Pure.
 #pragma once
 
 #include <string>
 #include <string_view>
 
+#include "cartsail/net/event_scanner.h"
+
 namespace cartsail {
 
 class EventSplitter {
  public:
-  // Takes bytes and returns those that complete whole events, unchanged.
-  std::string Feed(std::string_view bytes);
+  enum class Passing {
+    kAsItComes,
+    kWholeEvents,
+  };
+
+  // Larger events are passed on as they come: memory for many streams stays bounded.
+  static constexpr size_t kMostHeldBytes = size_t{64} << 10;
 
-  // The `id` of the last whole event that had one.
-  const std::string& LastId() const { return last_id_; }
+  explicit EventSplitter(Passing passing) : passing_(passing) {}
 
-  // True when bytes of an event are held that is not whole.
-  bool HasPartial() const { return !held_.empty(); }
+  // Takes bytes and returns those that may be passed on, unchanged.
+  std::string Feed(std::string bytes);
 
-  // Bytes that belong to no whole event yet; they are given away.
-  std::string TakePartial();
+  // Only the back end that sent what was passed on can continue it: part of an event was, or a
+  // whole one without an id that it could be asked for.
+  bool IsBoundToBackend() const { return passed_part_ || scanner_.HasEventBeyondLastId(); }
+
+  const EventScanner& Scanner() const { return scanner_; }
 
  private:
-  std::string held_;
-  std::string last_id_;
+  std::string Hold(std::string_view bytes);
+
+  Passing passing_;
+  EventScanner scanner_;
+  std::string held_;  // of the event under way
+  bool passed_part_ = false;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -73,8 +73,6 @@
          outcome == AttemptOutcome::kTimedOut;
 }
 
-bool HasNoBody(int status) { return status == 204 || status == 304; }
-
 }  // namespace
 
 Exchange::Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller,
@@ -190,7 +188,7 @@
       LogAnswered();
       co_return keep_alive_;
     }
-    if (!MayTryAgain(*admitted_.route, outcome, history_)) break;
+    if (bound_to_backend_ || !MayTryAgain(*admitted_.route, outcome, history_)) break;
     if (deadline_ - Now() < kLeastTimeForAttempt) break;
     if (!co_await TakeRepeat()) break;
   }
@@ -342,7 +340,6 @@
 asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
   answer_ = {};
   answer_end_.reset();
-  events_ = {};
   const OpenedPath opened = co_await OpenUpstream(placement);
   upstream_ = opened.connection;
   over_ = upstream_ == nullptr ? std::string() : upstream_->Over();
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cartsail/net/body_end.h"
 #include "cartsail/net/event_scanner.h"
 #include "cartsail/quarantine/request_fingerprint.h"
 #include "cartsail/relay/admission.h"
@@ -15,7 +16,6 @@
 #include "request/answer_writer.h"
 #include "request/byte_blocks.h"
 #include "request/caller_connection.h"
-#include "request/event_splitter.h"
 #include "request/held_memory.h"
 
 namespace cartsail {
@@ -68,13 +68,23 @@
                                                      TimePoint patience);
   boost::asio::awaitable<AttemptOutcome> SkipStrayAnswer();
   void NoteAnswerHead(const ResponseHead& head);
-  void NoteAnswerEnd();
+  // Notes how the reading of the answer's body has ended, so far.
+  void NoteReadingEnd();
+  // At the end of the answer's body: kAnswered, or kCut where it was broken off.
+  AttemptOutcome OutcomeOfBody();
   boost::asio::awaitable<AttemptOutcome> RelayAnswer(const Placement& placement,
                                                      const ResponseHead& head);
   boost::asio::awaitable<AttemptOutcome> RelayWhole(const Placement& placement,
                                                     const ResponseHead& head);
   boost::asio::awaitable<AttemptOutcome> RelayStream(const Placement& placement,
                                                      const ResponseHead& head);
+  void NoteBody(const ResponseHead& head, std::string_view piece, EventScanner* events);
+  void NoteStreamPiece(const Placement& placement, std::string_view piece);
+  // Until when the next piece of a stream is waited for.
+  TimePoint PatienceInStream(bool resumable) const;
+  // Passes bytes of a stream on, behind its head, and its end.
+  boost::asio::awaitable<bool> PassOn(const ResponseHead& head, std::string_view bytes,
+                                      bool at_end);
   boost::asio::awaitable<bool> StartStreamAnswer(const ResponseHead& head);
   boost::asio::awaitable<bool> AnswerWhole(const ResponseHead& head, HttpHeaders headers,
                                            const ByteBlocks& body);
@@ -136,7 +146,6 @@
   std::string over_;                     // the node over which the last attempt went; empty: none
   AnswerHead answer_;                    // of the last attempt
   std::optional<AnswerEnd> answer_end_;  // of the last attempt; nothing: it had no head
-  EventScanner events_;                  // of the last attempt's answer
   std::string last_event_id_;            // of the events passed on, for a continuation
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
@@ -146,6 +155,8 @@
   Duration longest_pause_{};              // between two pieces of the answer
   std::optional<Duration> metered_wait_;  // only metered back ends were left, and none was free
   bool head_sent_ = false;
+  // What the caller was sent can be continued by the back end that sent it only.
+  bool bound_to_backend_ = false;
   bool run_noted_ = false;  // it counts as usage
   int status_sent_ = 0;     // of the head that the caller was sent
   bool caller_gone_ = false;
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <utility>
 
+#include "cartsail/base/counters.h"
+#include "cartsail/base/text.h"
 #include "request/answer_notices.h"
 #include "request/event_splitter.h"
 #include "request/exchange.h"
@@ -19,6 +21,17 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+constexpr std::string_view kEventStreamType = "text/event-stream";
+
+std::string_view MediaTypeOf(const ResponseHead& head) {
+  const std::string_view type = head.Header("Content-Type");
+  return Trimmed(type.substr(0, type.find(';')));
+}
+
+bool IsEventStream(const ResponseHead& head) {
+  return EqualsIgnoreCase(MediaTypeOf(head), kEventStreamType);
+}
+
 ContentEnd ContentEndOf(const EventScanner& events) {
   if (events.IsInsideEvent()) return ContentEnd::kInsideEvent;
   return events.HasEvent() ? ContentEnd::kBetweenEvents : ContentEnd::kNoEvent;
@@ -74,16 +87,31 @@
   NoteAnswerHead(head);
   answer_end_.emplace();
   const AttemptOutcome relayed = co_await RelayAnswer(placement, head);
-  NoteAnswerEnd();
+  NoteReadingEnd();
   co_return relayed;
 }
 
-void Exchange::NoteAnswerEnd() {
+void Exchange::NoteReadingEnd() {
   BodyEvidence& evidence = answer_end_->evidence;
   evidence.framing = upstream_->Framing();
   evidence.reading = upstream_->HowReadingEnded();
 }
 
+AttemptOutcome Exchange::OutcomeOfBody() {
+  NoteReadingEnd();
+  switch (JudgeBodyEnd(answer_end_->evidence)) {
+    case BodyEnd::kWhole:
+      break;
+    case BodyEnd::kUnknown:
+      GlobalCounters().answers_ended_by_connection_total.Add();
+      break;
+    case BodyEnd::kBrokenOff:
+      GlobalCounters().answers_broken_off_total.Add();
+      return AttemptOutcome::kCut;
+  }
+  return AttemptOutcome::kAnswered;
+}
+
 asio::awaitable<AttemptOutcome> Exchange::RelayAnswer(const Placement& placement,
                                                       const ResponseHead& head) {
   const WireNames& names = context_.format.Names();
@@ -98,7 +126,8 @@
     if (!signed_answer || !head.Header("Content-Encoding").empty()) {
       co_return AttemptOutcome::kSpoilt;
     }
-    if (admitted_.route->kind == RequestKind::kStream)
+    const bool has_body = upstream_->Framing() != BodyFraming::kNone;
+    if (admitted_.route->kind == RequestKind::kStream && has_body)
       co_return co_await RelayStream(placement, head);
   }
   if (signed_answer) NoteRun(Now());
@@ -108,17 +137,22 @@
 asio::awaitable<AttemptOutcome> Exchange::RelayWhole(const Placement& placement,
                                                      const ResponseHead& head) {
   GatheredBody body(held_);
+  EventScanner events;
   std::string chunk;
   bool goes_on = true;
   do {
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
     has_output_ = true;
-    answer_end_->bytes += static_cast<int64_t>(chunk.size());
+    NoteBody(head, chunk, &events);
     const TimePoint now = Now();
     context_.placement.Output(placement.ticket, now);
     goes_on = body.Append(chunk, now);
   } while (!chunk.empty() && goes_on);
+  if (chunk.empty()) {
+    const AttemptOutcome outcome = OutcomeOfBody();
+    if (outcome != AttemptOutcome::kAnswered) co_return outcome;
+  }
 
   const bool failed = head.status >= kLeastFailureStatus;
   const bool may_repeat = MayRepeat() && history_.may_have_run < admitted_.route->max_attempts;
@@ -131,6 +165,7 @@
     co_return sent ? AttemptOutcome::kAnswered : AttemptOutcome::kCallerGone;
   }
   // Too large to hold: the rest is passed on as it comes.
+  bound_to_backend_ = true;
   if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
   while (!body.Bytes().IsEmpty()) {
     const std::string block = body.TakeFirst();
@@ -140,9 +175,11 @@
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
     if (chunk.empty()) break;
-    answer_end_->bytes += static_cast<int64_t>(chunk.size());
+    NoteBody(head, chunk, &events);
     if (!co_await writer_->Write(ChunkText(chunk, false))) co_return AttemptOutcome::kCallerGone;
   }
+  const AttemptOutcome outcome = OutcomeOfBody();
+  if (outcome != AttemptOutcome::kAnswered) co_return outcome;
   if (!co_await writer_->Write(ChunkText({}, true))) co_return AttemptOutcome::kCallerGone;
   co_return AttemptOutcome::kAnswered;
 }
@@ -172,36 +209,62 @@
   co_return co_await writer_->Write(ResponseHeadText(head.status, head.reason, headers));
 }
 
+// The end of a whole answer is judged by its content where that says what it is.
+void Exchange::NoteBody(const ResponseHead& head, std::string_view piece, EventScanner* events) {
+  answer_end_->bytes += static_cast<int64_t>(piece.size());
+  if (!IsEventStream(head)) return;
+  (void)events->Scan(piece);
+  answer_end_->evidence.content = ContentEndOf(*events);
+}
+
+TimePoint Exchange::PatienceInStream(bool resumable) const {
+  const bool has_attempts = history_.may_have_run < admitted_.route->max_attempts;
+  const bool may_move = resumable && has_attempts && !bound_to_backend_;
+  return may_move ? std::min(deadline_, Now() + PauseLimit()) : deadline_;
+}
+
+void Exchange::NoteStreamPiece(const Placement& placement, std::string_view piece) {
+  if (piece.empty()) return;
+  const TimePoint now = Now();
+  has_output_ = true;
+  answer_end_->bytes += static_cast<int64_t>(piece.size());
+  NoteOutput(now);
+  context_.placement.Output(placement.ticket, now);
+}
+
+asio::awaitable<bool> Exchange::PassOn(const ResponseHead& head, std::string_view bytes,
+                                       bool at_end) {
+  if (bytes.empty() && !at_end) co_return true;
+  if (!head_sent_ && !co_await StartStreamAnswer(head)) co_return false;
+  bytes_out_ += static_cast<int64_t>(bytes.size());
+  const std::string text = ChunkText(bytes, at_end);
+  co_return co_await writer_->Write(text);
+}
+
 asio::awaitable<AttemptOutcome> Exchange::RelayStream(const Placement& placement,
                                                       const ResponseHead& head) {
-  const bool resumable = admitted_.route->resumable;
-  EventSplitter splitter;
+  const bool is_events = IsEventStream(head);
+  if (head_sent_ && !is_events) co_return AttemptOutcome::kSpoilt;  // it continues no events
+  const bool resumable = admitted_.route->resumable && is_events;
+  EventSplitter splitter(resumable ? EventSplitter::Passing::kWholeEvents
+                                   : EventSplitter::Passing::kAsItComes);
   std::string chunk;
   while (true) {
-    const bool may_move = resumable && history_.may_have_run < admitted_.route->max_attempts;
-    const TimePoint patience = may_move ? std::min(deadline_, Now() + PauseLimit()) : deadline_;
+    const TimePoint patience = PatienceInStream(resumable);
     const UpstreamError error = co_await upstream_->ReadBody(&chunk, patience);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, patience);
     const bool at_end = chunk.empty();
-    answer_end_->bytes += static_cast<int64_t>(chunk.size());
-    (void)events_.Scan(chunk);
-    answer_end_->evidence.content = ContentEndOf(events_);
-    if (!at_end) {
-      const TimePoint now = Now();
-      has_output_ = true;
-      NoteOutput(now);
-      context_.placement.Output(placement.ticket, now);
-    }
-    std::string bytes = resumable ? splitter.Feed(chunk) : std::move(chunk);
-    if (at_end && splitter.HasPartial()) bytes += splitter.TakePartial();
-    if (!head_sent_ && (!bytes.empty() || at_end)) {
-      if (!co_await StartStreamAnswer(head)) co_return AttemptOutcome::kCallerGone;
-    }
-    if (!bytes.empty() || at_end) {
-      bytes_out_ += static_cast<int64_t>(bytes.size());
-      if (!co_await writer_->Write(ChunkText(bytes, at_end))) co_return AttemptOutcome::kCallerGone;
+    NoteStreamPiece(placement, chunk);
+    const std::string bytes = splitter.Feed(std::move(chunk));
+    if (is_events) answer_end_->evidence.content = ContentEndOf(splitter.Scanner());
+    if (at_end) {
+      const AttemptOutcome outcome = OutcomeOfBody();
+      if (outcome != AttemptOutcome::kAnswered) co_return outcome;
     }
-    if (resumable && !splitter.LastId().empty()) last_event_id_ = splitter.LastId();
+    if (!co_await PassOn(head, bytes, at_end)) co_return AttemptOutcome::kCallerGone;
+    bound_to_backend_ = head_sent_ && (!is_events || splitter.IsBoundToBackend());
+    const std::string& last_id = splitter.Scanner().LastId();
+    if (resumable && !last_id.empty()) last_event_id_ = last_id;
     if (at_end) co_return AttemptOutcome::kAnswered;
   }
 }
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -64,8 +64,10 @@
   return UpstreamError::kBroken;
 }
 
-BodyFraming UpstreamConnection::FramingOfHead() const {
-  if (parser_->is_done()) return BodyFraming::kNone;
+BodyFraming UpstreamConnection::FramingOfHead(bool is_head_request) const {
+  if (is_head_request || HasNoBody(static_cast<int>(parser_->get().result_int()))) {
+    return BodyFraming::kNone;
+  }
   if (parser_->chunked()) return BodyFraming::kChunked;
   return parser_->need_eof() ? BodyFraming::kConnection : BodyFraming::kLength;
 }
@@ -202,7 +204,7 @@
     head->length = std::nullopt;
     if (parser_->content_length()) head->length = *parser_->content_length();
     keep_alive_ = message.keep_alive();
-    framing_ = FramingOfHead();
+    framing_ = FramingOfHead(is_head_request);
     reading_end_ = ReadingEnd::kFraming;
     NoteKeepAlive(*head);
     co_return UpstreamError::kNone;
--- a/libs/relay/src/upstream/upstream_connection.h
+++ b/libs/relay/src/upstream/upstream_connection.h
@@ -112,7 +112,7 @@
  private:
   UpstreamError ErrorOf(const boost::beast::error_code& error) const;
   void NoteKeepAlive(const ResponseHead& head);
-  BodyFraming FramingOfHead() const;
+  BodyFraming FramingOfHead(bool is_head_request) const;
   ReadingEnd EndOf(const boost::beast::error_code& error) const;
   void NoteHeard();
   void EndWaiting();
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -5,7 +5,6 @@
 #include "catalog/document_announcer.h"
 #include "catalog/lapse_grace.h"
 #include "fleet/datagram.h"
-#include "request/event_splitter.h"
 #include "request/message_head.h"
 #include "support/relay_fixture.h"
 #include "testing/criterion.h"
@@ -124,20 +123,6 @@
   cr_assert(format.FormatUrgency(40) == "9" && format.FormatUrgency(-1) == "0");
 }
 
-Test(events, bytes_are_cut_at_whole_events_whatever_the_pieces) {
-  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
-  for (size_t size = 1; size < stream.size(); ++size) {
-    EventSplitter splitter;
-    std::string out;
-    for (size_t at = 0; at < stream.size(); at += size)
-      out += splitter.Feed(stream.substr(at, size));
-    cr_assert(out == stream.substr(0, stream.size() - 8));
-    cr_assert(splitter.LastId() == "2");
-    cr_assert(splitter.HasPartial() && splitter.TakePartial() == "id: 4\nda");
-    cr_assert(!splitter.HasPartial());
-  }
-}
-
 Test(heads, headers_of_one_connection_stay_behind) {
   const HttpHeaders headers = {{"Connection", "close, X-One"},
                                {"X-One", "1"},
