The end of a node that bridges is no end of an answer; its own ends say nothing of an engine

An answer that ends with its connection became whole when the node between was killed: its end of file reached the parser as the engine's. Only a frame tells the engine's end now. A bridging node that ends a conversation by itself (its time was over, it was closed) sends no frame, and resets: nodes of earlier builds take an end in order for the engine's.

--- a/libs/relay/src/upstream/bridge_server.cc
+++ b/libs/relay/src/upstream/bridge_server.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -41,6 +42,13 @@
 // Buffers of both directions, and what the connections keep.
 constexpr int64_t kBridgeBytes = 64 << 10;
 
+// The connection to the back end ended by this node's doing: it was closed here, or its time was
+// over. That says nothing of the back end.
+bool IsOwnEnd(const boost::system::error_code& error) {
+  return error == asio::error::operation_aborted || error == asio::error::bad_descriptor ||
+         error == boost::beast::error::timeout;
+}
+
 }  // namespace
 
 // One bridge, from the order to the end of either connection.
@@ -60,7 +68,7 @@
     asio::co_spawn(server_.io_, ForwardAnswers(shared_from_this()), asio::detached);
     while (co_await ForwardRequest()) {
     }
-    Close();
+    told_end_ ? Close() : Abort();
   }
 
   void Close() {
@@ -74,6 +82,14 @@
   bool IsInUse() const { return is_waiting_; }
 
  private:
+  // Nothing was told of the back end's side: the other node is not to take the end of this
+  // connection, in order, for that of an answer. Nodes of earlier builds do.
+  void Abort() {
+    boost::system::error_code ignored;
+    peer_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   std::string RemoteHost() {
     boost::system::error_code error;
     const tcp::endpoint remote = peer_.socket().remote_endpoint(error);
@@ -145,6 +161,7 @@
   asio::awaitable<bool> SendFrame(FrameKind kind, std::string_view bytes = {}) {
     const auto head = EncodeFrameHead({kind, static_cast<uint32_t>(bytes.size())});
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(bytes)};
+    told_end_ = kind != FrameKind::kData;
     co_return co_await Send(buffers);
   }
 
@@ -226,6 +243,7 @@
       boost::system::error_code error;
       const size_t read = co_await self->upstream_->Transport().async_read_some(
           asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+      if (IsOwnEnd(error)) co_return self->Abort();
       if (error) {
         const bool is_end = error == asio::error::eof;
         (void)co_await self->SendFrame(is_end ? FrameKind::kEnd : FrameKind::kBroken);
@@ -246,6 +264,7 @@
   std::shared_ptr<PathUse> use_;
   bool is_waiting_ = false;  // for an answer
   bool was_heard_ = false;
+  bool told_end_ = false;  // the other node was sent a frame that ends what it reads
 };
 
 BridgeServer::BridgeServer(asio::io_context& io, BridgeServerOptions options,
--- a/libs/relay/src/upstream/upstream_stream.h
+++ b/libs/relay/src/upstream/upstream_stream.h
@@ -56,7 +56,7 @@
     template <typename Self>
     void operator()(Self& self, boost::beast::error_code error = {}, size_t bytes = 0) {
       if (step == Step::kStart) return Start(self);
-      if (error) return self.complete(error, 0);
+      if (error) return self.complete(stream->ErrorOfReading(error), 0);
       if (step == Step::kData) {
         if (stream->is_framed_) stream->left_ -= bytes;
         return self.complete(error, bytes);
@@ -88,6 +88,14 @@
     }
   };
 
+  // Only a frame tells that the back end closed its connection: the end of this one is that of the
+  // node between, and whoever reads would take it for the end of the answer.
+  boost::beast::error_code ErrorOfReading(const boost::beast::error_code& error) const {
+    if (is_framed_ && error == boost::asio::error::eof)
+      return boost::asio::error::connection_aborted;
+    return error;
+  }
+
   boost::beast::error_code TakeHead() {
     head_read_ = 0;
     const std::optional<FrameHead> head = DecodeFrameHead(head_);
--- a/libs/relay/tests/broken_off_bridges_test.cc
+++ b/libs/relay/tests/broken_off_bridges_test.cc
@@ -7,10 +7,9 @@
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <chrono>
-#include <optional>
+#include <exception>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -105,7 +104,8 @@
   asio::io_context io;
   const auto connection = std::make_shared<UpstreamConnection>(io.get_executor());
   ReadAnswer answer;
-  asio::co_spawn(io, ReadOver(connection, bridge.Address(), &answer), asio::detached);
+  const auto stop = [&io](const std::exception_ptr&) { io.stop(); };
+  asio::co_spawn(io, ReadOver(connection, bridge.Address(), &answer), stop);
   io.run();
   return answer;
 }
