--- a/libs/net/include/cartsail/net/http_client.h
+++ b/libs/net/include/cartsail/net/http_client.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/net/body_end.h"
 #include "cartsail/net/http_types.h"
 
 namespace cartsail {
@@ -33,9 +34,12 @@
   // Reads the status line and headers; the body of the result is empty.
   virtual boost::asio::awaitable<absl::StatusOr<HttpResponse>> ReadHead(Duration timeout) = 0;
 
-  // Reads some of the body; an empty string is its end.
+  // Reads some of the body; an empty string is its end. kConnectionLost where it was broken off.
   virtual boost::asio::awaitable<absl::StatusOr<std::string>> ReadSome(Duration timeout) = 0;
 
+  // At the end of a body: kWhole, or kUnknown where only the end of its connection ended it.
+  virtual BodyEnd HowBodyEnded() const = 0;
+
   // True after a whole response was read and the server keeps the connection open.
   virtual bool Reusable() const = 0;
 
@@ -65,7 +69,9 @@
   std::map<std::string, std::vector<std::unique_ptr<HttpConnection>>> idle_;
 };
 
-// One whole exchange on a new connection, body read up to `body_limit` bytes.
+// One whole exchange on a new connection, body read up to `body_limit` bytes. Its `body_end` is
+// kUnknown where only the end of the connection ended the body: formats that do not tell themselves
+// that they are whole are not to be read then.
 boost::asio::awaitable<absl::StatusOr<HttpResponse>> Fetch(boost::asio::any_io_executor executor,
                                                            Endpoint endpoint, HttpRequest request,
                                                            Duration timeout,
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -98,6 +98,12 @@
     co_return std::string();
   }
 
+  BodyEnd HowBodyEnded() const override {
+    const bool has_body = !HasNoBody(static_cast<int>(parser_->get().result_int()));
+    if (!has_body || !parser_->need_eof()) return JudgeBodyEnd({});
+    return JudgeBodyEnd({BodyFraming::kConnection, ReadingEnd::kPeerClosed, ContentEnd::kOpaque});
+  }
+
   bool Reusable() const override { return reusable_; }
 
   void Close() override {
@@ -129,6 +135,7 @@
       co_return MakeError(ErrorKind::kBodyTooLarge, "response body exceeds the limit");
     }
   }
+  response->body_end = connection.HowBodyEnded();
   co_return response;
 }
 
--- /dev/null
+++ b/libs/net/tests/http_client_end_test.cc
@@ -0,0 +1,111 @@
+// How the client tells that an answer was cut, by all of its framings.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <exception>
+#include <string>
+#include <thread>
+
+#include "cartsail/net/http_client.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+// Answers one request with `bytes` and closes.
+class OneAnswer {
+ public:
+  explicit OneAnswer(std::string bytes) : bytes_(std::move(bytes)) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    listen(listener_, 1);
+    socklen_t size = sizeof(address);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { Serve(); });
+  }
+
+  ~OneAnswer() {
+    thread_.join();
+    close(listener_);
+  }
+
+  Endpoint Address() const { return {"127.0.0.1", port_}; }
+
+ private:
+  void Serve() const {
+    const int peer = accept(listener_, nullptr, nullptr);
+    std::string request;
+    char bytes[4096];
+    while (request.find("\r\n\r\n") == std::string::npos) {
+      const ssize_t received = recv(peer, bytes, sizeof(bytes), 0);
+      if (received <= 0) break;
+      request.append(bytes, static_cast<size_t>(received));
+    }
+    (void)send(peer, bytes_.data(), bytes_.size(), MSG_NOSIGNAL);
+    close(peer);
+  }
+
+  std::string bytes_;
+  int listener_ = -1;
+  uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+absl::StatusOr<HttpResponse> Ask(const std::string& answer) {
+  OneAnswer server(answer);
+  asio::io_context io;
+  absl::StatusOr<HttpResponse> response;
+  const auto done = [&](const std::exception_ptr&, absl::StatusOr<HttpResponse> result) {
+    response = std::move(result);
+    io.stop();
+  };
+  asio::co_spawn(io, Fetch(io.get_executor(), server.Address(), HttpRequest{}, seconds(5)), done);
+  io.run();
+  return response;
+}
+
+Test(http_client_end, an_answer_with_a_length_or_chunks_is_whole_or_an_error) {
+  const std::string heads[] = {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\n",
+                               "HTTP/1.0 200 OK\r\nContent-Length: 10\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+  for (const std::string& head : heads) {
+    const bool is_chunked = head.find("chunked") != std::string::npos;
+    const std::string body = is_chunked ? "a\r\n0123456789\r\n0\r\n\r\n" : "0123456789";
+    for (size_t bytes = 0; bytes <= body.size(); ++bytes) {
+      const absl::StatusOr<HttpResponse> response = Ask(head + body.substr(0, bytes));
+      cr_assert(response.ok() == (bytes == body.size()), "%zu bytes", bytes);
+      if (!response.ok()) continue;
+      cr_assert(response->body == "0123456789" && response->body_end == BodyEnd::kWhole);
+    }
+  }
+}
+
+Test(http_client_end, an_answer_that_ends_with_its_connection_may_lack_its_end) {
+  for (const std::string version : {"1.0", "1.1"}) {
+    const absl::StatusOr<HttpResponse> response =
+        Ask("HTTP/" + version + " 200 OK\r\nConnection: close\r\n\r\n01234");
+    cr_assert(response.ok() && response->body == "01234");
+    cr_assert(response->body_end == BodyEnd::kUnknown);
+  }
+}
+
+Test(http_client_end, an_answer_without_a_body_is_whole) {
+  for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    const absl::StatusOr<HttpResponse> response = Ask("HTTP/1.1 " + status + "\r\n\r\n");
+    cr_assert(response.ok() && response->body.empty() && response->body_end == BodyEnd::kWhole);
+  }
+}
+
+}  // namespace
+}  // namespace cartsail
--- a/libs/relay/src/fleet/peer_fetching.cc
+++ b/libs/relay/src/fleet/peer_fetching.cc
@@ -46,6 +46,9 @@
   if (response->status != 200) {
     return MakeError(ErrorKind::kNotReady, fmt::format("status {}", response->status));
   }
+  if (response->body_end != BodyEnd::kWhole) {
+    return MakeError(ErrorKind::kConnectionLost, "the catalog may lack its end");
+  }
   std::optional<CatalogMessage> catalog = DecodeCatalog(response->body, now);
   if (!catalog.has_value()) return MakeError(ErrorKind::kInvalidArgument, "no catalog");
   return std::move(*catalog);
--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -106,7 +106,10 @@
     if (!response.ok()) co_return Unavailable(response.status());
     if (response->status != 200) co_return StatusError(response->status);
     GlobalCounters().platform_reachable.Set(1);
-    co_return ParseJsonObject(response->body);
+    absl::StatusOr<json::object> answer = ParseJsonObject(response->body);
+    // One that was cut says nothing of what was done.
+    if (!answer.ok()) co_return Unavailable(answer.status());
+    co_return answer;
   }
 
   asio::awaitable<absl::Status> ReadEvents(HttpConnection& connection,
