--- a/libs/relay/tests/broken_off_answers_test.cc
+++ b/libs/relay/tests/broken_off_answers_test.cc
@@ -234,5 +234,82 @@
   cr_assert(wrong == 0, "%d of %zu", wrong, AllCases().size());
 }
 
+// Sends one request and reads the answer of a back end that sends `answer` and closes.
+CallerView AskOnce(const std::string& method, const std::string& path, const std::string& answer) {
+  StubBackend backend([&answer](const std::string& request) {
+    StubAnswer sent;
+    sent.pieces = {"HTTP/1.1 " + answer};
+    const std::string id = "Cartsail-Request-Id: " + HeaderOf(request, "Cartsail-Request-Id");
+    sent.pieces.front().insert(sent.pieces.front().find("\r\n") + 2,
+                               id + "\r\nCartsail-Signature: s1\r\n");
+    sent.close_after = true;
+    return sent;
+  });
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address());
+  relay.Start();
+  return AskAsCaller(relay.Port(), MakeRequest(method, path, "r1", "", "Connection: close\r\n"));
+}
+
+Test(broken_off_answers, answers_without_a_body_are_whole_on_every_route) {
+  for (const std::string path : {"/safe/a", "/once/a", "/stream/a", "/resume/a"}) {
+    const CallerView no_content = AskOnce("POST", path, "204 No Content\r\n\r\n");
+    cr_expect(no_content.status == 204 && no_content.body.empty(), "%s", path.c_str());
+    const CallerView not_modified = AskOnce("GET", path, "304 Not Modified\r\n\r\n");
+    cr_expect(not_modified.status == 304 && not_modified.body.empty(), "%s", path.c_str());
+    const CallerView head = AskOnce(
+        "HEAD", path, "200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\n");
+    cr_expect(head.status == 200 && head.body.empty(), "%s", path.c_str());
+  }
+}
+
+Test(broken_off_answers, a_length_counts_also_where_the_connection_is_to_close) {
+  const std::string head = "200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\n";
+  for (const std::string path : {"/safe/a", "/once/a", "/stream/a", "/resume/a"}) {
+    const CallerView whole = AskOnce("POST", path, head + "hello");
+    cr_expect(whole.status == 200 && whole.whole && whole.body == "hello", "%s", path.c_str());
+    const CallerView cut = AskOnce("POST", path, head + "hell");
+    cr_expect(cut.status == 502 || !cut.whole, "%s", path.c_str());
+  }
+}
+
+Test(broken_off_answers, bytes_that_are_no_events_go_out_as_they_come_and_are_whole_at_their_end) {
+  for (const std::string path : {"/safe/a", "/stream/a", "/resume/a"}) {
+    const CallerView view = AskOnce("POST", path, "200 OK\r\nConnection: close\r\n\r\nid: 1\nda");
+    cr_expect(view.whole && view.body == "id: 1\nda", "%s", path.c_str());
+  }
+}
+
+// On a route whose answers are gathered before they are passed on.
+Test(broken_off_answers, events_that_a_plain_route_answers_with_are_judged_as_a_stream_is) {
+  const std::string head = "200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n";
+  const CallerView cut = AskOnce("POST", "/once/a", head + "Connection: close\r\n\r\nid: 1\nda");
+  cr_expect(cut.status == 502);
+  const CallerView whole =
+      AskOnce("POST", "/once/a", head + "Connection: close\r\n\r\nid: 1\ndata: a\n\n");
+  cr_expect(whole.status == 200 && whole.whole);
+}
+
+// The second back end begins where an event was under way at the first one.
+Test(broken_off_answers, an_event_too_large_to_be_held_is_not_continued_by_another_back_end) {
+  const std::string large = "id: 2\ndata: " + std::string(200000, 'x');
+  const auto handler = [&large](const std::string& request) {
+    StubAnswer answer;
+    answer.pieces = {HeadOf(request, Framing::kConnection, 0) + "id: 1\ndata: a\n\n" + large};
+    answer.close_after = true;
+    return answer;
+  };
+  StubBackend first(handler);
+  StubBackend second(handler);
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", first.Address());
+  relay.AddBackend("b2", "s", second.Address());
+  relay.Start();
+  const CallerView view = AskAsCaller(
+      relay.Port(), MakeRequest("POST", "/resume/a", "r1", "x", "Connection: close\r\n"));
+  cr_assert(!view.whole && view.body == "id: 1\ndata: a\n\n" + large);
+  cr_assert(first.Requests().size() + second.Requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace cartsail::testing
