Test links that refuse keep their port: another process got it, and bridge_test failed once

By its log (2026-12-03, ports 38155, 39451, 35015 of one node): half a second after the links were refused, new connections to 39451 stood, four requests sent there heard nothing for 0.78 s (outcome=silent) and all were cut at one moment 2.6 s later. The link had no listener then and gave its port back: another process had been given it.

--- a/libs/relay/tests/support/gated_link.cc
+++ b/libs/relay/tests/support/gated_link.cc
@@ -81,14 +81,23 @@
   state_ = state;
   if (acceptor_ != nullptr) acceptor_->close();
   acceptor_ = nullptr;
+  port_holder_.reset();
   for (const int filler : fillers_) close(filler);
   fillers_.clear();
   if (state == PathState::kReset || state == PathState::kRefused) ResetAll();
-  if (state == PathState::kRefused || state == PathState::kOldOnly) return;
+  if (state == PathState::kRefused || state == PathState::kOldOnly) return HoldPort();
   Listen();
   if (state == PathState::kSilent || state == PathState::kOneWay) StopAnswering();
 }
 
+// Bound, and listening to nobody: connections are refused, and no other process is given the port.
+void GatedLink::HoldPort() {
+  port_holder_.emplace(thread_.Context());
+  port_holder_->open(tcp::v4());
+  port_holder_->set_option(tcp::acceptor::reuse_address(true));
+  port_holder_->bind(listens_at_);
+}
+
 void GatedLink::Listen() {
   acceptor_ = std::make_shared<tcp::acceptor>(thread_.Context());
   acceptor_->open(tcp::v4());
--- a/libs/relay/tests/support/gated_link.h
+++ b/libs/relay/tests/support/gated_link.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -61,6 +62,7 @@
 
   void Apply(PathState state);
   void Listen();
+  void HoldPort();
   void StopAnswering();
   boost::asio::awaitable<void> Accept(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor);
   boost::asio::awaitable<void> Serve(std::shared_ptr<Pair> pair);
@@ -72,6 +74,7 @@
   boost::asio::ip::tcp::endpoint target_;
   boost::asio::ip::tcp::endpoint listens_at_;
   std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+  std::optional<boost::asio::ip::tcp::acceptor> port_holder_;  // while nobody listens
   std::vector<int> fillers_;  // connections that keep a listener from answering others
   std::vector<std::weak_ptr<Pair>> pairs_;
   PathState state_ = PathState::kWell;
