--- a/libs/net/include/cartsail/net/body_end.h
+++ b/libs/net/include/cartsail/net/body_end.h
@@ -16,12 +16,12 @@
 
 // How the reading of a body came to its end.
 enum class ReadingEnd {
-  kFraming,      // the length or the last chunk was reached
-  kPeerClosed,   // the server's side of the connection ended in order
-  kReset,        // the connection broke
-  kTimeout,      // the reader's time was over
-  kOwnClose,     // the reader gave it up
-  kLostOnTheWay  // what passes the bytes on ended, and said nothing of the server
+  kFraming,       // the length or the last chunk was reached
+  kPeerClosed,    // the server's side of the connection ended in order
+  kReset,         // the connection broke
+  kTimeout,       // the reader's time was over
+  kOwnClose,      // the reader gave it up
+  kLostOnTheWay,  // what passes the bytes on ended, and said nothing of the server
 };
 
 // What the bytes of a body say of their own completeness.
@@ -47,11 +47,11 @@
   ContentEnd content = ContentEnd::kOpaque;
 };
 
+// The verdict on all that is known of a body.
 BodyEnd JudgeBodyEnd(const BodyEvidence& evidence);
 
 std::string_view BodyFramingName(BodyFraming framing);
 std::string_view ReadingEndName(ReadingEnd end);
 std::string_view ContentEndName(ContentEnd end);
-std::string_view BodyEndName(BodyEnd end);
 
 }  // namespace cartsail
--- a/libs/net/src/body_end.cc
+++ b/libs/net/src/body_end.cc
@@ -59,16 +59,4 @@
   return "unknown";
 }
 
-std::string_view BodyEndName(BodyEnd end) {
-  switch (end) {
-    case BodyEnd::kWhole:
-      return "whole";
-    case BodyEnd::kBrokenOff:
-      return "broken_off";
-    case BodyEnd::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 }  // namespace cartsail
