Logs: the version of the back end, and which stream a request takes up

Incident of 2026-12-04: no line told the version of an engine nor whether a request took a stream up, so that the hypotheses could not be told apart. An entry's version is read, handed on with the catalog (earlier builds tell none) and stands in attempt, request and backend_seen lines and in the status of a back end. Nothing is chosen by it yet.

--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -39,7 +39,10 @@
   std::string address;  // IP:PORT
   std::string zone;
   RegionIndex region = kUnknownRegion;  // of the zone; set by the registry
-  int64_t slots = 1;                    // requests that it runs at once
+  // Of its software, opaque: equal to another one or not. What engines of two versions write does
+  // not fit together. Empty: not told, or told to a node of an earlier build only.
+  std::string version;
+  int64_t slots = 1;  // requests that it runs at once
   BackendState state = BackendState::kReady;
   bool reclaimable = false;      // the platform may take it away after a short notice
   int64_t created_revision = 0;  // of its entry in the store: orders two entries with one address
--- a/libs/relay/include/cartsail/relay/wire_format.h
+++ b/libs/relay/include/cartsail/relay/wire_format.h
@@ -14,8 +14,8 @@
 
 namespace cartsail {
 
-// Names of headers. Set by callers: request_id, time_left, prompt_parts, token_counts. Set by the
-// relay towards back ends, and taken out of what callers send: tenant, expected_instance, urgency,
+// Names of headers. Set by callers: request_id, time_left, prompt_parts, token_counts, resumes. Set
+// by the relay towards back ends, and taken out of what callers send: tenant, expected_instance, urgency,
 // fetch_prefix_from and all of `reserved`. Set by back ends: signature, not_run, leaving,
 // rate_limit, brittle; in answers about their health: instance, cold_left.
 struct WireNames {
@@ -23,6 +23,8 @@
   std::string time_left = "Cartsail-Time-Left-Ms";  // milliseconds that the sender still waits
   std::string prompt_parts = "Cartsail-Prompt-Parts";
   std::string token_counts = "Cartsail-Token-Counts";
+  // Of the request that brought the first event of the stream that this one takes up.
+  std::string resumes = "Cartsail-Resumes";
   std::string tenant = "Cartsail-Tenant";
   std::string expected_instance = "Cartsail-Expected-Instance";
   std::string urgency = "Cartsail-Urgency";
--- a/libs/relay/src/catalog/backend_news.cc
+++ b/libs/relay/src/catalog/backend_news.cc
@@ -8,8 +8,8 @@
 
 auto LastingFields(const Backend& backend) {
   return std::tie(backend.id, backend.started_ms, backend.service, backend.address, backend.zone,
-                  backend.slots, backend.state, backend.reclaimable, backend.created_revision,
-                  backend.missing_until);
+                  backend.version, backend.slots, backend.state, backend.reclaimable,
+                  backend.created_revision, backend.missing_until);
 }
 
 Duration ColdFor(const Backend& backend, TimePoint now) {
--- a/libs/relay/src/catalog/catalog_message.cc
+++ b/libs/relay/src/catalog/catalog_message.cc
@@ -60,6 +60,9 @@
   const int64_t before = catalog_revision - backend.created_revision;
   entry.setCreatedBefore(BoundedTo<uint32_t>(static_cast<double>(before)));
   entry.setStartedMs(backend.started_ms);
+  if (!backend.version.empty()) {
+    entry.setVersion(static_cast<uint16_t>(names->IndexOf(backend.version) + 1));
+  }
   if (backend.cold_until.has_value() && *backend.cold_until > now) {
     entry.setColdMs(BoundedTo<uint32_t>(ToMillis(*backend.cold_until - now)));
   }
@@ -78,6 +81,9 @@
   backend.reclaimable = entry.getReclaimable();
   backend.created_revision = catalog.getRevision() - entry.getCreatedBefore();
   backend.started_ms = entry.getStartedMs();
+  if (entry.getVersion() > 0) {
+    backend.version = NameAt(catalog.getNames(), static_cast<uint16_t>(entry.getVersion() - 1));
+  }
   if (entry.getColdMs() > 0) backend.cold_until = now + milliseconds(entry.getColdMs());
   if (entry.getMissingMs() >= 0) {
     backend.missing_until = now + milliseconds(entry.getMissingMs());
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -331,6 +331,7 @@
       {{"backend", id},
        {"address", backend->address},
        {"state", backend->state == BackendState::kReady ? "ready" : "leaving"},
+       {"version", backend->version},
        {"started_ms", std::to_string(backend->started_ms)},
        {"cold_ms", FormatMillis(backend->cold_until.value_or(now) - now)},
        {"revision", std::to_string(item.mod_revision)}});
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -125,6 +125,7 @@
   }
   deadline_ = request_.received + admitted_.time_left;
   last_event_id_ = std::string(request_.Header("Last-Event-ID"));
+  resumes_ = std::string(request_.Header(names.resumes));
 
   GlobalCounters().requests_in_flight.Set(++context_.requests_in_flight);
   caller_->WatchGone([weak = weak_from_this()] {
@@ -171,6 +172,7 @@
     }
     tried_.push_back(placement->backend.key);
     last_backend_ = placement->backend.id;
+    last_version_ = placement->backend.version;
     placed_by_ = placement->placed_by;
     outcome = co_await Attempt(*placement);
     LogAttempt(*placement, outcome);
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -139,8 +139,10 @@
   TimePoint unheard_until_{};
   std::vector<BackendKey> tried_;
   std::string last_backend_;  // id of the one tried last
+  std::string last_version_;  // its version
   std::string placed_by_;     // the coordinator of the last attempt; empty: this node
   std::string request_id_;
+  std::string resumes_;  // the request that began the stream which this one takes up; or empty
   RequestFingerprint fingerprint_ = 0;
   ConnectResult connect_result_ = ConnectResult::kConnected;  // of the last attempt
   std::string over_;                     // the node over which the last attempt went; empty: none
--- a/libs/relay/src/status/node_status.cc
+++ b/libs/relay/src/status/node_status.cc
@@ -173,6 +173,7 @@
       {"address", backend->address},
       {"zone", backend->zone},
       {"region", RegionOf(view, backend->zone)},
+      {"version", backend->version},
       {"started_ms", backend->started_ms},
       {"state", is_ready ? "ready" : "leaving"},
       {"zone_drained", view.dispatcher.Registry().Drains().IsDrained(backend->zone)},
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -183,6 +183,9 @@
   startedMs @11 :Int64;
   # Milliseconds for which it is still slow after its start; 0: it is not.
   coldMs @12 :UInt32;
+  # One more than where its version stands in the catalog's names; 0: not told. Earlier builds tell
+  # none.
+  version @13 :UInt16;
 }
 
 # A back end ended while it had a request, which is named by its fingerprint.
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -1906,6 +1906,8 @@
 
   inline  ::uint32_t getColdMs() const;
 
+  inline  ::uint16_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1981,6 +1983,9 @@
   inline  ::uint32_t getColdMs();
   inline void setColdMs( ::uint32_t value);
 
+  inline  ::uint16_t getVersion();
+  inline void setVersion( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5330,6 +5335,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Backend::Reader::getVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Backend::Builder::getVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Strike::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/relay/tests/backend_news_test.cc
+++ b/libs/relay/tests/backend_news_test.cc
@@ -40,6 +40,9 @@
   told.state = BackendState::kLeaving;
   cr_assert(!TellsNothingNew(known, told, kNow));
   told = known;
+  told.version = "another";
+  cr_assert(!TellsNothingNew(known, told, kNow));
+  told = known;
   told.zone = "elsewhere";
   cr_assert(!TellsNothingNew(known, told, kNow));
   told = known;
--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -34,6 +34,24 @@
   cr_assert(GlobalCounters().requests_failed_answer_total.Get() == 1);
 }
 
+// Without them nobody can tell from the log whether a stream went on at another version.
+Test(request_log, tells_the_version_of_the_back_end_and_which_stream_is_taken_up) {
+  StubBackend backend(
+      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "x")}}; });
+  LogCapture log;
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", backend.Address(), "z1", "v7");
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakeRequest("POST", "/resume/a", "r2", "x",
+                          "Cartsail-Resumes: r1\r\nLast-Event-ID: 3\r\n"));
+  cr_assert(Has(client.ReadAnswer(), "HTTP/1.1 200 "));
+  const std::string line = log.LineOf("request");
+  cr_assert(Has(line, " version=v7 "), "%s", line.c_str());
+  cr_assert(Has(line, " resumes=r1 "), "%s", line.c_str());
+  cr_assert(Has(line, " last_event=3 "), "%s", line.c_str());
+}
+
 Test(request_log, an_answer_keeps_the_status_of_its_back_end) {
   StubBackend backend(
       [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "made", 201)}}; });
--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -76,12 +76,14 @@
 }
 
 void RelayFixture::AddBackend(const std::string& id, const std::string& service,
-                              const std::string& address, const std::string& zone) {
+                              const std::string& address, const std::string& zone,
+                              const std::string& version) {
   Backend backend;
   backend.id = id;
   backend.service = service;
   backend.address = address;
   backend.zone = zone;
+  backend.version = version;
   backend.slots = 4;
   context_->dispatcher.Registry().Put(backend);
 }
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -24,7 +24,7 @@
 
   // Before Start(): a ready back end of `service`.
   void AddBackend(const std::string& id, const std::string& service, const std::string& address,
-                  const std::string& zone = "z1");
+                  const std::string& zone = "z1", const std::string& version = "");
 
   RoutingDocument& Document() { return document_; }
   RelayContext& Context() { return *context_; }
