--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -31,6 +31,13 @@
   X(retries_total, counter, "Requests tried again on another back end")                            \
   X(retries_denied_total, counter, "Retries refused by the retry budget")                          \
   X(retries_borrowed_total, counter, "Retries taken out of another node's budget")                 \
+  X(stream_take_ups_known_total, counter, "Streams taken up whose version was known")              \
+  X(stream_take_ups_unknown_total, counter, "Streams taken up and refused: version not known")     \
+  X(stream_take_ups_gone_total, counter, "Streams taken up and refused: no engine of the version") \
+  X(streams_not_told_total, counter,                                                               \
+    "Streams that began before another node had kept their version")                               \
+  X(stream_saves_failed_total, counter, "Writes of begun streams that the store did not take")     \
+  X(streams_kept, gauge, "Begun streams that this node keeps for others")                          \
   X(retries_lent_total, counter, "Retries of other nodes taken out of this one's budget")          \
   X(retry_extra_held, gauge, "1 if this node gives out the retries that no request pays for")      \
   X(tokens_delivered_total, counter, "Tokens passed on to callers")                                \
--- a/libs/base/include/cartsail/base/status.h
+++ b/libs/base/include/cartsail/base/status.h
@@ -29,6 +29,8 @@
   kOverloaded,           // given up: the pool is full at this tier
   kQueueTimeout,         // given up: waited as long as its class allows
   kNoBackend,            // no live back end serves this
+  kStreamUnknown,        // it is not known which version of engines began the stream
+  kStreamVersionGone,    // no engine of the version that began the stream is left
   kQuarantined,          // back ends ended under this request: it is sent to no further one
   kBackendRefused,       // the back end answered that it did not start the request
   kBackendFailed,        // the back end broke off
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -128,6 +128,12 @@
   // All entries, in the order of their ids.
   std::vector<Backend> All() const;
 
+  // Calls `visit` with each entry, in the order of their ids.
+  template <typename Visit>
+  void ForEach(Visit visit) const {
+    for (const auto& [id, backend] : backends_) visit(backend);
+  }
+
   // The services of the routing document in force. Before they are known, every service counts.
   void SetServices(std::set<std::string> services);
 
--- a/libs/dispatch/include/cartsail/dispatch/placement.h
+++ b/libs/dispatch/include/cartsail/dispatch/placement.h
@@ -9,6 +9,7 @@
 
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/dispatch/load_ledger.h"
+#include "cartsail/dispatch/request_profile.h"
 
 namespace cartsail {
 
@@ -52,6 +53,11 @@
   std::vector<BackendKey> connected;  // back ends to which it has an idle connection
 };
 
+// What the request may go on with is written by the back end's version, or by any.
+inline bool SuitsVersion(const RequestProfile& profile, const Backend& backend) {
+  return profile.version.empty() || profile.version == backend.version;
+}
+
 PlacementGrant GrantOf(const Placement& placement);
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/request_profile.h
+++ b/libs/dispatch/include/cartsail/dispatch/request_profile.h
@@ -18,6 +18,9 @@
 
 struct RequestProfile {
   std::string service;
+  // Back ends of this version only: the request goes on with a stream that one of them began.
+  // Empty: any.
+  std::string version;
   // Data residency: the request may be served, and what it holds kept, in these regions only, in
   // alphabetical order. Nothing: anywhere. An empty list: nowhere.
   std::optional<std::vector<std::string>> residency;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -50,6 +50,8 @@
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
   if (!registry_.MayReceive(*backend, allowed, now)) return std::nullopt;
   if (backend->service != profile.service) return std::nullopt;
+  // Coordinators of earlier builds place at any version.
+  if (!SuitsVersion(profile, *backend)) return std::nullopt;
   const bool is_unknown_there =
       IsToldCold(*backend, now) || IsLimitedSince(backend->key, rate_words_known);
   if (!grant.is_metered && is_unknown_there) return std::nullopt;
@@ -77,7 +79,7 @@
 bool Dispatcher::MayReceive(BackendKey backend, const RequestProfile& profile,
                             TimePoint now) const {
   const Backend* known = registry_.FindByKey(backend);
-  if (known == nullptr) return false;
+  if (known == nullptr || !SuitsVersion(profile, *known)) return false;
   return registry_.MayReceive(*known, registry_.Regions().AllowedFor(profile), now);
 }
 
@@ -110,6 +112,7 @@
   for (const PoolMember& member : pools_.Of(profile.service, inputs, now).Members()) {
     const Backend* backend = registry_.FindOpen(member.key);
     if (backend == nullptr || !allowed.Allows(backend->region)) continue;
+    if (!SuitsVersion(profile, *backend)) continue;
     const std::optional<Duration> left = registry_.BackoffLeft(member.key, now);
     some_free = some_free || !left.has_value();
     if (left.has_value()) backoffs.shortest = std::min(backoffs.shortest.value_or(*left), *left);
@@ -122,9 +125,9 @@
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
   const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now).Members();
-  const auto is_allowed = [this, &allowed](const PoolMember& member) {
+  const auto is_allowed = [this, &allowed, &profile](const PoolMember& member) {
     const Backend* backend = registry_.FindOpen(member.key);
-    return backend != nullptr && allowed.Allows(backend->region);
+    return backend != nullptr && allowed.Allows(backend->region) && SuitsVersion(profile, *backend);
   };
   return static_cast<size_t>(std::count_if(members.begin(), members.end(), is_allowed));
 }
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -92,6 +92,7 @@
   for (const PoolMember& member : members) {
     const Backend* backend = registry_.FindOpen(member.key);
     if (backend == nullptr || !allowed.Allows(backend->region)) continue;
+    if (!SuitsVersion(profile, *backend)) continue;
     if (Contains(tried, member.key)) continue;
     const Duration wait = WaitForMetered(*backend, now, right);
     if (wait > Duration(0)) {
--- a/libs/relay/include/cartsail/relay/catalog_codec.h
+++ b/libs/relay/include/cartsail/relay/catalog_codec.h
@@ -21,6 +21,9 @@
   // Keys of quarantined requests, which nodes write themselves: prefix and fingerprint; no value.
   // Empty: they are not kept in the store.
   std::string quarantine_prefix = {};
+  // Keys of begun streams and of the versions at which they may begin, which nodes write
+  // themselves: prefix, service, what it is. Empty: they are not kept in the store.
+  std::string stream_prefix = {};
 };
 
 class CatalogCodec {
--- a/libs/relay/src/catalog/catalog_answers.cc
+++ b/libs/relay/src/catalog/catalog_answers.cc
@@ -43,6 +43,7 @@
     on_update_(update);
   }
   told_revision_ = revision_;
+  told_at_ = Now();
 }
 
 // The revision alone when the changes since are forgotten.
--- a/libs/relay/src/catalog/catalog_reading.cc
+++ b/libs/relay/src/catalog/catalog_reading.cc
@@ -157,8 +157,8 @@
       }
       failures = 0;
     }
-    const absl::Status ended =
-        co_await store_.Watch(keys_.prefix, range_end, revision_ + 1, on_events);
+    const absl::Status ended = co_await store_.Watch(
+        keys_.prefix, range_end, std::max(revision_, watched_revision_) + 1, on_events);
     if (ended.ok()) {
       // Changes that follow closely come together in one answer.
       co_await Pause(kPauseAfterEvents);
@@ -202,6 +202,21 @@
   co_return absl::OkStatus();
 }
 
+asio::awaitable<absl::StatusOr<std::optional<Backend>>> CatalogSync::ReadBackend(std::string id) {
+  RangeRequest request;
+  request.key = keys_.backend_prefix + id;
+  const absl::StatusOr<RangeResult> found = co_await store_.Range(request);
+  if (!found.ok()) co_return found.status();
+  // Also others whose ids begin alike.
+  for (const KeyValue& item : found->kvs) {
+    if (item.key != request.key) continue;
+    absl::StatusOr<Backend> backend = codec_.DecodeBackend(id, item.value, Now());
+    if (!backend.ok()) co_return backend.status();
+    co_return std::make_optional(std::move(*backend));
+  }
+  co_return std::optional<Backend>();
+}
+
 void CatalogSync::NoteReachable(bool reachable, std::string_view why) {
   GlobalCounters().platform_calls_total.Add();
   if (!reachable) GlobalCounters().platform_errors_total.Add();
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -282,11 +282,28 @@
   context_.dispatcher.ForgetGone();
 }
 
+// Nodes write streams some times a second and nobody is told of them: a revision that only brought
+// them would make all nodes fetch what they have.
+bool CatalogSync::IsOfStream(const WatchEvent& event) const {
+  const std::string& prefix = keys_.stream_prefix;
+  return !prefix.empty() && event.kv.key.starts_with(prefix);
+}
+
 void CatalogSync::ApplyEvents(const std::vector<WatchEvent>& events) {
   const TimePoint now = Now();
   const int64_t known = revision_;
   grace_.NoteAnswer(context_.routing.Confirmed(), now, now);
   NoteAnswered(now);
+  for (const WatchEvent& event : events) {
+    watched_revision_ = std::max(watched_revision_, event.kv.mod_revision);
+  }
+  const auto is_of_stream = [this](const WatchEvent& event) { return IsOfStream(event); };
+  if (!events.empty() && std::all_of(events.begin(), events.end(), is_of_stream)) {
+    context_.routing.Confirm(now);
+    // The others are told as often as by watches that end without an event.
+    if (now - told_at_ >= context_.document_limits.least_watch) TellInTurn(now);
+    return;
+  }
   for (const WatchEvent& event : events) {
     const std::string& key = event.kv.key;
     if (event.kv.mod_revision <= known) continue;  // from a peer
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -57,6 +57,9 @@
   // A newer document from `source`, where it is made of the one in force here.
   void ApplyPatch(const DocumentPatch& patch, std::string_view source, Duration age);
 
+  // The entry of a back end as the store has it now; nothing in the status where there is none.
+  boost::asio::awaitable<absl::StatusOr<std::optional<Backend>>> ReadBackend(std::string id);
+
   // Revision of the store up to which all changes are known; 0: none.
   int64_t Revision() const { return revision_; }
 
@@ -105,6 +108,7 @@
   void NoteInvalidBackend(const std::string& id, const absl::Status& why);
   void RemoveOverwritten(const std::vector<KeyValue>& items);
   absl::StatusOr<Backend> DecodeEntry(const KeyValue& item, TimePoint now) const;
+  bool IsOfStream(const WatchEvent& event) const;
   void ApplyEvents(const std::vector<WatchEvent>& events);
   bool IsBackend(const std::string& key) const;
   std::string BackendId(const std::string& key) const;
@@ -146,7 +150,9 @@
   double listing_share_ = 0;           // StartingNode::share
   TimePoint reading_until_{};          // though others come first
   int64_t revision_ = 0;
-  int64_t told_revision_ = 0;  // up to which all nodes were told of changes, by whatever reader
+  int64_t watched_revision_ = 0;  // up to which the store has told events, of whatever keys
+  TimePoint told_at_{};           // when this node last told the others
+  int64_t told_revision_ = 0;     // up to which all nodes were told of changes, by whatever reader
   bool telling_soon_ = false;
   DocumentPatch patch_;        // of the document in force, made of the one before
   DocumentPatch whole_;        // of the document in force; empty until somebody needs it
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -6,6 +6,7 @@
 #include "fleet/digest_codec.h"
 #include "fleet/gossip_codec.h"
 #include "quarantine/quarantine_codec.h"
+#include "streams/stream_codec.h"
 #include "wire/capnp_bytes.h"
 #include "wire/host_number.h"
 #include "wire/wire_number.h"
@@ -48,6 +49,7 @@
   auto message = root.initQuestion();
   message.setId(question.id);
   message.setService(profile.service);
+  if (!profile.version.empty()) message.setVersion(profile.version);
   message.setGeneration(profile.is_generation);
   message.setGoalMs(BoundedTo<uint32_t>(ToMillis(profile.first_output_goal)));
   message.setPromptTokens(BoundedTo<uint32_t>(static_cast<double>(profile.prompt_tokens)));
@@ -240,6 +242,7 @@
   question.id = message.getId();
   RequestProfile& profile = question.profile;
   profile.service = TextOf(message.getService());
+  profile.version = TextOf(message.getVersion());
   profile.is_generation = message.getGeneration();
   profile.first_output_goal = milliseconds(message.getGoalMs());
   profile.prompt_tokens = message.getPromptTokens();
@@ -328,6 +331,10 @@
                             TextOf(root.getRepeatQuestion().getService())};
     case wire::Datagram::REPEAT_ANSWER:
       return RepeatAnswer{root.getRepeatAnswer().getId(), root.getRepeatAnswer().getLent()};
+    case wire::Datagram::STREAM_QUESTION:
+      return DecodeStreamQuestion(root.getStreamQuestion(), now);
+    case wire::Datagram::STREAM_ANSWER:
+      return DecodeStreamAnswer(root.getStreamAnswer(), now);
   }
   return std::nullopt;  // of a later version
 }
@@ -345,6 +352,10 @@
       EncodeQuestion(content, now, root);
     } else if constexpr (std::is_same_v<Content, StrikeReport>) {
       EncodeStrikes(content, now, root);
+    } else if constexpr (std::is_same_v<Content, StreamQuestion>) {
+      EncodeStreamQuestion(content, now, root);
+    } else if constexpr (std::is_same_v<Content, StreamAnswer>) {
+      EncodeStreamAnswer(content, now, root);
     } else {
       Encode(content, root);
     }
--- a/libs/relay/src/fleet/datagram.h
+++ b/libs/relay/src/fleet/datagram.h
@@ -14,12 +14,14 @@
 #include "placement/placement_message.h"
 #include "quarantine/quarantine_message.h"
 #include "retries/retry_message.h"
+#include "streams/stream_message.h"
 
 namespace cartsail {
 
-using Datagram = std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport,
-                              DocumentNotice, GossipMessage, StoreUpdate, UsageShares, UsageReceipt,
-                              StrikeReport, QuarantineNotice, RepeatQuestion, RepeatAnswer>;
+using Datagram =
+    std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport, DocumentNotice,
+                 GossipMessage, StoreUpdate, UsageShares, UsageReceipt, StrikeReport,
+                 QuarantineNotice, RepeatQuestion, RepeatAnswer, StreamQuestion, StreamAnswer>;
 
 // Times are sent as what is left or past at `now`.
 std::string EncodeDatagram(const Datagram& datagram, TimePoint now = {});
--- a/libs/relay/src/fleet/gossip_codec.cc
+++ b/libs/relay/src/fleet/gossip_codec.cc
@@ -19,6 +19,7 @@
   member.setIncarnation(entry.incarnation);
   member.setBridges(entry.state.bridges);
   member.setLends(entry.state.lends);
+  member.setKeepsStreams(entry.state.keeps_streams);
   member.setStatus(static_cast<uint8_t>(entry.status));
 }
 
@@ -39,6 +40,7 @@
   entry.incarnation = member.getIncarnation();
   entry.state.bridges = member.getBridges();
   entry.state.lends = member.getLends();
+  entry.state.keeps_streams = member.getKeepsStreams();
   entry.status = StatusOf(member.getStatus());
   return entry;
 }
--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -108,6 +108,8 @@
        }});
   context_.retries.SetTransport(
       [this](const std::string& host, const Datagram& datagram) { (void)Send(host, datagram); });
+  context_.streams.SetTransport(
+      [this](const std::string& host, const Datagram& datagram) { (void)Send(host, datagram); });
   catalog_.SetOnDocument([this] {
     if (announcing_) return;  // goes on with the newest document
     announcing_ = true;
@@ -182,6 +184,12 @@
   if (const auto* answer = std::get_if<RepeatAnswer>(&*datagram)) {
     context_.retries.OnAnswer(host, *answer);
   }
+  if (const auto* question = std::get_if<StreamQuestion>(&*datagram)) {
+    context_.streams.OnQuestion(host, *question);
+  }
+  if (const auto* answer = std::get_if<StreamAnswer>(&*datagram)) {
+    context_.streams.OnAnswer(host, *answer);
+  }
 }
 
 void PeerExchange::SpreadQuarantine(QuarantineNotice notice,
--- a/libs/relay/src/fleet/peer_table.cc
+++ b/libs/relay/src/fleet/peer_table.cc
@@ -129,17 +129,27 @@
   return Rank(service, count, now);
 }
 
-std::vector<std::string> PeerTable::RankLenders(const std::string& purpose, size_t count,
-                                                TimePoint now) const {
+std::vector<std::string> PeerTable::RankWhere(bool NodeState::*flag, const std::string& purpose,
+                                              size_t count, TimePoint now) const {
   std::vector<std::string> ranked = Rank(purpose, peers_.size() + 1, now);
-  std::erase_if(ranked, [this](const std::string& host) {
+  std::erase_if(ranked, [this, flag](const std::string& host) {
     const PeerRecord* peer = Find(host);
-    return peer == nullptr ? !self_.lends : !IsLender(*peer);
+    return peer == nullptr ? !(self_.*flag) : !(IsLive(*peer) && peer->state.*flag);
   });
   if (ranked.size() > count) ranked.resize(count);
   return ranked;
 }
 
+std::vector<std::string> PeerTable::RankLenders(const std::string& purpose, size_t count,
+                                                TimePoint now) const {
+  return RankWhere(&NodeState::lends, purpose, count, now);
+}
+
+std::vector<std::string> PeerTable::RankStreamKeepers(const std::string& purpose, size_t count,
+                                                      TimePoint now) const {
+  return RankWhere(&NodeState::keeps_streams, purpose, count, now);
+}
+
 size_t PeerTable::ReadingRank(TimePoint now) const {
   const std::vector<std::string> ranked = Rank(kReading, peers_.size() + 1, now);
   return static_cast<size_t>(std::find(ranked.begin(), ranked.end(), "") - ranked.begin());
--- a/libs/relay/src/fleet/peer_table.h
+++ b/libs/relay/src/fleet/peer_table.h
@@ -24,6 +24,8 @@
   Duration uptime{};
   bool bridges = false;  // it passes conversations with back ends on for other nodes
   bool lends = false;    // repeats, to other nodes
+  // Begun streams for other nodes, and goes on with each at its version only.
+  bool keeps_streams = false;
 };
 
 enum class PeerStatus : uint8_t {
@@ -65,6 +67,9 @@
   // Whether this node lends repeats.
   void SetLends(bool lends) { self_.lends = lends; }
 
+  // Whether this node keeps begun streams for others.
+  void SetKeepsStreams(bool keeps) { self_.keeps_streams = keeps; }
+
   // The part of all nodes that it has heard, live or lost, which lend repeats. The others are of
   // builds that take a part of the extra repeats for themselves.
   double LendingShare() const;
@@ -118,6 +123,10 @@
   std::vector<std::string> RankLenders(const std::string& purpose, size_t count,
                                        TimePoint now) const;
 
+  // The same of the nodes that keep begun streams.
+  std::vector<std::string> RankStreamKeepers(const std::string& purpose, size_t count,
+                                             TimePoint now) const;
+
   // The fleet as this node sees it, for what only one node may do for `service`.
   FleetView FleetOf(const std::string& service, TimePoint now) const;
 
@@ -145,6 +154,9 @@
   };
 
   std::vector<std::string> Rank(const std::string& purpose, size_t count, TimePoint now) const;
+  // Of the nodes of which `flag` is true.
+  std::vector<std::string> RankWhere(bool NodeState::*flag, const std::string& purpose,
+                                     size_t count, TimePoint now) const;
 
   NodeState self_;
   const std::string self_host_;  // empty, as rankings name this node
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -20,6 +20,7 @@
 #include "quarantine/quarantine_service.h"
 #include "request/held_memory.h"
 #include "retries/retry_service.h"
+#include "streams/stream_service.h"
 #include "upstream/path_service.h"
 #include "upstream/upstream_pool.h"
 
@@ -58,7 +59,9 @@
                      return paths.Examine(std::move(backend), Now(), ConnectResult::kRefused);
                    }),
         usage(peers, relay_options.duties.usage, relay_options.duties.reports_usage),
-        retries(io_context, peers, relay_options.retry_budget) {
+        retries(io_context, peers, relay_options.retry_budget),
+        streams(io_context, peers, dispatcher.Registry(), routing,
+                document_limits.refusing_unknown) {
     pool.SetMostIdle([this](BackendKey backend) { return MostIdleTo(backend); });
   }
 
@@ -88,6 +91,7 @@
   QuarantineService quarantine;
   UsageCounting usage;
   RetryService retries;
+  StreamService streams;
   int64_t requests_in_flight = 0;
   bool draining = false;  // the node is to stop; running requests go on
   bool refusing = false;  // it ends soon: no request is taken any more
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -32,6 +32,7 @@
 #include "request/relay_server.h"
 #include "status/drain_alarm.h"
 #include "status/node_status.h"
+#include "streams/stream_store.h"
 #include "upstream/bridge_server.h"
 
 namespace cartsail {
@@ -72,6 +73,7 @@
         context_(io_, options, *deployment.format),
         store_(deployment.make_store(io_, WatchWait(context_.document_limits, options.node_id))),
         catalog_(context_, context_.peers, *store_, *deployment.codec, deployment.keys),
+        stream_store_(*store_, deployment.keys.stream_prefix, options.node_id),
         recorder_(io_, *store_, deployment.keys.quarantine_prefix, context_.quarantine),
         retry_extra_(io_, *store_, kRetryExtraKey, kRetryExtraLease,
                      {options.node_id, options.first_start, [this] { return RetryExtraRank(); }}),
@@ -87,6 +89,9 @@
 
   absl::Status Run() {
     context_.peers.SetLends(true);
+    context_.peers.SetKeepsStreams(true);
+    if (!deployment_.keys.stream_prefix.empty()) context_.streams.SetStore(&stream_store_);
+    context_.streams.SetEntries([this](std::string id) { return ReadEntry(std::move(id)); });
     context_.retries.SetExtraLease([this] { return retry_extra_.Token(); });
     const absl::Status started = Start();
     if (!started.ok()) return started;
@@ -121,6 +126,7 @@
     }
     context_.peers.SetBridges(true);
     context_.retries.Start();
+    context_.streams.Start();
     if (context_.options.retry_budget.extra > 0) retry_extra_.Start();
     catalog_.Start();
     inventory_.Start();
@@ -146,6 +152,14 @@
     }
   }
 
+  asio::awaitable<absl::StatusOr<std::optional<EngineEntry>>> ReadEntry(std::string id) {
+    const absl::StatusOr<std::optional<Backend>> backend =
+        co_await catalog_.ReadBackend(std::move(id));
+    if (!backend.ok()) co_return backend.status();
+    if (!backend->has_value()) co_return std::optional<EngineEntry>();
+    co_return std::make_optional(EngineEntry{(*backend)->version, (*backend)->started_ms});
+  }
+
   // The nodes that may hold the lease on the extra repeats.
   std::optional<size_t> RetryExtraRank() const {
     return OwnRank(context_.peers.RankLenders(kRetryExtraPurpose, kDutyCandidates, Now()));
@@ -369,6 +383,7 @@
   RelayContext context_;
   std::unique_ptr<KeyValueStore> store_;
   CatalogSync catalog_;
+  StreamStore stream_store_;
   QuarantineRecorder recorder_;
   DutyHolder retry_extra_;
   PeerExchange exchange_;
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -23,6 +23,10 @@
 
 constexpr Duration kLeastTimeForAttempt = milliseconds(20);
 constexpr Duration kRetryAfterNotRun = milliseconds(100);
+// The node that began the stream may be about to tell, or the store to come back.
+constexpr Duration kRetryAfterUnknownStream = milliseconds(250);
+// A process of that version may start again; a new stream may begin at once.
+constexpr Duration kRetryAfterVersionGone = milliseconds(1000);
 // A node that starts has its catalog after 0.05 to 0.3 s. Callers that come before wait for it: a
 // refusal would cost them one of their few retries.
 constexpr Duration kCatalogPatience = milliseconds(300);
@@ -159,9 +163,17 @@
 asio::awaitable<bool> Exchange::RunAdmitted() {
   context_.retries.NoteRequest(admitted_.profile.service, request_.received);
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
+  follows_versions_ = FollowsVersions();
+  const bool takes_up = !last_event_id_.empty() || !resumes_.empty();
+  if (follows_versions_ && takes_up && !co_await FindVersion()) {
+    GlobalCounters().stream_take_ups_unknown_total.Add();
+    co_return co_await AnswerRefusal(ErrorKind::kStreamUnknown, kRetryAfterUnknownStream);
+  }
   while (true) {
     FollowDocument();
     if (IsQuarantined()) break;
+    follows_versions_ = FollowsVersions();
+    admitted_.profile.version = stream_version_;
     const PlacementResult result = co_await context_.placement.Place(admitted_.profile, tried_);
     const std::optional<Placement>& placement = result.placement;
     metered_wait_ = result.metered_wait;
@@ -191,6 +203,7 @@
       co_return keep_alive_;
     }
     if (bound_to_backend_ || !MayTryAgain(*admitted_.route, outcome, history_)) break;
+    if (!co_await IsVersionSure()) break;
     if (deadline_ - Now() < kLeastTimeForAttempt) break;
     if (!co_await TakeRepeat()) break;
   }
@@ -321,6 +334,12 @@
     LogResidencyRefusal("no_backend");
     co_return co_await AnswerRefusal(ErrorKind::kNoBackend, kRetryAfterNotRun);
   }
+  const bool is_version_gone =
+      !stream_version_.empty() && context_.dispatcher.ReadyFor(admitted_.profile, Now()) == 0;
+  if (history_.may_have_run == 0 && is_version_gone) {
+    GlobalCounters().stream_take_ups_gone_total.Add();
+    co_return co_await AnswerRefusal(ErrorKind::kStreamVersionGone, kRetryAfterVersionGone);
+  }
   if (history_.may_have_run == 0) {
     const Dispatcher::Backoffs backoffs = context_.dispatcher.BackoffsFor(admitted_.profile, Now());
     if (backoffs.all) GlobalCounters().backoff_refusals_total.Add();
@@ -342,6 +361,7 @@
 asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
   answer_ = {};
   answer_end_.reset();
+  if (!co_await MayBegin(placement)) co_return AttemptOutcome::kWithheld;
   const OpenedPath opened = co_await OpenUpstream(placement);
   upstream_ = opened.connection;
   over_ = upstream_ == nullptr ? std::string() : upstream_->Over();
@@ -351,8 +371,11 @@
     if (Now() >= deadline_) co_return AttemptOutcome::kTimedOut;
     co_return opened.says_nothing_of_backend ? AttemptOutcome::kNoPath : AttemptOutcome::kNotSent;
   }
+  const bool may_go_on = co_await MayGoOnAt(placement);
+  if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   FollowDocument();
-  const bool may_send = context_.dispatcher.MaySend(placement, admitted_.profile, Now());
+  const bool may_send =
+      may_go_on && context_.dispatcher.MaySend(placement, admitted_.profile, Now());
   const bool has_lapsed = history_.attempts > 0 && !repeat_->MaySend(Now());
   if (!may_send || IsQuarantined() || has_lapsed) {
     context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -100,6 +100,21 @@
   TimePoint Patience(const Placement& placement, TimePoint now) const;
   Duration PauseLimit() const;
   bool MayRepeat() const;
+  // Its stream may go on at another back end, and belongs to one version of them.
+  bool FollowsVersions() const;
+  // Names the stream, whichever of its caller's tries this is.
+  StreamKey Stream() const;
+  // Finds out the version of the stream that is taken up; false where it is not known.
+  boost::asio::awaitable<bool> FindVersion();
+  // A stream that has not begun may begin at the back end.
+  boost::asio::awaitable<bool> MayBegin(const Placement& placement);
+  // The first event is about to be passed on: from now on the stream belongs to the back end's
+  // version. False where it is not certain which one wrote it.
+  boost::asio::awaitable<bool> BindVersion(const Placement& placement);
+  // False: the stream began in this answer, and another version may have begun it.
+  boost::asio::awaitable<bool> IsVersionSure();
+  // The connection just made leads to a process of the stream's version.
+  boost::asio::awaitable<bool> MayGoOnAt(const Placement& placement);
   void NoteOutput(TimePoint now);
   void NoteRun(TimePoint now);
   void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
@@ -143,6 +158,9 @@
   std::string placed_by_;     // the coordinator of the last attempt; empty: this node
   std::string request_id_;
   std::string resumes_;  // the request that began the stream which this one takes up; or empty
+  std::string stream_version_;  // that began the stream; empty: it has not begun
+  StreamRecord begun_here_;     // the stream, where it began in this answer
+  VersionSource version_source_ = VersionSource::kNone;  // of the stream that is taken up
   RequestFingerprint fingerprint_ = 0;
   ConnectResult connect_result_ = ConnectResult::kConnected;  // of the last attempt
   std::string over_;                     // the node over which the last attempt went; empty: none
@@ -159,8 +177,10 @@
   bool head_sent_ = false;
   // What the caller was sent can be continued by the back end that sent it only.
   bool bound_to_backend_ = false;
-  bool run_noted_ = false;  // it counts as usage
-  int status_sent_ = 0;     // of the head that the caller was sent
+  bool follows_versions_ = false;
+  bool is_of_unknown_version_ = false;  // the stream, which has begun
+  bool run_noted_ = false;              // it counts as usage
+  int status_sent_ = 0;                 // of the head that the caller was sent
   bool caller_gone_ = false;
   bool given_up_for_memory_ = false;
   bool was_heard_ = false;   // of the attempt under way: a head that answers it
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -261,8 +261,11 @@
       const AttemptOutcome outcome = OutcomeOfBody();
       if (outcome != AttemptOutcome::kAnswered) co_return outcome;
     }
+    const bool begins = resumable && !bytes.empty() && splitter.Scanner().HasEvent();
+    if (begins && !co_await BindVersion(placement)) co_return AttemptOutcome::kSpoilt;
     if (!co_await PassOn(head, bytes, at_end)) co_return AttemptOutcome::kCallerGone;
-    bound_to_backend_ = head_sent_ && (!is_events || splitter.IsBoundToBackend());
+    bound_to_backend_ =
+        head_sent_ && (!is_events || splitter.IsBoundToBackend() || is_of_unknown_version_);
     const std::string& last_id = splitter.Scanner().LastId();
     if (resumable && !last_id.empty()) last_event_id_ = last_id;
     if (at_end) co_return AttemptOutcome::kAnswered;
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -60,6 +60,9 @@
   bridges @8 :Bool;
   # It lends repeats to other nodes. Earlier builds do not.
   lends @9 :Bool;
+  # It keeps begun streams for other nodes, and goes on with a stream at its version only. Earlier
+  # builds do not.
+  keepsStreams @10 :Bool;
 }
 
 # Which nodes are live, and how far the sender knows the store.
@@ -118,6 +121,9 @@
   rateWords @13 :List(RateWord);
   # The same of the requests a second that brittle ones bear to turn away.
   brittleWords @14 :List(RateWord);
+  # The only version of back ends that the request may go to; empty: any. Earlier builds do not hear
+  # it.
+  version @15 :Text;
 }
 
 struct PlacementAnswer {
@@ -302,6 +308,41 @@
   lent @1 :Bool;
 }
 
+struct StreamRecord {
+  key @0 :UInt64;
+  version @1 :Text;
+  # Id of the engine whose event came first.
+  engine @2 :Text;
+  # How much longer it may be taken up, and since when it has begun.
+  leftMs @3 :UInt32;
+  ageMs @4 :UInt32;
+  # When that engine's process started, as in Backend.
+  startedMs @5 :Int64;
+}
+
+# On begun streams of a service, and the versions at which they may begin.
+struct StreamQuestion {
+  id @0 :UInt32;
+  # As StreamQuestionKind.
+  kind @1 :UInt8;
+  service @2 :Text;
+  records @3 :List(StreamRecord);
+  stream @4 :UInt64;
+  version @5 :Text;
+}
+
+struct StreamAnswer {
+  id @0 :UInt32;
+  yes @1 :Bool;
+  record @2 :StreamRecord;
+  # As VersionSource.
+  source @3 :UInt8;
+  # Versions in the ledger; 0: not known.
+  ledgerSize @4 :UInt32;
+  # How much longer a permission holds.
+  holdsMs @5 :UInt32;
+}
+
 struct Datagram {
   union {
     digest @0 :NodeDigest;
@@ -317,5 +358,7 @@
     quarantine @10 :QuarantineNotice;
     repeatQuestion @11 :RepeatQuestion;
     repeatAnswer @12 :RepeatAnswer;
+    streamQuestion @13 :StreamQuestion;
+    streamAnswer @14 :StreamAnswer;
   }
 }
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -42,6 +42,9 @@
 CAPNP_DECLARE_SCHEMA(9bbae061c88d4617);
 CAPNP_DECLARE_SCHEMA(8da605d49632d7e5);
 CAPNP_DECLARE_SCHEMA(e5946e8ee9055c4c);
+CAPNP_DECLARE_SCHEMA(f2cfb03e0d717410);
+CAPNP_DECLARE_SCHEMA(973cf19582aba7e0);
+CAPNP_DECLARE_SCHEMA(a6b143f994e97eb5);
 CAPNP_DECLARE_SCHEMA(d8728f032019e01b);
 
 }  // namespace schemas
@@ -178,7 +181,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(a3648c3926e11547, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -440,6 +443,51 @@
   };
 };
 
+struct StreamRecord {
+  StreamRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f2cfb03e0d717410, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamQuestion {
+  StreamQuestion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(973cf19582aba7e0, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamAnswer {
+  StreamAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a6b143f994e97eb5, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -460,6 +508,8 @@
     QUARANTINE,
     REPEAT_QUESTION,
     REPEAT_ANSWER,
+    STREAM_QUESTION,
+    STREAM_ANSWER,
   };
 
   struct _capnpPrivate {
@@ -927,6 +977,8 @@
 
   inline bool getLends() const;
 
+  inline bool getKeepsStreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -993,6 +1045,9 @@
   inline bool getLends();
   inline void setLends(bool value);
 
+  inline bool getKeepsStreams();
+  inline void setKeepsStreams(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1388,6 +1443,9 @@
   inline bool hasBrittleWords() const;
   inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader getBrittleWords() const;
 
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1492,6 +1550,13 @@
   inline void adoptBrittleWords(::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>> disownBrittleWords();
 
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3249,9 +3314,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Reader {
+class StreamRecord::Reader {
 public:
-  typedef Datagram Reads;
+  typedef StreamRecord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3266,58 +3331,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isDigest() const;
-  inline bool hasDigest() const;
-  inline  ::cartsail::wire::NodeDigest::Reader getDigest() const;
-
-  inline bool isQuestion() const;
-  inline bool hasQuestion() const;
-  inline  ::cartsail::wire::PlacementQuestion::Reader getQuestion() const;
-
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::cartsail::wire::PlacementAnswer::Reader getAnswer() const;
-
-  inline bool isProgress() const;
-  inline bool hasProgress() const;
-  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader getProgress() const;
-
-  inline bool isNotice() const;
-  inline bool hasNotice() const;
-  inline  ::cartsail::wire::DocumentNotice::Reader getNotice() const;
-
-  inline bool isGossip() const;
-  inline bool hasGossip() const;
-  inline  ::cartsail::wire::Gossip::Reader getGossip() const;
-
-  inline bool isStoreUpdate() const;
-  inline bool hasStoreUpdate() const;
-  inline  ::cartsail::wire::StoreUpdate::Reader getStoreUpdate() const;
-
-  inline bool isUsage() const;
-  inline bool hasUsage() const;
-  inline  ::cartsail::wire::UsageShares::Reader getUsage() const;
+  inline  ::uint64_t getKey() const;
 
-  inline bool isUsageReceipt() const;
-  inline bool hasUsageReceipt() const;
-  inline  ::cartsail::wire::UsageReceipt::Reader getUsageReceipt() const;
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
 
-  inline bool isStrikes() const;
-  inline bool hasStrikes() const;
-  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
 
-  inline bool isQuarantine() const;
-  inline bool hasQuarantine() const;
-  inline  ::cartsail::wire::QuarantineNotice::Reader getQuarantine() const;
+  inline  ::uint32_t getLeftMs() const;
 
-  inline bool isRepeatQuestion() const;
-  inline bool hasRepeatQuestion() const;
-  inline  ::cartsail::wire::RepeatQuestion::Reader getRepeatQuestion() const;
+  inline  ::uint32_t getAgeMs() const;
 
-  inline bool isRepeatAnswer() const;
-  inline bool hasRepeatAnswer() const;
-  inline  ::cartsail::wire::RepeatAnswer::Reader getRepeatAnswer() const;
+  inline  ::int64_t getStartedMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3331,9 +3357,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Datagram::Builder {
+class StreamRecord::Builder {
 public:
-  typedef Datagram Builds;
+  typedef StreamRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3347,110 +3373,31 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isDigest();
-  inline bool hasDigest();
-  inline  ::cartsail::wire::NodeDigest::Builder getDigest();
-  inline void setDigest( ::cartsail::wire::NodeDigest::Reader value);
-  inline  ::cartsail::wire::NodeDigest::Builder initDigest();
-  inline void adoptDigest(::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> disownDigest();
-
-  inline bool isQuestion();
-  inline bool hasQuestion();
-  inline  ::cartsail::wire::PlacementQuestion::Builder getQuestion();
-  inline void setQuestion( ::cartsail::wire::PlacementQuestion::Reader value);
-  inline  ::cartsail::wire::PlacementQuestion::Builder initQuestion();
-  inline void adoptQuestion(::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> disownQuestion();
-
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::cartsail::wire::PlacementAnswer::Builder getAnswer();
-  inline void setAnswer( ::cartsail::wire::PlacementAnswer::Reader value);
-  inline  ::cartsail::wire::PlacementAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> disownAnswer();
-
-  inline bool isProgress();
-  inline bool hasProgress();
-  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder getProgress();
-  inline void setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder initProgress(unsigned int size);
-  inline void adoptProgress(::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> disownProgress();
-
-  inline bool isNotice();
-  inline bool hasNotice();
-  inline  ::cartsail::wire::DocumentNotice::Builder getNotice();
-  inline void setNotice( ::cartsail::wire::DocumentNotice::Reader value);
-  inline  ::cartsail::wire::DocumentNotice::Builder initNotice();
-  inline void adoptNotice(::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> disownNotice();
-
-  inline bool isGossip();
-  inline bool hasGossip();
-  inline  ::cartsail::wire::Gossip::Builder getGossip();
-  inline void setGossip( ::cartsail::wire::Gossip::Reader value);
-  inline  ::cartsail::wire::Gossip::Builder initGossip();
-  inline void adoptGossip(::capnp::Orphan< ::cartsail::wire::Gossip>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::Gossip> disownGossip();
-
-  inline bool isStoreUpdate();
-  inline bool hasStoreUpdate();
-  inline  ::cartsail::wire::StoreUpdate::Builder getStoreUpdate();
-  inline void setStoreUpdate( ::cartsail::wire::StoreUpdate::Reader value);
-  inline  ::cartsail::wire::StoreUpdate::Builder initStoreUpdate();
-  inline void adoptStoreUpdate(::capnp::Orphan< ::cartsail::wire::StoreUpdate>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::StoreUpdate> disownStoreUpdate();
-
-  inline bool isUsage();
-  inline bool hasUsage();
-  inline  ::cartsail::wire::UsageShares::Builder getUsage();
-  inline void setUsage( ::cartsail::wire::UsageShares::Reader value);
-  inline  ::cartsail::wire::UsageShares::Builder initUsage();
-  inline void adoptUsage(::capnp::Orphan< ::cartsail::wire::UsageShares>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::UsageShares> disownUsage();
+  inline  ::uint64_t getKey();
+  inline void setKey( ::uint64_t value);
 
-  inline bool isUsageReceipt();
-  inline bool hasUsageReceipt();
-  inline  ::cartsail::wire::UsageReceipt::Builder getUsageReceipt();
-  inline void setUsageReceipt( ::cartsail::wire::UsageReceipt::Reader value);
-  inline  ::cartsail::wire::UsageReceipt::Builder initUsageReceipt();
-  inline void adoptUsageReceipt(::capnp::Orphan< ::cartsail::wire::UsageReceipt>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::UsageReceipt> disownUsageReceipt();
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
 
-  inline bool isStrikes();
-  inline bool hasStrikes();
-  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder getStrikes();
-  inline void setStrikes( ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder initStrikes(unsigned int size);
-  inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>> disownStrikes();
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
 
-  inline bool isQuarantine();
-  inline bool hasQuarantine();
-  inline  ::cartsail::wire::QuarantineNotice::Builder getQuarantine();
-  inline void setQuarantine( ::cartsail::wire::QuarantineNotice::Reader value);
-  inline  ::cartsail::wire::QuarantineNotice::Builder initQuarantine();
-  inline void adoptQuarantine(::capnp::Orphan< ::cartsail::wire::QuarantineNotice>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::QuarantineNotice> disownQuarantine();
+  inline  ::uint32_t getLeftMs();
+  inline void setLeftMs( ::uint32_t value);
 
-  inline bool isRepeatQuestion();
-  inline bool hasRepeatQuestion();
-  inline  ::cartsail::wire::RepeatQuestion::Builder getRepeatQuestion();
-  inline void setRepeatQuestion( ::cartsail::wire::RepeatQuestion::Reader value);
-  inline  ::cartsail::wire::RepeatQuestion::Builder initRepeatQuestion();
-  inline void adoptRepeatQuestion(::capnp::Orphan< ::cartsail::wire::RepeatQuestion>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::RepeatQuestion> disownRepeatQuestion();
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
-  inline bool isRepeatAnswer();
-  inline bool hasRepeatAnswer();
-  inline  ::cartsail::wire::RepeatAnswer::Builder getRepeatAnswer();
-  inline void setRepeatAnswer( ::cartsail::wire::RepeatAnswer::Reader value);
-  inline  ::cartsail::wire::RepeatAnswer::Builder initRepeatAnswer();
-  inline void adoptRepeatAnswer(::capnp::Orphan< ::cartsail::wire::RepeatAnswer>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::RepeatAnswer> disownRepeatAnswer();
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3462,9 +3409,9 @@
 };
 
 #if !CAPNP_LITE
-class Datagram::Pipeline {
+class StreamRecord::Pipeline {
 public:
-  typedef Datagram Pipelines;
+  typedef StreamRecord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3478,2869 +3425,3770 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class StreamQuestion::Reader {
+public:
+  typedef StreamQuestion Reads;
 
-inline  ::uint32_t BackendLoad::Reader::getBackend() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t BackendLoad::Builder::getBackend() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setBackend( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint32_t BackendLoad::Reader::getReadingMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t BackendLoad::Builder::getReadingMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setReadingMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getId() const;
 
-inline  ::uint16_t BackendLoad::Reader::getRequests() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint8_t getKind() const;
 
-inline  ::uint16_t BackendLoad::Builder::getRequests() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void BackendLoad::Builder::setRequests( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-inline  ::uint16_t BackendLoad::Reader::getLightRequests() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamQuestion::Builder {
+public:
+  typedef StreamQuestion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamQuestion::Pipeline {
+public:
+  typedef StreamQuestion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamAnswer::Reader {
+public:
+  typedef StreamAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline bool getYes() const;
+
+  inline bool hasRecord() const;
+  inline  ::cartsail::wire::StreamRecord::Reader getRecord() const;
+
+  inline  ::uint8_t getSource() const;
+
+  inline  ::uint32_t getLedgerSize() const;
+
+  inline  ::uint32_t getHoldsMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamAnswer::Builder {
+public:
+  typedef StreamAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool getYes();
+  inline void setYes(bool value);
+
+  inline bool hasRecord();
+  inline  ::cartsail::wire::StreamRecord::Builder getRecord();
+  inline void setRecord( ::cartsail::wire::StreamRecord::Reader value);
+  inline  ::cartsail::wire::StreamRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::cartsail::wire::StreamRecord>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::StreamRecord> disownRecord();
+
+  inline  ::uint8_t getSource();
+  inline void setSource( ::uint8_t value);
+
+  inline  ::uint32_t getLedgerSize();
+  inline void setLedgerSize( ::uint32_t value);
+
+  inline  ::uint32_t getHoldsMs();
+  inline void setHoldsMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamAnswer::Pipeline {
+public:
+  typedef StreamAnswer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cartsail::wire::StreamRecord::Pipeline getRecord();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Datagram::Reader {
+public:
+  typedef Datagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isDigest() const;
+  inline bool hasDigest() const;
+  inline  ::cartsail::wire::NodeDigest::Reader getDigest() const;
+
+  inline bool isQuestion() const;
+  inline bool hasQuestion() const;
+  inline  ::cartsail::wire::PlacementQuestion::Reader getQuestion() const;
+
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::cartsail::wire::PlacementAnswer::Reader getAnswer() const;
+
+  inline bool isProgress() const;
+  inline bool hasProgress() const;
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader getProgress() const;
+
+  inline bool isNotice() const;
+  inline bool hasNotice() const;
+  inline  ::cartsail::wire::DocumentNotice::Reader getNotice() const;
+
+  inline bool isGossip() const;
+  inline bool hasGossip() const;
+  inline  ::cartsail::wire::Gossip::Reader getGossip() const;
+
+  inline bool isStoreUpdate() const;
+  inline bool hasStoreUpdate() const;
+  inline  ::cartsail::wire::StoreUpdate::Reader getStoreUpdate() const;
+
+  inline bool isUsage() const;
+  inline bool hasUsage() const;
+  inline  ::cartsail::wire::UsageShares::Reader getUsage() const;
+
+  inline bool isUsageReceipt() const;
+  inline bool hasUsageReceipt() const;
+  inline  ::cartsail::wire::UsageReceipt::Reader getUsageReceipt() const;
+
+  inline bool isStrikes() const;
+  inline bool hasStrikes() const;
+  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
+
+  inline bool isQuarantine() const;
+  inline bool hasQuarantine() const;
+  inline  ::cartsail::wire::QuarantineNotice::Reader getQuarantine() const;
+
+  inline bool isRepeatQuestion() const;
+  inline bool hasRepeatQuestion() const;
+  inline  ::cartsail::wire::RepeatQuestion::Reader getRepeatQuestion() const;
+
+  inline bool isRepeatAnswer() const;
+  inline bool hasRepeatAnswer() const;
+  inline  ::cartsail::wire::RepeatAnswer::Reader getRepeatAnswer() const;
+
+  inline bool isStreamQuestion() const;
+  inline bool hasStreamQuestion() const;
+  inline  ::cartsail::wire::StreamQuestion::Reader getStreamQuestion() const;
+
+  inline bool isStreamAnswer() const;
+  inline bool hasStreamAnswer() const;
+  inline  ::cartsail::wire::StreamAnswer::Reader getStreamAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::Builder {
+public:
+  typedef Datagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isDigest();
+  inline bool hasDigest();
+  inline  ::cartsail::wire::NodeDigest::Builder getDigest();
+  inline void setDigest( ::cartsail::wire::NodeDigest::Reader value);
+  inline  ::cartsail::wire::NodeDigest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::cartsail::wire::NodeDigest>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::NodeDigest> disownDigest();
+
+  inline bool isQuestion();
+  inline bool hasQuestion();
+  inline  ::cartsail::wire::PlacementQuestion::Builder getQuestion();
+  inline void setQuestion( ::cartsail::wire::PlacementQuestion::Reader value);
+  inline  ::cartsail::wire::PlacementQuestion::Builder initQuestion();
+  inline void adoptQuestion(::capnp::Orphan< ::cartsail::wire::PlacementQuestion>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PlacementQuestion> disownQuestion();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::cartsail::wire::PlacementAnswer::Builder getAnswer();
+  inline void setAnswer( ::cartsail::wire::PlacementAnswer::Reader value);
+  inline  ::cartsail::wire::PlacementAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::cartsail::wire::PlacementAnswer>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PlacementAnswer> disownAnswer();
+
+  inline bool isProgress();
+  inline bool hasProgress();
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder getProgress();
+  inline void setProgress( ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>::Builder initProgress(unsigned int size);
+  inline void adoptProgress(::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RequestProgress,  ::capnp::Kind::STRUCT>> disownProgress();
+
+  inline bool isNotice();
+  inline bool hasNotice();
+  inline  ::cartsail::wire::DocumentNotice::Builder getNotice();
+  inline void setNotice( ::cartsail::wire::DocumentNotice::Reader value);
+  inline  ::cartsail::wire::DocumentNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::cartsail::wire::DocumentNotice>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::DocumentNotice> disownNotice();
+
+  inline bool isGossip();
+  inline bool hasGossip();
+  inline  ::cartsail::wire::Gossip::Builder getGossip();
+  inline void setGossip( ::cartsail::wire::Gossip::Reader value);
+  inline  ::cartsail::wire::Gossip::Builder initGossip();
+  inline void adoptGossip(::capnp::Orphan< ::cartsail::wire::Gossip>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::Gossip> disownGossip();
+
+  inline bool isStoreUpdate();
+  inline bool hasStoreUpdate();
+  inline  ::cartsail::wire::StoreUpdate::Builder getStoreUpdate();
+  inline void setStoreUpdate( ::cartsail::wire::StoreUpdate::Reader value);
+  inline  ::cartsail::wire::StoreUpdate::Builder initStoreUpdate();
+  inline void adoptStoreUpdate(::capnp::Orphan< ::cartsail::wire::StoreUpdate>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::StoreUpdate> disownStoreUpdate();
+
+  inline bool isUsage();
+  inline bool hasUsage();
+  inline  ::cartsail::wire::UsageShares::Builder getUsage();
+  inline void setUsage( ::cartsail::wire::UsageShares::Reader value);
+  inline  ::cartsail::wire::UsageShares::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::cartsail::wire::UsageShares>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::UsageShares> disownUsage();
+
+  inline bool isUsageReceipt();
+  inline bool hasUsageReceipt();
+  inline  ::cartsail::wire::UsageReceipt::Builder getUsageReceipt();
+  inline void setUsageReceipt( ::cartsail::wire::UsageReceipt::Reader value);
+  inline  ::cartsail::wire::UsageReceipt::Builder initUsageReceipt();
+  inline void adoptUsageReceipt(::capnp::Orphan< ::cartsail::wire::UsageReceipt>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::UsageReceipt> disownUsageReceipt();
+
+  inline bool isStrikes();
+  inline bool hasStrikes();
+  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder getStrikes();
+  inline void setStrikes( ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>::Builder initStrikes(unsigned int size);
+  inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Strike,  ::capnp::Kind::STRUCT>> disownStrikes();
+
+  inline bool isQuarantine();
+  inline bool hasQuarantine();
+  inline  ::cartsail::wire::QuarantineNotice::Builder getQuarantine();
+  inline void setQuarantine( ::cartsail::wire::QuarantineNotice::Reader value);
+  inline  ::cartsail::wire::QuarantineNotice::Builder initQuarantine();
+  inline void adoptQuarantine(::capnp::Orphan< ::cartsail::wire::QuarantineNotice>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::QuarantineNotice> disownQuarantine();
+
+  inline bool isRepeatQuestion();
+  inline bool hasRepeatQuestion();
+  inline  ::cartsail::wire::RepeatQuestion::Builder getRepeatQuestion();
+  inline void setRepeatQuestion( ::cartsail::wire::RepeatQuestion::Reader value);
+  inline  ::cartsail::wire::RepeatQuestion::Builder initRepeatQuestion();
+  inline void adoptRepeatQuestion(::capnp::Orphan< ::cartsail::wire::RepeatQuestion>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::RepeatQuestion> disownRepeatQuestion();
+
+  inline bool isRepeatAnswer();
+  inline bool hasRepeatAnswer();
+  inline  ::cartsail::wire::RepeatAnswer::Builder getRepeatAnswer();
+  inline void setRepeatAnswer( ::cartsail::wire::RepeatAnswer::Reader value);
+  inline  ::cartsail::wire::RepeatAnswer::Builder initRepeatAnswer();
+  inline void adoptRepeatAnswer(::capnp::Orphan< ::cartsail::wire::RepeatAnswer>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::RepeatAnswer> disownRepeatAnswer();
+
+  inline bool isStreamQuestion();
+  inline bool hasStreamQuestion();
+  inline  ::cartsail::wire::StreamQuestion::Builder getStreamQuestion();
+  inline void setStreamQuestion( ::cartsail::wire::StreamQuestion::Reader value);
+  inline  ::cartsail::wire::StreamQuestion::Builder initStreamQuestion();
+  inline void adoptStreamQuestion(::capnp::Orphan< ::cartsail::wire::StreamQuestion>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::StreamQuestion> disownStreamQuestion();
+
+  inline bool isStreamAnswer();
+  inline bool hasStreamAnswer();
+  inline  ::cartsail::wire::StreamAnswer::Builder getStreamAnswer();
+  inline void setStreamAnswer( ::cartsail::wire::StreamAnswer::Reader value);
+  inline  ::cartsail::wire::StreamAnswer::Builder initStreamAnswer();
+  inline void adoptStreamAnswer(::capnp::Orphan< ::cartsail::wire::StreamAnswer>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::StreamAnswer> disownStreamAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Pipeline {
+public:
+  typedef Datagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t BackendLoad::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendLoad::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BackendLoad::Reader::getReadingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendLoad::Builder::getReadingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setReadingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getLightRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getLightRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setLightRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getLeastPause() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getLeastPause() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setLeastPause( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getAttempts() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getAttempts() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setAttempts( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BackendLoad::Reader::getFailures() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BackendLoad::Builder::getFailures() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void BackendLoad::Builder::setFailures( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrefixPlacement::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PrefixPlacement::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PrefixPlacement::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PrefixPlacement::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PrefixPlacement::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServiceWork::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceWork::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceWork::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceWork::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceWork::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceWork::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceWork::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceWork::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float ServiceWork::Reader::getLightMsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceWork::Builder::getLightMsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceWork::Builder::setLightMsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float ServiceWork::Reader::getHeavyMsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceWork::Builder::getHeavyMsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceWork::Builder::setHeavyMsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeDigest::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeDigest::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeDigest::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeDigest::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeDigest::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t NodeDigest::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeDigest::Builder::getIntervalMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeDigest::Builder::setIntervalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeDigest::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setLoads( ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDigest::Reader::hasPrefixes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasPrefixes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getPrefixes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setPrefixes( ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initPrefixes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptPrefixes(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDigest::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setLeaving( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void NodeDigest::Builder::setLeaving(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t BackendLoad::Builder::getLightRequests() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool NodeDigest::Reader::hasWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void BackendLoad::Builder::setLightRequests( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline bool NodeDigest::Builder::hasWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptWork(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t BackendLoad::Reader::getLeastPause() const {
+inline bool NodeDigest::Reader::hasLiveQuestions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDigest::Builder::hasLiveQuestions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLiveQuestions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLiveQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void NodeDigest::Builder::setLiveQuestions( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void NodeDigest::Builder::setLiveQuestions(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLiveQuestions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void NodeDigest::Builder::adoptLiveQuestions(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLiveQuestions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Member::Reader::getHost() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getHost() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setHost( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Member::Reader::getCapacity() const {
   return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t BackendLoad::Builder::getLeastPause() {
+inline  ::uint16_t Member::Builder::getCapacity() {
   return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void BackendLoad::Builder::setLeastPause( ::uint16_t value) {
+inline void Member::Builder::setCapacity( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t BackendLoad::Reader::getAttempts() const {
-  return _reader.getDataField< ::uint16_t>(
+inline bool Member::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getUptimeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getUptimeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setUptimeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIncarnation( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Member::Reader::getStatus() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t BackendLoad::Builder::getAttempts() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint8_t Member::Builder::getStatus() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void BackendLoad::Builder::setAttempts( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void Member::Builder::setStatus( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t BackendLoad::Reader::getFailures() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool Member::Reader::getBridges() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getBridges() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setBridges(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<49>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::getLends() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<50>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getLends() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<50>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setLends(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<50>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::getKeepsStreams() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<51>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t BackendLoad::Builder::getFailures() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool Member::Builder::getKeepsStreams() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<51>() * ::capnp::ELEMENTS);
 }
-inline void BackendLoad::Builder::setFailures( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setKeepsStreams(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<51>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PrefixPlacement::Reader::getPart() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint8_t Gossip::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PrefixPlacement::Builder::getPart() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t Gossip::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PrefixPlacement::Builder::setPart( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Gossip::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PrefixPlacement::Reader::getBackend() const {
+inline  ::uint32_t Gossip::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Gossip::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Gossip::Reader::getSubject() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PrefixPlacement::Builder::getBackend() {
+inline  ::uint32_t Gossip::Builder::getSubject() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PrefixPlacement::Builder::setBackend( ::uint32_t value) {
+inline void Gossip::Builder::setSubject( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ServiceWork::Reader::hasService() const {
+inline bool Gossip::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceWork::Builder::hasService() {
+inline bool Gossip::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServiceWork::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::cartsail::wire::Member::Reader Gossip::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServiceWork::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::cartsail::wire::Member::Builder Gossip::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServiceWork::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::cartsail::wire::Member::Pipeline Gossip::Pipeline::getSender() {
+  return  ::cartsail::wire::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Gossip::Builder::setSender( ::cartsail::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServiceWork::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::Member::Builder Gossip::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ServiceWork::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Gossip::Builder::adoptSender(
+    ::capnp::Orphan< ::cartsail::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServiceWork::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::cartsail::wire::Member> Gossip::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline float ServiceWork::Reader::getLightMsPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t Gossip::Reader::getCatalogRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline float ServiceWork::Builder::getLightMsPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ServiceWork::Builder::setLightMsPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::int64_t Gossip::Builder::getCatalogRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-
-inline float ServiceWork::Reader::getHeavyMsPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Gossip::Builder::setCatalogRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline float ServiceWork::Builder::getHeavyMsPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void ServiceWork::Builder::setHeavyMsPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::int64_t Gossip::Reader::getDocumentVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeDigest::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDigest::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeDigest::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeDigest::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NodeDigest::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeDigest::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void NodeDigest::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::int64_t Gossip::Builder::getDocumentVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeDigest::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Gossip::Builder::setDocumentVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t NodeDigest::Reader::getIntervalMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int32_t Gossip::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
 }
 
-inline  ::uint32_t NodeDigest::Builder::getIntervalMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int32_t Gossip::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
 }
-inline void NodeDigest::Builder::setIntervalMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Gossip::Builder::setConfirmedAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1);
 }
 
-inline bool NodeDigest::Reader::hasLoads() const {
+inline bool Gossip::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasLoads() {
+inline bool Gossip::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setLoads( ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Gossip::Builder::setMembers( ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NodeDigest::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Gossip::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::BackendLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDigest::Reader::hasPrefixes() const {
+inline bool Gossip::Reader::hasKnown() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDigest::Builder::hasPrefixes() {
+inline bool Gossip::Builder::hasKnown() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getPrefixes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getPrefixes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void NodeDigest::Builder::setPrefixes( ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Gossip::Builder::setKnown( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initPrefixes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void Gossip::Builder::setKnown(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initKnown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void NodeDigest::Builder::adoptPrefixes(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Gossip::Builder::adoptKnown(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownPrefixes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PrefixPlacement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDigest::Reader::hasLeaving() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDigest::Builder::hasLeaving() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLeaving() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::int64_t Gossip::Reader::getWallMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setLeaving( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+
+inline  ::int64_t Gossip::Builder::getWallMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setLeaving(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Gossip::Builder::setWallMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLeaving(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t PromptPart::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::adoptLeaving(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t PromptPart::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void PromptPart::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::hasWork() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t PromptPart::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool NodeDigest::Builder::hasWork() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t PromptPart::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader NodeDigest::Reader::getWork() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void PromptPart::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::getWork() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RateWord::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setWork( ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t RateWord::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>::Builder NodeDigest::Builder::initWork(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void RateWord::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline void NodeDigest::Builder::adoptWork(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool RateWord::Reader::getNamed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>> NodeDigest::Builder::disownWork() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::ServiceWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline bool RateWord::Builder::getNamed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void RateWord::Builder::setNamed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeDigest::Reader::hasLiveQuestions() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline double RateWord::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool NodeDigest::Builder::hasLiveQuestions() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+
+inline double RateWord::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader NodeDigest::Reader::getLiveQuestions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void RateWord::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::getLiveQuestions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RateWord::Reader::getReadAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setLiveQuestions( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t RateWord::Builder::getReadAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::setLiveQuestions(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void RateWord::Builder::setReadAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder NodeDigest::Builder::initLiveQuestions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t RateWord::Reader::getAskedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void NodeDigest::Builder::adoptLiveQuestions(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t RateWord::Builder::getAskedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> NodeDigest::Builder::disownLiveQuestions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void RateWord::Builder::setAskedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getHost() const {
+inline  ::uint32_t PlacementQuestion::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getHost() {
+inline  ::uint32_t PlacementQuestion::Builder::getId() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setHost( ::uint32_t value) {
+inline void PlacementQuestion::Builder::setId( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::hasNode() const {
+inline bool PlacementQuestion::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasNode() {
+inline bool PlacementQuestion::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getNode() const {
+inline  ::capnp::Text::Reader PlacementQuestion::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getNode() {
+inline  ::capnp::Text::Builder PlacementQuestion::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setNode( ::capnp::Text::Reader value) {
+inline void PlacementQuestion::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder PlacementQuestion::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptNode(
+inline void PlacementQuestion::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> PlacementQuestion::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasZone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasZone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Member::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Member::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Member::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Member::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline bool PlacementQuestion::Reader::getGeneration() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool PlacementQuestion::Builder::getGeneration() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void PlacementQuestion::Builder::setGeneration(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Member::Reader::getCapacity() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint32_t PlacementQuestion::Reader::getGoalMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Member::Builder::getCapacity() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint32_t PlacementQuestion::Builder::getGoalMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setCapacity( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void PlacementQuestion::Builder::setGoalMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::getStopping() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementQuestion::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool Member::Builder::getStopping() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementQuestion::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setStopping(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getUptimeMs() const {
+inline  ::uint32_t PlacementQuestion::Reader::getOutputTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getUptimeMs() {
+inline  ::uint32_t PlacementQuestion::Builder::getOutputTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setUptimeMs( ::uint32_t value) {
+inline void PlacementQuestion::Builder::setOutputTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getIncarnation() const {
+inline  ::uint32_t PlacementQuestion::Reader::getBytesPerToken() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getIncarnation() {
+inline  ::uint32_t PlacementQuestion::Builder::getBytesPerToken() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setIncarnation( ::uint32_t value) {
+inline void PlacementQuestion::Builder::setBytesPerToken( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t Member::Reader::getStatus() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Member::Builder::getStatus() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Member::Builder::setStatus( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline bool PlacementQuestion::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Member::Reader::getBridges() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PlacementQuestion::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool Member::Builder::getBridges() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<49>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setBridges(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<49>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setParts( ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline bool Member::Reader::getLends() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<50>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline bool Member::Builder::getLends() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<50>() * ::capnp::ELEMENTS);
+inline void PlacementQuestion::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Member::Builder::setLends(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<50>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>> PlacementQuestion::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Gossip::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Reader::hasTried() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t Gossip::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Builder::hasTried() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PlacementQuestion::Reader::getTried() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Gossip::Reader::getSequence() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::getTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Gossip::Builder::getSequence() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void PlacementQuestion::Builder::setTried( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void Gossip::Builder::setSequence( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setTried(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Gossip::Reader::getSubject() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::initTried(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Gossip::Builder::getSubject() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void PlacementQuestion::Builder::adoptTried(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gossip::Builder::setSubject( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PlacementQuestion::Builder::disownTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasSender() const {
+inline bool PlacementQuestion::Reader::hasConnected() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasSender() {
+inline bool PlacementQuestion::Builder::hasConnected() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cartsail::wire::Member::Reader Gossip::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PlacementQuestion::Reader::getConnected() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::cartsail::wire::Member::Builder Gossip::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::getConnected() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::cartsail::wire::Member::Pipeline Gossip::Pipeline::getSender() {
-  return  ::cartsail::wire::Member::Pipeline(_typeless.getPointerField(0));
+inline void PlacementQuestion::Builder::setConnected( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void Gossip::Builder::setSender( ::cartsail::wire::Member::Reader value) {
-  ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PlacementQuestion::Builder::setConnected(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::cartsail::wire::Member::Builder Gossip::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::initConnected(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptSender(
-    ::capnp::Orphan< ::cartsail::wire::Member>&& value) {
-  ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PlacementQuestion::Builder::adoptConnected(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cartsail::wire::Member> Gossip::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Member>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PlacementQuestion::Builder::disownConnected() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Gossip::Reader::getCatalogRevision() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementQuestion::Reader::getLongestPauseMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Gossip::Builder::getCatalogRevision() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementQuestion::Builder::getLongestPauseMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Gossip::Builder::setCatalogRevision( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setLongestPauseMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Gossip::Reader::getDocumentVersion() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Reader::getRestricted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Gossip::Builder::getDocumentVersion() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Builder::getRestricted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline void Gossip::Builder::setDocumentVersion( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setRestricted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t Gossip::Reader::getConfirmedAgeMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+inline bool PlacementQuestion::Reader::hasResidency() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int32_t Gossip::Builder::getConfirmedAgeMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+inline bool PlacementQuestion::Builder::hasResidency() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PlacementQuestion::Reader::getResidency() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementQuestion::Builder::getResidency() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PlacementQuestion::Builder::setResidency( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PlacementQuestion::Builder::setResidency(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementQuestion::Builder::initResidency(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PlacementQuestion::Builder::adoptResidency(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gossip::Builder::setConfirmedAgeMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PlacementQuestion::Builder::disownResidency() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasMembers() const {
+inline bool PlacementQuestion::Reader::hasRateWords() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasMembers() {
+inline bool PlacementQuestion::Builder::hasRateWords() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader PlacementQuestion::Reader::getRateWords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::getRateWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setMembers( ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void PlacementQuestion::Builder::setRateWords( ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::initRateWords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void PlacementQuestion::Builder::adoptRateWords(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>> PlacementQuestion::Builder::disownRateWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasKnown() const {
+inline bool PlacementQuestion::Reader::hasBrittleWords() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasKnown() {
+inline bool PlacementQuestion::Builder::hasBrittleWords() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getKnown() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::setKnown( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader PlacementQuestion::Reader::getBrittleWords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setKnown(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::getBrittleWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initKnown(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void PlacementQuestion::Builder::setBrittleWords( ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline void Gossip::Builder::adoptKnown(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::initBrittleWords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownKnown() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void PlacementQuestion::Builder::adoptBrittleWords(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::int64_t Gossip::Reader::getWallMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>> PlacementQuestion::Builder::disownBrittleWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Gossip::Builder::getWallMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool PlacementQuestion::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::setWallMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool PlacementQuestion::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t PromptPart::Reader::getId() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader PlacementQuestion::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t PromptPart::Builder::getId() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder PlacementQuestion::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void PromptPart::Builder::setId( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PlacementQuestion::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t PromptPart::Reader::getTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder PlacementQuestion::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t PromptPart::Builder::getTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void PlacementQuestion::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PromptPart::Builder::setTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> PlacementQuestion::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RateWord::Reader::getBackend() const {
+inline  ::uint32_t PlacementAnswer::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RateWord::Builder::getBackend() {
+inline  ::uint32_t PlacementAnswer::Builder::getId() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RateWord::Builder::setBackend( ::uint32_t value) {
+inline void PlacementAnswer::Builder::setId( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RateWord::Reader::getNamed() const {
+inline bool PlacementAnswer::Reader::getPlaced() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool RateWord::Builder::getNamed() {
+inline bool PlacementAnswer::Builder::getPlaced() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void RateWord::Builder::setNamed(bool value) {
+inline void PlacementAnswer::Builder::setPlaced(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline double RateWord::Reader::getPerSecond() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementAnswer::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double RateWord::Builder::getPerSecond() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PlacementAnswer::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RateWord::Builder::setPerSecond(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RateWord::Reader::getReadAgeMs() const {
+inline  ::uint32_t PlacementAnswer::Reader::getFetchFrom() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RateWord::Builder::getReadAgeMs() {
+inline  ::uint32_t PlacementAnswer::Builder::getFetchFrom() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RateWord::Builder::setReadAgeMs( ::uint32_t value) {
+inline void PlacementAnswer::Builder::setFetchFrom( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PlacementAnswer::Reader::getExpectedLoss() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacementAnswer::Builder::getExpectedLoss() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setExpectedLoss(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RateWord::Reader::getAskedAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline float PlacementAnswer::Reader::getReadingMs() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RateWord::Builder::getAskedAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline float PlacementAnswer::Builder::getReadingMs() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RateWord::Builder::setAskedAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void PlacementAnswer::Builder::setReadingMs(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementQuestion::Reader::getId() const {
+inline float PlacementAnswer::Reader::getFirstOutputMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacementAnswer::Builder::getFirstOutputMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PlacementAnswer::Builder::setFirstOutputMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PlacementAnswer::Reader::getHeldTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementQuestion::Builder::getId() {
+inline  ::uint32_t PlacementAnswer::Builder::getHeldTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setId( ::uint32_t value) {
+inline void PlacementAnswer::Builder::setHeldTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementQuestion::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementQuestion::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PlacementQuestion::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint16_t PlacementAnswer::Reader::getCandidates() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder PlacementQuestion::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint16_t PlacementAnswer::Builder::getCandidates() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PlacementAnswer::Builder::setCandidates( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder PlacementQuestion::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::uint16_t PlacementAnswer::Reader::getLoadRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint16_t PlacementAnswer::Builder::getLoadRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> PlacementQuestion::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void PlacementAnswer::Builder::setLoadRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementQuestion::Reader::getGeneration() const {
+inline bool PlacementAnswer::Reader::getMetered() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementQuestion::Builder::getGeneration() {
+inline bool PlacementAnswer::Builder::getMetered() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setGeneration(bool value) {
+inline void PlacementAnswer::Builder::setMetered(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementQuestion::Reader::getGoalMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Reader::getMeteredOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementQuestion::Builder::getGoalMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Builder::getMeteredOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setGoalMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setMeteredOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementQuestion::Reader::getPromptTokens() const {
+inline  ::uint32_t PlacementAnswer::Reader::getMeteredWaitMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementQuestion::Builder::getPromptTokens() {
+inline  ::uint32_t PlacementAnswer::Builder::getMeteredWaitMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setPromptTokens( ::uint32_t value) {
+inline void PlacementAnswer::Builder::setMeteredWaitMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementQuestion::Reader::getOutputTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Reader::getHeardRateWords() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementQuestion::Builder::getOutputTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool PlacementAnswer::Builder::getHeardRateWords() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setOutputTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void PlacementAnswer::Builder::setHeardRateWords(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<35>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementQuestion::Reader::getBytesPerToken() const {
+inline  ::uint32_t RequestProgress::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementQuestion::Builder::getBytesPerToken() {
+inline  ::uint32_t RequestProgress::Builder::getId() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setBytesPerToken( ::uint32_t value) {
+inline void RequestProgress::Builder::setId( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementQuestion::Reader::hasParts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementQuestion::Builder::hasParts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader PlacementQuestion::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void PlacementQuestion::Builder::setParts( ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void PlacementQuestion::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>> PlacementQuestion::Builder::disownParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool RequestProgress::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementQuestion::Reader::hasTried() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementQuestion::Builder::hasTried() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool RequestProgress::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PlacementQuestion::Reader::getTried() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RequestProgress::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::getTried() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool RequestProgress::Reader::getOutcomeKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setTried( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline bool RequestProgress::Builder::getOutcomeKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setTried(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void RequestProgress::Builder::setOutcomeKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::initTried(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline  ::uint8_t RequestProgress::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::adoptTried(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t RequestProgress::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PlacementQuestion::Builder::disownTried() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RequestProgress::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementQuestion::Reader::hasConnected() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t RequestProgress::Reader::getMeanPause() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool PlacementQuestion::Builder::hasConnected() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint16_t RequestProgress::Builder::getMeanPause() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PlacementQuestion::Reader::getConnected() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void RequestProgress::Builder::setMeanPause( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::getConnected() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint16_t RequestProgress::Reader::getLongestPauseMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setConnected( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+
+inline  ::uint16_t RequestProgress::Builder::getLongestPauseMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setConnected(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void RequestProgress::Builder::setLongestPauseMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacementQuestion::Builder::initConnected(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline  ::int64_t DocumentNotice::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::adoptConnected(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t DocumentNotice::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PlacementQuestion::Builder::disownConnected() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void DocumentNotice::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementQuestion::Reader::getLongestPauseMs() const {
+inline  ::uint32_t DocumentNotice::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementQuestion::Builder::getLongestPauseMs() {
+inline  ::uint32_t DocumentNotice::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setLongestPauseMs( ::uint32_t value) {
+inline void DocumentNotice::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementQuestion::Reader::getRestricted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline  ::int64_t DocumentNotice::Reader::getBase() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementQuestion::Builder::getRestricted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline  ::int64_t DocumentNotice::Builder::getBase() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::setRestricted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+inline void DocumentNotice::Builder::setBase( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementQuestion::Reader::hasResidency() const {
+inline bool DocumentNotice::Reader::hasPatch() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementQuestion::Builder::hasResidency() {
+inline bool DocumentNotice::Builder::hasPatch() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PlacementQuestion::Reader::getResidency() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementQuestion::Builder::getResidency() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader DocumentNotice::Reader::getPatch() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PlacementQuestion::Builder::setResidency( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::Data::Builder DocumentNotice::Builder::getPatch() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PlacementQuestion::Builder::setResidency(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void DocumentNotice::Builder::setPatch( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PlacementQuestion::Builder::initResidency(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder DocumentNotice::Builder::initPatch(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PlacementQuestion::Builder::adoptResidency(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void DocumentNotice::Builder::adoptPatch(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PlacementQuestion::Builder::disownResidency() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> DocumentNotice::Builder::disownPatch() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PlacementQuestion::Reader::hasRateWords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool PlacementQuestion::Builder::hasRateWords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader PlacementQuestion::Reader::getRateWords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::getRateWords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void PlacementQuestion::Builder::setRateWords( ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::initRateWords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline bool DocumentNotice::Reader::getIsAnswer() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline void PlacementQuestion::Builder::adoptRateWords(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool DocumentNotice::Builder::getIsAnswer() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>> PlacementQuestion::Builder::disownRateWords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void DocumentNotice::Builder::setIsAnswer(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementQuestion::Reader::hasBrittleWords() const {
+inline bool Backend::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PlacementQuestion::Builder::hasBrittleWords() {
+inline bool Backend::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader PlacementQuestion::Reader::getBrittleWords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Backend::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::getBrittleWords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Backend::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PlacementQuestion::Builder::setBrittleWords( ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void Backend::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>::Builder PlacementQuestion::Builder::initBrittleWords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Backend::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PlacementQuestion::Builder::adoptBrittleWords(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void Backend::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>> PlacementQuestion::Builder::disownBrittleWords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::RateWord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t PlacementAnswer::Reader::getId() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint16_t Backend::Reader::getService() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAnswer::Builder::getId() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint16_t Backend::Builder::getService() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setId( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Backend::Builder::setService( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
