       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAnswer::Reader::getPlaced() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Backend::Reader::getZone() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAnswer::Builder::getPlaced() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Backend::Builder::getZone() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setPlaced(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline void Backend::Builder::setZone( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAnswer::Reader::getBackend() const {
+inline  ::uint32_t Backend::Reader::getHost() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAnswer::Builder::getBackend() {
+inline  ::uint32_t Backend::Builder::getHost() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setBackend( ::uint32_t value) {
+inline void Backend::Builder::setHost( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAnswer::Reader::getFetchFrom() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Backend::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAnswer::Builder::getFetchFrom() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Backend::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setFetchFrom( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Backend::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline float PlacementAnswer::Reader::getExpectedLoss() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool Backend::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline float PlacementAnswer::Builder::getExpectedLoss() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool Backend::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Backend::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Backend::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Backend::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Backend::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Backend::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PlacementAnswer::Builder::setExpectedLoss(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline float PlacementAnswer::Reader::getReadingMs() const {
-  return _reader.getDataField<float>(
+inline  ::uint16_t Backend::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline float PlacementAnswer::Builder::getReadingMs() {
-  return _builder.getDataField<float>(
+inline  ::uint16_t Backend::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setReadingMs(float value) {
-  _builder.setDataField<float>(
+inline void Backend::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline float PlacementAnswer::Reader::getFirstOutputMs() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool Backend::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
-inline float PlacementAnswer::Builder::getFirstOutputMs() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool Backend::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setFirstOutputMs(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Backend::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAnswer::Reader::getHeldTokens() const {
+inline  ::uint32_t Backend::Reader::getCreatedBefore() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAnswer::Builder::getHeldTokens() {
+inline  ::uint32_t Backend::Builder::getCreatedBefore() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setHeldTokens( ::uint32_t value) {
+inline void Backend::Builder::setCreatedBefore( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t PlacementAnswer::Reader::getCandidates() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t PlacementAnswer::Builder::getCandidates() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void PlacementAnswer::Builder::setCandidates( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t PlacementAnswer::Reader::getLoadRequests() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::int32_t Backend::Reader::getMissingMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1);
 }
 
-inline  ::uint16_t PlacementAnswer::Builder::getLoadRequests() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::int32_t Backend::Builder::getMissingMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1);
 }
-inline void PlacementAnswer::Builder::setLoadRequests( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void Backend::Builder::setMissingMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1);
 }
 
-inline bool PlacementAnswer::Reader::getMetered() const {
+inline bool Backend::Reader::getReclaimable() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAnswer::Builder::getMetered() {
+inline bool Backend::Builder::getReclaimable() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setMetered(bool value) {
+inline void Backend::Builder::setReclaimable(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAnswer::Reader::getMeteredOnly() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+inline  ::int64_t Backend::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAnswer::Builder::getMeteredOnly() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+inline  ::int64_t Backend::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setMeteredOnly(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+inline void Backend::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PlacementAnswer::Reader::getMeteredWaitMs() const {
+inline  ::uint32_t Backend::Reader::getColdMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PlacementAnswer::Builder::getMeteredWaitMs() {
+inline  ::uint32_t Backend::Builder::getColdMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setMeteredWaitMs( ::uint32_t value) {
+inline void Backend::Builder::setColdMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PlacementAnswer::Reader::getHeardRateWords() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Backend::Reader::getVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline bool PlacementAnswer::Builder::getHeardRateWords() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<35>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Backend::Builder::getVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void PlacementAnswer::Builder::setHeardRateWords(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<35>() * ::capnp::ELEMENTS, value);
+inline void Backend::Builder::setVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RequestProgress::Reader::getId() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Strike::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RequestProgress::Builder::getId() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Strike::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RequestProgress::Builder::setId( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Strike::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RequestProgress::Reader::getEnded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool RequestProgress::Builder::getEnded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void RequestProgress::Builder::setEnded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool RequestProgress::Reader::getOutcomeKnown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
-}
-
-inline bool RequestProgress::Builder::getOutcomeKnown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
-}
-inline void RequestProgress::Builder::setOutcomeKnown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t RequestProgress::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Strike::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t RequestProgress::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Strike::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RequestProgress::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void Strike::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t RequestProgress::Reader::getMeanPause() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint32_t Strike::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t RequestProgress::Builder::getMeanPause() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint32_t Strike::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RequestProgress::Builder::setMeanPause( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void Strike::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t RequestProgress::Reader::getLongestPauseMs() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t QuarantineEntry::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t RequestProgress::Builder::getLongestPauseMs() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t QuarantineEntry::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RequestProgress::Builder::setLongestPauseMs( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void QuarantineEntry::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t DocumentNotice::Reader::getVersion() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QuarantineEntry::Reader::getLifted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t DocumentNotice::Builder::getVersion() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QuarantineEntry::Builder::getLifted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void DocumentNotice::Builder::setVersion( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void QuarantineEntry::Builder::setLifted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t DocumentNotice::Reader::getAgeMs() const {
+inline  ::uint32_t QuarantineEntry::Reader::getLeftMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t DocumentNotice::Builder::getAgeMs() {
+inline  ::uint32_t QuarantineEntry::Builder::getLeftMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void DocumentNotice::Builder::setAgeMs( ::uint32_t value) {
+inline void QuarantineEntry::Builder::setLeftMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t DocumentNotice::Reader::getBase() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t QuarantineEntry::Reader::getFirstStrikeAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t DocumentNotice::Builder::getBase() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t QuarantineEntry::Builder::getFirstStrikeAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void DocumentNotice::Builder::setBase( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void QuarantineEntry::Builder::setFirstStrikeAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool DocumentNotice::Reader::hasPatch() const {
+inline bool QuarantineEntry::Reader::hasBackends() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool DocumentNotice::Builder::hasPatch() {
+inline bool QuarantineEntry::Builder::hasBackends() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader DocumentNotice::Reader::getPatch() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineEntry::Reader::getBackends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder DocumentNotice::Builder::getPatch() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::getBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DocumentNotice::Builder::setPatch( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void QuarantineEntry::Builder::setBackends( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder DocumentNotice::Builder::initPatch(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline void QuarantineEntry::Builder::setBackends(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::initBackends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void DocumentNotice::Builder::adoptPatch(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void QuarantineEntry::Builder::adoptBackends(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> DocumentNotice::Builder::disownPatch() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineEntry::Builder::disownBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool DocumentNotice::Reader::getIsAnswer() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-
-inline bool DocumentNotice::Builder::getIsAnswer() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-inline void DocumentNotice::Builder::setIsAnswer(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Backend::Reader::hasId() const {
+inline bool QuarantineNotice::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Backend::Builder::hasId() {
+inline bool QuarantineNotice::Builder::hasEntry() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Backend::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::cartsail::wire::QuarantineEntry::Reader QuarantineNotice::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Backend::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::cartsail::wire::QuarantineEntry::Builder QuarantineNotice::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::cartsail::wire::QuarantineEntry::Pipeline QuarantineNotice::Pipeline::getEntry() {
+  return  ::cartsail::wire::QuarantineEntry::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void QuarantineNotice::Builder::setEntry( ::cartsail::wire::QuarantineEntry::Reader value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Backend::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::QuarantineEntry::Builder QuarantineNotice::Builder::initEntry() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void QuarantineNotice::Builder::adoptEntry(
+    ::capnp::Orphan< ::cartsail::wire::QuarantineEntry>&& value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::cartsail::wire::QuarantineEntry> QuarantineNotice::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Backend::Reader::getService() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QuarantineNotice::Reader::hasTargets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t Backend::Builder::getService() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QuarantineNotice::Builder::hasTargets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Backend::Builder::setService( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineNotice::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Backend::Reader::getZone() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Backend::Builder::getZone() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void QuarantineNotice::Builder::setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Backend::Builder::setZone( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void QuarantineNotice::Builder::setTargets(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Backend::Reader::getHost() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Backend::Builder::getHost() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void QuarantineNotice::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Backend::Builder::setHost( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineNotice::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Backend::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t Catalog::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Backend::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t Catalog::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Backend::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Catalog::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Backend::Reader::hasAddress() const {
+inline bool Catalog::Reader::hasDocument() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Backend::Builder::hasAddress() {
+inline bool Catalog::Builder::hasDocument() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Backend::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Catalog::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Backend::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Catalog::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Backend::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Backend::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder Catalog::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Backend::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Catalog::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Backend::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Catalog::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Backend::Reader::getSlots() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool Catalog::Reader::hasBackends() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t Backend::Builder::getSlots() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool Catalog::Builder::hasBackends() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Backend::Builder::setSlots( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getBackends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Catalog::Builder::setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline bool Backend::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initBackends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline bool Backend::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline void Catalog::Builder::adoptBackends(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Backend::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Backend::Reader::getCreatedBefore() const {
+inline  ::uint32_t Catalog::Reader::getDocumentAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Backend::Builder::getCreatedBefore() {
+inline  ::uint32_t Catalog::Builder::getDocumentAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Backend::Builder::setCreatedBefore( ::uint32_t value) {
+inline void Catalog::Builder::setDocumentAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int32_t Backend::Reader::getMissingMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1);
-}
-
-inline  ::int32_t Backend::Builder::getMissingMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1);
-}
-inline void Backend::Builder::setMissingMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Backend::Reader::getReclaimable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline  ::int64_t Catalog::Reader::getDocumentBase() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Backend::Builder::getReclaimable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline  ::int64_t Catalog::Builder::getDocumentBase() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Backend::Builder::setReclaimable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+inline void Catalog::Builder::setDocumentBase( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Backend::Reader::getStartedMs() const {
+inline  ::int64_t Catalog::Reader::getSince() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
 }
 
-inline  ::int64_t Backend::Builder::getStartedMs() {
+inline  ::int64_t Catalog::Builder::getSince() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
 }
-inline void Backend::Builder::setStartedMs( ::int64_t value) {
+inline void Catalog::Builder::setSince( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
-inline  ::uint32_t Backend::Reader::getColdMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool Catalog::Reader::hasGone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Backend::Builder::getColdMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool Catalog::Builder::hasGone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Backend::Builder::setColdMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getGone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Backend::Reader::getVersion() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Backend::Builder::getVersion() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline void Catalog::Builder::setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void Backend::Builder::setVersion( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void Catalog::Builder::setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Strike::Reader::getRequest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initGone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Strike::Builder::getRequest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Catalog::Builder::adoptGone(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Strike::Builder::setRequest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Strike::Reader::getBackend() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Catalog::Reader::hasNames() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Strike::Builder::getBackend() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Catalog::Builder::hasNames() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Strike::Builder::setBackend( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getNames() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Strike::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Strike::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void Catalog::Builder::setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void Strike::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Catalog::Builder::setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t QuarantineEntry::Reader::getRequest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initNames(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t QuarantineEntry::Builder::getRequest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Catalog::Builder::adoptNames(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void QuarantineEntry::Builder::setRequest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool QuarantineEntry::Reader::getLifted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Catalog::Reader::hasDrainedZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool QuarantineEntry::Builder::getLifted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Catalog::Builder::hasDrainedZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void QuarantineEntry::Builder::setLifted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getDrainedZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t QuarantineEntry::Reader::getLeftMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getDrainedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t QuarantineEntry::Builder::getLeftMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void Catalog::Builder::setDrainedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void QuarantineEntry::Builder::setLeftMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Catalog::Builder::setDrainedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t QuarantineEntry::Reader::getFirstStrikeAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initDrainedZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t QuarantineEntry::Builder::getFirstStrikeAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void Catalog::Builder::adoptDrainedZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void QuarantineEntry::Builder::setFirstStrikeAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownDrainedZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool QuarantineEntry::Reader::hasBackends() const {
+inline bool Catalog::Reader::hasQuarantined() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineEntry::Builder::hasBackends() {
+inline bool Catalog::Builder::hasQuarantined() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineEntry::Reader::getBackends() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::getBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void QuarantineEntry::Builder::setBackends( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void QuarantineEntry::Builder::setBackends(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Catalog::Builder::setQuarantined( ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::initBackends(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineEntry::Builder::adoptBackends(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Catalog::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineEntry::Builder::disownBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool QuarantineNotice::Reader::hasEntry() const {
+inline bool StoreUpdate::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineNotice::Builder::hasEntry() {
+inline bool StoreUpdate::Builder::hasChanges() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cartsail::wire::QuarantineEntry::Reader QuarantineNotice::Reader::getEntry() const {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::get(_reader.getPointerField(
+inline  ::cartsail::wire::Catalog::Reader StoreUpdate::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cartsail::wire::QuarantineEntry::Builder QuarantineNotice::Builder::getEntry() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::get(_builder.getPointerField(
+inline  ::cartsail::wire::Catalog::Builder StoreUpdate::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cartsail::wire::QuarantineEntry::Pipeline QuarantineNotice::Pipeline::getEntry() {
-  return  ::cartsail::wire::QuarantineEntry::Pipeline(_typeless.getPointerField(0));
+inline  ::cartsail::wire::Catalog::Pipeline StoreUpdate::Pipeline::getChanges() {
+  return  ::cartsail::wire::Catalog::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void QuarantineNotice::Builder::setEntry( ::cartsail::wire::QuarantineEntry::Reader value) {
-  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::set(_builder.getPointerField(
+inline void StoreUpdate::Builder::setChanges( ::cartsail::wire::Catalog::Reader value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cartsail::wire::QuarantineEntry::Builder QuarantineNotice::Builder::initEntry() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::init(_builder.getPointerField(
+inline  ::cartsail::wire::Catalog::Builder StoreUpdate::Builder::initChanges() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QuarantineNotice::Builder::adoptEntry(
-    ::capnp::Orphan< ::cartsail::wire::QuarantineEntry>&& value) {
-  ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::adopt(_builder.getPointerField(
+inline void StoreUpdate::Builder::adoptChanges(
+    ::capnp::Orphan< ::cartsail::wire::Catalog>&& value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cartsail::wire::QuarantineEntry> QuarantineNotice::Builder::disownEntry() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::QuarantineEntry>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::cartsail::wire::Catalog> StoreUpdate::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool QuarantineNotice::Reader::hasTargets() const {
+inline  ::int64_t StoreUpdate::Reader::getDocumentVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoreUpdate::Builder::getDocumentVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setDocumentVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StoreUpdate::Reader::getConfirmedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StoreUpdate::Builder::getConfirmedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setConfirmedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoreUpdate::Reader::hasTargets() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineNotice::Builder::hasTargets() {
+inline bool StoreUpdate::Builder::hasTargets() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineNotice::Reader::getTargets() const {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader StoreUpdate::Reader::getTargets() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::getTargets() {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StoreUpdate::Builder::getTargets() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void QuarantineNotice::Builder::setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void StoreUpdate::Builder::setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void QuarantineNotice::Builder::setTargets(::kj::ArrayPtr<const  ::uint32_t> value) {
+inline void StoreUpdate::Builder::setTargets(::kj::ArrayPtr<const  ::uint32_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::initTargets(unsigned int size) {
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StoreUpdate::Builder::initTargets(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineNotice::Builder::adoptTargets(
+inline void StoreUpdate::Builder::adoptTargets(
     ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineNotice::Builder::disownTargets() {
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> StoreUpdate::Builder::disownTargets() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Catalog::Reader::getRevision() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Catalog::Builder::getRevision() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Catalog::Builder::setRevision( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Catalog::Reader::hasDocument() const {
+inline bool TenantCount::Reader::hasTenant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasDocument() {
+inline bool TenantCount::Builder::hasTenant() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Catalog::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader TenantCount::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Catalog::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder TenantCount::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void TenantCount::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Catalog::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder TenantCount::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Catalog::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void TenantCount::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Catalog::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> TenantCount::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Catalog::Reader::hasBackends() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Catalog::Builder::hasBackends() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getBackends() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Catalog::Builder::setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initBackends(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::int64_t TenantCount::Reader::getRequests() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Catalog::Builder::adoptBackends(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t TenantCount::Builder::getRequests() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void TenantCount::Builder::setRequests( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Catalog::Reader::getDocumentAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t UsageShare::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Catalog::Builder::getDocumentAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t UsageShare::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Catalog::Builder::setDocumentAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void UsageShare::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Catalog::Reader::getDocumentBase() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool UsageShare::Reader::getClosed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Catalog::Builder::getDocumentBase() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool UsageShare::Builder::getClosed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void Catalog::Builder::setDocumentBase( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void UsageShare::Builder::setClosed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Catalog::Reader::getSince() const {
+inline  ::int64_t UsageShare::Reader::getRequests() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Catalog::Builder::getSince() {
+inline  ::int64_t UsageShare::Builder::getRequests() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1ll);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Catalog::Builder::setSince( ::int64_t value) {
+inline void UsageShare::Builder::setRequests( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1ll);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Catalog::Reader::hasGone() const {
+inline bool UsageShare::Reader::hasCounts() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasGone() {
+inline bool UsageShare::Builder::hasCounts() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getGone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getGone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader UsageShare::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder UsageShare::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void UsageShare::Builder::setCounts( ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initGone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder UsageShare::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Catalog::Builder::adoptGone(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void UsageShare::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownGone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>> UsageShare::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Catalog::Reader::hasNames() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Catalog::Builder::hasNames() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getNames() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getNames() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Catalog::Builder::setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void Catalog::Builder::setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initNames(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::uint32_t UsageShares::Reader::getProcess() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Catalog::Builder::adoptNames(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t UsageShares::Builder::getProcess() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownNames() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void UsageShares::Builder::setProcess( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Catalog::Reader::hasDrainedZones() const {
+inline bool UsageShares::Reader::hasShares() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Catalog::Builder::hasDrainedZones() {
+inline bool UsageShares::Builder::hasShares() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Catalog::Reader::getDrainedZones() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader UsageShares::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::getDrainedZones() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder UsageShares::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Catalog::Builder::setDrainedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void UsageShares::Builder::setShares( ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Catalog::Builder::setDrainedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder UsageShares::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Catalog::Builder::initDrainedZones(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void UsageShares::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Catalog::Builder::adoptDrainedZones(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>> UsageShares::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Catalog::Builder::disownDrainedZones() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint32_t BridgeOrder::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Catalog::Reader::hasQuarantined() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t BridgeOrder::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Catalog::Builder::hasQuarantined() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline void BridgeOrder::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader Catalog::Reader::getQuarantined() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline bool BridgeOrder::Reader::getFresh() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::getQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline bool BridgeOrder::Builder::getFresh() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void Catalog::Builder::setQuarantined( ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void BridgeOrder::Builder::setFresh(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder Catalog::Builder::initQuarantined(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t BridgeOrder::Reader::getPatienceMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Catalog::Builder::adoptQuarantined(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t BridgeOrder::Builder::getPatienceMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> Catalog::Builder::disownQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void BridgeOrder::Builder::setPatienceMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StoreUpdate::Reader::hasChanges() const {
+inline bool BridgedRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoreUpdate::Builder::hasChanges() {
+inline bool BridgedRequest::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cartsail::wire::Catalog::Reader StoreUpdate::Reader::getChanges() const {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader BridgedRequest::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cartsail::wire::Catalog::Builder StoreUpdate::Builder::getChanges() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder BridgedRequest::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::cartsail::wire::Catalog::Pipeline StoreUpdate::Pipeline::getChanges() {
-  return  ::cartsail::wire::Catalog::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void StoreUpdate::Builder::setChanges( ::cartsail::wire::Catalog::Reader value) {
-  ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::set(_builder.getPointerField(
+inline void BridgedRequest::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cartsail::wire::Catalog::Builder StoreUpdate::Builder::initChanges() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder BridgedRequest::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoreUpdate::Builder::adoptChanges(
-    ::capnp::Orphan< ::cartsail::wire::Catalog>&& value) {
-  ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::adopt(_builder.getPointerField(
+inline void BridgedRequest::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cartsail::wire::Catalog> StoreUpdate::Builder::disownChanges() {
-  return ::capnp::_::PointerHelpers< ::cartsail::wire::Catalog>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> BridgedRequest::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t StoreUpdate::Reader::getDocumentVersion() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t BridgedRequest::Reader::getBytes() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t StoreUpdate::Builder::getDocumentVersion() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t BridgedRequest::Builder::getBytes() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StoreUpdate::Builder::setDocumentVersion( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+}
+inline void BridgedRequest::Builder::setBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t StoreUpdate::Reader::getConfirmedAgeMs() const {
+inline  ::uint32_t BridgedRequest::Reader::getLeftMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t StoreUpdate::Builder::getConfirmedAgeMs() {
+inline  ::uint32_t BridgedRequest::Builder::getLeftMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void StoreUpdate::Builder::setConfirmedAgeMs( ::uint32_t value) {
+inline void BridgedRequest::Builder::setLeftMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StoreUpdate::Reader::hasTargets() const {
+inline  ::uint32_t UsageReceipt::Reader::getProcess() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UsageReceipt::Builder::getProcess() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceipt::Builder::setProcess( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageReceipt::Reader::hasWindows() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoreUpdate::Builder::hasTargets() {
+inline bool UsageReceipt::Builder::hasWindows() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader StoreUpdate::Reader::getTargets() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader UsageReceipt::Reader::getWindows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StoreUpdate::Builder::getTargets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder UsageReceipt::Builder::getWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoreUpdate::Builder::setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void UsageReceipt::Builder::setWindows( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void StoreUpdate::Builder::setTargets(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void UsageReceipt::Builder::setWindows(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder StoreUpdate::Builder::initTargets(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder UsageReceipt::Builder::initWindows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoreUpdate::Builder::adoptTargets(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void UsageReceipt::Builder::adoptWindows(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> StoreUpdate::Builder::disownTargets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> UsageReceipt::Builder::disownWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool TenantCount::Reader::hasTenant() const {
+inline  ::uint32_t RepeatQuestion::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RepeatQuestion::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RepeatQuestion::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RepeatQuestion::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TenantCount::Builder::hasTenant() {
+inline bool RepeatQuestion::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TenantCount::Reader::getTenant() const {
+inline  ::capnp::Text::Reader RepeatQuestion::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TenantCount::Builder::getTenant() {
+inline  ::capnp::Text::Builder RepeatQuestion::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TenantCount::Builder::setTenant( ::capnp::Text::Reader value) {
+inline void RepeatQuestion::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TenantCount::Builder::initTenant(unsigned int size) {
+inline  ::capnp::Text::Builder RepeatQuestion::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TenantCount::Builder::adoptTenant(
+inline void RepeatQuestion::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TenantCount::Builder::disownTenant() {
+inline ::capnp::Orphan< ::capnp::Text> RepeatQuestion::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t TenantCount::Reader::getRequests() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t TenantCount::Builder::getRequests() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TenantCount::Builder::setRequests( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t UsageShare::Reader::getWindow() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t RepeatAnswer::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t UsageShare::Builder::getWindow() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t RepeatAnswer::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void UsageShare::Builder::setWindow( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void RepeatAnswer::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UsageShare::Reader::getClosed() const {
+inline bool RepeatAnswer::Reader::getLent() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool UsageShare::Builder::getClosed() {
+inline bool RepeatAnswer::Builder::getLent() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void UsageShare::Builder::setClosed(bool value) {
+inline void RepeatAnswer::Builder::setLent(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t UsageShare::Reader::getRequests() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StreamRecord::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t UsageShare::Builder::getRequests() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StreamRecord::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void UsageShare::Builder::setRequests( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void StreamRecord::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UsageShare::Reader::hasCounts() const {
+inline bool StreamRecord::Reader::hasVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool UsageShare::Builder::hasCounts() {
+inline bool StreamRecord::Builder::hasVersion() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader UsageShare::Reader::getCounts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader StreamRecord::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder UsageShare::Builder::getCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void UsageShare::Builder::setCounts( ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void StreamRecord::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>::Builder UsageShare::Builder::initCounts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder StreamRecord::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void UsageShare::Builder::adoptCounts(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StreamRecord::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>> UsageShare::Builder::disownCounts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::TenantCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t UsageShares::Reader::getProcess() const {
+inline bool StreamRecord::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamRecord::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamRecord::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamRecord::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamRecord::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamRecord::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamRecord::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t StreamRecord::Reader::getLeftMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t UsageShares::Builder::getProcess() {
+inline  ::uint32_t StreamRecord::Builder::getLeftMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void UsageShares::Builder::setProcess( ::uint32_t value) {
+inline void StreamRecord::Builder::setLeftMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UsageShares::Reader::hasShares() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool UsageShares::Builder::hasShares() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader UsageShares::Reader::getShares() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder UsageShares::Builder::getShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint32_t StreamRecord::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void UsageShares::Builder::setShares( ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t StreamRecord::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>::Builder UsageShares::Builder::initShares(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void StreamRecord::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void UsageShares::Builder::adoptShares(
-    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t StreamRecord::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>> UsageShares::Builder::disownShares() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::UsageShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::int64_t StreamRecord::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t BridgeOrder::Reader::getBackend() const {
+inline  ::uint32_t StreamQuestion::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t BridgeOrder::Builder::getBackend() {
+inline  ::uint32_t StreamQuestion::Builder::getId() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BridgeOrder::Builder::setBackend( ::uint32_t value) {
+inline void StreamQuestion::Builder::setId( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BridgeOrder::Reader::getFresh() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool BridgeOrder::Builder::getFresh() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void BridgeOrder::Builder::setFresh(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t BridgeOrder::Reader::getPatienceMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t StreamQuestion::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t BridgeOrder::Builder::getPatienceMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t StreamQuestion::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void BridgeOrder::Builder::setPatienceMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void StreamQuestion::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BridgedRequest::Reader::hasId() const {
+inline bool StreamQuestion::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BridgedRequest::Builder::hasId() {
+inline bool StreamQuestion::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BridgedRequest::Reader::getId() const {
+inline  ::capnp::Text::Reader StreamQuestion::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BridgedRequest::Builder::getId() {
+inline  ::capnp::Text::Builder StreamQuestion::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BridgedRequest::Builder::setId( ::capnp::Text::Reader value) {
+inline void StreamQuestion::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BridgedRequest::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder StreamQuestion::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void BridgedRequest::Builder::adoptId(
+inline void StreamQuestion::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BridgedRequest::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> StreamQuestion::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t BridgedRequest::Reader::getBytes() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamQuestion::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t BridgedRequest::Builder::getBytes() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamQuestion::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void BridgedRequest::Builder::setBytes( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader StreamQuestion::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t BridgedRequest::Reader::getLeftMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamQuestion::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t BridgedRequest::Builder::getLeftMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void StreamQuestion::Builder::setRecords( ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void BridgedRequest::Builder::setLeftMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamQuestion::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamQuestion::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>> StreamQuestion::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cartsail::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t UsageReceipt::Reader::getProcess() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StreamQuestion::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t UsageReceipt::Builder::getProcess() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StreamQuestion::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void UsageReceipt::Builder::setProcess( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void StreamQuestion::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UsageReceipt::Reader::hasWindows() const {
+inline bool StreamQuestion::Reader::hasVersion() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool UsageReceipt::Builder::hasWindows() {
+inline bool StreamQuestion::Builder::hasVersion() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader UsageReceipt::Reader::getWindows() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder UsageReceipt::Builder::getWindows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader StreamQuestion::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void UsageReceipt::Builder::setWindows( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder StreamQuestion::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void UsageReceipt::Builder::setWindows(::kj::ArrayPtr<const  ::int64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StreamQuestion::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder UsageReceipt::Builder::initWindows(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder StreamQuestion::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void UsageReceipt::Builder::adoptWindows(
-    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void StreamQuestion::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> UsageReceipt::Builder::disownWindows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> StreamQuestion::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RepeatQuestion::Reader::getId() const {
+inline  ::uint32_t StreamAnswer::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RepeatQuestion::Builder::getId() {
+inline  ::uint32_t StreamAnswer::Builder::getId() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RepeatQuestion::Builder::setId( ::uint32_t value) {
+inline void StreamAnswer::Builder::setId( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RepeatQuestion::Reader::hasService() const {
+inline bool StreamAnswer::Reader::getYes() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamAnswer::Builder::getYes() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setYes(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamAnswer::Reader::hasRecord() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RepeatQuestion::Builder::hasService() {
+inline bool StreamAnswer::Builder::hasRecord() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RepeatQuestion::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::cartsail::wire::StreamRecord::Reader StreamAnswer::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamRecord>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RepeatQuestion::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::cartsail::wire::StreamRecord::Builder StreamAnswer::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamRecord>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RepeatQuestion::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::cartsail::wire::StreamRecord::Pipeline StreamAnswer::Pipeline::getRecord() {
+  return  ::cartsail::wire::StreamRecord::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StreamAnswer::Builder::setRecord( ::cartsail::wire::StreamRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StreamRecord>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RepeatQuestion::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::cartsail::wire::StreamRecord::Builder StreamAnswer::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RepeatQuestion::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void StreamAnswer::Builder::adoptRecord(
+    ::capnp::Orphan< ::cartsail::wire::StreamRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StreamRecord>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RepeatQuestion::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::cartsail::wire::StreamRecord> StreamAnswer::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamRecord>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RepeatAnswer::Reader::getId() const {
+inline  ::uint8_t StreamAnswer::Reader::getSource() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t StreamAnswer::Builder::getSource() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswer::Builder::setSource( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamAnswer::Reader::getLedgerSize() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RepeatAnswer::Builder::getId() {
+inline  ::uint32_t StreamAnswer::Builder::getLedgerSize() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RepeatAnswer::Builder::setId( ::uint32_t value) {
+inline void StreamAnswer::Builder::setLedgerSize( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RepeatAnswer::Reader::getLent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint32_t StreamAnswer::Reader::getHoldsMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool RepeatAnswer::Builder::getLent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::uint32_t StreamAnswer::Builder::getHoldsMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RepeatAnswer::Builder::setLent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline void StreamAnswer::Builder::setHoldsMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::cartsail::wire::Datagram::Which Datagram::Reader::which() const {
@@ -7054,6 +7902,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isStreamQuestion() const {
+  return which() == Datagram::STREAM_QUESTION;
+}
+inline bool Datagram::Builder::isStreamQuestion() {
+  return which() == Datagram::STREAM_QUESTION;
+}
+inline bool Datagram::Reader::hasStreamQuestion() const {
+  if (which() != Datagram::STREAM_QUESTION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasStreamQuestion() {
+  if (which() != Datagram::STREAM_QUESTION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::StreamQuestion::Reader Datagram::Reader::getStreamQuestion() const {
+  KJ_IREQUIRE((which() == Datagram::STREAM_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamQuestion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::StreamQuestion::Builder Datagram::Builder::getStreamQuestion() {
+  KJ_IREQUIRE((which() == Datagram::STREAM_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamQuestion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setStreamQuestion( ::cartsail::wire::StreamQuestion::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_QUESTION);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StreamQuestion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::StreamQuestion::Builder Datagram::Builder::initStreamQuestion() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_QUESTION);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamQuestion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptStreamQuestion(
+    ::capnp::Orphan< ::cartsail::wire::StreamQuestion>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_QUESTION);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StreamQuestion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::StreamQuestion> Datagram::Builder::disownStreamQuestion() {
+  KJ_IREQUIRE((which() == Datagram::STREAM_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamQuestion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isStreamAnswer() const {
+  return which() == Datagram::STREAM_ANSWER;
+}
+inline bool Datagram::Builder::isStreamAnswer() {
+  return which() == Datagram::STREAM_ANSWER;
+}
+inline bool Datagram::Reader::hasStreamAnswer() const {
+  if (which() != Datagram::STREAM_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasStreamAnswer() {
+  if (which() != Datagram::STREAM_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::StreamAnswer::Reader Datagram::Reader::getStreamAnswer() const {
+  KJ_IREQUIRE((which() == Datagram::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::StreamAnswer::Builder Datagram::Builder::getStreamAnswer() {
+  KJ_IREQUIRE((which() == Datagram::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setStreamAnswer( ::cartsail::wire::StreamAnswer::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_ANSWER);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StreamAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::StreamAnswer::Builder Datagram::Builder::initStreamAnswer() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_ANSWER);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptStreamAnswer(
+    ::capnp::Orphan< ::cartsail::wire::StreamAnswer>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_ANSWER);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::StreamAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::StreamAnswer> Datagram::Builder::disownStreamAnswer() {
+  KJ_IREQUIRE((which() == Datagram::STREAM_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::StreamAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -36,20 +36,25 @@
 
 // Without them nobody can tell from the log whether a stream went on at another version.
 Test(request_log, tells_the_version_of_the_back_end_and_which_stream_is_taken_up) {
-  StubBackend backend(
-      [](const std::string& request) { return StubAnswer{{SignedAnswer(request, "x")}}; });
+  StubBackend backend([](const std::string& request) {
+    const std::string event = "id: 3\ndata: x\n\n";
+    return StubAnswer{{SignedAnswer(request, event, 200, "Content-Type: text/event-stream\r\n")}};
+  });
   LogCapture log;
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address(), "z1", "v7");
   relay.Start();
   Client client(relay.Port());
-  client.Send(MakeRequest("POST", "/resume/a", "r2", "x",
-                          "Cartsail-Resumes: r1\r\nLast-Event-ID: 3\r\n"));
+  client.Send(MakeRequest("POST", "/resume/a", "r1", "x"));
   cr_assert(Has(client.ReadAnswer(), "HTTP/1.1 200 "));
-  const std::string line = log.LineOf("request");
-  cr_assert(Has(line, " version=v7 "), "%s", line.c_str());
-  cr_assert(Has(line, " resumes=r1 "), "%s", line.c_str());
-  cr_assert(Has(line, " last_event=3 "), "%s", line.c_str());
+  client.Send(
+      MakeRequest("POST", "/resume/a", "r2", "x", "Cartsail-Resumes: r1\r\nLast-Event-ID: 2\r\n"));
+  cr_assert(Has(client.ReadAnswer(), "HTTP/1.1 200 "));
+  const std::string line = log.LineOf("request request=r2");
+  for (const char* part : {" version=v7 ", " resumes=r1 ", " last_event=3 ", " stream_version=v7 ",
+                           " version_known_by=own_record "}) {
+    cr_assert(Has(line, part), "%s in %s", part, line.c_str());
+  }
 }
 
 Test(request_log, an_answer_keeps_the_status_of_its_back_end) {
--- /dev/null
+++ b/libs/streams/tests/stream_records_test.cc
@@ -0,0 +1,93 @@
+#include "cartsail/streams/stream_records.h"
+
+#include "cartsail/streams/process_identity.h"
+#include "cartsail/streams/version_history.h"
+#include "testing/criterion.h"
+
+namespace cartsail {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(seconds(1000));
+
+StreamRecord RecordOf(StreamKey key, const std::string& version, Duration lasts = seconds(15)) {
+  return {key, version, "e-1", 0, kStart, kStart + lasts};
+}
+
+Test(stream_records, a_stream_is_known_as_long_as_it_may_be_taken_up) {
+  StreamRecords records;
+  records.Note("s", RecordOf(1, "v1"), kStart);
+  const StreamRecord* known = records.Find(1, kStart + seconds(15));
+  cr_assert(known != nullptr && known->version == "v1");
+  cr_assert(records.Find(1, kStart + seconds(16)) == nullptr);
+  cr_assert(records.Find(2, kStart) == nullptr);
+  records.Expire(kStart + seconds(16));
+  cr_assert(records.Size() == 0);
+}
+
+// One of the two is wrong, and nobody knows which.
+Test(stream_records, a_stream_of_which_two_versions_are_told_is_not_known) {
+  StreamRecords records;
+  records.Note("s", RecordOf(1, "v1"), kStart);
+  records.Note("s", RecordOf(1, "v1", seconds(20)), kStart);
+  cr_assert(records.Find(1, kStart + seconds(20)) != nullptr);
+  records.Note("s", RecordOf(1, "v2"), kStart);
+  cr_assert(records.Find(1, kStart) == nullptr);
+  records.Note("s", RecordOf(1, "v1"), kStart);
+  cr_assert(records.Find(1, kStart) == nullptr);
+  cr_assert(records.Of("s", kStart).empty());
+}
+
+Test(stream_records, are_bounded_in_number_and_time) {
+  StreamRecords records(3);
+  for (StreamKey key = 1; key <= 5; ++key) {
+    records.Note("s", RecordOf(key, "v1", seconds(10 + static_cast<int64_t>(key))), kStart);
+  }
+  cr_assert(records.Size() == 3);
+  cr_assert(records.Find(2, kStart) == nullptr && records.Find(5, kStart) != nullptr);
+  StreamRecords endless;
+  endless.Note("s", RecordOf(1, "v1", std::chrono::hours(9)), kStart);
+  cr_assert(endless.Find(1, kStart + kLongestStream + seconds(1)) == nullptr);
+}
+
+Test(stream_records, are_listed_by_service) {
+  StreamRecords records;
+  records.Note("s", RecordOf(1, "v1"), kStart);
+  records.Note("t", RecordOf(2, "v1"), kStart);
+  cr_assert(records.Of("s", kStart).size() == 1);
+  cr_assert(records.Of("s", kStart + seconds(16)).empty());
+}
+
+Test(stream_records, keys_differ_by_service_and_tenant) {
+  const StreamKey key = KeyOfStream("s", "t", "r");
+  cr_assert(key == KeyOfStream("s", "t", "r"));
+  cr_assert(key != KeyOfStream("s", "u", "r") && key != KeyOfStream("t", "t", "r"));
+}
+
+Test(version_history, a_service_is_mixed_until_a_version_was_not_seen_for_long) {
+  VersionHistory history;
+  history.NoteListed("s", "v1", kStart);
+  cr_assert(!history.IsMixed("s", kStart));
+  history.NoteListed("s", "v2", kStart + seconds(1));
+  history.NoteListed("t", "v3", kStart + seconds(1));
+  cr_assert(history.IsMixed("s", kStart + seconds(1)) && !history.IsMixed("t", kStart));
+  history.NoteListed("s", "v2", kStart + kVersionKept);
+  cr_assert(history.IsMixed("s", kStart + kVersionKept));
+  cr_assert(!history.IsMixed("s", kStart + kVersionKept + seconds(1)));
+  history.Expire(kStart + kVersionKept + seconds(1));
+  cr_assert(history.VersionsOf("s", kStart + kVersionKept).size() == 1);
+}
+
+// A node with an older list takes the events of one version for those of the other.
+Test(process_identity, an_entry_of_another_version_speaks_against_a_stream_that_began_about_then) {
+  constexpr std::chrono::milliseconds kBegun(1'000'000);
+  StreamRecord stream = RecordOf(1, "v1");
+  stream.started_ms = 900'000;
+  cr_assert(BeganStream({"v1", 900'000}, stream, kBegun));
+  cr_assert(BeganStream({"v1", 999'000}, stream, kBegun), "whichever it was");
+  cr_assert(!BeganStream({"v2", 999'000}, stream, kBegun));
+  cr_assert(!BeganStream({"v2", 1'003'000}, stream, kBegun), "clocks differ");
+  cr_assert(BeganStream({"v2", 1'006'000}, stream, kBegun), "it started later");
+}
+
+}  // namespace
+}  // namespace cartsail
