--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -228,7 +228,8 @@
     bool is_to_be_tried = false;  // chosen before all others, to learn whether it is back
   };
 
-  // A back end that has read most of the prompt and can hand it over within its region.
+  // A back end that has read most of the prompt and can hand it over within its region, to those of
+  // its version.
   struct Holder {
     const Backend* backend = nullptr;
     int64_t tokens = 0;
@@ -238,9 +239,8 @@
   struct PlacementView {
     const Requester* requester = nullptr;
     std::vector<Candidate> candidates;
-    // By region, those of no known region last.
-    absl::InlinedVector<Holder, 3> holders;
-    int64_t known_tokens = 0;  // read or being read at one engine, at most
+    absl::InlinedVector<Holder, 3> holders;  // one for each region and version that has some
+    int64_t known_tokens = 0;                // read or being read at one engine, at most
     // Until one of the metered back ends that were left out may be chosen.
     std::optional<Duration> metered_wait;
     double limited_per_s = 0;  // what this node may grant to limited ones that were left out
@@ -266,7 +266,8 @@
   void NoteMetered(Placement* placement, TimePoint now) const;
   void FindHolders(const RequestProfile& profile, const std::vector<PoolMember>& members,
                    const RegionSet& allowed, TimePoint now, PlacementView* view) const;
-  size_t HolderSlot(const Backend& backend) const;
+  static void NoteHolder(const Holder& holder, PlacementView* view);
+  bool MayShareMemory(const Backend& left, const Backend& right) const;
   Holder HolderFor(const Backend& backend, const PlacementView& view) const;
   std::optional<Placement> Choose(const Requester& requester, const RequestProfile& profile,
                                   const std::vector<BackendKey>& tried, TimePoint now,
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -60,9 +60,7 @@
   placement.backend = *backend;
   placement.placed_by = coordinator;
   const Backend* holder = registry_.FindByKey(grant.fetch_prefix_from);
-  const bool may_share =
-      holder != nullptr && registry_.Regions().MayShareMemory(holder->region, backend->region);
-  if (may_share) {
+  if (holder != nullptr && MayShareMemory(*holder, *backend)) {
     placement.fetch_prefix_from = holder->address;
     placement.fetch_prefix_key = holder->key;
   }
--- a/libs/dispatch/src/dispatcher_choice.cc
+++ b/libs/dispatch/src/dispatcher_choice.cc
@@ -114,15 +114,15 @@
   return view;
 }
 
-size_t Dispatcher::HolderSlot(const Backend& backend) const {
-  const size_t regions = registry_.Regions().Count();
-  return backend.region == kUnknownRegion ? regions : static_cast<size_t>(backend.region);
+// What engines of two versions keep of a prompt does not fit together.
+bool Dispatcher::MayShareMemory(const Backend& left, const Backend& right) const {
+  return left.version == right.version &&
+         registry_.Regions().MayShareMemory(left.region, right.region);
 }
 
 // Also engines that were tried may hand their memory over.
 void Dispatcher::FindHolders(const RequestProfile& profile, const std::vector<PoolMember>& members,
                              const RegionSet& allowed, TimePoint now, PlacementView* view) const {
-  view->holders.resize(registry_.Regions().Count() + 1);
   for (const PoolMember& member : members) {
     const Backend* backend = registry_.FindOpen(member.key);
     if (backend == nullptr || !allowed.Allows(backend->region)) continue;
@@ -130,16 +130,29 @@
     const int64_t known = prefixes_.HeldTokens(profile.prompt_parts, member.key, now);
     view->known_tokens = std::max(view->known_tokens, known);
     const int64_t held = prefixes_.ReadTokens(profile.prompt_parts, member.key, now);
-    Holder& holder = view->holders[HolderSlot(*backend)];
-    if (held > holder.tokens) holder = {backend, held};
+    if (held > 0) NoteHolder({backend, held}, view);
   }
 }
 
-// The engine that may hand prompt memory to `backend`; none where its region has none.
+// The one with most of the prompt, of each region and version.
+void Dispatcher::NoteHolder(const Holder& holder, PlacementView* view) {
+  for (Holder& known : view->holders) {
+    const bool is_alike = known.backend->region == holder.backend->region &&
+                          known.backend->version == holder.backend->version;
+    if (!is_alike) continue;
+    if (holder.tokens > known.tokens) known = holder;
+    return;
+  }
+  view->holders.push_back(holder);
+}
+
+// The engine that may hand prompt memory to `backend`, if there is one.
 Dispatcher::Holder Dispatcher::HolderFor(const Backend& backend, const PlacementView& view) const {
-  if (!registry_.Regions().MayShareMemory(backend.region, backend.region)) return {};
-  const size_t slot = HolderSlot(backend);
-  return slot < view.holders.size() ? view.holders[slot] : Holder();
+  for (const Holder& holder : view.holders) {
+    if (holder.backend->region != backend.region) continue;
+    if (MayShareMemory(*holder.backend, backend)) return holder;
+  }
+  return {};
 }
 
 std::optional<Placement> Dispatcher::Choose(const Requester& requester,
