--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -14,8 +14,6 @@
 namespace cartsail::testing {
 namespace {
 
-constexpr int kPatienceMs = 10000;
-
 RelayOptions TestOptions() {
   RelayOptions options;
   options.node_id = "n1";
@@ -175,8 +173,9 @@
   }
 }
 
-std::string Client::ReadUntil(const std::string& text) {
-  while (buffer_.find(text) == std::string::npos && ReadMore(kPatienceMs)) {
+std::string Client::ReadUntil(const std::string& text, Duration patience) {
+  const int patience_ms = static_cast<int>(ToMillis(patience));
+  while (buffer_.find(text) == std::string::npos && ReadMore(patience_ms)) {
   }
   return buffer_;
 }
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -74,8 +74,8 @@
   // nothing more has come for `patience`.
   std::string ReadAnswer(Duration patience = seconds(10));
 
-  // Reads until `text` has come or the connection ends.
-  std::string ReadUntil(const std::string& text);
+  // Reads until `text` has come, the connection ends, or nothing more has come for `patience`.
+  std::string ReadUntil(const std::string& text, Duration patience = seconds(10));
 
   // True when the peer closes within the time.
   bool ClosesWithin(int millis);
