Streams at engines that keep their id over a start: the process is checked

Now a record counts once a list of engines that holds since the stream's first event (or since the connection that brought it) names the same process, or the entry read now does; a list's age travels with what readers tell, and a node that stood still takes no age for true. The same before a stream is sent on.

--- a/libs/relay/include/cartsail/relay/wire_format.h
+++ b/libs/relay/include/cartsail/relay/wire_format.h
@@ -15,8 +15,8 @@
 namespace cartsail {
 
 // Names of headers. Set by callers: request_id, time_left, prompt_parts, token_counts, resumes. Set
-// by the relay towards back ends, and taken out of what callers send: tenant, expected_instance, urgency,
-// fetch_prefix_from and all of `reserved`. Set by back ends: signature, not_run, leaving,
+// by the relay towards back ends, and taken out of what callers send: tenant, expected_instance,
+// urgency, fetch_prefix_from and all of `reserved`. Set by back ends: signature, not_run, leaving,
 // rate_limit, brittle; in answers about their health: instance, cold_left.
 struct WireNames {
   std::string request_id = "Cartsail-Request-Id";
--- a/libs/relay/src/catalog/catalog_reading.cc
+++ b/libs/relay/src/catalog/catalog_reading.cc
@@ -139,6 +139,7 @@
   const WatchCallback on_events = [this, &failures](std::vector<WatchEvent> events, int64_t at) {
     NoteReachable(true, {});
     ApplyEvents(events);
+    watch_asked_ = Now();
     failures = 0;
     return events.empty() && IsReading(Now());
   };
@@ -157,6 +158,7 @@
       }
       failures = 0;
     }
+    watch_asked_ = Now();
     const absl::Status ended = co_await store_.Watch(
         keys_.prefix, range_end, std::max(revision_, watched_revision_) + 1, on_events);
     if (ended.ok()) {
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -174,6 +174,7 @@
   if (!asked.has_value()) return;
   // What the list says held when it was asked for; the answer may have been long on its way.
   context_.routing.ConfirmBy(*asked);
+  if (revision_ >= revision) context_.streams.NoteListConfirmed(*asked);
   TellUpdate(revision_, *asked);
 }
 
@@ -187,13 +188,18 @@
   }
   told_revision_ = std::max(told_revision_, changes.revision);
   const bool has_document = update.document_version <= context_.routing.Version();
-  if (changes.revision <= revision_) return has_document;
+  const TimePoint list_held = now - update.list_age.value_or(now - TimePoint());
+  if (changes.revision <= revision_) {
+    context_.streams.NoteListConfirmed(list_held);
+    return has_document;
+  }
   if (revision_ == 0) return false;
   if (changes.since.value_or(0) > revision_) {
     early_.Keep(update);
     return false;
   }
   ApplyNext(update, source);
+  context_.streams.NoteListConfirmed(list_held);
   ApplyEarly(source);
   return has_document;
 }
@@ -300,6 +306,7 @@
   const auto is_of_stream = [this](const WatchEvent& event) { return IsOfStream(event); };
   if (!events.empty() && std::all_of(events.begin(), events.end(), is_of_stream)) {
     context_.routing.Confirm(now);
+    context_.streams.NoteListConfirmed(watch_asked_);
     // The others are told as often as by watches that end without an event.
     if (now - told_at_ >= context_.document_limits.least_watch) TellInTurn(now);
     return;
@@ -318,6 +325,7 @@
   }
   for (const WatchEvent& event : events) revision_ = std::max(revision_, event.kv.mod_revision);
   context_.routing.Confirm(now);
+  context_.streams.NoteListConfirmed(watch_asked_);
   encoded_whole_.clear();
   TellInTurn(now);
 }
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -150,6 +150,7 @@
   double listing_share_ = 0;           // StartingNode::share
   TimePoint reading_until_{};          // though others come first
   int64_t revision_ = 0;
+  TimePoint watch_asked_{};       // when the call was made whose events come
   int64_t watched_revision_ = 0;  // up to which the store has told events, of whatever keys
   TimePoint told_at_{};           // when this node last told the others
   int64_t told_revision_ = 0;     // up to which all nodes were told of changes, by whatever reader
--- a/libs/relay/src/catalog/store_update.h
+++ b/libs/relay/src/catalog/store_update.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,7 +21,9 @@
   // a document.
   CatalogMessage changes;
   int64_t document_version = 0;
-  Duration confirmed_age{};          // since the store answered
+  Duration confirmed_age{};  // since the store answered
+  // Since the list of back ends was the store's for sure; nothing: not told.
+  std::optional<Duration> list_age;
   std::vector<std::string> targets;  // hosts to which the receiver passes it on
 };
 
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr double kPauseUnitMs = 0.01;
+constexpr uint32_t kListAgeNotTold = 0xffffffff;
 
 void Encode(const NodeDigest& digest, wire::Datagram::Builder root) {
   EncodeDigest(digest, root.initDigest());
@@ -199,6 +200,9 @@
   FillCatalog(update.changes, now, message.initChanges());
   message.setDocumentVersion(update.document_version);
   message.setConfirmedAgeMs(BoundedTo<uint32_t>(ToMillis(update.confirmed_age)));
+  if (update.list_age.has_value()) {
+    message.setListAgeMs(BoundedTo<uint32_t>(ToMillis(*update.list_age)));
+  }
   auto targets = message.initTargets(static_cast<unsigned>(update.targets.size()));
   for (unsigned i = 0; i < targets.size(); ++i) targets.set(i, HostNumber(update.targets[i]));
 }
@@ -208,6 +212,9 @@
   update.changes = CatalogFrom(message.getChanges(), now);
   update.document_version = message.getDocumentVersion();
   update.confirmed_age = milliseconds(message.getConfirmedAgeMs());
+  if (message.getListAgeMs() != kListAgeNotTold) {
+    update.list_age = milliseconds(message.getListAgeMs());
+  }
   for (const uint32_t host : message.getTargets()) update.targets.push_back(HostText(host));
   return update;
 }
--- a/libs/relay/src/streams/stream_codec.cc
+++ b/libs/relay/src/streams/stream_codec.cc
@@ -11,6 +11,7 @@
   entry.setVersion(record.version);
   entry.setEngine(record.engine);
   entry.setStartedMs(record.started_ms);
+  entry.setConfirmed(record.is_confirmed);
   entry.setLeftMs(BoundedTo<uint32_t>(ToMillis(record.until - now)));
   entry.setAgeMs(BoundedTo<uint32_t>(ToMillis(now - record.begun)));
 }
@@ -21,6 +22,7 @@
   record.version = TextOf(entry.getVersion());
   record.engine = TextOf(entry.getEngine());
   record.started_ms = entry.getStartedMs();
+  record.is_confirmed = entry.getConfirmed();
   record.until = now + milliseconds(entry.getLeftMs());
   record.begun = now - milliseconds(entry.getAgeMs());
   return record;
--- a/libs/relay/src/streams/stream_service.cc
+++ b/libs/relay/src/streams/stream_service.cc
@@ -9,6 +9,7 @@
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
+#include "cartsail/base/status.h"
 
 namespace cartsail {
 namespace {
@@ -27,7 +28,7 @@
 constexpr Duration kRegisterPatience = milliseconds(300);
 constexpr Duration kRegisterAgain = milliseconds(200);
 constexpr Duration kRenewAgain = seconds(10);
-constexpr Duration kTick = milliseconds(100);
+constexpr Duration kTick = StallWatch::kInterval;
 // All services together write into the store by as many nodes at most.
 constexpr Duration kSaveInterval = milliseconds(250);
 constexpr Duration kPruneInterval = std::chrono::minutes(1);
@@ -35,6 +36,9 @@
 constexpr Duration kFollowAgain = seconds(10);
 // A list of 3,000 engines that changes all the time is gone through ten times a second.
 constexpr Duration kFollowedPerEngine = std::chrono::microseconds(33);
+// From the start of an engine until its entry stands.
+constexpr Duration kEntryLag = milliseconds(100);
+constexpr Duration kEntryPatience = milliseconds(300);
 constexpr Duration kReadPoll = milliseconds(2);
 constexpr size_t kRecordsInMessage = 24;  // of 40 bytes: one packet
 
@@ -67,10 +71,13 @@
 }
 
 void StreamService::Tick(TimePoint now) {
+  stalls_.Beat(now);
   FollowRegistry(now);
   own_.Expire(now);
   kept_.Expire(now);
   history_.Expire(now);
+  own_.Confirm([this](const StreamRecord& record) { return IsConfirmed(record); });
+  kept_.Confirm([this](const StreamRecord& record) { return IsConfirmed(record); });
   AskAhead(now);
   for (const auto& [service, size] : ledger_sizes_) TellAll(service, now);
   SaveDue(now);
@@ -100,22 +107,63 @@
   return !history_.VersionsOf(service, Now()).empty();
 }
 
-// An engine that does not tell its start has another id at each of them: it refuses what is meant
-// for the process before.
+// What a node reads after it stood still was written before, and ages told in it have grown since.
+void StreamService::NoteListConfirmed(TimePoint then) {
+  if (stalls_.IsFresh(Now())) list_confirmed_ = std::max(list_confirmed_, then);
+}
+
+bool StreamService::IsListConfirmed(const std::string& id, int64_t started_ms,
+                                    TimePoint since) const {
+  const Backend* listed = registry_.Find(id);
+  return listed != nullptr && listed->started_ms == started_ms &&
+         list_confirmed_ - kEntryLag >= since;
+}
+
+bool StreamService::IsConfirmed(const StreamRecord& stream) const {
+  return stream.is_confirmed || IsListConfirmed(stream.engine, stream.started_ms, stream.begun);
+}
+
+asio::awaitable<void> StreamService::ReadInto(std::string id,
+                                              std::shared_ptr<EntryReading> reading) {
+  reading->entry = co_await read_entry_(std::move(id));
+  reading->has_ended = true;
+}
+
+asio::awaitable<absl::StatusOr<std::optional<EngineEntry>>> StreamService::ReadNow(std::string id) {
+  const TimePoint last = Now() + kEntryPatience;
+  auto reading = std::make_shared<EntryReading>();
+  asio::co_spawn(io_, ReadInto(id, reading), asio::detached);
+  while (!reading->has_ended && Now() < last) co_await Pause(kReadPoll);
+  if (reading->has_ended && reading->entry.ok()) co_return reading->entry;
+  const std::string why = reading->has_ended ? std::string(reading->entry.status().message())
+                                             : std::string("no answer in time");
+  Log(LogLevel::kWarning, "engine_entry_not_read", {{"backend", id}, {"why", why}});
+  co_return MakeError(ErrorKind::kPlatformUnavailable, why);
+}
+
 asio::awaitable<bool> StreamService::IsSure(std::string service, StreamRecord stream) {
   const TimePoint now = Now();
-  if (stream.started_ms == 0 || !read_entry_ || !IsMixed(service, now)) co_return true;
+  if (!read_entry_ || !IsMixed(service, now)) co_return true;
+  const StreamRecord* known = own_.Find(stream.key, now);
+  if (known == nullptr) known = kept_.Find(stream.key, now);
+  if (IsConfirmed(stream) || (known != nullptr && known->is_confirmed)) co_return true;
   const milliseconds begun =
       WallNow() - std::chrono::duration_cast<milliseconds>(now - stream.begun);
-  const absl::StatusOr<std::optional<EngineEntry>> entry = co_await read_entry_(stream.engine);
-  if (!entry.ok()) co_return false;
-  co_return !entry->has_value() || BeganStream(**entry, stream, begun);
+  const absl::StatusOr<std::optional<EngineEntry>> entry = co_await ReadNow(stream.engine);
+  co_return entry.ok() && entry->has_value() && BeganStream(**entry, stream, begun);
 }
 
-asio::awaitable<bool> StreamService::IsAsListed(Backend backend) {
+// One that does not tell its start has another id at each of them: it refuses what is meant for the
+// process before.
+bool StreamService::IsKnownProcess(const Backend& backend, TimePoint connected) const {
   const bool may_keep_id = backend.started_ms != 0;
-  if (!may_keep_id || !read_entry_ || !IsMixed(backend.service, Now())) co_return true;
-  const absl::StatusOr<std::optional<EngineEntry>> entry = co_await read_entry_(backend.id);
+  return !may_keep_id || IsListConfirmed(backend.id, backend.started_ms, connected);
+}
+
+asio::awaitable<bool> StreamService::IsAsListed(Backend backend, TimePoint connected) {
+  if (!read_entry_ || !IsMixed(backend.service, Now())) co_return true;
+  if (IsKnownProcess(backend, connected)) co_return true;
+  const absl::StatusOr<std::optional<EngineEntry>> entry = co_await ReadNow(backend.id);
   co_return entry.ok() && entry->has_value() && (*entry)->version == backend.version;
 }
 
@@ -403,6 +451,7 @@
   answer.source = VersionSource::kOnlyVersion;
   answer.record.key = stream;
   answer.record.version = *only;
+  answer.record.is_confirmed = true;
   answer.record.begun = Now();
   answer.record.until = Now() + kLongestStream;
   co_return answer;
--- a/libs/relay/src/streams/stream_service.h
+++ b/libs/relay/src/streams/stream_service.h
@@ -9,11 +9,13 @@
 // second. What nobody knows is not guessed.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,6 +25,7 @@
 #include "cartsail/base/timer.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/relay/routing_state.h"
+#include "cartsail/retries/stall_watch.h"
 #include "cartsail/streams/process_identity.h"
 #include "cartsail/streams/stream_records.h"
 #include "cartsail/streams/version_history.h"
@@ -84,9 +87,17 @@
   // wait for the store.
   boost::asio::awaitable<bool> IsSure(std::string service, StreamRecord stream);
 
-  // The process to which a connection was just made is the one that is listed, so that a stream may
-  // go on there. May wait for the store.
-  boost::asio::awaitable<bool> IsAsListed(Backend backend);
+  // The list of engines tells, without a question, that the process to which a connection was made
+  // at `connected` is the listed one.
+  bool IsKnownProcess(const Backend& backend, TimePoint connected) const;
+
+  // The process to which a connection was made at `connected` is of the version that is listed, so
+  // that a stream may go on there. May wait for the store.
+  boost::asio::awaitable<bool> IsAsListed(Backend backend, TimePoint connected);
+
+  // The list of engines was the store's at `then`, as this node reads now.
+  void NoteListConfirmed(TimePoint then);
+  TimePoint ListConfirmed() const { return list_confirmed_; }
 
   void OnQuestion(const std::string& host, const StreamQuestion& question);
   void OnAnswer(const std::string& host, const StreamAnswer& answer);
@@ -113,6 +124,11 @@
     std::optional<StoredStreams> last;  // of the reading that ended last; nothing: it failed
   };
 
+  struct EntryReading {
+    bool has_ended = false;
+    absl::StatusOr<std::optional<EngineEntry>> entry;
+  };
+
   struct Registration {
     bool is_running = false;
     TimePoint not_before{};
@@ -122,6 +138,11 @@
   void Tick(TimePoint now);
   bool IsFollowDue(TimePoint now) const;
   void FollowRegistry(TimePoint now);
+  bool IsListConfirmed(const std::string& id, int64_t started_ms, TimePoint since) const;
+  bool IsConfirmed(const StreamRecord& stream) const;
+  // As the store has it now; nothing where it does not tell in time.
+  boost::asio::awaitable<absl::StatusOr<std::optional<EngineEntry>>> ReadNow(std::string id);
+  boost::asio::awaitable<void> ReadInto(std::string id, std::shared_ptr<EntryReading> reading);
   bool IsMixed(const std::string& service, TimePoint now);
   bool IsRecording(const std::string& service, TimePoint now);
   bool IsOutOfTouch(TimePoint now) const;
@@ -164,6 +185,8 @@
   Send send_;
   StreamStore* store_ = nullptr;
   ReadEntry read_entry_;
+  TimePoint list_confirmed_{};
+  StallWatch stalls_;
   TimePoint started_;
   StreamRecords own_;
   StreamRecords kept_;
--- a/libs/relay/src/streams/stream_store.cc
+++ b/libs/relay/src/streams/stream_store.cc
@@ -23,7 +23,7 @@
 constexpr Duration kLeaseServes = seconds(5);
 
 // Of a record, in this order.
-enum Field : size_t { kKey, kVersion, kEngine, kStarted, kLeft, kBegun, kFields };
+enum Field : size_t { kKey, kVersion, kEngine, kStarted, kConfirmed, kLeft, kBegun, kFields };
 
 std::string EncodeRecords(const std::vector<StreamRecord>& records, TimePoint now) {
   json::array rows;
@@ -31,8 +31,8 @@
     const auto left = static_cast<int64_t>(ToMillis(record.until - now));
     const auto age = std::chrono::duration_cast<milliseconds>(now - record.begun);
     const int64_t begun = (WallNow() - age).count();
-    rows.push_back(
-        json::array{record.key, record.version, record.engine, record.started_ms, left, begun});
+    rows.push_back(json::array{record.key, record.version, record.engine, record.started_ms,
+                               record.is_confirmed, left, begun});
   }
   return json::serialize(rows);
 }
@@ -40,8 +40,9 @@
 bool IsRecord(const json::value& row) {
   if (!row.is_array() || row.as_array().size() != kFields) return false;
   const json::array& fields = row.as_array();
-  return fields[kKey].is_number() && fields[kVersion].is_string() && fields[kEngine].is_string() &&
-         fields[kStarted].is_number() && fields[kLeft].is_number() && fields[kBegun].is_number();
+  return fields[kConfirmed].is_bool() && fields[kKey].is_number() && fields[kVersion].is_string() &&
+         fields[kEngine].is_string() && fields[kStarted].is_number() && fields[kLeft].is_number() &&
+         fields[kBegun].is_number();
 }
 
 // Rows that are none are left out.
@@ -56,6 +57,7 @@
     record.version = std::string(fields[kVersion].as_string());
     record.engine = std::string(fields[kEngine].as_string());
     record.started_ms = fields[kStarted].to_number<int64_t>();
+    record.is_confirmed = fields[kConfirmed].as_bool();
     record.until = now + milliseconds(fields[kLeft].to_number<int64_t>());
     record.begun = now - (WallNow() - milliseconds(fields[kBegun].to_number<int64_t>()));
     records->push_back(std::move(record));
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -108,6 +108,7 @@
   transport.socket().set_option(tcp::no_delay(true), error);
   // The limit is of the connecting: left armed it closes a connection that is kept idle.
   transport.expires_never();
+  connected_ = Now();
   co_return ConnectResult::kConnected;
 }
 
--- a/libs/relay/src/upstream/upstream_connection.h
+++ b/libs/relay/src/upstream/upstream_connection.h
@@ -57,6 +57,9 @@
   boost::asio::awaitable<BridgeResult> ConnectOver(const Endpoint& peer, const BridgeOrder& order,
                                                    TimePoint deadline);
 
+  // When the back end took it; the end of time where another node connected to the back end.
+  TimePoint Connected() const { return over_.empty() ? connected_ : TimePoint::max(); }
+
   // The node over which it goes; empty: none.
   const std::string& Over() const { return over_; }
 
@@ -120,6 +123,7 @@
 
   UpstreamStream stream_;
   std::string over_;
+  TimePoint connected_{};
   std::shared_ptr<PathUse> use_;
   std::string prefix_;  // before the request, on a bridge
   bool may_repeat_ = false;
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -252,6 +252,8 @@
   confirmedAgeMs @2 :UInt32;
   # IPv4 addresses of the nodes to which the receiver passes it on.
   targets @3 :List(UInt32);
+  # Milliseconds since the list of back ends was the store's for sure. Earlier builds do not tell.
+  listAgeMs @4 :UInt32 = 0xffffffff;
 }
 
 struct TenantCount {
@@ -318,6 +320,7 @@
   ageMs @4 :UInt32;
   # When that engine's process started, as in Backend.
   startedMs @5 :Int64;
+  confirmed @6 :Bool;
 }
 
 # On begun streams of a service, and the versions at which they may begin.
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -451,7 +451,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f2cfb03e0d717410, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f2cfb03e0d717410, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2539,6 +2539,8 @@
   inline bool hasTargets() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
 
+  inline  ::uint32_t getListAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2588,6 +2590,9 @@
   inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
 
+  inline  ::uint32_t getListAgeMs();
+  inline void setListAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3345,6 +3350,8 @@
 
   inline  ::int64_t getStartedMs() const;
 
+  inline bool getConfirmed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3399,6 +3406,9 @@
   inline  ::int64_t getStartedMs();
   inline void setStartedMs( ::int64_t value);
 
+  inline bool getConfirmed();
+  inline void setConfirmed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6410,6 +6420,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t StoreUpdate::Reader::getListAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t StoreUpdate::Builder::getListAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void StoreUpdate::Builder::setListAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline bool TenantCount::Reader::hasTenant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6938,6 +6962,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StreamRecord::Reader::getConfirmed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamRecord::Builder::getConfirmed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setConfirmed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t StreamQuestion::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/streams/include/cartsail/streams/stream_record.h
+++ b/libs/streams/include/cartsail/streams/stream_record.h
@@ -19,11 +19,12 @@
 
 struct StreamRecord {
   StreamKey key = 0;
-  std::string version;     // opaque: equal to another one or not
-  std::string engine;      // id of the one whose event came first
-  int64_t started_ms = 0;  // when its process started, as its entry told; 0: it does not tell
-  TimePoint begun;         // when its first event came
-  TimePoint until;         // its caller takes it up by then or never
+  std::string version;        // opaque: equal to another one or not
+  std::string engine;         // id of the one whose event came first
+  int64_t started_ms = 0;     // when its process started, as its entry told; 0: it does not tell
+  bool is_confirmed = false;  // a list of engines that holds since then names the same process
+  TimePoint begun;            // when its first event came
+  TimePoint until;            // its caller takes it up by then or never
 };
 
 // How long a stream may be taken up after its first event, at most.
--- a/libs/streams/include/cartsail/streams/stream_records.h
+++ b/libs/streams/include/cartsail/streams/stream_records.h
@@ -22,6 +22,18 @@
   // A stream has one version: where two are told, none is known from then on.
   void Note(const std::string& service, const StreamRecord& record, TimePoint now);
 
+  // What is not confirmed is looked at: `is_confirmed` tells of a record whether it is by now.
+  template <typename IsConfirmed>
+  void Confirm(IsConfirmed is_confirmed) {
+    std::erase_if(unconfirmed_, [&](StreamKey key) {
+      const auto known = entries_.find(key);
+      if (known == entries_.end()) return true;
+      StreamRecord& record = known->second.record;
+      record.is_confirmed = record.is_confirmed || is_confirmed(record);
+      return record.is_confirmed;
+    });
+  }
+
   // nullptr: not known.
   const StreamRecord* Find(StreamKey key, TimePoint now) const;
 
@@ -46,6 +58,7 @@
   size_t most_;
   std::unordered_map<StreamKey, Entry> entries_;
   std::multimap<TimePoint, StreamKey> ends_;
+  std::vector<StreamKey> unconfirmed_;
 };
 
 }  // namespace cartsail
--- a/libs/streams/src/stream_records.cc
+++ b/libs/streams/src/stream_records.cc
@@ -10,6 +10,7 @@
   if (known != entries_.end()) {
     Entry& entry = known->second;
     entry.is_contradicted = entry.is_contradicted || entry.record.version != record.version;
+    entry.record.is_confirmed = entry.record.is_confirmed || record.is_confirmed;
     if (until <= entry.record.until) return;
     entry.record.until = until;
     ends_.erase(entry.end);
@@ -18,6 +19,7 @@
   }
   Entry entry{service, record, false, ends_.emplace(until, record.key)};
   entry.record.until = until;
+  if (!record.is_confirmed) unconfirmed_.push_back(record.key);
   entries_.emplace(record.key, std::move(entry));
   if (entries_.size() > most_) Forget(ends_.begin());
 }
--- a/libs/streams/tests/stream_records_test.cc
+++ b/libs/streams/tests/stream_records_test.cc
@@ -10,7 +10,7 @@
 constexpr TimePoint kStart = TimePoint(seconds(1000));
 
 StreamRecord RecordOf(StreamKey key, const std::string& version, Duration lasts = seconds(15)) {
-  return {key, version, "e-1", 0, kStart, kStart + lasts};
+  return {key, version, "e-1", 0, false, kStart, kStart + lasts};
 }
 
 Test(stream_records, a_stream_is_known_as_long_as_it_may_be_taken_up) {
@@ -49,6 +49,21 @@
   cr_assert(endless.Find(1, kStart + kLongestStream + seconds(1)) == nullptr);
 }
 
+Test(stream_records, are_confirmed_once_and_by_whoever_tells_so) {
+  StreamRecords records;
+  records.Note("s", RecordOf(1, "v1"), kStart);
+  records.Note("s", RecordOf(2, "v1"), kStart);
+  records.Confirm([](const StreamRecord& record) { return record.key == 1; });
+  cr_assert(records.Find(1, kStart)->is_confirmed && !records.Find(2, kStart)->is_confirmed);
+  StreamRecord told = RecordOf(2, "v1");
+  told.is_confirmed = true;
+  records.Note("s", told, kStart);
+  cr_assert(records.Find(2, kStart)->is_confirmed);
+  int looked_at = 0;
+  records.Confirm([&looked_at](const StreamRecord&) { return ++looked_at > 0; });
+  cr_assert(looked_at == 0);
+}
+
 Test(stream_records, are_listed_by_service) {
   StreamRecords records;
   records.Note("s", RecordOf(1, "v1"), kStart);
--- a/libs/streams/tests/stream_schedules_test.cc
+++ b/libs/streams/tests/stream_schedules_test.cc
@@ -70,7 +70,7 @@
     if (rule_ != Rule::kAsksNoLedger && !MayBegin(&node, version)) return;
     const StreamKey key = streams_.size() + 1;
     streams_.push_back({version});
-    const StreamRecord record{key, version, "", 0, kNow, kNow + seconds(15)};
+    const StreamRecord record{key, version, "", 0, false, kNow, kNow + seconds(15)};
     node.own.Note(kService, record, kNow);
     if (rule_ == Rule::kTellsAfterFirstEvent) {
       node.untold.push_back(record);
