--- a/libs/relay/src/request/exchange_versions.cc
+++ b/libs/relay/src/request/exchange_versions.cc
@@ -51,7 +51,7 @@
 
 asio::awaitable<bool> Exchange::MayGoOnAt(const Placement& placement) {
   if (stream_version_.empty()) co_return true;
-  co_return co_await context_.streams.IsAsListed(placement.backend, upstream_->Connected());
+  co_return co_await context_.streams.MayGoOnAt(placement.backend, upstream_->Connected());
 }
 
 asio::awaitable<bool> Exchange::BindVersion(const Placement& placement) {
@@ -76,7 +76,7 @@
   begun_here_.engine = placement.backend.id;
   begun_here_.started_ms = placement.backend.started_ms;
   begun_here_.is_confirmed =
-      context_.streams.IsKnownProcess(placement.backend, upstream_->Connected());
+      context_.streams.Processes().IsKnown(placement.backend, upstream_->Connected());
   begun_here_.begun = Now();
   begun_here_.until = deadline_ + kTriesEnd;
   co_await context_.streams.Note(admitted_.profile.service, begun_here_);
--- a/libs/relay/src/streams/stream_service.h
+++ b/libs/relay/src/streams/stream_service.h
@@ -9,13 +9,11 @@
 // second. What nobody knows is not guessed.
 #pragma once
 
-#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -25,13 +23,12 @@
 #include "cartsail/base/timer.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/relay/routing_state.h"
-#include "cartsail/retries/stall_watch.h"
-#include "cartsail/streams/process_identity.h"
 #include "cartsail/streams/stream_records.h"
 #include "cartsail/streams/version_history.h"
 #include "cartsail/streams/version_ledger.h"
 #include "fleet/datagram.h"
 #include "fleet/peer_table.h"
+#include "streams/engine_processes.h"
 #include "streams/stream_store.h"
 
 namespace cartsail {
@@ -54,14 +51,6 @@
   // Without one this node asks and tells nobody.
   void SetTransport(Send send) { send_ = std::move(send); }
 
-  // Reads the entry of an engine as the store has it; nothing in the status where there is none.
-  using ReadEntry =
-      std::function<boost::asio::awaitable<absl::StatusOr<std::optional<EngineEntry>>>(
-          std::string id)>;
-
-  // Without one the list of engines is taken for true.
-  void SetEntries(ReadEntry read) { read_entry_ = std::move(read); }
-
   // Without one streams may begin at every version, and only records tell that of a stream. It
   // outlives this.
   void SetStore(StreamStore* store) { store_ = store; }
@@ -87,17 +76,11 @@
   // wait for the store.
   boost::asio::awaitable<bool> IsSure(std::string service, StreamRecord stream);
 
-  // The list of engines tells, without a question, that the process to which a connection was made
-  // at `connected` is the listed one.
-  bool IsKnownProcess(const Backend& backend, TimePoint connected) const;
-
-  // The process to which a connection was made at `connected` is of the version that is listed, so
-  // that a stream may go on there. May wait for the store.
-  boost::asio::awaitable<bool> IsAsListed(Backend backend, TimePoint connected);
+  // A stream may go on over a connection to the back end that was made at `connected`: the process
+  // there is of the version that is listed. May wait for the store.
+  boost::asio::awaitable<bool> MayGoOnAt(Backend backend, TimePoint connected);
 
-  // The list of engines was the store's at `then`, as this node reads now.
-  void NoteListConfirmed(TimePoint then);
-  TimePoint ListConfirmed() const { return list_confirmed_; }
+  EngineProcesses& Processes() { return processes_; }
 
   void OnQuestion(const std::string& host, const StreamQuestion& question);
   void OnAnswer(const std::string& host, const StreamAnswer& answer);
@@ -106,6 +89,9 @@
   size_t Kept() const { return kept_.Size(); }
 
  private:
+  static constexpr size_t kKeepersTold = 2;  // of each stream
+  static constexpr Duration kReadPoll = milliseconds(2);
+
   using ServiceVersion = std::pair<std::string, std::string>;
 
   // A question under way, to several nodes.
@@ -124,11 +110,6 @@
     std::optional<StoredStreams> last;  // of the reading that ended last; nothing: it failed
   };
 
-  struct EntryReading {
-    bool has_ended = false;
-    absl::StatusOr<std::optional<EngineEntry>> entry;
-  };
-
   struct Registration {
     bool is_running = false;
     TimePoint not_before{};
@@ -138,11 +119,6 @@
   void Tick(TimePoint now);
   bool IsFollowDue(TimePoint now) const;
   void FollowRegistry(TimePoint now);
-  bool IsListConfirmed(const std::string& id, int64_t started_ms, TimePoint since) const;
-  bool IsConfirmed(const StreamRecord& stream) const;
-  // As the store has it now; nothing where it does not tell in time.
-  boost::asio::awaitable<absl::StatusOr<std::optional<EngineEntry>>> ReadNow(std::string id);
-  boost::asio::awaitable<void> ReadInto(std::string id, std::shared_ptr<EntryReading> reading);
   bool IsMixed(const std::string& service, TimePoint now);
   bool IsRecording(const std::string& service, TimePoint now);
   bool IsOutOfTouch(TimePoint now) const;
@@ -184,9 +160,7 @@
   Duration fresh_for_;
   Send send_;
   StreamStore* store_ = nullptr;
-  ReadEntry read_entry_;
-  TimePoint list_confirmed_{};
-  StallWatch stalls_;
+  EngineProcesses processes_;
   TimePoint started_;
   StreamRecords own_;
   StreamRecords kept_;
