--- a/libs/relay/src/streams/engine_processes.cc
+++ b/libs/relay/src/streams/engine_processes.cc
@@ -52,10 +52,8 @@
 
 asio::awaitable<bool> EngineProcesses::IsOfItsVersion(StreamRecord stream) {
   if (!read_entry_ || IsConfirmed(stream)) co_return true;
-  const auto age = std::chrono::duration_cast<milliseconds>(Now() - stream.begun);
-  const milliseconds begun = WallNow() - age;
   const absl::StatusOr<std::optional<EngineEntry>> entry = co_await ReadNow(stream.engine);
-  co_return entry.ok() && entry->has_value() && BeganStream(**entry, stream, begun);
+  co_return entry.ok() && entry->has_value() && BeganStream(**entry, stream);
 }
 
 asio::awaitable<void> EngineProcesses::ReadInto(std::string id,
--- a/libs/relay/src/streams/engine_processes.h
+++ b/libs/relay/src/streams/engine_processes.h
@@ -16,7 +16,7 @@
 #include "cartsail/base/timer.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/retries/stall_watch.h"
-#include "cartsail/streams/process_identity.h"
+#include "cartsail/streams/engine_entry.h"
 #include "cartsail/streams/stream_record.h"
 
 namespace cartsail {
--- a/libs/streams/include/cartsail/streams/stream_record.h
+++ b/libs/streams/include/cartsail/streams/stream_record.h
@@ -30,9 +30,6 @@
 // How long a stream may be taken up after its first event, at most.
 inline constexpr Duration kLongestStream = seconds(120);
 
-// By which the clocks of a node and an engine differ where none was set wrongly.
-inline constexpr Duration kMostClocksApart = seconds(5);
-
 // A version of which no engine was seen for so long has written no event of a stream that still
 // lives, nor will a node that has lost touch begin one there.
 inline constexpr Duration kVersionKept = std::chrono::minutes(20);
