A stream that is taken up goes to the service that began it, on routes that are divided among services

Now it is drawn by the request that began the stream, where it is told. A change of the shares between two tries can still move it.

--- a/libs/relay/include/cartsail/relay/admission.h
+++ b/libs/relay/include/cartsail/relay/admission.h
@@ -19,6 +19,7 @@
   std::string target;
   std::string host;
   std::string request_id;
+  std::string resumes;  // the request that began the stream which this one takes up; or empty
   std::string authorization;
   std::string time_left;
   std::string prompt_parts;
--- a/libs/relay/src/request/admission.cc
+++ b/libs/relay/src/request/admission.cc
@@ -101,7 +101,8 @@
   }
 
   RequestProfile& profile = admitted.profile;
-  profile.service = PickService(*route, head.request_id);
+  // A stream goes on at the service that began it.
+  profile.service = PickService(*route, head.resumes.empty() ? head.request_id : head.resumes);
   profile.tier = admitted.tier;
   profile.first_output_goal = route->first_output_goal;
   profile.longest_pause = route->longest_pause;
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -115,7 +115,9 @@
   head_.time_left = std::string(request_.Header(names.time_left));
   head_.prompt_parts = std::string(request_.Header(names.prompt_parts));
   head_.token_counts = std::string(request_.Header(names.token_counts));
+  head_.resumes = std::string(request_.Header(names.resumes));
   request_id_ = head_.request_id;
+  resumes_ = head_.resumes;
 
   AdmissionResult result = Admit(head_, context_.routing, context_.format,
                                  context_.document_limits.refusing_unknown, request_.received);
@@ -129,7 +131,6 @@
   }
   deadline_ = request_.received + admitted_.time_left;
   last_event_id_ = std::string(request_.Header("Last-Event-ID"));
-  resumes_ = std::string(request_.Header(names.resumes));
 
   GlobalCounters().requests_in_flight.Set(++context_.requests_in_flight);
   caller_->WatchGone([weak = weak_from_this()] {
