--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -369,6 +369,7 @@
 asio::awaitable<AttemptOutcome> Exchange::Attempt(const Placement& placement) {
   answer_ = {};
   answer_end_.reset();
+  silence_ = {};
   if (!co_await CanStartAt(placement)) co_return AttemptOutcome::kWithheld;
   const OpenedPath opened = co_await OpenUpstream(placement);
   upstream_ = opened.connection;
@@ -398,6 +399,9 @@
   upstream_->StartRequest(UpstreamHead(placement, Now()), request_.body,
                           {request_id_, deadline_ - Now(), IsRetryable()});
   const AttemptOutcome outcome = OutcomeOfPath(co_await ExchangeWithBackend(placement));
+  if (outcome != AttemptOutcome::kAnswered) {
+    silence_ = context_.paths.EvidenceOf(placement.backend, waiting_since_, Now());
+  }
   if (outcome != AttemptOutcome::kWithheld) ReleaseRetry(outcome);
   if (ProvablyNotRun(outcome)) {
     --history_.may_have_run;
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -12,6 +12,7 @@
 #include "cartsail/net/body_end.h"
 #include "cartsail/net/event_scanner.h"
 #include "cartsail/quarantine/request_fingerprint.h"
+#include "cartsail/reachability/silence_evidence.h"
 #include "cartsail/relay/admission.h"
 #include "relay_context.h"
 #include "request/answer_writer.h"
@@ -71,6 +72,8 @@
                                                           TimePoint read_deadline);
   boost::asio::awaitable<AttemptOutcome> DiscardStaleAnswer();
   void NoteAnswerHead(const ResponseHead& head);
+  // Reads part of the answer's body, as UpstreamConnection::ReadBody().
+  boost::asio::awaitable<UpstreamError> ReadBody(std::string* chunk, TimePoint deadline);
   // Records the framing of the answer's body and how reading it ended.
   void NoteReadingEnd();
   // The outcome at the end of the answer's body: kAnswered, or kCut if the body was broken off.
@@ -177,7 +180,9 @@
   std::string last_event_id_;            // of the forwarded events, to resume after
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
-  TimePoint sent_;  // when the last attempt was sent to a back end
+  TimePoint sent_;           // when the last attempt was sent to a back end
+  TimePoint waiting_since_;  // when this node began to wait for the next data of the attempt
+  SilenceEvidence silence_;  // when the last attempt ended
   TimePoint first_output_;
   TimePoint last_output_;
   Duration longest_pause_{};  // longest time between two pieces of the answer
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -39,10 +39,15 @@
 
 }  // namespace
 
+asio::awaitable<UpstreamError> Exchange::ReadBody(std::string* chunk, TimePoint deadline) {
+  waiting_since_ = Now();
+  co_return co_await upstream_->ReadBody(chunk, deadline);
+}
+
 asio::awaitable<AttemptOutcome> Exchange::DiscardStaleAnswer() {
   std::string chunk;
   do {
-    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
+    const UpstreamError error = co_await ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
   } while (!chunk.empty());
   co_return AttemptOutcome::kAnswered;
@@ -54,6 +59,7 @@
                                                            ResponseHead* head,
                                                            TimePoint read_deadline) {
   const bool is_head_request = request_.method == "HEAD";
+  waiting_since_ = Now();
   for (int i = 0; i <= kMaxStaleAnswers; ++i) {
     const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, read_deadline);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, read_deadline);
@@ -144,7 +150,7 @@
   std::string chunk;
   bool is_buffering = true;
   do {
-    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
+    const UpstreamError error = co_await ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
     has_output_ = true;
     NoteBody(head, chunk, &events);
@@ -175,7 +181,7 @@
     if (!co_await writer_->Write(ChunkText(block, false))) co_return AttemptOutcome::kCallerGone;
   }
   while (!chunk.empty()) {
-    const UpstreamError error = co_await upstream_->ReadBody(&chunk, deadline_);
+    const UpstreamError error = co_await ReadBody(&chunk, deadline_);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
     if (chunk.empty()) break;
     NoteBody(head, chunk, &events);
@@ -254,7 +260,7 @@
   std::string chunk;
   while (true) {
     const TimePoint read_deadline = StreamReadDeadline(resumable);
-    const UpstreamError error = co_await upstream_->ReadBody(&chunk, read_deadline);
+    const UpstreamError error = co_await ReadBody(&chunk, read_deadline);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error, read_deadline);
     const bool at_end = chunk.empty();
     NoteStreamPiece(placement, chunk);
--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -37,6 +37,11 @@
 constexpr Duration kAvoidDuration = seconds(1);
 constexpr Duration kLastBridgeRetention = seconds(30);
 constexpr Duration kCleanupInterval = seconds(1);
+// Many requests fall silent together, and each asks for the activity of all back ends.
+constexpr Duration kActivityAge = milliseconds(50);
+// Back ends without pending responses that have sent data within this time are part of the activity
+// of their service.
+constexpr Duration kRecentActivity = seconds(1);
 
 ConnectResult AsConnect(BridgeResult result) {
   if (result == BridgeResult::kConnected) return ConnectResult::kConnected;
@@ -68,6 +73,28 @@
   return use;
 }
 
+const std::vector<BackendActivity>& PathService::ActivityOf(const std::string& service,
+                                                            TimePoint now) {
+  ServiceActivity& activity = activities_[service];
+  if (now - activity.read < kActivityAge) return activity.backends;
+  activity.read = now;
+  activity.backends.clear();
+  for (const auto& [key, use] : uses_) {
+    if (!use->IsActive(kRecentActivity, now)) continue;
+    const Backend* known = dispatcher_.Registry().FindByKey(key);
+    if (known == nullptr || known->service != service) continue;
+    activity.backends.push_back(use->Activity(key));
+  }
+  return activity.backends;
+}
+
+SilenceEvidence PathService::EvidenceOf(const Backend& backend, TimePoint since, TimePoint now) {
+  SilenceEvidence evidence =
+      EvidenceOfSilence(backend.key, since, now, ActivityOf(backend.service, now));
+  evidence.is_path_cut = table_.IsCut(backend.key);
+  return evidence;
+}
+
 std::shared_ptr<UpstreamConnection> PathService::TakeIdle(BackendKey backend,
                                                           const RegionSet& allowed) {
   const bool is_cut = table_.IsCut(backend);
--- a/libs/relay/src/upstream/path_service.h
+++ b/libs/relay/src/upstream/path_service.h
@@ -18,6 +18,7 @@
 #include "cartsail/dispatch/dispatcher.h"
 #include "cartsail/reachability/path_table.h"
 #include "cartsail/reachability/reachability_evidence.h"
+#include "cartsail/reachability/silence_evidence.h"
 #include "fleet/peer_table.h"
 #include "upstream/upstream_pool.h"
 
@@ -74,6 +75,14 @@
   // Activity on the direct connections to the back end, including those made for other nodes.
   std::shared_ptr<PathUse> UseOf(BackendKey backend);
 
+  // What this node sees of the back end and of its service while an attempt there has received no
+  // data since `since`.
+  SilenceEvidence EvidenceOf(const Backend& backend, TimePoint since, TimePoint now);
+
+  // Activity on this node's direct connections to the back ends of `service` that it uses; up to
+  // 50 ms old.
+  const std::vector<BackendActivity>& ActivityOf(const std::string& service, TimePoint now);
+
   size_t CutPaths() const { return table_.CutPaths(); }
 
  private:
@@ -103,6 +112,12 @@
     Timer changed;  // cancelled by each result
   };
 
+  // The activity of all back ends of a service, as read at one time.
+  struct ServiceActivity {
+    TimePoint read{};
+    std::vector<BackendActivity> backends;
+  };
+
   // The node over which a back end was last reached.
   struct LastBridge {
     std::string host;
@@ -139,6 +154,7 @@
   UpstreamPool& pool_;
   PathTable table_;
   std::unordered_map<BackendKey, std::shared_ptr<PathUse>> uses_;
+  std::map<std::string, ServiceActivity> activities_;   // by service
   std::unordered_map<BackendKey, TimePoint> examined_;  // last ExamineSoon() that ran
   std::unordered_map<BackendKey, std::shared_ptr<Examination>> examinations_;
   std::unordered_map<BackendKey, LastBridge> last_bridges_;
--- a/libs/relay/src/upstream/path_use.h
+++ b/libs/relay/src/upstream/path_use.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/reachability/silence_evidence.h"
 
 namespace cartsail {
 
@@ -33,6 +34,7 @@
   void End() { --waiting_; }
 
   void NoteHeard(bool is_first, TimePoint now) {
+    if (now - heard_ > kSpeakingGap) speaking_since_ = now;
     heard_ = now;
     if (is_first) on_way_();
   }
@@ -45,6 +47,15 @@
     return waiting_ > 0 && now - std::max(heard_, waiting_since_) >= silence;
   }
 
+  // True if responses are pending, or data was received within `recent`.
+  bool IsActive(Duration recent, TimePoint now) const {
+    return waiting_ > 0 || now - heard_ < recent;
+  }
+
+  BackendActivity Activity(BackendKey backend) const {
+    return {backend, waiting_ > 0, waiting_since_, heard_, speaking_since_};
+  }
+
   // Open connections on which a request was sent; some may have completed it.
   std::vector<std::shared_ptr<UpstreamConnection>> InUse() const {
     std::vector<std::shared_ptr<UpstreamConnection>> connections;
@@ -61,6 +72,7 @@
   int waiting_ = 0;
   TimePoint waiting_since_{};
   TimePoint heard_{};
+  TimePoint speaking_since_{};
   std::vector<std::weak_ptr<UpstreamConnection>> in_use_;
 };
 
