--- a/libs/relay/tests/request_log_test.cc
+++ b/libs/relay/tests/request_log_test.cc
@@ -1,4 +1,5 @@
 // The log line of a request tells what its caller got, not what was meant to be sent.
+#include <future>
 #include <string>
 #include <utility>
 #include <vector>
@@ -118,5 +119,45 @@
   cr_assert(Has(line, " status=503 retry_after=2.5 leaving=true "), "%s", line.c_str());
 }
 
+// From no line could be told how long a back end had been silent and whether others were as well.
+Test(request_log, a_failed_attempt_tells_how_silent_its_back_end_and_the_others_were) {
+  std::promise<void> is_waiting;
+  const StubBackend::Handler handler = [&is_waiting](const std::string& request) {
+    if (HeaderOf(request, "Cartsail-Request-Id") == "r-waits") {
+      is_waiting.set_value();
+      StubAnswer never{{SignedAnswer(request, "")}};
+      never.delay_ms = static_cast<int>(ToMillis(kLongPatience));
+      return never;
+    }
+    const std::string answer =
+        SignedAnswer(request, "data: x\n\ndata: y\n\n", 200, "Content-Type: text/event-stream\r\n");
+    StubAnswer broken{{answer.substr(0, answer.size() - 9), ""}};
+    broken.pause_ms = 500;
+    broken.close_after = true;
+    return broken;
+  };
+  StubBackend first(handler);
+  StubBackend second(handler);
+  LogCapture log;
+  RelayFixture relay;
+  relay.BePatient();
+  relay.AddBackend("b1", "s", first.Address());
+  relay.AddBackend("b2", "s", second.Address());
+  relay.Start();
+  Client waiting(relay.Port());
+  waiting.Send(MakePatientRequest("POST", "/stream/a", "r-waits", "x"));
+  is_waiting.get_future().wait();
+  Client cut(relay.Port());
+  cut.Send(MakePatientRequest("POST", "/stream/a", "r-cut", "x"));
+  (void)cut.ReadAnswer(kLongPatience);
+  cr_assert(first.Requests().size() == 1 && second.Requests().size() == 1);
+  const std::string line = log.LineOf("attempt request=r-cut");
+  cr_assert(Has(line, " outcome=cut "), "%s", line.c_str());
+  // The pause begins when the stub sends, the silence when the node has received.
+  cr_assert(std::stoi(FieldOf(line, "silent_ms")) >= 250, "%s", line.c_str());
+  cr_assert(Has(line, " backend_speaks=false others_silent=1 others_speaking=0 path_cut=false "),
+            "%s", line.c_str());
+}
+
 }  // namespace
 }  // namespace cartsail::testing
