Test of engines that pause: answers are given up with no replacement

Cause: Exchange ends an attempt at a silent engine (first output after 0.3 s or 3 times its goal, between events after 0.9 s) before it asks for the retry. If the budget is spent, nothing is left but to cut the answer.

--- a/libs/relay/tests/support/path_fleet.cc
+++ b/libs/relay/tests/support/path_fleet.cc
@@ -42,7 +42,8 @@
   return answer;
 }
 
-RelayOptions OptionsOf(int number, const std::vector<std::string>& hosts) {
+RelayOptions OptionsOf(int number, const std::vector<std::string>& hosts,
+                       const RetryBudgetOptions& retries) {
   RelayOptions options;
   const std::string& host = hosts[static_cast<size_t>(number)];
   options.node_id = "node-" + host;
@@ -51,6 +52,7 @@
   options.listen = {host, 0};
   options.peer = {host, kPeerPort};
   options.seeds = hosts;
+  options.retry_budget = retries;
   return options;
 }
 
@@ -62,11 +64,11 @@
 class PathNode {
  public:
   PathNode(int number, const std::vector<std::string>& hosts,
-           const std::vector<std::string>& engines)
+           const std::vector<std::string>& engines, const RetryBudgetOptions& retries)
       : host_(hosts[static_cast<size_t>(number)]),
         guard_(io_.get_executor()),
         store_(io_),
-        context_(io_, OptionsOf(number, hosts), format_),
+        context_(io_, OptionsOf(number, hosts, retries), format_),
         catalog_(context_, context_.peers, store_, codec_,
                  {"", "document", "backends/", "drains/"}),
         exchange_(context_, catalog_),
@@ -88,7 +90,7 @@
     catalog_.ApplyCatalog(catalog, "store");
     if (!exchange_.Start().ok() || !server_.Start().ok() || !bridges_.Start().ok()) std::abort();
     context_.peers.SetBridges(true);
-    GiveRepeats(context_);
+    if (retries.ratio > 0) GiveRepeats(context_);
     context_.retries.Start();
     asio::co_spawn(io_, WatchPaths(), asio::detached);
     thread_ = std::thread([this] { io_.run(); });
@@ -110,6 +112,17 @@
     done.get_future().wait();
   }
 
+  void Drain() {
+    With([this](RelayContext& context) {
+      context.draining = true;
+      context.refusing = true;
+      context.peers.SetStopping();
+      bridges_.Drain();
+      server_.StopAccepting();
+      server_.CloseIdle();
+    });
+  }
+
   const std::string& Host() const { return host_; }
   int Port() const { return server_.Port(); }
 
@@ -138,7 +151,8 @@
   std::thread thread_;
 };
 
-PathFleet::PathFleet(int nodes, int engines, const Handler& handler) {
+PathFleet::PathFleet(int nodes, int engines, const Handler& handler,
+                     const RetryBudgetOptions& retries) {
   std::vector<std::string> hosts;
   for (int i = 0; i < nodes; ++i) hosts.push_back(OwnHost(i + 1));
   for (int i = 0; i < engines; ++i) {
@@ -151,7 +165,7 @@
       links.push_back(std::make_unique<GatedLink>(link_thread_, engine->Address()));
       addresses.push_back(links.back()->Address());
     }
-    nodes_.push_back(std::make_unique<PathNode>(i, hosts, addresses));
+    nodes_.push_back(std::make_unique<PathNode>(i, hosts, addresses, retries));
   }
 }
 
@@ -163,6 +177,12 @@
 
 void PathFleet::Start() {
   Sleep(kSettles);
+  AwaitPeers();
+  // Nodes have connections to engines when they are cut.
+  (void)SendFor(std::chrono::milliseconds(500));
+}
+
+void PathFleet::AwaitPeers() {
   const auto end = std::chrono::steady_clock::now() + kPatience;
   for (const auto& node : nodes_) {
     size_t live = 0;
@@ -172,8 +192,6 @@
       Sleep(kPoll);
     } while (live + 1 < nodes_.size());
   }
-  // Nodes have connections to engines when they are cut.
-  (void)SendFor(std::chrono::milliseconds(500));
 }
 
 void PathFleet::SetLinks(int nodes, PathState state) {
@@ -244,6 +262,13 @@
   nodes_[static_cast<size_t>(node)]->With(work);
 }
 
+Endpoint PathFleet::AddressOf(int node) const {
+  const PathNode& target = *nodes_[static_cast<size_t>(node)];
+  return {target.Host(), static_cast<uint16_t>(target.Port())};
+}
+
+void PathFleet::Drain(int node) { nodes_[static_cast<size_t>(node)]->Drain(); }
+
 void PathFleet::Kill(int node) { nodes_[static_cast<size_t>(node)].reset(); }
 
 }  // namespace cartsail::testing
--- a/libs/relay/tests/support/path_fleet.h
+++ b/libs/relay/tests/support/path_fleet.h
@@ -9,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include "cartsail/net/http_types.h"
+#include "cartsail/retries/retry_budget.h"
 #include "support/gated_link.h"
 #include "support/relay_fixture.h"
 #include "support/stub_backend.h"
@@ -33,13 +35,18 @@
  public:
   using Handler = StubBackend::Handler;
 
-  // Engines answer each request at once where no handler is given.
-  PathFleet(int nodes, int engines, const Handler& handler = {});
+  // Engines answer each request at once where no handler is given. With a ratio of 0 in `retries`
+  // the nodes have no retry left.
+  PathFleet(int nodes, int engines, const Handler& handler = {},
+            const RetryBudgetOptions& retries = {});
   ~PathFleet();
 
   // Waits until all nodes serve and know each other.
   void Start();
 
+  // Waits until all nodes know each other.
+  void AwaitPeers();
+
   // Of all links of the nodes before `nodes`.
   void SetLinks(int nodes, PathState state);
   GatedLink& Link(int node, int engine);
@@ -57,11 +64,17 @@
   // Its process ends: its host refuses connections from every node.
   void EndEngine(int engine);
 
+  // Where callers reach the node.
+  Endpoint AddressOf(int node) const;
+
   int Nodes() const { return static_cast<int>(nodes_.size()); }
 
   // Runs `work` on the nodes' thread with a node's context, and waits for it.
   void With(int node, const std::function<void(RelayContext&)>& work);
 
+  // The node takes no more callers and serves those that it has, as after SIGTERM.
+  void Drain(int node);
+
   // The node ends, as if it were killed.
   void Kill(int node);
 
