--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -29,6 +29,8 @@
     "Answers that only the end of their connection ended, taken for whole")                        \
   X(continuations_total, counter, "Cut answers continued on another engine")                       \
   X(retries_total, counter, "Requests tried again on another back end")                            \
+  X(silent_attempts_total, counter, "Attempts at back ends that fell silent")                      \
+  X(silent_attempts_moved_total, counter, "Of these, attempts from which another took over")       \
   X(retries_denied_total, counter, "Retries refused by the retry budget")                          \
   X(retries_borrowed_total, counter, "Retries taken out of another node's budget")                 \
   X(stream_take_ups_known_total, counter, "Streams taken up whose version was known")              \
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -21,7 +21,6 @@
 
 namespace asio = boost::asio;
 
-constexpr Duration kMinTimeForAttempt = milliseconds(20);
 constexpr Duration kRetryAfterNotRun = milliseconds(100);
 // The node that started the stream may be about to announce it, or the store to come back.
 constexpr Duration kRetryAfterUnknownStream = milliseconds(250);
@@ -31,14 +30,8 @@
 // refusal would cost the caller one of its few retries.
 constexpr Duration kCatalogWaitLimit = milliseconds(300);
 constexpr Duration kCatalogPollInterval = milliseconds(10);
-constexpr Duration kMinFirstOutputTimeout = milliseconds(300);
-constexpr Duration kMinPauseTimeout = milliseconds(900);
 // Data received on this node's own path within this time proves that the path works.
 constexpr Duration kPathEvidenceAge = milliseconds(500);
-// A retryable request waits for its first output for this multiple of goal plus expected time.
-constexpr int kFirstOutputGoalFactor = 3;
-// Multiple of the route's longest pause for which a resumable stream waits.
-constexpr int kPauseFactor = 6;
 
 std::string_view ReasonOf(int status) {
   switch (status) {
@@ -177,16 +170,12 @@
     RefreshResidency();
     if (IsQuarantined()) break;
     follows_versions_ = FollowsVersions();
-    admitted_.profile.version = stream_version_;
-    const PlacementResult result = co_await context_.placement.Place(admitted_.profile, tried_);
-    const std::optional<Placement>& placement = result.placement;
-    metered_wait_ = result.metered_wait;
+    const std::optional<Placement> placement = co_await NextPlacement();
     if (!placement.has_value()) break;
     if (caller_gone_) {
       context_.placement.Finish(placement->ticket, AttemptOutcome::kCallerGone, Now());
       break;
     }
-    tried_.push_back(placement->backend.key);
     last_backend_ = placement->backend.id;
     last_version_ = placement->backend.version;
     placed_by_ = placement->placed_by;
@@ -207,6 +196,7 @@
       LogAnswered();
       co_return keep_alive_;
     }
+    if (replacement_ != nullptr) continue;  // all of the following was checked for it
     if (bound_to_backend_ || !MayRetry(*admitted_.route, outcome, history_)) break;
     if (!co_await IsVersionConfirmed()) break;
     if (deadline_ - Now() < kMinTimeForAttempt) break;
@@ -215,6 +205,15 @@
   co_return co_await FinishUnanswered(outcome);
 }
 
+asio::awaitable<std::optional<Placement>> Exchange::NextPlacement() {
+  if (replacement_ != nullptr) co_return replacement_->placement;
+  admitted_.profile.version = stream_version_;
+  const PlacementResult result = co_await context_.placement.Place(admitted_.profile, tried_);
+  metered_wait_ = result.metered_wait;
+  if (result.placement.has_value()) tried_.push_back(result.placement->backend.key);
+  co_return result.placement;
+}
+
 // Applies the current data residency: the routing document may have changed while the request
 // waited.
 void Exchange::RefreshResidency() {
@@ -297,12 +296,8 @@
   if (retry_ != nullptr && retry_->MaySend(Now())) co_return true;
   retry_.reset();
   retry_ = co_await context_.retries.Take(admitted_.profile.service);
-  const bool granted = retry_ != nullptr;
-  Counters& counters = GlobalCounters();
-  (granted ? counters.retries_total : counters.retries_denied_total).Add();
-  if (granted && head_sent_) counters.continuations_total.Add();
-  LogRetry();
-  co_return granted;
+  NoteRetryDecision(retry_.get());
+  co_return retry_ != nullptr;
 }
 
 void Exchange::ReleaseRetry(AttemptOutcome outcome) {
@@ -320,6 +315,7 @@
 }
 
 asio::awaitable<bool> Exchange::FinishUnanswered(AttemptOutcome last) {
+  if (replacement_ != nullptr) ReleaseReplacement(*std::exchange(replacement_, nullptr));
   if (caller_gone_ || last == AttemptOutcome::kCallerGone) {
     LogEnd(aborted_for_memory_ ? kCutForMemoryResult : kCallerGoneResult, status_sent_);
     caller_->Close();
@@ -370,17 +366,18 @@
   answer_ = {};
   answer_end_.reset();
   silence_ = {};
-  if (!co_await CanStartAt(placement)) co_return AttemptOutcome::kWithheld;
+  if (replacement_ == nullptr && !co_await CanStartAt(placement)) {
+    co_return AttemptOutcome::kWithheld;
+  }
   const OpenedPath opened = co_await OpenUpstream(placement);
   upstream_ = opened.connection;
   via_node_ = upstream_ == nullptr ? std::string() : upstream_->Over();
   if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   if (upstream_ == nullptr) {
     ++history_.connects_failed;
-    if (Now() >= deadline_) co_return AttemptOutcome::kTimedOut;
-    co_return opened.says_nothing_of_backend ? AttemptOutcome::kNoPath : AttemptOutcome::kNotSent;
+    co_return OutcomeOfFailedOpen(opened);
   }
-  const bool may_go_on = co_await CanResumeAt(placement);
+  const bool may_go_on = co_await CanResumeAt(placement, *upstream_);
   if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   RefreshResidency();
   const bool may_send =
@@ -397,8 +394,10 @@
   has_output_ = false;
   sent_ = Now();
   upstream_->StartRequest(UpstreamHead(placement, Now()), request_.body,
-                          {request_id_, deadline_ - Now(), IsRetryable()});
+                          {request_id_, deadline_ - Now()});
+  StartSilenceWatch(placement);
   const AttemptOutcome outcome = OutcomeOfPath(co_await ExchangeWithBackend(placement));
+  EndSilenceWatch();
   if (outcome != AttemptOutcome::kAnswered) {
     silence_ = context_.paths.EvidenceOf(placement.backend, waiting_since_, Now());
   }
@@ -409,29 +408,47 @@
   }
   const std::shared_ptr<UpstreamConnection> used = std::exchange(upstream_, nullptr);
   context_.pool.Return(placement.backend.key, used);
-  const bool is_silent = outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kTimedOut;
   // A link may silently drop all open connections while new ones work.
-  if (is_silent) context_.pool.CloseIdle(placement.backend.key);
+  if (outcome == AttemptOutcome::kTimedOut) context_.pool.CloseIdle(placement.backend.key);
   if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   co_return aborted_ ? AttemptOutcome::kGivenUp : outcome;
 }
 
 asio::awaitable<OpenedPath> Exchange::OpenUpstream(const Placement& placement) {
+  if (replacement_ != nullptr) {
+    const std::unique_ptr<Replacement> ready = std::move(replacement_);
+    retry_ = std::move(ready->retry);
+    connect_result_ = ConnectResult::kConnected;
+    OpenedPath opened;
+    opened.connection = std::move(ready->connection);
+    co_return opened;
+  }
   // Lets a disconnect of the caller end the wait.
   const PathService::OnPending on_pending = [this](std::shared_ptr<UpstreamConnection> pending) {
     upstream_ = std::move(pending);
   };
+  const OpenedPath opened = co_await OpenPath(placement, on_pending);
+  connect_result_ = opened.own;
+  co_return opened;
+}
+
+asio::awaitable<OpenedPath> Exchange::OpenPath(const Placement& placement,
+                                               PathService::OnPending on_pending) {
   const RegionMap& regions = context_.dispatcher.Registry().Regions();
   const RegionSet allowed = regions.AllowedFor(admitted_.profile);
   OpenedPath opened =
-      co_await context_.paths.Open(placement.backend, allowed, deadline_, on_pending);
-  connect_result_ = opened.own;
+      co_await context_.paths.Open(placement.backend, allowed, deadline_, std::move(on_pending));
   if (opened.verdict == PathVerdict::kEnded) {
     context_.quarantine.NoteEnded(placement.backend.key, Now());
   }
   co_return opened;
 }
 
+AttemptOutcome Exchange::OutcomeOfFailedOpen(const OpenedPath& opened) const {
+  if (Now() >= deadline_) return AttemptOutcome::kTimedOut;
+  return opened.says_nothing_of_backend ? AttemptOutcome::kNoPath : AttemptOutcome::kNotSent;
+}
+
 // A connection that was lost in the network does not reflect on the back end.
 AttemptOutcome Exchange::OutcomeOfPath(AttemptOutcome outcome) {
   if (upstream_->WasWithheld()) {
@@ -440,6 +457,8 @@
     return AttemptOutcome::kWithheld;
   }
   const bool is_of_connection = outcome == AttemptOutcome::kCut;
+  // The attempt was ended here, as another back end takes over.
+  if (is_of_connection && replacement_ != nullptr) return AttemptOutcome::kSilent;
   return is_of_connection && upstream_->IsLostOnTheWay() ? AttemptOutcome::kPathLost : outcome;
 }
 
@@ -469,27 +488,13 @@
   return RequestHeadText(request_.method, request_.target, headers);
 }
 
-TimePoint Exchange::FirstOutputDeadline(const Placement& placement, TimePoint now) const {
-  if (!IsRetryable() || history_.may_have_run >= admitted_.route->max_attempts) return deadline_;
-  const Duration expected = FromSeconds(placement.first_output_ms / 1e3);
-  const Duration timeout =
-      std::max<Duration>(kMinFirstOutputTimeout,
-                         kFirstOutputGoalFactor * (admitted_.route->first_output_goal + expected));
-  return std::min(deadline_, now + timeout);
-}
-
-Duration Exchange::PauseLimit() const {
-  const Duration pause = admitted_.route->longest_pause.value_or(Duration(0));
-  return std::max<Duration>(kMinPauseTimeout, kPauseFactor * pause);
-}
-
-AttemptOutcome Exchange::OutcomeOf(UpstreamError error, TimePoint deadline) const {
+AttemptOutcome Exchange::OutcomeOf(UpstreamError error) const {
   if (caller_gone_) return AttemptOutcome::kCallerGone;
   switch (error) {
     case UpstreamError::kNone:
       return AttemptOutcome::kAnswered;
     case UpstreamError::kTimeout:
-      return deadline >= deadline_ ? AttemptOutcome::kTimedOut : AttemptOutcome::kSilent;
+      return AttemptOutcome::kTimedOut;
     case UpstreamError::kMalformed:
       return AttemptOutcome::kSpoilt;
     case UpstreamError::kBroken:
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -47,6 +47,23 @@
   int64_t bytes = 0;  // of the body, as received
 };
 
+// Why a request stays with a silent back end, or that it does not.
+enum class SilenceDecision : uint8_t {
+  kMoved,               // another back end takes over
+  kResumed,             // data arrived, or the request may no longer move, during the search
+  kServiceSilent,       // most of the service is silent
+  kMayNotMove,          // no attempts or time are left, or only this back end can continue
+  kVersionUnconfirmed,  // it is not certain which version began the stream
+  kNoRetry,             // the retry budget is spent
+  kNoBackend,           // no back end is left that is not silent
+  kNotConnected,        // the chosen back end could not be reached or may not get the request
+};
+
+std::string_view SilenceDecisionName(SilenceDecision decision);
+
+// Less time than this is not enough for another attempt.
+inline constexpr Duration kMinTimeForAttempt = milliseconds(20);
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller,
@@ -56,24 +73,45 @@
   boost::asio::awaitable<bool> Run();
 
  private:
-  enum class RelayMode { kWhole, kPieces, kEvents };
+  // A back end that is ready to take over from a silent one.
+  struct Replacement {
+    Placement placement;
+    std::unique_ptr<RetryTicket> retry;
+    std::shared_ptr<UpstreamConnection> connection;
+  };
+
+  // The watch for silence during one attempt.
+  struct SilenceWatch {
+    explicit SilenceWatch(boost::asio::io_context& io) : timer(io) {}
+
+    boost::asio::awaitable<void> SleepUntil(TimePoint time);
+
+    Timer timer;  // cancelled at the end of the attempt
+    bool ended = false;
+    std::optional<SilenceDecision> last_decision;
+  };
 
   boost::asio::awaitable<void> WaitForCatalog();
   boost::asio::awaitable<bool> RunAdmitted();
   boost::asio::awaitable<AttemptOutcome> Attempt(const Placement& placement);
   boost::asio::awaitable<AttemptOutcome> ExchangeWithBackend(const Placement& placement);
   boost::asio::awaitable<OpenedPath> OpenUpstream(const Placement& placement);
+  boost::asio::awaitable<OpenedPath> OpenPath(const Placement& placement,
+                                              PathService::OnPending on_pending);
+  // The outcome of an attempt for which no connection was opened.
+  AttemptOutcome OutcomeOfFailedOpen(const OpenedPath& opened) const;
   AttemptOutcome OutcomeOfPath(AttemptOutcome outcome);
   void FinishAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended);
   static boost::asio::awaitable<void> DiagnoseAttempt(std::shared_ptr<Exchange> self,
                                                       Placement placement, AttemptOutcome outcome);
   boost::asio::awaitable<AttemptOutcome> ReadMatchingHead(const Placement& placement,
-                                                          ResponseHead* head,
-                                                          TimePoint read_deadline);
+                                                          ResponseHead* head);
   boost::asio::awaitable<AttemptOutcome> DiscardStaleAnswer();
   void NoteAnswerHead(const ResponseHead& head);
-  // Reads part of the answer's body, as UpstreamConnection::ReadBody().
-  boost::asio::awaitable<UpstreamError> ReadBody(std::string* chunk, TimePoint deadline);
+  // Reads part of the answer's body, as UpstreamConnection::ReadBody(), until the deadline of the
+  // request. The back end is silent after `silence_timeout`; nullopt: however long it takes.
+  boost::asio::awaitable<UpstreamError> ReadBody(std::string* chunk,
+                                                 std::optional<Duration> silence_timeout = {});
   // Records the framing of the answer's body and how reading it ended.
   void NoteReadingEnd();
   // The outcome at the end of the answer's body: kAnswered, or kCut if the body was broken off.
@@ -86,8 +124,6 @@
                                                      const ResponseHead& head);
   void NoteBody(const ResponseHead& head, std::string_view piece, EventScanner* events);
   void NoteStreamPiece(const Placement& placement, std::string_view piece);
-  // The time until which the next piece of a stream is waited for.
-  TimePoint StreamReadDeadline(bool resumable) const;
   // Forwards bytes of a stream, preceded by the head if it was not sent yet; `at_end` ends the
   // body.
   boost::asio::awaitable<bool> ForwardPiece(const ResponseHead& head, std::string_view bytes,
@@ -103,9 +139,9 @@
   boost::asio::awaitable<bool> AnswerRefusal(ErrorKind kind, Duration retry_after);
 
   std::string UpstreamHead(const Placement& placement, TimePoint now) const;
-  AttemptOutcome OutcomeOf(UpstreamError error, TimePoint deadline) const;
-  TimePoint FirstOutputDeadline(const Placement& placement, TimePoint now) const;
-  Duration PauseLimit() const;
+  AttemptOutcome OutcomeOf(UpstreamError error) const;
+  Duration FirstOutputTimeout(const Placement& placement) const;
+  Duration PauseTimeout() const;
   bool IsRetryable() const;
   // True if the request's stream can continue at another back end, but only at one of the version
   // that started it.
@@ -122,8 +158,27 @@
   // False if the stream started in this answer and another version may have written its first
   // event.
   boost::asio::awaitable<bool> IsVersionConfirmed();
-  // True if the current connection leads to a process of the stream's version.
-  boost::asio::awaitable<bool> CanResumeAt(const Placement& placement);
+  // True if the connection leads to a process of the stream's version.
+  boost::asio::awaitable<bool> CanResumeAt(const Placement& placement,
+                                           const UpstreamConnection& connection);
+  void StartSilenceWatch(const Placement& placement);
+  void EndSilenceWatch();
+  static boost::asio::awaitable<void> WatchSilence(std::shared_ptr<Exchange> self,
+                                                   std::shared_ptr<SilenceWatch> watch,
+                                                   Placement placement);
+  // When the current read counts as silence of the back end.
+  TimePoint SilentFrom(const Placement& placement) const;
+  bool MayMove() const;
+  // Searches for a back end that takes over from the `silent` one; sets replacement_ on kMoved.
+  boost::asio::awaitable<SilenceDecision> ReplaceSilent(std::shared_ptr<SilenceWatch> watch,
+                                                        Placement silent);
+  std::vector<BackendKey> ExcludedAsReplacements();
+  boost::asio::awaitable<bool> ConnectReplacement(Replacement& found);
+  // Ends the placement of a replacement to which nothing was sent.
+  void ReleaseReplacement(Replacement& found);
+  void NoteSilence(SilenceWatch& watch, const Placement& placement, SilenceDecision decision);
+  // The back end of the next attempt.
+  boost::asio::awaitable<std::optional<Placement>> NextPlacement();
   void NoteOutput(TimePoint now);
   void NoteRun(TimePoint now);
   void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
@@ -143,7 +198,8 @@
   // Returns true if the request may be sent to a back end now. If it was sent to one before, this
   // is a retry and is charged to the retry budget.
   boost::asio::awaitable<bool> AcquireRetry();
-  void LogRetry() const;
+  // Counts and logs a retry that was granted; nullptr: it was denied.
+  void NoteRetryDecision(const RetryTicket* retry) const;
   // Ends the retry of the attempt that just ended. The retry counts for one budget window from now,
   // or from the time until which bytes of the request may still arrive at a back end.
   void ReleaseRetry(AttemptOutcome outcome);
@@ -182,7 +238,11 @@
   TimePoint deadline_;
   TimePoint sent_;           // when the last attempt was sent to a back end
   TimePoint waiting_since_;  // when this node began to wait for the next data of the attempt
-  SilenceEvidence silence_;  // when the last attempt ended
+  bool is_reading_ = false;  // this node waits for data of the attempt
+  std::optional<Duration> silence_timeout_;  // of the current read; nullopt: none
+  SilenceEvidence silence_;                  // when the last attempt ended or was last found silent
+  std::shared_ptr<SilenceWatch> silence_watch_;  // of the current attempt; nullptr: none
+  std::unique_ptr<Replacement> replacement_;     // for the next attempt; nullptr: none
   TimePoint first_output_;
   TimePoint last_output_;
   Duration longest_pause_{};  // longest time between two pieces of the answer
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -39,16 +39,21 @@
 
 }  // namespace
 
-asio::awaitable<UpstreamError> Exchange::ReadBody(std::string* chunk, TimePoint deadline) {
+asio::awaitable<UpstreamError> Exchange::ReadBody(std::string* chunk,
+                                                  std::optional<Duration> silence_timeout) {
   waiting_since_ = Now();
-  co_return co_await upstream_->ReadBody(chunk, deadline);
+  silence_timeout_ = silence_timeout;
+  is_reading_ = true;
+  const UpstreamError error = co_await upstream_->ReadBody(chunk, deadline_);
+  is_reading_ = false;
+  co_return error;
 }
 
 asio::awaitable<AttemptOutcome> Exchange::DiscardStaleAnswer() {
   std::string chunk;
   do {
-    const UpstreamError error = co_await ReadBody(&chunk, deadline_);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+    const UpstreamError error = co_await ReadBody(&chunk);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error);
   } while (!chunk.empty());
   co_return AttemptOutcome::kAnswered;
 }
@@ -56,13 +61,15 @@
 // Reads heads until one that answers this request; other heads answer earlier requests on the same
 // connection.
 asio::awaitable<AttemptOutcome> Exchange::ReadMatchingHead(const Placement& placement,
-                                                           ResponseHead* head,
-                                                           TimePoint read_deadline) {
+                                                           ResponseHead* head) {
   const bool is_head_request = request_.method == "HEAD";
   waiting_since_ = Now();
+  silence_timeout_ = FirstOutputTimeout(placement);
   for (int i = 0; i <= kMaxStaleAnswers; ++i) {
-    const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, read_deadline);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, read_deadline);
+    is_reading_ = true;
+    const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, deadline_);
+    is_reading_ = false;
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error);
     const std::string_view id = head->Header(context_.format.Names().request_id);
     // An answer to an earlier request is recorded too: it comes from the same back end.
     const TimePoint asked = id == request_id_ ? sent_ : TimePoint();
@@ -90,8 +97,7 @@
 
 asio::awaitable<AttemptOutcome> Exchange::ExchangeWithBackend(const Placement& placement) {
   ResponseHead head;
-  const AttemptOutcome outcome =
-      co_await ReadMatchingHead(placement, &head, FirstOutputDeadline(placement, Now()));
+  const AttemptOutcome outcome = co_await ReadMatchingHead(placement, &head);
   if (outcome != AttemptOutcome::kAnswered) co_return outcome;
   NoteAnswerHead(head);
   answer_end_.emplace();
@@ -150,8 +156,8 @@
   std::string chunk;
   bool is_buffering = true;
   do {
-    const UpstreamError error = co_await ReadBody(&chunk, deadline_);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+    const UpstreamError error = co_await ReadBody(&chunk);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error);
     has_output_ = true;
     NoteBody(head, chunk, &events);
     const TimePoint now = Now();
@@ -181,8 +187,8 @@
     if (!co_await writer_->Write(ChunkText(block, false))) co_return AttemptOutcome::kCallerGone;
   }
   while (!chunk.empty()) {
-    const UpstreamError error = co_await ReadBody(&chunk, deadline_);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, deadline_);
+    const UpstreamError error = co_await ReadBody(&chunk);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error);
     if (chunk.empty()) break;
     NoteBody(head, chunk, &events);
     if (!co_await writer_->Write(ChunkText(chunk, false))) co_return AttemptOutcome::kCallerGone;
@@ -226,12 +232,6 @@
   answer_end_->evidence.content = ContentEndOf(*events);
 }
 
-TimePoint Exchange::StreamReadDeadline(bool resumable) const {
-  const bool has_attempts = history_.may_have_run < admitted_.route->max_attempts;
-  const bool may_move = resumable && has_attempts && !bound_to_backend_;
-  return may_move ? std::min(deadline_, Now() + PauseLimit()) : deadline_;
-}
-
 void Exchange::NoteStreamPiece(const Placement& placement, std::string_view piece) {
   if (piece.empty()) return;
   const TimePoint now = Now();
@@ -257,11 +257,12 @@
   const bool resumable = admitted_.route->resumable && is_events;
   EventSplitter splitter(resumable ? EventSplitter::Passing::kWholeEvents
                                    : EventSplitter::Passing::kAsItComes);
+  const std::optional<Duration> silence_timeout =
+      resumable ? std::optional<Duration>(PauseTimeout()) : std::nullopt;
   std::string chunk;
   while (true) {
-    const TimePoint read_deadline = StreamReadDeadline(resumable);
-    const UpstreamError error = co_await ReadBody(&chunk, read_deadline);
-    if (error != UpstreamError::kNone) co_return OutcomeOf(error, read_deadline);
+    const UpstreamError error = co_await ReadBody(&chunk, silence_timeout);
+    if (error != UpstreamError::kNone) co_return OutcomeOf(error);
     const bool at_end = chunk.empty();
     NoteStreamPiece(placement, chunk);
     const std::string bytes = splitter.Feed(std::move(chunk));
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -92,16 +92,19 @@
        {"candidates", std::to_string(placement.candidates)}});
 }
 
-void Exchange::LogRetry() const {
+void Exchange::NoteRetryDecision(const RetryTicket* retry) const {
   const std::string& service = admitted_.profile.service;
   const PeerTable& peers = context_.peers;
-  const bool granted = retry_ != nullptr;
+  const bool granted = retry != nullptr;
+  Counters& counters = GlobalCounters();
+  (granted ? counters.retries_total : counters.retries_denied_total).Add();
+  if (granted && head_sent_) counters.continuations_total.Add();
   Log(LogLevel::kWarning, "repeat",
       {{"request", request_id_},
        {"service", service},
        {"granted", granted ? "true" : "false"},
-       {"source", granted ? std::string(RetrySourceName(retry_->Grant().source)) : ""},
-       {"lender", granted ? retry_->Lender() : ""},
+       {"source", granted ? std::string(RetrySourceName(retry->Grant().source)) : ""},
+       {"lender", granted ? retry->Lender() : ""},
        {"budget_left", fmt::format("{:.1f}", context_.retries.RemainingRequestBudget(service))},
        {"extra_left", fmt::format("{:.1f}", context_.retries.RemainingExtraBudget(service))},
        {"live", std::to_string(peers.LiveCount() + 1)},
--- a/libs/relay/src/request/exchange_versions.cc
+++ b/libs/relay/src/request/exchange_versions.cc
@@ -51,9 +51,10 @@
   co_return co_await context_.streams.IsVersionVerified(admitted_.profile.service, started_stream_);
 }
 
-asio::awaitable<bool> Exchange::CanResumeAt(const Placement& placement) {
+asio::awaitable<bool> Exchange::CanResumeAt(const Placement& placement,
+                                            const UpstreamConnection& connection) {
   if (stream_version_.empty()) co_return true;
-  co_return co_await context_.streams.MayContinueAt(placement.backend, upstream_->Connected());
+  co_return co_await context_.streams.MayContinueAt(placement.backend, connection.Connected());
 }
 
 asio::awaitable<bool> Exchange::PinVersion(const Placement& placement) {
--- a/libs/relay/src/upstream/bridge_server.cc
+++ b/libs/relay/src/upstream/bridge_server.cc
@@ -196,7 +196,7 @@
 
   void BeginWaiting() {
     is_waiting_ = true;
-    use_->Begin(upstream_, Now());
+    use_->Begin(Now());
     upstream_->Transport().expires_after(left_ + kAnswerMargin);
   }
 
--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -350,16 +350,10 @@
   return hosts;
 }
 
-// Handles back ends whose connections are silent while requests wait: closes the connections on cut
-// paths and examines the others.
-void PathService::GiveUpSilent(TimePoint now) {
+// Examines the paths to back ends that are silent while requests wait.
+void PathService::ExamineSilent(TimePoint now) {
   for (const auto& [backend, use] : uses_) {
-    if (!use->IsSilent(kSilence, now)) continue;
-    if (table_.IsCut(backend)) {
-      for (const auto& connection : use->InUse()) connection->GiveUpIfSilent(kSilence, now);
-      continue;
-    }
-    ExamineSoon(backend);
+    if (use->IsSilent(kSilence, now) && !table_.IsCut(backend)) ExamineSoon(backend);
   }
 }
 
@@ -374,7 +368,7 @@
 }
 
 void PathService::Tick(TimePoint now) {
-  GiveUpSilent(now);
+  ExamineSilent(now);
   for (const BackendKey backend : table_.TakeProbes(now, kMaxConcurrentProbes)) {
     const Backend* known = dispatcher_.Registry().FindByKey(backend);
     if (known != nullptr) asio::co_spawn(io_, ConnectOwn(*known), asio::detached);
--- a/libs/relay/src/upstream/path_service.h
+++ b/libs/relay/src/upstream/path_service.h
@@ -143,7 +143,7 @@
   bool IsBridge(const std::string& host) const;
   void NoteBridge(BackendKey backend, const std::string& host, BridgeResult result);
   void NoteReached(const Backend& backend);
-  void GiveUpSilent(TimePoint now);
+  void ExamineSilent(TimePoint now);
   void NoteLostAll();
 
   boost::asio::io_context& io_;
--- a/libs/relay/src/upstream/path_use.h
+++ b/libs/relay/src/upstream/path_use.h
@@ -4,30 +4,21 @@
 
 #include <algorithm>
 #include <functional>
-#include <memory>
 #include <utility>
-#include <vector>
 
 #include "cartsail/base/clock.h"
 #include "cartsail/reachability/silence_evidence.h"
 
 namespace cartsail {
 
-class UpstreamConnection;
-
 class PathUse {
  public:
   // `on_way`: called on the first bytes of each connection, which prove that the path works.
   explicit PathUse(std::function<void()> on_way) : on_way_(std::move(on_way)) {}
 
-  // Records that a request is being sent on `connection`.
-  void Begin(std::weak_ptr<UpstreamConnection> connection, TimePoint now) {
+  // Records that a request is being sent.
+  void Begin(TimePoint now) {
     if (waiting_++ == 0) waiting_since_ = now;
-    const auto is_over = [&connection](const auto& other) {
-      return other.expired() || !(other.owner_before(connection) || connection.owner_before(other));
-    };
-    std::erase_if(in_use_, is_over);
-    in_use_.push_back(std::move(connection));
   }
 
   // Records that a response has ended, or will never arrive.
@@ -56,15 +47,6 @@
     return {backend, waiting_ > 0, waiting_since_, heard_, speaking_since_};
   }
 
-  // Open connections on which a request was sent; some may have completed it.
-  std::vector<std::shared_ptr<UpstreamConnection>> InUse() const {
-    std::vector<std::shared_ptr<UpstreamConnection>> connections;
-    for (const auto& weak : in_use_) {
-      if (auto connection = weak.lock()) connections.push_back(std::move(connection));
-    }
-    return connections;
-  }
-
   bool IsIdle() const { return waiting_ == 0; }
 
  private:
@@ -73,7 +55,6 @@
   TimePoint waiting_since_{};
   TimePoint heard_{};
   TimePoint speaking_since_{};
-  std::vector<std::weak_ptr<UpstreamConnection>> in_use_;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -145,10 +145,8 @@
   write_pending_ = true;
   write_failed_ = false;
   keep_alive_ = false;
-  may_repeat_ = about.may_repeat;
-  last_heard_ = Now();
   is_waiting_ = true;
-  if (use_ != nullptr) use_->Begin(weak_from_this(), last_heard_);
+  if (use_ != nullptr) use_->Begin(Now());
   const std::array<asio::const_buffer, 3> buffers = {
       asio::buffer(prefix_), asio::buffer(request_head_), asio::buffer(*request_body_)};
   asio::async_write(stream_, buffers,
@@ -169,8 +167,7 @@
 }
 
 void UpstreamConnection::NoteHeard() {
-  last_heard_ = Now();
-  if (use_ != nullptr) use_->NoteHeard(!std::exchange(was_heard_, true), last_heard_);
+  if (use_ != nullptr) use_->NoteHeard(!std::exchange(was_heard_, true), Now());
 }
 
 void UpstreamConnection::EndWaiting() {
@@ -266,14 +263,7 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void UpstreamConnection::GiveUpIfSilent(Duration silence, TimePoint now) {
-  if (!is_waiting_ || !may_repeat_ || now - last_heard_ < silence) return;
-  given_up_ = true;
-  Close();
-}
-
 bool UpstreamConnection::IsLostOnTheWay() const {
-  if (given_up_) return true;
   const FrameKind end = stream_.EndedBy();
   return !over_.empty() && end != FrameKind::kEnd && end != FrameKind::kBroken;
 }
--- a/libs/relay/src/upstream/upstream_connection.h
+++ b/libs/relay/src/upstream/upstream_connection.h
@@ -42,8 +42,7 @@
 // Properties of a request that are not part of its bytes.
 struct SentRequest {
   std::string id;
-  Duration left{};          // remaining time that the caller waits
-  bool may_repeat = false;  // the request may be sent again elsewhere
+  Duration left{};  // remaining time that the caller waits
 };
 
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
@@ -93,12 +92,8 @@
   // Closes immediately; pending calls end with kBroken.
   void Close();
 
-  // For a cut path: closes the connection if it waits for the response to a repeatable request and
-  // has received nothing for `silence`, so that the request is sent elsewhere.
-  void GiveUpIfSilent(Duration silence, TimePoint now);
-
-  // True if the connection failed before the back end, because the bridging node went away or the
-  // path was cut; this is no evidence about the back end itself.
+  // True if the connection failed before the back end, because the bridging node went away; this is
+  // no evidence about the back end itself.
   bool IsLostOnTheWay() const;
 
   // True if the bridging node did not forward the last request to the back end.
@@ -126,12 +121,9 @@
   std::string over_;
   TimePoint connected_{};
   std::shared_ptr<PathUse> use_;
-  std::string prefix_;  // encoded BridgedRequest; empty on a direct connection
-  bool may_repeat_ = false;
+  std::string prefix_;       // encoded BridgedRequest; empty on a direct connection
   bool is_waiting_ = false;  // a request was started and its response has not ended
-  bool given_up_ = false;
   bool was_heard_ = false;
-  TimePoint last_heard_{};  // last data received, or start of the request if later
   boost::beast::flat_buffer buffer_;
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   std::string request_head_;
