--- a/libs/reachability/include/cartsail/reachability/path_table.h
+++ b/libs/reachability/include/cartsail/reachability/path_table.h
@@ -24,6 +24,10 @@
   // arrived on it.
   void NoteFailed(BackendKey backend, TimePoint now);
 
+  // True if a connection of this node to the backend failed recently and none has been established
+  // since.
+  bool HasFailed(BackendKey backend, TimePoint now) const;
+
   // Another node has connected to the backend. Returns true if that marks the path as cut: a
   // connection of this node failed within the last 5 s, and the path was not marked before.
   bool NoteReachedByOther(BackendKey backend, TimePoint now);
--- a/libs/reachability/include/cartsail/reachability/silence_evidence.h
+++ b/libs/reachability/include/cartsail/reachability/silence_evidence.h
@@ -13,10 +13,12 @@
 // Activity on a node's direct connections to one back end.
 struct BackendActivity {
   BackendKey backend = 0;
-  bool is_waiting = false;     // responses are pending
-  TimePoint waiting_since{};   // when the first of them was requested; only if `is_waiting`
-  TimePoint heard{};           // when data was last received; the zero time if never
-  TimePoint speaking_since{};  // start of the period in which data arrived without a long gap
+  bool is_waiting = false;      // responses are pending
+  TimePoint waiting_since{};    // when the first of them was requested; only if `is_waiting`
+  TimePoint heard{};            // when data was last received; the zero time if never
+  TimePoint speaking_since{};   // start of the period in which data arrived without a long gap
+  Duration silent_before{};     // how long responses were overdue before that period
+  bool is_unreachable = false;  // the last connection to it could not be made
 
   // Without pending responses, the time since data was last received.
   Duration SilentFor(TimePoint now) const;
@@ -24,14 +26,17 @@
 
 struct SilenceEvidence {
   Duration silent_for{};        // time for which the attempt has received no data
-  bool is_path_cut = false;     // this node's direct path to the back end is cut
+  bool is_path_cut = false;     // the attempt uses this node's direct path, which is cut
+  bool is_unreachable = false;  // the last connection to the back end could not be made
   bool backend_speaks = false;  // the back end has kept sending data on other connections
-  int64_t others_silent = 0;    // other back ends of the service with responses pending
-  int64_t others_speaking = 0;  // other back ends of the service
+  int64_t others_silent = 0;    // other back ends of the service with responses overdue
+  int64_t others_speaking = 0;  // other back ends of the service that send data
 
-  // True if most of the service is silent at the same time: a replacement would be silent too.
+  // True if most of the service is silent at the same time, though it can be connected to, as when
+  // it is paused: a replacement would be silent too.
   bool IsServiceWide() const {
-    return !is_path_cut && !backend_speaks && others_silent > others_speaking;
+    const bool is_own_fault = is_path_cut || is_unreachable || backend_speaks;
+    return !is_own_fault && others_silent > others_speaking;
   }
 };
 
@@ -43,7 +48,8 @@
 SilenceEvidence EvidenceOfSilence(BackendKey backend, TimePoint since, TimePoint now,
                                   const std::vector<BackendActivity>& service);
 
-// The back ends that have sent nothing for `silence` although responses are pending.
+// The back ends that have sent nothing for `silence` although responses are pending, and those that
+// are unreachable.
 std::vector<BackendKey> SilentBackends(Duration silence, TimePoint now,
                                        const std::vector<BackendActivity>& service);
 
--- a/libs/reachability/src/path_table.cc
+++ b/libs/reachability/src/path_table.cc
@@ -33,9 +33,13 @@
 
 void PathTable::NoteFailed(BackendKey backend, TimePoint now) { failed_[backend] = now; }
 
-bool PathTable::NoteReachedByOther(BackendKey backend, TimePoint now) {
+bool PathTable::HasFailed(BackendKey backend, TimePoint now) const {
   const auto failure = failed_.find(backend);
-  if (failure == failed_.end() || now - failure->second > kFailureValidity) return false;
+  return failure != failed_.end() && now - failure->second <= kFailureValidity;
+}
+
+bool PathTable::NoteReachedByOther(BackendKey backend, TimePoint now) {
+  if (!HasFailed(backend, now)) return false;
   const bool is_new = cut_.try_emplace(backend, CutPath{now + kFirstProbeDelay, 0}).second;
   consecutive_cuts_.insert(backend);
   if (consecutive_cuts_.size() >= kCutsToLoseAll) has_lost_all_ = true;
--- a/libs/reachability/src/silence_evidence.cc
+++ b/libs/reachability/src/silence_evidence.cc
@@ -20,6 +20,11 @@
   return speaks && now - activity.speaking_since >= kMinSpeakingTime;
 }
 
+// Right after a pause of the whole service, some back ends send data a little earlier than others.
+bool HasJustWoken(const BackendActivity& activity, Duration silence, TimePoint now) {
+  return now - activity.speaking_since < kMinSpeakingTime && activity.silent_before >= silence;
+}
+
 }  // namespace
 
 Duration BackendActivity::SilentFor(TimePoint now) const {
@@ -34,10 +39,14 @@
   const Duration others_silence = evidence.silent_for / kOthersSilenceDivisor;
   for (const BackendActivity& activity : service) {
     if (activity.backend == backend) {
-      evidence.backend_speaks = KeepsSpeaking(activity, now);
-    } else if (IsSilent(activity, others_silence, now)) {
+      evidence.backend_speaks = evidence.backend_speaks || KeepsSpeaking(activity, now);
+      evidence.is_unreachable = evidence.is_unreachable || activity.is_unreachable;
+    } else if (activity.is_unreachable) {
+      continue;  // lost, not paused
+    } else if (IsSilent(activity, others_silence, now) ||
+               HasJustWoken(activity, others_silence, now)) {
       ++evidence.others_silent;
-    } else if (activity.SilentFor(now) < others_silence) {
+    } else if (now - activity.heard < others_silence) {
       ++evidence.others_speaking;
     }
   }
@@ -48,7 +57,9 @@
                                        const std::vector<BackendActivity>& service) {
   std::vector<BackendKey> silent;
   for (const BackendActivity& activity : service) {
-    if (IsSilent(activity, silence, now)) silent.push_back(activity.backend);
+    if (activity.is_unreachable || IsSilent(activity, silence, now)) {
+      silent.push_back(activity.backend);
+    }
   }
   return silent;
 }
--- a/libs/relay/src/relay_context.h
+++ b/libs/relay/src/relay_context.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "cartsail/base/hash.h"
@@ -35,6 +36,8 @@
   return static_cast<int64_t>(kRequestMemoryShare * static_cast<double>(options.memory_bytes));
 }
 
+class Exchange;
+
 struct RelayContext {
   RelayContext(boost::asio::io_context& io_context, const RelayOptions& relay_options,
                const WireFormat& wire_format)
@@ -94,8 +97,9 @@
   RetryService retries;
   StreamService streams;
   int64_t requests_in_flight = 0;
-  bool draining = false;  // the node is stopping; running requests continue
-  bool refusing = false;  // the node is about to exit: new requests are refused
+  std::set<Exchange*> running;  // requests that were admitted and have not ended
+  bool draining = false;        // the node is stopping; running requests continue
+  bool refusing = false;        // the node is about to exit: new requests are refused
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -29,6 +29,7 @@
 #include "placement/cache_inventory.h"
 #include "placement/warmup_prober.h"
 #include "quarantine/quarantine_recorder.h"
+#include "request/exchange.h"
 #include "request/relay_server.h"
 #include "status/drain_alarm.h"
 #include "status/node_status.h"
@@ -50,6 +51,8 @@
 constexpr Duration kPathCheckInterval = milliseconds(100);
 constexpr Duration kDrainPollInterval = milliseconds(50);
 constexpr Duration kGraceMargin = milliseconds(400);  // left before the process would be killed
+// For the final answers of requests that still run, before the process exits.
+constexpr Duration kFinalAnswerTime = milliseconds(100);
 
 // Share of the process's memory for requests bridged for other nodes. This node's own requests and
 // answers have a separate limit.
@@ -370,7 +373,9 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     server_.StopAccepting();
     context_.refusing = true;
+    const TimePoint final_answers = last - kFinalAnswerTime;
     while (Now() < last) {
+      if (Now() >= final_answers) EndRequests();
       server_.CloseIdle();
       const bool is_idle = context_.requests_in_flight == 0 && bridges_.InUse() == 0;
       if (is_idle && server_.OpenConnections() == 0) break;
@@ -380,6 +385,12 @@
     io_.stop();
   }
 
+  // A request whose back end is silent would otherwise end with a closed connection.
+  void EndRequests() {
+    const std::set<Exchange*> running = std::exchange(context_.running, {});
+    for (Exchange* exchange : running) exchange->OnProcessEnding();
+  }
+
   const RelayDeployment& deployment_;
   asio::io_context io_;
   RelayContext context_;
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -129,6 +129,7 @@
   last_event_id_ = std::string(request_.Header("Last-Event-ID"));
 
   GlobalCounters().requests_in_flight.Set(++context_.requests_in_flight);
+  context_.running.insert(this);
   caller_->WatchForClose([weak = weak_from_this()] {
     const std::shared_ptr<Exchange> self = weak.lock();
     if (self == nullptr) return;
@@ -147,6 +148,7 @@
   const bool keep = co_await RunAdmitted();
   context_.quarantine.Unwatch(fingerprint_, watch);
   caller_->StopWatch();
+  context_.running.erase(this);
   GlobalCounters().requests_in_flight.Set(--context_.requests_in_flight);
   co_return keep && !caller_gone_;
 }
@@ -255,6 +257,12 @@
   if (upstream_ != nullptr) upstream_->Close();
 }
 
+void Exchange::OnProcessEnding() {
+  if (head_sent_) return;
+  deadline_ = std::min(deadline_, Now());
+  if (upstream_ != nullptr) upstream_->Close();
+}
+
 void Exchange::FinishAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended) {
   context_.placement.Finish(placement.ticket, outcome, Now());
   NoteEndOfAttempt(placement, outcome, ended);
@@ -366,9 +374,8 @@
   answer_ = {};
   answer_end_.reset();
   silence_ = {};
-  if (replacement_ == nullptr && !co_await CanStartAt(placement)) {
-    co_return AttemptOutcome::kWithheld;
-  }
+  const bool is_prepared = replacement_ != nullptr;
+  if (!is_prepared && !co_await CanStartAt(placement)) co_return AttemptOutcome::kWithheld;
   const OpenedPath opened = co_await OpenUpstream(placement);
   upstream_ = opened.connection;
   via_node_ = upstream_ == nullptr ? std::string() : upstream_->Over();
@@ -377,7 +384,7 @@
     ++history_.connects_failed;
     co_return OutcomeOfFailedOpen(opened);
   }
-  const bool may_go_on = co_await CanResumeAt(placement, *upstream_);
+  const bool may_go_on = is_prepared || co_await CanResumeAt(placement, *upstream_);
   if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   RefreshResidency();
   const bool may_send =
@@ -398,9 +405,7 @@
   StartSilenceWatch(placement);
   const AttemptOutcome outcome = OutcomeOfPath(co_await ExchangeWithBackend(placement));
   EndSilenceWatch();
-  if (outcome != AttemptOutcome::kAnswered) {
-    silence_ = context_.paths.EvidenceOf(placement.backend, waiting_since_, Now());
-  }
+  if (outcome != AttemptOutcome::kAnswered) NoteEvidence(placement);
   if (outcome != AttemptOutcome::kWithheld) ReleaseRetry(outcome);
   if (ProvablyNotRun(outcome)) {
     --history_.may_have_run;
@@ -490,6 +495,8 @@
 
 AttemptOutcome Exchange::OutcomeOf(UpstreamError error) const {
   if (caller_gone_) return AttemptOutcome::kCallerGone;
+  // Without this, an attempt that this node ended for want of time would look broken.
+  if (error == UpstreamError::kBroken && Now() >= deadline_) return AttemptOutcome::kTimedOut;
   switch (error) {
     case UpstreamError::kNone:
       return AttemptOutcome::kAnswered;
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -56,7 +56,7 @@
   kVersionUnconfirmed,  // it is not certain which version began the stream
   kNoRetry,             // the retry budget is spent
   kNoBackend,           // no back end is left that is not silent
-  kNotConnected,        // the chosen back end could not be reached or may not get the request
+  kNotConnected,        // the chosen back end could not be reached, or may not get the request
 };
 
 std::string_view SilenceDecisionName(SilenceDecision decision);
@@ -72,23 +72,34 @@
   // Processes the request. Returns true if the caller's connection may serve another request.
   boost::asio::awaitable<bool> Run();
 
+  // The process is about to end: the caller gets the final answer now, unless part of an answer was
+  // sent.
+  void OnProcessEnding();
+
  private:
   // A back end that is ready to take over from a silent one.
   struct Replacement {
     Placement placement;
     std::unique_ptr<RetryTicket> retry;
     std::shared_ptr<UpstreamConnection> connection;
+    AttemptOutcome outcome = AttemptOutcome::kWithheld;  // if it does not take over
   };
 
   // The watch for silence during one attempt.
   struct SilenceWatch {
     explicit SilenceWatch(boost::asio::io_context& io) : timer(io) {}
 
-    boost::asio::awaitable<void> SleepUntil(TimePoint time);
+    // Returns false if this process did not run for a while after `time`: data may wait unread.
+    boost::asio::awaitable<bool> SleepUntil(TimePoint time);
 
     Timer timer;  // cancelled at the end of the attempt
     bool ended = false;
-    std::optional<SilenceDecision> last_decision;
+    std::unique_ptr<RetryTicket> retry;      // granted, and not used yet
+    std::vector<BackendKey> unusable;        // back ends that could not take over
+    int failed_searches = 0;                 // that ended with kNotConnected
+    std::optional<SilenceDecision> decided;  // last decision
+    TimePoint logged{};                      // when a decision was logged last
+    bool idle_closed = false;                // the idle connections to the back end were closed
   };
 
   boost::asio::awaitable<void> WaitForCatalog();
@@ -172,8 +183,13 @@
   // Searches for a back end that takes over from the `silent` one; sets replacement_ on kMoved.
   boost::asio::awaitable<SilenceDecision> ReplaceSilent(std::shared_ptr<SilenceWatch> watch,
                                                         Placement silent);
-  std::vector<BackendKey> ExcludedAsReplacements();
+  // Acquires a retry for `found` and connects to it. Returns kMoved if it is ready.
+  boost::asio::awaitable<SilenceDecision> PrepareReplacement(std::shared_ptr<SilenceWatch> watch,
+                                                             Replacement& found);
   boost::asio::awaitable<bool> ConnectReplacement(Replacement& found);
+  std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch);
+  // Records what is known about the silence of the current attempt.
+  void NoteEvidence(const Placement& placement);
   // Ends the placement of a replacement to which nothing was sent.
   void ReleaseReplacement(Replacement& found);
   void NoteSilence(SilenceWatch& watch, const Placement& placement, SilenceDecision decision);
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -46,7 +46,8 @@
   is_reading_ = true;
   const UpstreamError error = co_await upstream_->ReadBody(chunk, deadline_);
   is_reading_ = false;
-  co_return error;
+  // Data that arrived after the decision to move comes again from the next back end.
+  co_return replacement_ != nullptr ? UpstreamError::kBroken : error;
 }
 
 asio::awaitable<AttemptOutcome> Exchange::DiscardStaleAnswer() {
@@ -63,12 +64,14 @@
 asio::awaitable<AttemptOutcome> Exchange::ReadMatchingHead(const Placement& placement,
                                                            ResponseHead* head) {
   const bool is_head_request = request_.method == "HEAD";
-  waiting_since_ = Now();
-  silence_timeout_ = FirstOutputTimeout(placement);
+  const TimePoint begun = Now();
   for (int i = 0; i <= kMaxStaleAnswers; ++i) {
+    waiting_since_ = begun;
+    silence_timeout_ = FirstOutputTimeout(placement);
     is_reading_ = true;
     const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, deadline_);
     is_reading_ = false;
+    if (replacement_ != nullptr) co_return OutcomeOf(UpstreamError::kBroken);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error);
     const std::string_view id = head->Header(context_.format.Names().request_id);
     // An answer to an earlier request is recorded too: it comes from the same back end.
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -31,6 +31,14 @@
 constexpr Duration kCutPathSilence = seconds(1);
 // Between two searches for a back end that can take over from a silent one.
 constexpr Duration kSearchInterval = milliseconds(200);
+// A search that could not connect to its choice is repeated at once this often, with another
+// choice.
+constexpr int kMaxImmediateSearches = 3;
+// A timer that fires later than this shows that this process did not run.
+constexpr Duration kMaxTimerLateness = milliseconds(100);
+// The retry must be valid until the request is sent, some turns of the event loop later.
+constexpr Duration kMoveMargin = milliseconds(20);
+constexpr Duration kLogInterval = seconds(1);  // between log lines about one attempt
 // A back end that has been silent for this fraction of the attempt's own silence is not chosen to
 // take over from it.
 constexpr int kReplacementSilenceDivisor = 2;
@@ -59,10 +67,11 @@
   return "unknown";
 }
 
-asio::awaitable<void> Exchange::SilenceWatch::SleepUntil(TimePoint time) {
+asio::awaitable<bool> Exchange::SilenceWatch::SleepUntil(TimePoint time) {
   timer.expires_at(time);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  co_return Now() - time < kMaxTimerLateness;
 }
 
 void Exchange::StartSilenceWatch(const Placement& placement) {
@@ -104,20 +113,23 @@
 asio::awaitable<void> Exchange::WatchSilence(std::shared_ptr<Exchange> self,
                                              std::shared_ptr<SilenceWatch> watch,
                                              Placement placement) {
+  bool has_read_all = true;
   while (!watch->ended) {
-    const TimePoint silent_from = self->SilentFrom(placement);
     const TimePoint now = Now();
-    if (now < silent_from) {
-      // The path may be found cut meanwhile.
-      co_await watch->SleepUntil(std::min(silent_from, now + kCutPathSilence));
+    // The path may be found cut meanwhile.
+    TimePoint next = std::min(self->SilentFrom(placement), now + kCutPathSilence);
+    if (!has_read_all) next = std::max(next, now + kSearchInterval);
+    if (now < next) {
+      has_read_all = co_await watch->SleepUntil(next);
       continue;
     }
     const SilenceDecision decision = co_await self->ReplaceSilent(watch, placement);
     if (watch->ended) co_return;
     self->NoteSilence(*watch, placement, decision);
     if (decision == SilenceDecision::kMoved) co_return self->upstream_->Close();
-    if (decision == SilenceDecision::kNotConnected) continue;
-    co_await watch->SleepUntil(Now() + kSearchInterval);
+    const bool is_next_search_due = decision == SilenceDecision::kNotConnected &&
+                                    ++watch->failed_searches < kMaxImmediateSearches;
+    if (!is_next_search_due) has_read_all = co_await watch->SleepUntil(Now() + kSearchInterval);
   }
 }
 
@@ -129,86 +141,111 @@
   return !IsQuarantined() && deadline_ - Now() >= kMinTimeForAttempt;
 }
 
+void Exchange::NoteEvidence(const Placement& placement) {
+  silence_ =
+      context_.paths.EvidenceOf(placement.backend, !via_node_.empty(), waiting_since_, Now());
+}
+
 asio::awaitable<SilenceDecision> Exchange::ReplaceSilent(std::shared_ptr<SilenceWatch> watch,
                                                          Placement silent) {
   const TimePoint since = waiting_since_;
-  silence_ = context_.paths.EvidenceOf(silent.backend, since, Now());
+  NoteEvidence(silent);
   if (silence_.IsServiceWide()) co_return SilenceDecision::kServiceSilent;
   if (!MayMove()) co_return SilenceDecision::kMayNotMove;
   if (!co_await IsVersionConfirmed()) co_return SilenceDecision::kVersionUnconfirmed;
-  auto found = std::make_unique<Replacement>();
-  found->retry = co_await context_.retries.Take(admitted_.profile.service);
-  if (found->retry == nullptr) co_return SilenceDecision::kNoRetry;
+  if (watch->ended) co_return SilenceDecision::kResumed;
   RefreshResidency();
   admitted_.profile.version = stream_version_;
-  const std::vector<BackendKey> excluded = ExcludedAsReplacements();
+  const std::vector<BackendKey> excluded = ExcludedAsReplacements(*watch);
   const PlacementResult result = co_await context_.placement.Place(admitted_.profile, excluded);
-  if (!result.placement.has_value()) co_return SilenceDecision::kNoBackend;
+  if (!result.placement.has_value()) {
+    watch->unusable.clear();
+    co_return SilenceDecision::kNoBackend;
+  }
+  auto found = std::make_unique<Replacement>();
   found->placement = *result.placement;
-  if (!co_await ConnectReplacement(*found)) co_return SilenceDecision::kNotConnected;
+  SilenceDecision decision = co_await PrepareReplacement(watch, *found);
   const bool is_still_silent = !watch->ended && is_reading_ && waiting_since_ == since;
-  if (!is_still_silent || !MayMove()) {
+  if (!is_still_silent || !MayMove()) decision = SilenceDecision::kResumed;
+  if (decision != SilenceDecision::kMoved) {
+    if (decision == SilenceDecision::kNotConnected) {
+      watch->unusable.push_back(found->placement.backend.key);
+    } else {
+      watch->retry.reset();
+    }
     ReleaseReplacement(*found);
-    co_return SilenceDecision::kResumed;
+    co_return decision;
   }
+  tried_.push_back(found->placement.backend.key);
+  found->retry = std::move(watch->retry);
   replacement_ = std::move(found);
   co_return SilenceDecision::kMoved;
 }
 
-// Back ends that were tried, and those that are silent themselves. One whose direct path is cut may
-// be reached over another node.
-std::vector<BackendKey> Exchange::ExcludedAsReplacements() {
-  const TimePoint now = Now();
-  const Duration silence = silence_.silent_for / kReplacementSilenceDivisor;
-  std::vector<BackendKey> excluded = tried_;
-  const std::vector<BackendActivity>& service =
-      context_.paths.ActivityOf(admitted_.profile.service, now);
-  for (const BackendKey backend : SilentBackends(silence, now, service)) {
-    if (!context_.paths.IsCut(backend)) excluded.push_back(backend);
+asio::awaitable<SilenceDecision> Exchange::PrepareReplacement(std::shared_ptr<SilenceWatch> watch,
+                                                              Replacement& found) {
+  if (watch->ended || !co_await CanStartAt(found.placement)) {
+    co_return SilenceDecision::kNotConnected;
   }
-  return excluded;
+  // A retry that another node lent is spent even if it is not used: it is kept for the next search.
+  const bool has_retry = watch->retry != nullptr && watch->retry->MaySend(Now());
+  if (!has_retry && !watch->ended) {
+    watch->retry = co_await context_.retries.Take(admitted_.profile.service);
+  }
+  if (watch->retry == nullptr) co_return SilenceDecision::kNoRetry;
+  if (watch->ended || !co_await ConnectReplacement(found)) co_return SilenceDecision::kNotConnected;
+  const bool may_send = watch->retry->MaySend(Now() + kMoveMargin);
+  co_return may_send ? SilenceDecision::kMoved : SilenceDecision::kNoRetry;
 }
 
 asio::awaitable<bool> Exchange::ConnectReplacement(Replacement& found) {
   const Placement& placement = found.placement;
-  tried_.push_back(placement.backend.key);
-  if (!co_await CanStartAt(placement)) {
-    context_.placement.Finish(placement.ticket, AttemptOutcome::kWithheld, Now());
-    co_return false;
-  }
   const PathService::OnPending nobody = [](const std::shared_ptr<UpstreamConnection>&) {};
   const OpenedPath opened = co_await OpenPath(placement, nobody);
   found.connection = opened.connection;
   if (found.connection == nullptr) {
-    ++history_.connects_failed;
-    FinishAttempt(placement, OutcomeOfFailedOpen(opened), Now());
+    found.outcome = OutcomeOfFailedOpen(opened);
     co_return false;
   }
-  const bool may_resume = co_await CanResumeAt(placement, *found.connection);
-  const bool may_send =
-      may_resume && context_.dispatcher.MaySend(placement, admitted_.profile, Now());
-  if (!may_send) ReleaseReplacement(found);
-  co_return may_send;
+  if (!co_await CanResumeAt(placement, *found.connection)) co_return false;
+  co_return context_.dispatcher.MaySend(placement, admitted_.profile, Now());
+}
+
+std::vector<BackendKey> Exchange::ExcludedAsReplacements(const SilenceWatch& watch) {
+  const TimePoint now = Now();
+  const Duration silence = silence_.silent_for / kReplacementSilenceDivisor;
+  const std::vector<BackendKey> silent =
+      SilentBackends(silence, now, context_.paths.ActivityOf(admitted_.profile.service, now));
+  std::vector<BackendKey> excluded = tried_;
+  excluded.insert(excluded.end(), silent.begin(), silent.end());
+  excluded.insert(excluded.end(), watch.unusable.begin(), watch.unusable.end());
+  return excluded;
 }
 
 void Exchange::ReleaseReplacement(Replacement& found) {
-  context_.placement.Finish(found.placement.ticket, AttemptOutcome::kWithheld, Now());
+  FinishAttempt(found.placement, found.outcome, Now());
+  if (found.connection == nullptr) return;
   context_.pool.Return(found.placement.backend.key, std::move(found.connection));
 }
 
-// The first decision about an attempt is logged, and each one that differs from the last.
+// Logs the first decision about an attempt and the move; of the others, those that differ from the
+// one before, at most one a second.
 void Exchange::NoteSilence(SilenceWatch& watch, const Placement& placement,
                            SilenceDecision decision) {
+  const TimePoint now = Now();
   Counters& counters = GlobalCounters();
-  if (!watch.last_decision.has_value()) {
-    counters.silent_attempts_total.Add();
+  const bool is_first = !watch.decided.has_value();
+  const bool is_moved = decision == SilenceDecision::kMoved;
+  if (is_first) counters.silent_attempts_total.Add();
+  if (is_moved) counters.silent_attempts_moved_total.Add();
+  if (decision != SilenceDecision::kServiceSilent && !std::exchange(watch.idle_closed, true)) {
     // The idle connections may be silent for good although new ones work.
     context_.pool.CloseIdle(placement.backend.key);
   }
-  if (watch.last_decision == decision) return;
-  watch.last_decision = decision;
-  const bool is_moved = decision == SilenceDecision::kMoved;
-  if (is_moved) counters.silent_attempts_moved_total.Add();
+  const bool differs = watch.decided != decision;
+  watch.decided = decision;
+  if (!is_moved && (!differs || now - watch.logged < kLogInterval)) return;
+  watch.logged = now;
   if (is_moved || decision == SilenceDecision::kNoRetry) {
     NoteRetryDecision(is_moved ? replacement_->retry.get() : nullptr);
   }
@@ -223,10 +260,11 @@
        {"others_silent", std::to_string(silence_.others_silent)},
        {"others_speaking", std::to_string(silence_.others_speaking)},
        {"path_cut", silence_.is_path_cut ? "true" : "false"},
+       {"unreachable", silence_.is_unreachable ? "true" : "false"},
        {"over", via_node_},
        {"head_sent", head_sent_ ? "true" : "false"},
        {"last_event", last_event_id_},
-       {"left_ms", fmt::format("{:.0f}", ToMillis(deadline_ - Now()))}});
+       {"left_ms", fmt::format("{:.0f}", ToMillis(deadline_ - now))}});
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/upstream/bridge_server.cc
+++ b/libs/relay/src/upstream/bridge_server.cc
@@ -202,7 +202,7 @@
 
   void EndWaiting() {
     if (!std::exchange(is_waiting_, false)) return;
-    use_->End();
+    use_->End(Now());
     upstream_->Transport().expires_never();
   }
 
--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -79,22 +79,34 @@
   if (now - activity.read < kActivityAge) return activity.backends;
   activity.read = now;
   activity.backends.clear();
-  for (const auto& [key, use] : uses_) {
-    if (!use->IsActive(kRecentActivity, now)) continue;
-    const Backend* known = dispatcher_.Registry().FindByKey(key);
-    if (known == nullptr || known->service != service) continue;
-    activity.backends.push_back(use->Activity(key));
+  for (const auto* uses : {&uses_, &bridged_uses_}) {
+    for (const auto& [key, use] : *uses) {
+      // Silence on a cut path does not tell anything about the back end.
+      const bool is_cut = uses == &uses_ && table_.IsCut(key);
+      if (is_cut || !use->IsActive(kRecentActivity, now)) continue;
+      const Backend* known = dispatcher_.Registry().FindByKey(key);
+      if (known == nullptr || known->service != service) continue;
+      activity.backends.push_back(use->Activity(key));
+      activity.backends.back().is_unreachable = table_.HasFailed(key, now) && !table_.IsCut(key);
+    }
   }
   return activity.backends;
 }
 
-SilenceEvidence PathService::EvidenceOf(const Backend& backend, TimePoint since, TimePoint now) {
+SilenceEvidence PathService::EvidenceOf(const Backend& backend, bool is_bridged, TimePoint since,
+                                        TimePoint now) {
   SilenceEvidence evidence =
       EvidenceOfSilence(backend.key, since, now, ActivityOf(backend.service, now));
-  evidence.is_path_cut = table_.IsCut(backend.key);
+  evidence.is_path_cut = !is_bridged && table_.IsCut(backend.key);
   return evidence;
 }
 
+std::shared_ptr<PathUse> PathService::BridgedUseOf(BackendKey backend) {
+  std::shared_ptr<PathUse>& use = bridged_uses_[backend];
+  if (use == nullptr) use = std::make_shared<PathUse>([] {});
+  return use;
+}
+
 std::shared_ptr<UpstreamConnection> PathService::TakeIdle(BackendKey backend,
                                                           const RegionSet& allowed) {
   const bool is_cut = table_.IsCut(backend);
@@ -189,7 +201,10 @@
   opened.connection = round->connection;
   const bool all_answered = next == bridges.size() && round->running == 0;
   if (opened.connection != nullptr || all_answered) opened.verdict = round->evidence.Verdict();
-  if (opened.connection != nullptr) NoteReached(backend);
+  if (opened.connection != nullptr) {
+    opened.connection->SetUse(BridgedUseOf(backend.key));
+    NoteReached(backend);
+  }
   const bool nobody_knows = opened.verdict == PathVerdict::kUnknown;
   opened.says_nothing_of_backend =
       nobody_knows && (table_.IsCut(backend.key) || peers_.HasBridge());
@@ -380,8 +395,10 @@
   };
   table_.ForgetUnless(is_known);
   NoteLostAll();
-  std::erase_if(uses_,
-                [&](const auto& use) { return use.second->IsIdle() && !is_known(use.first); });
+  for (auto* uses : {&uses_, &bridged_uses_}) {
+    std::erase_if(*uses,
+                  [&](const auto& use) { return use.second->IsIdle() && !is_known(use.first); });
+  }
   std::erase_if(examined_, [&](const auto& entry) { return !is_known(entry.first); });
   std::erase_if(last_bridges_, [&](const auto& entry) {
     return !is_known(entry.first) || now - entry.second.when > kLastBridgeRetention;
--- a/libs/relay/src/upstream/path_service.h
+++ b/libs/relay/src/upstream/path_service.h
@@ -75,12 +75,13 @@
   // Activity on the direct connections to the back end, including those made for other nodes.
   std::shared_ptr<PathUse> UseOf(BackendKey backend);
 
-  // What this node sees of the back end and of its service while an attempt there has received no
-  // data since `since`.
-  SilenceEvidence EvidenceOf(const Backend& backend, TimePoint since, TimePoint now);
+  // What this node sees of the back end and of its service while an attempt there, over another
+  // node if `is_bridged`, has received no data since `since`.
+  SilenceEvidence EvidenceOf(const Backend& backend, bool is_bridged, TimePoint since,
+                             TimePoint now);
 
-  // Activity on this node's direct connections to the back ends of `service` that it uses; up to
-  // 50 ms old.
+  // Activity on this node's connections to the back ends of `service` that it uses; up to 50 ms
+  // old. A back end that is used directly and over other nodes is listed twice.
   const std::vector<BackendActivity>& ActivityOf(const std::string& service, TimePoint now);
 
   size_t CutPaths() const { return table_.CutPaths(); }
@@ -141,6 +142,7 @@
   boost::asio::awaitable<ConnectResult> ConnectOwn(Backend backend);
   std::vector<std::string> Bridges(BackendKey backend, const RegionSet& allowed, size_t most);
   bool IsBridge(const std::string& host) const;
+  std::shared_ptr<PathUse> BridgedUseOf(BackendKey backend);
   void NoteBridge(BackendKey backend, const std::string& host, BridgeResult result);
   void NoteReached(const Backend& backend);
   void ExamineSilent(TimePoint now);
@@ -153,8 +155,9 @@
   PeerTable& peers_;
   UpstreamPool& pool_;
   PathTable table_;
-  std::unordered_map<BackendKey, std::shared_ptr<PathUse>> uses_;
-  std::map<std::string, ServiceActivity> activities_;   // by service
+  std::unordered_map<BackendKey, std::shared_ptr<PathUse>> uses_;          // direct
+  std::unordered_map<BackendKey, std::shared_ptr<PathUse>> bridged_uses_;  // over other nodes
+  std::map<std::string, ServiceActivity> activities_;                      // by service
   std::unordered_map<BackendKey, TimePoint> examined_;  // last ExamineSoon() that ran
   std::unordered_map<BackendKey, std::shared_ptr<Examination>> examinations_;
   std::unordered_map<BackendKey, LastBridge> last_bridges_;
--- a/libs/relay/src/upstream/path_use.h
+++ b/libs/relay/src/upstream/path_use.h
@@ -1,4 +1,5 @@
-// Activity on this node's direct connections to one back end: when data was last received on any.
+// Activity on this node's connections to one back end, either the direct or the bridged ones: when
+// data was last received on any.
 // Not thread-safe.
 #pragma once
 
@@ -18,14 +19,22 @@
 
   // Records that a request is being sent.
   void Begin(TimePoint now) {
-    if (waiting_++ == 0) waiting_since_ = now;
+    // Callers that leave a silent back end, and others that come, do not make it look less silent.
+    const bool is_overdue = heard_ < waiting_since_ && now - ended_ < kIdleTime;
+    if (waiting_++ == 0 && !is_overdue) waiting_since_ = now;
   }
 
   // Records that a response has ended, or will never arrive.
-  void End() { --waiting_; }
+  void End(TimePoint now) {
+    --waiting_;
+    ended_ = now;
+  }
 
   void NoteHeard(bool is_first, TimePoint now) {
-    if (now - heard_ > kSpeakingGap) speaking_since_ = now;
+    if (now - heard_ > kSpeakingGap) {
+      speaking_since_ = now;
+      silent_before_ = waiting_ > 0 ? now - std::max(heard_, waiting_since_) : Duration(0);
+    }
     heard_ = now;
     if (is_first) on_way_();
   }
@@ -44,17 +53,22 @@
   }
 
   BackendActivity Activity(BackendKey backend) const {
-    return {backend, waiting_ > 0, waiting_since_, heard_, speaking_since_};
+    return {backend, waiting_ > 0, waiting_since_, heard_, speaking_since_, silent_before_};
   }
 
   bool IsIdle() const { return waiting_ == 0; }
 
  private:
+  // Without pending responses for this long, the back end is idle and not overdue.
+  static constexpr Duration kIdleTime = seconds(1);
+
   std::function<void()> on_way_;
   int waiting_ = 0;
+  TimePoint ended_{};  // when a response ended last
   TimePoint waiting_since_{};
   TimePoint heard_{};
   TimePoint speaking_since_{};
+  Duration silent_before_{};
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -172,7 +172,7 @@
 
 void UpstreamConnection::EndWaiting() {
   if (!std::exchange(is_waiting_, false) || use_ == nullptr) return;
-  use_->End();
+  use_->End(Now());
 }
 
 asio::awaitable<UpstreamError> UpstreamConnection::ReadHead(ResponseHead* head,
--- a/libs/relay/tests/broken_off_bridges_test.cc
+++ b/libs/relay/tests/broken_off_bridges_test.cc
@@ -87,7 +87,7 @@
   const BridgeResult result = co_await connection->ConnectOver(bridge, order, deadline);
   if (result != BridgeResult::kConnected) co_return;
   const auto body = std::make_shared<const std::string>();
-  const SentRequest about{"r1", seconds(5), false};
+  const SentRequest about{"r1", seconds(5)};
   connection->StartRequest("GET /a HTTP/1.1\r\nHost: h\r\n\r\n", body, about);
   ResponseHead head;
   answer->error = co_await connection->ReadHead(&head, false, deadline);
