Placement: an engine whose outputs are overdue stays so while it is sent prompts

What callers saw: while most engines of a service paused, requests that may be sent only once (receipt-tag) were placed at the paused ones and got nothing, while less urgent prompts began at the engine that still answered (TIER). Cause: PrefillBacklog counts overdue first outputs, but each prompt added moved the time at which the output was due to now, so a paused engine looked free again 40 ms later and got the next request. Change: the due time is that of the oldest prompt without output, and only an answer of the engine moves it; neither a further prompt nor a caller that leaves does.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -311,6 +311,8 @@
   void Begin(const RequestProfile& profile, AttemptOrigin origin, Placement* placement,
              TimePoint now);
   void BeginPrompt(const RequestProfile& profile, Running* running, TimePoint now);
+  void End(PlacementTicket ticket, bool has_answered, TimePoint now);
+  void RemoveFromBacklog(const Running& running, bool has_answered, TimePoint now);
   void NotePrefixes(const RequestProfile& profile, BackendKey backend, AttemptOrigin origin,
                     TimePoint now);
 
--- a/libs/dispatch/include/cartsail/dispatch/prefill_backlog.h
+++ b/libs/dispatch/include/cartsail/dispatch/prefill_backlog.h
@@ -3,7 +3,7 @@
 // Prompts are processed one after the other, so the backlog grows with each prompt placed and
 // shrinks with time. It never exceeds the prefill time of the prompts without first output. When
 // their first outputs are overdue, the engine is slower than expected or does not respond, and the
-// backlog grows with the time by which they are overdue.
+// backlog grows with the time by which they are overdue, until the engine answers a request.
 #pragma once
 
 #include <deque>
@@ -20,7 +20,10 @@
   // Records that a prompt with a prefill time of `prefill_ms` was placed.
   void Add(BackendKey backend, double prefill_ms, TimePoint now);
 
-  // Records that the prompt has been processed, or that its request has ended.
+  // Records that the engine has answered the prompt's request, by its first output or otherwise.
+  void Answered(BackendKey backend, double prefill_ms, TimePoint now);
+
+  // Records that the prompt's request has ended without an answer of the engine.
   void Remove(BackendKey backend, double prefill_ms, TimePoint now);
 
   // Remaining prefill time in milliseconds.
@@ -43,9 +46,12 @@
     int64_t prompts = 0;   // prompts without first output
     double unread_ms = 0;  // their total prefill time
     TimePoint busy_until;
+    TimePoint output_due;    // when the engine's next first output was expected
     std::deque<Peak> peaks;  // strictly decreasing; a higher one removes those before it
   };
 
+  static double ScheduledMillis(const Queue& queue, TimePoint now);
+  static double OverdueMillis(const Queue& queue, TimePoint now);
   static double LeftMillis(const Queue& queue, TimePoint now);
 
   std::unordered_map<BackendKey, Queue> queues_;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -9,6 +9,13 @@
 constexpr Duration kWorkWindow = seconds(5);
 constexpr size_t kMaxDigestPrefixes = 64;
 constexpr int64_t kMinEventsForPause = 12;  // fewest events of a stream that give a mean pause
+
+// True if the back end has sent a complete answer.
+bool HasAnswered(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kFailedAnswer ||
+         outcome == AttemptOutcome::kRefused || outcome == AttemptOutcome::kWrongInstance;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(PlacementPolicy policy, std::string zone, RegionMap regions, uint32_t seed)
@@ -198,7 +205,7 @@
   }
   running.last_output = now;
   running.first_output = now;
-  backlog_.Remove(running.backend, running.backlog_ms, now);
+  backlog_.Answered(running.backend, running.backlog_ms, now);
   for (const uint64_t part : running.shared_parts) prefixes_.NoteRead(part, running.backend);
   loads_.FirstOutput(running.backend, running.prefill_ms);
   const Backend* known = registry_.FindByKey(running.backend);
@@ -228,19 +235,29 @@
   pauses_.Note(running.backend, pauses, backlog_ms);
 }
 
-void Dispatcher::Drop(PlacementTicket ticket, TimePoint now) {
+void Dispatcher::Drop(PlacementTicket ticket, TimePoint now) { End(ticket, false, now); }
+
+void Dispatcher::End(PlacementTicket ticket, bool has_answered, TimePoint now) {
   const auto entry = running_.find(ticket);
   if (entry == running_.end()) return;
   const Running& running = entry->second;
   if (running.outputs == 0) {
     loads_.FirstOutput(running.backend, running.prefill_ms);
-    backlog_.Remove(running.backend, running.backlog_ms, now);
+    RemoveFromBacklog(running, has_answered, now);
   }
   risk_.End(running.backend, running.risk);
   loads_.End(running.backend, running.is_light);
   running_.erase(entry);
 }
 
+void Dispatcher::RemoveFromBacklog(const Running& running, bool has_answered, TimePoint now) {
+  if (has_answered) {
+    backlog_.Answered(running.backend, running.backlog_ms, now);
+  } else {
+    backlog_.Remove(running.backend, running.backlog_ms, now);
+  }
+}
+
 void Dispatcher::Finish(PlacementTicket ticket, AttemptOutcome outcome, TimePoint now) {
   const auto entry = running_.find(ticket);
   if (entry == running_.end()) return;
@@ -252,7 +269,7 @@
   if (outcome == AttemptOutcome::kAnswered && running.outputs > 0) {
     run_times_.Note(running.service, running.pause_bound, now - running.first_output);
   }
-  Drop(ticket, now);
+  End(ticket, HasAnswered(outcome), now);
   const Backend* known = registry_.FindByKey(backend);
   if (known == nullptr) return;
   health_.Note(backend, outcome, origin, now);
--- a/libs/dispatch/src/prefill_backlog.cc
+++ b/libs/dispatch/src/prefill_backlog.cc
@@ -13,12 +13,19 @@
 
 }  // namespace
 
+double PrefillBacklog::ScheduledMillis(const Queue& queue, TimePoint now) {
+  return std::clamp(ToMillis(queue.busy_until - now), 0.0, queue.unread_ms);
+}
+
+double PrefillBacklog::OverdueMillis(const Queue& queue, TimePoint now) {
+  return std::max(0.0, ToMillis(now - queue.output_due - kOutputDelay));
+}
+
+// An overdue engine is slower than expected or does not respond. It is expected to take as long
+// again.
 double PrefillBacklog::LeftMillis(const Queue& queue, TimePoint now) {
   if (queue.prompts == 0) return 0;
-  if (now <= queue.busy_until) return std::min(ToMillis(queue.busy_until - now), queue.unread_ms);
-  // Overdue: the engine is slower than expected or does not respond. The backlog is estimated as
-  // the time overdue.
-  return std::max(0.0, ToMillis(now - queue.busy_until - kOutputDelay));
+  return ScheduledMillis(queue, now) + OverdueMillis(queue, now);
 }
 
 void PrefillBacklog::Add(BackendKey backend, double prefill_ms, TimePoint now) {
@@ -26,8 +33,10 @@
   const TimePoint free_at = std::max(now, queue.busy_until);
   queue.busy_until = free_at + FromSeconds(prefill_ms / 1e3);
   queue.unread_ms += prefill_ms;
-  ++queue.prompts;
-  const double backlog_ms = LeftMillis(queue, now);
+  // Further prompts do not postpone the output that is due: an engine that does not respond would
+  // never be overdue while it is sent requests.
+  if (queue.prompts++ == 0) queue.output_due = queue.busy_until;
+  const double backlog_ms = ScheduledMillis(queue, now);
   while (!queue.peaks.empty() && queue.peaks.back().backlog_ms <= backlog_ms) {
     queue.peaks.pop_back();
   }
@@ -37,6 +46,16 @@
   queue.peaks.push_back({now, backlog_ms});
 }
 
+void PrefillBacklog::Answered(BackendKey backend, double prefill_ms, TimePoint now) {
+  const auto entry = queues_.find(backend);
+  if (entry == queues_.end()) return;
+  Queue& queue = entry->second;
+  const bool was_overdue = OverdueMillis(queue, now) > 0;
+  Remove(backend, prefill_ms, now);
+  queue.output_due = now + FromSeconds(queue.unread_ms / 1e3);
+  if (was_overdue) queue.busy_until = queue.output_due;
+}
+
 void PrefillBacklog::Remove(BackendKey backend, double prefill_ms, TimePoint now) {
   const auto entry = queues_.find(backend);
   if (entry == queues_.end()) return;
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -177,6 +177,25 @@
   return digest;
 }
 
+// Eight of nine engines pause; the ninth answers at once. Requests that may be sent only once were
+// placed at the paused ones as if these were free, and got no answer.
+Test(dispatcher, urgent_requests_go_to_the_engine_that_answers_while_the_others_are_silent) {
+  Dispatcher dispatcher = MakeDispatcher(9);
+  int lost = 0;
+  for (int i = 0; i < 150; ++i) {
+    const TimePoint now = kStart + milliseconds(20) * i;
+    const std::optional<Placement> placement =
+        dispatcher.Place(Urgent(static_cast<uint64_t>(i)), {}, now);
+    if (placement->backend.id != "e0") {
+      ++lost;
+      continue;
+    }
+    dispatcher.Output(placement->ticket, now + milliseconds(15));
+    dispatcher.Finish(placement->ticket, AttemptOutcome::kAnswered, now + milliseconds(19));
+  }
+  cr_assert(lost <= 3 * 8, "%d of 150 requests were placed at paused engines", lost);
+}
+
 Test(dispatcher, peer_loads_count_until_they_expire) {
   Dispatcher dispatcher = MakeDispatcher(2);
   dispatcher.ApplyDigest("n2", BusyAt("e0"), seconds(1), kStart);
--- a/libs/dispatch/tests/stream_risk_test.cc
+++ b/libs/dispatch/tests/stream_risk_test.cc
@@ -107,6 +107,18 @@
   cr_assert(backlog.Millis(kEngine, kStart + seconds(1)) == 0);
 }
 
+// A paused engine looked free 40 ms after each prompt placed there, so the next went there as well.
+Test(reading_backlog, further_prompts_at_a_silent_engine_do_not_make_it_look_free) {
+  PrefillBacklog backlog;
+  for (int i = 0; i < 20; ++i) backlog.Add(kEngine, 5, kStart + milliseconds(50) * i);
+  const TimePoint later = kStart + seconds(1);
+  cr_assert(backlog.Millis(kEngine, later) > 900, "%f", backlog.Millis(kEngine, later));
+  backlog.Remove(kEngine, 5, later);
+  cr_assert(backlog.Millis(kEngine, later) > 900, "a caller that left says nothing of the engine");
+  backlog.Answered(kEngine, 5, later);
+  cr_assert(Near(backlog.Millis(kEngine, later), 18 * 5), "%f", backlog.Millis(kEngine, later));
+}
+
 Test(reading_backlog, nothing_is_left_over_when_all_prompts_are_read) {
   PrefillBacklog backlog;
   for (const double prefill_ms : {0.1, 0.2, 0.7}) backlog.Add(kEngine, prefill_ms, kStart);
