Search for a replacement: look before placing, ask with a margin, end at the deadline

Review of: each denied search placed at a back end first (6 placements in 1.2 s of one silent attempt), which counts as load and against the limits of metered ones; a failed connect five seconds ago made a speaking back end look lost; an exchange between two attempts sent after its deadline; a move decided in the last turn went on after it.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -113,8 +113,10 @@
   };
   Backoffs BackoffsFor(const RequestProfile& profile, TimePoint now);
 
-  // Number of ready back ends of the request's service that its data residency and version allow.
-  size_t ReadyFor(const RequestProfile& profile, TimePoint now);
+  // Number of ready back ends of the request's service, other than those in `excluded`, that its
+  // data residency and version allow.
+  size_t ReadyFor(const RequestProfile& profile, TimePoint now,
+                  const std::vector<BackendKey>& excluded = {});
 
   // As MayReceive(). Also false when the grant for a metered back end has expired, or when a back
   // end placed without a grant has become cold or rate-limited since.
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -126,14 +126,16 @@
   return backoffs;
 }
 
-size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now) {
+size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now,
+                            const std::vector<BackendKey>& excluded) {
   const RegionSet allowed = registry_.Regions().AllowedFor(profile);
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
   const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now).Members();
-  const auto is_allowed = [this, &allowed, &profile](const PoolMember& member) {
+  const auto is_allowed = [&](const PoolMember& member) {
     const Backend* backend = registry_.FindOpen(member.key);
     return backend != nullptr && allowed.Allows(backend->region) &&
-           MatchesVersion(profile, *backend);
+           MatchesVersion(profile, *backend) &&
+           std::find(excluded.begin(), excluded.end(), member.key) == excluded.end();
   };
   return static_cast<size_t>(std::count_if(members.begin(), members.end(), is_allowed));
 }
--- a/libs/reachability/include/cartsail/reachability/path_table.h
+++ b/libs/reachability/include/cartsail/reachability/path_table.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -24,9 +25,9 @@
   // arrived on it.
   void NoteFailed(BackendKey backend, TimePoint now);
 
-  // True if a connection of this node to the backend failed recently and none has been established
-  // since.
-  bool HasFailed(BackendKey backend, TimePoint now) const;
+  // When a connection of this node to the backend failed last, if that was recently and none has
+  // been established since.
+  std::optional<TimePoint> FailedAt(BackendKey backend, TimePoint now) const;
 
   // Another node has connected to the backend. Returns true if that marks the path as cut: a
   // connection of this node failed within the last 5 s, and the path was not marked before.
--- a/libs/reachability/include/cartsail/reachability/silence_evidence.h
+++ b/libs/reachability/include/cartsail/reachability/silence_evidence.h
@@ -18,7 +18,7 @@
   TimePoint heard{};            // when data was last received; the zero time if never
   TimePoint speaking_since{};   // start of the period in which data arrived without a long gap
   Duration silent_before{};     // how long responses were overdue before that period
-  bool is_unreachable = false;  // the last connection to it could not be made
+  bool is_unreachable = false;  // a connection failed, and no data was received since
 
   // Without pending responses, the time since data was last received.
   Duration SilentFor(TimePoint now) const;
--- a/libs/reachability/src/path_table.cc
+++ b/libs/reachability/src/path_table.cc
@@ -33,13 +33,14 @@
 
 void PathTable::NoteFailed(BackendKey backend, TimePoint now) { failed_[backend] = now; }
 
-bool PathTable::HasFailed(BackendKey backend, TimePoint now) const {
+std::optional<TimePoint> PathTable::FailedAt(BackendKey backend, TimePoint now) const {
   const auto failure = failed_.find(backend);
-  return failure != failed_.end() && now - failure->second <= kFailureValidity;
+  if (failure == failed_.end() || now - failure->second > kFailureValidity) return std::nullopt;
+  return failure->second;
 }
 
 bool PathTable::NoteReachedByOther(BackendKey backend, TimePoint now) {
-  if (!HasFailed(backend, now)) return false;
+  if (!FailedAt(backend, now).has_value()) return false;
   const bool is_new = cut_.try_emplace(backend, CutPath{now + kFirstProbeDelay, 0}).second;
   consecutive_cuts_.insert(backend);
   if (consecutive_cuts_.size() >= kCutsToLoseAll) has_lost_all_ = true;
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -198,7 +198,8 @@
       LogAnswered();
       co_return keep_alive_;
     }
-    if (replacement_ != nullptr) continue;  // all of the following was checked for it
+    // All of the following was checked for the replacement.
+    if (replacement_ != nullptr && outcome == AttemptOutcome::kSilent) continue;
     if (bound_to_backend_ || !MayRetry(*admitted_.route, outcome, history_)) break;
     if (!co_await IsVersionConfirmed()) break;
     if (deadline_ - Now() < kMinTimeForAttempt) break;
@@ -394,6 +395,10 @@
     context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
     co_return AttemptOutcome::kWithheld;
   }
+  if (Now() >= deadline_) {
+    context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
+    co_return AttemptOutcome::kTimedOut;
+  }
   ++history_.attempts;
   ++history_.may_have_run;
   if (retry_ != nullptr) retry_->NoteSent();
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -183,10 +183,8 @@
   // Searches for a back end that takes over from the `silent` one; sets replacement_ on kMoved.
   boost::asio::awaitable<SilenceDecision> ReplaceSilent(std::shared_ptr<SilenceWatch> watch,
                                                         Placement silent);
-  // Acquires a retry for `found` and connects to it. Returns kMoved if it is ready.
-  boost::asio::awaitable<SilenceDecision> PrepareReplacement(std::shared_ptr<SilenceWatch> watch,
-                                                             Replacement& found);
-  boost::asio::awaitable<bool> ConnectReplacement(Replacement& found);
+  // Returns true if `found` is connected and may get the request.
+  boost::asio::awaitable<bool> ConnectReplacement(const SilenceWatch& watch, Replacement& found);
   std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch);
   // Records what is known about the silence of the current attempt.
   void NoteEvidence(const Placement& placement);
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -36,7 +36,7 @@
 constexpr int kMaxImmediateSearches = 3;
 // A timer that fires later than this shows that this process did not run.
 constexpr Duration kMaxTimerLateness = milliseconds(100);
-// The retry must be valid until the request is sent, some turns of the event loop later.
+// What was granted must be valid until the request is sent, some turns of the event loop later.
 constexpr Duration kMoveMargin = milliseconds(20);
 constexpr Duration kLogInterval = seconds(1);  // between log lines about one attempt
 // A back end that has been silent for this fraction of the attempt's own silence is not chosen to
@@ -157,22 +157,27 @@
   RefreshResidency();
   admitted_.profile.version = stream_version_;
   const std::vector<BackendKey> excluded = ExcludedAsReplacements(*watch);
-  const PlacementResult result = co_await context_.placement.Place(admitted_.profile, excluded);
-  if (!result.placement.has_value()) {
+  // Looks before it places: a placement counts as load and against the limits of the back end.
+  if (context_.dispatcher.ReadyFor(admitted_.profile, Now(), excluded) == 0) {
     watch->unusable.clear();
     co_return SilenceDecision::kNoBackend;
   }
+  // A retry that another node lent is spent even if it is not used: it is kept for the next search.
+  const bool has_retry = watch->retry != nullptr && watch->retry->MaySend(Now());
+  if (!has_retry) watch->retry = co_await context_.retries.Take(admitted_.profile.service);
+  if (watch->retry == nullptr) co_return SilenceDecision::kNoRetry;
+  if (watch->ended) co_return SilenceDecision::kResumed;
+  const PlacementResult result = co_await context_.placement.Place(admitted_.profile, excluded);
+  if (!result.placement.has_value()) co_return SilenceDecision::kNoBackend;
   auto found = std::make_unique<Replacement>();
   found->placement = *result.placement;
-  SilenceDecision decision = co_await PrepareReplacement(watch, *found);
+  SilenceDecision decision = SilenceDecision::kNotConnected;
+  if (co_await ConnectReplacement(*watch, *found)) decision = SilenceDecision::kMoved;
   const bool is_still_silent = !watch->ended && is_reading_ && waiting_since_ == since;
   if (!is_still_silent || !MayMove()) decision = SilenceDecision::kResumed;
   if (decision != SilenceDecision::kMoved) {
-    if (decision == SilenceDecision::kNotConnected) {
-      watch->unusable.push_back(found->placement.backend.key);
-    } else {
-      watch->retry.reset();
-    }
+    watch->unusable.push_back(found->placement.backend.key);
+    if (decision == SilenceDecision::kResumed) watch->retry.reset();
     ReleaseReplacement(*found);
     co_return decision;
   }
@@ -182,24 +187,9 @@
   co_return SilenceDecision::kMoved;
 }
 
-asio::awaitable<SilenceDecision> Exchange::PrepareReplacement(std::shared_ptr<SilenceWatch> watch,
-                                                              Replacement& found) {
-  if (watch->ended || !co_await CanStartAt(found.placement)) {
-    co_return SilenceDecision::kNotConnected;
-  }
-  // A retry that another node lent is spent even if it is not used: it is kept for the next search.
-  const bool has_retry = watch->retry != nullptr && watch->retry->MaySend(Now());
-  if (!has_retry && !watch->ended) {
-    watch->retry = co_await context_.retries.Take(admitted_.profile.service);
-  }
-  if (watch->retry == nullptr) co_return SilenceDecision::kNoRetry;
-  if (watch->ended || !co_await ConnectReplacement(found)) co_return SilenceDecision::kNotConnected;
-  const bool may_send = watch->retry->MaySend(Now() + kMoveMargin);
-  co_return may_send ? SilenceDecision::kMoved : SilenceDecision::kNoRetry;
-}
-
-asio::awaitable<bool> Exchange::ConnectReplacement(Replacement& found) {
+asio::awaitable<bool> Exchange::ConnectReplacement(const SilenceWatch& watch, Replacement& found) {
   const Placement& placement = found.placement;
+  if (watch.ended || !co_await CanStartAt(placement)) co_return false;
   const PathService::OnPending nobody = [](const std::shared_ptr<UpstreamConnection>&) {};
   const OpenedPath opened = co_await OpenPath(placement, nobody);
   found.connection = opened.connection;
@@ -208,7 +198,9 @@
     co_return false;
   }
   if (!co_await CanResumeAt(placement, *found.connection)) co_return false;
-  co_return context_.dispatcher.MaySend(placement, admitted_.profile, Now());
+  const TimePoint sent_by = Now() + kMoveMargin;
+  co_return watch.retry->MaySend(sent_by) &&
+      context_.dispatcher.MaySend(placement, admitted_.profile, sent_by);
 }
 
 std::vector<BackendKey> Exchange::ExcludedAsReplacements(const SilenceWatch& watch) {
--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -87,7 +87,9 @@
       const Backend* known = dispatcher_.Registry().FindByKey(key);
       if (known == nullptr || known->service != service) continue;
       activity.backends.push_back(use->Activity(key));
-      activity.backends.back().is_unreachable = table_.HasFailed(key, now) && !table_.IsCut(key);
+      const std::optional<TimePoint> failed = table_.FailedAt(key, now);
+      const bool is_lost = failed.has_value() && use->Heard() < *failed;
+      activity.backends.back().is_unreachable = is_lost && !table_.IsCut(key);
     }
   }
   return activity.backends;
