--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -79,22 +79,36 @@
   if (now - activity.read < kActivityAge) return activity.backends;
   activity.read = now;
   activity.backends.clear();
-  for (const auto& [key, use] : uses_) {
-    if (!use->IsActive(kRecentActivity, now)) continue;
-    const Backend* known = dispatcher_.Registry().FindByKey(key);
-    if (known == nullptr || known->service != service) continue;
-    activity.backends.push_back(use->Activity(key));
+  for (const auto* uses : {&uses_, &bridged_uses_}) {
+    for (const auto& [key, use] : *uses) {
+      // Silence on a cut path does not tell anything about the back end.
+      const bool is_cut = uses == &uses_ && table_.IsCut(key);
+      if (is_cut || !use->IsActive(kRecentActivity, now)) continue;
+      const Backend* known = dispatcher_.Registry().FindByKey(key);
+      if (known == nullptr || known->service != service) continue;
+      activity.backends.push_back(use->Activity(key));
+      const std::optional<TimePoint> failed = table_.FailedAt(key, now);
+      const bool is_lost = failed.has_value() && use->Heard() < *failed;
+      activity.backends.back().is_unreachable = is_lost && !table_.IsCut(key);
+    }
   }
   return activity.backends;
 }
 
-SilenceEvidence PathService::EvidenceOf(const Backend& backend, TimePoint since, TimePoint now) {
+SilenceEvidence PathService::EvidenceOf(const Backend& backend, bool is_bridged, TimePoint since,
+                                        TimePoint now) {
   SilenceEvidence evidence =
       EvidenceOfSilence(backend.key, since, now, ActivityOf(backend.service, now));
-  evidence.is_path_cut = table_.IsCut(backend.key);
+  evidence.is_path_cut = !is_bridged && table_.IsCut(backend.key);
   return evidence;
 }
 
+std::shared_ptr<PathUse> PathService::BridgedUseOf(BackendKey backend) {
+  std::shared_ptr<PathUse>& use = bridged_uses_[backend];
+  if (use == nullptr) use = std::make_shared<PathUse>([] {});
+  return use;
+}
+
 std::shared_ptr<UpstreamConnection> PathService::TakeIdle(BackendKey backend,
                                                           const RegionSet& allowed) {
   const bool is_cut = table_.IsCut(backend);
@@ -189,7 +203,10 @@
   opened.connection = round->connection;
   const bool all_answered = next == bridges.size() && round->running == 0;
   if (opened.connection != nullptr || all_answered) opened.verdict = round->evidence.Verdict();
-  if (opened.connection != nullptr) NoteReached(backend);
+  if (opened.connection != nullptr) {
+    opened.connection->SetUse(BridgedUseOf(backend.key));
+    NoteReached(backend);
+  }
   const bool nobody_knows = opened.verdict == PathVerdict::kUnknown;
   opened.says_nothing_of_backend =
       nobody_knows && (table_.IsCut(backend.key) || peers_.HasBridge());
@@ -350,16 +367,10 @@
   return hosts;
 }
 
-// Handles back ends whose connections are silent while requests wait: closes the connections on cut
-// paths and examines the others.
-void PathService::GiveUpSilent(TimePoint now) {
+// Examines the paths to back ends that are silent while requests wait.
+void PathService::ExamineSilent(TimePoint now) {
   for (const auto& [backend, use] : uses_) {
-    if (!use->IsSilent(kSilence, now)) continue;
-    if (table_.IsCut(backend)) {
-      for (const auto& connection : use->InUse()) connection->GiveUpIfSilent(kSilence, now);
-      continue;
-    }
-    ExamineSoon(backend);
+    if (use->IsSilent(kSilence, now) && !table_.IsCut(backend)) ExamineSoon(backend);
   }
 }
 
@@ -374,7 +385,7 @@
 }
 
 void PathService::Tick(TimePoint now) {
-  GiveUpSilent(now);
+  ExamineSilent(now);
   for (const BackendKey backend : table_.TakeProbes(now, kMaxConcurrentProbes)) {
     const Backend* known = dispatcher_.Registry().FindByKey(backend);
     if (known != nullptr) asio::co_spawn(io_, ConnectOwn(*known), asio::detached);
@@ -386,8 +397,10 @@
   };
   table_.ForgetUnless(is_known);
   NoteLostAll();
-  std::erase_if(uses_,
-                [&](const auto& use) { return use.second->IsIdle() && !is_known(use.first); });
+  for (auto* uses : {&uses_, &bridged_uses_}) {
+    std::erase_if(*uses,
+                  [&](const auto& use) { return use.second->IsIdle() && !is_known(use.first); });
+  }
   std::erase_if(examined_, [&](const auto& entry) { return !is_known(entry.first); });
   std::erase_if(last_bridges_, [&](const auto& entry) {
     return !is_known(entry.first) || now - entry.second.when > kLastBridgeRetention;
