Own interface: keep a silent engine until a slot at another one is held

Callers of /v1/chat/completions got 504, or an answer broken off in the middle, from an engine that said nothing for 5 s (head), 60 s (first token) or 10 s (pause between tokens), although it would have gone on and the class's deadline (5 min by default) was far away.

Cause: ChatSession ended the attempt and gave its slot back first, and asked for a slot for the retry only then. If the retry budget denied it, or no engine had room, nothing was left. A request that may not run twice has no retry at all and was given up all the same.

Now the reads wait until the deadline. A timer of the same limits asks for a slot beside the attempt (BackendWork::SeekReplacement); the old stream is closed once that slot is held. A refusal leaves things as they are and is asked again after the same limit, so that no more retries are asked for than before. A slot at the silent engine itself is no replacement. Data, the caller's end and the attempt's end drop the search. The head's limit covers sending and reading together.

--- a/libs/backend/include/cartsail/backend/engine_stream.h
+++ b/libs/backend/include/cartsail/backend/engine_stream.h
@@ -35,7 +35,7 @@
   // must not run twice use a new one.
   bool fresh_connection = false;
   Duration connect_timeout = milliseconds(500);
-  Duration head_timeout = seconds(5);  // for sending, and then for the response head
+  Duration head_timeout = seconds(5);  // for sending and the response head together
 };
 
 struct EngineEvent {
--- a/libs/backend/src/engine_stream.cc
+++ b/libs/backend/src/engine_stream.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "cartsail/base/json.h"
 #include "cartsail/base/status.h"
 
@@ -64,9 +66,11 @@
   }
   if (closed_) co_return MakeError(ErrorKind::kCancelled, "closed before sending");
   state_ = RunState::kMayHaveStarted;
+  const TimePoint end = Now() + head_timeout;
   const absl::Status sent = co_await connection_->Send(request, head_timeout);
   if (!sent.ok()) co_return sent;
-  const absl::StatusOr<HttpResponse> head = co_await connection_->ReadHead(head_timeout);
+  const Duration left = std::max<Duration>(end - Now(), Duration(0));
+  const absl::StatusOr<HttpResponse> head = co_await connection_->ReadHead(left);
   if (!head.ok()) co_return head.status();
   if (head->status != 200) co_return co_await ReadRefusal(*head);
   state_ = RunState::kStarted;
--- a/libs/gateway/src/backend_work.cc
+++ b/libs/gateway/src/backend_work.cc
@@ -38,15 +38,14 @@
       arrival_(Now()) {}
 
 BackendWork::~BackendWork() {
+  DropReplacement();
   if (holds_slot_) Release(SlotEnd::kCancelled, {});
   // The caller is told "not run" and may come again with the same key.
   if (claimed_ && !may_have_started_) WithdrawClaim();
   if (admitted_) control_.EndRequest(caller_.tenant);
 }
 
-boost::asio::awaitable<absl::Status> BackendWork::Acquire(SlotPurpose purpose,
-                                                          std::function<void()> on_preempt) {
-  if (caller_gone_) co_return MakeError(ErrorKind::kCancelled, "the caller has gone");
+SlotRequest BackendWork::NewRequest(SlotPurpose purpose, std::function<void()> on_preempt) const {
   SlotRequest request;
   request.id = NewRequestId();
   request.policy = caller_.policy;
@@ -60,6 +59,13 @@
       boost::asio::post(executor, on_preempt);
     };
   }
+  return request;
+}
+
+boost::asio::awaitable<absl::Status> BackendWork::Acquire(SlotPurpose purpose,
+                                                          std::function<void()> on_preempt) {
+  if (caller_gone_) co_return MakeError(ErrorKind::kCancelled, "the caller has gone");
+  SlotRequest request = NewRequest(purpose, std::move(on_preempt));
   pending_id_ = request.id;
   std::function<void(std::function<void(SlotDecision)>)> start =
       [this, request = std::move(request)](std::function<void(SlotDecision)> done) {
@@ -128,6 +134,52 @@
   control_.ReleaseSlot(slot_.id, end, report);
 }
 
+void BackendWork::SeekReplacement(std::function<void()> on_preempt,
+                                  std::function<void()> on_granted) {
+  DropReplacement();
+  SlotRequest request = NewRequest(SlotPurpose::kRetry, std::move(on_preempt));
+  request.excluded.insert(slot_.engine);
+  replacement_ = std::make_shared<Replacement>();
+  replacement_->id = request.id;
+  replacement_->replaced = slot_.engine;
+  control_.AcquireSlot(std::move(request),
+                       [executor = executor_, &control = control_, replacement = replacement_,
+                        on_granted = std::move(on_granted)](const SlotDecision& decision) {
+                         boost::asio::post(executor, [&control, replacement, on_granted, decision] {
+                           OnReplacementDecided(control, *replacement, decision, on_granted);
+                         });
+                       });
+}
+
+void BackendWork::OnReplacementDecided(ControlPlane& control, Replacement& replacement,
+                                       const SlotDecision& decision,
+                                       const std::function<void()>& on_granted) {
+  replacement.is_pending = false;
+  if (!decision.status.ok()) return;
+  // A retry is granted at an excluded engine if no other is left.
+  if (replacement.is_dropped || decision.engine == replacement.replaced) {
+    control.ReleaseSlot(decision.id, SlotEnd::kCancelled, {.started = false});
+    return;
+  }
+  replacement.granted = decision;
+  on_granted();
+}
+
+void BackendWork::DropReplacement() {
+  if (replacement_ == nullptr) return;
+  const std::shared_ptr<Replacement> dropped = std::exchange(replacement_, nullptr);
+  dropped->is_dropped = true;
+  if (dropped->is_pending) control_.CancelSlot(dropped->id);
+  if (!dropped->granted.has_value()) return;
+  control_.ReleaseSlot(dropped->granted->id, SlotEnd::kCancelled, {.started = false});
+}
+
+void BackendWork::TakeReplacement() {
+  slot_ = *std::exchange(replacement_, nullptr)->granted;
+  holds_slot_ = true;
+  grant_time_ = Now();
+}
+
 void BackendWork::CallerGone() {
   caller_gone_ = true;
   if (pending_id_ != 0) control_.CancelSlot(pending_id_);
--- a/libs/gateway/src/backend_work.h
+++ b/libs/gateway/src/backend_work.h
@@ -7,6 +7,8 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -37,6 +39,23 @@
   // Gives the slot back.
   void Release(SlotEnd end, ServiceReport report);
 
+  // Asks for a slot at another engine, which is to replace the one held. That one stays held. Both
+  // functions are called on this work's executor: `on_granted` once such a slot is held,
+  // `on_preempt` when it is taken back.
+  void SeekReplacement(std::function<void()> on_preempt, std::function<void()> on_granted);
+
+  // True while no decision about the replacement has arrived.
+  bool IsSeekingReplacement() const { return replacement_ != nullptr && replacement_->is_pending; }
+  bool HasReplacement() const {
+    return replacement_ != nullptr && replacement_->granted.has_value();
+  }
+
+  // Gives up the replacement that is sought or held, if any.
+  void DropReplacement();
+
+  // Makes the replacement the slot that is held. The earlier slot must have been given back.
+  void TakeReplacement();
+
   // The caller has gone: ends a pending Acquire().
   void CallerGone();
 
@@ -61,6 +80,19 @@
   void Exclude(const std::string& engine) { excluded_.insert(engine); }
 
  private:
+  // A request for a slot that is to replace the one held; outlives this work until it is decided.
+  struct Replacement {
+    RequestId id = 0;
+    std::string replaced;  // engine of the slot held
+    bool is_pending = true;
+    bool is_dropped = false;
+    std::optional<SlotDecision> granted;
+  };
+
+  static void OnReplacementDecided(ControlPlane& control, Replacement& replacement,
+                                   const SlotDecision& decision,
+                                   const std::function<void()>& on_granted);
+  SlotRequest NewRequest(SlotPurpose purpose, std::function<void()> on_preempt) const;
   boost::asio::awaitable<absl::Status> Claim();
   void WithdrawClaim();
 
@@ -81,6 +113,7 @@
   std::string attempt_;
   std::string holder_stream_;  // of a claim that another attempt holds
   std::set<std::string> excluded_;
+  std::shared_ptr<Replacement> replacement_;  // nullptr: none is sought or held
 };
 
 }  // namespace cartsail
--- a/libs/gateway/src/chat_session.cc
+++ b/libs/gateway/src/chat_session.cc
@@ -15,8 +15,10 @@
 
 constexpr size_t kPrefixCharacters = 256;
 constexpr int kMaxFruitlessAttempts = 16;
-constexpr Duration kFirstTokenTimeout = seconds(60);
-constexpr Duration kTokenTimeout = seconds(10);
+// An engine that sends nothing for as long is silent: another one is sought.
+constexpr Duration kHeadSilence = seconds(5);
+constexpr Duration kFirstTokenSilence = seconds(60);
+constexpr Duration kTokenSilence = seconds(10);
 
 // The start of the conversation, which engines may hold in their prefix cache.
 uint64_t PrefixHash(const json::array& messages) {
@@ -64,9 +66,15 @@
       caller_(caller),
       request_(std::move(request)),
       work_(executor, control, caller, request_.model, request_.prefix_hash),
-      grace_timer_(executor) {}
+      grace_timer_(executor),
+      silence_timer_(executor) {
+  signals_->session = this;
+}
 
-ChatSession::~ChatSession() { signals_->stream = nullptr; }
+ChatSession::~ChatSession() {
+  signals_->stream = nullptr;
+  signals_->session = nullptr;
+}
 
 asio::awaitable<void> ChatSession::Run() {
   exchange_.WatchPeer([this] { OnCallerGone(); });
@@ -88,7 +96,7 @@
   SlotPurpose purpose = SlotPurpose::kFirst;
   absl::Status failure;
   while (true) {
-    absl::Status status = co_await work_.Acquire(purpose, PreemptFunction());
+    absl::Status status = co_await TakeSlot(purpose);
     // A refused retry is told as the failure that made it necessary.
     if (!status.ok()) co_return work_.RetryDenied() ? failure : status;
     status = co_await work_.PrepareAttempt();
@@ -96,7 +104,7 @@
       work_.Release(SlotEnd::kCancelled, {.started = false});
       co_return status;
     }
-    if (signals_->preempted) {
+    if (signals_->IsPreempted()) {
       // Taken back while the grant was still on its way here: nothing was sent yet.
       work_.Release(SlotEnd::kCancelled, {.started = false});
       purpose = SlotPurpose::kContinuation;
@@ -132,16 +140,56 @@
   }
 }
 
-std::function<void()> ChatSession::PreemptFunction() {
-  signals_->preempted = false;
-  const int slot = ++signals_->slot;
+asio::awaitable<absl::Status> ChatSession::TakeSlot(SlotPurpose purpose) {
+  if (work_.HasReplacement()) {
+    work_.TakeReplacement();
+    signals_->slot = replacement_slot_;
+    co_return absl::OkStatus();
+  }
+  signals_->slot = ++slots_asked_;
+  co_return co_await work_.Acquire(purpose, PreemptFunction(signals_->slot));
+}
+
+std::function<void()> ChatSession::PreemptFunction(int slot) {
   return [signals = signals_, slot] {
-    if (signals->slot != slot) return;
-    signals->preempted = true;
-    if (signals->stream != nullptr) signals->stream->Close();
+    signals->preempted.insert(slot);
+    if (signals->slot == slot && signals->stream != nullptr) signals->stream->Close();
   };
 }
 
+void ChatSession::StartSilenceWatch(Duration limit) {
+  work_.DropReplacement();
+  if (!work_.Policy().repeatable || signals_->caller_gone) return;
+  silence_limit_ = limit;
+  ArmSilenceTimer();
+}
+
+void ChatSession::EndSilenceWatch() {
+  silence_timer_.expires_at(TimePoint::max());
+  work_.DropReplacement();
+}
+
+void ChatSession::ArmSilenceTimer() {
+  silence_timer_.expires_after(silence_limit_);
+  silence_timer_.async_wait([signals = signals_](const boost::system::error_code& error) {
+    if (!error && signals->session != nullptr) signals->session->OnSilence();
+  });
+}
+
+void ChatSession::OnSilence() {
+  // The wait may have ended just before data arrived.
+  const bool is_outdated = Now() < silence_timer_.expiry();
+  if (is_outdated || signals_->stream == nullptr || work_.HasReplacement()) return;
+  if (!work_.IsSeekingReplacement()) {
+    replacement_slot_ = ++slots_asked_;
+    const auto leave = [signals = signals_] {
+      if (signals->stream != nullptr) signals->stream->Close();
+    };
+    work_.SeekReplacement(PreemptFunction(replacement_slot_), leave);
+  }
+  ArmSilenceTimer();
+}
+
 asio::awaitable<absl::Status> ChatSession::RunAttempt() {
   EngineStream stream(pool_, work_.Slot().endpoint);
   AttemptMeter meter(work_.GrantTime());
@@ -152,11 +200,14 @@
   call.owner = caller_.OwnerTag();
   call.priority = work_.Policy().tier;
   call.fresh_connection = !work_.Policy().repeatable;
-  call.head_timeout = std::min(call.head_timeout, work_.TimeLeft());
+  call.head_timeout = work_.TimeLeft();
   signals_->stream = &stream;
+  StartSilenceWatch(kHeadSilence);
   absl::Status status = co_await stream.Open(call);
   if (status.ok()) status = co_await ReadAnswer(stream, meter);
   signals_->stream = nullptr;
+  // A replacement that is held takes over from an attempt that was ended for it.
+  if (status.ok() || !work_.HasReplacement()) EndSilenceWatch();
   work_.NoteState(stream.State());
   co_return co_await EndAttempt(stream, std::move(status), meter);
 }
@@ -164,10 +215,10 @@
 asio::awaitable<absl::Status> ChatSession::ReadAnswer(EngineStream& stream, AttemptMeter& meter) {
   bool first = true;
   while (true) {
-    const Duration patience = first ? kFirstTokenTimeout : kTokenTimeout;
-    absl::StatusOr<std::optional<EngineEvent>> event =
-        co_await stream.Next(std::min(patience, work_.TimeLeft()));
+    StartSilenceWatch(first ? kFirstTokenSilence : kTokenSilence);
+    absl::StatusOr<std::optional<EngineEvent>> event = co_await stream.Next(work_.TimeLeft());
     if (!event.ok()) co_return event.status();
+    EndSilenceWatch();
     if (!event->has_value()) co_return absl::OkStatus();
     const EngineEvent& current = **event;
     absl::Status status;
@@ -256,7 +307,7 @@
     co_return status;
   }
   const bool timed_out = work_.TimeLeft() == Duration(0);
-  if (signals_->preempted || signals_->caller_gone || timed_out) {
+  if (signals_->IsPreempted() || signals_->caller_gone || timed_out) {
     if (stream.State() != RunState::kNotStarted) {
       GlobalCounters().engine_cancels_total.Add();
       co_await CancelStream(executor_, work_.Slot().endpoint, work_.Attempt());
@@ -297,6 +348,7 @@
 
 void ChatSession::OnCallerGone() {
   signals_->caller_gone = true;
+  EndSilenceWatch();
   work_.CallerGone();
   const Duration grace = ResumeGrace();
   if (grace == Duration(0)) {
--- a/libs/gateway/src/chat_session.h
+++ b/libs/gateway/src/chat_session.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "attempt_meter.h"
@@ -40,13 +41,18 @@
  private:
   // What reaches into a running attempt from outside; outlives the session.
   struct Signals {
+    bool IsPreempted() const { return preempted.contains(slot); }
+
     bool caller_gone = false;
-    bool preempted = false;
     int slot = 0;  // number of the slot held, so that a late preemption hits no later one
+    std::set<int> preempted;  // numbers of the slots that were taken back
     EngineStream* stream = nullptr;
+    ChatSession* session = nullptr;
   };
 
   boost::asio::awaitable<absl::Status> RunAttempts();
+  // Takes the replacement that is held, or gets a slot.
+  boost::asio::awaitable<absl::Status> TakeSlot(SlotPurpose purpose);
   boost::asio::awaitable<absl::Status> RunAttempt();
   boost::asio::awaitable<absl::Status> ReadAnswer(EngineStream& stream, AttemptMeter& meter);
   boost::asio::awaitable<absl::Status> Deliver(const EngineEvent& event);
@@ -57,7 +63,13 @@
   boost::asio::awaitable<void> Fail(absl::Status status);
   std::optional<SlotPurpose> NextPurpose(const absl::Status& status);
   void OnCallerGone();
-  std::function<void()> PreemptFunction();
+  std::function<void()> PreemptFunction(int slot);
+  // From now on data of the engine is awaited, which counts as silent after `limit`. A silent
+  // engine keeps the request until a slot at another one is held, as it may only be slow.
+  void StartSilenceWatch(Duration limit);
+  void EndSilenceWatch();
+  void ArmSilenceTimer();
+  void OnSilence();
   std::string AttemptBody() const;
   Duration ResumeGrace() const;
 
@@ -69,6 +81,10 @@
   BackendWork work_;
   std::shared_ptr<Signals> signals_ = std::make_shared<Signals>();
   Timer grace_timer_;
+  Timer silence_timer_;
+  Duration silence_limit_{};
+  int slots_asked_ = 0;
+  int replacement_slot_ = 0;  // number of the replacement that was asked for last
   bool began_ = false;
   int64_t delivered_tokens_ = 0;
   std::string delivered_text_;
