Pass an answer on though its engine's entry was replaced meanwhile

A caller of a resumable stream got 502 with a sound engine's first event at hand: the engine's entry had been replaced in place by one of another version while it worked on that event, so it was not certain which version wrote it, and the attempt was ended (kSpoilt) before anything was known to take over. With no other engine, or no retry left, nothing was.

The event needs no certain version if nobody resumes the stream: it is now bound to this back end, like one of a back end without a version. No record is written, and the listed version must be in the ledger first (MayBegin), so that no node takes the other one for the only version and resumes there. Without that permission (store silent) the attempt ends as before.

replaced_entry_test: 1 of 2 fails before (502), 2 of 2 pass after; the second asks that a take-up of such a stream is refused (stream_version_unknown). stream_service_test, stream_services_test and relay_test pass. stream_versions_test (processes) was not run.

--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -152,8 +152,8 @@
   boost::asio::awaitable<bool> LookUpVersion();
   // True unless the request would start a stream at a version at which streams may not start.
   boost::asio::awaitable<bool> CanStartAt(const Placement& placement);
-  // Binds the stream to the back end's version; called before the first event is forwarded. False
-  // if it is not certain which version wrote the event.
+  // Binds the stream to the back end's version, or to the back end itself if its version is not
+  // certain; called before the first event is forwarded. False if another version could resume it.
   boost::asio::awaitable<bool> PinVersion(const Placement& placement);
   // False if the stream started in this answer and another version may have written its first
   // event.
--- a/libs/relay/src/request/exchange_versions.cc
+++ b/libs/relay/src/request/exchange_versions.cc
@@ -58,17 +58,21 @@
 }
 
 asio::awaitable<bool> Exchange::PinVersion(const Placement& placement) {
-  if (!follows_versions_ || !stream_version_.empty()) co_return true;
+  if (!follows_versions_ || is_version_unknown_ || !stream_version_.empty()) co_return true;
   // Another process may have replaced the back end since it was chosen.
   const Backend* now = context_.dispatcher.Registry().Find(placement.backend.id);
   const std::string& version = placement.backend.version;
   if (now != nullptr && now->version != version) {
+    const std::string listed = now->version;
     Log(LogLevel::kWarning, "stream_version_unsure",
         {{"request", request_id_},
          {"backend", placement.backend.id},
          {"version", version},
-         {"listed", now->version}});
-    co_return false;
+         {"listed", listed}});
+    // Both versions are in the ledger then, so that no node takes either for the only one and
+    // resumes the stream there. Only this back end continues it.
+    is_version_unknown_ = co_await context_.streams.MayBegin(admitted_.profile.service, listed);
+    co_return is_version_unknown_;
   }
   // Without a version it is unknown which back ends could continue the stream: none does.
   is_version_unknown_ = version.empty();
