Keep the silent attempt until the other back end has begun to answer

What callers saw: streams of a paused engine were cut when their replacements, placed and connected, refused; and streams of one node whose open connections had died while new ones worked waited for their deadlines, since all back ends looked silent there. Change: the request is sent to the other back end beside the silent attempt, and the first of the two that sends data is kept. While most of a service is silent, one request a second and service tries a silent back end on a new connection: if it answers, the connections were at fault. A retry of this node's own is returned after a search that found nothing; the look for a candidate stops at the first.

--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -113,10 +113,12 @@
   };
   Backoffs BackoffsFor(const RequestProfile& profile, TimePoint now);
 
-  // Number of ready back ends of the request's service, other than those in `excluded`, that its
-  // data residency and version allow.
-  size_t ReadyFor(const RequestProfile& profile, TimePoint now,
-                  const std::vector<BackendKey>& excluded = {});
+  // Number of ready back ends of the request's service that its data residency and version allow.
+  size_t ReadyFor(const RequestProfile& profile, TimePoint now);
+
+  // True if one of these back ends is not in `excluded`.
+  bool HasReadyBesides(const std::vector<BackendKey>& excluded, const RequestProfile& profile,
+                       TimePoint now);
 
   // As MayReceive(). Also false when the grant for a metered back end has expired, or when a back
   // end placed without a grant has become cold or rate-limited since.
@@ -254,6 +256,10 @@
     double limited_per_s = 0;  // rate that this node may grant to limited ones left out
   };
 
+  const std::vector<PoolMember>& MembersFor(const RequestProfile& profile, TimePoint now);
+  // True if the member is ready and the request's data residency and version allow it.
+  bool IsReadyFor(const PoolMember& member, const RegionSet& allowed,
+                  const RequestProfile& profile) const;
   void RemoveMissing(TimePoint now);
   std::vector<PoolMember> SampleMembers(const ServicePool& pool, const Requester& requester,
                                         const RequestProfile& profile, TimePoint now);
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -126,18 +126,35 @@
   return backoffs;
 }
 
-size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now,
-                            const std::vector<BackendKey>& excluded) {
-  const RegionSet allowed = registry_.Regions().AllowedFor(profile);
+const std::vector<PoolMember>& Dispatcher::MembersFor(const RequestProfile& profile,
+                                                      TimePoint now) {
   const ServicePools::Inputs inputs{registry_, pauses_, loads_, work_};
-  const std::vector<PoolMember>& members = pools_.Of(profile.service, inputs, now).Members();
-  const auto is_allowed = [&](const PoolMember& member) {
-    const Backend* backend = registry_.FindOpen(member.key);
-    return backend != nullptr && allowed.Allows(backend->region) &&
-           MatchesVersion(profile, *backend) &&
-           std::find(excluded.begin(), excluded.end(), member.key) == excluded.end();
-  };
-  return static_cast<size_t>(std::count_if(members.begin(), members.end(), is_allowed));
+  return pools_.Of(profile.service, inputs, now).Members();
+}
+
+bool Dispatcher::IsReadyFor(const PoolMember& member, const RegionSet& allowed,
+                            const RequestProfile& profile) const {
+  const Backend* backend = registry_.FindOpen(member.key);
+  return backend != nullptr && allowed.Allows(backend->region) && MatchesVersion(profile, *backend);
+}
+
+size_t Dispatcher::ReadyFor(const RequestProfile& profile, TimePoint now) {
+  const RegionSet allowed = registry_.Regions().AllowedFor(profile);
+  const std::vector<PoolMember>& members = MembersFor(profile, now);
+  return static_cast<size_t>(std::count_if(
+      members.begin(), members.end(),
+      [&](const PoolMember& member) { return IsReadyFor(member, allowed, profile); }));
+}
+
+bool Dispatcher::HasReadyBesides(const std::vector<BackendKey>& excluded,
+                                 const RequestProfile& profile, TimePoint now) {
+  const RegionSet allowed = registry_.Regions().AllowedFor(profile);
+  const std::vector<PoolMember>& members = MembersFor(profile, now);
+  return std::any_of(members.begin(), members.end(), [&](const PoolMember& member) {
+    const bool is_excluded =
+        std::find(excluded.begin(), excluded.end(), member.key) != excluded.end();
+    return !is_excluded && IsReadyFor(member, allowed, profile);
+  });
 }
 
 void Dispatcher::Begin(const RequestProfile& profile, AttemptOrigin origin, Placement* placement,
--- a/libs/reachability/include/cartsail/reachability/silence_evidence.h
+++ b/libs/reachability/include/cartsail/reachability/silence_evidence.h
@@ -25,17 +25,18 @@
 };
 
 struct SilenceEvidence {
-  Duration silent_for{};        // time for which the attempt has received no data
-  bool is_path_cut = false;     // the attempt uses this node's direct path, which is cut
-  bool is_unreachable = false;  // the last connection to the back end could not be made
-  bool backend_speaks = false;  // the back end has kept sending data on other connections
-  int64_t others_silent = 0;    // other back ends of the service with responses overdue
-  int64_t others_speaking = 0;  // other back ends of the service that send data
+  Duration silent_for{};          // time for which the attempt has received no data
+  bool is_path_cut = false;       // the attempt uses this node's direct path, which is cut
+  bool is_unreachable = false;    // the last connection to the back end could not be made
+  bool connections_died = false;  // a silent back end has answered on a new connection
+  bool backend_speaks = false;    // the back end has kept sending data on other connections
+  int64_t others_silent = 0;      // other back ends of the service with responses overdue
+  int64_t others_speaking = 0;    // other back ends of the service that send data
 
   // True if most of the service is silent at the same time, though it can be connected to, as when
   // it is paused: a replacement would be silent too.
   bool IsServiceWide() const {
-    const bool is_own_fault = is_path_cut || is_unreachable || backend_speaks;
+    const bool is_own_fault = is_path_cut || is_unreachable || connections_died || backend_speaks;
     return !is_own_fault && others_silent > others_speaking;
   }
 };
@@ -53,4 +54,8 @@
 std::vector<BackendKey> SilentBackends(Duration silence, TimePoint now,
                                        const std::vector<BackendActivity>& service);
 
+// The back ends that have sent data within `silence`.
+std::vector<BackendKey> SpeakingBackends(Duration silence, TimePoint now,
+                                         const std::vector<BackendActivity>& service);
+
 }  // namespace cartsail
--- a/libs/reachability/src/silence_evidence.cc
+++ b/libs/reachability/src/silence_evidence.cc
@@ -64,4 +64,13 @@
   return silent;
 }
 
+std::vector<BackendKey> SpeakingBackends(Duration silence, TimePoint now,
+                                         const std::vector<BackendActivity>& service) {
+  std::vector<BackendKey> speaking;
+  for (const BackendActivity& activity : service) {
+    if (now - activity.heard < silence) speaking.push_back(activity.backend);
+  }
+  return speaking;
+}
+
 }  // namespace cartsail
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -199,7 +199,7 @@
       co_return keep_alive_;
     }
     // All of the following was checked for the replacement.
-    if (replacement_ != nullptr && outcome == AttemptOutcome::kSilent) continue;
+    if (replacement_ != nullptr && outcome != AttemptOutcome::kTimedOut) continue;
     if (bound_to_backend_ || !MayRetry(*admitted_.route, outcome, history_)) break;
     if (!co_await IsVersionConfirmed()) break;
     if (deadline_ - Now() < kMinTimeForAttempt) break;
@@ -239,6 +239,7 @@
 // As long as the back end has not started to answer, the request may still be queued there: closing
 // the connection removes it from the queue before it crashes another back end.
 void Exchange::OnQuarantined() {
+  DropCandidate();
   if (upstream_ == nullptr || has_output_) return;
   aborted_ = true;
   upstream_->Close();
@@ -310,21 +311,22 @@
 }
 
 void Exchange::ReleaseRetry(AttemptOutcome outcome) {
+  const bool is_unanswered = outcome == AttemptOutcome::kSilent ||
+                             outcome == AttemptOutcome::kTimedOut ||
+                             outcome == AttemptOutcome::kPathLost || caller_gone_ || aborted_;
+  CloseRetry(std::move(retry_), !has_matching_head_ && is_unanswered);
+}
+
+void Exchange::CloseRetry(std::unique_ptr<RetryTicket> retry, bool may_be_in_transit) {
   const TimePoint now = Now();
-  const bool may_be_in_transit = outcome == AttemptOutcome::kSilent ||
-                                 outcome == AttemptOutcome::kTimedOut ||
-                                 outcome == AttemptOutcome::kPathLost || caller_gone_ || aborted_;
   // Bytes in transit on a silent path reach the back end when the path recovers.
-  if (!has_matching_head_ && may_be_in_transit) {
-    in_transit_until_ = now + context_.options.retry_budget.window;
-  }
-  if (retry_ == nullptr) return;
-  retry_->Close(std::max(now, in_transit_until_));
-  retry_.reset();
+  if (may_be_in_transit) in_transit_until_ = now + context_.options.retry_budget.window;
+  if (retry != nullptr) retry->Close(std::max(now, in_transit_until_));
 }
 
 asio::awaitable<bool> Exchange::FinishUnanswered(AttemptOutcome last) {
-  if (replacement_ != nullptr) ReleaseReplacement(*std::exchange(replacement_, nullptr));
+  if (replacement_ != nullptr) candidate_ = std::exchange(replacement_, nullptr);
+  DropCandidate();
   if (caller_gone_ || last == AttemptOutcome::kCallerGone) {
     LogEnd(aborted_for_memory_ ? kCutForMemoryResult : kCallerGoneResult, status_sent_);
     caller_->Close();
@@ -375,8 +377,11 @@
   answer_ = {};
   answer_end_.reset();
   silence_ = {};
-  const bool is_prepared = replacement_ != nullptr;
-  if (!is_prepared && !co_await CanStartAt(placement)) co_return AttemptOutcome::kWithheld;
+  if (replacement_ != nullptr) {
+    TakeReplacement();
+    co_return co_await RunAttempt(placement);
+  }
+  if (!co_await CanStartAt(placement)) co_return AttemptOutcome::kWithheld;
   const OpenedPath opened = co_await OpenUpstream(placement);
   upstream_ = opened.connection;
   via_node_ = upstream_ == nullptr ? std::string() : upstream_->Over();
@@ -385,7 +390,7 @@
     ++history_.connects_failed;
     co_return OutcomeOfFailedOpen(opened);
   }
-  const bool may_go_on = is_prepared || co_await CanResumeAt(placement, *upstream_);
+  const bool may_go_on = co_await CanResumeAt(placement, *upstream_);
   if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   RefreshResidency();
   const bool may_send =
@@ -402,14 +407,36 @@
   ++history_.attempts;
   ++history_.may_have_run;
   if (retry_ != nullptr) retry_->NoteSent();
+  sent_ = Now();
+  upstream_->StartRequest(UpstreamHead(placement, sent_), request_.body,
+                          {request_id_, deadline_ - sent_});
+  co_return co_await RunAttempt(placement);
+}
+
+// The request was sent to it before the silent attempt was ended.
+void Exchange::TakeReplacement() {
+  const std::shared_ptr<Replacement> ready = std::exchange(replacement_, nullptr);
+  upstream_ = std::move(ready->connection);
+  via_node_ = upstream_->Over();
+  retry_ = std::move(ready->retry);
+  sent_ = *ready->sent;
+  connect_result_ = ConnectResult::kConnected;
+}
+
+// Runs an attempt from the sending of the request to its end.
+asio::awaitable<AttemptOutcome> Exchange::RunAttempt(const Placement& placement) {
   has_matching_head_ = false;
   has_output_ = false;
-  sent_ = Now();
-  upstream_->StartRequest(UpstreamHead(placement, Now()), request_.body,
-                          {request_id_, deadline_ - Now()});
   StartSilenceWatch(placement);
   const AttemptOutcome outcome = OutcomeOfPath(co_await ExchangeWithBackend(placement));
   EndSilenceWatch();
+  const bool is_over = outcome == AttemptOutcome::kAnswered || caller_gone_ || aborted_ ||
+                       outcome == AttemptOutcome::kTimedOut;
+  if (is_over) {
+    DropCandidate();
+  } else if (candidate_ != nullptr) {
+    AdoptCandidate();
+  }
   if (outcome != AttemptOutcome::kAnswered) NoteEvidence(placement);
   if (outcome != AttemptOutcome::kWithheld) ReleaseRetry(outcome);
   if (ProvablyNotRun(outcome)) {
@@ -425,14 +452,6 @@
 }
 
 asio::awaitable<OpenedPath> Exchange::OpenUpstream(const Placement& placement) {
-  if (replacement_ != nullptr) {
-    const std::unique_ptr<Replacement> ready = std::move(replacement_);
-    retry_ = std::move(ready->retry);
-    connect_result_ = ConnectResult::kConnected;
-    OpenedPath opened;
-    opened.connection = std::move(ready->connection);
-    co_return opened;
-  }
   // Lets a disconnect of the caller end the wait.
   const PathService::OnPending on_pending = [this](std::shared_ptr<UpstreamConnection> pending) {
     upstream_ = std::move(pending);
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -30,6 +30,8 @@
 inline constexpr std::string_view kCutResult = "cut";
 inline constexpr std::string_view kCutForMemoryResult = "cut_for_memory";
 
+inline bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
 // Statuses from here on report a failure of the back end.
 inline constexpr int kMinFailureStatus = 500;
 
@@ -49,7 +51,8 @@
 
 // Why a request stays with a silent back end, or that it does not.
 enum class SilenceDecision : uint8_t {
-  kMoved,               // another back end takes over
+  kSent,                // the request was sent to another back end as well
+  kMoved,               // the other back end has answered and takes over
   kResumed,             // data arrived, or the request may no longer move, during the search
   kServiceSilent,       // most of the service is silent
   kMayNotMove,          // no attempts or time are left, or only this back end can continue
@@ -57,6 +60,7 @@
   kNoRetry,             // the retry budget is spent
   kNoBackend,           // no back end is left that is not silent
   kNotConnected,        // the chosen back end could not be reached, or may not get the request
+  kRefused,             // the chosen back end did not answer with success
 };
 
 std::string_view SilenceDecisionName(SilenceDecision decision);
@@ -77,11 +81,13 @@
   void OnProcessEnding();
 
  private:
-  // A back end that is ready to take over from a silent one.
-  struct Replacement {
+  // A back end that may take over from a silent one. The request is sent to it beside the silent
+  // attempt, and the first of the two that sends data is kept.
+  struct Replacement : std::enable_shared_from_this<Replacement> {
     Placement placement;
     std::unique_ptr<RetryTicket> retry;
     std::shared_ptr<UpstreamConnection> connection;
+    std::optional<TimePoint> sent;                       // nullopt: the request was not sent
     AttemptOutcome outcome = AttemptOutcome::kWithheld;  // if it does not take over
   };
 
@@ -96,7 +102,7 @@
     bool ended = false;
     std::unique_ptr<RetryTicket> retry;      // granted, and not used yet
     std::vector<BackendKey> unusable;        // back ends that could not take over
-    int failed_searches = 0;                 // that ended with kNotConnected
+    int failed_searches = 0;                 // that ended with kNotConnected or kRefused
     std::optional<SilenceDecision> decided;  // last decision
     TimePoint logged{};                      // when a decision was logged last
     bool idle_closed = false;                // the idle connections to the back end were closed
@@ -105,6 +111,8 @@
   boost::asio::awaitable<void> WaitForCatalog();
   boost::asio::awaitable<bool> RunAdmitted();
   boost::asio::awaitable<AttemptOutcome> Attempt(const Placement& placement);
+  void TakeReplacement();
+  boost::asio::awaitable<AttemptOutcome> RunAttempt(const Placement& placement);
   boost::asio::awaitable<AttemptOutcome> ExchangeWithBackend(const Placement& placement);
   boost::asio::awaitable<OpenedPath> OpenUpstream(const Placement& placement);
   boost::asio::awaitable<OpenedPath> OpenPath(const Placement& placement,
@@ -185,11 +193,19 @@
                                                         Placement silent);
   // Returns true if `found` is connected and may get the request.
   boost::asio::awaitable<bool> ConnectReplacement(const SilenceWatch& watch, Replacement& found);
-  std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch);
+  std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch, bool is_trial);
   // Records what is known about the silence of the current attempt.
   void NoteEvidence(const Placement& placement);
-  // Ends the placement of a replacement to which nothing was sent.
+  // How an answer other than success of a replacement is to be taken.
+  boost::asio::awaitable<AttemptOutcome> ReadRefusal(const Replacement& found);
+  // Sends the request to the replacement, which counts as an attempt.
+  void SendToReplacement(Replacement& found);
+  // Ends a replacement that does not take over.
   void ReleaseReplacement(Replacement& found);
+  // Ends the replacement that was sent the request, as the attempt it was to replace goes on.
+  void DropCandidate();
+  // The silent attempt has failed: the replacement that was sent the request takes over.
+  void AdoptCandidate();
   void NoteSilence(SilenceWatch& watch, const Placement& placement, SilenceDecision decision);
   // The back end of the next attempt.
   boost::asio::awaitable<std::optional<Placement>> NextPlacement();
@@ -217,6 +233,8 @@
   // Ends the retry of the attempt that just ended. The retry counts for one budget window from now,
   // or from the time until which bytes of the request may still arrive at a back end.
   void ReleaseRetry(AttemptOutcome outcome);
+  // As above, for any retry of this request. `may_be_in_transit`: bytes may still arrive.
+  void CloseRetry(std::unique_ptr<RetryTicket> retry, bool may_be_in_transit);
   void CountEnd(std::string_view result, Duration took) const;
   void LogEnd(std::string_view result, int status) const;
   void LogAnswered() const;
@@ -256,7 +274,8 @@
   std::optional<Duration> silence_timeout_;  // of the current read; nullopt: none
   SilenceEvidence silence_;                  // when the last attempt ended or was last found silent
   std::shared_ptr<SilenceWatch> silence_watch_;  // of the current attempt; nullptr: none
-  std::unique_ptr<Replacement> replacement_;     // for the next attempt; nullptr: none
+  std::shared_ptr<Replacement> candidate_;       // was sent the request; nullptr: none
+  std::shared_ptr<Replacement> replacement_;     // for the next attempt; nullptr: none
   TimePoint first_output_;
   TimePoint last_output_;
   Duration longest_pause_{};  // longest time between two pieces of the answer
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -19,8 +19,6 @@
 
 constexpr int kMaxStaleAnswers = 3;  // discarded on one connection
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
 std::string_view MediaTypeOf(const ResponseHead& head) {
@@ -47,7 +45,9 @@
   const UpstreamError error = co_await upstream_->ReadBody(chunk, deadline_);
   is_reading_ = false;
   // Data that arrived after the decision to move comes again from the next back end.
-  co_return replacement_ != nullptr ? UpstreamError::kBroken : error;
+  if (replacement_ != nullptr) co_return UpstreamError::kBroken;
+  if (error == UpstreamError::kNone) DropCandidate();
+  co_return error;
 }
 
 asio::awaitable<AttemptOutcome> Exchange::DiscardStaleAnswer() {
@@ -72,6 +72,7 @@
     const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, deadline_);
     is_reading_ = false;
     if (replacement_ != nullptr) co_return OutcomeOf(UpstreamError::kBroken);
+    if (error == UpstreamError::kNone) DropCandidate();
     if (error != UpstreamError::kNone) co_return OutcomeOf(error);
     const std::string_view id = head->Header(context_.format.Names().request_id);
     // An answer to an earlier request is recorded too: it comes from the same back end.
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -1,7 +1,7 @@
 // Watches an attempt for silence of its back end. A silent back end may only be slow or paused, and
-// then still completes the answer. So the attempt is given up only once another back end is ready
-// to take over: its retry is granted and it is chosen and connected. Otherwise the attempt is
-// waited for until the request's deadline.
+// then still completes the answer. So the attempt is given up only once another back end has begun
+// to answer the same request: a retry for it was granted, and it was chosen, connected and able to
+// run. Otherwise the attempt is waited for until the request's deadline.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -14,6 +14,7 @@
 
 #include "cartsail/base/counters.h"
 #include "cartsail/base/log.h"
+#include "request/answer_notices.h"
 #include "request/exchange.h"
 
 namespace cartsail {
@@ -38,6 +39,8 @@
 constexpr Duration kMaxTimerLateness = milliseconds(100);
 // What was granted must be valid until the request is sent, some turns of the event loop later.
 constexpr Duration kMoveMargin = milliseconds(20);
+// For the rest of the head of an answer that has begun to arrive.
+constexpr Duration kRefusalReadTime = milliseconds(100);
 constexpr Duration kLogInterval = seconds(1);  // between log lines about one attempt
 // A back end that has been silent for this fraction of the attempt's own silence is not chosen to
 // take over from it.
@@ -47,6 +50,8 @@
 
 std::string_view SilenceDecisionName(SilenceDecision decision) {
   switch (decision) {
+    case SilenceDecision::kSent:
+      return "sent";
     case SilenceDecision::kMoved:
       return "moved";
     case SilenceDecision::kResumed:
@@ -63,6 +68,8 @@
       return "no_backend";
     case SilenceDecision::kNotConnected:
       return "not_connected";
+    case SilenceDecision::kRefused:
+      return "refused";
   }
   return "unknown";
 }
@@ -124,11 +131,15 @@
       continue;
     }
     const SilenceDecision decision = co_await self->ReplaceSilent(watch, placement);
+    // A retry that another node lent is spent even if it is not used; one of this node is returned.
+    const bool is_own = watch->retry != nullptr && watch->retry->Lender().empty();
+    if (is_own) watch->retry.reset();
     if (watch->ended) co_return;
     self->NoteSilence(*watch, placement, decision);
     if (decision == SilenceDecision::kMoved) co_return self->upstream_->Close();
-    const bool is_next_search_due = decision == SilenceDecision::kNotConnected &&
-                                    ++watch->failed_searches < kMaxImmediateSearches;
+    const bool found_none =
+        decision == SilenceDecision::kNotConnected || decision == SilenceDecision::kRefused;
+    const bool is_next_search_due = found_none && ++watch->failed_searches < kMaxImmediateSearches;
     if (!is_next_search_due) has_read_all = co_await watch->SleepUntil(Now() + kSearchInterval);
   }
 }
@@ -150,43 +161,92 @@
                                                          Placement silent) {
   const TimePoint since = waiting_since_;
   NoteEvidence(silent);
-  if (silence_.IsServiceWide()) co_return SilenceDecision::kServiceSilent;
   if (!MayMove()) co_return SilenceDecision::kMayNotMove;
+  const bool is_trial = silence_.IsServiceWide();
+  if (is_trial && !context_.paths.TakeTrial(silent.backend.service, Now())) {
+    co_return SilenceDecision::kServiceSilent;
+  }
   if (!co_await IsVersionConfirmed()) co_return SilenceDecision::kVersionUnconfirmed;
   if (watch->ended) co_return SilenceDecision::kResumed;
   RefreshResidency();
   admitted_.profile.version = stream_version_;
-  const std::vector<BackendKey> excluded = ExcludedAsReplacements(*watch);
+  const std::vector<BackendKey> excluded = ExcludedAsReplacements(*watch, is_trial);
   // Looks before it places: a placement counts as load and against the limits of the back end.
-  if (context_.dispatcher.ReadyFor(admitted_.profile, Now(), excluded) == 0) {
+  if (!context_.dispatcher.HasReadyBesides(excluded, admitted_.profile, Now())) {
     watch->unusable.clear();
     co_return SilenceDecision::kNoBackend;
   }
-  // A retry that another node lent is spent even if it is not used: it is kept for the next search.
   const bool has_retry = watch->retry != nullptr && watch->retry->MaySend(Now());
   if (!has_retry) watch->retry = co_await context_.retries.Take(admitted_.profile.service);
   if (watch->retry == nullptr) co_return SilenceDecision::kNoRetry;
   if (watch->ended) co_return SilenceDecision::kResumed;
   const PlacementResult result = co_await context_.placement.Place(admitted_.profile, excluded);
   if (!result.placement.has_value()) co_return SilenceDecision::kNoBackend;
-  auto found = std::make_unique<Replacement>();
+  const auto found = std::make_shared<Replacement>();
   found->placement = *result.placement;
-  SilenceDecision decision = SilenceDecision::kNotConnected;
-  if (co_await ConnectReplacement(*watch, *found)) decision = SilenceDecision::kMoved;
+  if (is_trial || silence_.connections_died) context_.pool.CloseIdle(found->placement.backend.key);
+  const bool is_connected = co_await ConnectReplacement(*watch, *found);
   const bool is_still_silent = !watch->ended && is_reading_ && waiting_since_ == since;
-  if (!is_still_silent || !MayMove()) decision = SilenceDecision::kResumed;
-  if (decision != SilenceDecision::kMoved) {
+  if (!is_connected || !is_still_silent || !MayMove()) {
     watch->unusable.push_back(found->placement.backend.key);
-    if (decision == SilenceDecision::kResumed) watch->retry.reset();
+    if (!is_still_silent) watch->retry.reset();
     ReleaseReplacement(*found);
-    co_return decision;
+    co_return is_still_silent ? SilenceDecision::kNotConnected : SilenceDecision::kResumed;
   }
-  tried_.push_back(found->placement.backend.key);
   found->retry = std::move(watch->retry);
-  replacement_ = std::move(found);
+  SendToReplacement(*found);
+  NoteSilence(*watch, silent, SilenceDecision::kSent);
+  co_await found->connection->AwaitData();
+  // The silent attempt has sent data or ended meanwhile, and decided what becomes of the other.
+  if (candidate_ != found) co_return SilenceDecision::kResumed;
+  candidate_ = nullptr;
+  if (!IsSuccess(found->connection->PeekStatus().value_or(0))) {
+    found->outcome = co_await ReadRefusal(*found);
+    if (ProvablyNotRun(found->outcome)) --history_.may_have_run;
+    ReleaseReplacement(*found);
+    co_return SilenceDecision::kRefused;
+  }
+  if (is_trial) context_.paths.NoteTrialAnswered(silent.backend.service, Now());
+  replacement_ = found;
   co_return SilenceDecision::kMoved;
 }
 
+asio::awaitable<AttemptOutcome> Exchange::ReadRefusal(const Replacement& found) {
+  UpstreamConnection& connection = *found.connection;
+  const bool is_head_request = request_.method == "HEAD";
+  ResponseHead head;
+  const UpstreamError error =
+      co_await connection.ReadHead(&head, is_head_request, Now() + kRefusalReadTime);
+  if (connection.WasWithheld()) co_return AttemptOutcome::kWithheld;
+  if (connection.IsLostOnTheWay()) co_return AttemptOutcome::kPathLost;
+  if (error != UpstreamError::kNone) co_return AttemptOutcome::kCut;
+  NoteAnswer(context_, found.placement.backend, {head.status, head.headers, *found.sent});
+  if (head.status == 421) co_return AttemptOutcome::kWrongInstance;
+  const bool has_run = head.Header(context_.format.Names().not_run).empty();
+  co_return has_run ? AttemptOutcome::kFailedAnswer : AttemptOutcome::kRefused;
+}
+
+void Exchange::SendToReplacement(Replacement& found) {
+  ++history_.attempts;
+  ++history_.may_have_run;
+  tried_.push_back(found.placement.backend.key);
+  found.retry->NoteSent();
+  NoteRetryDecision(found.retry.get());
+  found.sent = Now();
+  found.connection->StartRequest(UpstreamHead(found.placement, *found.sent), request_.body,
+                                 {request_id_, deadline_ - *found.sent});
+  candidate_ = found.shared_from_this();
+}
+
+void Exchange::DropCandidate() {
+  if (candidate_ == nullptr) return;
+  const std::shared_ptr<Replacement> dropped = std::exchange(candidate_, nullptr);
+  dropped->outcome = AttemptOutcome::kGivenUp;
+  ReleaseReplacement(*dropped);
+}
+
+void Exchange::AdoptCandidate() { replacement_ = std::exchange(candidate_, nullptr); }
+
 asio::awaitable<bool> Exchange::ConnectReplacement(const SilenceWatch& watch, Replacement& found) {
   const Placement& placement = found.placement;
   if (watch.ended || !co_await CanStartAt(placement)) co_return false;
@@ -203,18 +263,27 @@
       context_.dispatcher.MaySend(placement, admitted_.profile, sent_by);
 }
 
-std::vector<BackendKey> Exchange::ExcludedAsReplacements(const SilenceWatch& watch) {
+// A trial is to show whether silent back ends answer on new connections.
+std::vector<BackendKey> Exchange::ExcludedAsReplacements(const SilenceWatch& watch, bool is_trial) {
   const TimePoint now = Now();
   const Duration silence = silence_.silent_for / kReplacementSilenceDivisor;
-  const std::vector<BackendKey> silent =
-      SilentBackends(silence, now, context_.paths.ActivityOf(admitted_.profile.service, now));
+  const std::vector<BackendActivity>& service =
+      context_.paths.ActivityOf(admitted_.profile.service, now);
   std::vector<BackendKey> excluded = tried_;
-  excluded.insert(excluded.end(), silent.begin(), silent.end());
   excluded.insert(excluded.end(), watch.unusable.begin(), watch.unusable.end());
+  if (silence_.connections_died) return excluded;
+  const std::vector<BackendKey> others =
+      is_trial ? SpeakingBackends(silence, now, service) : SilentBackends(silence, now, service);
+  excluded.insert(excluded.end(), others.begin(), others.end());
   return excluded;
 }
 
 void Exchange::ReleaseReplacement(Replacement& found) {
+  if (found.sent.has_value()) {
+    const bool may_be_in_transit = found.outcome == AttemptOutcome::kGivenUp;
+    CloseRetry(std::move(found.retry), may_be_in_transit);
+    found.connection->Close();
+  }
   FinishAttempt(found.placement, found.outcome, Now());
   if (found.connection == nullptr) return;
   context_.pool.Return(found.placement.backend.key, std::move(found.connection));
@@ -228,6 +297,7 @@
   Counters& counters = GlobalCounters();
   const bool is_first = !watch.decided.has_value();
   const bool is_moved = decision == SilenceDecision::kMoved;
+  const std::shared_ptr<Replacement>& other = is_moved ? replacement_ : candidate_;
   if (is_first) counters.silent_attempts_total.Add();
   if (is_moved) counters.silent_attempts_moved_total.Add();
   if (decision != SilenceDecision::kServiceSilent && !std::exchange(watch.idle_closed, true)) {
@@ -238,20 +308,19 @@
   watch.decided = decision;
   if (!is_moved && (!differs || now - watch.logged < kLogInterval)) return;
   watch.logged = now;
-  if (is_moved || decision == SilenceDecision::kNoRetry) {
-    NoteRetryDecision(is_moved ? replacement_->retry.get() : nullptr);
-  }
+  if (decision == SilenceDecision::kNoRetry) NoteRetryDecision(nullptr);
   Log(LogLevel::kWarning, "silence",
       {{"request", request_id_},
        {"service", placement.backend.service},
        {"backend", placement.backend.id},
        {"decision", std::string(SilenceDecisionName(decision))},
-       {"to", is_moved ? replacement_->placement.backend.id : ""},
+       {"to", other == nullptr ? "" : other->placement.backend.id},
        {"silent_ms", fmt::format("{:.0f}", ToMillis(silence_.silent_for))},
        {"backend_speaks", silence_.backend_speaks ? "true" : "false"},
        {"others_silent", std::to_string(silence_.others_silent)},
        {"others_speaking", std::to_string(silence_.others_speaking)},
        {"path_cut", silence_.is_path_cut ? "true" : "false"},
+       {"connections_died", silence_.connections_died ? "true" : "false"},
        {"unreachable", silence_.is_unreachable ? "true" : "false"},
        {"over", via_node_},
        {"head_sent", head_sent_ ? "true" : "false"},
--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -42,6 +42,8 @@
 // Back ends without pending responses that have sent data within this time are part of the activity
 // of their service.
 constexpr Duration kRecentActivity = seconds(1);
+constexpr Duration kTrialInterval = seconds(1);
+constexpr Duration kTrialValidity = seconds(3);
 
 ConnectResult AsConnect(BridgeResult result) {
   if (result == BridgeResult::kConnected) return ConnectResult::kConnected;
@@ -100,9 +102,23 @@
   SilenceEvidence evidence =
       EvidenceOfSilence(backend.key, since, now, ActivityOf(backend.service, now));
   evidence.is_path_cut = !is_bridged && table_.IsCut(backend.key);
+  const auto trials = trials_.find(backend.service);
+  evidence.connections_died =
+      trials != trials_.end() && now - trials->second.answered < kTrialValidity;
   return evidence;
 }
 
+bool PathService::TakeTrial(const std::string& service, TimePoint now) {
+  Trials& trials = trials_[service];
+  if (now < trials.next) return false;
+  trials.next = now + kTrialInterval;
+  return true;
+}
+
+void PathService::NoteTrialAnswered(const std::string& service, TimePoint now) {
+  trials_[service].answered = now;
+}
+
 std::shared_ptr<PathUse> PathService::BridgedUseOf(BackendKey backend) {
   std::shared_ptr<PathUse>& use = bridged_uses_[backend];
   if (use == nullptr) use = std::make_shared<PathUse>([] {});
--- a/libs/relay/src/upstream/path_service.h
+++ b/libs/relay/src/upstream/path_service.h
@@ -80,6 +80,13 @@
   SilenceEvidence EvidenceOf(const Backend& backend, bool is_bridged, TimePoint since,
                              TimePoint now);
 
+  // True if a request may now be sent to a silent back end of `service` on a new connection, to
+  // learn whether only the open connections are silent. Permits one such trial a second.
+  bool TakeTrial(const std::string& service, TimePoint now);
+
+  // A trial was answered: for some time, silence of the service is taken for that of connections.
+  void NoteTrialAnswered(const std::string& service, TimePoint now);
+
   // Activity on this node's connections to the back ends of `service` that it uses; up to 50 ms
   // old. A back end that is used directly and over other nodes is listed twice.
   const std::vector<BackendActivity>& ActivityOf(const std::string& service, TimePoint now);
@@ -119,6 +126,11 @@
     std::vector<BackendActivity> backends;
   };
 
+  struct Trials {
+    TimePoint next{};      // when the next one is permitted
+    TimePoint answered{};  // the last one that was answered; the zero time if none
+  };
+
   // The node over which a back end was last reached.
   struct LastBridge {
     std::string host;
@@ -157,6 +169,7 @@
   PathTable table_;
   std::unordered_map<BackendKey, std::shared_ptr<PathUse>> uses_;          // direct
   std::unordered_map<BackendKey, std::shared_ptr<PathUse>> bridged_uses_;  // over other nodes
+  std::map<std::string, Trials> trials_;                                   // by service
   std::map<std::string, ServiceActivity> activities_;                      // by service
   std::unordered_map<BackendKey, TimePoint> examined_;  // last ExamineSoon() that ran
   std::unordered_map<BackendKey, std::shared_ptr<Examination>> examinations_;
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -213,6 +213,29 @@
   co_return UpstreamError::kMalformed;
 }
 
+asio::awaitable<void> UpstreamConnection::AwaitData() {
+  beast::error_code ignored;
+  co_await stream_.Transport().socket().async_wait(
+      tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+std::optional<int> UpstreamConnection::PeekStatus() {
+  constexpr std::string_view kVersion = "HTTP/1.1 ";
+  constexpr size_t kStatusDigits = 3;
+  std::array<char, kFrameHeadBytes + kVersion.size() + kStatusDigits> bytes{};
+  const size_t frame = stream_.IsFramed() ? kFrameHeadBytes : 0;
+  const size_t wanted = frame + kVersion.size() + kStatusDigits;
+  const int socket = stream_.Transport().socket().native_handle();
+  const ssize_t received = recv(socket, bytes.data(), wanted, MSG_PEEK | MSG_DONTWAIT);
+  if (received != static_cast<ssize_t>(wanted)) return std::nullopt;
+  const std::string_view line = std::string_view(bytes.data(), wanted).substr(frame);
+  int64_t status = 0;
+  if (!line.starts_with(kVersion) || !ParseInteger(line.substr(kVersion.size()), &status)) {
+    return std::nullopt;
+  }
+  return static_cast<int>(status);
+}
+
 void UpstreamConnection::NoteKeepAlive(const ResponseHead& head) {
   const std::optional<Duration> timeout = KeepAliveTimeout(head.Header("Keep-Alive"));
   if (timeout.has_value()) idle_limit_ = std::max<Duration>(*timeout - kIdleMargin, Duration(0));
