Guard: the engines of a zone die

Nodes prefer the engines of their own zone, so that a node may see no other engine speak while other zones are sound.

--- a/libs/relay/tests/silent_backends_guard_test.cc
+++ b/libs/relay/tests/silent_backends_guard_test.cc
@@ -1,5 +1,6 @@
 // What must stay as it is while silent engines are waited for: streams of a dead engine go on
 // elsewhere soon, and no answer is given twice. With controls of the oracle.
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
 constexpr Duration kContinuation = seconds(2);
 // After which a faulty hop gives up.
 constexpr milliseconds kHopSilence(900);
+// Engines 0 and 3 of five are in the zone of node 0.
+const std::set<int> kFirstZone = {0, 3};
 constexpr int kResumableStreams = 6;  // to each node
 constexpr int kPlainRequests = 4;     // to each node
 
@@ -108,6 +111,15 @@
   CheckContinuedSoon(fleet.Finish());
 }
 
+// Nodes prefer the engines of their own zone: node 0 sees no other engine speak. With an attempt
+// for each of them, and one elsewhere.
+Test(silent_backends_guard, the_engines_of_a_zone_die, .timeout = 60) {
+  PausingFleet fleet(WithRetries(3));
+  StartStreams(fleet);
+  fleet.Engines().Pause(kFirstZone);
+  CheckAllWhole(fleet.Finish());
+}
+
 // As a firewall does that forgets its connections.
 Test(silent_backends_guard, open_connections_of_a_node_die_while_new_ones_work, .timeout = 60) {
   PausingFleet fleet(WithRetries());
