Ask a restarted back end whether it stays, instead of holding it 10 s

Cause: a node that reads "leaving" and then of a restart within 5 s of it (the assumed difference of clocks) cannot tell which process said so, and sent the new one nothing for 10 s. Nothing but that time ended the hold: no request goes there, so no answer tells. Where both engines outside a drained zone are held so, the node refuses all.

Change: the hold is state of its own in BackendNotices (AmbiguousLeaving). A node in doubt queries the health path of the new process: an answer 200 with its own id and without the header of leaving, to a query sent after the notice was read, shows that the notice was the predecessor's, as leaving is final. 503 ends nothing. A query counts as a request: while the back end is cold, limited or brittle only the node that grants sends one, with a grant. A late answer of the predecessor does not renew a hold that was settled.

--- a/libs/dispatch/tests/backend_notices_test.cc
+++ b/libs/dispatch/tests/backend_notices_test.cc
@@ -195,6 +195,89 @@
   }
 }
 
+// `dispatcher` has read that "c" leaves, and then that it restarted at about that time.
+void MakeLeavingAmbiguous(Dispatcher& dispatcher) {
+  dispatcher.NoteNotice(Key("c"), {true, std::nullopt, milliseconds(kSecondStartMs - 1000)},
+                        kStart);
+  dispatcher.Registry().Put(MakeBackend("c", kSecondStartMs));
+}
+
+std::vector<Backend> LeavingQueries(Dispatcher& dispatcher, TimePoint now,
+                                    const GrantAuthority& authority = {}) {
+  return dispatcher.TakeLeavingQueries("s", 10, now, authority);
+}
+
+// Guards against refusing all requests for 10 s where all engines left and restarted.
+Test(ambiguous_leaving, ends_when_the_back_end_says_that_it_stays) {
+  Dispatcher dispatcher = MakeDispatcherOfThree();
+  const BackendKey key = KeyOf("c", kSecondStartMs);
+  cr_assert(!dispatcher.Registry().HasAmbiguousLeaving());
+  MakeLeavingAmbiguous(dispatcher);
+  cr_assert(dispatcher.Registry().HasAmbiguousLeaving());
+  cr_assert(LeavingQueries(dispatcher, kStart + milliseconds(10)).empty());
+  const TimePoint asked = kStart + milliseconds(60);
+  const std::vector<Backend> queries = LeavingQueries(dispatcher, asked);
+  cr_assert(queries.size() == 1 && queries[0].key == key);
+  cr_assert(LeavingQueries(dispatcher, asked + milliseconds(10)).empty(), "just queried");
+  cr_assert(!dispatcher.MayReceive(key, MakeProfile(), asked));
+  cr_assert(dispatcher.Registry().NoteNotLeaving(key, asked));
+  cr_assert(dispatcher.MayReceive(key, MakeProfile(), asked));
+  cr_assert(!dispatcher.Registry().NoteNotLeaving(key, asked), "it is settled");
+  // An answer of the earlier process is read late.
+  dispatcher.Registry().NoteSuccessor(MakeBackend("c", kFirstStartMs));
+  cr_assert(dispatcher.MayReceive(key, MakeProfile(), asked + seconds(1)));
+  cr_assert(LeavingQueries(dispatcher, asked + seconds(2)).empty());
+}
+
+Test(ambiguous_leaving, is_not_ended_by_an_answer_to_an_earlier_query) {
+  Dispatcher dispatcher = MakeDispatcherOfThree();
+  const BackendKey key = KeyOf("c", kSecondStartMs);
+  MakeLeavingAmbiguous(dispatcher);
+  cr_assert(!dispatcher.Registry().NoteNotLeaving(key, kStart - milliseconds(1)));
+  cr_assert(!dispatcher.MayReceive(key, MakeProfile(), kStart + seconds(1)));
+}
+
+Test(ambiguous_leaving, without_an_answer_is_queried_less_and_less_often) {
+  Dispatcher dispatcher = MakeDispatcherOfThree();
+  MakeLeavingAmbiguous(dispatcher);
+  size_t count = 0;
+  for (TimePoint now = kStart; now < kStart + seconds(20); now += milliseconds(10)) {
+    count += LeavingQueries(dispatcher, now).size();
+  }
+  cr_assert(count >= 8 && count <= 20, "%zu", count);
+}
+
+Test(ambiguous_leaving, of_one_that_left_is_drained_or_asked_to_back_off_is_not_queried) {
+  const TimePoint now = kStart + seconds(1);
+  const BackendKey key = KeyOf("c", kSecondStartMs);
+  Dispatcher left = MakeDispatcherOfThree();
+  MakeLeavingAmbiguous(left);
+  left.Registry().MarkLeaving(key);
+  cr_assert(LeavingQueries(left, now).empty());
+  Dispatcher drained = MakeDispatcherOfThree();
+  MakeLeavingAmbiguous(drained);
+  drained.Registry().DrainZone(drained.Registry().Find("c")->zone, kStart);
+  cr_assert(LeavingQueries(drained, now).empty());
+  Dispatcher backing_off = MakeDispatcherOfThree();
+  MakeLeavingAmbiguous(backing_off);
+  backing_off.NoteNotice(key, {false, seconds(2), milliseconds(kSecondStartMs)}, kStart);
+  cr_assert(LeavingQueries(backing_off, now).empty());
+  cr_assert(LeavingQueries(backing_off, kStart + seconds(2)).size() == 1);
+}
+
+// Nodes in doubt do not know of each other's queries, which count as requests.
+Test(ambiguous_leaving, of_a_metered_back_end_is_queried_by_the_node_that_grants) {
+  Dispatcher dispatcher = MakeDispatcherOfThree();
+  MakeLeavingAmbiguous(dispatcher);
+  RateNotice rate;
+  rate.per_s = 2;
+  rate.read = {kStart, milliseconds(kSecondStartMs)};
+  (void)dispatcher.Registry().NoteRate(KeyOf("c", kSecondStartMs), rate);
+  const TimePoint now = kStart + seconds(1);
+  cr_assert(LeavingQueries(dispatcher, now).empty());
+  cr_assert(LeavingQueries(dispatcher, now, {true, 1}).size() == 1);
+}
+
 // Guards against a node clock that is one hour ahead: each engine that left and restarted within
 // that hour seemed to leave for good, and all nodes were told so.
 Test(backend_notices, a_clock_that_was_set_ahead_costs_an_engine_seconds_at_most) {
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -27,6 +27,7 @@
 #include "fleet/peer_exchange.h"
 #include "fleet/traffic_log.h"
 #include "placement/cache_inventory.h"
+#include "placement/leaving_prober.h"
 #include "placement/warmup_prober.h"
 #include "quarantine/quarantine_recorder.h"
 #include "request/relay_server.h"
@@ -80,6 +81,7 @@
         exchange_(context_, catalog_),
         inventory_(context_),
         warmup_prober_(context_),
+        leaving_prober_(context_),
         server_(context_),
         bridges_(io_, {{options.peer.host, options.BridgePort()}, BridgeMemory(options)},
                  context_.dispatcher, context_.paths, context_.pool),
@@ -132,6 +134,7 @@
     catalog_.Start();
     inventory_.Start();
     warmup_prober_.Start();
+    leaving_prober_.Start();
     StartDuties();
     asio::co_spawn(io_, HandleSignals(), asio::detached);
     asio::co_spawn(io_, RunHousekeeping(), asio::detached);
@@ -391,6 +394,7 @@
   PeerExchange exchange_;
   CacheInventory inventory_;
   WarmupProber warmup_prober_;
+  LeavingProber leaving_prober_;
   ResidencyAudit residency_audit_;
   RelayServer server_;
   BridgeServer bridges_;
