Turn a scheduled catalog fetch to the node that told last

Cause, by the trace of a failing run: the node heard of the first gap by gossip before the update came, and fetched from the silent node by that. The fetch that the update scheduled (`watching_gap_`) then waited for the silent node, as no node is asked twice at once, up to 2 s. While it waited, updates of other nodes were ignored: that of the sound node came 31.704, and its sender was asked at 32.107 only, when gossip came. Suspected before was real time; the steps of the run show no hold-up.

Change: the scheduled fetch keeps its target in `gap_`, and a newer update that arrives meanwhile replaces it, so that the next try, 50 ms later at most, goes to its sender.

--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -292,9 +292,14 @@
     (void)MaybeFetch(host, update.document_version, Now());
     return;
   }
-  if (watching_gap_) return;
-  watching_gap_ = true;
-  asio::co_spawn(context_.io, FetchAfterGap(host, update.changes.revision), asio::detached);
+  const FetchTarget target{host, update.changes.revision};
+  if (gap_.has_value()) {
+    // The fetch that is scheduled may wait for a node that does not answer.
+    if (target.revision > gap_->revision) *gap_ = target;
+    return;
+  }
+  gap_ = target;
+  asio::co_spawn(context_.io, FetchAfterGap(), asio::detached);
 }
 
 DocumentNotice PeerExchange::MakeNotice(TimePoint now) const {
--- a/libs/relay/src/fleet/peer_exchange.h
+++ b/libs/relay/src/fleet/peer_exchange.h
@@ -41,9 +41,15 @@
   boost::asio::awaitable<void> SendDigestsPeriodically();
   boost::asio::awaitable<void> TickUsagePeriodically();
   boost::asio::awaitable<void> FetchCatalog(std::string host, FetchSchedule::Running fetch);
-  boost::asio::awaitable<void> FetchAfterGap(std::string host, int64_t revision);
-  boost::asio::awaitable<void> FetchIfBehind(std::string host, int64_t revision,
-                                             Duration grace_period);
+  // A node that knows the catalog up to `revision`.
+  struct FetchTarget {
+    std::string host;
+    int64_t revision = 0;
+  };
+
+  boost::asio::awaitable<void> FetchAfterGap();
+  boost::asio::awaitable<void> FetchAfterView(FetchTarget target);
+  boost::asio::awaitable<void> FetchIfBehind(const FetchTarget& target, Duration grace_period);
   Duration UpdateGracePeriod(const std::string& host) const;
   boost::asio::awaitable<void> AnnounceDocument();
   void SendDigests();
@@ -83,7 +89,9 @@
   bool announcing_ = false;
   FetchSchedule fetches_;
   bool tried_near_source_ = false;  // a catalog fetch has been started
-  bool watching_gap_ = false;       // a fetch is scheduled unless the missing update arrives
+  // The newest update that arrived before its predecessor: a fetch from its sender is scheduled,
+  // unless the missing update arrives.
+  std::optional<FetchTarget> gap_;
   // Catalog revision of a peer that was ahead of this node, and when it was first seen; 0: none.
   int64_t newer_revision_ = 0;
   TimePoint newer_revision_since_{};
--- a/libs/relay/src/fleet/peer_fetching.cc
+++ b/libs/relay/src/fleet/peer_fetching.cc
@@ -85,27 +85,33 @@
     // A timer is needed because the next message from `host` may be seconds away. When nodes waited
     // for another message with a newer revision, some of 24 nodes that lost every message of a
     // change still lacked it after 3.0 s in 6 of 13 runs; with this timer in none of 15.
-    asio::co_spawn(context_.io, FetchIfBehind(host, revision, UpdateGracePeriod(host)),
-                   asio::detached);
+    asio::co_spawn(context_.io, FetchAfterView({host, revision}), asio::detached);
   }
   return now - newer_revision_since_ >= UpdateGracePeriod(host);
 }
 
-// Fetches from `host` unless the changes before `revision`, an update that `host` sent, arrive.
-asio::awaitable<void> PeerExchange::FetchAfterGap(std::string host, int64_t revision) {
+// Fetches the changes before the update in `gap_` unless they arrive.
+asio::awaitable<void> PeerExchange::FetchAfterGap() {
   const int64_t spread = std::uniform_int_distribution<int64_t>(0, kGapSpreadMs)(random_);
   const Duration grace_period = kGapGracePeriod + milliseconds(spread);
-  co_await FetchIfBehind(std::move(host), revision, grace_period);
-  watching_gap_ = false;
+  co_await FetchIfBehind(*gap_, grace_period);
+  gap_.reset();
 }
 
-// Fetches from `host` if this node has not reached `revision` after `grace_period`.
-asio::awaitable<void> PeerExchange::FetchIfBehind(std::string host, int64_t revision,
+// Fetches what the view of a peer shows to be missing unless it arrives.
+asio::awaitable<void> PeerExchange::FetchAfterView(FetchTarget target) {
+  co_await FetchIfBehind(target, UpdateGracePeriod(target.host));
+}
+
+// Fetches from the host of `target` if this node has not reached its revision after `grace_period`.
+// `target` may be replaced meanwhile.
+asio::awaitable<void> PeerExchange::FetchIfBehind(const FetchTarget& target,
                                                   Duration grace_period) {
   Timer timer(context_.io, grace_period);
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-  for (int i = 0; i < kMaxFetchRetries && catalog_.Revision() < revision; ++i) {
+  for (int i = 0; i < kMaxFetchRetries && catalog_.Revision() < target.revision; ++i) {
+    const std::string host = target.host;
     if (MaybeFetch(host, context_.routing.Version(), Now())) break;
     timer.expires_after(kFetchRetry);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/libs/relay/tests/support/spread_fleet.cc
+++ b/libs/relay/tests/support/spread_fleet.cc
@@ -46,6 +46,12 @@
   return all_know();
 }
 
+bool SpreadFleet::RunUntilCopies(int node, int copies, Duration limit) {
+  const TimePoint end = Now() + limit;
+  while (Now() < end && At(node).Copies() < copies) RunFor(kStep);
+  return At(node).Copies() >= copies;
+}
+
 int SpreadFleet::NodesWith(int64_t version) const {
   return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(), [version](const auto& node) {
     return node->Version() >= version;
--- a/libs/relay/tests/support/spread_fleet.h
+++ b/libs/relay/tests/support/spread_fleet.h
@@ -27,6 +27,9 @@
   // True when all nodes know the store up to `revision` within `limit`.
   bool RunUntilAllKnow(int64_t revision, Duration limit);
 
+  // True when `node` has handed over, or begun to, `copies` catalogs within `limit`.
+  bool RunUntilCopies(int node, int copies, Duration limit);
+
   int NodesWith(int64_t version) const;
 
   // The first node that reads its store.
