--- a/libs/relay/tests/replaced_entry_test.cc
+++ b/libs/relay/tests/replaced_entry_test.cc
@@ -60,5 +60,22 @@
   cr_assert(backend.Requests().size() == 1);
 }
 
+// As when the engine's lease lapses while the engine is paused.
+Test(replaced_entry, an_answer_outlives_the_entry_of_its_engine, .timeout = 60) {
+  StubBackend backend(TwoEvents);
+  RelayFixture relay;
+  relay.BePatient();
+  relay.AddBackend("b1", "s", backend.Address(), "z1", "v1");
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(MakePatientRequest("POST", "/resume/a", "r1", "x"));
+  while (backend.Requests().empty()) std::this_thread::sleep_for(milliseconds(5));
+  relay.OnRelayThread([&] { relay.Context().dispatcher.Registry().Remove("b1"); });
+  const std::string answer = client.ReadAnswer(kLongPatience);
+  cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+  cr_assert(Has(answer, "data: a") && Has(answer, "data: b"), "%s", answer.c_str());
+  cr_assert(backend.Requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace cartsail::testing
