--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -151,26 +151,35 @@
   return true;
 }
 
+size_t Client::EndOfAnswer() const {
+  const size_t head_end = buffer_.find("\r\n\r\n");
+  if (head_end == std::string::npos) return std::string::npos;
+  const std::string length = HeaderOf(buffer_, "Content-Length");
+  if (length.empty()) {
+    const size_t last = buffer_.find("0\r\n\r\n", head_end + 4);
+    return last == std::string::npos ? last : last + 5;
+  }
+  const size_t end = head_end + 4 + std::stoul(length);
+  return buffer_.size() >= end ? end : std::string::npos;
+}
+
 std::string Client::ReadAnswer(Duration patience) {
-  while (true) {
-    const size_t head_end = buffer_.find("\r\n\r\n");
-    if (head_end != std::string::npos) {
-      const std::string length = HeaderOf(buffer_, "Content-Length");
-      size_t end = std::string::npos;
-      if (!length.empty()) {
-        end = head_end + 4 + std::stoul(length);
-      } else {
-        const size_t last = buffer_.find("0\r\n\r\n", head_end + 4);
-        if (last != std::string::npos) end = last + 5;
-      }
-      if (end != std::string::npos && buffer_.size() >= end) {
-        std::string answer = buffer_.substr(0, end);
-        buffer_.erase(0, end);
-        return answer;
-      }
-    }
+  size_t end = EndOfAnswer();
+  while (end == std::string::npos) {
     if (!ReadMore(static_cast<int>(ToMillis(patience)))) return std::exchange(buffer_, {});
+    end = EndOfAnswer();
+  }
+  std::string answer = buffer_.substr(0, end);
+  buffer_.erase(0, end);
+  return answer;
+}
+
+std::string Client::ReadAnswerUntil(const std::string& text, Duration patience) {
+  const int patience_ms = static_cast<int>(ToMillis(patience));
+  while (EndOfAnswer() == std::string::npos && buffer_.find(text) == std::string::npos) {
+    if (!ReadMore(patience_ms)) break;
   }
+  return std::exchange(buffer_, {});
 }
 
 std::string Client::ReadUntil(const std::string& text, Duration patience) {
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -74,6 +74,9 @@
   // nothing more has come for `patience`.
   std::string ReadAnswer(Duration patience = seconds(10));
 
+  // The same, and no further than until `text` has come.
+  std::string ReadAnswerUntil(const std::string& text, Duration patience);
+
   // Reads until `text` has come, the connection ends, or nothing more has come for `patience`.
   std::string ReadUntil(const std::string& text, Duration patience = seconds(10));
 
@@ -87,6 +90,8 @@
 
  private:
   bool ReadMore(int timeout_ms);
+  // Where the first answer that was read ends; npos: it is not whole yet.
+  size_t EndOfAnswer() const;
 
   int socket_ = -1;
   bool connected_ = false;
--- a/libs/relay/tests/support/stub_backend.cc
+++ b/libs/relay/tests/support/stub_backend.cc
@@ -135,6 +135,7 @@
     for (size_t i = 0; i < answer.pieces.size(); ++i) {
       if (i > 0 && !Pause(answer.pause_ms)) return;
       if (i > 0 && answer.before_next) answer.before_next();
+      if (answer.before_each) answer.before_each();
       const std::string& piece = answer.pieces[i];
       // Whoever asked has gone.
       if (send(socket, piece.data(), piece.size(), MSG_NOSIGNAL) < 0) return;
--- a/libs/relay/tests/support/stub_backend.h
+++ b/libs/relay/tests/support/stub_backend.h
@@ -20,6 +20,7 @@
   int delay_ms = 0;                        // before the first piece
   bool close_after = false;
   bool reset_after = false;
+  std::function<void()> before_each = {};  // called right before each piece is sent, if set
 };
 
 class StubBackend {
