--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -12,6 +12,7 @@
 #include "cartsail/net/body_end.h"
 #include "cartsail/net/event_scanner.h"
 #include "cartsail/quarantine/request_fingerprint.h"
+#include "cartsail/reachability/silence_evidence.h"
 #include "cartsail/relay/admission.h"
 #include "relay_context.h"
 #include "request/answer_writer.h"
@@ -46,6 +47,23 @@
   int64_t bytes = 0;  // of the body, as received
 };
 
+// Why a request stays with a silent back end, or that it does not.
+enum class SilenceDecision : uint8_t {
+  kMoved,               // another back end takes over
+  kResumed,             // data arrived, or the request may no longer move, during the search
+  kServiceSilent,       // most of the service is silent
+  kMayNotMove,          // no attempts or time are left, or only this back end can continue
+  kVersionUnconfirmed,  // it is not certain which version began the stream
+  kNoRetry,             // the retry budget is spent
+  kNoBackend,           // no back end is left that is not silent
+  kNotConnected,        // the chosen back end could not be reached, or may not get the request
+};
+
+std::string_view SilenceDecisionName(SilenceDecision decision);
+
+// Less time than this is not enough for another attempt.
+inline constexpr Duration kMinTimeForAttempt = milliseconds(20);
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(RelayContext& context, std::shared_ptr<CallerConnection> caller,
@@ -54,23 +72,57 @@
   // Processes the request. Returns true if the caller's connection may serve another request.
   boost::asio::awaitable<bool> Run();
 
+  // The process is about to end: the caller gets the final answer now, unless part of an answer was
+  // sent.
+  void OnProcessEnding();
+
  private:
-  enum class RelayMode { kWhole, kPieces, kEvents };
+  // A back end that is ready to take over from a silent one.
+  struct Replacement {
+    Placement placement;
+    std::unique_ptr<RetryTicket> retry;
+    std::shared_ptr<UpstreamConnection> connection;
+    AttemptOutcome outcome = AttemptOutcome::kWithheld;  // if it does not take over
+  };
+
+  // The watch for silence during one attempt.
+  struct SilenceWatch {
+    explicit SilenceWatch(boost::asio::io_context& io) : timer(io) {}
+
+    // Returns false if this process did not run for a while after `time`: data may wait unread.
+    boost::asio::awaitable<bool> SleepUntil(TimePoint time);
+
+    Timer timer;  // cancelled at the end of the attempt
+    bool ended = false;
+    std::unique_ptr<RetryTicket> retry;      // granted, and not used yet
+    std::vector<BackendKey> unusable;        // back ends that could not take over
+    int failed_searches = 0;                 // that ended with kNotConnected
+    std::optional<SilenceDecision> decided;  // last decision
+    TimePoint logged{};                      // when a decision was logged last
+    bool idle_closed = false;                // the idle connections to the back end were closed
+  };
 
   boost::asio::awaitable<void> WaitForCatalog();
   boost::asio::awaitable<bool> RunAdmitted();
   boost::asio::awaitable<AttemptOutcome> Attempt(const Placement& placement);
   boost::asio::awaitable<AttemptOutcome> ExchangeWithBackend(const Placement& placement);
   boost::asio::awaitable<OpenedPath> OpenUpstream(const Placement& placement);
+  boost::asio::awaitable<OpenedPath> OpenPath(const Placement& placement,
+                                              PathService::OnPending on_pending);
+  // The outcome of an attempt for which no connection was opened.
+  AttemptOutcome OutcomeOfFailedOpen(const OpenedPath& opened) const;
   AttemptOutcome OutcomeOfPath(AttemptOutcome outcome);
   void FinishAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended);
   static boost::asio::awaitable<void> DiagnoseAttempt(std::shared_ptr<Exchange> self,
                                                       Placement placement, AttemptOutcome outcome);
   boost::asio::awaitable<AttemptOutcome> ReadMatchingHead(const Placement& placement,
-                                                          ResponseHead* head,
-                                                          TimePoint read_deadline);
+                                                          ResponseHead* head);
   boost::asio::awaitable<AttemptOutcome> DiscardStaleAnswer();
   void NoteAnswerHead(const ResponseHead& head);
+  // Reads part of the answer's body, as UpstreamConnection::ReadBody(), until the deadline of the
+  // request. The back end is silent after `silence_timeout`; nullopt: however long it takes.
+  boost::asio::awaitable<UpstreamError> ReadBody(std::string* chunk,
+                                                 std::optional<Duration> silence_timeout = {});
   // Records the framing of the answer's body and how reading it ended.
   void NoteReadingEnd();
   // The outcome at the end of the answer's body: kAnswered, or kCut if the body was broken off.
@@ -83,8 +135,6 @@
                                                      const ResponseHead& head);
   void NoteBody(const ResponseHead& head, std::string_view piece, EventScanner* events);
   void NoteStreamPiece(const Placement& placement, std::string_view piece);
-  // The time until which the next piece of a stream is waited for.
-  TimePoint StreamReadDeadline(bool resumable) const;
   // Forwards bytes of a stream, preceded by the head if it was not sent yet; `at_end` ends the
   // body.
   boost::asio::awaitable<bool> ForwardPiece(const ResponseHead& head, std::string_view bytes,
@@ -100,9 +150,9 @@
   boost::asio::awaitable<bool> AnswerRefusal(ErrorKind kind, Duration retry_after);
 
   std::string UpstreamHead(const Placement& placement, TimePoint now) const;
-  AttemptOutcome OutcomeOf(UpstreamError error, TimePoint deadline) const;
-  TimePoint FirstOutputDeadline(const Placement& placement, TimePoint now) const;
-  Duration PauseLimit() const;
+  AttemptOutcome OutcomeOf(UpstreamError error) const;
+  Duration FirstOutputTimeout(const Placement& placement) const;
+  Duration PauseTimeout() const;
   bool IsRetryable() const;
   // True if the request's stream can continue at another back end, but only at one of the version
   // that started it.
@@ -119,8 +169,30 @@
   // False if the stream started in this answer and another version may have written its first
   // event.
   boost::asio::awaitable<bool> IsVersionConfirmed();
-  // True if the current connection leads to a process of the stream's version.
-  boost::asio::awaitable<bool> CanResumeAt(const Placement& placement);
+  // True if the connection leads to a process of the stream's version.
+  boost::asio::awaitable<bool> CanResumeAt(const Placement& placement,
+                                           const UpstreamConnection& connection);
+  void StartSilenceWatch(const Placement& placement);
+  void EndSilenceWatch();
+  static boost::asio::awaitable<void> WatchSilence(std::shared_ptr<Exchange> self,
+                                                   std::shared_ptr<SilenceWatch> watch,
+                                                   Placement placement);
+  // When the current read counts as silence of the back end.
+  TimePoint SilentFrom(const Placement& placement) const;
+  bool MayMove() const;
+  // Searches for a back end that takes over from the `silent` one; sets replacement_ on kMoved.
+  boost::asio::awaitable<SilenceDecision> ReplaceSilent(std::shared_ptr<SilenceWatch> watch,
+                                                        Placement silent);
+  // Returns true if `found` is connected and may get the request.
+  boost::asio::awaitable<bool> ConnectReplacement(const SilenceWatch& watch, Replacement& found);
+  std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch);
+  // Records what is known about the silence of the current attempt.
+  void NoteEvidence(const Placement& placement);
+  // Ends the placement of a replacement to which nothing was sent.
+  void ReleaseReplacement(Replacement& found);
+  void NoteSilence(SilenceWatch& watch, const Placement& placement, SilenceDecision decision);
+  // The back end of the next attempt.
+  boost::asio::awaitable<std::optional<Placement>> NextPlacement();
   void NoteOutput(TimePoint now);
   void NoteRun(TimePoint now);
   void LogAttempt(const Placement& placement, AttemptOutcome outcome) const;
@@ -140,7 +212,8 @@
   // Returns true if the request may be sent to a back end now. If it was sent to one before, this
   // is a retry and is charged to the retry budget.
   boost::asio::awaitable<bool> AcquireRetry();
-  void LogRetry() const;
+  // Counts and logs a retry that was granted; nullptr: it was denied.
+  void NoteRetryDecision(const RetryTicket* retry) const;
   // Ends the retry of the attempt that just ended. The retry counts for one budget window from now,
   // or from the time until which bytes of the request may still arrive at a back end.
   void ReleaseRetry(AttemptOutcome outcome);
@@ -177,7 +250,13 @@
   std::string last_event_id_;            // of the forwarded events, to resume after
   std::shared_ptr<UpstreamConnection> upstream_;
   TimePoint deadline_;
-  TimePoint sent_;  // when the last attempt was sent to a back end
+  TimePoint sent_;           // when the last attempt was sent to a back end
+  TimePoint waiting_since_;  // when this node began to wait for the next data of the attempt
+  bool is_reading_ = false;  // this node waits for data of the attempt
+  std::optional<Duration> silence_timeout_;  // of the current read; nullopt: none
+  SilenceEvidence silence_;                  // when the last attempt ended or was last found silent
+  std::shared_ptr<SilenceWatch> silence_watch_;  // of the current attempt; nullptr: none
+  std::unique_ptr<Replacement> replacement_;     // for the next attempt; nullptr: none
   TimePoint first_output_;
   TimePoint last_output_;
   Duration longest_pause_{};  // longest time between two pieces of the answer
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -72,6 +72,11 @@
        {"reading_end", end.reading},
        {"content_end", end.content},
        {"answer_bytes", end.bytes},
+       {"silent_ms", fmt::format("{:.0f}", ToMillis(silence_.silent_for))},
+       {"backend_speaks", silence_.backend_speaks ? "true" : "false"},
+       {"others_silent", std::to_string(silence_.others_silent)},
+       {"others_speaking", std::to_string(silence_.others_speaking)},
+       {"path_cut", silence_.is_path_cut ? "true" : "false"},
        {"attempts", std::to_string(history_.attempts)},
        {"may_have_run", std::to_string(history_.may_have_run)},
        {"expected_loss", fmt::format("{:.3f}", placement.expected_loss)},
@@ -87,16 +92,19 @@
        {"candidates", std::to_string(placement.candidates)}});
 }
 
-void Exchange::LogRetry() const {
+void Exchange::NoteRetryDecision(const RetryTicket* retry) const {
   const std::string& service = admitted_.profile.service;
   const PeerTable& peers = context_.peers;
-  const bool granted = retry_ != nullptr;
+  const bool granted = retry != nullptr;
+  Counters& counters = GlobalCounters();
+  (granted ? counters.retries_total : counters.retries_denied_total).Add();
+  if (granted && head_sent_) counters.continuations_total.Add();
   Log(LogLevel::kWarning, "repeat",
       {{"request", request_id_},
        {"service", service},
        {"granted", granted ? "true" : "false"},
-       {"source", granted ? std::string(RetrySourceName(retry_->Grant().source)) : ""},
-       {"lender", granted ? retry_->Lender() : ""},
+       {"source", granted ? std::string(RetrySourceName(retry->Grant().source)) : ""},
+       {"lender", granted ? retry->Lender() : ""},
        {"budget_left", fmt::format("{:.1f}", context_.retries.RemainingRequestBudget(service))},
        {"extra_left", fmt::format("{:.1f}", context_.retries.RemainingExtraBudget(service))},
        {"live", std::to_string(peers.LiveCount() + 1)},
--- a/libs/relay/src/upstream/bridge_server.cc
+++ b/libs/relay/src/upstream/bridge_server.cc
@@ -196,13 +196,13 @@
 
   void BeginWaiting() {
     is_waiting_ = true;
-    use_->Begin(upstream_, Now());
+    use_->Begin(Now());
     upstream_->Transport().expires_after(left_ + kAnswerMargin);
   }
 
   void EndWaiting() {
     if (!std::exchange(is_waiting_, false)) return;
-    use_->End();
+    use_->End(Now());
     upstream_->Transport().expires_never();
   }
 
