--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -108,7 +108,6 @@
   X(cold_placements_total, counter, "Requests that this node placed at cold back ends")            \
   X(limited_placements_total, counter, "Requests that this node placed at limited back ends")      \
   X(metered_refusals_total, counter, "Requests refused as only cold or limited ones were left")    \
-  X(leaving_questions_total, counter, "Questions to back ends whether they are leaving")           \
   X(warmth_questions_total, counter, "Questions to lost back ends how long they stay cold")        \
   X(warmth_told_total, counter, "Answers to them that settled a spell")                            \
   X(rate_limits_named_total, counter, "Times a back end named a rate or another one")              \
--- a/libs/dispatch/include/cartsail/dispatch/backend_notices.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_notices.h
@@ -57,35 +57,18 @@
   // `later`: without the transfer, three requests from each of four nodes reached an engine that
   // had asked these nodes to back off before they learned of its restart. A notice that either
   // incarnation may have sent applies to `later` for kMaxAmbiguousHold after it was read; this
-  // includes leaving, which then acts as a back-off until NoteNotLeaving().
+  // includes leaving, which then acts as a back-off.
   void CarryToSuccessor(BackendKey earlier, BackendKey later, std::chrono::milliseconds start);
 
-  // Back ends that may have sent the leaving notice of their predecessor, have asked for no
-  // back-off themselves, and are to be queried at `now` whether they are leaving.
-  std::vector<BackendKey> DueForLeavingQuery(TimePoint now) const;
-
-  // Records that the query was sent, and schedules the next one.
-  void NoteLeavingQuery(BackendKey backend, TimePoint now);
-
-  // Records the answer, to a query sent at `asked`, that the back end is not leaving. Because
-  // leaving is final, a leaving notice read by then was sent by its predecessor. Returns true when
-  // this ends the hold for such a notice.
-  bool NoteNotLeaving(BackendKey backend, TimePoint asked);
-
-  // True when some back ends may have to be queried whether they are leaving.
-  bool HasAmbiguousLeaving() const { return !ambiguous_leaving_.empty(); }
-
   // True when the back end is leaving, or has a back-off that has not been expired yet.
   bool Knows(BackendKey backend) const {
-    return leaving_.contains(backend) || backoffs_.contains(backend) ||
-           ambiguous_leaving_.contains(backend);
+    return leaving_.contains(backend) || backoffs_.contains(backend);
   }
 
-  // Time left until this node may send to the back end again, because of a back-off or of a notice
-  // that either of two incarnations may have sent; nothing when neither is in force.
+  // Time left until this node may send to the back end again; nothing when no back-off is in force.
   std::optional<Duration> BackoffLeft(BackendKey backend, TimePoint now) const;
 
-  // Back ends for which BackoffLeft() is set at `now`.
+  // Back ends from which this node is backing off at `now`.
   std::vector<BackendKey> BackingOff(TimePoint now) const;
 
   // Forgets back-offs that have ended.
@@ -114,27 +97,12 @@
     Backoff latest;
   };
 
-  // A leaving notice that either this incarnation or its predecessor may have sent.
-  struct AmbiguousLeaving {
-    Backoff hold;           // the back end gets nothing until its end
-    TimePoint not_leaving;  // when the last query was sent whose answer said that it is not leaving
-    int queries = 0;        // queries sent since the notice
-    TimePoint next_query;
-
-    bool IsDisproved() const { return hold.told.at < not_leaving; }
-    bool IsInForce(TimePoint now) const { return hold.until > now && !IsDisproved(); }
-  };
-
   static TimePoint EndFor(const Backoff& backoff, std::chrono::milliseconds start);
   void Carry(BackendKey to, const Backoff& backoff, std::chrono::milliseconds start);
-  void CarryLeaving(BackendKey to, const Backoff& hold, std::chrono::milliseconds start);
-  std::optional<Duration> RequestedBackoffLeft(BackendKey backend, TimePoint now) const;
-  bool MayBeLeaving(BackendKey backend, TimePoint now) const;
 
   std::unordered_map<BackendKey, NoticeTime> leaving_;  // when the notice was read
   std::deque<BackendKey> leaving_order_;                // oldest first
   std::unordered_map<BackendKey, Backoffs> backoffs_;
-  std::unordered_map<BackendKey, AmbiguousLeaving> ambiguous_leaving_;
 };
 
 }  // namespace cartsail
--- a/libs/dispatch/include/cartsail/dispatch/backend_registry.h
+++ b/libs/dispatch/include/cartsail/dispatch/backend_registry.h
@@ -94,18 +94,6 @@
     return notices_.BackoffLeft(backend, now);
   }
 
-  // As in BackendNotices.
-  std::vector<BackendKey> DueForLeavingQuery(TimePoint now) const {
-    return notices_.DueForLeavingQuery(now);
-  }
-  void NoteLeavingQuery(BackendKey backend, TimePoint now) {
-    notices_.NoteLeavingQuery(backend, now);
-  }
-  bool NoteNotLeaving(BackendKey backend, TimePoint asked) {
-    return notices_.NoteNotLeaving(backend, asked);
-  }
-  bool HasAmbiguousLeaving() const { return notices_.HasAmbiguousLeaving(); }
-
   // Records what an answer said about the rate that the back end accepts from all nodes together.
   RateChange NoteRate(BackendKey backend, const RateNotice& notice) {
     return limits_.Note(backend, notice);
--- a/libs/dispatch/include/cartsail/dispatch/dispatcher.h
+++ b/libs/dispatch/include/cartsail/dispatch/dispatcher.h
@@ -197,12 +197,6 @@
     return cold_.NoteWarmth(backend, report, now);
   }
 
-  // Back ends of `service`, at most `most`, that are to be queried now whether they are leaving,
-  // since either they or their predecessors said so. Each query counts as a request, so that a
-  // metered back end is queried only by a node with the authority to grant it one.
-  std::vector<Backend> TakeLeavingQueries(const std::string& service, size_t most, TimePoint now,
-                                          const GrantAuthority& authority);
-
   // To be called about twice a second.
   void Tick(TimePoint now);
 
--- a/libs/dispatch/src/cold_back_ends.cc
+++ b/libs/dispatch/src/cold_back_ends.cc
@@ -1,7 +1,5 @@
 #include "cartsail/dispatch/cold_back_ends.h"
 
-#include "cartsail/dispatch/query_schedule.h"
-
 namespace cartsail {
 namespace {
 
@@ -9,6 +7,17 @@
 // entry any more, and the entry that it writes on its return states whether it is cold.
 constexpr Duration kLongestAbsence = seconds(10);
 
+// A lost back end is queried soon, because most are still there, and then with growing intervals,
+// because the others may be away for all of kLongestAbsence.
+constexpr Duration kInitialQueryInterval = milliseconds(50);
+constexpr Duration kMaxQueryInterval = seconds(1);
+
+Duration QueryIntervalAfter(int queries) {
+  Duration interval = kInitialQueryInterval;
+  for (int i = 0; i < queries && interval < kMaxQueryInterval; ++i) interval *= 2;
+  return std::min(interval, kMaxQueryInterval);
+}
+
 bool IsLoss(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kCut ||
          outcome == AttemptOutcome::kSilent;
--- a/libs/dispatch/src/dispatcher_metered.cc
+++ b/libs/dispatch/src/dispatcher_metered.cc
@@ -134,23 +134,6 @@
   return queries;
 }
 
-std::vector<Backend> Dispatcher::TakeLeavingQueries(const std::string& service, size_t most,
-                                                    TimePoint now,
-                                                    const GrantAuthority& authority) {
-  std::vector<Backend> queries;
-  for (const BackendKey key : registry_.DueForLeavingQuery(now)) {
-    if (queries.size() >= most) break;
-    const Backend* backend = registry_.FindOpen(key);
-    if (backend == nullptr || backend->service != service) continue;
-    if (backend->missing_until.has_value()) continue;
-    if (WaitForMetered(*backend, now, authority) > Duration(0)) continue;
-    grants_.NoteGrant(key, now);
-    registry_.NoteLeavingQuery(key, now);
-    queries.push_back(*backend);
-  }
-  return queries;
-}
-
 std::vector<ColdBackEnd> Dispatcher::ColdOf(const std::string& service, TimePoint now) const {
   std::vector<ColdBackEnd> cold;
   for (const Backend* backend : registry_.ReadyOf(service)) {
--- a/libs/relay/src/placement/placement_service.h
+++ b/libs/relay/src/placement/placement_service.h
@@ -68,9 +68,6 @@
   // Returns this node's questions to `host` whose requests have not ended.
   std::vector<PlacementQueryId> LiveQuestions(const std::string& host) const;
 
-  // This node's right to grant requests to metered back ends; empty if `service` cannot have any.
-  GrantAuthority GrantRightFor(const std::string& service, TimePoint now) const;
-
   // True if this node may grant requests to cold back ends of `service`.
   bool GrantsToCold(const std::string& service, TimePoint now) const {
     return GrantRightFor(service, now).to_cold;
@@ -103,6 +100,8 @@
     int failures = 0;
   };
 
+  // This node's right to grant requests to metered back ends; empty if `service` cannot have any.
+  GrantAuthority GrantRightFor(const std::string& service, TimePoint now) const;
   void CountMetered(const Placement& placement) const;
   PlacementResult PlaceLocally(const RequestProfile& profile, const std::vector<BackendKey>& tried);
   boost::asio::awaitable<PlacementResult> PlaceByCoordinator(const RequestProfile& profile,
--- a/libs/relay/src/placement/warmup_prober.h
+++ b/libs/relay/src/placement/warmup_prober.h
@@ -4,14 +4,27 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <string>
+#include <optional>
+#include <string_view>
 
 #include "cartsail/base/log.h"
-#include "placement/health_query.h"
+#include "cartsail/net/http_types.h"
 #include "relay_context.h"
 
 namespace cartsail {
 
+// The content of an answer at a back end's health path.
+struct HealthAnswer {
+  bool is_of_another = false;  // another back end has taken over the address
+  // The remaining warm-up time. nullopt: the back end rejected the probe like a request, the time
+  // is not readable, or the answer does not come from this back end.
+  std::optional<Duration> cold_left;
+};
+
+// Parses an answer at the health path of the back end `id`.
+HealthAnswer ParseHealthAnswer(const HttpResponse& response, std::string_view id,
+                               const WireNames& names);
+
 class WarmupProber {
  public:
   explicit WarmupProber(RelayContext& context) : context_(context) {}
@@ -27,6 +40,7 @@
   boost::asio::awaitable<void> Watch();
   boost::asio::awaitable<void> Probe(Backend backend, std::string path);
   void ProbeDue(TimePoint now);
+  void NoteHealth(const Backend& backend, const HealthAnswer& answer, TimePoint asked);
 
   RelayContext& context_;
   size_t probes_in_progress_ = 0;
--- a/libs/relay/src/relay_node.cc
+++ b/libs/relay/src/relay_node.cc
@@ -27,7 +27,6 @@
 #include "fleet/peer_exchange.h"
 #include "fleet/traffic_log.h"
 #include "placement/cache_inventory.h"
-#include "placement/leaving_prober.h"
 #include "placement/warmup_prober.h"
 #include "quarantine/quarantine_recorder.h"
 #include "request/exchange.h"
@@ -84,7 +83,6 @@
         exchange_(context_, catalog_),
         inventory_(context_),
         warmup_prober_(context_),
-        leaving_prober_(context_),
         server_(context_),
         bridges_(io_, {{options.peer.host, options.BridgePort()}, BridgeMemory(options)},
                  context_.dispatcher, context_.paths, context_.pool),
@@ -137,7 +135,6 @@
     catalog_.Start();
     inventory_.Start();
     warmup_prober_.Start();
-    leaving_prober_.Start();
     StartDuties();
     asio::co_spawn(io_, HandleSignals(), asio::detached);
     asio::co_spawn(io_, RunHousekeeping(), asio::detached);
@@ -405,7 +402,6 @@
   PeerExchange exchange_;
   CacheInventory inventory_;
   WarmupProber warmup_prober_;
-  LeavingProber leaving_prober_;
   ResidencyAudit residency_audit_;
   RelayServer server_;
   BridgeServer bridges_;
