A trial at an idle back end is no proof that connections died

A trial while most of a service is silent may reach a back end of which this node knew nothing: its answer shows that this one is sound, not that silent back ends answer on new connections.

--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -193,6 +193,8 @@
                                                         Placement silent);
   // Returns true if `found` is connected and may get the request.
   boost::asio::awaitable<bool> ConnectReplacement(const SilenceWatch& watch, Replacement& found);
+  // True if this node finds the back end silent, by half of the attempt's silence.
+  bool IsSilentBackend(BackendKey backend);
   std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch, bool is_trial);
   // Records what is known about the silence of the current attempt.
   void NoteEvidence(const Placement& placement);
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -194,6 +194,7 @@
     co_return is_still_silent ? SilenceDecision::kNotConnected : SilenceDecision::kResumed;
   }
   found->retry = std::move(watch->retry);
+  const bool was_silent = IsSilentBackend(found->placement.backend.key);
   SendToReplacement(*found);
   NoteSilence(*watch, silent, SilenceDecision::kSent);
   co_await found->connection->AwaitData();
@@ -206,7 +207,7 @@
     ReleaseReplacement(*found);
     co_return SilenceDecision::kRefused;
   }
-  if (is_trial) context_.paths.NoteTrialAnswered(silent.backend.service, Now());
+  if (is_trial && was_silent) context_.paths.NoteTrialAnswered(silent.backend.service, Now());
   replacement_ = found;
   co_return SilenceDecision::kMoved;
 }
@@ -263,6 +264,14 @@
       context_.dispatcher.MaySend(placement, admitted_.profile, sent_by);
 }
 
+bool Exchange::IsSilentBackend(BackendKey backend) {
+  const TimePoint now = Now();
+  const Duration silence = silence_.silent_for / kReplacementSilenceDivisor;
+  const std::vector<BackendKey> silent =
+      SilentBackends(silence, now, context_.paths.ActivityOf(admitted_.profile.service, now));
+  return std::find(silent.begin(), silent.end(), backend) != silent.end();
+}
+
 // A trial is to show whether silent back ends answer on new connections.
 std::vector<BackendKey> Exchange::ExcludedAsReplacements(const SilenceWatch& watch, bool is_trial) {
   const TimePoint now = Now();
