Silent attempts: a failure of the waking back end does not end the other attempt; trials find idle back ends first

A refusal or a stale answer of the back end that wakes closed the replacement that was running. A service that merely woke from a pause was taken for one whose connections had died, so that the next pause moved everything. The data residency is read again before the request is sent; withheld ones are not charged; an engine whose callers left in the silence stays overdue; decisions that last are logged.

--- a/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
+++ b/libs/dispatch/include/cartsail/dispatch/attempt_outcome.h
@@ -17,7 +17,7 @@
   kWrongInstance,  // another incarnation has the address and did not run the request
   kCut,            // the connection was lost after bytes may have been sent
   kSpoilt,         // the bytes received are not an answer to this request
-  kSilent,         // no data arrived within the time allowed
+  kSilent,         // no data arrived for long, and another back end has taken over
   kTimedOut,       // the deadline of the request passed
   kCallerGone,
   // The back end began to leave, its zone was drained, or it became cold after it was chosen.
--- a/libs/reachability/include/cartsail/reachability/silence_evidence.h
+++ b/libs/reachability/include/cartsail/reachability/silence_evidence.h
@@ -10,7 +10,7 @@
 
 namespace cartsail {
 
-// Activity on a node's direct connections to one back end.
+// Activity on a node's connections to one back end, either the direct or the bridged ones.
 struct BackendActivity {
   BackendKey backend = 0;
   bool is_waiting = false;      // responses are pending
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -426,6 +426,7 @@
 // Runs an attempt from the sending of the request to its end.
 asio::awaitable<AttemptOutcome> Exchange::RunAttempt(const Placement& placement) {
   has_matching_head_ = false;
+  is_answering_ = false;
   has_output_ = false;
   StartSilenceWatch(placement);
   const AttemptOutcome outcome = OutcomeOfPath(co_await ExchangeWithBackend(placement));
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -53,7 +53,7 @@
 enum class SilenceDecision : uint8_t {
   kSent,                // the request was sent to another back end as well
   kMoved,               // the other back end has answered and takes over
-  kResumed,             // data arrived, or the request may no longer move, during the search
+  kResumed,             // data arrived or the attempt ended during the search
   kServiceSilent,       // most of the service is silent
   kMayNotMove,          // no attempts or time are left, or only this back end can continue
   kVersionUnconfirmed,  // it is not certain which version began the stream
@@ -195,7 +195,8 @@
   boost::asio::awaitable<bool> ConnectReplacement(const SilenceWatch& watch, Replacement& found);
   // True if this node finds the back end silent, by half of the attempt's silence.
   bool IsSilentBackend(BackendKey backend);
-  std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch, bool is_trial);
+  std::vector<BackendKey> ExcludedAsReplacements(const SilenceWatch& watch,
+                                                 std::optional<TrialTarget> trial);
   // Records what is known about the silence of the current attempt.
   void NoteEvidence(const Placement& placement);
   // How an answer other than success of a replacement is to be taken.
@@ -293,6 +294,7 @@
   bool caller_gone_ = false;
   bool aborted_for_memory_ = false;
   bool has_matching_head_ = false;  // the current attempt has received the head that answers it
+  bool is_answering_ = false;       // that head reports success
   bool has_output_ = false;         // the current attempt has received a part of a body
   bool aborted_ = false;            // the current attempt, since the request was quarantined
   bool keep_alive_ = true;
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -46,7 +46,7 @@
   is_reading_ = false;
   // Data that arrived after the decision to move comes again from the next back end.
   if (replacement_ != nullptr) co_return UpstreamError::kBroken;
-  if (error == UpstreamError::kNone) DropCandidate();
+  if (error == UpstreamError::kNone && is_answering_) DropCandidate();
   co_return error;
 }
 
@@ -72,7 +72,6 @@
     const UpstreamError error = co_await upstream_->ReadHead(head, is_head_request, deadline_);
     is_reading_ = false;
     if (replacement_ != nullptr) co_return OutcomeOf(UpstreamError::kBroken);
-    if (error == UpstreamError::kNone) DropCandidate();
     if (error != UpstreamError::kNone) co_return OutcomeOf(error);
     const std::string_view id = head->Header(context_.format.Names().request_id);
     // An answer to an earlier request is recorded too: it comes from the same back end.
@@ -80,6 +79,9 @@
     NoteAnswer(context_, placement.backend, {head->status, head->headers, asked});
     if (id == request_id_) {
       has_matching_head_ = true;
+      // A failure or refusal does not end the other back end's attempt.
+      is_answering_ = IsSuccess(head->status);
+      if (is_answering_) DropCandidate();
       if (retry_ != nullptr) retry_->Close(std::max(Now(), in_transit_until_));
       co_return AttemptOutcome::kAnswered;
     }
@@ -174,9 +176,11 @@
   }
 
   const bool failed = head.status >= kMinFailureStatus;
-  const bool may_retry = IsRetryable() && history_.may_have_run < admitted_.route->max_attempts;
+  const bool may_retry = candidate_ != nullptr ||
+                         (IsRetryable() && history_.may_have_run < admitted_.route->max_attempts);
   if (failed && (may_retry || head_sent_)) co_return AttemptOutcome::kFailedAnswer;
   if (head_sent_) co_return AttemptOutcome::kSpoilt;  // a continuation must not send a second head
+  DropCandidate();
 
   HttpHeaders headers = EndToEndHeaders(head.headers, {});
   if (chunk.empty()) {
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -34,7 +34,7 @@
 constexpr Duration kSearchInterval = milliseconds(200);
 // A search that could not connect to its choice is repeated at once this often, with another
 // choice.
-constexpr int kMaxImmediateSearches = 3;
+constexpr int kMaxImmediateSearches = 2;
 // A timer that fires later than this shows that this process did not run.
 constexpr Duration kMaxTimerLateness = milliseconds(100);
 // What was granted must be valid until the request is sent, some turns of the event loop later.
@@ -139,7 +139,7 @@
     if (decision == SilenceDecision::kMoved) co_return self->upstream_->Close();
     const bool found_none =
         decision == SilenceDecision::kNotConnected || decision == SilenceDecision::kRefused;
-    const bool is_next_search_due = found_none && ++watch->failed_searches < kMaxImmediateSearches;
+    const bool is_next_search_due = found_none && watch->failed_searches++ < kMaxImmediateSearches;
     if (!is_next_search_due) has_read_all = co_await watch->SleepUntil(Now() + kSearchInterval);
   }
 }
@@ -162,15 +162,16 @@
   const TimePoint since = waiting_since_;
   NoteEvidence(silent);
   if (!MayMove()) co_return SilenceDecision::kMayNotMove;
-  const bool is_trial = silence_.IsServiceWide();
-  if (is_trial && !context_.paths.TakeTrial(silent.backend.service, Now())) {
-    co_return SilenceDecision::kServiceSilent;
+  std::optional<TrialTarget> trial;
+  if (silence_.IsServiceWide()) {
+    trial = context_.paths.TakeTrial(silent.backend.service, Now());
+    if (!trial.has_value()) co_return SilenceDecision::kServiceSilent;
   }
   if (!co_await IsVersionConfirmed()) co_return SilenceDecision::kVersionUnconfirmed;
   if (watch->ended) co_return SilenceDecision::kResumed;
   RefreshResidency();
   admitted_.profile.version = stream_version_;
-  const std::vector<BackendKey> excluded = ExcludedAsReplacements(*watch, is_trial);
+  const std::vector<BackendKey> excluded = ExcludedAsReplacements(*watch, trial);
   // Looks before it places: a placement counts as load and against the limits of the back end.
   if (!context_.dispatcher.HasReadyBesides(excluded, admitted_.profile, Now())) {
     watch->unusable.clear();
@@ -184,7 +185,8 @@
   if (!result.placement.has_value()) co_return SilenceDecision::kNoBackend;
   const auto found = std::make_shared<Replacement>();
   found->placement = *result.placement;
-  if (is_trial || silence_.connections_died) context_.pool.CloseIdle(found->placement.backend.key);
+  if (trial.has_value() || silence_.connections_died)
+    context_.pool.CloseIdle(found->placement.backend.key);
   const bool is_connected = co_await ConnectReplacement(*watch, *found);
   const bool is_still_silent = !watch->ended && is_reading_ && waiting_since_ == since;
   if (!is_connected || !is_still_silent || !MayMove()) {
@@ -197,17 +199,28 @@
   const bool was_silent = IsSilentBackend(found->placement.backend.key);
   SendToReplacement(*found);
   NoteSilence(*watch, silent, SilenceDecision::kSent);
-  co_await found->connection->AwaitData();
+  const std::shared_ptr<UpstreamConnection> connection = found->connection;
+  co_await connection->AwaitData();
   // The silent attempt has sent data or ended meanwhile, and decided what becomes of the other.
   if (candidate_ != found) co_return SilenceDecision::kResumed;
   candidate_ = nullptr;
   if (!IsSuccess(found->connection->PeekStatus().value_or(0))) {
     found->outcome = co_await ReadRefusal(*found);
     if (ProvablyNotRun(found->outcome)) --history_.may_have_run;
+    if (found->outcome == AttemptOutcome::kWithheld) {
+      --history_.attempts;
+      found->retry->NoteNotSent();
+    }
     ReleaseReplacement(*found);
     co_return SilenceDecision::kRefused;
   }
-  if (is_trial && was_silent) context_.paths.NoteTrialAnswered(silent.backend.service, Now());
+  // A back end that has just woken up answers on its old connections too, or late.
+  const bool is_prompt = Now() - *found->sent < FirstOutputTimeout(found->placement);
+  const bool is_awake = context_.paths.WasHeardSince(found->placement.backend.key, *found->sent);
+  if (trial.has_value() && was_silent && is_prompt && !is_awake) {
+    context_.paths.NoteTrialAnswered(silent.backend.service, Now());
+  }
+  NoteEvidence(silent);
   replacement_ = found;
   co_return SilenceDecision::kMoved;
 }
@@ -259,6 +272,7 @@
     co_return false;
   }
   if (!co_await CanResumeAt(placement, *found.connection)) co_return false;
+  RefreshResidency();
   const TimePoint sent_by = Now() + kMoveMargin;
   co_return watch.retry->MaySend(sent_by) &&
       context_.dispatcher.MaySend(placement, admitted_.profile, sent_by);
@@ -272,19 +286,24 @@
   return std::find(silent.begin(), silent.end(), backend) != silent.end();
 }
 
-// A trial is to show whether silent back ends answer on new connections.
-std::vector<BackendKey> Exchange::ExcludedAsReplacements(const SilenceWatch& watch, bool is_trial) {
+std::vector<BackendKey> Exchange::ExcludedAsReplacements(const SilenceWatch& watch,
+                                                         std::optional<TrialTarget> trial) {
   const TimePoint now = Now();
   const Duration silence = silence_.silent_for / kReplacementSilenceDivisor;
   const std::vector<BackendActivity>& service =
       context_.paths.ActivityOf(admitted_.profile.service, now);
   std::vector<BackendKey> excluded = tried_;
-  excluded.insert(excluded.end(), watch.unusable.begin(), watch.unusable.end());
+  const auto exclude = [&excluded](const std::vector<BackendKey>& backends) {
+    excluded.insert(excluded.end(), backends.begin(), backends.end());
+  };
+  exclude(watch.unusable);
   if (silence_.connections_died) return excluded;
-  const std::vector<BackendKey> others =
-      is_trial ? SpeakingBackends(silence, now, service) : SilentBackends(silence, now, service);
-  excluded.insert(excluded.end(), others.begin(), others.end());
-  return excluded;
+  if (trial.has_value()) exclude(SpeakingBackends(silence, now, service));
+  if (trial == TrialTarget::kSilent) return excluded;
+  const std::vector<BackendKey> without_silent = excluded;
+  exclude(SilentBackends(silence, now, service));
+  const bool has_idle = context_.dispatcher.HasReadyBesides(excluded, admitted_.profile, now);
+  return trial.has_value() && !has_idle ? without_silent : excluded;
 }
 
 void Exchange::ReleaseReplacement(Replacement& found) {
@@ -298,8 +317,8 @@
   context_.pool.Return(found.placement.backend.key, std::move(found.connection));
 }
 
-// Logs the first decision about an attempt and the move; of the others, those that differ from the
-// one before, at most one a second.
+// Logs the first decision about an attempt and what is sent or moved; of the others, those that
+// differ from the one logged before, at most one a second.
 void Exchange::NoteSilence(SilenceWatch& watch, const Placement& placement,
                            SilenceDecision decision) {
   const TimePoint now = Now();
@@ -313,9 +332,10 @@
     // The idle connections may be silent for good although new ones work.
     context_.pool.CloseIdle(placement.backend.key);
   }
-  const bool differs = watch.decided != decision;
+  const bool is_sent_or_moved = is_moved || decision == SilenceDecision::kSent;
+  const bool is_news = watch.decided != decision && now - watch.logged >= kLogInterval;
+  if (!is_sent_or_moved && !is_news) return;
   watch.decided = decision;
-  if (!is_moved && (!differs || now - watch.logged < kLogInterval)) return;
   watch.logged = now;
   if (decision == SilenceDecision::kNoRetry) NoteRetryDecision(nullptr);
   Log(LogLevel::kWarning, "silence",
--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -108,11 +108,20 @@
   return evidence;
 }
 
-bool PathService::TakeTrial(const std::string& service, TimePoint now) {
+std::optional<TrialTarget> PathService::TakeTrial(const std::string& service, TimePoint now) {
   Trials& trials = trials_[service];
-  if (now < trials.next) return false;
+  if (now < trials.next) return std::nullopt;
   trials.next = now + kTrialInterval;
-  return true;
+  const bool is_idle = trials.target == TrialTarget::kIdle;
+  return std::exchange(trials.target, is_idle ? TrialTarget::kSilent : TrialTarget::kIdle);
+}
+
+bool PathService::WasHeardSince(BackendKey backend, TimePoint since) const {
+  for (const auto* uses : {&uses_, &bridged_uses_}) {
+    const auto use = uses->find(backend);
+    if (use != uses->end() && use->second->Heard() > since) return true;
+  }
+  return false;
 }
 
 void PathService::NoteTrialAnswered(const std::string& service, TimePoint now) {
--- a/libs/relay/src/upstream/path_service.h
+++ b/libs/relay/src/upstream/path_service.h
@@ -34,6 +34,12 @@
   bool says_nothing_of_backend = false;
 };
 
+// What a request learns that is sent elsewhere although most of its service is silent.
+enum class TrialTarget : uint8_t {
+  kIdle,    // whether a back end that this node does not use is sound
+  kSilent,  // whether a silent back end answers on a new connection
+};
+
 class PathService {
  public:
   // Called with each connection before it is established, so that the caller can close it.
@@ -80,13 +86,16 @@
   SilenceEvidence EvidenceOf(const Backend& backend, bool is_bridged, TimePoint since,
                              TimePoint now);
 
-  // True if a request may now be sent to a silent back end of `service` on a new connection, to
-  // learn whether only the open connections are silent. Permits one such trial a second.
-  bool TakeTrial(const std::string& service, TimePoint now);
+  // Permits one request a second to be sent elsewhere although most of `service` is silent. Trials
+  // alternate between the two targets; nullopt: none is permitted now.
+  std::optional<TrialTarget> TakeTrial(const std::string& service, TimePoint now);
 
   // A trial was answered: for some time, silence of the service is taken for that of connections.
   void NoteTrialAnswered(const std::string& service, TimePoint now);
 
+  // True if data was received from the back end after `since`, on any connection.
+  bool WasHeardSince(BackendKey backend, TimePoint since) const;
+
   // Activity on this node's connections to the back ends of `service` that it uses; up to 50 ms
   // old. A back end that is used directly and over other nodes is listed twice.
   const std::vector<BackendActivity>& ActivityOf(const std::string& service, TimePoint now);
@@ -127,7 +136,8 @@
   };
 
   struct Trials {
-    TimePoint next{};      // when the next one is permitted
+    TrialTarget target = TrialTarget::kIdle;  // of the next one
+    TimePoint next{};                         // when the next one is permitted
     TimePoint answered{};  // the last one that was answered; the zero time if none
   };
 
--- a/libs/relay/src/upstream/path_use.h
+++ b/libs/relay/src/upstream/path_use.h
@@ -20,7 +20,7 @@
   // Records that a request is being sent.
   void Begin(TimePoint now) {
     // Callers that leave a silent back end, and others that come, do not make it look less silent.
-    const bool is_overdue = heard_ < waiting_since_ && now - ended_ < kIdleTime;
+    const bool is_overdue = has_ended_silent_ && now - ended_ < kIdleTime;
     if (waiting_++ == 0 && !is_overdue) waiting_since_ = now;
   }
 
@@ -28,6 +28,7 @@
   void End(TimePoint now) {
     --waiting_;
     ended_ = now;
+    has_ended_silent_ = now - std::max(heard_, waiting_since_) > kSpeakingGap;
   }
 
   void NoteHeard(bool is_first, TimePoint now) {
@@ -64,7 +65,8 @@
 
   std::function<void()> on_way_;
   int waiting_ = 0;
-  TimePoint ended_{};  // when a response ended last
+  TimePoint ended_{};              // when a response ended last
+  bool has_ended_silent_ = false;  // responses were overdue then
   TimePoint waiting_since_{};
   TimePoint heard_{};
   TimePoint speaking_since_{};
