--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -60,7 +60,7 @@
   kNoRetry,             // the retry budget is spent
   kNoBackend,           // no back end is left that is not silent
   kNotConnected,        // the chosen back end could not be reached, or may not get the request
-  kRefused,             // the chosen back end did not answer with success
+  kRefused,             // the chosen back end did not answer in time, or not with success
 };
 
 std::string_view SilenceDecisionName(SilenceDecision decision);
@@ -199,6 +199,8 @@
                                                  std::optional<TrialTarget> trial);
   // Records what is known about the silence of the current attempt.
   void NoteEvidence(const Placement& placement);
+  // True if the answer, or the end of the connection, has arrived.
+  bool HasBegunToAnswer(UpstreamConnection& connection) const;
   // How an answer other than success of a replacement is to be taken.
   boost::asio::awaitable<AttemptOutcome> ReadRefusal(const Replacement& found);
   // Sends the request to the replacement, which counts as an attempt.
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -41,6 +41,7 @@
 constexpr Duration kMoveMargin = milliseconds(20);
 // For the rest of the head of an answer that has begun to arrive.
 constexpr Duration kRefusalReadTime = milliseconds(100);
+constexpr Duration kAnswerPollInterval = milliseconds(10);
 constexpr Duration kLogInterval = seconds(1);  // between log lines about one attempt
 // A back end that has been silent for this fraction of the attempt's own silence is not chosen to
 // take over from it.
@@ -199,8 +200,14 @@
   const bool was_silent = IsSilentBackend(found->placement.backend.key);
   SendToReplacement(*found);
   NoteSilence(*watch, silent, SilenceDecision::kSent);
-  const std::shared_ptr<UpstreamConnection> connection = found->connection;
-  co_await connection->AwaitData();
+  const TimePoint last = *found->sent + FirstOutputTimeout(found->placement);
+  while (candidate_ == found && !HasBegunToAnswer(*found->connection)) {
+    if (Now() >= last && MayMove()) {
+      DropCandidate();
+      co_return SilenceDecision::kRefused;
+    }
+    (void)co_await watch->SleepUntil(Now() + kAnswerPollInterval);
+  }
   // The silent attempt has sent data or ended meanwhile, and decided what becomes of the other.
   if (candidate_ != found) co_return SilenceDecision::kResumed;
   candidate_ = nullptr;
@@ -225,6 +232,14 @@
   co_return SilenceDecision::kMoved;
 }
 
+// Some back ends send the head of a stream at once: only an event shows that they are able to run.
+bool Exchange::HasBegunToAnswer(UpstreamConnection& connection) const {
+  if (connection.IsQuiet()) return false;
+  const bool is_stream = admitted_.route->kind == RequestKind::kStream;
+  const bool is_success = IsSuccess(connection.PeekStatus().value_or(0));
+  return !is_stream || !is_success || connection.HasBodyData();
+}
+
 asio::awaitable<AttemptOutcome> Exchange::ReadRefusal(const Replacement& found) {
   UpstreamConnection& connection = *found.connection;
   const bool is_head_request = request_.method == "HEAD";
--- a/libs/relay/src/upstream/path_service.cc
+++ b/libs/relay/src/upstream/path_service.cc
@@ -110,10 +110,13 @@
 
 std::optional<TrialTarget> PathService::TakeTrial(const std::string& service, TimePoint now) {
   Trials& trials = trials_[service];
-  if (now < trials.next) return std::nullopt;
-  trials.next = now + kTrialInterval;
-  const bool is_idle = trials.target == TrialTarget::kIdle;
-  return std::exchange(trials.target, is_idle ? TrialTarget::kSilent : TrialTarget::kIdle);
+  for (const TrialTarget target : {TrialTarget::kIdle, TrialTarget::kSilent}) {
+    TimePoint& next = target == TrialTarget::kIdle ? trials.next_idle : trials.next_silent;
+    if (now < next) continue;
+    next = now + kTrialInterval;
+    return target;
+  }
+  return std::nullopt;
 }
 
 bool PathService::WasHeardSince(BackendKey backend, TimePoint since) const {
--- a/libs/relay/src/upstream/path_service.h
+++ b/libs/relay/src/upstream/path_service.h
@@ -86,8 +86,8 @@
   SilenceEvidence EvidenceOf(const Backend& backend, bool is_bridged, TimePoint since,
                              TimePoint now);
 
-  // Permits one request a second to be sent elsewhere although most of `service` is silent. Trials
-  // alternate between the two targets; nullopt: none is permitted now.
+  // Permits a request to be sent elsewhere although most of `service` is silent: one a second for
+  // each target. nullopt: none is permitted now.
   std::optional<TrialTarget> TakeTrial(const std::string& service, TimePoint now);
 
   // A trial was answered: for some time, silence of the service is taken for that of connections.
@@ -136,9 +136,9 @@
   };
 
   struct Trials {
-    TrialTarget target = TrialTarget::kIdle;  // of the next one
-    TimePoint next{};                         // when the next one is permitted
-    TimePoint answered{};  // the last one that was answered; the zero time if none
+    TimePoint next_idle{};    // when the next one at an idle back end is permitted
+    TimePoint next_silent{};  // the same, at a silent one
+    TimePoint answered{};     // the last one that was answered; the zero time if none
   };
 
   // The node over which a back end was last reached.
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -28,6 +28,8 @@
 constexpr Duration kIdleMargin =
     milliseconds(700);  // safety margin before the back end's idle timeout
 constexpr int kMaxInterimResponses = 8;
+// Heads are shorter; more unread data than this includes some of the body.
+constexpr size_t kMaxPeekedBytes = 1 << 12;
 
 bool IsTimeout(const beast::error_code& error) { return error == beast::error::timeout; }
 
@@ -213,12 +215,6 @@
   co_return UpstreamError::kMalformed;
 }
 
-asio::awaitable<void> UpstreamConnection::AwaitData() {
-  beast::error_code ignored;
-  co_await stream_.Transport().socket().async_wait(
-      tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 std::optional<int> UpstreamConnection::PeekStatus() {
   constexpr std::string_view kVersion = "HTTP/1.1 ";
   constexpr size_t kStatusDigits = 3;
@@ -236,6 +232,18 @@
   return static_cast<int>(status);
 }
 
+bool UpstreamConnection::HasBodyData() {
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  std::array<char, kMaxPeekedBytes> bytes{};
+  const int socket = stream_.Transport().socket().native_handle();
+  const ssize_t received = recv(socket, bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+  if (received <= 0) return false;
+  const std::string_view data(bytes.data(), static_cast<size_t>(received));
+  if (data.size() == bytes.size()) return true;
+  const size_t head_end = data.find(kHeadEnd);
+  return head_end != std::string_view::npos && head_end + kHeadEnd.size() < data.size();
+}
+
 void UpstreamConnection::NoteKeepAlive(const ResponseHead& head) {
   const std::optional<Duration> timeout = KeepAliveTimeout(head.Header("Keep-Alive"));
   if (timeout.has_value()) idle_limit_ = std::max<Duration>(*timeout - kIdleMargin, Duration(0));
--- a/libs/relay/src/upstream/upstream_connection.h
+++ b/libs/relay/src/upstream/upstream_connection.h
@@ -74,13 +74,13 @@
   boost::asio::awaitable<UpstreamError> ReadHead(ResponseHead* head, bool is_head_request,
                                                  TimePoint deadline);
 
-  // Waits until data of the response has arrived or the connection has ended. Reads nothing.
-  boost::asio::awaitable<void> AwaitData();
-
   // The status in the first line of the response, without reading it; nullopt if that line has not
   // arrived or is malformed.
   std::optional<int> PeekStatus();
 
+  // True if unread data has arrived beyond the head of the response.
+  bool HasBodyData();
+
   // Reads part of the body into `*chunk`; an empty chunk without an error is the end.
   boost::asio::awaitable<UpstreamError> ReadBody(std::string* chunk, TimePoint deadline);
 
