--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -120,6 +120,7 @@
   admitted_ = std::move(result.admitted);
   fingerprint_ = FingerprintOf({request_.method, head_.host, head_.target, admitted_.tenant,
                                 std::string_view(*request_.body)});
+  prompt_parts_ = context_.format.ParsePromptParts(head_.prompt_parts);
   residency_table_ = admitted_.table;
   if (result.refusal.has_value()) {
     if (admitted_.route != nullptr) LogResidencyRefusal("no_common_region");
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -30,6 +30,8 @@
 
 namespace {
 
+constexpr size_t kMaxLoggedParts = 8;  // bounds the length of a line
+
 std::string PlacedByText(const std::string& coordinator) {
   return coordinator.empty() ? "self" : coordinator;
 }
@@ -51,6 +53,15 @@
           std::string(ContentEndName(evidence.content)), std::to_string(end->bytes)};
 }
 
+// The ids of the parts that other requests may share: all but the last one.
+std::string SharedPartsText(const std::vector<PromptPart>& prompt_parts) {
+  std::string text;
+  for (size_t i = 0; i + 1 < prompt_parts.size() && i < kMaxLoggedParts; ++i) {
+    text += fmt::format("{}{:x}", i == 0 ? "" : ",", prompt_parts[i].id);
+  }
+  return text;
+}
+
 }  // namespace
 
 void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
@@ -59,6 +70,7 @@
   Log(LogLevel::kWarning, "attempt",
       {{"request", request_id_},
        {"fingerprint", FingerprintText(fingerprint_)},
+       {"parts", SharedPartsText(prompt_parts_)},
        {"backend", placement.backend.id},
        {"address", placement.backend.address},
        {"outcome", std::string(AttemptOutcomeName(outcome))},
