--- a/libs/quarantine/include/cartsail/quarantine/backend_exit_detector.h
+++ b/libs/quarantine/include/cartsail/quarantine/backend_exit_detector.h
@@ -54,6 +54,7 @@
   struct BrokenRequest {
     RequestFingerprint request = 0;
     TimePoint when;
+    SharedParts in_flight;
     bool is_listening = false;  // see NoteListening()
   };
 
--- a/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
+++ b/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
@@ -4,11 +4,15 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cartsail/base/clock.h"
+#include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/quarantine/request_fingerprint.h"
+#include "cartsail/quarantine/shared_parts.h"
 
 namespace cartsail {
 
@@ -16,25 +20,45 @@
 // sender time to change the request, or the operator time to fix the engines.
 inline constexpr Duration kQuarantineTime = seconds(600);
 
+// One request, or all requests that have certain prompt parts.
 struct QuarantinedRequest {
-  RequestFingerprint request = 0;
+  RequestFingerprint request = 0;  // of the request, or GroupFingerprintOf(parts)
   TimePoint until;
+  std::vector<PartFingerprint> parts;  // in ascending order; empty: a single request
+  std::vector<BackendKey> backends;    // that exited while running it; empty: not known here
 };
 
 class QuarantineList {
  public:
   // Returns true if the request was added; false if it is already quarantined, if `until` has
-  // passed, or if its quarantine was lifted recently: notices of it may still be in flight.
+  // passed, or if its quarantine was lifted recently: notices of it may still be in flight. One
+  // with an exit that was not known then is added. Parts that were missing are added: nodes of an
+  // earlier build pass a quarantine on without them.
   bool Add(const QuarantinedRequest& quarantined, TimePoint now);
 
-  // Ends the quarantine of a request that proved harmless. Returns true if it was quarantined.
-  bool Lift(RequestFingerprint request, TimePoint now);
+  // Ends the quarantine of a request that proved harmless, or of what other parts explain.
+  // `backends`: the exits that it was quarantined for, as far as known. Returns true if it was
+  // quarantined.
+  bool Lift(RequestFingerprint request, TimePoint now,
+            const std::vector<BackendKey>& backends = {});
+
+  // The quarantine of the request or group; nullopt if there is none.
+  std::optional<QuarantinedRequest> Find(RequestFingerprint request) const;
 
   bool WasLifted(RequestFingerprint request, TimePoint now) const;
 
   // Time until the quarantine ends; nullopt if the request is not quarantined.
   std::optional<Duration> RemainingTime(RequestFingerprint request, TimePoint now) const;
 
+  // What the request is quarantined for, itself or its parts; nothing if it may be sent.
+  std::vector<QuarantinedRequest> MatchesOf(const RequestTraits& traits, TimePoint now) const;
+
+  // All quarantines of groups that have the part.
+  std::vector<QuarantinedRequest> GroupsWith(PartFingerprint part, TimePoint now) const;
+
+  // All quarantines of single requests.
+  std::vector<RequestFingerprint> SingleRequests() const;
+
   // Up to `max_count` quarantined requests, those that end last first.
   std::vector<QuarantinedRequest> Newest(size_t max_count, TimePoint now) const;
 
@@ -46,8 +70,16 @@
   int64_t Changes() const { return changes_; }
 
  private:
-  std::unordered_map<RequestFingerprint, TimePoint> quarantined_;  // end of quarantine
-  std::unordered_map<RequestFingerprint, TimePoint> lifted_;       // when it was lifted
+  std::unordered_map<RequestFingerprint, QuarantinedRequest> quarantined_;
+  std::unordered_set<RequestFingerprint> groups_;  // those of quarantined_ that have parts
+  struct Lifted {
+    TimePoint when;
+    std::set<BackendKey> backends;  // exits that were known then
+  };
+
+  bool IsOutdated(const QuarantinedRequest& quarantined, TimePoint now) const;
+
+  std::unordered_map<RequestFingerprint, Lifted> lifted_;
   int64_t changes_ = 0;
 };
 
--- a/libs/quarantine/include/cartsail/quarantine/recent_completions.h
+++ b/libs/quarantine/include/cartsail/quarantine/recent_completions.h
@@ -1,8 +1,9 @@
-// Requests of this node that backends completed recently. A request that a backend has survived
-// does not crash backends. Bounded in size. Performs no I/O.
+// Requests of this node, or prompt parts of these, that backends completed recently. What a backend
+// has survived does not crash backends. Bounded in size. Performs no I/O.
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <unordered_map>
 
 #include "cartsail/base/clock.h"
@@ -18,6 +19,9 @@
   // for at least a minute unless the table fills up sooner.
   bool CompletedSince(RequestFingerprint request, TimePoint since) const;
 
+  // The last completion that is still known; nullopt if none is.
+  std::optional<TimePoint> LastOf(RequestFingerprint request) const;
+
  private:
   using Generation = std::unordered_map<RequestFingerprint, TimePoint>;
 
--- a/libs/quarantine/include/cartsail/quarantine/strike.h
+++ b/libs/quarantine/include/cartsail/quarantine/strike.h
@@ -4,6 +4,7 @@
 #include "cartsail/base/clock.h"
 #include "cartsail/dispatch/backend_registry.h"
 #include "cartsail/quarantine/request_fingerprint.h"
+#include "cartsail/quarantine/shared_parts.h"
 
 namespace cartsail {
 
@@ -12,7 +13,8 @@
 struct Strike {
   RequestFingerprint request = 0;
   BackendKey backend = 0;
-  TimePoint when{};  // when the connection broke
+  TimePoint when{};       // when the connection broke
+  SharedParts in_flight;  // parts of the request that may have crashed it
 
   bool operator==(const Strike& other) const = default;
 };
--- a/libs/quarantine/src/backend_exit_detector.cc
+++ b/libs/quarantine/src/backend_exit_detector.cc
@@ -18,7 +18,8 @@
 
 std::vector<Strike> BackendExitDetector::NoteBroken(const Strike& suspected) {
   if (exited_.contains(suspected.backend)) return {suspected};
-  suspected_[suspected.backend].requests.push_back({suspected.request, suspected.when});
+  suspected_[suspected.backend].requests.push_back(
+      {suspected.request, suspected.when, suspected.in_flight});
   return {};
 }
 
@@ -36,7 +37,7 @@
   if (suspected == suspected_.end()) return {};
   std::vector<Strike> strikes;
   for (const BrokenRequest& broken : suspected->second.requests) {
-    strikes.push_back({broken.request, backend, broken.when});
+    strikes.push_back({broken.request, backend, broken.when, broken.in_flight});
   }
   suspected_.erase(suspected);
   if (!strikes.empty()) exited_[backend] = now;
--- /dev/null
+++ b/libs/quarantine/src/part_strike_ledger.cc
@@ -0,0 +1,158 @@
+#include "cartsail/quarantine/part_strike_ledger.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "cartsail/quarantine/strike.h"
+
+namespace cartsail {
+namespace {
+
+// Twice the quarantine: the first exit after it still counts as one more strike.
+constexpr Duration kStrikeRetention = seconds(1200);
+// Reports of strikes arrive within a second of the completions that speak against them.
+constexpr Duration kCompletionRetention = seconds(60);
+// The loss of a zone with 200 back ends and 40 requests of 3 parts at each gives strikes to 24,000
+// parts at most, mostly to the same ones. 10,000 records take 2 MB.
+constexpr size_t kMaxRecords = 10000;
+// More exits say nothing new of a part, and each is compared with those of other parts.
+constexpr size_t kMaxExitsPerPart = 64;
+
+using Exits = std::map<BackendKey, TimePoint>;
+
+Exits WithoutExplained(const Exits& exits, const std::set<BackendKey>& explained) {
+  Exits left;
+  for (const auto& exit : exits) {
+    if (!explained.contains(exit.first)) left.insert(exit);
+  }
+  return left;
+}
+
+// What is in flight everywhere is in flight at all back ends that exit for a common reason.
+bool IsOneMoment(const Exits& exits) {
+  const auto is_earlier = [](const auto& left, const auto& right) {
+    return left.second < right.second;
+  };
+  const auto [first, last] = std::minmax_element(exits.begin(), exits.end(), is_earlier);
+  return last->second - first->second <= kSimultaneousExitWindow;
+}
+
+bool IsEnough(const Exits& exits) {
+  return exits.size() >= kStrikesToQuarantine && !IsOneMoment(exits);
+}
+
+TimePoint FirstOf(const Exits& exits) {
+  TimePoint first = TimePoint::max();
+  for (const auto& [backend, when] : exits) first = std::min(first, when);
+  return first;
+}
+
+struct Suspect {
+  PartFingerprint part = 0;
+  Exits exits;  // that no group explains yet
+};
+
+// The suspect with the most exits; of several the one with the smallest fingerprint, so that all
+// nodes with the same strikes choose alike.
+const Suspect* MostStruck(const std::vector<Suspect>& suspects) {
+  const Suspect* most = nullptr;
+  for (const Suspect& suspect : suspects) {
+    if (!IsEnough(suspect.exits)) continue;
+    if (most == nullptr || suspect.exits.size() > most->exits.size()) most = &suspect;
+  }
+  return most;
+}
+
+SuspectedGroup GroupWith(const Exits& exits, const std::vector<Suspect>& suspects) {
+  SuspectedGroup group;
+  group.first_strike = FirstOf(exits);
+  for (const auto& [backend, when] : exits) group.backends.push_back(backend);
+  const auto has_same_backends = [&exits](const Suspect& suspect) {
+    return std::equal(
+        exits.begin(), exits.end(), suspect.exits.begin(), suspect.exits.end(),
+        [](const auto& left, const auto& right) { return left.first == right.first; });
+  };
+  for (const Suspect& suspect : suspects) {
+    if (has_same_backends(suspect)) group.parts.push_back(suspect.part);
+  }
+  return group;
+}
+
+}  // namespace
+
+bool PartStrikeLedger::IsExonerated(PartFingerprint part, TimePoint strike) const {
+  const auto completed = completed_.find(part);
+  return completed != completed_.end() && strike <= completed->second + kPartExonerationTime;
+}
+
+std::vector<PartFingerprint> PartStrikeLedger::Note(const PartStrikes& strikes) {
+  std::vector<PartFingerprint> struck;
+  for (const PartFingerprint part : strikes.in_flight.parts) {
+    if (IsExonerated(part, strikes.when)) continue;
+    if (records_.size() >= kMaxRecords) EvictOlderHalf();
+    Record& record = records_[part];
+    record.service = strikes.in_flight.service;
+    record.last = std::max(record.last, strikes.when);
+    if (record.exits.size() >= kMaxExitsPerPart) continue;
+    const bool is_new = record.exits.emplace(strikes.backend, strikes.when).second;
+    if (is_new) struck.push_back(part);
+  }
+  return struck;
+}
+
+void PartStrikeLedger::NoteCompleted(PartFingerprint part, TimePoint when) {
+  TimePoint& completed = completed_[part];
+  completed = std::max(completed, when);
+  const auto record = records_.find(part);
+  if (record == records_.end()) return;
+  std::erase_if(record->second.exits,
+                [&](const auto& exit) { return IsExonerated(part, exit.second); });
+  if (record->second.exits.empty()) records_.erase(record);
+}
+
+std::vector<SuspectedGroup> PartStrikeLedger::GroupsOf(ServiceKey service) const {
+  std::vector<Suspect> suspects;
+  for (const auto& [part, record] : records_) {
+    const bool has_enough = record.exits.size() >= kStrikesToQuarantine;
+    if (record.service == service && has_enough) suspects.push_back({part, record.exits});
+  }
+  std::sort(suspects.begin(), suspects.end(),
+            [](const Suspect& left, const Suspect& right) { return left.part < right.part; });
+  std::vector<SuspectedGroup> groups;
+  while (const Suspect* most = MostStruck(suspects)) {
+    groups.push_back(GroupWith(most->exits, suspects));
+    groups.back().service = service;
+    const std::set<BackendKey> explained(groups.back().backends.begin(),
+                                         groups.back().backends.end());
+    for (Suspect& suspect : suspects) {
+      suspect.exits = WithoutExplained(suspect.exits, explained);
+    }
+  }
+  return groups;
+}
+
+TimePoint PartStrikeLedger::FirstStrikeOf(PartFingerprint part, TimePoint otherwise) const {
+  const auto record = records_.find(part);
+  return record == records_.end() ? otherwise : FirstOf(record->second.exits);
+}
+
+void PartStrikeLedger::Expire(TimePoint now) {
+  std::erase_if(records_,
+                [now](const auto& entry) { return now - entry.second.last > kStrikeRetention; });
+  std::erase_if(completed_,
+                [now](const auto& entry) { return now - entry.second > kCompletionRetention; });
+}
+
+void PartStrikeLedger::EvictOlderHalf() {
+  std::vector<TimePoint> times;
+  times.reserve(records_.size());
+  for (const auto& [part, record] : records_) times.push_back(record.last);
+  const auto middle = times.begin() + static_cast<int64_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  const TimePoint limit = *middle;
+  std::erase_if(records_, [limit](const auto& entry) { return entry.second.last <= limit; });
+}
+
+}  // namespace cartsail
--- a/libs/quarantine/src/recent_completions.cc
+++ b/libs/quarantine/src/recent_completions.cc
@@ -11,12 +11,6 @@
 // A burst of ten times that takes 0.9 MB in both generations.
 constexpr size_t kMaxPerGeneration = 10000;
 
-bool IsCompletedAfter(const std::unordered_map<RequestFingerprint, TimePoint>& runs,
-                      RequestFingerprint request, TimePoint since) {
-  const auto run = runs.find(request);
-  return run != runs.end() && run->second > since;
-}
-
 }  // namespace
 
 void RecentCompletions::Note(RequestFingerprint request, TimePoint now) {
@@ -28,7 +22,16 @@
 }
 
 bool RecentCompletions::CompletedSince(RequestFingerprint request, TimePoint since) const {
-  return IsCompletedAfter(newer_, request, since) || IsCompletedAfter(older_, request, since);
+  const std::optional<TimePoint> last = LastOf(request);
+  return last.has_value() && *last > since;
+}
+
+std::optional<TimePoint> RecentCompletions::LastOf(RequestFingerprint request) const {
+  for (const Generation* generation : {&newer_, &older_}) {
+    const auto completed = generation->find(request);
+    if (completed != generation->end()) return completed->second;
+  }
+  return std::nullopt;
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -89,11 +89,10 @@
 void CatalogSync::ApplyQuarantine(const WatchEvent& event, TimePoint now) {
   const std::optional<RequestFingerprint> request = QuarantinedIn(event.kv.key);
   if (!request.has_value()) return;
-  if (event.deleted) {
-    context_.quarantine.NoteErased(*request, now);
-  } else {
-    context_.quarantine.NoteRecorded(*request, now);
-  }
+  if (event.deleted) return context_.quarantine.NoteErased(*request, now);
+  const std::optional<std::vector<PartFingerprint>> parts = ParseParts(event.kv.value);
+  if (parts.has_value()) return context_.quarantine.NoteRecorded(*request, *parts, now);
+  Log(LogLevel::kWarning, "quarantine_record_invalid", {{"key", event.kv.key}});
 }
 
 void CatalogSync::NoteInvalidBackend(const std::string& id, const absl::Status& why) {
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -172,6 +172,18 @@
   EncodeQuarantine(notice, root.initQuarantine());
 }
 
+void EncodeExit(const PartStrikes& strikes, TimePoint now, wire::Datagram::Builder root) {
+  EncodePartStrikes(strikes, now, root.initPartStrikes());
+}
+
+void Encode(const PartInquiry& inquiry, wire::Datagram::Builder root) {
+  EncodePartInquiry(inquiry, root.initPartInquiry());
+}
+
+void Encode(const PartCompletions& completions, wire::Datagram::Builder root) {
+  EncodePartCompletions(completions, root.initPartCompletions());
+}
+
 UsageShares DecodeUsage(wire::UsageShares::Reader message) {
   UsageShares usage;
   usage.process = message.getProcess();
@@ -342,6 +354,12 @@
       return DecodeStreamQuestion(root.getStreamQuestion(), now);
     case wire::Datagram::STREAM_ANSWER:
       return DecodeStreamAnswer(root.getStreamAnswer(), now);
+    case wire::Datagram::PART_STRIKES:
+      return DecodePartStrikes(root.getPartStrikes(), now);
+    case wire::Datagram::PART_INQUIRY:
+      return DecodePartInquiry(root.getPartInquiry());
+    case wire::Datagram::PART_COMPLETIONS:
+      return DecodePartCompletions(root.getPartCompletions());
   }
   return std::nullopt;  // sent by a later version
 }
@@ -359,6 +377,8 @@
       EncodeQuestion(content, now, root);
     } else if constexpr (std::is_same_v<Content, StrikeReport>) {
       EncodeStrikes(content, now, root);
+    } else if constexpr (std::is_same_v<Content, PartStrikes>) {
+      EncodeExit(content, now, root);
     } else if constexpr (std::is_same_v<Content, StreamQuestion>) {
       EncodeStreamQuestion(content, now, root);
     } else if constexpr (std::is_same_v<Content, StreamAnswer>) {
--- a/libs/relay/src/fleet/datagram.h
+++ b/libs/relay/src/fleet/datagram.h
@@ -21,7 +21,8 @@
 using Datagram =
     std::variant<NodeDigest, PlacementQuestion, PlacementAnswer, ProgressReport, DocumentNotice,
                  GossipMessage, StoreUpdate, UsageShares, UsageReceipt, StrikeReport,
-                 QuarantineNotice, RepeatQuestion, RepeatAnswer, StreamQuestion, StreamAnswer>;
+                 QuarantineNotice, RepeatQuestion, RepeatAnswer, StreamQuestion, StreamAnswer,
+                 PartStrikes, PartInquiry, PartCompletions>;
 
 // Time points are encoded as remaining or elapsed time relative to `now`.
 std::string EncodeDatagram(const Datagram& datagram, TimePoint now = {});
--- a/libs/relay/src/fleet/peer_exchange.cc
+++ b/libs/relay/src/fleet/peer_exchange.cc
@@ -108,7 +108,15 @@
        },
        [this](const QuarantineNotice& notice) {
          const std::vector<LivePeer> live = peers_.LivePeers();
-         SpreadQuarantine(notice, BranchesByZone(live, context_.options.zone, random_));
+         SendAlong(notice, BranchesByZone(live, context_.options.zone, random_));
+       },
+       [this](const std::string& host, const PartStrikes& strikes) { (void)Send(host, strikes); },
+       [this](const std::string& host, const PartCompletions& completions) {
+         (void)Send(host, completions);
+       },
+       [this](const PartInquiry& inquiry) {
+         const std::vector<LivePeer> live = peers_.LivePeers();
+         SendAlong(inquiry, BranchesByZone(live, context_.options.zone, random_));
        }});
   context_.retries.SetTransport(
       [this](const std::string& host, const Datagram& datagram) { (void)Send(host, datagram); });
@@ -182,6 +190,16 @@
     context_.quarantine.OnStrikes(*report);
   }
   if (const auto* notice = std::get_if<QuarantineNotice>(&*datagram)) OnQuarantine(*notice, now);
+  if (const auto* strikes = std::get_if<PartStrikes>(&*datagram)) {
+    context_.quarantine.Parts().OnStrikes(*strikes);
+  }
+  if (const auto* inquiry = std::get_if<PartInquiry>(&*datagram)) {
+    SendAlong(*inquiry, Branches(inquiry->targets));
+    context_.quarantine.Parts().OnInquiry(*inquiry, now);
+  }
+  if (const auto* completions = std::get_if<PartCompletions>(&*datagram)) {
+    context_.quarantine.Parts().OnCompletions(*completions, now);
+  }
   if (const auto* question = std::get_if<RepeatQuestion>(&*datagram)) {
     context_.retries.OnQuestion(host, *question);
   }
@@ -196,16 +214,16 @@
   }
 }
 
-void PeerExchange::SpreadQuarantine(QuarantineNotice notice,
-                                    const std::vector<UpdateBranch>& branches) {
+template <typename Message>
+void PeerExchange::SendAlong(Message message, const std::vector<UpdateBranch>& branches) {
   for (const UpdateBranch& branch : branches) {
-    notice.targets = branch.targets;
-    (void)Send(branch.host, notice);
+    message.targets = branch.targets;
+    (void)Send(branch.host, message);
   }
 }
 
 void PeerExchange::OnQuarantine(const QuarantineNotice& notice, TimePoint now) {
-  SpreadQuarantine(notice, Branches(notice.targets));
+  SendAlong(notice, Branches(notice.targets));
   context_.quarantine.OnNotice(notice, now);
 }
 
--- a/libs/relay/src/fleet/peer_exchange.h
+++ b/libs/relay/src/fleet/peer_exchange.h
@@ -62,8 +62,10 @@
   void OnGossip(const std::string& host, const GossipMessage& message);
   void OnView(const std::string& host, const StoreView& view, TimePoint now);
   void OnUpdate(const std::string& host, const StoreUpdate& update);
-  void SpreadQuarantine(QuarantineNotice notice, const std::vector<UpdateBranch>& branches);
   void OnQuarantine(const QuarantineNotice& notice, TimePoint now);
+  // Sends a message to the hosts of each branch, which forward it to the branch's targets.
+  template <typename Message>
+  void SendAlong(Message message, const std::vector<UpdateBranch>& branches);
   void OnNotice(const std::string& host, const DocumentNotice& notice);
   void OnDigest(const std::string& host, const NodeDigest& digest);
   // Starts a catalog fetch. Returns false when a running or recently ended fetch prevents it.
--- a/libs/relay/src/quarantine/quarantine_codec.h
+++ b/libs/relay/src/quarantine/quarantine_codec.h
@@ -13,6 +13,17 @@
 void EncodeQuarantine(const QuarantineNotice& notice, wire::QuarantineNotice::Builder message);
 QuarantineNotice DecodeQuarantine(wire::QuarantineNotice::Reader message);
 
+void EncodePartStrikes(const PartStrikes& strikes, TimePoint now,
+                       wire::PartStrikes::Builder message);
+PartStrikes DecodePartStrikes(wire::PartStrikes::Reader message, TimePoint now);
+
+void EncodePartInquiry(const PartInquiry& inquiry, wire::PartInquiry::Builder message);
+PartInquiry DecodePartInquiry(wire::PartInquiry::Reader message);
+
+void EncodePartCompletions(const PartCompletions& completions,
+                           wire::PartCompletions::Builder message);
+PartCompletions DecodePartCompletions(wire::PartCompletions::Reader message);
+
 // Entries of catalogs. Expiry times are sent as the remaining time at `now`. `list` has the size of
 // `quarantined`.
 void EncodeQuarantinedList(const std::vector<QuarantinedRequest>& quarantined, TimePoint now,
--- a/libs/relay/src/quarantine/quarantine_message.h
+++ b/libs/relay/src/quarantine/quarantine_message.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cartsail/quarantine/part_strike_ledger.h"
 #include "cartsail/quarantine/quarantine_list.h"
 #include "cartsail/quarantine/strike.h"
 
@@ -25,6 +26,28 @@
   Duration first_strike_age{};       // unless lifted: since the first back end terminated
   std::vector<BackendKey> backends;  // unless lifted: those that terminated under it
   std::vector<std::string> targets;  // hosts to which the receiver forwards the notice
+  // Unless lifted: the quarantine is of all requests with these parts; empty: of one request.
+  std::vector<PartFingerprint> parts;
+};
+
+// Sent to all nodes: these parts were in flight at back ends that terminated. A node at which a
+// back end completes a request with one of them, or has done so since, tells the nodes that count.
+struct PartInquiry {
+  ServiceKey service = 0;
+  Duration first_strike_age{};  // since the first of the back ends terminated
+  std::vector<PartFingerprint> parts;
+  std::vector<std::string> targets;  // hosts to which the receiver forwards the inquiry
+};
+
+// Sent to the nodes that count the strikes of the service's parts.
+struct PartCompletions {
+  struct Completion {
+    PartFingerprint part = 0;
+    Duration age{};  // since its last completion
+  };
+
+  ServiceKey service = 0;
+  std::vector<Completion> parts;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/quarantine/quarantine_recorder.cc
+++ b/libs/relay/src/quarantine/quarantine_recorder.cc
@@ -28,9 +28,9 @@
 QuarantineRecorder::QuarantineRecorder(asio::io_context& io, KeyValueStore& store,
                                        std::string prefix, QuarantineService& service)
     : io_(io), store_(store), prefix_(std::move(prefix)), service_(service) {
-  service_.SetRecorder({[this](RequestFingerprint request, size_t rank) {
-                          if (!recording_.insert(request).second) return;
-                          asio::co_spawn(io_, Record(request, rank), asio::detached);
+  service_.SetRecorder({[this](const QuarantinedRequest& quarantined, size_t rank) {
+                          if (!recording_.insert(quarantined.request).second) return;
+                          asio::co_spawn(io_, Record(quarantined, rank), asio::detached);
                         },
                         [this](RequestFingerprint request) {
                           asio::co_spawn(io_, Erase(request), asio::detached);
@@ -42,7 +42,7 @@
 }
 
 bool QuarantineRecorder::IsStillQuarantined(RequestFingerprint request) const {
-  return service_.LeftFor(request, Now()).has_value();
+  return service_.List().RemainingTime(request, Now()).has_value();
 }
 
 asio::awaitable<void> QuarantineRecorder::Pause(Duration duration) {
@@ -52,14 +52,15 @@
 }
 
 // Retries until the record is in the store or the quarantine is over.
-asio::awaitable<void> QuarantineRecorder::Record(RequestFingerprint request, size_t rank) {
+asio::awaitable<void> QuarantineRecorder::Record(QuarantinedRequest quarantined, size_t rank) {
+  const RequestFingerprint request = quarantined.request;
   const std::string key = KeyOf(request);
   co_await Pause(static_cast<int64_t>(rank) * kDelayPerRank);
   Duration pause = kInitialRetryPause;
   while (IsStillQuarantined(request)) {
     absl::Status status = absl::OkStatus();
     const bool is_recorded = co_await IsRecorded(key);
-    if (!is_recorded) status = co_await Write(key);
+    if (!is_recorded) status = co_await Write(key, PartsText(quarantined.parts));
     Log(status.ok() ? LogLevel::kInfo : LogLevel::kWarning, "quarantine_recorded",
         {{"fingerprint", FingerprintText(request)},
          {"ok", status.ok() ? "true" : "false"},
@@ -83,7 +84,8 @@
 }
 
 // OK also when another node has written the record first.
-asio::awaitable<absl::Status> QuarantineRecorder::Write(const std::string& key) {
+asio::awaitable<absl::Status> QuarantineRecorder::Write(const std::string& key,
+                                                        const std::string& value) {
   const int64_t seconds_long = std::chrono::ceil<seconds>(kQuarantineTime).count();
   const absl::StatusOr<int64_t> lease = co_await store_.GrantLease(seconds_long);
   if (!lease.ok()) co_return lease.status();
@@ -93,7 +95,7 @@
   request.compares.push_back(absent);
   Operation create;
   create.kind = Operation::Kind::kPut;
-  create.put = {key, "", *lease};
+  create.put = {key, value, *lease};
   request.success.push_back(create);
   const absl::StatusOr<TxnResult> result = co_await store_.Txn(request);
   // The lease is of no use without the record; it expires on its own if this call fails.
--- a/libs/relay/src/quarantine/quarantine_recorder.h
+++ b/libs/relay/src/quarantine/quarantine_recorder.h
@@ -19,10 +19,11 @@
                      QuarantineService& service);
 
  private:
-  boost::asio::awaitable<void> Record(RequestFingerprint request, size_t rank);
+  boost::asio::awaitable<void> Record(QuarantinedRequest quarantined, size_t rank);
   boost::asio::awaitable<void> Erase(RequestFingerprint request);
   boost::asio::awaitable<bool> IsRecorded(const std::string& key);
-  boost::asio::awaitable<absl::Status> Write(const std::string& key);
+  // `value`: the parts of a group, in the format of PartsText(); empty for a single request.
+  boost::asio::awaitable<absl::Status> Write(const std::string& key, const std::string& value);
   boost::asio::awaitable<void> Pause(Duration duration);
   std::string KeyOf(RequestFingerprint request) const;
   bool IsStillQuarantined(RequestFingerprint request) const;
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -1,5 +1,8 @@
 #include "quarantine/quarantine_service.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
@@ -47,13 +50,20 @@
 // terminates.
 constexpr Duration kExonerationTime = seconds(10);
 
-QuarantineNotice LiftedNotice(RequestFingerprint request) {
+QuarantineNotice LiftedNotice(RequestFingerprint request,
+                              const std::vector<BackendKey>& backends = {}) {
   QuarantineNotice notice;
   notice.request = request;
   notice.is_lifted = true;
+  notice.backends = backends;
   return notice;
 }
 
+bool IsAffected(const QuarantinedRequest& quarantined, const RequestTraits& traits) {
+  if (quarantined.request == traits.request) return true;
+  return !quarantined.parts.empty() && AreAmong(quarantined.parts, traits.shared.parts);
+}
+
 }  // namespace
 
 QuarantineService::QuarantineService(asio::io_context& io, std::string host,
@@ -66,30 +76,62 @@
       dispatcher_(dispatcher),
       peers_(peers),
       pool_(pool),
-      examine_path_(std::move(examine)) {}
+      examine_path_(std::move(examine)),
+      parts_(io, host_, peers,
+             {[this](const SuspectedGroup& group) { DecideGroup(group, Now()); },
+              [this](RequestFingerprint group, std::string_view why) {
+                LiftEverywhere(group, why, Now());
+              },
+              [this](PartFingerprint part) { ExonerateInGroups(part, Now()); }}) {}
 
-std::optional<Duration> QuarantineService::LeftFor(RequestFingerprint request,
+void QuarantineService::SetTransport(Transport transport) {
+  transport_ = std::move(transport);
+  parts_.SetTransport({transport_.send_part_strikes, transport_.send_part_completions,
+                       transport_.broadcast_part_inquiry});
+}
+
+std::optional<Duration> QuarantineService::LeftFor(const RequestTraits& traits,
                                                    TimePoint now) const {
-  return list_.RemainingTime(request, now);
+  const std::optional<QuarantinedRequest> reason = ReasonFor(traits, now);
+  if (!reason.has_value()) return std::nullopt;
+  return reason->until - now;
 }
 
-QuarantineService::WatchId QuarantineService::Watch(RequestFingerprint request,
+std::optional<QuarantinedRequest> QuarantineService::ReasonFor(const RequestTraits& traits,
+                                                               TimePoint now) const {
+  if (list_.Size() == 0) return std::nullopt;
+  const std::vector<QuarantinedRequest> matches = list_.MatchesOf(traits, now);
+  const auto ends_before = [](const auto& left, const auto& right) {
+    return left.until < right.until;
+  };
+  const auto last = std::max_element(matches.begin(), matches.end(), ends_before);
+  if (last == matches.end()) return std::nullopt;
+  return *last;
+}
+
+bool QuarantineService::TakeTrial(const RequestTraits& traits, TimePoint now) {
+  const std::vector<QuarantinedRequest> matches = list_.MatchesOf(traits, now);
+  const bool is_one_group = matches.size() == 1 && !matches.front().parts.empty();
+  return is_one_group && parts_.TakeTrial(matches.front(), traits.shared, now);
+}
+
+QuarantineService::WatchId QuarantineService::Watch(const RequestTraits& traits,
                                                     std::function<void()> on_quarantined) {
   const WatchId watch = next_watch_++;
-  watches_[request][watch] = std::move(on_quarantined);
+  watches_[watch] = {traits, std::move(on_quarantined)};
   return watch;
 }
 
-void QuarantineService::Unwatch(RequestFingerprint request, WatchId watch) {
-  const auto watches = watches_.find(request);
-  if (watches == watches_.end()) return;
-  watches->second.erase(watch);
-  if (watches->second.empty()) watches_.erase(watches);
-}
+void QuarantineService::Unwatch(WatchId watch) { watches_.erase(watch); }
 
-void QuarantineService::NoteCompleted(RequestFingerprint request, TimePoint now) {
-  runs_.Note(request, now);
-  if (list_.RemainingTime(request, now).has_value()) LiftEverywhere(request, "ran", now);
+void QuarantineService::NoteCompleted(const RequestTraits& traits, TimePoint now) {
+  runs_.Note(traits.request, now);
+  parts_.NoteCompleted(traits.shared, now);
+  for (const QuarantinedRequest& quarantined : list_.MatchesOf(traits, now)) {
+    LiftEverywhere(quarantined.request, "ran", now);
+    if (quarantined.parts.empty()) continue;
+    parts_.ReportCompleted({traits.shared.service, quarantined.parts}, now);
+  }
 }
 
 // True when the back end is listed and does not announce its end: back ends that leave terminate
@@ -100,10 +142,10 @@
          !known->missing_until.has_value();
 }
 
-void QuarantineService::NoteBroken(RequestFingerprint request, const Backend& backend,
+void QuarantineService::NoteBroken(const RequestTraits& traits, const Backend& backend,
                                    TimePoint now) {
   if (!IsReady(backend.key)) return;
-  ReportStrikes(ends_.NoteBroken({request, backend.key, now}), now);
+  ReportStrikes(ends_.NoteBroken({traits.request, backend.key, now, traits.shared}), now);
   if (ends_.TakeProbe(backend.key, now)) asio::co_spawn(io_, Probe(backend), asio::detached);
 }
 
@@ -164,6 +206,7 @@
        {"requests", std::to_string(strikes.size())},
        {"strikes", std::to_string(counted.size())},
        {"first", FingerprintText(strikes.front().request)}});
+  parts_.ReportExits(strikes, now);
   // Counted at this node too, in case it reaches no other one.
   for (const Strike& strike : counted) Count(strike);
   if (transport_.send_strikes && !counted.empty()) {
@@ -240,7 +283,42 @@
   const std::vector<std::string> counting_nodes = CountingNodesOf(verdict.request);
   const auto self = std::find(counting_nodes.begin(), counting_nodes.end(), host_);
   const auto rank = static_cast<size_t>(self - counting_nodes.begin());
-  if (recorder_.record) recorder_.record(verdict.request, rank);
+  if (recorder_.record) recorder_.record({verdict.request, now + kQuarantineTime, {}, {}}, rank);
+}
+
+void QuarantineService::DecideGroup(const SuspectedGroup& group, TimePoint now) {
+  const RequestFingerprint fingerprint = GroupFingerprintOf(group.parts);
+  ledger_.AttributeExits(group.backends, fingerprint, now);
+  Quarantine({fingerprint, now + kQuarantineTime, group.parts, group.backends}, "strikes", now);
+  const std::optional<Duration> left = list_.RemainingTime(fingerprint, now);
+  if (!left.has_value()) return;
+  LiftExplained(now);
+  QuarantineNotice notice;
+  notice.request = fingerprint;
+  notice.left = *left;
+  notice.first_strike_age = now - group.first_strike;
+  notice.backends = group.backends;
+  notice.parts = group.parts;
+  if (transport_.broadcast_notice) asio::co_spawn(io_, BroadcastNotice(notice), asio::detached);
+  const std::optional<QuarantinedRequest> entry = list_.Find(fingerprint);
+  if (recorder_.record) recorder_.record(*entry, parts_.RankFor(group.service));
+}
+
+void QuarantineService::ExonerateInGroups(PartFingerprint part, TimePoint now) {
+  for (const QuarantinedRequest& entry : list_.GroupsWith(part, now)) {
+    LiftEverywhere(entry.request, "part_ran", now);
+    SuspectedGroup rest = {entry.parts, entry.backends, now, 0};
+    std::erase(rest.parts, part);
+    if (!rest.parts.empty()) DecideGroup(rest, now);
+  }
+}
+
+void QuarantineService::LiftExplained(TimePoint now) {
+  for (const RequestFingerprint request : list_.SingleRequests()) {
+    const bool is_counted_here = ledger_.StrikesOf(request) >= kStrikesToQuarantine;
+    if (!is_counted_here || ledger_.VerdictOn(request).has_value()) continue;
+    LiftEverywhere(request, "explained", now);
+  }
 }
 
 void QuarantineService::Quarantine(const QuarantinedRequest& quarantined, std::string_view source,
@@ -251,17 +329,20 @@
       {{"fingerprint", FingerprintText(quarantined.request)},
        {"source", std::string(source)},
        {"strikes_here", std::to_string(ledger_.StrikesOf(quarantined.request))},
-       {"for_s", std::to_string(static_cast<int64_t>(ToSeconds(quarantined.until - now)))}});
-  const auto watches = watches_.find(quarantined.request);
-  if (watches == watches_.end()) return;
-  // Iterates over a copy: a callback may call Unwatch().
-  const std::map<WatchId, std::function<void()>> copies = watches->second;
-  for (const auto& [watch, on_quarantined] : copies) on_quarantined();
+       {"for_s", std::to_string(static_cast<int64_t>(ToSeconds(quarantined.until - now)))},
+       {"parts", PartsText(quarantined.parts)},
+       {"backend_keys", fmt::format("{}", fmt::join(quarantined.backends, ","))}});
+  std::vector<std::function<void()>> affected;  // copies: a callback may call Unwatch()
+  for (const auto& [watch, watcher] : watches_) {
+    if (IsAffected(quarantined, watcher.traits)) affected.push_back(watcher.on_quarantined);
+  }
+  for (const std::function<void()>& on_quarantined : affected) on_quarantined();
 }
 
-void QuarantineService::Lift(RequestFingerprint request, std::string_view why, TimePoint now) {
+void QuarantineService::Lift(RequestFingerprint request, std::string_view why, TimePoint now,
+                             const std::vector<BackendKey>& backends) {
   ledger_.Clear(request);
-  if (!list_.Lift(request, now)) return;
+  if (!list_.Lift(request, now, backends)) return;
   GlobalCounters().quarantines_lifted_total.Add();
   Log(LogLevel::kWarning, "quarantine_lifted",
       {{"fingerprint", FingerprintText(request)}, {"why", std::string(why)}});
@@ -269,20 +350,28 @@
 
 void QuarantineService::LiftEverywhere(RequestFingerprint request, std::string_view why,
                                        TimePoint now) {
-  Lift(request, why, now);
-  BroadcastLifted(request);
+  const std::optional<QuarantinedRequest> entry = list_.Find(request);
+  const std::vector<BackendKey> backends =
+      entry.has_value() ? entry->backends : std::vector<BackendKey>();
+  Lift(request, why, now, backends);
+  BroadcastLifted(request, backends);
   if (recorder_.erase) recorder_.erase(request);
 }
 
-void QuarantineService::BroadcastLifted(RequestFingerprint request) {
-  if (transport_.broadcast_notice)
-    asio::co_spawn(io_, BroadcastNotice(LiftedNotice(request)), asio::detached);
+void QuarantineService::BroadcastLifted(RequestFingerprint request,
+                                        const std::vector<BackendKey>& backends) {
+  if (transport_.broadcast_notice) {
+    asio::co_spawn(io_, BroadcastNotice(LiftedNotice(request, backends)), asio::detached);
+  }
 }
 
 asio::awaitable<void> QuarantineService::BroadcastNotice(QuarantineNotice notice) {
   for (const Duration pause : kNoticeSendPauses) {
     if (pause > Duration(0)) co_await Pause(pause);
-    const bool is_outdated = !notice.is_lifted && list_.WasLifted(notice.request, Now());
+    const bool is_quarantined = list_.RemainingTime(notice.request, Now()).has_value();
+    const bool was_lifted = !is_quarantined && list_.WasLifted(notice.request, Now());
+    // A group may be quarantined again after its quarantine was lifted.
+    const bool is_outdated = notice.is_lifted ? is_quarantined : was_lifted;
     if (is_outdated) co_return;
     transport_.broadcast_notice(notice);
   }
@@ -295,17 +384,26 @@
 }
 
 void QuarantineService::OnNotice(const QuarantineNotice& notice, TimePoint now) {
-  if (notice.is_lifted) return Lift(notice.request, "peer", now);
+  if (notice.is_lifted) return OnLifted(notice, now);
   const bool is_innocent = runs_.CompletedSince(notice.request, now - notice.first_strike_age);
   if (notice.left <= Duration(0)) {
     if (is_innocent) NotifyCountingNodes(notice.request);
     return;
   }
   ledger_.AttributeExits(notice.backends, notice.request, now);
-  Quarantine({notice.request, now + notice.left}, "peer", now);
+  Quarantine({notice.request, now + notice.left, notice.parts, notice.backends}, "peer", now);
+  if (!notice.parts.empty()) LiftExplained(now);
   if (is_innocent) LiftEverywhere(notice.request, "ran_before", now);
 }
 
+// A notice that was delayed does not lift what was quarantined for later exits.
+void QuarantineService::OnLifted(const QuarantineNotice& notice, TimePoint now) {
+  const std::optional<QuarantinedRequest> entry = list_.Find(notice.request);
+  const bool has_later_exits =
+      entry.has_value() && entry->backends.size() > notice.backends.size() && !entry->parts.empty();
+  if (!has_later_exits) Lift(notice.request, "peer", now, notice.backends);
+}
+
 // Only the counting nodes need to know that a request that is merely suspected has completed.
 void QuarantineService::NotifyCountingNodes(RequestFingerprint request) {
   if (!transport_.send_notice) return;
@@ -314,16 +412,18 @@
   }
 }
 
-void QuarantineService::NoteRecorded(RequestFingerprint request, TimePoint now) {
-  Quarantine({request, now + kQuarantineTime}, "store", now);
+void QuarantineService::NoteRecorded(RequestFingerprint request,
+                                     const std::vector<PartFingerprint>& parts, TimePoint now) {
+  Quarantine({request, now + kQuarantineTime, parts, {}}, "store", now);
 }
 
 // An operator or another node has removed the record, or it has expired. Nodes that read the store
 // notify the others.
 void QuarantineService::NoteErased(RequestFingerprint request, TimePoint now) {
   if (!list_.RemainingTime(request, now).has_value()) return;
-  Lift(request, "record_gone", now);
-  BroadcastLifted(request);
+  const std::vector<BackendKey> backends = list_.Find(request)->backends;
+  Lift(request, "record_gone", now, backends);
+  BroadcastLifted(request, backends);
 }
 
 void QuarantineService::Merge(const std::vector<QuarantinedRequest>& quarantined, TimePoint now) {
@@ -336,6 +436,7 @@
   };
   ReportStrikes(ends_.Settle(has_entry, now), now);
   ledger_.Expire(now);
+  parts_.Tick(now);
   list_.Expire(now);
 }
 
--- a/libs/relay/src/quarantine/quarantine_service.h
+++ b/libs/relay/src/quarantine/quarantine_service.h
@@ -4,7 +4,9 @@
 // counts on its own; the first to reach the limit notifies all nodes and has the quarantine
 // recorded in the store, for nodes that start or come back later. When all of the back ends
 // terminated at one moment, nodes are asked first whether the request has completed. Any node at
-// which a back end has completed the request since then lifts the quarantine. Not thread-safe.
+// which a back end has completed the request since then lifts the quarantine. Requests may differ
+// in all but a part of their prompts: PartStrikeService finds such parts, and all requests with
+// them are quarantined in the same way. Not thread-safe.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -25,6 +27,7 @@
 #include "cartsail/quarantine/strike_ledger.h"
 #include "cartsail/reachability/reachability_evidence.h"
 #include "fleet/peer_table.h"
+#include "quarantine/part_strike_service.h"
 #include "quarantine/quarantine_message.h"
 #include "upstream/upstream_pool.h"
 
@@ -38,13 +41,18 @@
     std::function<void(const std::string& host, const QuarantineNotice& notice)> send_notice;
     // To all live nodes.
     std::function<void(const QuarantineNotice& notice)> broadcast_notice;
+    std::function<void(const std::string& host, const PartStrikes& strikes)> send_part_strikes;
+    std::function<void(const std::string& host, const PartCompletions& completions)>
+        send_part_completions;
+    // To all live nodes.
+    std::function<void(const PartInquiry& inquiry)> broadcast_part_inquiry;
   };
 
   // Records quarantines in the store.
   struct Recorder {
-    // `rank`: this node's place, from 0, among the nodes that count the request's strikes; the
-    // first one writes at once.
-    std::function<void(RequestFingerprint request, size_t rank)> record;
+    // `rank`: this node's place, from 0, among the nodes that count the strikes; the first one
+    // writes at once.
+    std::function<void(const QuarantinedRequest& quarantined, size_t rank)> record;
     std::function<void(RequestFingerprint request)> erase;
   };
 
@@ -61,24 +69,32 @@
                     ExaminePath examine);
 
   // Without a transport this node counts only its own strikes.
-  void SetTransport(Transport transport) { transport_ = std::move(transport); }
+  void SetTransport(Transport transport);
 
   // Without a recorder quarantines do not survive a restart of all nodes.
   void SetRecorder(Recorder recorder) { recorder_ = std::move(recorder); }
 
   // Returns the remaining quarantine of the request; nullopt when it may be sent. Must be called
   // right before every send.
-  std::optional<Duration> LeftFor(RequestFingerprint request, TimePoint now) const;
+  std::optional<Duration> LeftFor(const RequestTraits& traits, TimePoint now) const;
+
+  // What the request is quarantined for; nullopt when it may be sent.
+  std::optional<QuarantinedRequest> ReasonFor(const RequestTraits& traits, TimePoint now) const;
+
+  // True if the request, which is quarantined, may be sent once nevertheless, to find out whether
+  // it is harmless.
+  bool TakeTrial(const RequestTraits& traits, TimePoint now);
 
   // Calls `on_quarantined` when the request is quarantined before Unwatch().
-  WatchId Watch(RequestFingerprint request, std::function<void()> on_quarantined);
-  void Unwatch(RequestFingerprint request, WatchId watch);
+  WatchId Watch(const RequestTraits& traits, std::function<void()> on_quarantined);
+  void Unwatch(WatchId watch);
 
   // A back end has run the request to completion.
-  void NoteCompleted(RequestFingerprint request, TimePoint now);
+  void NoteCompleted(const RequestTraits& traits, TimePoint now);
 
-  // The connection to a back end broke while it had the request.
-  void NoteBroken(RequestFingerprint request, const Backend& backend, TimePoint now);
+  // The connection to a back end broke while it had the request. `traits`: with those parts that
+  // may have crashed the back end.
+  void NoteBroken(const RequestTraits& traits, const Backend& backend, TimePoint now);
 
   // The back end has terminated: its host refuses connections from other nodes too (NoteEnded), or
   // another process has its address (NoteReplaced). Accepted connections prove nothing: see
@@ -92,14 +108,17 @@
   void OnStrikes(const StrikeReport& report);
   void OnNotice(const QuarantineNotice& notice, TimePoint now);
 
-  // The store has a quarantine record of the request, or has it no longer.
-  void NoteRecorded(RequestFingerprint request, TimePoint now);
+  // The store has a quarantine record of the request, or has it no longer. `parts`: as for
+  // QuarantinedRequest.
+  void NoteRecorded(RequestFingerprint request, const std::vector<PartFingerprint>& parts,
+                    TimePoint now);
   void NoteErased(RequestFingerprint request, TimePoint now);
 
   // Adds the quarantines that a peer's catalog lists.
   void Merge(const std::vector<QuarantinedRequest>& quarantined, TimePoint now);
 
   const QuarantineList& List() const { return list_; }
+  PartStrikeService& Parts() { return parts_; }
 
   // Must be called about twice a second.
   void Tick(TimePoint now);
@@ -116,10 +135,17 @@
   void Suspect(const Verdict& verdict, TimePoint now);
   boost::asio::awaitable<void> DecideLater(RequestFingerprint request);
   void Decide(const Verdict& verdict, TimePoint now);
+  void DecideGroup(const SuspectedGroup& group, TimePoint now);
+  // The quarantines of groups with the part go on without it.
+  void ExonerateInGroups(PartFingerprint part, TimePoint now);
+  // Lifts quarantines of single requests that are explained by what was quarantined since.
+  void LiftExplained(TimePoint now);
   void Quarantine(const QuarantinedRequest& quarantined, std::string_view source, TimePoint now);
-  void Lift(RequestFingerprint request, std::string_view why, TimePoint now);
+  void Lift(RequestFingerprint request, std::string_view why, TimePoint now,
+            const std::vector<BackendKey>& backends);
+  void OnLifted(const QuarantineNotice& notice, TimePoint now);
   void LiftEverywhere(RequestFingerprint request, std::string_view why, TimePoint now);
-  void BroadcastLifted(RequestFingerprint request);
+  void BroadcastLifted(RequestFingerprint request, const std::vector<BackendKey>& backends);
   void NotifyCountingNodes(RequestFingerprint request);
   std::vector<std::string> CountingNodesOf(RequestFingerprint request) const;
   bool IsReady(BackendKey backend) const;
@@ -138,8 +164,14 @@
   StrikeLedger ledger_;
   QuarantineList list_;
   std::unordered_set<RequestFingerprint> suspected_;  // those whose DecideLater() runs
-  std::unordered_map<RequestFingerprint, std::map<WatchId, std::function<void()>>> watches_;
+  struct Watcher {
+    RequestTraits traits;
+    std::function<void()> on_quarantined;
+  };
+
+  std::map<WatchId, Watcher> watches_;
   WatchId next_watch_ = 1;
+  PartStrikeService parts_;
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -30,6 +30,8 @@
 // refusal would cost the caller one of its few retries.
 constexpr Duration kCatalogWaitLimit = milliseconds(300);
 constexpr Duration kCatalogPollInterval = milliseconds(10);
+// A back end that has written an answer for this long has not crashed on its prompt.
+constexpr Duration kPromptCrashTime = milliseconds(500);
 // Data received on this node's own path within this time proves that the path works.
 constexpr Duration kPathEvidenceAge = milliseconds(500);
 
@@ -118,9 +120,10 @@
       Admit(head_, context_.routing, context_.format,
             context_.document_limits.max_age_to_refuse_unknown, request_.received);
   admitted_ = std::move(result.admitted);
-  fingerprint_ = FingerprintOf({request_.method, head_.host, head_.target, admitted_.tenant,
-                                std::string_view(*request_.body)});
+  traits_.request = FingerprintOf({request_.method, head_.host, head_.target, admitted_.tenant,
+                                   std::string_view(*request_.body)});
   prompt_parts_ = context_.format.ParsePromptParts(head_.prompt_parts);
+  traits_.shared = SharedPartsOf(admitted_.profile.service, prompt_parts_);
   residency_table_ = admitted_.table;
   if (result.refusal.has_value()) {
     if (admitted_.route != nullptr) LogResidencyRefusal("no_common_region");
@@ -145,9 +148,9 @@
     const std::shared_ptr<Exchange> self = weak.lock();
     if (self != nullptr) self->OnQuarantined();
   };
-  const QuarantineService::WatchId watch = context_.quarantine.Watch(fingerprint_, on_quarantined);
+  const QuarantineService::WatchId watch = context_.quarantine.Watch(traits_, on_quarantined);
   const bool keep = co_await RunAdmitted();
-  context_.quarantine.Unwatch(fingerprint_, watch);
+  context_.quarantine.Unwatch(watch);
   caller_->StopWatch();
   context_.running.erase(this);
   GlobalCounters().requests_in_flight.Set(--context_.requests_in_flight);
@@ -164,6 +167,7 @@
   context_.retries.NoteRequest(admitted_.profile.service, request_.received);
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
   follows_versions_ = FollowsVersions();
+  is_trial_ = IsQuarantined() && context_.quarantine.TakeTrial(traits_, Now());
   const bool is_resumption = !last_event_id_.empty() || !resumes_.empty();
   if (follows_versions_ && is_resumption && !co_await LookUpVersion()) {
     GlobalCounters().stream_take_ups_unknown_total.Add();
@@ -189,7 +193,7 @@
                      asio::detached);
     } else {
       FinishAttempt(*placement, MayBePathFailure(outcome) ? OutcomeViaPeer(outcome) : outcome,
-                    Now());
+                    Now(), TraitsInFlight(Now()));
     }
     if (caller_gone_) break;
     if (outcome == AttemptOutcome::kAnswered) {
@@ -201,7 +205,8 @@
     }
     // All of the following was checked for the replacement.
     if (replacement_ != nullptr && outcome != AttemptOutcome::kTimedOut) continue;
-    if (bound_to_backend_ || !MayRetry(*admitted_.route, outcome, history_)) break;
+    if (is_trial_ || bound_to_backend_) break;
+    if (!MayRetry(*admitted_.route, outcome, history_)) break;
     if (!co_await IsVersionConfirmed()) break;
     if (deadline_ - Now() < kMinTimeForAttempt) break;
     if (!co_await AcquireRetry()) break;
@@ -234,12 +239,13 @@
 }
 
 bool Exchange::IsQuarantined() const {
-  return context_.quarantine.LeftFor(fingerprint_, Now()).has_value();
+  return !is_trial_ && context_.quarantine.LeftFor(traits_, Now()).has_value();
 }
 
 // As long as the back end has not started to answer, the request may still be queued there: closing
 // the connection removes it from the queue before it crashes another back end.
 void Exchange::OnQuarantined() {
+  if (is_trial_) return;
   DropCandidate();
   if (upstream_ == nullptr || has_output_) return;
   aborted_ = true;
@@ -266,9 +272,15 @@
   if (upstream_ != nullptr) upstream_->Close();
 }
 
-void Exchange::FinishAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended) {
+void Exchange::FinishAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended,
+                             const RequestTraits& traits) {
   context_.placement.Finish(placement.ticket, outcome, Now());
-  NoteEndOfAttempt(placement, outcome, ended);
+  NoteEndOfAttempt(placement, outcome, ended, traits);
+}
+
+RequestTraits Exchange::TraitsInFlight(TimePoint now) const {
+  if (!has_output_ || now - attempt_output_ < kPromptCrashTime) return traits_;
+  return {traits_.request, {traits_.shared.service, {}}};
 }
 
 // Finds out whether the back end or the path failed, then reports the outcome. Runs beside the
@@ -278,26 +290,27 @@
   // Everything that was cut by one event is reported with the time of the event, however long each
   // examination takes: simultaneous failures are judged differently from successive ones.
   const TimePoint ended = Now();
+  const RequestTraits traits = self->TraitsInFlight(ended);
   // After a break, data received earlier proves nothing about the path; after silence it does.
   const Duration evidence_age = outcome == AttemptOutcome::kCut ? Duration(0) : kPathEvidenceAge;
   const TimePoint since = ended - evidence_age;
   const PathVerdict verdict = co_await self->context_.paths.Examine(placement.backend, since);
   const bool is_path = verdict == PathVerdict::kCut;
-  self->FinishAttempt(placement, is_path ? AttemptOutcome::kPathLost : outcome, ended);
+  self->FinishAttempt(placement, is_path ? AttemptOutcome::kPathLost : outcome, ended, traits);
   if (verdict == PathVerdict::kEnded) {
     self->context_.quarantine.NoteEnded(placement.backend.key, Now());
   }
 }
 
-void Exchange::NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome,
-                                TimePoint ended) {
+void Exchange::NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended,
+                                const RequestTraits& traits) {
   const TimePoint now = Now();
   if (outcome == AttemptOutcome::kCut) {
-    context_.quarantine.NoteBroken(fingerprint_, placement.backend, ended);
+    context_.quarantine.NoteBroken(traits, placement.backend, ended);
   } else if (outcome == AttemptOutcome::kWrongInstance) {
     context_.quarantine.NoteReplaced(placement.backend.key, now);
   } else if (outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kFailedAnswer) {
-    context_.quarantine.NoteCompleted(fingerprint_, now);
+    context_.quarantine.NoteCompleted(traits_, now);
   }
 }
 
@@ -340,7 +353,7 @@
     caller_->Close();
     co_return false;
   }
-  const std::optional<Duration> quarantined = context_.quarantine.LeftFor(fingerprint_, Now());
+  const std::optional<Duration> quarantined = context_.quarantine.LeftFor(traits_, Now());
   if (history_.may_have_run == 0 && quarantined.has_value()) {
     GlobalCounters().quarantine_refusals_total.Add();
     co_return co_await AnswerRefusal(ErrorKind::kQuarantined, *quarantined);
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -11,7 +11,7 @@
 
 #include "cartsail/net/body_end.h"
 #include "cartsail/net/event_scanner.h"
-#include "cartsail/quarantine/request_fingerprint.h"
+#include "cartsail/quarantine/shared_parts.h"
 #include "cartsail/reachability/silence_evidence.h"
 #include "cartsail/relay/admission.h"
 #include "relay_context.h"
@@ -120,9 +120,12 @@
   // The outcome of an attempt for which no connection was opened.
   AttemptOutcome OutcomeOfFailedOpen(const OpenedPath& opened) const;
   AttemptOutcome OutcomeOfPath(AttemptOutcome outcome);
-  void FinishAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended);
+  void FinishAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended,
+                     const RequestTraits& traits);
   static boost::asio::awaitable<void> DiagnoseAttempt(std::shared_ptr<Exchange> self,
                                                       Placement placement, AttemptOutcome outcome);
+  // What of the request may have crashed the back end of the current attempt, which ended `now`.
+  RequestTraits TraitsInFlight(TimePoint now) const;
   boost::asio::awaitable<AttemptOutcome> ReadMatchingHead(const Placement& placement,
                                                           ResponseHead* head);
   boost::asio::awaitable<AttemptOutcome> DiscardStaleAnswer();
@@ -142,6 +145,8 @@
   boost::asio::awaitable<AttemptOutcome> RelayStream(const Placement& placement,
                                                      const ResponseHead& head);
   void NoteBody(const ResponseHead& head, std::string_view piece, EventScanner* events);
+  // The current attempt has received a part of a body.
+  void NoteFirstOutput(TimePoint now);
   void NoteStreamPiece(const Placement& placement, std::string_view piece);
   // Forwards bytes of a stream, preceded by the head if it was not sent yet; `at_end` ends the
   // body.
@@ -223,13 +228,15 @@
   void RefreshResidency();
   bool HasNoPermittedBackend(TimePoint now);
   void LogResidencyRefusal(std::string_view why);
-  // True if back ends have crashed on this request: it must not be sent to another one.
+  // True if back ends have crashed on this request or on a part of its prompt: it must not be sent
+  // to another one.
   bool IsQuarantined() const;
   void OnQuarantined();
   // Aborts the answer: its caller has not read `bytes` of it for `stalled_for`, and the memory is
   // needed for other requests.
   void AbortForMemory(int64_t bytes, Duration stalled_for);
-  void NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended);
+  void NoteEndOfAttempt(const Placement& placement, AttemptOutcome outcome, TimePoint ended,
+                        const RequestTraits& traits);
   // Returns true if the request may be sent to a back end now. If it was sent to one before, this
   // is a retry and is charged to the retry budget.
   boost::asio::awaitable<bool> AcquireRetry();
@@ -265,8 +272,8 @@
   std::string stream_version_;   // at which the stream started; empty: not started or unknown
   StreamRecord started_stream_;  // the stream, if it started in this answer
   VersionSource version_source_ = VersionSource::kNone;  // of the resumed stream
-  RequestFingerprint fingerprint_ = 0;
-  std::vector<PromptPart> prompt_parts_;  // as the caller names them
+  RequestTraits traits_;
+  std::vector<PromptPart> prompt_parts_;                      // as the caller names them
   ConnectResult connect_result_ = ConnectResult::kConnected;  // of the last attempt
   std::string via_node_;                 // node that bridged the last attempt; empty: none
   AnswerHead answer_;                    // of the last attempt
@@ -299,6 +306,8 @@
   bool has_matching_head_ = false;  // the current attempt has received the head that answers it
   bool is_answering_ = false;       // that head reports success
   bool has_output_ = false;         // the current attempt has received a part of a body
+  TimePoint attempt_output_;        // when it received the first one
+  bool is_trial_ = false;           // the request is quarantined, and sent once to find out why
   bool aborted_ = false;            // the current attempt, since the request was quarantined
   bool keep_alive_ = true;
   int64_t bytes_out_ = 0;
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -164,7 +164,7 @@
   do {
     const UpstreamError error = co_await ReadBody(&chunk);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error);
-    has_output_ = true;
+    NoteFirstOutput(Now());
     NoteBody(head, chunk, &events);
     const TimePoint now = Now();
     context_.placement.Output(placement.ticket, now);
@@ -232,6 +232,12 @@
   co_return co_await writer_->Write(ResponseHeadText(head.status, head.reason, headers));
 }
 
+void Exchange::NoteFirstOutput(TimePoint now) {
+  if (has_output_) return;
+  has_output_ = true;
+  attempt_output_ = now;
+}
+
 // For an event stream, the content also tells whether the answer is complete.
 void Exchange::NoteBody(const ResponseHead& head, std::string_view piece, EventScanner* events) {
   answer_end_->bytes += static_cast<int64_t>(piece.size());
@@ -243,7 +249,7 @@
 void Exchange::NoteStreamPiece(const Placement& placement, std::string_view piece) {
   if (piece.empty()) return;
   const TimePoint now = Now();
-  has_output_ = true;
+  NoteFirstOutput(now);
   answer_end_->bytes += static_cast<int64_t>(piece.size());
   NoteOutput(now);
   context_.placement.Output(placement.ticket, now);
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -69,7 +69,7 @@
   const AnswerEndText end = TextOf(answer_end_);
   Log(LogLevel::kWarning, "attempt",
       {{"request", request_id_},
-       {"fingerprint", FingerprintText(fingerprint_)},
+       {"fingerprint", FingerprintText(traits_.request)},
        {"parts", SharedPartsText(prompt_parts_)},
        {"backend", placement.backend.id},
        {"address", placement.backend.address},
@@ -199,7 +199,7 @@
                        first_output_ - request_.received > admitted_.route->first_output_goal;
   Log(answered && !is_slow ? LogLevel::kInfo : LogLevel::kWarning, "request",
       {{"request", request_id_},
-       {"fingerprint", FingerprintText(fingerprint_)},
+       {"fingerprint", FingerprintText(traits_.request)},
        {"route", admitted_.route == nullptr ? "" : admitted_.route->name},
        {"tenant", admitted_.tenant},
        {"tier", std::to_string(admitted_.tier)},
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -327,7 +327,7 @@
     CloseRetry(std::move(found.retry), may_be_in_transit);
     found.connection->Close();
   }
-  FinishAttempt(found.placement, found.outcome, Now());
+  FinishAttempt(found.placement, found.outcome, Now(), traits_);
   if (found.connection == nullptr) return;
   context_.pool.Return(found.placement.backend.key, std::move(found.connection));
 }
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -212,6 +212,36 @@
   firstStrikeAgeMs @3 :UInt32;
   # Those that ended under it.
   backends @4 :List(UInt32);
+  # Not one request, but all that have each of these prompt parts. Earlier builds know no parts:
+  # `request` is the fingerprint of the parts, which no request has.
+  parts @5 :List(UInt64);
+}
+
+# A back end ended while requests with these prompt parts were in flight there.
+struct PartStrikes {
+  service @0 :UInt64;
+  backend @1 :UInt32;
+  # Milliseconds since the connections to it broke.
+  ageMs @2 :UInt32;
+  parts @3 :List(UInt64);
+}
+
+# Whoever completes a request with one of these prompt parts is asked to tell.
+struct PartInquiry {
+  service @0 :UInt64;
+  # Milliseconds since the first back end ended with one of them in flight.
+  firstStrikeAgeMs @1 :UInt32;
+  parts @2 :List(UInt64);
+  # IPv4 addresses of the nodes to which the receiver passes it on.
+  targets @3 :List(UInt32);
+}
+
+# A back end has completed requests with these prompt parts.
+struct PartCompletions {
+  service @0 :UInt64;
+  parts @1 :List(UInt64);
+  # For each part, milliseconds since its last completion.
+  agesMs @2 :List(UInt32);
 }
 
 # On its way to all nodes.
@@ -363,5 +393,8 @@
     repeatAnswer @12 :RepeatAnswer;
     streamQuestion @13 :StreamQuestion;
     streamAnswer @14 :StreamAnswer;
+    partStrikes @15 :PartStrikes;
+    partInquiry @16 :PartInquiry;
+    partCompletions @17 :PartCompletions;
   }
 }
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -31,6 +31,9 @@
 CAPNP_DECLARE_SCHEMA(fda596282b449bf2);
 CAPNP_DECLARE_SCHEMA(b974c443199238af);
 CAPNP_DECLARE_SCHEMA(f60e9eeef7c0639f);
+CAPNP_DECLARE_SCHEMA(df8935b407642d70);
+CAPNP_DECLARE_SCHEMA(c6b6d5568cfae9aa);
+CAPNP_DECLARE_SCHEMA(fd89068b662d7756);
 CAPNP_DECLARE_SCHEMA(e94c0010d4813aac);
 CAPNP_DECLARE_SCHEMA(fcbd87e46f033038);
 CAPNP_DECLARE_SCHEMA(d24718b90bf84405);
@@ -271,7 +274,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f60e9eeef7c0639f, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f60e9eeef7c0639f, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartStrikes {
+  PartStrikes() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df8935b407642d70, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartInquiry {
+  PartInquiry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c6b6d5568cfae9aa, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartCompletions {
+  PartCompletions() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd89068b662d7756, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -510,6 +558,9 @@
     REPEAT_ANSWER,
     STREAM_QUESTION,
     STREAM_ANSWER,
+    PART_STRIKES,
+    PART_INQUIRY,
+    PART_COMPLETIONS,
   };
 
   struct _capnpPrivate {
@@ -2191,6 +2242,9 @@
   inline bool hasBackends() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getBackends() const;
 
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2239,6 +2293,14 @@
   inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownBackends();
 
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2265,9 +2327,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QuarantineNotice::Reader {
+class PartStrikes::Reader {
 public:
-  typedef QuarantineNotice Reads;
+  typedef PartStrikes Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2282,11 +2344,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry() const;
-  inline  ::cartsail::wire::QuarantineEntry::Reader getEntry() const;
+  inline  ::uint64_t getService() const;
 
-  inline bool hasTargets() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
+  inline  ::uint32_t getBackend() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2300,9 +2365,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QuarantineNotice::Builder {
+class PartStrikes::Builder {
 public:
-  typedef QuarantineNotice Builds;
+  typedef PartStrikes Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2316,20 +2381,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry();
-  inline  ::cartsail::wire::QuarantineEntry::Builder getEntry();
-  inline void setEntry( ::cartsail::wire::QuarantineEntry::Reader value);
-  inline  ::cartsail::wire::QuarantineEntry::Builder initEntry();
-  inline void adoptEntry(::capnp::Orphan< ::cartsail::wire::QuarantineEntry>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::QuarantineEntry> disownEntry();
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
 
-  inline bool hasTargets();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
-  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
-  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
+  inline  ::uint32_t getBackend();
+  inline void setBackend( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2341,15 +2408,14 @@
 };
 
 #if !CAPNP_LITE
-class QuarantineNotice::Pipeline {
+class PartStrikes::Pipeline {
 public:
-  typedef QuarantineNotice Pipelines;
+  typedef PartStrikes Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cartsail::wire::QuarantineEntry::Pipeline getEntry();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2358,9 +2424,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Catalog::Reader {
+class PartInquiry::Reader {
 public:
-  typedef Catalog Reads;
+  typedef PartInquiry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2375,31 +2441,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getRevision() const;
-
-  inline bool hasDocument() const;
-  inline  ::capnp::Data::Reader getDocument() const;
-
-  inline bool hasBackends() const;
-  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader getBackends() const;
-
-  inline  ::uint32_t getDocumentAgeMs() const;
-
-  inline  ::int64_t getDocumentBase() const;
-
-  inline  ::int64_t getSince() const;
-
-  inline bool hasGone() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getGone() const;
+  inline  ::uint64_t getService() const;
 
-  inline bool hasNames() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
+  inline  ::uint32_t getFirstStrikeAgeMs() const;
 
-  inline bool hasDrainedZones() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDrainedZones() const;
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
-  inline bool hasQuarantined() const;
-  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2413,9 +2463,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Catalog::Builder {
+class PartInquiry::Builder {
 public:
-  typedef Catalog Builds;
+  typedef PartInquiry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2429,62 +2479,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
-
-  inline bool hasDocument();
-  inline  ::capnp::Data::Builder getDocument();
-  inline void setDocument( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
-
-  inline bool hasBackends();
-  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder getBackends();
-  inline void setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder initBackends(unsigned int size);
-  inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> disownBackends();
-
-  inline  ::uint32_t getDocumentAgeMs();
-  inline void setDocumentAgeMs( ::uint32_t value);
-
-  inline  ::int64_t getDocumentBase();
-  inline void setDocumentBase( ::int64_t value);
-
-  inline  ::int64_t getSince();
-  inline void setSince( ::int64_t value);
-
-  inline bool hasGone();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getGone();
-  inline void setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initGone(unsigned int size);
-  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownGone();
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
 
-  inline bool hasNames();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
-  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
-  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
+  inline  ::uint32_t getFirstStrikeAgeMs();
+  inline void setFirstStrikeAgeMs( ::uint32_t value);
 
-  inline bool hasDrainedZones();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDrainedZones();
-  inline void setDrainedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setDrainedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDrainedZones(unsigned int size);
-  inline void adoptDrainedZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDrainedZones();
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
-  inline bool hasQuarantined();
-  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
-  inline void setQuarantined( ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
-  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> disownQuarantined();
+  inline bool hasTargets();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2496,9 +2511,9 @@
 };
 
 #if !CAPNP_LITE
-class Catalog::Pipeline {
+class PartInquiry::Pipeline {
 public:
-  typedef Catalog Pipelines;
+  typedef PartInquiry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2512,9 +2527,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StoreUpdate::Reader {
+class PartCompletions::Reader {
 public:
-  typedef StoreUpdate Reads;
+  typedef PartCompletions Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2529,17 +2544,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasChanges() const;
-  inline  ::cartsail::wire::Catalog::Reader getChanges() const;
-
-  inline  ::int64_t getDocumentVersion() const;
-
-  inline  ::uint32_t getConfirmedAgeMs() const;
+  inline  ::uint64_t getService() const;
 
-  inline bool hasTargets() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
-  inline  ::uint32_t getListAgeMs() const;
+  inline bool hasAgesMs() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAgesMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2553,9 +2564,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoreUpdate::Builder {
+class PartCompletions::Builder {
 public:
-  typedef StoreUpdate Builds;
+  typedef PartCompletions Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2569,29 +2580,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasChanges();
-  inline  ::cartsail::wire::Catalog::Builder getChanges();
-  inline void setChanges( ::cartsail::wire::Catalog::Reader value);
-  inline  ::cartsail::wire::Catalog::Builder initChanges();
-  inline void adoptChanges(::capnp::Orphan< ::cartsail::wire::Catalog>&& value);
-  inline ::capnp::Orphan< ::cartsail::wire::Catalog> disownChanges();
-
-  inline  ::int64_t getDocumentVersion();
-  inline void setDocumentVersion( ::int64_t value);
-
-  inline  ::uint32_t getConfirmedAgeMs();
-  inline void setConfirmedAgeMs( ::uint32_t value);
-
-  inline bool hasTargets();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
-  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
-  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
 
-  inline  ::uint32_t getListAgeMs();
-  inline void setListAgeMs( ::uint32_t value);
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+  inline bool hasAgesMs();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAgesMs();
+  inline void setAgesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAgesMs(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAgesMs(unsigned int size);
+  inline void adoptAgesMs(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAgesMs();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2603,15 +2609,14 @@
 };
 
 #if !CAPNP_LITE
-class StoreUpdate::Pipeline {
+class PartCompletions::Pipeline {
 public:
-  typedef StoreUpdate Pipelines;
+  typedef PartCompletions Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cartsail::wire::Catalog::Pipeline getChanges();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2620,9 +2625,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TenantCount::Reader {
+class QuarantineNotice::Reader {
 public:
-  typedef TenantCount Reads;
+  typedef QuarantineNotice Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2637,10 +2642,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTenant() const;
-  inline  ::capnp::Text::Reader getTenant() const;
+  inline bool hasEntry() const;
+  inline  ::cartsail::wire::QuarantineEntry::Reader getEntry() const;
 
-  inline  ::int64_t getRequests() const;
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2654,9 +2660,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TenantCount::Builder {
+class QuarantineNotice::Builder {
 public:
-  typedef TenantCount Builds;
+  typedef QuarantineNotice Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2670,15 +2676,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTenant();
-  inline  ::capnp::Text::Builder getTenant();
-  inline void setTenant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTenant(unsigned int size);
-  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+  inline bool hasEntry();
+  inline  ::cartsail::wire::QuarantineEntry::Builder getEntry();
+  inline void setEntry( ::cartsail::wire::QuarantineEntry::Reader value);
+  inline  ::cartsail::wire::QuarantineEntry::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::cartsail::wire::QuarantineEntry>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::QuarantineEntry> disownEntry();
 
-  inline  ::int64_t getRequests();
-  inline void setRequests( ::int64_t value);
+  inline bool hasTargets();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2690,14 +2701,15 @@
 };
 
 #if !CAPNP_LITE
-class TenantCount::Pipeline {
+class QuarantineNotice::Pipeline {
 public:
-  typedef TenantCount Pipelines;
+  typedef QuarantineNotice Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cartsail::wire::QuarantineEntry::Pipeline getEntry();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2706,9 +2718,357 @@
 };
 #endif  // !CAPNP_LITE
 
-class UsageShare::Reader {
+class Catalog::Reader {
 public:
-  typedef UsageShare Reads;
+  typedef Catalog Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRevision() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
+
+  inline bool hasBackends() const;
+  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader getBackends() const;
+
+  inline  ::uint32_t getDocumentAgeMs() const;
+
+  inline  ::int64_t getDocumentBase() const;
+
+  inline  ::int64_t getSince() const;
+
+  inline bool hasGone() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getGone() const;
+
+  inline bool hasNames() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getNames() const;
+
+  inline bool hasDrainedZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDrainedZones() const;
+
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Catalog::Builder {
+public:
+  typedef Catalog Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+
+  inline bool hasBackends();
+  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder getBackends();
+  inline void setBackends( ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>::Builder initBackends(unsigned int size);
+  inline void adoptBackends(::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::Backend,  ::capnp::Kind::STRUCT>> disownBackends();
+
+  inline  ::uint32_t getDocumentAgeMs();
+  inline void setDocumentAgeMs( ::uint32_t value);
+
+  inline  ::int64_t getDocumentBase();
+  inline void setDocumentBase( ::int64_t value);
+
+  inline  ::int64_t getSince();
+  inline void setSince( ::int64_t value);
+
+  inline bool hasGone();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getGone();
+  inline void setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initGone(unsigned int size);
+  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownGone();
+
+  inline bool hasNames();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getNames();
+  inline void setNames( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setNames(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownNames();
+
+  inline bool hasDrainedZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDrainedZones();
+  inline void setDrainedZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDrainedZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDrainedZones(unsigned int size);
+  inline void adoptDrainedZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDrainedZones();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Catalog::Pipeline {
+public:
+  typedef Catalog Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoreUpdate::Reader {
+public:
+  typedef StoreUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasChanges() const;
+  inline  ::cartsail::wire::Catalog::Reader getChanges() const;
+
+  inline  ::int64_t getDocumentVersion() const;
+
+  inline  ::uint32_t getConfirmedAgeMs() const;
+
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
+
+  inline  ::uint32_t getListAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreUpdate::Builder {
+public:
+  typedef StoreUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasChanges();
+  inline  ::cartsail::wire::Catalog::Builder getChanges();
+  inline void setChanges( ::cartsail::wire::Catalog::Reader value);
+  inline  ::cartsail::wire::Catalog::Builder initChanges();
+  inline void adoptChanges(::capnp::Orphan< ::cartsail::wire::Catalog>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::Catalog> disownChanges();
+
+  inline  ::int64_t getDocumentVersion();
+  inline void setDocumentVersion( ::int64_t value);
+
+  inline  ::uint32_t getConfirmedAgeMs();
+  inline void setConfirmedAgeMs( ::uint32_t value);
+
+  inline bool hasTargets();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
+
+  inline  ::uint32_t getListAgeMs();
+  inline void setListAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreUpdate::Pipeline {
+public:
+  typedef StoreUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cartsail::wire::Catalog::Pipeline getChanges();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TenantCount::Reader {
+public:
+  typedef TenantCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
+
+  inline  ::int64_t getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TenantCount::Builder {
+public:
+  typedef TenantCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+
+  inline  ::int64_t getRequests();
+  inline void setRequests( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TenantCount::Pipeline {
+public:
+  typedef TenantCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageShare::Reader {
+public:
+  typedef UsageShare Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3736,6 +4096,18 @@
   inline bool hasStreamAnswer() const;
   inline  ::cartsail::wire::StreamAnswer::Reader getStreamAnswer() const;
 
+  inline bool isPartStrikes() const;
+  inline bool hasPartStrikes() const;
+  inline  ::cartsail::wire::PartStrikes::Reader getPartStrikes() const;
+
+  inline bool isPartInquiry() const;
+  inline bool hasPartInquiry() const;
+  inline  ::cartsail::wire::PartInquiry::Reader getPartInquiry() const;
+
+  inline bool isPartCompletions() const;
+  inline bool hasPartCompletions() const;
+  inline  ::cartsail::wire::PartCompletions::Reader getPartCompletions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3885,6 +4257,30 @@
   inline void adoptStreamAnswer(::capnp::Orphan< ::cartsail::wire::StreamAnswer>&& value);
   inline ::capnp::Orphan< ::cartsail::wire::StreamAnswer> disownStreamAnswer();
 
+  inline bool isPartStrikes();
+  inline bool hasPartStrikes();
+  inline  ::cartsail::wire::PartStrikes::Builder getPartStrikes();
+  inline void setPartStrikes( ::cartsail::wire::PartStrikes::Reader value);
+  inline  ::cartsail::wire::PartStrikes::Builder initPartStrikes();
+  inline void adoptPartStrikes(::capnp::Orphan< ::cartsail::wire::PartStrikes>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PartStrikes> disownPartStrikes();
+
+  inline bool isPartInquiry();
+  inline bool hasPartInquiry();
+  inline  ::cartsail::wire::PartInquiry::Builder getPartInquiry();
+  inline void setPartInquiry( ::cartsail::wire::PartInquiry::Reader value);
+  inline  ::cartsail::wire::PartInquiry::Builder initPartInquiry();
+  inline void adoptPartInquiry(::capnp::Orphan< ::cartsail::wire::PartInquiry>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PartInquiry> disownPartInquiry();
+
+  inline bool isPartCompletions();
+  inline bool hasPartCompletions();
+  inline  ::cartsail::wire::PartCompletions::Builder getPartCompletions();
+  inline void setPartCompletions( ::cartsail::wire::PartCompletions::Reader value);
+  inline  ::cartsail::wire::PartCompletions::Builder initPartCompletions();
+  inline void adoptPartCompletions(::capnp::Orphan< ::cartsail::wire::PartCompletions>&& value);
+  inline ::capnp::Orphan< ::cartsail::wire::PartCompletions> disownPartCompletions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5815,155 +6211,467 @@
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
-
-inline  ::uint16_t Backend::Reader::getVersion() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+
+inline  ::uint16_t Backend::Reader::getVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Backend::Builder::getVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Backend::Builder::setVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Strike::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Strike::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Strike::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Strike::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Strike::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Strike::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Strike::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantineEntry::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineEntry::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineEntry::Reader::getLifted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantineEntry::Builder::getLifted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setLifted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getFirstStrikeAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getFirstStrikeAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setFirstStrikeAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineEntry::Reader::hasBackends() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineEntry::Builder::hasBackends() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineEntry::Reader::getBackends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::getBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuarantineEntry::Builder::setBackends( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void QuarantineEntry::Builder::setBackends(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::initBackends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineEntry::Builder::adoptBackends(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineEntry::Builder::disownBackends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QuarantineEntry::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineEntry::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineEntry::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QuarantineEntry::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void QuarantineEntry::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint16_t Backend::Builder::getVersion() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline void QuarantineEntry::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Backend::Builder::setVersion( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> QuarantineEntry::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Strike::Reader::getRequest() const {
+inline  ::uint64_t PartStrikes::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Strike::Builder::getRequest() {
+inline  ::uint64_t PartStrikes::Builder::getService() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Strike::Builder::setRequest( ::uint64_t value) {
+inline void PartStrikes::Builder::setService( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Strike::Reader::getBackend() const {
+inline  ::uint32_t PartStrikes::Reader::getBackend() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Strike::Builder::getBackend() {
+inline  ::uint32_t PartStrikes::Builder::getBackend() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Strike::Builder::setBackend( ::uint32_t value) {
+inline void PartStrikes::Builder::setBackend( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Strike::Reader::getAgeMs() const {
+inline  ::uint32_t PartStrikes::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Strike::Builder::getAgeMs() {
+inline  ::uint32_t PartStrikes::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Strike::Builder::setAgeMs( ::uint32_t value) {
+inline void PartStrikes::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t QuarantineEntry::Reader::getRequest() const {
+inline bool PartStrikes::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PartStrikes::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PartStrikes::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PartStrikes::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PartStrikes::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void PartStrikes::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PartStrikes::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PartStrikes::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PartStrikes::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PartInquiry::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t QuarantineEntry::Builder::getRequest() {
+inline  ::uint64_t PartInquiry::Builder::getService() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setRequest( ::uint64_t value) {
+inline void PartInquiry::Builder::setService( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuarantineEntry::Reader::getLifted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PartInquiry::Reader::getFirstStrikeAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool QuarantineEntry::Builder::getLifted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t PartInquiry::Builder::getFirstStrikeAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setLifted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void PartInquiry::Builder::setFirstStrikeAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QuarantineEntry::Reader::getLeftMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool PartInquiry::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PartInquiry::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PartInquiry::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PartInquiry::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PartInquiry::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void PartInquiry::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PartInquiry::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PartInquiry::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PartInquiry::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t QuarantineEntry::Builder::getLeftMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool PartInquiry::Reader::hasTargets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void QuarantineEntry::Builder::setLeftMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool PartInquiry::Builder::hasTargets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PartInquiry::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PartInquiry::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PartInquiry::Builder::setTargets( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PartInquiry::Builder::setTargets(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PartInquiry::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PartInquiry::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PartInquiry::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t QuarantineEntry::Reader::getFirstStrikeAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PartCompletions::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QuarantineEntry::Builder::getFirstStrikeAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PartCompletions::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setFirstStrikeAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void PartCompletions::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuarantineEntry::Reader::hasBackends() const {
+inline bool PartCompletions::Reader::hasParts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineEntry::Builder::hasBackends() {
+inline bool PartCompletions::Builder::hasParts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineEntry::Reader::getBackends() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PartCompletions::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::getBackends() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PartCompletions::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QuarantineEntry::Builder::setBackends( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PartCompletions::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void QuarantineEntry::Builder::setBackends(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PartCompletions::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineEntry::Builder::initBackends(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PartCompletions::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineEntry::Builder::adoptBackends(
+inline void PartCompletions::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PartCompletions::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PartCompletions::Reader::hasAgesMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PartCompletions::Builder::hasAgesMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PartCompletions::Reader::getAgesMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PartCompletions::Builder::getAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PartCompletions::Builder::setAgesMs( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PartCompletions::Builder::setAgesMs(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PartCompletions::Builder::initAgesMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PartCompletions::Builder::adoptAgesMs(
     ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QuarantineEntry::Builder::disownBackends() {
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PartCompletions::Builder::disownAgesMs() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool QuarantineNotice::Reader::hasEntry() const {
@@ -8048,6 +8756,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isPartStrikes() const {
+  return which() == Datagram::PART_STRIKES;
+}
+inline bool Datagram::Builder::isPartStrikes() {
+  return which() == Datagram::PART_STRIKES;
+}
+inline bool Datagram::Reader::hasPartStrikes() const {
+  if (which() != Datagram::PART_STRIKES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasPartStrikes() {
+  if (which() != Datagram::PART_STRIKES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::PartStrikes::Reader Datagram::Reader::getPartStrikes() const {
+  KJ_IREQUIRE((which() == Datagram::PART_STRIKES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartStrikes>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::PartStrikes::Builder Datagram::Builder::getPartStrikes() {
+  KJ_IREQUIRE((which() == Datagram::PART_STRIKES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartStrikes>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setPartStrikes( ::cartsail::wire::PartStrikes::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_STRIKES);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PartStrikes>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::PartStrikes::Builder Datagram::Builder::initPartStrikes() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_STRIKES);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartStrikes>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptPartStrikes(
+    ::capnp::Orphan< ::cartsail::wire::PartStrikes>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_STRIKES);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PartStrikes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::PartStrikes> Datagram::Builder::disownPartStrikes() {
+  KJ_IREQUIRE((which() == Datagram::PART_STRIKES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartStrikes>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isPartInquiry() const {
+  return which() == Datagram::PART_INQUIRY;
+}
+inline bool Datagram::Builder::isPartInquiry() {
+  return which() == Datagram::PART_INQUIRY;
+}
+inline bool Datagram::Reader::hasPartInquiry() const {
+  if (which() != Datagram::PART_INQUIRY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasPartInquiry() {
+  if (which() != Datagram::PART_INQUIRY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::PartInquiry::Reader Datagram::Reader::getPartInquiry() const {
+  KJ_IREQUIRE((which() == Datagram::PART_INQUIRY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartInquiry>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::PartInquiry::Builder Datagram::Builder::getPartInquiry() {
+  KJ_IREQUIRE((which() == Datagram::PART_INQUIRY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartInquiry>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setPartInquiry( ::cartsail::wire::PartInquiry::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_INQUIRY);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PartInquiry>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::PartInquiry::Builder Datagram::Builder::initPartInquiry() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_INQUIRY);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartInquiry>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptPartInquiry(
+    ::capnp::Orphan< ::cartsail::wire::PartInquiry>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_INQUIRY);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PartInquiry>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::PartInquiry> Datagram::Builder::disownPartInquiry() {
+  KJ_IREQUIRE((which() == Datagram::PART_INQUIRY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartInquiry>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isPartCompletions() const {
+  return which() == Datagram::PART_COMPLETIONS;
+}
+inline bool Datagram::Builder::isPartCompletions() {
+  return which() == Datagram::PART_COMPLETIONS;
+}
+inline bool Datagram::Reader::hasPartCompletions() const {
+  if (which() != Datagram::PART_COMPLETIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasPartCompletions() {
+  if (which() != Datagram::PART_COMPLETIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cartsail::wire::PartCompletions::Reader Datagram::Reader::getPartCompletions() const {
+  KJ_IREQUIRE((which() == Datagram::PART_COMPLETIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartCompletions>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cartsail::wire::PartCompletions::Builder Datagram::Builder::getPartCompletions() {
+  KJ_IREQUIRE((which() == Datagram::PART_COMPLETIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartCompletions>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setPartCompletions( ::cartsail::wire::PartCompletions::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_COMPLETIONS);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PartCompletions>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cartsail::wire::PartCompletions::Builder Datagram::Builder::initPartCompletions() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_COMPLETIONS);
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartCompletions>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptPartCompletions(
+    ::capnp::Orphan< ::cartsail::wire::PartCompletions>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PART_COMPLETIONS);
+  ::capnp::_::PointerHelpers< ::cartsail::wire::PartCompletions>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cartsail::wire::PartCompletions> Datagram::Builder::disownPartCompletions() {
+  KJ_IREQUIRE((which() == Datagram::PART_COMPLETIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::cartsail::wire::PartCompletions>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
