Answers that are not passed on are read no further than 1 MB; refusals for 0.2 s

Callers saw: a request whose back end answered with a refusal, as a wrong instance or to another request, and sent bytes without end, was held until its deadline and then refused or timed out; another back end could have served it.

--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -128,12 +128,16 @@
   RequestTraits TraitsInFlight(TimePoint now) const;
   boost::asio::awaitable<AttemptOutcome> ReadMatchingHead(const Placement& placement,
                                                           ResponseHead* head);
-  boost::asio::awaitable<AttemptOutcome> DiscardStaleAnswer();
+  // Reads the body of an answer that is not passed on; kSpoilt if it is too long.
+  boost::asio::awaitable<AttemptOutcome> DiscardAnswer(TimePoint deadline);
   void NoteAnswerHead(const ResponseHead& head);
   // Reads part of the answer's body, as UpstreamConnection::ReadBody(), until the deadline of the
   // request. The back end is silent after `silence_timeout`; nullopt: however long it takes.
   boost::asio::awaitable<UpstreamError> ReadBody(std::string* chunk,
                                                  std::optional<Duration> silence_timeout = {});
+  // The same until `deadline`.
+  boost::asio::awaitable<UpstreamError> ReadBodyUntil(TimePoint deadline, std::string* chunk,
+                                                      std::optional<Duration> silence_timeout = {});
   // Records the framing of the answer's body and how reading it ended.
   void NoteReadingEnd();
   // The outcome at the end of the answer's body: kAnswered, or kCut if the body was broken off.
--- a/libs/relay/src/request/exchange_relaying.cc
+++ b/libs/relay/src/request/exchange_relaying.cc
@@ -18,6 +18,10 @@
 namespace asio = boost::asio;
 
 constexpr int kMaxStaleAnswers = 3;  // discarded on one connection
+// Of one answer that is discarded. A back end may send bytes without end.
+constexpr size_t kMaxDiscardedBytes = 1 << 20;
+// For the rest of a refusal, which is read only to keep the connection.
+constexpr Duration kRefusalBodyTime = milliseconds(200);
 
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
@@ -39,10 +43,15 @@
 
 asio::awaitable<UpstreamError> Exchange::ReadBody(std::string* chunk,
                                                   std::optional<Duration> silence_timeout) {
+  co_return co_await ReadBodyUntil(deadline_, chunk, silence_timeout);
+}
+
+asio::awaitable<UpstreamError> Exchange::ReadBodyUntil(TimePoint deadline, std::string* chunk,
+                                                       std::optional<Duration> silence_timeout) {
   waiting_since_ = Now();
   silence_timeout_ = silence_timeout;
   is_reading_ = true;
-  const UpstreamError error = co_await upstream_->ReadBody(chunk, deadline_);
+  const UpstreamError error = co_await upstream_->ReadBody(chunk, deadline);
   is_reading_ = false;
   // Data that arrived after the decision to move comes again from the next back end.
   if (replacement_ != nullptr) co_return UpstreamError::kBroken;
@@ -50,11 +59,15 @@
   co_return error;
 }
 
-asio::awaitable<AttemptOutcome> Exchange::DiscardStaleAnswer() {
+// A connection on which the rest of an answer was not read is closed at the end of the attempt.
+asio::awaitable<AttemptOutcome> Exchange::DiscardAnswer(TimePoint deadline) {
   std::string chunk;
+  size_t discarded = 0;
   do {
-    const UpstreamError error = co_await ReadBody(&chunk);
+    const UpstreamError error = co_await ReadBodyUntil(deadline, &chunk);
     if (error != UpstreamError::kNone) co_return OutcomeOf(error);
+    discarded += chunk.size();
+    if (discarded > kMaxDiscardedBytes) co_return AttemptOutcome::kSpoilt;
   } while (!chunk.empty());
   co_return AttemptOutcome::kAnswered;
 }
@@ -88,7 +101,7 @@
     // An answer without an id on a new connection can only be the back end's own refusal.
     const bool refused = !head->Header(context_.format.Names().not_run).empty();
     if (id.empty() && (refused || head->status == 421)) co_return AttemptOutcome::kAnswered;
-    const AttemptOutcome skipped = co_await DiscardStaleAnswer();
+    const AttemptOutcome skipped = co_await DiscardAnswer(deadline_);
     if (skipped != AttemptOutcome::kAnswered) co_return skipped;
   }
   co_return AttemptOutcome::kSpoilt;
@@ -139,7 +152,7 @@
   const bool is_misdirected = head.status == 421;
   if (!is_misdirected) context_.quarantine.NoteAnswered(placement.backend.key, sent_);
   if (is_misdirected || !head.Header(names.not_run).empty()) {
-    (void)co_await DiscardStaleAnswer();
+    (void)co_await DiscardAnswer(std::min<TimePoint>(deadline_, Now() + kRefusalBodyTime));
     co_return is_misdirected ? AttemptOutcome::kWrongInstance : AttemptOutcome::kRefused;
   }
   const bool signed_answer = !head.Header(names.signature).empty();
