--- a/apps/cartsailctl/zones_command.cc
+++ b/apps/cartsailctl/zones_command.cc
@@ -128,11 +128,13 @@
 
 std::string QuarantineText(const FleetView& view) {
   if (view.quarantined.empty()) return "no request is quarantined\n";
-  std::string text = fmt::format("{:<18} {:>8} {:>10}\n", "fingerprint", "left s", "in force");
+  std::string text =
+      fmt::format("{:<18} {:>8} {:>10}  {}\n", "fingerprint", "left s", "in force", "parts");
   for (const QuarantinedOnNodes& request : view.quarantined) {
-    text += fmt::format("{:<18} {:>8.0f} {:>10}\n", request.fingerprint,
+    const std::string_view parts = request.parts.empty() ? "-" : std::string_view(request.parts);
+    text += fmt::format("{:<18} {:>8.0f} {:>10}  {}\n", request.fingerprint,
                         static_cast<double>(request.left_ms) / 1e3,
-                        fmt::format("{}/{}", request.nodes, view.nodes));
+                        fmt::format("{}/{}", request.nodes, view.nodes), parts);
   }
   return text;
 }
@@ -141,6 +143,7 @@
   json::array quarantined;
   for (const QuarantinedOnNodes& request : view.quarantined) {
     quarantined.push_back(json::object{{"fingerprint", request.fingerprint},
+                                       {"parts", request.parts},
                                        {"left_ms", request.left_ms},
                                        {"nodes", request.nodes}});
   }
--- a/libs/operations/include/cartsail/operations/fleet_view.h
+++ b/libs/operations/include/cartsail/operations/fleet_view.h
@@ -41,9 +41,11 @@
   }
 };
 
-// A request that is sent to no back end, since back ends ended under it.
+// A request, or all requests with certain prompt parts, sent to no back end since back ends ended
+// under it.
 struct QuarantinedOnNodes {
   std::string fingerprint;
+  std::string parts;    // fingerprints, joined by commas; empty: a single request
   int64_t left_ms = 0;  // the longest of any node
   int64_t nodes = 0;    // that keep it from back ends
 };
--- a/libs/operations/src/fleet_view.cc
+++ b/libs/operations/src/fleet_view.cc
@@ -51,6 +51,7 @@
 void AddQuarantined(const json::object& row, FleetView* view) {
   QuarantinedOnNodes& quarantined =
       RowOf(&view->quarantined, &QuarantinedOnNodes::fingerprint, GetString(row, "fingerprint"));
+  quarantined.parts = GetString(row, "parts");
   RaiseTo(&quarantined.left_ms, GetInt(row, "left_ms"));
   ++quarantined.nodes;
 }
--- a/libs/operations/tests/fleet_view_test.cc
+++ b/libs/operations/tests/fleet_view_test.cc
@@ -17,7 +17,7 @@
   "services":[{"service":"chat","backends":2,"cold":1,"slots":64,"requests":9,
                "drained_backends":3,"drained_requests":4}],
   "residency":[{"kind":"tenant","name":"t","regions":["north"]}],"omitted":2,
-  "quarantined":[{"fingerprint":"00000000000000ab","left_ms":590000}]})";
+  "quarantined":[{"fingerprint":"00000000000000ab","parts":"00000000000000cd","left_ms":590000}]})";
 constexpr char kSecond[] = R"({"zones":[
   {"zone":"a","region":"north","drained":false,"backends":2,"requests":1},
   {"zone":"b","region":"south","drained":false,"backends":3,"requests":1}],
@@ -51,6 +51,7 @@
   const FleetView view = MakeFleetView({Answer(kFirst), Answer(kSecond), Answer(kFirst)});
   cr_assert(view.quarantined.size() == 1);
   cr_assert(view.quarantined[0].fingerprint == "00000000000000ab");
+  cr_assert(view.quarantined[0].parts == "00000000000000cd");
   cr_assert(view.quarantined[0].left_ms == 590000 && view.quarantined[0].nodes == 2);
 }
 
--- a/libs/quarantine/include/cartsail/quarantine/shared_parts.h
+++ b/libs/quarantine/include/cartsail/quarantine/shared_parts.h
@@ -34,6 +34,8 @@
 
 ServiceKey ServiceKeyOf(std::string_view service);
 
+PartFingerprint PartFingerprintOf(ServiceKey service, uint64_t part_id);
+
 // All parts but the last one, which belongs to the request itself or to its session; of very long
 // lists the first ones.
 SharedParts SharedPartsOf(std::string_view service, const std::vector<PromptPart>& prompt);
--- a/libs/quarantine/src/shared_parts.cc
+++ b/libs/quarantine/src/shared_parts.cc
@@ -21,11 +21,15 @@
 
 ServiceKey ServiceKeyOf(std::string_view service) { return Hash64(service); }
 
+PartFingerprint PartFingerprintOf(ServiceKey service, uint64_t part_id) {
+  return Hash64(BytesOf(part_id), service);
+}
+
 SharedParts SharedPartsOf(std::string_view service, const std::vector<PromptPart>& prompt) {
   SharedParts shared;
   shared.service = ServiceKeyOf(service);
   for (size_t i = 0; i + 1 < prompt.size() && i < kMaxSharedParts; ++i) {
-    shared.parts.push_back(Hash64(BytesOf(prompt[i].id), shared.service));
+    shared.parts.push_back(PartFingerprintOf(shared.service, prompt[i].id));
   }
   std::sort(shared.parts.begin(), shared.parts.end());
   shared.parts.erase(std::unique(shared.parts.begin(), shared.parts.end()), shared.parts.end());
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -201,8 +201,10 @@
     if (!runs_.CompletedSince(strike.request, now - kExonerationTime)) counted.push_back(strike);
   }
   GlobalCounters().strikes_total.Add(static_cast<int64_t>(counted.size()));
+  const Backend* backend = dispatcher_.Registry().FindByKey(strikes.front().backend);
   Log(LogLevel::kWarning, "backend_ended",
-      {{"backend_key", std::to_string(strikes.front().backend)},
+      {{"backend", backend == nullptr ? "" : backend->id},
+       {"backend_key", std::to_string(strikes.front().backend)},
        {"requests", std::to_string(strikes.size())},
        {"strikes", std::to_string(counted.size())},
        {"first", FingerprintText(strikes.front().request)}});
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -353,10 +353,11 @@
     caller_->Close();
     co_return false;
   }
-  const std::optional<Duration> quarantined = context_.quarantine.LeftFor(traits_, Now());
-  if (history_.may_have_run == 0 && quarantined.has_value()) {
+  const TimePoint now = Now();
+  quarantined_for_ = context_.quarantine.ReasonFor(traits_, now);
+  if (history_.may_have_run == 0 && quarantined_for_.has_value()) {
     GlobalCounters().quarantine_refusals_total.Add();
-    co_return co_await AnswerRefusal(ErrorKind::kQuarantined, *quarantined);
+    co_return co_await AnswerRefusal(ErrorKind::kQuarantined, quarantined_for_->until - now);
   }
   if (history_.may_have_run == 0 && HasNoPermittedBackend(Now())) {
     LogResidencyRefusal("no_backend");
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -277,7 +277,9 @@
   StreamRecord started_stream_;  // the stream, if it started in this answer
   VersionSource version_source_ = VersionSource::kNone;  // of the resumed stream
   RequestTraits traits_;
-  std::vector<PromptPart> prompt_parts_;                      // as the caller names them
+  std::vector<PromptPart> prompt_parts_;  // as the caller names them
+  // What the request was refused for; nullopt: not for a quarantine.
+  std::optional<QuarantinedRequest> quarantined_for_;
   ConnectResult connect_result_ = ConnectResult::kConnected;  // of the last attempt
   std::string via_node_;                 // node that bridged the last attempt; empty: none
   AnswerHead answer_;                    // of the last attempt
--- a/libs/relay/src/request/exchange_report.cc
+++ b/libs/relay/src/request/exchange_report.cc
@@ -62,6 +62,26 @@
   return text;
 }
 
+// The quarantine that a request was refused for, as logged. Empty fields: none.
+struct QuarantineText {
+  std::string fingerprint;
+  std::string parts;         // ids of the parts, as callers name them; empty: the whole request
+  std::string backend_keys;  // that exited
+};
+
+QuarantineText TextOf(const std::optional<QuarantinedRequest>& quarantined,
+                      const SharedParts& shared, const std::vector<PromptPart>& prompt_parts) {
+  if (!quarantined.has_value()) return {};
+  std::vector<std::string> ids;
+  for (const PromptPart& part : prompt_parts) {
+    const PartFingerprint fingerprint = PartFingerprintOf(shared.service, part.id);
+    const bool is_meant = AreAmong({fingerprint}, quarantined->parts);
+    if (is_meant) ids.push_back(fmt::format("{:x}", part.id));
+  }
+  return {FingerprintText(quarantined->request), absl::StrJoin(ids, ","),
+          absl::StrJoin(quarantined->backends, ",")};
+}
+
 }  // namespace
 
 void Exchange::LogAttempt(const Placement& placement, AttemptOutcome outcome) const {
@@ -195,6 +215,7 @@
   const bool answered = result == kAnsweredResult;
   CountEnd(result, took);
   const AnswerEndText end = TextOf(answer_end_);
+  const QuarantineText quarantine = TextOf(quarantined_for_, traits_.shared, prompt_parts_);
   const bool is_slow = has_output && admitted_.route != nullptr &&
                        first_output_ - request_.received > admitted_.route->first_output_goal;
   Log(answered && !is_slow ? LogLevel::kInfo : LogLevel::kWarning, "request",
@@ -220,6 +241,9 @@
        {"reading_end", end.reading},
        {"content_end", end.content},
        {"answer_bytes", end.bytes},
+       {"quarantine", quarantine.fingerprint},
+       {"quarantined_parts", quarantine.parts},
+       {"quarantined_for", quarantine.backend_keys},
        {"result", std::string(result)},
        {"status", std::to_string(status)},
        {"first_ms",
--- a/libs/relay/src/status/node_status.cc
+++ b/libs/relay/src/status/node_status.cc
@@ -89,6 +89,7 @@
   RowList rows;
   for (const QuarantinedRequest& entry : quarantined.Newest(quarantined.Size(), now)) {
     rows.Add({{"fingerprint", FingerprintText(entry.request)},
+              {"parts", PartsText(entry.parts)},
               {"left_ms", MillisUntil(entry.until, now)}});
   }
   return rows;
