Ends that one quarantined request explains count for no part, and the other way round

A part was blamed for the four ends of a quarantined request, by a node that was struck then, and nobody took that back; requests whose ends a part explains were lifted with their strikes, and could not be quarantined again for 30 s.

Now parts that were in flight at no other ends than those of one request are not blamed; what a larger set of ends explains is lifted by every node that decides; a lift for that reason keeps the strikes, and later ends bring the quarantine back. The parts of all requests that an exit cuts are reported together (a report for each request would meet the limit of 32 a second). Failures clear no part. A trial is not moved.

--- a/libs/quarantine/include/cartsail/quarantine/part_strike_ledger.h
+++ b/libs/quarantine/include/cartsail/quarantine/part_strike_ledger.h
@@ -30,7 +30,7 @@
 // Requests with all of these parts are suspected of crashing back ends.
 struct SuspectedGroup {
   std::vector<PartFingerprint> parts;  // in ascending order
-  std::vector<BackendKey> backends;    // that exited, in ascending order
+  std::vector<BackendKey> backends;    // that exited with the first part, in ascending order
   TimePoint first_strike;
   ServiceKey service = 0;
 
@@ -50,8 +50,11 @@
   void NoteCompleted(PartFingerprint part, TimePoint when);
 
   // The groups of the service that are to be quarantined: three exits or more, not all at one
-  // moment. The one that explains most exits first.
-  std::vector<SuspectedGroup> GroupsOf(ServiceKey service) const;
+  // moment. The one that explains most exits first. `by_requests`: for each quarantined request the
+  // back ends that exited while running it, in ascending order. Parts that were in flight at no
+  // other exits than those of one request need no quarantine of their own.
+  std::vector<SuspectedGroup> GroupsOf(
+      ServiceKey service, const std::vector<std::vector<BackendKey>>& by_requests = {}) const;
 
   bool HasStrikes(PartFingerprint part) const { return records_.contains(part); }
 
--- a/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
+++ b/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
@@ -31,16 +31,19 @@
 class QuarantineList {
  public:
   // Returns true if the request was added; false if it is already quarantined, if `until` has
-  // passed, or if its quarantine was lifted recently: notices of it may still be in flight. One
-  // with an exit that was not known then is added. Parts that were missing are added: nodes of an
-  // earlier build pass a quarantine on without them.
+  // passed, or if it is outdated. Parts that were missing are added: nodes of an earlier build pass
+  // a quarantine on without them.
   bool Add(const QuarantinedRequest& quarantined, TimePoint now);
 
-  // Ends the quarantine of a request that proved harmless, or of what other parts explain.
-  // `backends`: the exits that it was quarantined for, as far as known. Returns true if it was
+  // Ends a quarantine. `backends`: the exits that it was for, as far as known. `may_return`: later
+  // exits may bring it back at once, as the request has not proved harmless. Returns true if it was
   // quarantined.
   bool Lift(RequestFingerprint request, TimePoint now,
-            const std::vector<BackendKey>& backends = {});
+            const std::vector<BackendKey>& backends = {}, bool may_return = false);
+
+  // True if the quarantine was lifted recently: notices of it may still be in flight. One that may
+  // return and has an exit that was not known then is not outdated.
+  bool IsOutdated(const QuarantinedRequest& quarantined, TimePoint now) const;
 
   // The quarantine of the request or group; nullopt if there is none.
   std::optional<QuarantinedRequest> Find(RequestFingerprint request) const;
@@ -56,8 +59,7 @@
   // All quarantines of groups that have the part.
   std::vector<QuarantinedRequest> GroupsWith(PartFingerprint part, TimePoint now) const;
 
-  // All quarantines of single requests.
-  std::vector<RequestFingerprint> SingleRequests() const;
+  std::vector<QuarantinedRequest> All() const;
 
   // Up to `max_count` quarantined requests, those that end last first.
   std::vector<QuarantinedRequest> Newest(size_t max_count, TimePoint now) const;
@@ -75,10 +77,9 @@
   struct Lifted {
     TimePoint when;
     std::set<BackendKey> backends;  // exits that were known then
+    bool may_return = false;
   };
 
-  bool IsOutdated(const QuarantinedRequest& quarantined, TimePoint now) const;
-
   std::unordered_map<RequestFingerprint, Lifted> lifted_;
   int64_t changes_ = 0;
 };
--- a/libs/quarantine/src/part_strike_ledger.cc
+++ b/libs/quarantine/src/part_strike_ledger.cc
@@ -65,10 +65,25 @@
   return most;
 }
 
-SuspectedGroup GroupWith(const Exits& exits, const std::vector<Suspect>& suspects) {
+std::vector<BackendKey> BackendsOf(const Exits& exits) {
+  std::vector<BackendKey> backends;
+  for (const auto& [backend, when] : exits) backends.push_back(backend);
+  return backends;
+}
+
+bool IsExplainedByOne(const Exits& exits, const std::vector<std::vector<BackendKey>>& by_requests) {
+  const std::vector<BackendKey> backends = BackendsOf(exits);
+  return std::any_of(by_requests.begin(), by_requests.end(), [&backends](const auto& request) {
+    return std::includes(request.begin(), request.end(), backends.begin(), backends.end());
+  });
+}
+
+// `all`: the exits of the most struck part, also those that another group explains.
+SuspectedGroup GroupWith(const Exits& exits, const Exits& all,
+                         const std::vector<Suspect>& suspects) {
   SuspectedGroup group;
-  group.first_strike = FirstOf(exits);
-  for (const auto& [backend, when] : exits) group.backends.push_back(backend);
+  group.first_strike = FirstOf(all);
+  group.backends = BackendsOf(all);
   const auto has_same_backends = [&exits](const Suspect& suspect) {
     return std::equal(
         exits.begin(), exits.end(), suspect.exits.begin(), suspect.exits.end(),
@@ -112,17 +127,19 @@
   if (record->second.exits.empty()) records_.erase(record);
 }
 
-std::vector<SuspectedGroup> PartStrikeLedger::GroupsOf(ServiceKey service) const {
+std::vector<SuspectedGroup> PartStrikeLedger::GroupsOf(
+    ServiceKey service, const std::vector<std::vector<BackendKey>>& by_requests) const {
   std::vector<Suspect> suspects;
   for (const auto& [part, record] : records_) {
     const bool has_enough = record.exits.size() >= kStrikesToQuarantine;
-    if (record.service == service && has_enough) suspects.push_back({part, record.exits});
+    if (record.service != service || !has_enough) continue;
+    if (!IsExplainedByOne(record.exits, by_requests)) suspects.push_back({part, record.exits});
   }
   std::sort(suspects.begin(), suspects.end(),
             [](const Suspect& left, const Suspect& right) { return left.part < right.part; });
   std::vector<SuspectedGroup> groups;
   while (const Suspect* most = MostStruck(suspects)) {
-    groups.push_back(GroupWith(most->exits, suspects));
+    groups.push_back(GroupWith(most->exits, records_.at(most->part).exits, suspects));
     groups.back().service = service;
     const std::set<BackendKey> explained(groups.back().backends.begin(),
                                          groups.back().backends.end());
--- a/libs/quarantine/src/quarantine_list.cc
+++ b/libs/quarantine/src/quarantine_list.cc
@@ -40,7 +40,9 @@
 // Without an exit that is new since the last lift, the quarantine is the one that was lifted.
 bool QuarantineList::IsOutdated(const QuarantinedRequest& quarantined, TimePoint now) const {
   if (!WasLifted(quarantined.request, now)) return false;
-  const std::set<BackendKey>& known = lifted_.at(quarantined.request).backends;
+  const Lifted& lifted = lifted_.at(quarantined.request);
+  if (!lifted.may_return) return true;
+  const std::set<BackendKey>& known = lifted.backends;
   return std::all_of(quarantined.backends.begin(), quarantined.backends.end(),
                      [&known](BackendKey backend) { return known.contains(backend); });
 }
@@ -52,9 +54,10 @@
 }
 
 bool QuarantineList::Lift(RequestFingerprint request, TimePoint now,
-                          const std::vector<BackendKey>& backends) {
+                          const std::vector<BackendKey>& backends, bool may_return) {
   Lifted& lifted = lifted_[request];
   lifted.when = now;
+  lifted.may_return = may_return;
   lifted.backends.insert(backends.begin(), backends.end());
   const auto quarantined = quarantined_.find(request);
   if (quarantined != quarantined_.end()) {
@@ -104,12 +107,10 @@
   return with;
 }
 
-std::vector<RequestFingerprint> QuarantineList::SingleRequests() const {
-  std::vector<RequestFingerprint> single;
-  for (const auto& [request, entry] : quarantined_) {
-    if (entry.parts.empty()) single.push_back(request);
-  }
-  return single;
+std::vector<QuarantinedRequest> QuarantineList::All() const {
+  std::vector<QuarantinedRequest> all;
+  for (const auto& [request, entry] : quarantined_) all.push_back(entry);
+  return all;
 }
 
 std::vector<QuarantinedRequest> QuarantineList::Newest(size_t max_count, TimePoint now) const {
--- a/libs/relay/src/quarantine/part_strike_service.cc
+++ b/libs/relay/src/quarantine/part_strike_service.cc
@@ -24,13 +24,16 @@
 // Nodes report an exit within some milliseconds of each other. A decision before all have reported
 // would blame a part that only the first ones had there.
 constexpr Duration kCollectionTime = milliseconds(50);
-// Reports of one exit arrive together and are asked about together.
-constexpr Duration kInquiryDelay = milliseconds(10);
+// The requests that an exit cuts end one after the other, and so do reports of it arrive: they are
+// reported, and asked about, together.
+constexpr Duration kGatheringTime = milliseconds(10);
 // How long a node tells of completions after an inquiry; the next exit brings another one.
 constexpr Duration kWatchTime = seconds(30);
 constexpr size_t kMaxWatchedParts = 10000;
 // In one message, which must fit into a datagram.
 constexpr size_t kMaxPartsInMessage = 128;
+// For one exit, and for one inquiry. 1,024 parts are those of some 500 requests.
+constexpr size_t kMaxMessages = 8;
 // Exits that a node reports within a second: the loss of a zone of 200 back ends is one event, in
 // which single requests say nothing.
 constexpr int kMaxReportsPerSecond = 32;
@@ -40,11 +43,16 @@
 constexpr int kTrialPauseFactor = 4;
 constexpr Duration kTrialRetention = seconds(1200);
 
-std::vector<PartFingerprint> UnionOf(const std::vector<PartFingerprint>& left,
-                                     const std::vector<PartFingerprint>& right) {
-  std::vector<PartFingerprint> all;
-  std::set_union(left.begin(), left.end(), right.begin(), right.end(), std::back_inserter(all));
-  return all;
+// Divides the parts into as many as fit into a message each; of very many the first ones.
+std::vector<std::vector<PartFingerprint>> MessagesOf(const std::set<PartFingerprint>& parts) {
+  std::vector<std::vector<PartFingerprint>> messages;
+  for (const PartFingerprint part : parts) {
+    const bool is_full = messages.empty() || messages.back().size() >= kMaxPartsInMessage;
+    if (is_full && messages.size() == kMaxMessages) break;
+    if (is_full) messages.emplace_back();
+    messages.back().push_back(part);
+  }
+  return messages;
 }
 
 std::vector<PartFingerprint> Without(const std::vector<PartFingerprint>& parts,
@@ -98,29 +106,6 @@
   OnCompletions(completions, now);
 }
 
-// All parts that were in flight at the back end of `of`, but those that have just been completed.
-PartStrikes PartStrikeService::StrikesOfExit(const Strike& of, const std::vector<Strike>& strikes,
-                                             TimePoint now) const {
-  PartStrikes exit;
-  exit.backend = of.backend;
-  exit.when = of.when;
-  exit.in_flight.service = of.in_flight.service;
-  for (const Strike& strike : strikes) {
-    const bool is_same_exit =
-        strike.backend == of.backend && strike.in_flight.service == of.in_flight.service;
-    if (!is_same_exit) continue;
-    exit.when = std::min(exit.when, strike.when);
-    exit.in_flight.parts = UnionOf(exit.in_flight.parts, strike.in_flight.parts);
-  }
-  std::erase_if(exit.in_flight.parts, [this, now](PartFingerprint part) {
-    return completions_.CompletedSince(part, now - kPartExonerationTime);
-  });
-  if (exit.in_flight.parts.size() > kMaxPartsInMessage) {
-    exit.in_flight.parts.resize(kMaxPartsInMessage);
-  }
-  return exit;
-}
-
 bool PartStrikeService::MayReport(TimePoint now) {
   if (now - reports_since_ >= seconds(1)) {
     reports_since_ = now;
@@ -129,15 +114,32 @@
   return ++reports_ <= kMaxReportsPerSecond;
 }
 
-void PartStrikeService::ReportExits(const std::vector<Strike>& strikes, TimePoint now) {
-  std::set<std::pair<BackendKey, ServiceKey>> reported;
+void PartStrikeService::ReportExits(const std::vector<Strike>& strikes) {
   for (const Strike& strike : strikes) {
-    if (!reported.emplace(strike.backend, strike.in_flight.service).second) continue;
-    const PartStrikes exit = StrikesOfExit(strike, strikes, now);
-    if (exit.in_flight.parts.empty() || !MayReport(now)) continue;
+    const ExitKey key = {strike.backend, strike.in_flight.service};
+    const auto [pending, is_new] = exits_.try_emplace(key);
+    PendingExit& exit = pending->second;
+    exit.when = is_new ? strike.when : std::min(exit.when, strike.when);
+    exit.parts.insert(strike.in_flight.parts.begin(), strike.in_flight.parts.end());
+    if (is_new) asio::co_spawn(io_, ReportExit(key), asio::detached);
+  }
+}
+
+// Reports all parts that were in flight there, but those that have just been completed.
+asio::awaitable<void> PartStrikeService::ReportExit(ExitKey key) {
+  co_await Pause(kGatheringTime);
+  PendingExit exit = std::move(exits_[key]);
+  exits_.erase(key);
+  std::erase_if(exit.parts, [this, &exit](PartFingerprint part) {
+    return completions_.CompletedSince(part, exit.when - kPartExonerationTime);
+  });
+  if (exit.parts.empty() || !MayReport(Now())) co_return;
+  const auto [backend, service] = key;
+  for (std::vector<PartFingerprint>& parts : MessagesOf(exit.parts)) {
+    const PartStrikes strikes = {backend, exit.when, {service, std::move(parts)}};
     // Counted at this node too, in case it reaches no other one.
-    Count(exit);
-    if (transport_.send_strikes) asio::co_spawn(io_, SendStrikes(exit), asio::detached);
+    Count(strikes);
+    if (transport_.send_strikes) asio::co_spawn(io_, SendStrikes(strikes), asio::detached);
   }
 }
 
@@ -157,21 +159,21 @@
   inquiry.first_strike = is_new ? struck : std::min(inquiry.first_strike, struck);
   for (const PartFingerprint part : parts) {
     inquiry.first_strike = ledger_.FirstStrikeOf(part, inquiry.first_strike);
-    if (inquiry.parts.size() < kMaxPartsInMessage) inquiry.parts.insert(part);
+    inquiry.parts.insert(part);
   }
   if (is_new) asio::co_spawn(io_, SendInquiry(service), asio::detached);
 }
 
 asio::awaitable<void> PartStrikeService::SendInquiry(ServiceKey service) {
-  co_await Pause(kInquiryDelay);
+  co_await Pause(kGatheringTime);
   const PendingInquiry pending = inquiries_[service];
   inquiries_.erase(service);
-  PartInquiry inquiry;
-  inquiry.service = service;
-  inquiry.first_strike_age = Now() - pending.first_strike;
-  inquiry.parts.assign(pending.parts.begin(), pending.parts.end());
-  if (transport_.broadcast_inquiry) transport_.broadcast_inquiry(inquiry);
-  OnInquiry(inquiry, Now());
+  for (std::vector<PartFingerprint>& parts : MessagesOf(pending.parts)) {
+    const TimePoint now = Now();
+    const PartInquiry inquiry = {service, now - pending.first_strike, std::move(parts), {}};
+    if (transport_.broadcast_inquiry) transport_.broadcast_inquiry(inquiry);
+    OnInquiry(inquiry, now);
+  }
 }
 
 void PartStrikeService::OnInquiry(const PartInquiry& inquiry, TimePoint now) {
@@ -214,7 +216,7 @@
 // fewer parts, are to blame.
 void PartStrikeService::Evaluate(ServiceKey service) {
   Groups groups;
-  for (SuspectedGroup& group : ledger_.GroupsOf(service)) {
+  for (SuspectedGroup& group : ledger_.GroupsOf(service, decisions_.exits_by_requests())) {
     const RequestFingerprint fingerprint = GroupFingerprintOf(group.parts);
     groups[fingerprint] = std::move(group);
   }
--- a/libs/relay/src/quarantine/part_strike_service.h
+++ b/libs/relay/src/quarantine/part_strike_service.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cartsail/quarantine/part_strike_ledger.h"
@@ -39,6 +40,8 @@
     std::function<void(RequestFingerprint group, std::string_view why)> lift;
     // The part is harmless: quarantines of groups that have it are to go on without it.
     std::function<void(PartFingerprint part)> exonerate;
+    // For each quarantined request, the back ends that exited while running it, in ascending order.
+    std::function<std::vector<std::vector<BackendKey>>()> exits_by_requests;
   };
 
   // `host`: this node's host, as its peers know it.
@@ -55,7 +58,7 @@
   void ReportCompleted(const SharedParts& completed, TimePoint now);
 
   // Back ends exited while they had requests of this node.
-  void ReportExits(const std::vector<Strike>& strikes, TimePoint now);
+  void ReportExits(const std::vector<Strike>& strikes);
 
   void OnStrikes(const PartStrikes& strikes);
   void OnInquiry(const PartInquiry& inquiry, TimePoint now);
@@ -88,10 +91,15 @@
     Duration pause{};  // from `next` to the one after it
   };
 
+  struct PendingExit {
+    std::set<PartFingerprint> parts;
+    TimePoint when;
+  };
+
   using Groups = std::map<RequestFingerprint, SuspectedGroup>;
+  using ExitKey = std::pair<BackendKey, ServiceKey>;
 
-  PartStrikes StrikesOfExit(const Strike& of, const std::vector<Strike>& strikes,
-                            TimePoint now) const;
+  boost::asio::awaitable<void> ReportExit(ExitKey key);
   bool MayReport(TimePoint now);
   void Report(PartCompletions completions, TimePoint now);
   void Count(const PartStrikes& strikes);
@@ -113,6 +121,7 @@
   RecentCompletions completions_;  // by part
   PartStrikeLedger ledger_;
   std::unordered_map<PartFingerprint, WatchedPart> watched_;  // whose completion is to be told
+  std::map<ExitKey, PendingExit> exits_;                      // whose ReportExit() runs
   std::map<ServiceKey, PendingInquiry> inquiries_;            // whose SendInquiry() runs
   std::set<ServiceKey> evaluating_;                           // whose EvaluateLater() runs
   std::map<ServiceKey, Groups> decided_;                      // by this node
--- a/libs/relay/src/quarantine/quarantine_codec.cc
+++ b/libs/relay/src/quarantine/quarantine_codec.cc
@@ -21,6 +21,19 @@
   if (!parts.empty()) FillNumbers(parts, entry.initParts(SizeOf(parts)));
 }
 
+// Only those of groups, which are compared with other groups.
+void FillBackends(const QuarantinedRequest& quarantined, wire::QuarantineEntry::Builder entry) {
+  if (quarantined.parts.empty() || quarantined.backends.empty()) return;
+  auto list = entry.initBackends(static_cast<unsigned>(quarantined.backends.size()));
+  for (unsigned i = 0; i < list.size(); ++i) list.set(i, quarantined.backends[i]);
+}
+
+std::vector<BackendKey> BackendsOf(capnp::List<uint32_t>::Reader list) {
+  std::vector<BackendKey> backends;
+  for (const BackendKey backend : list) backends.push_back(backend);
+  return backends;
+}
+
 // Decodes a list from the network whose order the matching of parts relies on.
 std::vector<PartFingerprint> SortedPartsOf(capnp::List<uint64_t>::Reader list) {
   std::vector<PartFingerprint> parts;
@@ -60,6 +73,7 @@
   auto targets = message.initTargets(static_cast<unsigned>(notice.targets.size()));
   for (unsigned i = 0; i < targets.size(); ++i) targets.set(i, HostNumber(notice.targets[i]));
   FillParts(notice.parts, entry);
+  entry.setExplained(notice.is_explained);
 }
 
 QuarantineNotice DecodeQuarantine(wire::QuarantineNotice::Reader message) {
@@ -72,6 +86,7 @@
   for (const uint32_t backend : entry.getBackends()) notice.backends.push_back(backend);
   for (const uint32_t host : message.getTargets()) notice.targets.push_back(HostText(host));
   notice.parts = SortedPartsOf(entry.getParts());
+  notice.is_explained = entry.getExplained();
   return notice;
 }
 
@@ -139,6 +154,7 @@
     list[i].setRequest(quarantined[i].request);
     list[i].setLeftMs(BoundedTo<uint32_t>(ToMillis(quarantined[i].until - now)));
     FillParts(quarantined[i].parts, list[i]);
+    FillBackends(quarantined[i], list[i]);
   }
 }
 
@@ -146,10 +162,8 @@
     capnp::List<wire::QuarantineEntry>::Reader list, TimePoint now) {
   std::vector<QuarantinedRequest> quarantined;
   for (const auto entry : list) {
-    quarantined.push_back({entry.getRequest(),
-                           now + milliseconds(entry.getLeftMs()),
-                           SortedPartsOf(entry.getParts()),
-                           {}});
+    quarantined.push_back({entry.getRequest(), now + milliseconds(entry.getLeftMs()),
+                           SortedPartsOf(entry.getParts()), BackendsOf(entry.getBackends())});
   }
   return quarantined;
 }
--- a/libs/relay/src/quarantine/quarantine_message.h
+++ b/libs/relay/src/quarantine/quarantine_message.h
@@ -28,6 +28,8 @@
   std::vector<std::string> targets;  // hosts to which the receiver forwards the notice
   // Unless lifted: the quarantine is of all requests with these parts; empty: of one request.
   std::vector<PartFingerprint> parts;
+  // If lifted: another quarantine explains the exits. The request may be harmless, or not.
+  bool is_explained = false;
 };
 
 // Sent to all nodes: these parts were in flight at back ends that terminated. A node at which a
--- a/libs/relay/src/quarantine/quarantine_recorder.cc
+++ b/libs/relay/src/quarantine/quarantine_recorder.cc
@@ -110,6 +110,8 @@
   remove.range.key = KeyOf(request);
   erase.success.push_back(remove);
   for (int i = 0; i < kEraseAttempts; ++i) {
+    // A group may be quarantined again, for later exits.
+    if (IsStillQuarantined(request)) co_return;
     const absl::StatusOr<TxnResult> result = co_await store_.Txn(erase);
     if (result.ok()) co_return;
     Log(LogLevel::kWarning, "quarantine_not_erased",
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -49,16 +49,22 @@
 // back end terminates: of many copies of a popular request, some run wherever a back end
 // terminates.
 constexpr Duration kExonerationTime = seconds(10);
+// Why a quarantine was lifted: another one explains its exits.
+constexpr std::string_view kExplained = "explained";
 
-QuarantineNotice LiftedNotice(RequestFingerprint request,
-                              const std::vector<BackendKey>& backends = {}) {
+QuarantineNotice LiftedNotice(RequestFingerprint request) {
   QuarantineNotice notice;
   notice.request = request;
   notice.is_lifted = true;
-  notice.backends = backends;
   return notice;
 }
 
+// True if `larger` has each of `smaller`, and more; both in ascending order.
+bool IsPartOf(const std::vector<BackendKey>& smaller, const std::vector<BackendKey>& larger) {
+  return smaller.size() < larger.size() &&
+         std::includes(larger.begin(), larger.end(), smaller.begin(), smaller.end());
+}
+
 bool IsAffected(const QuarantinedRequest& quarantined, const RequestTraits& traits) {
   if (quarantined.request == traits.request) return true;
   return !quarantined.parts.empty() && AreAmong(quarantined.parts, traits.shared.parts);
@@ -82,7 +88,18 @@
               [this](RequestFingerprint group, std::string_view why) {
                 LiftEverywhere(group, why, Now());
               },
-              [this](PartFingerprint part) { ExonerateInGroups(part, Now()); }}) {}
+              [this](PartFingerprint part) { ExonerateInGroups(part, Now()); },
+              [this] { return ExitsByRequests(); }}) {}
+
+std::vector<std::vector<BackendKey>> QuarantineService::ExitsByRequests() const {
+  std::vector<std::vector<BackendKey>> exits;
+  for (QuarantinedRequest& entry : list_.All()) {
+    if (!entry.parts.empty()) continue;
+    std::sort(entry.backends.begin(), entry.backends.end());
+    exits.push_back(std::move(entry.backends));
+  }
+  return exits;
+}
 
 void QuarantineService::SetTransport(Transport transport) {
   transport_ = std::move(transport);
@@ -208,7 +225,7 @@
        {"requests", std::to_string(strikes.size())},
        {"strikes", std::to_string(counted.size())},
        {"first", FingerprintText(strikes.front().request)}});
-  parts_.ReportExits(strikes, now);
+  parts_.ReportExits(strikes);
   // Counted at this node too, in case it reaches no other one.
   for (const Strike& strike : counted) Count(strike);
   if (transport_.send_strikes && !counted.empty()) {
@@ -273,9 +290,11 @@
 }
 
 void QuarantineService::Decide(const Verdict& verdict, TimePoint now) {
-  if (list_.WasLifted(verdict.request, now)) return;
+  const QuarantinedRequest quarantined = {
+      verdict.request, now + kQuarantineTime, {}, verdict.backends};
+  if (list_.IsOutdated(quarantined, now)) return;
   ledger_.AttributeExits(verdict.backends, verdict.request, now);
-  Quarantine({verdict.request, now + kQuarantineTime}, "strikes", now);
+  Quarantine(quarantined, "strikes", now);
   QuarantineNotice notice;
   notice.request = verdict.request;
   notice.left = list_.RemainingTime(verdict.request, now).value_or(kQuarantineTime);
@@ -285,7 +304,7 @@
   const std::vector<std::string> counting_nodes = CountingNodesOf(verdict.request);
   const auto self = std::find(counting_nodes.begin(), counting_nodes.end(), host_);
   const auto rank = static_cast<size_t>(self - counting_nodes.begin());
-  if (recorder_.record) recorder_.record({verdict.request, now + kQuarantineTime, {}, {}}, rank);
+  if (recorder_.record) recorder_.record(quarantined, rank);
 }
 
 void QuarantineService::DecideGroup(const SuspectedGroup& group, TimePoint now) {
@@ -294,7 +313,7 @@
   Quarantine({fingerprint, now + kQuarantineTime, group.parts, group.backends}, "strikes", now);
   const std::optional<Duration> left = list_.RemainingTime(fingerprint, now);
   if (!left.has_value()) return;
-  LiftExplained(now);
+  LiftExplained(group.backends, now);
   QuarantineNotice notice;
   notice.request = fingerprint;
   notice.left = *left;
@@ -315,11 +334,12 @@
   }
 }
 
-void QuarantineService::LiftExplained(TimePoint now) {
-  for (const RequestFingerprint request : list_.SingleRequests()) {
-    const bool is_counted_here = ledger_.StrikesOf(request) >= kStrikesToQuarantine;
-    if (!is_counted_here || ledger_.VerdictOn(request).has_value()) continue;
-    LiftEverywhere(request, "explained", now);
+void QuarantineService::LiftExplained(const std::vector<BackendKey>& exits, TimePoint now) {
+  for (const QuarantinedRequest& entry : list_.All()) {
+    const bool is_counted_here = ledger_.StrikesOf(entry.request) >= kStrikesToQuarantine;
+    const bool is_attributed = is_counted_here && !ledger_.VerdictOn(entry.request).has_value();
+    const bool is_explained = entry.parts.empty() ? is_attributed : IsPartOf(entry.backends, exits);
+    if (is_explained) LiftEverywhere(entry.request, kExplained, now);
   }
 }
 
@@ -341,10 +361,12 @@
   for (const std::function<void()>& on_quarantined : affected) on_quarantined();
 }
 
-void QuarantineService::Lift(RequestFingerprint request, std::string_view why, TimePoint now,
-                             const std::vector<BackendKey>& backends) {
-  ledger_.Clear(request);
-  if (!list_.Lift(request, now, backends)) return;
+void QuarantineService::Lift(const QuarantineNotice& notice, std::string_view why, TimePoint now) {
+  const RequestFingerprint request = notice.request;
+  if (!notice.is_explained) ledger_.Clear(request);
+  const std::optional<QuarantinedRequest> entry = list_.Find(request);
+  const bool is_group = entry.has_value() && !entry->parts.empty();
+  if (!list_.Lift(request, now, notice.backends, is_group || notice.is_explained)) return;
   GlobalCounters().quarantines_lifted_total.Add();
   Log(LogLevel::kWarning, "quarantine_lifted",
       {{"fingerprint", FingerprintText(request)}, {"why", std::string(why)}});
@@ -352,18 +374,18 @@
 
 void QuarantineService::LiftEverywhere(RequestFingerprint request, std::string_view why,
                                        TimePoint now) {
+  QuarantineNotice notice = LiftedNotice(request);
+  notice.is_explained = why == kExplained;
   const std::optional<QuarantinedRequest> entry = list_.Find(request);
-  const std::vector<BackendKey> backends =
-      entry.has_value() ? entry->backends : std::vector<BackendKey>();
-  Lift(request, why, now, backends);
-  BroadcastLifted(request, backends);
+  if (entry.has_value()) notice.backends = entry->backends;
+  Lift(notice, why, now);
+  BroadcastLifted(notice);
   if (recorder_.erase) recorder_.erase(request);
 }
 
-void QuarantineService::BroadcastLifted(RequestFingerprint request,
-                                        const std::vector<BackendKey>& backends) {
+void QuarantineService::BroadcastLifted(const QuarantineNotice& notice) {
   if (transport_.broadcast_notice) {
-    asio::co_spawn(io_, BroadcastNotice(LiftedNotice(request, backends)), asio::detached);
+    asio::co_spawn(io_, BroadcastNotice(notice), asio::detached);
   }
 }
 
@@ -394,7 +416,7 @@
   }
   ledger_.AttributeExits(notice.backends, notice.request, now);
   Quarantine({notice.request, now + notice.left, notice.parts, notice.backends}, "peer", now);
-  if (!notice.parts.empty()) LiftExplained(now);
+  if (!notice.parts.empty()) LiftExplained(notice.backends, now);
   if (is_innocent) LiftEverywhere(notice.request, "ran_before", now);
 }
 
@@ -403,7 +425,7 @@
   const std::optional<QuarantinedRequest> entry = list_.Find(notice.request);
   const bool has_later_exits =
       entry.has_value() && entry->backends.size() > notice.backends.size() && !entry->parts.empty();
-  if (!has_later_exits) Lift(notice.request, "peer", now, notice.backends);
+  if (!has_later_exits) Lift(notice, "peer", now);
 }
 
 // Only the counting nodes need to know that a request that is merely suspected has completed.
@@ -423,9 +445,10 @@
 // notify the others.
 void QuarantineService::NoteErased(RequestFingerprint request, TimePoint now) {
   if (!list_.RemainingTime(request, now).has_value()) return;
-  const std::vector<BackendKey> backends = list_.Find(request)->backends;
-  Lift(request, "record_gone", now, backends);
-  BroadcastLifted(request, backends);
+  QuarantineNotice notice = LiftedNotice(request);
+  notice.backends = list_.Find(request)->backends;
+  Lift(notice, "record_gone", now);
+  BroadcastLifted(notice);
 }
 
 void QuarantineService::Merge(const std::vector<QuarantinedRequest>& quarantined, TimePoint now) {
--- a/libs/relay/src/quarantine/quarantine_service.h
+++ b/libs/relay/src/quarantine/quarantine_service.h
@@ -138,14 +138,14 @@
   void DecideGroup(const SuspectedGroup& group, TimePoint now);
   // The quarantines of groups with the part go on without it.
   void ExonerateInGroups(PartFingerprint part, TimePoint now);
-  // Lifts quarantines of single requests that are explained by what was quarantined since.
-  void LiftExplained(TimePoint now);
+  // Lifts what was quarantined for exits that a quarantined group with these exits explains.
+  void LiftExplained(const std::vector<BackendKey>& exits, TimePoint now);
+  std::vector<std::vector<BackendKey>> ExitsByRequests() const;
   void Quarantine(const QuarantinedRequest& quarantined, std::string_view source, TimePoint now);
-  void Lift(RequestFingerprint request, std::string_view why, TimePoint now,
-            const std::vector<BackendKey>& backends);
+  void Lift(const QuarantineNotice& notice, std::string_view why, TimePoint now);
   void OnLifted(const QuarantineNotice& notice, TimePoint now);
   void LiftEverywhere(RequestFingerprint request, std::string_view why, TimePoint now);
-  void BroadcastLifted(RequestFingerprint request, const std::vector<BackendKey>& backends);
+  void BroadcastLifted(const QuarantineNotice& notice);
   void NotifyCountingNodes(RequestFingerprint request);
   std::vector<std::string> CountingNodesOf(RequestFingerprint request) const;
   bool IsReady(BackendKey backend) const;
--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -310,7 +310,10 @@
   } else if (outcome == AttemptOutcome::kWrongInstance) {
     context_.quarantine.NoteReplaced(placement.backend.key, now);
   } else if (outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kFailedAnswer) {
-    context_.quarantine.NoteCompleted(traits_, now);
+    // A failure may come from a back end that has not begun to read the prompt.
+    const bool is_success = outcome == AttemptOutcome::kAnswered && is_answering_;
+    context_.quarantine.NoteCompleted(is_success ? traits_ : RequestTraits{traits_.request, {}},
+                                      now);
   }
 }
 
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -147,9 +147,8 @@
 
 // True if the rest of the answer may come from another back end.
 bool Exchange::MayMove() const {
-  if (bound_to_backend_ || !MayRetry(*admitted_.route, AttemptOutcome::kSilent, history_)) {
-    return false;
-  }
+  if (is_trial_ || bound_to_backend_) return false;
+  if (!MayRetry(*admitted_.route, AttemptOutcome::kSilent, history_)) return false;
   return !IsQuarantined() && deadline_ - Now() >= kMinTimeForAttempt;
 }
 
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -215,6 +215,8 @@
   # Not one request, but all that have each of these prompt parts. Earlier builds know no parts:
   # `request` is the fingerprint of the parts, which no request has.
   parts @5 :List(UInt64);
+  # Where lifted: something else explains the ends, which does not make the request harmless.
+  explained @6 :Bool;
 }
 
 # A back end ended while requests with these prompt parts were in flight there.
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -2245,6 +2245,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
+  inline bool getExplained() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2301,6 +2303,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
+  inline bool getExplained();
+  inline void setExplained(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6400,6 +6405,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool QuarantineEntry::Reader::getExplained() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantineEntry::Builder::getExplained() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setExplained(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PartStrikes::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
