--- a/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
+++ b/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
@@ -38,8 +38,8 @@
   // Ends a quarantine. `backends`: the exits that it was for, as far as known. `may_return`: later
   // exits may bring it back at once, as the request has not proved harmless. Returns true if it was
   // quarantined.
-  bool Lift(RequestFingerprint request, TimePoint now,
-            const std::vector<BackendKey>& backends = {}, bool may_return = false);
+  bool Lift(RequestFingerprint request, TimePoint now, const std::vector<BackendKey>& backends = {},
+            bool may_return = false);
 
   // True if the quarantine was lifted recently: notices of it may still be in flight. One that may
   // return and has an exit that was not known then is not outdated.
--- a/libs/quarantine/tests/part_strike_ledger_test.cc
+++ b/libs/quarantine/tests/part_strike_ledger_test.cc
@@ -97,6 +97,16 @@
   cr_assert(Groups(ledger) == (PartLists{{kDeadly}}), "two exits are left for the other");
 }
 
+// Guards against blaming a part that all requests have for the exits of one deadly request.
+Test(part_strike_ledger, exits_of_one_quarantined_request_blame_no_part) {
+  PartStrikeLedger ledger;
+  NoteExits(&ledger, 1, 4, {kShared});
+  const std::vector<std::vector<BackendKey>> by_requests = {{1, 2, 3, 4}};
+  cr_assert(ledger.GroupsOf(kService, by_requests).empty());
+  NoteExits(&ledger, 5, 1, {kShared});
+  cr_assert(ledger.GroupsOf(kService, by_requests).size() == 1, "at another exit too");
+}
+
 Test(part_strike_ledger, two_deadly_parts_are_both_suspected) {
   PartStrikeLedger ledger;
   NoteExits(&ledger, 1, 3, {kDeadly});
--- a/libs/relay/src/quarantine/part_strike_service.cc
+++ b/libs/relay/src/quarantine/part_strike_service.cc
@@ -37,11 +37,6 @@
 // Exits that a node reports within a second: the loss of a zone of 200 back ends is one event, in
 // which single requests say nothing.
 constexpr int kMaxReportsPerSecond = 32;
-// A trial of a part that does crash back ends costs one of them; with these pauses it is three in
-// the time of a quarantine.
-constexpr Duration kFirstTrialDelay = seconds(10);
-constexpr int kTrialPauseFactor = 4;
-constexpr Duration kTrialRetention = seconds(1200);
 
 // Divides the parts into as many as fit into a message each; of very many the first ones.
 std::vector<std::vector<PartFingerprint>> MessagesOf(const std::set<PartFingerprint>& parts) {
@@ -263,11 +258,7 @@
   const std::vector<PartFingerprint> others = Without(request.parts, group.parts);
   const auto is_suspected = [this](PartFingerprint part) { return ledger_.HasStrikes(part); };
   if (std::any_of(others.begin(), others.end(), is_suspected)) return false;
-  const auto [entry, is_new] = trials_.try_emplace(group.request);
-  Trials& trials = entry->second;
-  if (is_new) trials = {now + kFirstTrialDelay, kTrialPauseFactor * kFirstTrialDelay};
-  if (now < trials.next) return false;
-  trials = {now + trials.pause, kTrialPauseFactor * trials.pause};
+  if (!trials_.Take(group.request, now)) return false;
   Log(LogLevel::kWarning, "quarantine_trial", {{"fingerprint", FingerprintText(group.request)}});
   return true;
 }
@@ -275,8 +266,7 @@
 void PartStrikeService::Tick(TimePoint now) {
   ledger_.Expire(now);
   std::erase_if(watched_, [now](const auto& entry) { return entry.second.until <= now; });
-  std::erase_if(trials_,
-                [now](const auto& entry) { return now - entry.second.next > kTrialRetention; });
+  trials_.Expire(now);
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/quarantine/part_strike_service.h
+++ b/libs/relay/src/quarantine/part_strike_service.h
@@ -18,6 +18,7 @@
 #include "cartsail/quarantine/part_strike_ledger.h"
 #include "cartsail/quarantine/recent_completions.h"
 #include "cartsail/quarantine/strike.h"
+#include "cartsail/quarantine/trial_schedule.h"
 #include "fleet/peer_table.h"
 #include "quarantine/quarantine_message.h"
 
@@ -86,11 +87,6 @@
     TimePoint first_strike;
   };
 
-  struct Trials {
-    TimePoint next;
-    Duration pause{};  // from `next` to the one after it
-  };
-
   struct PendingExit {
     std::set<PartFingerprint> parts;
     TimePoint when;
@@ -125,9 +121,9 @@
   std::map<ServiceKey, PendingInquiry> inquiries_;            // whose SendInquiry() runs
   std::set<ServiceKey> evaluating_;                           // whose EvaluateLater() runs
   std::map<ServiceKey, Groups> decided_;                      // by this node
-  std::unordered_map<RequestFingerprint, Trials> trials_;     // by group
-  TimePoint reports_since_{};                                 // start of the current second
-  int reports_ = 0;                                           // since then
+  TrialSchedule trials_;
+  TimePoint reports_since_{};  // start of the current second
+  int reports_ = 0;            // since then
 };
 
 }  // namespace cartsail
--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -128,8 +128,14 @@
 
 bool QuarantineService::TakeTrial(const RequestTraits& traits, TimePoint now) {
   const std::vector<QuarantinedRequest> matches = list_.MatchesOf(traits, now);
-  const bool is_one_group = matches.size() == 1 && !matches.front().parts.empty();
-  return is_one_group && parts_.TakeTrial(matches.front(), traits.shared, now);
+  if (matches.size() != 1) return false;
+  const QuarantinedRequest& reason = matches.front();
+  if (!reason.parts.empty()) return parts_.TakeTrial(reason, traits.shared, now);
+  if (!simultaneous_.contains(reason.request)) return false;
+  if (CountingNodesOf(reason.request).front() != host_) return false;
+  if (!trials_.Take(reason.request, now)) return false;
+  Log(LogLevel::kWarning, "quarantine_trial", {{"fingerprint", FingerprintText(reason.request)}});
+  return true;
 }
 
 QuarantineService::WatchId QuarantineService::Watch(const RequestTraits& traits,
@@ -286,6 +292,7 @@
   suspected_.erase(request);
   const std::optional<Verdict> verdict = ledger_.VerdictOn(request);
   if (!verdict.has_value() || list_.RemainingTime(request, Now()).has_value()) co_return;
+  if (verdict->is_simultaneous) simultaneous_.insert(request);
   Decide(*verdict, Now());
 }
 
@@ -463,6 +470,10 @@
   ledger_.Expire(now);
   parts_.Tick(now);
   list_.Expire(now);
+  trials_.Expire(now);
+  std::erase_if(simultaneous_, [this, now](RequestFingerprint request) {
+    return !list_.RemainingTime(request, now).has_value();
+  });
 }
 
 }  // namespace cartsail
--- a/libs/relay/src/quarantine/quarantine_service.h
+++ b/libs/relay/src/quarantine/quarantine_service.h
@@ -25,6 +25,7 @@
 #include "cartsail/quarantine/quarantine_list.h"
 #include "cartsail/quarantine/recent_completions.h"
 #include "cartsail/quarantine/strike_ledger.h"
+#include "cartsail/quarantine/trial_schedule.h"
 #include "cartsail/reachability/reachability_evidence.h"
 #include "fleet/peer_table.h"
 #include "quarantine/part_strike_service.h"
@@ -164,6 +165,9 @@
   StrikeLedger ledger_;
   QuarantineList list_;
   std::unordered_set<RequestFingerprint> suspected_;  // those whose DecideLater() runs
+  // Quarantined by this node for exits at one moment, as may happen to any popular request.
+  std::unordered_set<RequestFingerprint> simultaneous_;
+  TrialSchedule trials_;  // of these
   struct Watcher {
     RequestTraits traits;
     std::function<void()> on_quarantined;
--- a/libs/relay/tests/quarantine_service_test.cc
+++ b/libs/relay/tests/quarantine_service_test.cc
@@ -151,6 +151,28 @@
   cr_assert(node.IsKept());
 }
 
+// Guards against a poll that is refused everywhere after all back ends ended at one moment: nothing
+// else than a request that is sent could show that it is harmless.
+Test(quarantine_service, after_ends_at_one_moment_one_request_is_tried) {
+  Node node;
+  EndAtOneMoment(node);
+  node.RunFor(kTellingTime);
+  const std::vector<std::string> counters = StrikeLedgerNodesOf(
+      kRequest, {kHost, "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6"});
+  const bool is_first = counters.front() == kHost;
+  cr_assert(!node.service.TakeTrial({kRequest, {}}, Now()));
+  cr_assert(node.service.TakeTrial({kRequest, {}}, Now() + seconds(3)) == is_first);
+  cr_assert(!node.service.TakeTrial({kRequest, {}}, Now() + seconds(4)));
+}
+
+Test(quarantine_service, ends_one_after_the_other_allow_no_trial) {
+  Node node;
+  for (int i = 0; i < 3; ++i) node.End(i);
+  cr_assert(node.IsKept());
+  (void)node.service.TakeTrial({kRequest, {}}, Now());
+  cr_assert(!node.service.TakeTrial({kRequest, {}}, Now() + seconds(60)));
+}
+
 Test(quarantine_service, an_end_at_another_moment_decides_at_once) {
   Node node;
   EndAtOneMoment(node);
