--- a/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
+++ b/libs/quarantine/include/cartsail/quarantine/quarantine_list.h
@@ -72,14 +72,14 @@
   int64_t Changes() const { return changes_; }
 
  private:
-  std::unordered_map<RequestFingerprint, QuarantinedRequest> quarantined_;
-  std::unordered_set<RequestFingerprint> groups_;  // those of quarantined_ that have parts
   struct Lifted {
     TimePoint when;
     std::set<BackendKey> backends;  // exits that were known then
     bool may_return = false;
   };
 
+  std::unordered_map<RequestFingerprint, QuarantinedRequest> quarantined_;
+  std::unordered_set<RequestFingerprint> groups_;  // those of quarantined_ that have parts
   std::unordered_map<RequestFingerprint, Lifted> lifted_;
   int64_t changes_ = 0;
 };
--- a/libs/relay/src/quarantine/quarantine_service.h
+++ b/libs/relay/src/quarantine/quarantine_service.h
@@ -125,6 +125,11 @@
   void Tick(TimePoint now);
 
  private:
+  struct Watcher {
+    RequestTraits traits;
+    std::function<void()> on_quarantined;
+  };
+
   boost::asio::awaitable<void> Probe(Backend backend);
   boost::asio::awaitable<void> ExamineRefusal(Backend backend);
   boost::asio::awaitable<bool> StaysOpen(UpstreamConnection& connection);
@@ -168,11 +173,6 @@
   // Quarantined by this node for exits at one moment, as may happen to any popular request.
   std::unordered_set<RequestFingerprint> simultaneous_;
   TrialSchedule trials_;  // of these
-  struct Watcher {
-    RequestTraits traits;
-    std::function<void()> on_quarantined;
-  };
-
   std::map<WatchId, Watcher> watches_;
   WatchId next_watch_ = 1;
   PartStrikeService parts_;
