--- a/libs/relay/src/quarantine/quarantine_service.cc
+++ b/libs/relay/src/quarantine/quarantine_service.cc
@@ -387,7 +387,11 @@
   if (entry.has_value()) notice.backends = entry->backends;
   Lift(notice, why, now);
   BroadcastLifted(notice);
-  if (recorder_.erase) recorder_.erase(request);
+  // The next exit may bring such a request back at once, and the erasure of its record, which takes
+  // some time, would lift that too. The record expires with its lease.
+  const bool is_single = !entry.has_value() || entry->parts.empty();
+  const bool keeps_record = notice.is_explained && is_single;
+  if (recorder_.erase && !keeps_record) recorder_.erase(request);
 }
 
 void QuarantineService::BroadcastLifted(const QuarantineNotice& notice) {
--- a/libs/relay/tests/part_strike_service_test.cc
+++ b/libs/relay/tests/part_strike_service_test.cc
@@ -281,6 +281,25 @@
   cr_assert(node.service.LeftFor({kRequest, {}}, Now()).has_value());
 }
 
+// Guards against the erasure of its record, which other nodes take for an operator's word.
+Test(part_strike_service, the_record_of_a_request_that_may_return_is_kept) {
+  Node node;
+  testing::LeaseStore store(node.io);
+  const QuarantineRecorder recorder(node.io, store, "quarantine/", node.service);
+  constexpr RequestFingerprint kRequest = 0xab;
+  for (const BackendKey backend : {101U, 102U, 103U}) {
+    node.service.OnStrikes({{{kRequest, backend, Now() - milliseconds(100 * backend), {}}}});
+  }
+  node.RunFor(seconds(2));
+  const std::string key = "quarantine/" + FingerprintText(kRequest);
+  cr_assert(store.Find(key) != nullptr);
+  node.service.Parts().OnStrikes(ExitOf(104, kDeadlyPrompt, Now()));
+  node.HearOfExits(kDeadlyPrompt);
+  cr_assert(!node.service.LeftFor({kRequest, {}}, Now()).has_value());
+  node.RunFor(seconds(1));
+  cr_assert(store.Find(key) != nullptr);
+}
+
 // The node that had decided the first one may be gone.
 Test(part_strike_service, a_group_whose_exits_another_one_explains_is_lifted) {
   Node node;
