--- a/libs/quarantine/include/cartsail/quarantine/part_strike_ledger.h
+++ b/libs/quarantine/include/cartsail/quarantine/part_strike_ledger.h
@@ -2,9 +2,9 @@
 //
 // Every part in flight at an exit gets a strike; a part that a back end has completed about that
 // time is harmless. What explains most exits is suspected first, and the exits that it explains
-// count against no other part. Parts with the very same exits are suspected together: only requests
-// with all of them are quarantined, so that harmless requests with some of them go on, complete,
-// and show which of the parts is harmless. Bounded in size. Performs no I/O.
+// count against no other part. Parts with the same exits, or all but one of them, are suspected
+// together: only requests with all of them are quarantined, so that harmless requests with some of
+// them go on, complete, and show which of the parts is harmless. Bounded in size. Performs no I/O.
 #pragma once
 
 #include <cstddef>
--- a/libs/quarantine/src/part_strike_ledger.cc
+++ b/libs/quarantine/src/part_strike_ledger.cc
@@ -20,6 +20,9 @@
 // More exits say nothing new of a part, and each is compared with those of other parts.
 constexpr size_t kMaxExitsPerPart = 64;
 
+// Exits that a part may lack of those of the most struck one, and be suspected together with it.
+constexpr size_t kMaxExitsApart = 1;
+
 using Exits = std::map<BackendKey, TimePoint>;
 
 Exits WithoutExplained(const Exits& exits, const std::set<BackendKey>& explained) {
@@ -78,19 +81,22 @@
   });
 }
 
+// True if the other part may be to blame as well: it was in flight at all exits of the most struck
+// one but one, and at enough of them. A single exit may have another cause.
+bool IsHardlyApart(const Exits& most, const Exits& other) {
+  const auto is_shared = [&other](const auto& exit) { return other.contains(exit.first); };
+  const auto shared = static_cast<size_t>(std::count_if(most.begin(), most.end(), is_shared));
+  return shared >= kStrikesToQuarantine && most.size() - shared <= kMaxExitsApart;
+}
+
 // `all`: the exits of the most struck part, also those that another group explains.
 SuspectedGroup GroupWith(const Exits& exits, const Exits& all,
                          const std::vector<Suspect>& suspects) {
   SuspectedGroup group;
   group.first_strike = FirstOf(all);
   group.backends = BackendsOf(all);
-  const auto has_same_backends = [&exits](const Suspect& suspect) {
-    return std::equal(
-        exits.begin(), exits.end(), suspect.exits.begin(), suspect.exits.end(),
-        [](const auto& left, const auto& right) { return left.first == right.first; });
-  };
   for (const Suspect& suspect : suspects) {
-    if (has_same_backends(suspect)) group.parts.push_back(suspect.part);
+    if (IsHardlyApart(exits, suspect.exits)) group.parts.push_back(suspect.part);
   }
   return group;
 }
