--- a/review/support/tests/stand_ins.h
+++ b/review/support/tests/stand_ins.h
@@ -462,6 +462,9 @@
     changed_.notify_all();
   }
 
+  // How many watches were answered with events.
+  int64_t WatchesAnswered() const { return watches_answered_; }
+
   void Remove(const std::string& key) {
     const std::lock_guard<std::mutex> lock(mutex_);
     Erase(key, ++revision_);
@@ -560,6 +563,7 @@
       if (!events.empty() || left <= 0 || stopping_ || listener_.Stopping()) break;
       changed_.wait_for(lock, std::chrono::milliseconds(std::min<int64_t>(left, 50)));
     }
+    if (!events.empty()) ++watches_answered_;
     return "{\"events\":[" + events + "],\"at\":" + std::to_string(revision_) + "}";
   }
 
@@ -637,6 +641,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::atomic<bool> stopping_{false};
+  std::atomic<int64_t> watches_answered_{0};
   std::map<std::string, Item> items_;
   std::map<int64_t, Lease> leases_;
   int64_t last_lease_ = 0;
@@ -729,6 +734,8 @@
     return true;
   }
 
+  bool IsRunning() const { return pid_ > 0; }
+
   bool IsReady() const {
     const std::unique_ptr<Connection> connection = Connection::To(settings_.ip, kReadyPort, 500);
     if (connection == nullptr) return false;
