--- a/review/support/tests/stand_ins.h
+++ b/review/support/tests/stand_ins.h
@@ -89,8 +89,13 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  static std::unique_ptr<Connection> To(const std::string& ip, int port, int timeout_ms = 1000) {
+  // `window_bytes`: size of the receive buffer; 0: the system's.
+  static std::unique_ptr<Connection> To(const std::string& ip, int port, int timeout_ms = 1000,
+                                        int window_bytes = 0) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (window_bytes > 0) {
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window_bytes, sizeof(window_bytes));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<uint16_t>(port));
