--- a/review/support/tests/stand_ins.h
+++ b/review/support/tests/stand_ins.h
@@ -768,7 +768,7 @@
 // Loopback hosts on which the ports of a node are free: `count` of them, 127.A.B.1 and so on.
 inline std::vector<std::string> FreeHosts(int count) {
   const auto is_free = [](const std::string& ip) {
-    for (const int port : {8220, 8227, 8229, 7340, 9464}) {
+    for (const int port : {8220, 8227, 8229, 7340, 7341, 9464}) {
       const int fd = socket(AF_INET, SOCK_STREAM, 0);
       sockaddr_in address{};
       address.sin_family = AF_INET;
