An answer whose status HTTP does not know is no answer, at any reader

Callers saw: an engine's answer with the status 000 (also 001 and 099 on all routes; 600, 700 and 999 on routes that run once), with the engine's signature and body.

Cause: each reader of heads took any three digits for a status, and looked for 1xx only. HttpConnection did not even do that: an interim head passed for the answer.

Change: JudgeHead() and JudgeStatus() in libs/net say what a head is: final, interim, or none. UpstreamConnection, its look at a candidate and HttpConnection ask them. A head that is none is a spoilt answer: 502 where the request may have run, another back end where it may run again.

Why it works: no reader of answers decides on a status by itself any more.

--- /dev/null
+++ b/libs/net/include/cartsail/net/answer_head.h
@@ -0,0 +1,25 @@
+// Whether the head of an HTTP answer is one: the one place that says so, for all that read answers.
+// Pure.
+#pragma once
+
+#include "cartsail/net/http_types.h"
+
+namespace cartsail {
+
+enum class HeadVerdict {
+  kFinal,      // the head of the answer
+  kInterim,    // 1xx: another head follows
+  kMalformed,  // no answer of HTTP/1.1
+};
+
+// Interim heads that are read before one answer. A server may send them without end.
+inline constexpr int kMaxInterimHeads = 8;
+
+// The verdict on the three digits of a status line. RFC 9110, 15: all outside 100 to 599 are
+// invalid.
+HeadVerdict JudgeStatus(int status);
+
+// The verdict on a whole head, whose syntax the parser has accepted.
+HeadVerdict JudgeHead(int status, const HttpHeaders& headers);
+
+}  // namespace cartsail
--- a/libs/net/include/cartsail/net/http_client.h
+++ b/libs/net/include/cartsail/net/http_client.h
@@ -31,7 +31,8 @@
   virtual boost::asio::awaitable<absl::Status> Send(const HttpRequest& request,
                                                     Duration timeout) = 0;
 
-  // Reads the status line and headers; the body of the result is empty.
+  // Reads the status line and headers; the body of the result is empty. kBackendFailed where
+  // JudgeHead() says that they are no answer's, kConnectionLost where they do not parse.
   virtual boost::asio::awaitable<absl::StatusOr<HttpResponse>> ReadHead(Duration timeout) = 0;
 
   // Reads some of the body; an empty string is its end. kConnectionLost where it was broken off.
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "cartsail/base/status.h"
+#include "cartsail/net/answer_head.h"
 #include "cartsail/net/timed_stream.h"
 
 namespace cartsail {
@@ -63,19 +64,16 @@
   }
 
   asio::awaitable<absl::StatusOr<HttpResponse>> ReadHead(Duration timeout) override {
-    parser_.emplace();
-    parser_->body_limit(boost::none);
-    beast::error_code error;
-    stream_.expires_after(timeout);
-    co_await http::async_read_header(stream_, buffer_, *parser_,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error) co_return LostError(error);
-    HttpResponse response;
-    response.status = static_cast<int>(parser_->get().result_int());
-    for (const auto& field : parser_->get()) {
-      response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    const TimePoint deadline = Now() + timeout;
+    for (int i = 0; i <= kMaxInterimHeads; ++i) {
+      stream_.expires_at(deadline);
+      absl::StatusOr<HttpResponse> head = co_await ReadOneHead();
+      if (!head.ok()) co_return head;
+      const HeadVerdict verdict = JudgeHead(head->status, head->headers);
+      if (verdict == HeadVerdict::kFinal) co_return head;
+      if (verdict == HeadVerdict::kMalformed) break;
     }
-    co_return response;
+    co_return MakeError(ErrorKind::kBackendFailed, "the answer has a malformed head");
   }
 
   asio::awaitable<absl::StatusOr<std::string>> ReadSome(Duration timeout) override {
@@ -112,6 +110,22 @@
   }
 
  private:
+  // Reads one head, interim or final.
+  asio::awaitable<absl::StatusOr<HttpResponse>> ReadOneHead() {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    beast::error_code error;
+    co_await http::async_read_header(stream_, buffer_, *parser_,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return LostError(error);
+    HttpResponse response;
+    response.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
+      response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    co_return response;
+  }
+
   TimedStream stream_;
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
--- a/libs/net/tests/http_client_end_test.cc
+++ b/libs/net/tests/http_client_end_test.cc
@@ -107,5 +107,23 @@
   }
 }
 
+Test(http_client_end, a_status_that_http_does_not_know_is_an_error) {
+  for (const std::string status : {"000", "001", "099", "600", "700", "999"}) {
+    const absl::StatusOr<HttpResponse> response =
+        Ask("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nhi");
+    cr_expect(!response.ok(), "%s", status.c_str());
+  }
+}
+
+Test(http_client_end, interim_heads_are_read_past_up_to_a_limit) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+  const absl::StatusOr<HttpResponse> response = Ask(interim + answer);
+  cr_assert(response.ok() && response->status == 200 && response->body == "hi");
+  std::string endless;
+  for (int i = 0; i < 100; ++i) endless += interim;
+  cr_assert(!Ask(endless + answer).ok());
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/src/request/exchange_silence.cc
+++ b/libs/relay/src/request/exchange_silence.cc
@@ -247,6 +247,7 @@
       co_await connection.ReadHead(&head, is_head_request, Now() + kRefusalReadTime);
   if (connection.WasWithheld()) co_return AttemptOutcome::kWithheld;
   if (connection.IsLostOnTheWay()) co_return AttemptOutcome::kPathLost;
+  if (error == UpstreamError::kMalformed) co_return AttemptOutcome::kSpoilt;
   if (error != UpstreamError::kNone) co_return AttemptOutcome::kCut;
   NoteAnswer(context_, found.placement.backend, {head.status, head.headers, *found.sent});
   if (head.status == 421) co_return AttemptOutcome::kWrongInstance;
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "cartsail/base/text.h"
+#include "cartsail/net/answer_head.h"
 
 namespace cartsail {
 namespace {
@@ -27,7 +28,6 @@
 constexpr Duration kDefaultIdleLimit = seconds(4);
 constexpr Duration kIdleMargin =
     milliseconds(700);  // safety margin before the back end's idle timeout
-constexpr int kMaxInterimResponses = 8;
 // Heads are shorter; more unread data than this includes some of the body.
 constexpr size_t kMaxPeekedBytes = 1 << 12;
 
@@ -181,54 +181,72 @@
                                                             bool is_head_request,
                                                             TimePoint deadline) {
   stream_.Transport().expires_at(deadline);
-  for (int i = 0; i < kMaxInterimResponses; ++i) {
-    parser_.emplace();
-    parser_->body_limit(boost::none);
-    parser_->header_limit(kMostBufferedBytes / 2);
-    parser_->skip(is_head_request);
-    beast::error_code error;
-    co_await http::async_read_header(stream_, buffer_, *parser_,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      broken_ = true;
+  for (int i = 0; i <= kMaxInterimHeads; ++i) {
+    const UpstreamError error = co_await ReadOneHead(head, is_head_request);
+    if (error != UpstreamError::kNone) {
       EndWaiting();
-      co_return ErrorOf(error);
-    }
-    NoteHeard();
-    const auto& message = parser_->get();
-    if (message.result_int() / 100 == 1) continue;
-    head->status = static_cast<int>(message.result_int());
-    head->reason = std::string(message.reason());
-    head->headers.clear();
-    for (const auto& field : message) {
-      head->headers.push_back({std::string(field.name_string()), std::string(field.value())});
+      co_return error;
     }
-    head->length = std::nullopt;
-    if (parser_->content_length()) head->length = *parser_->content_length();
-    keep_alive_ = message.keep_alive();
-    framing_ = FramingOfHead(is_head_request);
-    reading_end_ = ReadingEnd::kFraming;
-    NoteKeepAlive(*head);
+    const HeadVerdict verdict = JudgeHead(head->status, head->headers);
+    if (verdict == HeadVerdict::kInterim) continue;
+    if (verdict == HeadVerdict::kMalformed) break;
+    NoteHead(*head, is_head_request);
     co_return UpstreamError::kNone;
   }
   broken_ = true;
+  EndWaiting();
   co_return UpstreamError::kMalformed;
 }
 
+asio::awaitable<UpstreamError> UpstreamConnection::ReadOneHead(ResponseHead* head,
+                                                               bool is_head_request) {
+  parser_.emplace();
+  parser_->body_limit(boost::none);
+  parser_->header_limit(kMostBufferedBytes / 2);
+  parser_->skip(is_head_request);
+  beast::error_code error;
+  co_await http::async_read_header(stream_, buffer_, *parser_,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    broken_ = true;
+    co_return ErrorOf(error);
+  }
+  NoteHeard();
+  const auto& message = parser_->get();
+  head->status = static_cast<int>(message.result_int());
+  head->reason = std::string(message.reason());
+  head->headers.clear();
+  for (const auto& field : message) {
+    head->headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  head->length = std::nullopt;
+  if (parser_->content_length()) head->length = *parser_->content_length();
+  co_return UpstreamError::kNone;
+}
+
+void UpstreamConnection::NoteHead(const ResponseHead& head, bool is_head_request) {
+  keep_alive_ = parser_->get().keep_alive();
+  framing_ = FramingOfHead(is_head_request);
+  reading_end_ = ReadingEnd::kFraming;
+  NoteKeepAlive(head);
+}
+
 std::optional<int> UpstreamConnection::PeekStatus() {
   constexpr std::string_view kVersion = "HTTP/1.1 ";
   constexpr size_t kStatusDigits = 3;
-  std::array<char, kFrameHeadBytes + kVersion.size() + kStatusDigits> bytes{};
+  // The status is followed by a blank, also where there is no reason.
+  constexpr size_t kBytes = kVersion.size() + kStatusDigits + 1;
+  std::array<char, kFrameHeadBytes + kBytes> bytes{};
   const size_t frame = stream_.IsFramed() ? kFrameHeadBytes : 0;
-  const size_t wanted = frame + kVersion.size() + kStatusDigits;
+  const size_t wanted = frame + kBytes;
   const int socket = stream_.Transport().socket().native_handle();
   const ssize_t received = recv(socket, bytes.data(), wanted, MSG_PEEK | MSG_DONTWAIT);
   if (received != static_cast<ssize_t>(wanted)) return std::nullopt;
   const std::string_view line = std::string_view(bytes.data(), wanted).substr(frame);
+  if (!line.starts_with(kVersion) || line.back() != ' ') return std::nullopt;
   int64_t status = 0;
-  if (!line.starts_with(kVersion) || !ParseInteger(line.substr(kVersion.size()), &status)) {
-    return std::nullopt;
-  }
+  if (!ParseInteger(line.substr(kVersion.size(), kStatusDigits), &status)) return std::nullopt;
+  if (JudgeStatus(static_cast<int>(status)) == HeadVerdict::kMalformed) return std::nullopt;
   return static_cast<int>(status);
 }
 
--- a/libs/relay/src/upstream/upstream_connection.h
+++ b/libs/relay/src/upstream/upstream_connection.h
@@ -70,12 +70,13 @@
   void StartRequest(std::string head, std::shared_ptr<const std::string> body,
                     const SentRequest& about = {});
 
-  // Reads the next final response head. `is_head_request`: the response has no body.
+  // Reads the next final response head; kMalformed if JudgeHead() says that it is none.
+  // `is_head_request`: the response has no body.
   boost::asio::awaitable<UpstreamError> ReadHead(ResponseHead* head, bool is_head_request,
                                                  TimePoint deadline);
 
   // The status in the first line of the response, without reading it; nullopt if that line has not
-  // arrived or is malformed.
+  // arrived or is malformed, also by JudgeStatus().
   std::optional<int> PeekStatus();
 
   // True if unread data has arrived beyond the head of the response.
@@ -119,6 +120,9 @@
   TimePoint UsableUntil() const { return usable_until_; }
 
  private:
+  // Reads one head, interim or final.
+  boost::asio::awaitable<UpstreamError> ReadOneHead(ResponseHead* head, bool is_head_request);
+  void NoteHead(const ResponseHead& head, bool is_head_request);
   UpstreamError ErrorOf(const boost::beast::error_code& error) const;
   void NoteKeepAlive(const ResponseHead& head);
   BodyFraming FramingOfHead(bool is_head_request) const;
