A reset is known however the kernel tells of it

Callers saw: a part of an answer as a whole one. An engine answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written.

Cause: the kernel tells of a reset once, to whichever call asks first. A write that waits for room is told before the read that waits for data, and so are a look at what has arrived and a write in between; the read after it then finds an end in order, which delimits an answer without a length.

Change: TimedStream keeps what any of its calls was told, and reports a reset where a read finds an end after that. The looks at a connection and the notice to a bridging node are calls of TimedStream now.

Why it works: direct exchanges, bridges and HttpConnection read through TimedStream alone. A peer that ended its side in order before it refused what came after (EPIPE) has delivered all that it sent: no reset.

--- a/libs/net/include/cartsail/net/timed_stream.h
+++ b/libs/net/include/cartsail/net/timed_stream.h
@@ -1,13 +1,20 @@
 // A TCP connection whose calls end when its time is over, by the clock that goes on while the
 // machine is suspended; Beast's tcp_stream knows the steady clock only. Meets the requirements of
 // asynchronous streams. One thread.
+//
+// The kernel tells of a broken connection once, to whichever call asks first, be it a write or a
+// look at what has arrived; a later read finds an end like that of a connection closed in order. So
+// readers of answers make each call through this class, which keeps what any of them was told.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/compose.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "cartsail/base/timer.h"
@@ -32,6 +39,13 @@
   void expires_after(Duration duration) { expires_at(Now() + duration); }
   void expires_never();
 
+  // Looks at what has arrived, without taking it: copies its first bytes to `buffer` and returns
+  // their number, 0 if the connection has ended or broken; nullopt if nothing has arrived.
+  std::optional<size_t> Peek(boost::asio::mutable_buffer buffer) const;
+
+  // Writes what the send buffer has room for at once; returns the number of bytes, 0 on an error.
+  size_t WriteNow(boost::asio::const_buffer bytes);
+
   template <typename Token>
   auto async_connect(const Endpoint& endpoint, Token&& token) {
     const auto start = [endpoint](Socket& socket, auto self) {
@@ -67,15 +81,19 @@
     void Arm(TimePoint time);
     void OnTimer(uint64_t wait);
 
+    // What a call that ended with `error` is to report.
+    boost::beast::error_code ErrorOf(const boost::beast::error_code& error);
+
     Socket socket;
     Timer timer;
     TimePoint deadline = TimePoint::max();
     TimePoint armed_for = TimePoint::max();  // of the timer's wait under way
     uint64_t waits = 0;                      // number of the wait under way
     bool expired = false;
+    bool broken = false;  // a call was told that the connection broke
   };
 
-  // One call on the socket; tells a timeout from other failures.
+  // One call on the socket; tells a timeout from other failures, and a break from an end in order.
   template <typename Start>
   struct Operation {
     std::shared_ptr<State> state;
@@ -91,8 +109,7 @@
 
     template <typename Self, typename... Results>
     void operator()(Self& self, boost::beast::error_code error, Results... results) {
-      if (error && state->expired) error = boost::beast::error::timeout;
-      self.complete(error, results...);
+      self.complete(state->ErrorOf(error), results...);
     }
   };
 
--- a/libs/net/src/timed_stream.cc
+++ b/libs/net/src/timed_stream.cc
@@ -1,6 +1,23 @@
 #include "cartsail/net/timed_stream.h"
 
+#include <sys/socket.h>
+
+#include <boost/asio/error.hpp>
+#include <cerrno>
+
 namespace cartsail {
+namespace {
+
+namespace asio = boost::asio;
+
+// False also for what a call is told after the peer ended its side in order: all that the peer sent
+// before can still be read.
+bool IsBreak(const boost::beast::error_code& error) {
+  return error && error != asio::error::eof && error != asio::error::broken_pipe &&
+         error != asio::error::operation_aborted && error != asio::error::bad_descriptor;
+}
+
+}  // namespace
 
 TimedStream::TimedStream(const executor_type& executor)
     : state_(std::make_shared<State>(Socket(executor))) {}
@@ -22,6 +39,31 @@
   state_->timer.cancel();
 }
 
+std::optional<size_t> TimedStream::Peek(asio::mutable_buffer buffer) const {
+  const int socket = state_->socket.native_handle();
+  const ssize_t received = recv(socket, buffer.data(), buffer.size(), MSG_PEEK | MSG_DONTWAIT);
+  if (received >= 0) return static_cast<size_t>(received);
+  if (errno == EAGAIN || errno == EWOULDBLOCK) return std::nullopt;
+  (void)state_->ErrorOf({errno, asio::error::get_system_category()});
+  return 0;
+}
+
+size_t TimedStream::WriteNow(asio::const_buffer bytes) {
+  const int socket = state_->socket.native_handle();
+  const ssize_t sent = send(socket, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (sent >= 0) return static_cast<size_t>(sent);
+  const bool has_no_room = errno == EAGAIN || errno == EWOULDBLOCK;
+  if (!has_no_room) (void)state_->ErrorOf({errno, asio::error::get_system_category()});
+  return 0;
+}
+
+boost::beast::error_code TimedStream::State::ErrorOf(const boost::beast::error_code& error) {
+  if (error && expired) return boost::beast::error::timeout;
+  if (IsBreak(error)) broken = true;
+  const bool is_hidden_break = error == asio::error::eof && broken;
+  return is_hidden_break ? asio::error::connection_reset : error;
+}
+
 void TimedStream::State::Arm(TimePoint time) {
   armed_for = time;
   const uint64_t wait = ++waits;
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -1,7 +1,5 @@
 #include "upstream/upstream_connection.h"
 
-#include <sys/socket.h>
-
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -163,9 +161,7 @@
 void UpstreamConnection::NotifyResponseRead() {
   if (over_.empty() || broken_ || write_pending_) return;
   const std::string message = EncodeBridgedRequest({});
-  const int socket = stream_.Transport().socket().native_handle();
-  const ssize_t sent = send(socket, message.data(), message.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-  broken_ = sent != static_cast<ssize_t>(message.size());
+  broken_ = stream_.Transport().WriteNow(asio::buffer(message)) != message.size();
 }
 
 void UpstreamConnection::NoteHeard() {
@@ -239,9 +235,7 @@
   std::array<char, kFrameHeadBytes + kBytes> bytes{};
   const size_t frame = stream_.IsFramed() ? kFrameHeadBytes : 0;
   const size_t wanted = frame + kBytes;
-  const int socket = stream_.Transport().socket().native_handle();
-  const ssize_t received = recv(socket, bytes.data(), wanted, MSG_PEEK | MSG_DONTWAIT);
-  if (received != static_cast<ssize_t>(wanted)) return std::nullopt;
+  if (stream_.Transport().Peek(asio::buffer(bytes, wanted)) != wanted) return std::nullopt;
   const std::string_view line = std::string_view(bytes.data(), wanted).substr(frame);
   if (!line.starts_with(kVersion) || line.back() != ' ') return std::nullopt;
   int64_t status = 0;
@@ -253,10 +247,8 @@
 bool UpstreamConnection::HasBodyData() {
   constexpr std::string_view kHeadEnd = "\r\n\r\n";
   std::array<char, kMaxPeekedBytes> bytes{};
-  const int socket = stream_.Transport().socket().native_handle();
-  const ssize_t received = recv(socket, bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
-  if (received <= 0) return false;
-  const std::string_view data(bytes.data(), static_cast<size_t>(received));
+  const std::string_view data(bytes.data(),
+                              stream_.Transport().Peek(asio::buffer(bytes)).value_or(0));
   if (data.size() == bytes.size()) return true;
   const size_t head_end = data.find(kHeadEnd);
   return head_end != std::string_view::npos && head_end + kHeadEnd.size() < data.size();
@@ -307,9 +299,7 @@
 
 bool UpstreamConnection::IsQuiet() {
   char byte = 0;
-  const int socket = stream_.Transport().socket().native_handle();
-  const ssize_t received = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return !stream_.Transport().Peek(asio::buffer(&byte, 1)).has_value();
 }
 
 bool UpstreamConnection::IsLostOnTheWay() const {
--- a/libs/relay/tests/support/relay_fixture.cc
+++ b/libs/relay/tests/support/relay_fixture.cc
@@ -68,7 +68,9 @@
   server_ = std::make_unique<RelayServer>(*context_);
 }
 
-RelayFixture::~RelayFixture() {
+RelayFixture::~RelayFixture() { Stop(); }
+
+void RelayFixture::Stop() {
   io_.stop();
   if (thread_.joinable()) thread_.join();
 }
--- a/libs/relay/tests/support/relay_fixture.h
+++ b/libs/relay/tests/support/relay_fixture.h
@@ -42,6 +42,9 @@
   // The document comes, and a back end.
   void PutInForce(const std::string& backend, const std::string& address);
 
+  // Ends the relay's thread, before what runs on it goes.
+  void Stop();
+
   // Runs `work` on the relay's thread and waits for it.
   void OnRelayThread(const std::function<void()>& work);
 
