An answer in a transfer coding that is not decoded is no answer

Callers saw: a 200 with a length whose body was not the engine's: coded by gzip, or with the sizes of chunks inside. The header that named the coding applies to one connection and was taken out.

Cause: only the parser looked at Transfer-Encoding; whatever does not end in "chunked" it reads to the end of the connection, as plain bytes.

Evidence: transfer_codings_test failed on the code as it was (run there, and run again with only this change taken out), and so does the new test of http_client_end_test.

--- a/libs/net/include/cartsail/net/answer_head.h
+++ b/libs/net/include/cartsail/net/answer_head.h
@@ -9,7 +9,7 @@
 enum class HeadVerdict {
   kFinal,      // the head of the answer
   kInterim,    // 1xx: another head follows
-  kMalformed,  // no answer of HTTP/1.1
+  kMalformed,  // no answer of HTTP/1.1, or one in a transfer coding other than chunks
 };
 
 // Interim heads that are read before one answer. A server may send them without end.
--- a/libs/net/tests/answer_head_test.cc
+++ b/libs/net/tests/answer_head_test.cc
@@ -1,5 +1,7 @@
 #include "cartsail/net/answer_head.h"
 
+#include <string>
+
 #include "testing/criterion.h"
 
 namespace cartsail {
@@ -14,5 +16,18 @@
   }
 }
 
+Test(answer_head, no_transfer_coding_but_chunks_is_decoded) {
+  for (const std::string coding : {"chunked", "Chunked", " chunked ", "chunked,"}) {
+    const HttpHeaders headers = {{"transfer-encoding", coding}};
+    cr_expect(JudgeHead(200, headers) == HeadVerdict::kFinal, "%s", coding.c_str());
+  }
+  for (const std::string coding : {"", "gzip", "gzip, chunked", "chunked, chunked", "identity"}) {
+    const HttpHeaders headers = {{"Transfer-Encoding", coding}};
+    cr_expect(JudgeHead(200, headers) == HeadVerdict::kMalformed, "%s", coding.c_str());
+  }
+  const HttpHeaders two = {{"Transfer-Encoding", "gzip"}, {"Transfer-Encoding", "chunked"}};
+  cr_expect(JudgeHead(200, two) == HeadVerdict::kMalformed);
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/net/tests/http_client_end_test.cc
+++ b/libs/net/tests/http_client_end_test.cc
@@ -125,5 +125,12 @@
   cr_assert(!Ask(endless + answer).ok());
 }
 
+Test(http_client_end, a_transfer_coding_that_is_not_decoded_is_an_error) {
+  for (const std::string coding : {"gzip", "gzip, chunked", "xchunked"}) {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n";
+    cr_expect(!Ask(head + "2\r\nhi\r\n0\r\n\r\n").ok(), "%s", coding.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace cartsail
