An answer that switches protocols is no answer

Callers saw: what an engine sent after a 101 as the answer, if it looked like one.

Cause: 101 was skipped like any interim head, although after it comes another protocol, for which no request asks.

Change: JudgeStatus() takes 101 for no answer's status.

--- a/libs/net/include/cartsail/net/answer_head.h
+++ b/libs/net/include/cartsail/net/answer_head.h
@@ -15,8 +15,8 @@
 // Interim heads that are read before one answer. A server may send them without end.
 inline constexpr int kMaxInterimHeads = 8;
 
-// The verdict on the three digits of a status line. RFC 9110, 15: all outside 100 to 599 are
-// invalid.
+// The verdict on the three digits of a status line: none outside 100 to 599 is a status (RFC 9110,
+// 15), and 101 answers no request of this project.
 HeadVerdict JudgeStatus(int status);
 
 // The verdict on a whole head, whose syntax the parser has accepted.
--- a/libs/net/src/answer_head.cc
+++ b/libs/net/src/answer_head.cc
@@ -8,6 +8,7 @@
 constexpr int kMinStatus = 100;
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
+constexpr int kSwitchingProtocols = 101;
 
 // True if the body is in no transfer coding or in chunks: no reader decodes another one.
 bool IsDecodable(const HttpHeaders& headers) {
@@ -28,6 +29,8 @@
 
 HeadVerdict JudgeStatus(int status) {
   if (status < kMinStatus || status > kMaxStatus) return HeadVerdict::kMalformed;
+  // No request asks for another protocol, and its bytes would be read as the next head.
+  if (status == kSwitchingProtocols) return HeadVerdict::kMalformed;
   return status < kMinFinalStatus ? HeadVerdict::kInterim : HeadVerdict::kFinal;
 }
 
--- a/libs/net/tests/answer_head_test.cc
+++ b/libs/net/tests/answer_head_test.cc
@@ -7,9 +7,9 @@
 namespace cartsail {
 namespace {
 
-Test(answer_head, only_100_to_599_are_statuses) {
+Test(answer_head, only_100_to_599_are_statuses_and_nobody_asks_for_101) {
   for (int status = 0; status < 1000; ++status) {
-    const bool is_status = status >= 100 && status <= 599;
+    const bool is_status = status >= 100 && status <= 599 && status != 101;
     const HeadVerdict of_status = status < 200 ? HeadVerdict::kInterim : HeadVerdict::kFinal;
     const HeadVerdict expected = is_status ? of_status : HeadVerdict::kMalformed;
     cr_expect(JudgeHead(status, {}) == expected, "%d", status);
