An answer that only its connection ends is not whole before the request is taken

Callers saw: with an engine that answers a long upload at once without a length, sends a part and ends its side of the connection in order, that part as a whole answer.

Cause: the end in order was taken for the end of the answer, whatever had become of the request.

What is believed, and why: while the request is still being written (neither finished nor failed), or its write failed, an answer without a length that ends is cut. A process that dies with nothing unread ends in order too, and no engine has finished an answer to a request that it has not received. What HTTP allows, an early refusal, can carry a length or chunks, and is whole then. What cannot be known: a request that fits into the kernel's send buffer counts as written.

Change: ReadingEnd::kInsideRequest, which JudgeBodyEnd() takes for broken off as it does any end that is not the framing's; a bridging node reports such an end as broken, as it sees the engine's connection.

--- a/libs/net/include/cartsail/net/body_end.h
+++ b/libs/net/include/cartsail/net/body_end.h
@@ -16,12 +16,13 @@
 
 // How the reading of a body came to its end.
 enum class ReadingEnd {
-  kFraming,       // the length or the last chunk was reached
-  kPeerClosed,    // the server's side of the connection ended in order
-  kReset,         // the connection broke
-  kTimeout,       // the reader's time was over
-  kOwnClose,      // the reader gave it up
-  kLostOnTheWay,  // what passes the bytes on ended, and said nothing of the server
+  kFraming,        // the length or the last chunk was reached
+  kPeerClosed,     // the server's side of the connection ended in order
+  kReset,          // the connection broke
+  kInsideRequest,  // the server's side ended in order before the server had taken the whole request
+  kTimeout,        // the reader's time was over
+  kOwnClose,       // the reader gave it up
+  kLostOnTheWay,   // what passes the bytes on ended, and said nothing of the server
 };
 
 // What the bytes of a body say of their own completeness.
--- a/libs/net/src/body_end.cc
+++ b/libs/net/src/body_end.cc
@@ -35,6 +35,8 @@
       return "closed";
     case ReadingEnd::kReset:
       return "reset";
+    case ReadingEnd::kInsideRequest:
+      return "inside_request";
     case ReadingEnd::kTimeout:
       return "timeout";
     case ReadingEnd::kOwnClose:
--- a/libs/net/tests/body_end_test.cc
+++ b/libs/net/tests/body_end_test.cc
@@ -7,9 +7,10 @@
 
 constexpr BodyFraming kFramings[] = {BodyFraming::kNone, BodyFraming::kLength,
                                      BodyFraming::kChunked, BodyFraming::kConnection};
-constexpr ReadingEnd kReadingEnds[] = {ReadingEnd::kFraming,  ReadingEnd::kPeerClosed,
-                                       ReadingEnd::kReset,    ReadingEnd::kTimeout,
-                                       ReadingEnd::kOwnClose, ReadingEnd::kLostOnTheWay};
+constexpr ReadingEnd kReadingEnds[] = {ReadingEnd::kFraming,      ReadingEnd::kPeerClosed,
+                                       ReadingEnd::kReset,        ReadingEnd::kTimeout,
+                                       ReadingEnd::kOwnClose,     ReadingEnd::kLostOnTheWay,
+                                       ReadingEnd::kInsideRequest};
 constexpr ContentEnd kContentEnds[] = {ContentEnd::kOpaque, ContentEnd::kNoEvent,
                                        ContentEnd::kBetweenEvents, ContentEnd::kInsideEvent};
 
@@ -39,7 +40,7 @@
   cr_expect(judge(ReadingEnd::kPeerClosed, ContentEnd::kInsideEvent) == BodyEnd::kBrokenOff);
   cr_expect(judge(ReadingEnd::kPeerClosed, ContentEnd::kNoEvent) == BodyEnd::kBrokenOff);
   for (const ReadingEnd reading : {ReadingEnd::kReset, ReadingEnd::kTimeout, ReadingEnd::kOwnClose,
-                                   ReadingEnd::kLostOnTheWay}) {
+                                   ReadingEnd::kLostOnTheWay, ReadingEnd::kInsideRequest}) {
     for (const ContentEnd content : kContentEnds) {
       cr_expect(judge(reading, content) == BodyEnd::kBrokenOff);
     }
--- a/libs/relay/src/upstream/bridge_message.h
+++ b/libs/relay/src/upstream/bridge_message.h
@@ -63,8 +63,8 @@
 // What a frame from the bridging node carries or reports.
 enum class FrameKind : uint8_t {
   kData,
-  kEnd,       // the back end closed its connection
-  kBroken,    // the connection to the back end failed
+  kEnd,       // the back end closed its connection in order, having taken the whole request
+  kBroken,    // the connection to the back end failed, or was closed earlier
   kWithheld,  // the request was not forwarded: the back end may no longer receive requests
 };
 
--- a/libs/relay/src/upstream/bridge_server.cc
+++ b/libs/relay/src/upstream/bridge_server.cc
@@ -220,6 +220,7 @@
   // A back end may respond and close before it has read the whole request: its response is still
   // forwarded, and the rest of the request is read and discarded.
   asio::awaitable<bool> ForwardBytes(uint64_t left) {
+    is_request_taken_ = false;
     std::string buffer(std::min<uint64_t>(left, kBufferBytes), '\0');
     bool takes_more = true;
     while (left > 0) {
@@ -234,6 +235,7 @@
                                  asio::redirect_error(asio::use_awaitable, error));
       takes_more = !error;
     }
+    is_request_taken_ = takes_more;
     co_return true;
   }
 
@@ -247,7 +249,8 @@
           asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
       if (IsOwnEnd(error)) co_return self->Abort();
       if (error) {
-        const bool is_end = error == asio::error::eof;
+        // As ReadingEnd::kInsideRequest on a direct connection.
+        const bool is_end = error == asio::error::eof && self->is_request_taken_;
         (void)co_await self->SendFrame(is_end ? FrameKind::kEnd : FrameKind::kBroken);
         co_return self->Close();
       }
@@ -266,7 +269,8 @@
   std::shared_ptr<PathUse> use_;
   bool is_waiting_ = false;  // a request was forwarded and its response is pending
   bool was_heard_ = false;
-  bool end_reported_ = false;  // the last frame sent ended the response
+  bool is_request_taken_ = true;  // the back end took all bytes of the last request
+  bool end_reported_ = false;     // the last frame sent ended the response
 };
 
 BridgeServer::BridgeServer(asio::io_context& io, BridgeServerOptions options,
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -78,7 +78,12 @@
   if (closed_here_) return ReadingEnd::kOwnClose;
   if (IsTimeout(error)) return ReadingEnd::kTimeout;
   if (IsLostOnTheWay()) return ReadingEnd::kLostOnTheWay;
-  return !error || IsClosedByPeer(error) ? ReadingEnd::kPeerClosed : ReadingEnd::kReset;
+  if (error && !IsClosedByPeer(error)) return ReadingEnd::kReset;
+  // A server that has ended its side without the whole request has more likely crashed than
+  // answered: what it sent is not known to be whole, as nothing but its end delimits it.
+  const bool is_request_taken = !write_pending_ && !write_failed_;
+  const bool is_delimited = framing_ != BodyFraming::kConnection;
+  return is_request_taken || is_delimited ? ReadingEnd::kPeerClosed : ReadingEnd::kInsideRequest;
 }
 
 std::string_view ConnectResultName(ConnectResult result) {
--- a/libs/relay/tests/early_answers_test.cc
+++ b/libs/relay/tests/early_answers_test.cc
@@ -89,6 +89,16 @@
   CheckIsBrokenOff("/resume/a", true, EarlyEnd::kReset);
 }
 
+// Its side of the connection ended in order, but before it had taken the request.
+Test(early_answers, an_end_in_order_while_the_request_is_sent, .timeout = 120) {
+  for (const EarlyEnd end : {EarlyEnd::kHalfClosed, EarlyEnd::kClosedAndRead}) {
+    CheckIsBrokenOff("/once/a", false, end);
+    CheckIsBrokenOff("/safe/a", true, end);
+    CheckIsBrokenOff("/stream/a", false, end);
+    CheckIsBrokenOff("/resume/a", true, end);
+  }
+}
+
 // Its length says that nothing is missing: a server may answer before it has read a request.
 Test(early_answers, an_early_answer_with_a_length_is_whole, .timeout = 60) {
   const std::string head = std::string("HTTP/1.1 200 OK\r\n") + kIdHeader +
--- a/libs/relay/tests/early_bridged_answers_test.cc
+++ b/libs/relay/tests/early_bridged_answers_test.cc
@@ -89,5 +89,14 @@
             std::string(ReadingEndName(answer.end)).c_str());
 }
 
+Test(early_bridged_answers, an_end_in_order_while_the_request_is_sent, .timeout = 60) {
+  for (const EarlyEnd end : {EarlyEnd::kHalfClosed, EarlyEnd::kClosedAndRead}) {
+    const ReadAnswer answer = Play(end);
+    cr_expect(answer.body == kPart);
+    cr_expect(answer.end == ReadingEnd::kReset, "%s",
+              std::string(ReadingEndName(answer.end)).c_str());
+  }
+}
+
 }  // namespace
 }  // namespace cartsail::testing
