Bytes after an answer are not the next answer on a kept connection

Callers of HttpConnection (the store, duties, peers, the own interface's engines) saw: bytes that a server sent after an answer, in the place of the next answer, if they looked like one; also after a 204 and a 304.

Cause: a kept connection's unread bytes were not looked at, neither those that came with the answer nor those that came while it was idle.

UpstreamConnection looks at both already (IsReusable, IsQuiet).

Change: HttpConnection::Reusable() is false with unread bytes, and the pool asks it again when it takes a connection out.

--- a/libs/net/include/cartsail/net/http_client.h
+++ b/libs/net/include/cartsail/net/http_client.h
@@ -41,7 +41,8 @@
   // At the end of a body: kWhole, or kUnknown where only the end of its connection ended it.
   virtual BodyEnd HowBodyEnded() const = 0;
 
-  // True after a whole response was read and the server keeps the connection open.
+  // True after a whole response was read, if the server keeps the connection open and has sent
+  // nothing since: surplus bytes would be taken for the answer to the next request.
   virtual bool Reusable() const = 0;
 
   // Closes at once; a pending call ends with kConnectionLost. Only from the connection's thread.
@@ -55,7 +56,7 @@
  public:
   explicit HttpConnectionPool(boost::asio::any_io_executor executor, size_t idle_limit = 32);
 
-  // An idle connection to `endpoint`, or nullptr.
+  // An idle connection to `endpoint` that is still reusable, or nullptr.
   std::unique_ptr<HttpConnection> TakeIdle(const Endpoint& endpoint);
 
   // A connection that is not yet connected.
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -102,7 +102,11 @@
     return JudgeBodyEnd({BodyFraming::kConnection, ReadingEnd::kPeerClosed, ContentEnd::kOpaque});
   }
 
-  bool Reusable() const override { return reusable_; }
+  bool Reusable() const override {
+    char byte = 0;
+    const bool is_quiet = !stream_.Peek(asio::buffer(&byte, 1)).has_value();
+    return reusable_ && buffer_.size() == 0 && is_quiet;
+  }
 
   void Close() override {
     beast::error_code ignored;
@@ -164,10 +168,13 @@
 
 std::unique_ptr<HttpConnection> HttpConnectionPool::TakeIdle(const Endpoint& endpoint) {
   const auto found = idle_.find(endpoint.ToString());
-  if (found == idle_.end() || found->second.empty()) return nullptr;
-  std::unique_ptr<HttpConnection> connection = std::move(found->second.back());
-  found->second.pop_back();
-  return connection;
+  if (found == idle_.end()) return nullptr;
+  while (!found->second.empty()) {
+    std::unique_ptr<HttpConnection> connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (connection->Reusable()) return connection;
+  }
+  return nullptr;
 }
 
 std::unique_ptr<HttpConnection> HttpConnectionPool::MakeNew() {
