HttpConnection: an answer to HEAD has no body

Callers saw: no answer to HEAD within their time, as a body was waited for that never comes; on a connection that closes, a length that was never reached.

Evidence: http_client_pool_test, an_answer_to_head_has_no_body, failed on the code as it was (2 s, then kTimeout).

--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -56,6 +56,7 @@
     message.body() = request.body;
     message.prepare_payload();
     reusable_ = false;
+    is_head_request_ = request.method == "HEAD";
     beast::error_code error;
     stream_.expires_after(timeout);
     co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
@@ -97,7 +98,8 @@
   }
 
   BodyEnd HowBodyEnded() const override {
-    const bool has_body = !HasNoBody(static_cast<int>(parser_->get().result_int()));
+    const int status = static_cast<int>(parser_->get().result_int());
+    const bool has_body = !is_head_request_ && !HasNoBody(status);
     if (!has_body || !parser_->need_eof()) return JudgeBodyEnd({});
     return JudgeBodyEnd({BodyFraming::kConnection, ReadingEnd::kPeerClosed, ContentEnd::kOpaque});
   }
@@ -118,6 +120,7 @@
   asio::awaitable<absl::StatusOr<HttpResponse>> ReadOneHead() {
     parser_.emplace();
     parser_->body_limit(boost::none);
+    parser_->skip(is_head_request_);
     beast::error_code error;
     co_await http::async_read_header(stream_, buffer_, *parser_,
                                      asio::redirect_error(asio::use_awaitable, error));
@@ -134,6 +137,7 @@
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::string host_;
+  bool is_head_request_ = false;
   bool reusable_ = false;
 };
 
--- a/libs/net/tests/http_client_pool_test.cc
+++ b/libs/net/tests/http_client_pool_test.cc
@@ -177,6 +177,13 @@
   }
 }
 
+Test(http_client_pool, an_answer_to_head_has_no_body) {
+  SteppingServer server({{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"}});
+  PooledClient client;
+  const absl::StatusOr<HttpResponse> response = client.Ask(server, "HEAD");
+  cr_assert(response.ok() && response->body.empty());
+}
+
 Test(http_client_pool, a_request_whose_kept_connection_was_closed_is_sent_again) {
   SteppingServer server({{AnswerWith("first")}, {"", true}, {AnswerWith("again")}});
   PooledClient client;
