FetchPooled sends no request again whose answer had begun

Callers saw (calls to the store and of duties): a second run of a request whose answer was cut, and the second answer in the place of the first.

Cause: any loss of a kept connection was taken for one that the server had closed while it was idle.

Change: only where nothing of an answer has come. The callers take a lost answer for an unknown outcome, as they must on new connections.

--- a/libs/net/include/cartsail/net/http_client.h
+++ b/libs/net/include/cartsail/net/http_client.h
@@ -41,6 +41,9 @@
   // At the end of a body: kWhole, or kUnknown where only the end of its connection ended it.
   virtual BodyEnd HowBodyEnded() const = 0;
 
+  // True once something of the answer to the last request has arrived: the server has had it.
+  virtual bool HasAnswerBegun() const = 0;
+
   // True after a whole response was read, if the server keeps the connection open and has sent
   // nothing since: surplus bytes would be taken for the answer to the next request.
   virtual bool Reusable() const = 0;
@@ -80,7 +83,7 @@
                                                            size_t body_limit = 64 << 20);
 
 // The same, using and refilling `pool`; retries once on a new connection when a kept-alive one
-// turns out closed. Only for requests that may be repeated.
+// turns out closed before anything of an answer came. Only for requests that may be repeated.
 boost::asio::awaitable<absl::StatusOr<HttpResponse>> FetchPooled(HttpConnectionPool& pool,
                                                                  Endpoint endpoint,
                                                                  HttpRequest request,
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -57,6 +57,7 @@
     message.prepare_payload();
     reusable_ = false;
     is_head_request_ = request.method == "HEAD";
+    answer_begun_ = false;
     beast::error_code error;
     stream_.expires_after(timeout);
     co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
@@ -104,6 +105,8 @@
     return JudgeBodyEnd({BodyFraming::kConnection, ReadingEnd::kPeerClosed, ContentEnd::kOpaque});
   }
 
+  bool HasAnswerBegun() const override { return answer_begun_; }
+
   bool Reusable() const override {
     char byte = 0;
     const bool is_quiet = !stream_.Peek(asio::buffer(&byte, 1)).has_value();
@@ -124,6 +127,7 @@
     beast::error_code error;
     co_await http::async_read_header(stream_, buffer_, *parser_,
                                      asio::redirect_error(asio::use_awaitable, error));
+    answer_begun_ = answer_begun_ || parser_->got_some() || buffer_.size() > 0;
     if (error) co_return LostError(error);
     HttpResponse response;
     response.status = static_cast<int>(parser_->get().result_int());
@@ -138,6 +142,7 @@
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::string host_;
   bool is_head_request_ = false;
+  bool answer_begun_ = false;
   bool reusable_ = false;
 };
 
@@ -212,7 +217,8 @@
       pool.Return(endpoint, std::move(connection));
       co_return response;
     }
-    if (KindOf(response.status()) != ErrorKind::kConnectionLost) co_return response;
+    const bool was_lost = KindOf(response.status()) == ErrorKind::kConnectionLost;
+    if (!was_lost || connection->HasAnswerBegun()) co_return response;
   }
   connection = pool.MakeNew();
   const absl::Status connected = co_await connection->Connect(endpoint, timeout);
--- a/libs/net/tests/http_client_pool_test.cc
+++ b/libs/net/tests/http_client_pool_test.cc
@@ -184,6 +184,19 @@
   cr_assert(response.ok() && response->body.empty());
 }
 
+// The server has run it: only what the server may never have seen is sent again.
+Test(http_client_pool, a_request_whose_answer_was_cut_is_not_sent_again) {
+  for (const std::string part :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n01234", "HTTP/1.1 2"}) {
+    SteppingServer server({{AnswerWith("first")}, {part, true}, {AnswerWith("again")}});
+    PooledClient client;
+    cr_assert(client.Ask(server).ok());
+    const absl::StatusOr<HttpResponse> cut = client.Ask(server);
+    cr_expect(!cut.ok() && KindOf(cut.status()) == ErrorKind::kConnectionLost);
+    cr_expect(server.Requests() == 2, "%zu requests", server.Requests());
+  }
+}
+
 Test(http_client_pool, a_request_whose_kept_connection_was_closed_is_sent_again) {
   SteppingServer server({{AnswerWith("first")}, {"", true}, {AnswerWith("again")}});
   PooledClient client;
