The own interface keeps little of what an engine sends without end

The report: a faulty engine sent bytes that were no answer until the caller closed; the machine kept them all and ran out of memory. The relay's readers are bounded (endless_bytes_test); the own interface's were not: EngineStream kept an event, comments or a refusal without end.

--- a/libs/backend/include/cartsail/backend/engine_stream.h
+++ b/libs/backend/include/cartsail/backend/engine_stream.h
@@ -65,7 +65,7 @@
 
   // Returns the next event; nullopt after the end. Errors: kConnectionLost if the response was
   // truncated, kSuperseded if another connection took over the stream, kBackendFailed for malformed
-  // events. `timeout` applies to each read.
+  // events and for one without end. `timeout` applies to each read.
   boost::asio::awaitable<absl::StatusOr<std::optional<EngineEvent>>> Next(Duration timeout);
 
   // Makes a pending call fail with kConnectionLost. Call it on the stream's thread.
@@ -87,6 +87,7 @@
   Endpoint endpoint_;
   std::unique_ptr<HttpConnection> connection_;
   SseParser parser_;
+  size_t bytes_since_event_ = 0;  // received since the last whole event
   RunState state_ = RunState::kNotStarted;
   bool leaving_ = false;
   bool finished_ = false;
--- a/libs/backend/src/engine_stream.cc
+++ b/libs/backend/src/engine_stream.cc
@@ -14,6 +14,10 @@
 
 constexpr Duration kCancelTimeout = seconds(2);
 constexpr Duration kBodyTimeout = seconds(5);
+// Of a refusal's body, and of what an engine sends between two whole events. An engine may send
+// bytes without end.
+constexpr size_t kMaxRefusalBytes = 64 << 10;
+constexpr size_t kMaxEventBytes = 1 << 20;
 constexpr std::string_view kEndMarker = "[DONE]";
 constexpr std::string_view kSupersededEvent = "superseded";
 
@@ -78,7 +82,7 @@
 }
 
 asio::awaitable<absl::Status> EngineStream::ReadRefusal(const HttpResponse& head) {
-  while (true) {
+  while (detail_.size() <= kMaxRefusalBytes) {
     absl::StatusOr<std::string> chunk = co_await connection_->ReadSome(kBodyTimeout);
     if (!chunk.ok() || chunk->empty()) break;
     detail_ += *chunk;
@@ -104,13 +108,20 @@
 asio::awaitable<absl::StatusOr<std::optional<EngineEvent>>> EngineStream::Next(Duration timeout) {
   while (true) {
     std::optional<SseEvent> event = parser_.Next();
-    if (event.has_value()) co_return Decode(std::move(*event));
+    if (event.has_value()) {
+      bytes_since_event_ = 0;
+      co_return Decode(std::move(*event));
+    }
+    if (bytes_since_event_ > kMaxEventBytes) {
+      co_return MakeError(ErrorKind::kBackendFailed, "the engine sends an event without end");
+    }
     absl::StatusOr<std::string> chunk = co_await connection_->ReadSome(timeout);
     if (!chunk.ok()) co_return chunk.status();
     if (chunk->empty()) {
       if (finished_) co_return std::optional<EngineEvent>();
       co_return MakeError(ErrorKind::kConnectionLost, "the answer ended early");
     }
+    bytes_since_event_ += chunk->size();
     parser_.Feed(*chunk);
   }
 }
