A watch of the store keeps no line without end

As for engines: a line of a watch was kept whatever its length, and searched from its start with each piece.

Evidence: endless_watch_test failed on the code as it was (not over after 60 s).

Change: 64 MB, as for any other answer; each piece is searched once.

--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -13,6 +13,8 @@
 namespace asio = boost::asio;
 
 constexpr int kHttpTooManyRequests = 429;
+// Of one message of a watch, as of any other answer.
+constexpr size_t kMaxLineBytes = 64 << 20;
 
 class EtcdClient final : public KeyValueStore {
  public:
@@ -121,14 +123,19 @@
       if (chunk->empty()) {
         co_return MakeError(ErrorKind::kPlatformUnavailable, "the watch ended");
       }
+      size_t end = chunk->find('\n');
+      if (end != std::string::npos) end += buffer.size();
       buffer += *chunk;
-      size_t end = buffer.find('\n');
       while (end != std::string::npos) {
         const bool go_on = DeliverLine(std::string_view(buffer).substr(0, end), on_events);
         if (!go_on) co_return absl::OkStatus();
         buffer.erase(0, end + 1);
         end = buffer.find('\n');
       }
+      if (buffer.size() > kMaxLineBytes) {
+        const absl::Status cause = MakeError(ErrorKind::kBodyTooLarge, "a line without end");
+        co_return Unavailable(cause);
+      }
     }
   }
 
