A request that waited until its node refuses requests is not sent any more

The report: in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them requests that may not be repeated.

Here: new requests are refused 3 s after the stop signal, but that was looked at once, when a request began. One that waited after that for the catalog, for news of back ends or for a connection was sent, whatever was left of the grace period.

Evidence: two new tests of relay_drain_test failed on the code as it was (it waits for a connection: the back end got it; it waits for the catalog: 200).

Change: asked again after each wait, and right before sending. The refusal says that the request was not run and when to come back. What had been sent before is retried as before; requests that run are answered 0.1 s before the process ends, as before.

--- a/libs/relay/src/request/exchange.cc
+++ b/libs/relay/src/request/exchange.cc
@@ -99,22 +99,20 @@
 asio::awaitable<bool> Exchange::Run() {
   GlobalCounters().requests_total.Add();
   const WireNames& names = context_.format.Names();
-  if (context_.refusing) {
-    request_id_ = std::string(request_.Header(names.request_id));
-    co_return co_await AnswerRefusal(ErrorKind::kDraining, kRetryAfterNotRun);
-  }
+  request_id_ = std::string(request_.Header(names.request_id));
+  if (context_.refusing) co_return co_await AnswerRefusal(ErrorKind::kDraining, kRetryAfterNotRun);
   co_await WaitForCatalog();
   co_await context_.WaitForNews();
+  if (context_.refusing) co_return co_await AnswerRefusal(ErrorKind::kDraining, kRetryAfterNotRun);
   head_.method = request_.method;
   head_.target = request_.target;
   head_.host = std::string(request_.Header("Host"));
-  head_.request_id = std::string(request_.Header(names.request_id));
+  head_.request_id = request_id_;
   head_.authorization = std::string(request_.Header("Authorization"));
   head_.time_left = std::string(request_.Header(names.time_left));
   head_.prompt_parts = std::string(request_.Header(names.prompt_parts));
   head_.token_counts = std::string(request_.Header(names.token_counts));
   head_.resumes = std::string(request_.Header(names.resumes));
-  request_id_ = head_.request_id;
   resumes_ = head_.resumes;
 
   AdmissionResult result =
@@ -159,6 +157,10 @@
   co_return keep && !caller_gone_;
 }
 
+// The node may have begun to refuse requests while this one waited. Sent now, it might be cut when
+// the process ends.
+bool Exchange::MustNotBegin() const { return context_.refusing && history_.attempts == 0; }
+
 bool Exchange::IsRetryable() const {
   const RouteRule& route = *admitted_.route;
   if (route.kind == RequestKind::kRepeatable) return true;
@@ -175,6 +177,9 @@
   while (true) {
     RefreshResidency();
     if (IsQuarantined()) break;
+    if (MustNotBegin()) {
+      co_return co_await AnswerRefusal(ErrorKind::kDraining, kRetryAfterNotRun);
+    }
     follows_versions_ = FollowsVersions();
     // The list of back ends may come after the request did. Once something was sent, the refusal
     // would be wrong.
@@ -418,8 +423,8 @@
   co_await context_.WaitForNews();
   if (caller_gone_) co_return AttemptOutcome::kCallerGone;
   RefreshResidency();
-  const bool may_send =
-      may_go_on && context_.dispatcher.MaySend(placement, admitted_.profile, Now());
+  const bool may_send = may_go_on && !MustNotBegin() &&
+                        context_.dispatcher.MaySend(placement, admitted_.profile, Now());
   const bool retry_expired = history_.attempts > 0 && !retry_->MaySend(Now());
   if (!may_send || IsQuarantined() || retry_expired) {
     context_.pool.Return(placement.backend.key, std::exchange(upstream_, nullptr));
--- a/libs/relay/src/request/exchange.h
+++ b/libs/relay/src/request/exchange.h
@@ -179,6 +179,7 @@
   AttemptOutcome OutcomeOf(UpstreamError error) const;
   Duration FirstOutputTimeout(const Placement& placement) const;
   Duration PauseTimeout() const;
+  bool MustNotBegin() const;
   bool IsRetryable() const;
   // True if the request's stream can continue at another back end, but only at one of the version
   // that started it.
--- a/libs/relay/tests/relay_drain_test.cc
+++ b/libs/relay/tests/relay_drain_test.cc
@@ -1,4 +1,4 @@
-// Requests between real sockets while the zone of a back end is drained.
+// Requests between real sockets while the zone of a back end is drained, or their node stops.
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "cartsail/base/counters.h"
 #include "support/relay_fixture.h"
 #include "support/stub_backend.h"
 #include "testing/criterion.h"
@@ -144,6 +145,50 @@
   });
 }
 
+// Sent so late, it might be cut at the end of the process.
+Test(relay_drain, a_request_that_waits_when_its_node_begins_to_refuse_is_not_sent) {
+  CrowdedBackend crowded;
+  RelayFixture relay;
+  relay.Context().options.connect_timeout = testing::kLongPatience;
+  relay.BePatient();
+  relay.AddBackend("b1", "s", crowded.Address());
+  relay.Start();
+  Client client(relay.Port());
+  client.Send(testing::MakePatientRequest("POST", "/once/a", "r1", "x"));
+  const auto is_placed = [&relay] {
+    int64_t requests = 0;
+    relay.OnRelayThread([&] { requests = relay.Context().dispatcher.RequestsAt(KeyOf("b1")); });
+    return requests == 1;
+  };
+  cr_assert(WaitFor(is_placed), "it waits for its connection");
+  relay.OnRelayThread([&relay] {
+    relay.Context().draining = true;
+    relay.Context().refusing = true;
+  });
+  crowded.Open();
+  const std::string answer = client.ReadAnswer();
+  cr_assert(Has(answer, "HTTP/1.1 503 ") && Has(answer, "\r\nRetry-After: "), "%s", answer.c_str());
+  cr_assert(Has(answer, "not_run") && !crowded.GotBytes());
+}
+
+Test(relay_drain, a_request_that_waits_for_the_catalog_of_a_node_that_stops_is_not_sent) {
+  StubBackend backend(Hello);
+  RelayFixture relay;
+  relay.StartEmpty();
+  const int64_t before = GlobalCounters().requests_total.Get();
+  Client client(relay.Port());
+  client.Send(testing::MakePatientRequest("POST", "/once/a", "r1", "x"));
+  cr_assert(WaitFor([before] { return GlobalCounters().requests_total.Get() > before; }));
+  relay.OnRelayThread([&relay] {
+    relay.Context().draining = true;
+    relay.Context().refusing = true;
+  });
+  relay.PutInForce("b1", backend.Address());
+  const std::string answer = client.ReadAnswer();
+  cr_assert(Has(answer, "HTTP/1.1 503 ") && Has(answer, "not_run"), "%s", answer.c_str());
+  cr_assert(Has(answer, "Cartsail-Request-Id: r1\r\n") && backend.Requests().empty());
+}
+
 Test(relay_drain, an_answer_that_runs_ends_by_itself) {
   RelayFixture relay;
   StubBackend backend([&relay](const std::string& request) {
