An idle connection on which a back end sends is closed at once

Change: an idle connection is waited on; whatever arrives or ends it closes it. The wait takes neither bytes nor the word of a reset.

--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -307,6 +307,21 @@
   return !stream_.Transport().Peek(asio::buffer(&byte, 1)).has_value();
 }
 
+void UpstreamConnection::WatchIdle() {
+  const uint64_t watch = ++idle_watch_;
+  stream_.Transport().socket().async_wait(
+      tcp::socket::wait_read, [weak = weak_from_this(), watch](const beast::error_code& error) {
+        const std::shared_ptr<UpstreamConnection> self = weak.lock();
+        if (!error && self != nullptr && self->idle_watch_ == watch) self->Close();
+      });
+}
+
+void UpstreamConnection::EndIdleWatch() {
+  ++idle_watch_;
+  beast::error_code ignored;
+  stream_.Transport().socket().cancel(ignored);
+}
+
 bool UpstreamConnection::IsLostOnTheWay() const {
   const FrameKind end = stream_.EndedBy();
   return !over_.empty() && end != FrameKind::kEnd && end != FrameKind::kBroken;
--- a/libs/relay/src/upstream/upstream_connection.h
+++ b/libs/relay/src/upstream/upstream_connection.h
@@ -100,6 +100,11 @@
   // True if an idle connection was neither closed nor received unsolicited bytes.
   bool IsQuiet();
 
+  // Closes the idle connection as soon as it is no longer quiet, until EndIdleWatch(): a back end
+  // may send bytes without end after an answer.
+  void WatchIdle();
+  void EndIdleWatch();
+
   // Closes immediately; pending calls end with kBroken.
   void Close();
 
@@ -149,6 +154,7 @@
   bool keep_alive_ = false;
   bool broken_ = false;
   bool closed_here_ = false;
+  uint64_t idle_watch_ = 0;  // number of the watch in progress
   Duration idle_limit_;
   TimePoint usable_until_{};
 };
--- a/libs/relay/src/upstream/upstream_pool.cc
+++ b/libs/relay/src/upstream/upstream_pool.cc
@@ -12,6 +12,7 @@
     if (!may_use(*connections[i])) continue;
     std::shared_ptr<UpstreamConnection> connection = std::move(connections[i]);
     connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
+    connection->EndIdleWatch();
     if (now < connection->UsableUntil() && connection->IsQuiet()) return connection;
     connection->Close();
   }
@@ -28,12 +29,14 @@
     connection->Close();
     return;
   }
+  connection->WatchIdle();
   idle.push_back(std::move(connection));
 }
 
 void UpstreamPool::Keep(BackendKey backend, std::shared_ptr<UpstreamConnection> connection,
                         TimePoint now) {
   connection->NoteIdle(now);
+  connection->WatchIdle();
   idle_[backend].push_back(std::move(connection));
 }
 
