Test: a node out of step while a version joins goes on at no other version

The report: streams that had begun on engines of a new version were taken up at a machine that was out of step, and went on at another version. Here a take-up goes on only at a version that a record names, or by the ledger of versions read after it came (docs/design/0025). 20 take-ups at a node that was cut off, with the store away, and back in touch: none went on at another version on the code as it was. A node that stands still is the same to this logic: nothing that it knew before counts. Handled already; the test stays.

--- a/libs/relay/tests/stream_service_test.cc
+++ b/libs/relay/tests/stream_service_test.cc
@@ -258,6 +258,35 @@
   }
 }
 
+// A node that is cut off from the others, or stands still, while back ends of a new version join
+// elsewhere: the streams that began there are taken up at it, also with the store away, and again
+// once it is back in touch.
+Test(stream_service, a_node_out_of_step_while_a_version_joins_goes_on_at_no_other_version) {
+  constexpr int kOutOfStep = 3;
+  constexpr StreamKey kFirst = 11;
+  constexpr StreamKey kEnd = 31;
+  StreamFleet fleet;
+  fleet.StartAll({"v1"});
+  cr_assert(fleet.MayBegin(kOutOfStep, "v1"));
+  cr_assert(fleet.Node(kOutOfStep).IsVersioned(kService));
+  fleet.Cut(kOutOfStep);
+  for (int node = 0; node < kOutOfStep; ++node) fleet.Whole(node).List({"v1", "v2"});
+  cr_assert(fleet.MayBegin(0, "v2"));
+  const auto expect_right = [&fleet] {
+    for (StreamKey key = kFirst; key < kEnd; ++key) {
+      const std::string version = fleet.Find(kOutOfStep, key).version;
+      cr_expect(version.empty() || version == "v2", "%s", version.c_str());
+    }
+  };
+  for (StreamKey key = kFirst; key < kEnd; ++key) fleet.Begin(0, key, "v2");
+  expect_right();
+  fleet.Store().SetAway(true);
+  expect_right();
+  fleet.Store().SetAway(false);
+  fleet.Heal();
+  expect_right();
+}
+
 Test(stream_service, no_stream_begins_at_a_version_that_the_ledger_cannot_take) {
   StreamFleet fleet;
   fleet.Store().SetAway(true);
