--- a/libs/relay/tests/surplus_refusal_test.cc
+++ b/libs/relay/tests/surplus_refusal_test.cc
@@ -1,5 +1,5 @@
-// Guards against requests that run twice, or are said not to have run: a back end sent a refusal
-// that names no request a second time, in the place of the answer to the next request.
+// Guards against bytes after an answer that pass for the answer to the next request on the same
+// connection: that would run twice, be said not to have run, or get the answer to another one.
 #include "support/relay_fixture.h"
 #include "support/stub_backend.h"
 #include "testing/criterion.h"
@@ -34,5 +34,34 @@
   cr_assert(backend.Requests().size() == 2);
 }
 
+// The surplus bytes look like the answer to the next request, "r2".
+Test(surplus_refusal, bytes_after_an_answer_without_a_body_are_no_answer) {
+  const std::string surplus =
+      "HTTP/1.1 200 OK\r\nCartsail-Request-Id: r2\r\nCartsail-Signature: s1\r\n"
+      "Content-Length: 7\r\n\r\nsurplus";
+  for (const std::string head :
+       {"204 No Content\r\n", "304 Not Modified\r\n", "200 OK\r\nContent-Length: 7\r\n"}) {
+    const bool is_head = head.starts_with("200");
+    StubBackend backend([&](const std::string& request) {
+      const std::string id = HeaderOf(request, "Cartsail-Request-Id");
+      if (id == "r2") return StubAnswer{{SignedAnswer(request, "second")}};
+      return StubAnswer{{"HTTP/1.1 " + head + "Cartsail-Request-Id: " + id +
+                         "\r\nCartsail-Signature: s1\r\n\r\n" + surplus}};
+    });
+    RelayFixture relay;
+    relay.AddBackend("b1", "s", backend.Address());
+    relay.Start();
+    Client first(relay.Port());
+    const std::string method = is_head ? "HEAD" : "GET";
+    first.Send(MakeRequest(method, "/safe/a", "r1", "", "Connection: close\r\n"));
+    const std::string never = "\x01";
+    const std::string answer = first.ReadUntil(never);
+    cr_assert(answer.ends_with("\r\n\r\n"), "%s", answer.c_str());
+    Client second(relay.Port());
+    second.Send(MakeRequest("POST", "/once/b", "r2", "body"));
+    cr_assert(second.ReadAnswer().ends_with("\r\n\r\nsecond"));
+  }
+}
+
 }  // namespace
 }  // namespace cartsail::testing
