Own interface: a plain service's answer in a content coding is a failure

Callers saw: a service's coded bytes as plain ones. The own interface forwards neither Accept-Encoding nor Content-Encoding.

Evidence: coded_service_answer_test failed on the code as it was (200 with the coded body).

Change: such an answer is kBackendFailed, as at the relay; it has run.

--- a/libs/gateway/src/service_session.cc
+++ b/libs/gateway/src/service_session.cc
@@ -62,6 +62,10 @@
     co_return result;
   }
   result.state = RunState::kStarted;
+  // No coding was asked for, and the caller would not be told of it.
+  if (result.status.ok() && !result.response.Header("Content-Encoding").empty()) {
+    result.status = MakeError(ErrorKind::kBackendFailed, "the back end's answer is coded");
+  }
   co_return result;
 }
 
