--- a/libs/net/tests/http_client_end_test.cc
+++ b/libs/net/tests/http_client_end_test.cc
@@ -1,6 +1,4 @@
 // How the client tells that an answer was cut, by all of its framings.
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +10,7 @@
 
 #include "cartsail/net/http_client.h"
 #include "testing/criterion.h"
+#include "testing/loopback.h"
 
 namespace cartsail {
 namespace {
@@ -22,15 +21,9 @@
 class OneAnswer {
  public:
   explicit OneAnswer(std::string bytes) : bytes_(std::move(bytes)) {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    listen(listener_, 1);
-    socklen_t size = sizeof(address);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
+    const testing::LoopbackListener listener = testing::ListenOnLoopback();
+    listener_ = listener.socket;
+    port_ = listener.port;
     thread_ = std::thread([this] { Serve(); });
   }
 
--- a/libs/net/tests/http_client_pool_test.cc
+++ b/libs/net/tests/http_client_pool_test.cc
@@ -1,7 +1,5 @@
 // What of a kept connection may serve another request.
-#include <arpa/inet.h>
 #include <linux/sockios.h>
-#include <netinet/in.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,6 +16,7 @@
 #include "cartsail/base/status.h"
 #include "cartsail/net/http_client.h"
 #include "testing/criterion.h"
+#include "testing/loopback.h"
 
 namespace cartsail {
 namespace {
@@ -39,15 +38,9 @@
 class SteppingServer {
  public:
   explicit SteppingServer(std::vector<Step> steps) : steps_(std::move(steps)) {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    listen(listener_, SOMAXCONN);
-    socklen_t size = sizeof(address);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
+    const testing::LoopbackListener listener = testing::ListenOnLoopback();
+    listener_ = listener.socket;
+    port_ = listener.port;
     acceptor_ = std::thread([this] { Accept(); });
   }
 
--- a/libs/net/tests/timed_stream_test.cc
+++ b/libs/net/tests/timed_stream_test.cc
@@ -1,8 +1,6 @@
 // A connection that its peer reset is never read as ended in order, whichever call was told of it.
 #include "cartsail/net/timed_stream.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,6 +11,7 @@
 #include <string>
 
 #include "testing/criterion.h"
+#include "testing/loopback.h"
 
 namespace cartsail {
 namespace {
@@ -26,18 +25,11 @@
 class Connection {
  public:
   Connection() : stream(io.get_executor()) {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    listen(listener, 1);
-    socklen_t size = sizeof(address);
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-    const TimedStream::Endpoint endpoint(asio::ip::address_v4::loopback(), ntohs(address.sin_port));
+    const testing::LoopbackListener listener = testing::ListenOnLoopback();
+    const TimedStream::Endpoint endpoint(asio::ip::address_v4::loopback(), listener.port);
     stream.async_connect(endpoint, [this](const error_code& error) { connected = !error; });
-    far = accept(listener, nullptr, nullptr);
-    close(listener);
+    far = accept(listener.socket, nullptr, nullptr);
+    close(listener.socket);
     Run();
     cr_assert(connected);
   }
--- a/libs/relay/tests/broken_off_bridges_test.cc
+++ b/libs/relay/tests/broken_off_bridges_test.cc
@@ -1,7 +1,5 @@
 // An answer that ends with its connection, over a bridge: only the back end's own end makes it
 // whole, never that of the node between.
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +14,7 @@
 #include "support/caller_view.h"
 #include "support/path_fleet.h"
 #include "testing/criterion.h"
+#include "testing/loopback.h"
 #include "upstream/upstream_connection.h"
 
 namespace cartsail::testing {
@@ -27,15 +26,9 @@
 class ScriptedBridge {
  public:
   explicit ScriptedBridge(std::string bytes) : bytes_(std::move(bytes)) {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    listen(listener_, 1);
-    socklen_t size = sizeof(address);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
+    const LoopbackListener listener = ListenOnLoopback();
+    listener_ = listener.socket;
+    port_ = listener.port;
     thread_ = std::thread([this] { Serve(); });
   }
 
--- a/libs/relay/tests/support/early_backend.cc
+++ b/libs/relay/tests/support/early_backend.cc
@@ -1,8 +1,6 @@
 #include "support/early_backend.h"
 
-#include <arpa/inet.h>
 #include <linux/sockios.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -11,6 +9,7 @@
 #include <chrono>
 
 #include "support/stub_backend.h"
+#include "testing/loopback.h"
 
 namespace cartsail::testing {
 namespace {
@@ -59,16 +58,9 @@
 }  // namespace
 
 EarlyBackend::EarlyBackend(Handler handler) : handler_(std::move(handler)) {
-  listener_ = socket(AF_INET, SOCK_STREAM, 0);
-  setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  listen(listener_, SOMAXCONN);
-  socklen_t size = sizeof(address);
-  getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-  port_ = ntohs(address.sin_port);
+  const LoopbackListener listener = ListenOnLoopback(kReceiveBufferBytes);
+  listener_ = listener.socket;
+  port_ = listener.port;
   acceptor_ = std::thread([this] { Accept(); });
 }
 
--- a/libs/testing/include/testing/endless_server.h
+++ b/libs/testing/include/testing/endless_server.h
@@ -2,8 +2,6 @@
 // thread.
 #pragma once
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +10,8 @@
 #include <string>
 #include <thread>
 
+#include "testing/loopback.h"
+
 namespace cartsail::testing {
 
 // Far more than any reader may take of an answer that is none.
@@ -23,15 +23,9 @@
  public:
   EndlessServer(std::string begin, std::string filler)
       : begin_(std::move(begin)), filler_(std::move(filler)) {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    listen(listener_, 1);
-    socklen_t size = sizeof(address);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
+    const LoopbackListener listener = ListenOnLoopback();
+    listener_ = listener.socket;
+    port_ = listener.port;
     thread_ = std::thread([this] { Serve(); });
   }
 
