A line of a watch that is no message ends the watch

Callers saw: nothing. A line that did not parse was passed over without a log line, and with it any change that it told of; the watch went on as if it were current.

Change: it counts as a broken watch, which is read again from its revision.

--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -127,8 +127,10 @@
       if (end != std::string::npos) end += buffer.size();
       buffer += *chunk;
       while (end != std::string::npos) {
-        const bool go_on = DeliverLine(std::string_view(buffer).substr(0, end), on_events);
-        if (!go_on) co_return absl::OkStatus();
+        const std::string_view line = std::string_view(buffer).substr(0, end);
+        const absl::StatusOr<bool> go_on = DeliverLine(line, on_events);
+        if (!go_on.ok()) co_return Unavailable(go_on.status());
+        if (!*go_on) co_return absl::OkStatus();
         buffer.erase(0, end + 1);
         end = buffer.find('\n');
       }
@@ -139,10 +141,11 @@
     }
   }
 
-  // False when the callback ends the watch.
-  static bool DeliverLine(std::string_view line, const WatchCallback& on_events) {
+  // False when the callback ends the watch. An error where the line is no message: it may have told
+  // of a change, so that the watch must not go on without it.
+  static absl::StatusOr<bool> DeliverLine(std::string_view line, const WatchCallback& on_events) {
     absl::StatusOr<json::object> message = ParseJsonObject(line);
-    if (!message.ok()) return true;
+    if (!message.ok()) return message.status();
     const json::object* result = GetObject(*message, "result");
     if (result == nullptr) return true;
     const json::object* header = GetObject(*result, "header");
--- a/libs/store/tests/endless_watch_test.cc
+++ b/libs/store/tests/endless_watch_test.cc
@@ -1,4 +1,5 @@
-// Guards against a store that sends a line without end: a watch fails with bounded memory.
+// Guards against a store that sends bytes without end that are no messages: a watch fails soon,
+// with bounded memory.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <exception>
@@ -19,8 +20,8 @@
 // A message may be as large as any other answer, 64 MB; the rest is in the connection's buffers.
 constexpr size_t kMaxTakenBytes = 96 << 20;
 
-Test(endless_watch, in_a_line, .timeout = 60) {
-  testing::EndlessServer store("HTTP/1.1 200 OK\r\n\r\n", std::string(1 << 14, 'a'));
+void CheckWatchFails(const std::string& filler) {
+  testing::EndlessServer store("HTTP/1.1 200 OK\r\n\r\n", filler);
   {
     asio::io_context io;
     EtcdClientOptions options;
@@ -39,5 +40,14 @@
   cr_expect(store.Taken() < kMaxTakenBytes, "%zu bytes taken", store.Taken());
 }
 
+Test(endless_watch, in_a_line, .timeout = 60) { CheckWatchFails(std::string(1 << 14, 'a')); }
+
+// Each may have told of a change.
+Test(endless_watch, in_lines_that_are_no_messages, .timeout = 60) {
+  std::string lines;
+  for (int i = 0; i < 1000; ++i) lines += "no message\n";
+  CheckWatchFails(lines);
+}
+
 }  // namespace
 }  // namespace cartsail
