Tests: heads that are none on bridges, retries and take-ups; a reset at HttpConnection

The ways that had no test of their own. On: the bridge, the retry and the take-up failed (a 000 reached the caller or the asking node); a reset answer without a length was an error at HttpConnection already.

--- a/libs/net/tests/http_client_end_test.cc
+++ b/libs/net/tests/http_client_end_test.cc
@@ -17,10 +17,11 @@
 
 namespace asio = boost::asio;
 
-// Answers one request with `bytes` and closes.
+// Answers one request with `bytes` and closes, or resets the connection.
 class OneAnswer {
  public:
-  explicit OneAnswer(std::string bytes) : bytes_(std::move(bytes)) {
+  explicit OneAnswer(std::string bytes, bool resets = false)
+      : bytes_(std::move(bytes)), resets_(resets) {
     const testing::LoopbackListener listener = testing::ListenOnLoopback();
     listener_ = listener.socket;
     port_ = listener.port;
@@ -45,17 +46,20 @@
       request.append(bytes, static_cast<size_t>(received));
     }
     (void)send(peer, bytes_.data(), bytes_.size(), MSG_NOSIGNAL);
+    const linger now{1, 0};
+    if (resets_) setsockopt(peer, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
     close(peer);
   }
 
   std::string bytes_;
+  bool resets_;
   int listener_ = -1;
   uint16_t port_ = 0;
   std::thread thread_;
 };
 
-absl::StatusOr<HttpResponse> Ask(const std::string& answer) {
-  OneAnswer server(answer);
+absl::StatusOr<HttpResponse> Ask(const std::string& answer, bool resets = false) {
+  OneAnswer server(answer, resets);
   asio::io_context io;
   absl::StatusOr<HttpResponse> response;
   const auto done = [&](const std::exception_ptr&, absl::StatusOr<HttpResponse> result) {
@@ -125,5 +129,11 @@
   }
 }
 
+Test(http_client_end, an_answer_that_only_its_connection_ends_is_an_error_where_that_was_reset) {
+  for (const std::string part : {"", "01234"}) {
+    cr_expect(!Ask("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + part, true).ok());
+  }
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/relay/tests/answer_status_test.cc
+++ b/libs/relay/tests/answer_status_test.cc
@@ -70,5 +70,41 @@
   }
 }
 
+// Sends `request` to a relay all of whose back ends, or only the first to be asked, send 000.
+CallerView AskBrokenBackends(const std::string& request, bool all, int expected_asked) {
+  std::atomic<int> asked{0};
+  const auto handler = [&asked, all](const std::string& received) {
+    const bool is_broken = asked++ == 0 || all;
+    const std::string broken = WithIdOf(received, AnswerWith("000", "Content-Length: 34\r\n"));
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    return StubAnswer{
+        {is_broken ? broken : SignedAnswer(received, "id: 4\ndata: on\n\n", 200, type)}};
+  };
+  StubBackend first(handler);
+  StubBackend second(handler);
+  RelayFixture relay;
+  relay.AddBackend("b1", "s", first.Address());
+  relay.AddBackend("b2", "s", second.Address());
+  relay.BePatient();
+  relay.Start();
+  const CallerView view = AskAsCaller(relay.Port(), request);
+  cr_expect(asked == expected_asked, "%d asked", asked.load());
+  return view;
+}
+
+Test(answer_status, of_a_retry_is_judged_too, .timeout = 60) {
+  for (const std::string path : {"/safe/a", "/resume/a"}) {
+    const std::string request = MakeRequest("POST", path, "r1", "x", "Connection: close\r\n");
+    cr_expect(AskBrokenBackends(request, true, 2).status == 502, "%s", path.c_str());
+  }
+}
+
+Test(answer_status, of_a_stream_that_is_taken_up_is_judged_too, .timeout = 60) {
+  const std::string request =
+      MakeRequest("POST", "/resume/a", "r1", "x", "Last-Event-ID: 3\r\nConnection: close\r\n");
+  const CallerView view = AskBrokenBackends(request, false, 2);
+  cr_expect(view.status == 200 && view.whole && view.body == "id: 4\ndata: on\n\n");
+}
+
 }  // namespace
 }  // namespace cartsail::testing
--- a/libs/relay/tests/early_bridged_answers_test.cc
+++ b/libs/relay/tests/early_bridged_answers_test.cc
@@ -54,10 +54,11 @@
   answer->end = connection->HowReadingEnded();
 }
 
-ReadAnswer Play(EarlyEnd end) {
-  EarlyBackend backend([end](const std::string&) {
-    return EarlyAnswer{std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n") + kPart, true,
-                       end};
+constexpr char kHead[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+ReadAnswer Play(EarlyEnd end, const std::string& head = kHead) {
+  EarlyBackend backend([&head, end](const std::string&) {
+    return EarlyAnswer{head + kPart, true, end};
   });
   RelayFixture relay;
   relay.AddBackend("b1", "s", backend.Address());
@@ -98,5 +99,17 @@
   }
 }
 
+Test(early_bridged_answers, a_head_that_is_none, .timeout = 60) {
+  for (const std::string head :
+       {"HTTP/1.1 000 OK\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 999 OK\r\nContent-Length: 10\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX Broken: 1\r\nContent-Length: 10\r\n\r\n"}) {
+    const ReadAnswer answer = Play(EarlyEnd::kReset, head);
+    cr_expect(answer.error == UpstreamError::kMalformed && answer.body.empty(), "%s", head.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace cartsail::testing
