Review case 6: free ports, and the temporary folder goes in any case

Cause: the script gave its nodes fixed ports without looking whether they are free. Change: five ports in a row that are free at both addresses; without them, or with the port of the metrics taken, the script exits with 2. The product is unchanged.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,8 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case-6 ] && [ -x target/platform/cartsaild-platform ] || exit 2
 folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
 timeout 110 target/review-2/case-6 review/6 "$folder"
 result=$?
-rm -rf "$folder"
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/6/tests/main.cc
+++ b/review/6/tests/main.cc
@@ -89,10 +89,12 @@
     net_ =
         "127." + std::to_string(20 + pid % 200) + "." + std::to_string(1 + pid / 200 % 250) + ".";
     store_ = std::make_unique<Store>(net_ + "100");
+    const int ports = FreePorts({net_ + "1", net_ + "2"});
+    has_ports_ = ports != 0;
     for (int i = 0; i < 2; ++i) {
       nodes_.push_back(std::make_unique<Node>("target/platform/cartsaild-platform", temporary,
                                               "front-" + std::to_string(i),
-                                              net_ + std::to_string(1 + i), "hall-a"));
+                                              net_ + std::to_string(1 + i), "hall-a", ports));
     }
     for (int i = 0; i < 2; ++i) {
       engines_.push_back(std::make_unique<Engine>("i-" + std::to_string(4711 + i),
@@ -106,6 +108,7 @@
   }
 
   int Run() {
+    if (!has_ports_) return Fail("no free ports");
     for (const auto& engine : engines_) store_->Put("servers/" + engine->Id(), engine->Entry());
     store_->Put("op/config", Configuration(10));
     for (const auto& node : nodes_) Start(*node, true);
@@ -217,6 +220,7 @@
 
   Record record_;
   bool trouble_;
+  bool has_ports_ = false;
   std::string net_;
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/review/support-2/tests/stand_ins.h
+++ b/review/support-2/tests/stand_ins.h
@@ -541,20 +541,54 @@
   Server server_;
 };
 
+// True when both TCP and UDP can be bound there.
+inline bool IsFree(const Address& address) {
+  bool free = true;
+  for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
+    const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const sockaddr_in name = SocketAddress(address);
+    free = free && bind(fd, reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0;
+    close(fd);
+  }
+  return free;
+}
+
+// The first of five ports in a row that are free at all of these addresses, below those that the
+// system gives to connections; 0: none, or the port of the metrics, which the deploy file fixes,
+// is taken.
+inline int FreePorts(const std::vector<std::string>& ips) {
+  constexpr int kMetricsPort = 9464;
+  constexpr int kFirst = 20000;
+  constexpr int kLast = 30000;
+  for (const std::string& ip : ips) {
+    if (!IsFree({ip, kMetricsPort})) return 0;
+  }
+  for (int base = kFirst + getpid() % 1000 * 5; base < kLast; base += 5) {
+    bool free = true;
+    for (const std::string& ip : ips) {
+      for (int i = 0; i < 5; ++i) free = free && IsFree({ip, base + i});
+    }
+    if (free) return base;
+  }
+  return 0;
+}
+
 // A relay node as a process, started with the command of the deploy file.
 class Node {
  public:
-  Node(std::string program, std::string folder, std::string name, std::string ip, std::string zone)
+  Node(std::string program, std::string folder, std::string name, std::string ip, std::string zone,
+       int ports)
       : program_(std::move(program)),
         folder_(std::move(folder)),
         name_(std::move(name)),
         ip_(std::move(ip)),
-        zone_(std::move(zone)) {}
+        zone_(std::move(zone)),
+        ports_(ports) {}
 
   const std::string& Name() const { return name_; }
-  Address Front() const { return {ip_, 8227}; }
-  Address Ready() const { return {ip_, 8220}; }
-  Address Control() const { return {ip_, 8229}; }
+  Address Front() const { return {ip_, ports_}; }
+  Address Ready() const { return {ip_, ports_ + 1}; }
+  Address Control() const { return {ip_, ports_ + 2}; }
   pid_t Pid() const { return pid_; }
 
   // `more`: further lines of the settings.
@@ -563,8 +597,10 @@
     std::ofstream(path) << "node=" << name_
                         << "\nrole=relay\nclass=front\nserves=front,control\nip=" << ip_
                         << "\nzone=" << zone_ << "\nregion=r\nzones.hall-a=r\n"
-                        << "zones.hall-b=r\nlisten.front=" << ip_ << ":8227\nlisten.ready=" << ip_
-                        << ":8220\nlisten.control=" << ip_ << ":8229\ninternal_ports=7340,7355\n"
+                        << "zones.hall-b=r\nlisten.front=" << Front().Text()
+                        << "\nlisten.ready=" << Ready().Text()
+                        << "\nlisten.control=" << Control().Text()
+                        << "\ninternal_ports=" << ports_ + 3 << "," << ports_ + 4 << "\n"
                         << "seeds=" << seeds << "\nbootstrap=" << (first ? "true" : "false")
                         << "\nlimits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\n"
                         << "limits.max_fds=4100\ndiscovery=platform\nheartbeat_ms=1200\n"
@@ -608,6 +644,7 @@
   std::string name_;
   std::string ip_;
   std::string zone_;
+  int ports_;  // the first of five
   pid_t pid_ = -1;
 };
 
