A revision that a peer tells for the back ends says nothing of the document

Cause: the revision of the list of back ends was used for everything. Updates and catalogs of peers raised it although they carry no document (or a patch that doesn't apply); then the own watch's event with the document was passed over as already received, and a watch that began again began behind it. A peer's changes also stood in for a history that the store had lost. A reader that knew of a newer version looked for it only between two watches, which go on as long as their answers are empty, and each such answer confirmed the old document as the newest, so that 404 was final. Any applied document or full list ended the search for the one that was lacked.

Change: StorePosition keeps apart up to where the list and up to where the document is held; a watch begins where both are, and events with documents are ordered by version alone. Peers tell the revision as of which their document is the newest, and only a node that has that version takes it over. The versions that are known and lacked are kept in RoutingState until they are in force or the store, asked later, shows that they don't exist.

--- a/libs/base/include/cartsail/base/counters.h
+++ b/libs/base/include/cartsail/base/counters.h
@@ -60,6 +60,9 @@
   X(platform_reachable, gauge, "1 if the last platform call succeeded")                            \
   X(config_revision, gauge, "Configuration revision in force")                                     \
   X(config_stale_total, counter, "Configurations refused because they were older")                 \
+  X(document_behind_total, counter, "Newer routing documents that the node knew of and lacked")    \
+  X(document_reads_total, counter,                                                                 \
+    "Reads of the routing document, since no peer handed over a newer one")                        \
   X(config_invalid_total, counter, "Configuration documents refused as invalid")                   \
   X(members_live, gauge, "Nodes this node believes live, itself included")                         \
   X(members_suspected_total, counter, "Times a member became suspected")                           \
--- a/libs/relay/src/catalog/catalog_answers.cc
+++ b/libs/relay/src/catalog/catalog_answers.cc
@@ -31,8 +31,11 @@
 // others. `confirmed`: when the store answered.
 void CatalogSync::SendUpdate(int64_t since, TimePoint confirmed) {
   if (!on_update_ || context_.routing.Table() == nullptr) return;
+  // The store's answer does not confirm a document of which a newer version is known.
+  if (context_.routing.IsBehind()) confirmed = std::min(confirmed, context_.routing.Confirmed());
   StoreUpdate update;
   update.document_version = context_.routing.Version();
+  update.changes.document_revision = position_.Document();
   update.confirmed_age = Now() - confirmed;
   update.list_age = Now() - context_.streams.ProcessVerifier().ListConfirmed();
   update.changes.drained_zones = context_.dispatcher.Registry().Drains().Zones();
@@ -117,6 +120,8 @@
 CatalogMessage CatalogSync::MakeCatalog(int64_t have, int64_t since) {
   CatalogMessage catalog;
   catalog.revision = list_.revision;
+  catalog.document_version = context_.routing.Version();
+  catalog.document_revision = position_.Document();
   if (context_.routing.Version() > have) catalog.document = PatchFor(have);
   catalog.document_age = Now() - context_.routing.KnownSince();
   catalog.drained_zones = context_.dispatcher.Registry().Drains().Zones();
--- a/libs/relay/src/catalog/catalog_message.cc
+++ b/libs/relay/src/catalog/catalog_message.cc
@@ -99,6 +99,8 @@
            catalog.document.bytes);
   root.setDocumentBase(catalog.document.base_version);
   root.setDocumentAgeMs(BoundedTo<uint32_t>(ToMillis(catalog.document_age)));
+  root.setDocumentVersion(catalog.document_version);
+  root.setDocumentRevision(catalog.document_revision);
   root.setSince(catalog.since.value_or(-1));
   auto gone = root.initGone(static_cast<unsigned>(catalog.gone.size()));
   for (unsigned i = 0; i < gone.size(); ++i) gone.set(i, catalog.gone[i]);
@@ -120,6 +122,8 @@
   catalog.revision = root.getRevision();
   catalog.document = {root.getDocumentBase(), BytesOf(root.getDocument())};
   catalog.document_age = milliseconds(root.getDocumentAgeMs());
+  catalog.document_version = root.getDocumentVersion();
+  catalog.document_revision = root.getDocumentRevision();
   if (root.getSince() >= 0) catalog.since = root.getSince();
   for (const auto id : root.getGone()) catalog.gone.push_back(TextOf(id));
   for (const auto zone : root.getDrainedZones()) catalog.drained_zones.push_back(TextOf(zone));
--- a/libs/relay/src/catalog/catalog_reading.cc
+++ b/libs/relay/src/catalog/catalog_reading.cc
@@ -1,4 +1,6 @@
 // Reads the store: decides whether this node reads, and handles answers and errors.
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,8 +28,13 @@
 constexpr int64_t kItemsPerPage = 500;
 constexpr Duration kPauseAfterEvents = milliseconds(150);
 constexpr Duration kReaderCheck = milliseconds(250);
+// Of the time that peers have to hand over a newer document: by up to this share later, different
+// for each node, the store is asked for it.
+constexpr double kReadSpread = 0.5;
 constexpr Duration kPeerWaitPoll = milliseconds(10);
 
+std::string FormatMillis(Duration duration) { return fmt::format("{:.0f}", ToMillis(duration)); }
+
 double RandomShare() {
   thread_local std::minstd_rand generator(std::random_device{}());
   return std::uniform_real_distribution<double>(0, 1)(generator);
@@ -61,8 +68,10 @@
   return peers_.LiveCount() == 0 || now - peers_heard_ > kIsolatedAfter;
 }
 
-bool CatalogSync::IsReading(TimePoint now) const {
-  if (IsLeftBehind(now) || IsListOutdated(now) || now < reading_until_) return true;
+bool CatalogSync::IsReading(TimePoint now) const { return IsLeftBehind(now) || IsFollowing(now); }
+
+bool CatalogSync::IsFollowing(TimePoint now) const {
+  if (IsListOutdated(now) || now < reading_until_) return true;
   if (peers_.Peers().empty()) return true;  // no other node is known
   if (IsIsolated(now)) {
     return Unconfirmed(now) > context_.document_limits.direct_read_when_unconfirmed;
@@ -72,8 +81,8 @@
 }
 
 bool CatalogSync::IsLeftBehind(TimePoint now) const {
-  if (!behind_since_.has_value()) return false;
-  return now - *behind_since_ >= context_.document_limits.direct_read_when_behind;
+  const std::optional<TimePoint> since = context_.routing.BehindSince();
+  return since.has_value() && now - *since >= context_.document_limits.direct_read_when_behind;
 }
 
 // True if this node alone lacks changes of the back ends: a peer has had changes for some time that
@@ -87,7 +96,7 @@
 }
 
 bool CatalogSync::ReadsForItself(TimePoint now) const {
-  if (!IsListOutdated(now) || IsLeftBehind(now) || now < reading_until_) return false;
+  if (!IsListOutdated(now) || now < reading_until_) return false;
   if (peers_.Peers().empty() || IsIsolated(now)) return false;
   return !HasReadingTurn(peers_.ReadingRank(now), peers_.LiveCount() + 1, Unconfirmed(now),
                          context_.document_limits);
@@ -100,7 +109,58 @@
 }
 
 void CatalogSync::NoteVersionElsewhere(int64_t version, TimePoint now) {
-  if (version > context_.routing.Version() && !behind_since_.has_value()) behind_since_ = now;
+  const bool was_behind = context_.routing.IsBehind();
+  context_.routing.NoteVersionElsewhere(version, now);
+  if (!context_.routing.IsBehind()) return;
+  if (!was_behind) GlobalCounters().document_behind_total.Add();
+  if (reads_document_) return;
+  reads_document_ = true;
+  asio::co_spawn(context_.io, ReadDocumentWhileBehind(), asio::detached);
+}
+
+// Reads the document from the store while no peer hands over a newer one that is known. A watch of
+// this node goes on meanwhile: its answer may be the one that was lost. Nodes that hear of a
+// version at the same time read at different times.
+asio::awaitable<void> CatalogSync::ReadDocumentWhileBehind() {
+  const Duration limit = context_.document_limits.direct_read_when_behind;
+  const Duration spread = FromSeconds(ToSeconds(limit) * kReadSpread * listing_offset_);
+  int failures = 0;
+  while (const std::optional<TimePoint> since = context_.routing.BehindSince()) {
+    const TimePoint due = *since + limit + spread;
+    if (context_.routing.Table() == nullptr) {
+      // GetFirstCatalog() sees to it.
+      co_await Pause(kReaderCheck);
+      continue;
+    }
+    if (Now() < due) {
+      co_await Pause(due - Now());
+      continue;
+    }
+    const absl::Status read = co_await ReadDocument();
+    NoteReachable(read.ok(), std::string(read.message()));
+    if (context_.routing.IsBehind()) co_await Pause(JitteredRetryDelay(++failures));
+  }
+  reads_document_ = false;
+}
+
+asio::awaitable<absl::Status> CatalogSync::ReadDocument() {
+  RangeRequest request;
+  request.key = keys_.document;
+  const TimePoint asked = Now();
+  const absl::StatusOr<RangeResult> found = co_await store_.Range(request);
+  GlobalHistograms().store_call_ms.Note(Now() - asked);
+  if (!found.ok()) co_return found.status();
+  GlobalCounters().document_reads_total.Add();
+  Log(LogLevel::kInfo, "document_read",
+      {{"version", std::to_string(context_.routing.Version())},
+       {"newest_known", std::to_string(context_.routing.NewestKnownVersion())},
+       {"revision", std::to_string(found->revision)},
+       {"ms", FormatMillis(Now() - asked)}});
+  ApplyListedDocument(found->kvs, asked);
+  if (context_.routing.IsBehind()) co_return absl::OkStatus();
+  position_.NoteDocument(found->revision);
+  ConfirmDocument(asked);
+  co_return absl::OkStatus();
 }
 
 Duration CatalogSync::PeerWaitTime() const {
@@ -166,16 +226,14 @@
     ApplyEvents(events);
     watch_asked_ = Now();
     failures = 0;
-    return events.empty() && IsReading(Now());
+    return events.empty() && IsFollowing(Now());
   };
   while (true) {
-    if (!IsReading(Now())) {
+    if (!IsFollowing(Now())) {
       co_await Pause(kReaderCheck);
       continue;
     }
-    // Lists when a peer has a newer document: it may have changed before the revision that this
-    // node knows, in which case a watch would not deliver it.
-    if (must_list_ || IsLeftBehind(Now())) {
+    if (position_.MustList(list_.revision)) {
       const absl::Status read = co_await ReadAll(ReadMode::kNewest);
       NoteReachable(read.ok(), std::string(read.message()));
       if (!read.ok()) {
@@ -186,16 +244,17 @@
     }
     watch_asked_ = Now();
     reads_for_itself_ = ReadsForItself(watch_asked_);
-    const absl::Status ended = co_await store_.Watch(
-        keys_.prefix, range_end, std::max(list_.revision, watched_revision_) + 1, on_events);
+    const absl::Status ended = co_await store_.Watch(keys_.prefix, range_end,
+                                                     position_.Held(list_.revision) + 1, on_events);
     if (ended.ok()) {
       // Lets changes in quick succession arrive in one answer.
       co_await Pause(kPauseAfterEvents);
       continue;
     }
     if (KindOf(ended) == ErrorKind::kHistoryLost) {
-      Log(LogLevel::kWarning, "store_history_lost", {{"revision", std::to_string(list_.revision)}});
-      must_list_ = true;
+      Log(LogLevel::kWarning, "store_history_lost",
+          {{"revision", std::to_string(position_.Held(list_.revision))}});
+      position_.NoteHistoryLost(list_.revision);
       continue;
     }
     NoteReachable(false, std::string(ended.message()));
@@ -226,7 +285,6 @@
     if (!page->more || items.empty()) break;
     request.key = items.back().key + '\0';
   }
-  must_list_ = false;
   ApplyAll(items, revision, may_be_stale ? std::nullopt : std::make_optional(asked));
   co_return absl::OkStatus();
 }
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -159,13 +159,12 @@
 // was requested, nullopt when it may be stale.
 void CatalogSync::ApplyAll(const std::vector<KeyValue>& items, int64_t revision,
                            std::optional<TimePoint> asked) {
-  for (const KeyValue& item : items) {
-    if (item.key == keys_.document) ApplyDocument(item.value, "store", Duration(0));
-  }
   const TimePoint now = Now();
+  // A list that may be stale is no base for a watch.
+  if (asked.has_value()) position_.NoteListed(revision);
+  ApplyListedDocument(items, asked);
   for (const KeyValue& item : items) ApplyQuarantine({false, item}, now);
   if (asked.has_value()) {
-    behind_since_.reset();
     grace_.NoteAnswer(LastKnownAnswer(now), now, now);
     NoteAnswered(now);
   }
@@ -182,15 +181,36 @@
   }
   if (!asked.has_value()) return;
   // The list is confirmed as of its request, since the answer may have been delayed.
-  context_.routing.ConfirmFromPeer(*asked);
+  ConfirmDocument(*asked);
   if (list_.revision >= revision) context_.streams.ProcessVerifier().NoteListConfirmed(*asked);
   SendUpdate(list_.revision, *asked);
 }
 
+// Applies the document among `items`, all that the store holds of it. `asked`: when the items were
+// requested, nullopt when they may be stale.
+void CatalogSync::ApplyListedDocument(const std::vector<KeyValue>& items,
+                                      std::optional<TimePoint> asked) {
+  for (const KeyValue& item : items) {
+    if (item.key != keys_.document) continue;
+    const std::optional<int64_t> version = ApplyDocument(item.value, "store", Duration(0));
+    if (!version.has_value() || !asked.has_value()) return;
+    if (!context_.routing.NoteNewestInStore(*version, *asked)) return;
+    Log(LogLevel::kWarning, "newer_document_not_in_store",
+        {{"store_version", std::to_string(*version)},
+         {"version", std::to_string(context_.routing.Version())}});
+  }
+}
+
+// Records that the store held no newer document than the one in force at `then`. While a newer one
+// is known, the store's answer may be older than the change.
+void CatalogSync::ConfirmDocument(TimePoint then) {
+  if (!context_.routing.IsBehind()) context_.routing.ConfirmFromPeer(then);
+}
+
 bool CatalogSync::ApplyUpdate(const StoreUpdate& update, std::string_view source) {
   const TimePoint now = Now();
   const CatalogMessage& changes = update.changes;
-  NoteVersionElsewhere(update.document_version, now);
+  NoteDocumentElsewhere(update.document_version, changes.document_revision);
   // Confirm before applying the changes: an outage of the store that this reveals explains entries
   // that are now missing.
   if (update.document_version == context_.routing.Version()) {
@@ -198,10 +218,8 @@
   }
   sent_revision_ = std::max(sent_revision_, changes.revision);
   const bool has_document = update.document_version <= context_.routing.Version();
-  const TimePoint list_held = now - update.list_age.value_or(now - TimePoint());
   if (changes.revision <= list_.revision) {
-    list_.Confirm(now - update.confirmed_age);
-    context_.streams.ProcessVerifier().NoteListConfirmed(list_held);
+    ConfirmList(update, now);
     return has_document;
   }
   if (list_.revision == 0) return false;
@@ -211,16 +229,28 @@
     return false;
   }
   ApplyNext(update, source);
-  list_.Confirm(now - update.confirmed_age);
-  context_.streams.ProcessVerifier().NoteListConfirmed(list_held);
   ApplyEarly(source);
+  ConfirmList(update, now);
   return has_document;
 }
 
+// Records how old the sender's list of back ends is.
+void CatalogSync::ConfirmList(const StoreUpdate& update, TimePoint now) {
+  list_.Confirm(now - update.confirmed_age);
+  if (!update.list_age.has_value()) return;
+  context_.streams.ProcessVerifier().NoteListConfirmed(now - *update.list_age);
+}
+
+// Records that a peer has `version` of the document in force, and that it is the newest as of store
+// revision `revision` (0: unknown). Only a node that has this version shares that knowledge.
+void CatalogSync::NoteDocumentElsewhere(int64_t version, int64_t revision) {
+  NoteVersionElsewhere(version, Now());
+  if (version != 0 && version <= context_.routing.Version()) position_.NoteDocument(revision);
+}
+
 void CatalogSync::ApplyNext(const StoreUpdate& update, std::string_view source) {
   const CatalogMessage& changes = update.changes;
   list_.revision = changes.revision;
-  must_list_ = false;
   encoded_full_.clear();
   context_.quarantine.Merge(changes.quarantined, Now());
   if (!changes.backends.empty() || !changes.gone.empty()) {
@@ -268,11 +298,10 @@
   if (!catalog.document.bytes.empty()) {
     ApplyPatch(catalog.document, source, catalog.document_age);
   }
+  NoteDocumentElsewhere(catalog.document_version, catalog.document_revision);
   if (catalog.revision <= list_.revision) return;
   list_.revision = catalog.revision;
   sent_revision_ = std::max(sent_revision_, list_.revision);
-  // A watch from this revision now suffices.
-  must_list_ = false;
   ReplaceDrainedZones({catalog.drained_zones.begin(), catalog.drained_zones.end()}, source);
   if (catalog.since.has_value()) {
     ApplyChanges(catalog, source);
@@ -333,12 +362,10 @@
   const TimePoint answered = std::max(watch_asked_, context_.standstill.ArrivedAfter(now));
   grace_.NoteAnswer(LastKnownAnswer(now), answered, now);
   NoteAnswered(now);
-  for (const WatchEvent& event : events) {
-    watched_revision_ = std::max(watched_revision_, event.kv.mod_revision);
-  }
   const auto is_of_stream = [this](const WatchEvent& event) { return IsStreamRecord(event); };
   if (!events.empty() && std::all_of(events.begin(), events.end(), is_of_stream)) {
-    context_.routing.ConfirmFromPeer(answered);
+    NoteWatched(events);
+    ConfirmDocument(answered);
     list_.Confirm(answered);
     context_.streams.ProcessVerifier().NoteListConfirmed(watch_asked_);
     // Confirms the state to the peers as often as a watch that ends without events would.
@@ -347,11 +374,14 @@
   }
   for (const WatchEvent& event : events) {
     const std::string& key = event.kv.key;
-    if (event.kv.mod_revision <= known) continue;  // already received from a peer
-    if (key == keys_.document && !event.deleted)
-      ApplyDocument(event.kv.value, "store", Duration(0));
-    if (IsDrainedZone(key)) ApplyDrainedZone(event, now);
+    if (key == keys_.document && !event.deleted) {
+      (void)ApplyDocument(event.kv.value, "store", Duration(0));
+    }
     ApplyQuarantine(event, now);
+    // Changes of the list were already received from a peer. The document and the quarantine are
+    // not part of what a peer's revision tells.
+    if (event.kv.mod_revision <= known) continue;
+    if (IsDrainedZone(key)) ApplyDrainedZone(event, now);
     if (IsBackend(key) && !event.deleted && IsKnownAlready(event.kv, now)) continue;
     if (IsBackend(key)) backend_changes_.Note(BackendId(key), event.kv.mod_revision);
     if (IsBackend(key) && !event.deleted) ApplyBackend(event.kv);
@@ -359,13 +389,18 @@
   }
   for (const WatchEvent& event : events)
     list_.revision = std::max(list_.revision, event.kv.mod_revision);
-  context_.routing.ConfirmFromPeer(answered);
+  NoteWatched(events);
+  ConfirmDocument(answered);
   list_.Confirm(answered);
   context_.streams.ProcessVerifier().NoteListConfirmed(watch_asked_);
   encoded_full_.clear();
   SendUpdateInTurn(answered);
 }
 
+void CatalogSync::NoteWatched(const std::vector<WatchEvent>& events) {
+  for (const WatchEvent& event : events) position_.NoteWatched(event.kv.mod_revision);
+}
+
 // True for an entry that adds nothing to the registered backend; such an entry is neither recorded
 // as a change nor sent to peers.
 bool CatalogSync::IsKnownAlready(const KeyValue& item, TimePoint now) const {
@@ -416,18 +451,26 @@
   const std::string_view base = is_whole ? std::string_view() : context_.routing.Encoded();
   const absl::StatusOr<std::string> text = ApplyDocumentPatch(base, patch.bytes);
   if (!text.ok()) return NoteInvalid(text.status(), source);
-  ApplyDocument(*text, source, age);
+  (void)ApplyDocument(*text, source, age);
 }
 
-void CatalogSync::ApplyDocument(const std::string& text, std::string_view source, Duration age) {
+// Puts the document in force if it is newer. Returns its version; nullopt when it is invalid.
+std::optional<int64_t> CatalogSync::ApplyDocument(const std::string& text, std::string_view source,
+                                                  Duration age) {
   absl::StatusOr<RoutingDocument> document = codec_.DecodeDocument(text);
-  if (!document.ok()) return NoteInvalid(document.status(), source);
+  if (!document.ok()) {
+    NoteInvalid(document.status(), source);
+    return std::nullopt;
+  }
   auto table = RouteTable::Build(std::move(*document));
-  if (!table.ok()) return NoteInvalid(table.status(), source);
+  if (!table.ok()) {
+    NoteInvalid(table.status(), source);
+    return std::nullopt;
+  }
   const int64_t before = context_.routing.Version();
   const int64_t version = (*table)->Version();
   GlobalCounters().config_revision.Set(std::max(before, version));
-  if (version <= before) return;
+  if (version <= before) return version;
   const TimePoint now = Now();
   // Upper bound of the time for which this node lacked the version: time since its previous
   // document was last confirmed as the newest.
@@ -435,7 +478,6 @@
   patch_ = {before, MakeDocumentPatch(context_.routing.Encoded(), text)};
   full_document_ = {};
   encoded_full_.clear();
-  behind_since_.reset();
   context_.dispatcher.Registry().SetServices(ServicesOf((*table)->Document()));
   context_.routing.Apply(std::move(*table), text, now - age);
   context_.dispatcher.SetWarmUps(context_.routing.Table()->Document().services,
@@ -450,6 +492,7 @@
        {"bytes", std::to_string(text.size())},
        {"patch_bytes", std::to_string(patch_.bytes.size())}});
   if (on_document_) on_document_();
+  return version;
 }
 
 void CatalogSync::NoteInvalid(const absl::Status& status, std::string_view source) {
--- a/libs/relay/src/catalog/catalog_sync.h
+++ b/libs/relay/src/catalog/catalog_sync.h
@@ -1,9 +1,9 @@
 // Keeps the routing document and the backend list in sync with the store. A few nodes of the fleet
 // read both and watch for changes, and read everything again when the store has compacted the
 // history that they need; the other nodes receive both from peers. More nodes read while the store
-// answers none of the readers. A node that receives nothing from any peer, or does not get a newer
-// document that a peer has, reads the store itself. Documents are ordered by version and backends
-// by store revision, whatever their source.
+// answers none of the readers. A node that receives nothing from any peer reads the store itself,
+// and one that does not get a newer document that a peer has reads the document there. Documents
+// are ordered by version and backends by store revision, whatever their source.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -22,6 +22,7 @@
 #include "catalog/early_updates.h"
 #include "catalog/invalid_entry_log.h"
 #include "catalog/lapse_grace.h"
+#include "catalog/store_position.h"
 #include "catalog/store_update.h"
 #include "fleet/peer_table.h"
 #include "relay_context.h"
@@ -69,7 +70,7 @@
   // Reads the current entry of a backend from the store; nullopt when there is none.
   boost::asio::awaitable<absl::StatusOr<std::optional<Backend>>> ReadBackend(std::string id);
 
-  // Store revision up to which all changes are known; 0: none.
+  // Store revision up to which all changes of back ends are known; 0: none.
   int64_t Revision() const { return list_.revision; }
 
   // True when this node should read the store itself.
@@ -78,7 +79,8 @@
   // Returns the encoded catalog that answers a peer's `request`.
   std::string AnswerPeer(const HttpRequest& request);
 
-  // Records that a peer has this version of the document.
+  // Records that a peer has this version of the document. The store is read if no peer hands it
+  // over in time.
   void NoteVersionElsewhere(int64_t version, TimePoint now);
 
   // Records that a peer knows the changes of the back ends up to `revision`, and that the store
@@ -95,6 +97,8 @@
   enum class ReadMode { kNewest, kMayBeStale };
 
   boost::asio::awaitable<void> Follow();
+  boost::asio::awaitable<void> ReadDocumentWhileBehind();
+  boost::asio::awaitable<absl::Status> ReadDocument();
   boost::asio::awaitable<void> GetFirstCatalog();
   Duration PeerWaitTime() const;
   // True when this node, which has no catalog yet, may list the store.
@@ -110,12 +114,20 @@
   void ApplyEarly(std::string_view source);
   boost::asio::awaitable<absl::Status> ReadAll(ReadMode mode);
   bool IsLeftBehind(TimePoint now) const;
+  // True if this node follows the store's changes by a watch.
+  bool IsFollowing(TimePoint now) const;
   bool IsListOutdated(TimePoint now) const;
   // True if this node reads the store for want of changes that the other nodes have.
   bool ReadsForItself(TimePoint now) const;
   TimePoint LastKnownAnswer(TimePoint now) const;
   boost::asio::awaitable<void> Pause(Duration duration);
-  void ApplyDocument(const std::string& text, std::string_view source, Duration age);
+  void ApplyListedDocument(const std::vector<KeyValue>& items, std::optional<TimePoint> asked);
+  void ConfirmDocument(TimePoint then);
+  void ConfirmList(const StoreUpdate& update, TimePoint now);
+  void NoteDocumentElsewhere(int64_t version, int64_t revision);
+  void NoteWatched(const std::vector<WatchEvent>& events);
+  std::optional<int64_t> ApplyDocument(const std::string& text, std::string_view source,
+                                       Duration age);
   void ReplaceBackends(std::vector<Backend> backends, std::string_view source,
                        std::optional<TimePoint> missing_until);
   void RemoveBackend(const std::string& id, LogLevel level, TimePoint now);
@@ -170,7 +182,8 @@
   TimePoint reading_until_{};               // reads at least until then, whatever its rank
   bool reads_for_itself_ = false;           // ReadsForItself() when the watch began
   TimePoint watch_asked_{};                 // start of the watch call, or its last answer
-  int64_t watched_revision_ = 0;            // latest revision of a watch event, of any key
+  StorePosition position_;                  // where the watch goes on
+  bool reads_document_ = false;             // ReadDocumentWhileBehind() runs
   TimePoint sent_at_{};                     // when this node last sent an update
   int64_t sent_revision_ = 0;               // up to which some reader has sent the changes to all
   bool send_pending_ = false;
@@ -179,9 +192,6 @@
   std::string encoded_full_;     // the full catalog; empty until requested
   TimePoint encoded_full_at_{};
   int64_t encoded_full_quarantine_ = 0;  // QuarantineList::Changes() of encoded_full_
-  // Since when a peer is known to have a newer document; nullopt when none is.
-  std::optional<TimePoint> behind_since_;
-  bool must_list_ = true;  // the store cannot deliver the changes since `list_.revision`
   bool reachable_ = false;
   bool was_known_ = false;
 };
--- a/libs/relay/src/request/admission.cc
+++ b/libs/relay/src/request/admission.cc
@@ -20,7 +20,9 @@
 // A route or key that is unknown here may be in a newer document that this node has not received.
 AdmissionResult RefuseUnknown(ErrorKind kind, const RoutingState& state, Duration trusted_for,
                               TimePoint now) {
-  if (!state.IsFresh(now, trusted_for)) return Refuse(ErrorKind::kNotReady, kRetryAfterNotReady);
+  if (!state.MayRefuseUnknown(now, trusted_for)) {
+    return Refuse(ErrorKind::kNotReady, kRetryAfterNotReady);
+  }
   return Refuse(kind);
 }
 
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -276,6 +276,11 @@
   drainedZones @8 :List(Text);
   # The newest ones, also beside changes.
   quarantined @9 :List(QuarantineEntry);
+  # Version of the document in force at the sender, also when `document` is empty. 0: not told, as
+  # by earlier builds and in updates, which have it themselves.
+  documentVersion @10 :Int64;
+  # Store revision as of which that version is the newest; 0: not told, as by earlier builds.
+  documentRevision @11 :Int64;
 }
 
 # What the store told a reader, on its way to all nodes.
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -349,7 +349,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(fcbd87e46f033038, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2771,6 +2771,10 @@
   inline bool hasQuarantined() const;
   inline  ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
 
+  inline  ::int64_t getDocumentVersion() const;
+
+  inline  ::int64_t getDocumentRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2856,6 +2860,12 @@
   inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cartsail::wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> disownQuarantined();
 
+  inline  ::int64_t getDocumentVersion();
+  inline void setDocumentVersion( ::int64_t value);
+
+  inline  ::int64_t getDocumentRevision();
+  inline void setDocumentRevision( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7061,6 +7071,34 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Catalog::Reader::getDocumentVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Catalog::Builder::getDocumentVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Catalog::Builder::setDocumentVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Catalog::Reader::getDocumentRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Catalog::Builder::getDocumentRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Catalog::Builder::setDocumentRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoreUpdate::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libs/relay/tests/support/catalog_node.h
+++ b/libs/relay/tests/support/catalog_node.h
@@ -67,6 +67,8 @@
   CatalogMessage catalog;
   catalog.revision = revision;
   catalog.document = {0, MakeDocumentPatch({}, DocumentText(version))};
+  catalog.document_version = version;
+  catalog.document_revision = revision;
   catalog.backends.resize(1);
   catalog.backends[0].id = backend;
   catalog.backends[0].service = "s";
--- a/libs/relay/tests/support/scripted_store.cc
+++ b/libs/relay/tests/support/scripted_store.cc
@@ -65,7 +65,14 @@
 asio::awaitable<absl::Status> ScriptedStore::Watch(std::string key, std::string range_end,
                                                    int64_t start_revision,
                                                    WatchCallback on_events) {
-  while (events_.empty() && !history_lost_) co_await Wait(kPoll);
+  watch_starts_.push_back(start_revision);
+  while (events_.empty() && !history_lost_) {
+    if (empty_answers_ > 0) {
+      --empty_answers_;
+      if (!on_events({}, start_revision)) co_return absl::OkStatus();
+    }
+    co_await Wait(kPoll);
+  }
   if (std::exchange(history_lost_, false)) {
     co_return MakeError(ErrorKind::kHistoryLost, "compacted");
   }
--- a/libs/relay/tests/support/scripted_store.h
+++ b/libs/relay/tests/support/scripted_store.h
@@ -38,6 +38,12 @@
   void SetList(RangeResult list) { list_ = std::move(list); }
   void Push(WatchEvent event) { events_.push_back(std::move(event)); }
 
+  // The watch is answered without a change, and goes on.
+  void AnswerEmpty() { ++empty_answers_; }
+
+  // Revisions from which changes were asked for, in this order.
+  const std::vector<int64_t>& WatchStarts() const { return watch_starts_; }
+
   // The changes that were not yet told are dropped: the next watch has lost its history.
   void LoseHistory();
 
@@ -52,6 +58,8 @@
   Duration call_time_;
   RangeResult list_;
   std::vector<WatchEvent> events_;
+  std::vector<int64_t> watch_starts_;
+  int empty_answers_ = 0;
   bool history_lost_ = false;
   int lists_ = 0;
   int stale_lists_ = 0;
