The age of a peer's list holds only for a node that has all of that list

Callers: a request could be sent to a back end that had left, for up to the time that an age allows: a reader that learns of more than 16 changes at once sends them in several updates, each with the age of its whole list, and a node that had the first of them took that age for its own list's. The decision whether a list is too old to send by, and whether a back end's process is the listed one, then stood on changes that the node lacked.

Change: an update says of which revision the ages speak (0 from earlier builds: that of its own changes), and only a node that holds the list up to there takes them.

--- a/libs/relay/src/catalog/catalog_answers.cc
+++ b/libs/relay/src/catalog/catalog_answers.cc
@@ -36,6 +36,7 @@
   StoreUpdate update;
   update.document_version = context_.routing.Version();
   update.changes.document_revision = position_.Document();
+  update.list_revision = list_.revision;
   update.confirmed_age = Now() - confirmed;
   update.list_age = Now() - context_.streams.ProcessVerifier().ListConfirmed();
   update.changes.drained_zones = context_.dispatcher.Registry().Drains().Zones();
--- a/libs/relay/src/catalog/catalog_sync.cc
+++ b/libs/relay/src/catalog/catalog_sync.cc
@@ -234,8 +234,10 @@
   return has_document;
 }
 
-// Records how old the sender's list of back ends is.
+// Records how old the sender's list of back ends is, if this node's list has all that it has. The
+// last of its changes may still be on their way in further updates.
 void CatalogSync::ConfirmList(const StoreUpdate& update, TimePoint now) {
+  if (list_.revision < std::max(update.list_revision, update.changes.revision)) return;
   list_.Confirm(now - update.confirmed_age);
   if (!update.list_age.has_value()) return;
   context_.streams.ProcessVerifier().NoteListConfirmed(now - *update.list_age);
--- a/libs/relay/src/catalog/store_update.h
+++ b/libs/relay/src/catalog/store_update.h
@@ -24,6 +24,9 @@
   Duration confirmed_age{};      // time since the store answered the reader
   // Time since the backend list was last confirmed by the store; nullopt: unknown.
   std::optional<Duration> list_age;
+  // Revision of the list whose age `confirmed_age` and `list_age` tell; 0: that of `changes`. Later
+  // than that of `changes` when the changes follow in further updates.
+  int64_t list_revision = 0;
   std::vector<std::string> targets;  // hosts to which the receiver forwards the update
 };
 
--- a/libs/relay/src/fleet/datagram.cc
+++ b/libs/relay/src/fleet/datagram.cc
@@ -215,6 +215,7 @@
   if (update.list_age.has_value()) {
     message.setListAgeMs(BoundedTo<uint32_t>(ToMillis(*update.list_age)));
   }
+  message.setListRevision(update.list_revision);
   auto targets = message.initTargets(static_cast<unsigned>(update.targets.size()));
   for (unsigned i = 0; i < targets.size(); ++i) targets.set(i, HostNumber(update.targets[i]));
 }
@@ -227,6 +228,7 @@
   if (message.getListAgeMs() != kListAgeUnknown) {
     update.list_age = milliseconds(message.getListAgeMs());
   }
+  update.list_revision = message.getListRevision();
   for (const uint32_t host : message.getTargets()) update.targets.push_back(HostText(host));
   return update;
 }
--- a/libs/relay/src/wire/messages.capnp
+++ b/libs/relay/src/wire/messages.capnp
@@ -294,6 +294,9 @@
   targets @3 :List(UInt32);
   # Milliseconds since the list of back ends was the store's for sure. Earlier builds do not tell.
   listAgeMs @4 :UInt32 = 0xffffffff;
+  # Revision of the list of back ends whose age the two fields tell; 0: that of `changes`, as earlier
+  # builds mean it.
+  listRevision @5 :Int64;
 }
 
 struct TenantCount {
--- a/libs/relay/src/wire/messages.capnp.h
+++ b/libs/relay/src/wire/messages.capnp.h
@@ -364,7 +364,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d24718b90bf84405, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d24718b90bf84405, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2921,6 +2921,8 @@
 
   inline  ::uint32_t getListAgeMs() const;
 
+  inline  ::int64_t getListRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2973,6 +2975,9 @@
   inline  ::uint32_t getListAgeMs();
   inline void setListAgeMs( ::uint32_t value);
 
+  inline  ::int64_t getListRevision();
+  inline void setListRevision( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7218,6 +7223,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::int64_t StoreUpdate::Reader::getListRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoreUpdate::Builder::getListRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoreUpdate::Builder::setListRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TenantCount::Reader::hasTenant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
