--- a/libs/backend/tests/endless_engine_test.cc
+++ b/libs/backend/tests/endless_engine_test.cc
@@ -1,5 +1,5 @@
-// Guards against engines that send bytes without end that are no answer: little of them is kept,
-// and the call fails soon.
+// Guards against engines that send bytes without end that are no answer, or an answer with a status
+// that HTTP does not know: little of them is kept, and the call fails soon.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <exception>
@@ -74,5 +74,12 @@
   CheckFailsSoon("HTTP/1.1 500 Failed\r\n\r\n", Filler());
 }
 
+Test(endless_engine, after_a_status_that_http_does_not_know, .timeout = 60) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    CheckFailsSoon("HTTP/1.1 " + status + " OK\r\nContent-Type: text/event-stream\r\n\r\n",
+                   "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n");
+  }
+}
+
 }  // namespace
 }  // namespace cartsail
--- a/libs/gateway/tests/coded_service_answer_test.cc
+++ b/libs/gateway/tests/coded_service_answer_test.cc
@@ -1,5 +1,5 @@
 // A plain service's answer in a coding that its caller did not ask for, and would not be told of,
-// is a failure.
+// or with a status that HTTP does not know, is a failure.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <string>
@@ -9,6 +9,7 @@
 #include "cartsail/gateway/gateway.h"
 #include "cartsail/net/http_client.h"
 #include "testing/criterion.h"
+#include "testing/endless_server.h"
 
 namespace cartsail {
 namespace {
@@ -71,14 +72,10 @@
   (void)co_await exchange.Respond(std::move(response));
 }
 
-HttpResponse Ask(const HttpHeaders& headers) {
-  asio::io_context context{1};
-  const auto backend =
-      MakeHttpServer(context, {"127.0.0.1", 0}, {},
-                     [&headers](HttpExchange& exchange) { return AnswerWith(exchange, &headers); });
-  cr_assert(backend->Start().ok());
+// Sends a request to a node that passes it on to the service at `backend`.
+HttpResponse AskNode(asio::io_context& context, uint16_t backend_port) {
   OneBackend control;
-  control.backend = {"127.0.0.1", backend->Port()};
+  control.backend = {"127.0.0.1", backend_port};
   const auto gateway = MakeGateway(context.get_executor(), control);
   const auto node = MakeHttpServer(context, {"127.0.0.1", 0}, {}, [&](HttpExchange& exchange) {
     return gateway->Handle(exchange);
@@ -98,6 +95,15 @@
   return answer;
 }
 
+HttpResponse Ask(const HttpHeaders& headers) {
+  asio::io_context context{1};
+  const auto backend =
+      MakeHttpServer(context, {"127.0.0.1", 0}, {},
+                     [&headers](HttpExchange& exchange) { return AnswerWith(exchange, &headers); });
+  cr_assert(backend->Start().ok());
+  return AskNode(context, backend->Port());
+}
+
 Test(coded_service_answer, is_a_failure, .timeout = 30) {
   const HttpResponse plain = Ask({{"Content-Type", "text/plain"}});
   cr_assert(plain.status == 200 && plain.body == "the bytes", "%d", plain.status);
@@ -105,5 +111,16 @@
   cr_expect(coded.status == 502 && coded.body != "the bytes", "%d", coded.status);
 }
 
+Test(coded_service_answer, with_a_status_that_http_does_not_know_is_a_failure, .timeout = 30) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    const std::string head = "HTTP/1.1 " + status + " OK\r\nContent-Length: 9\r\n\r\n";
+    const testing::EndlessServer backend(head + "the bytes", " ");
+    asio::io_context context{1};
+    const HttpResponse answer = AskNode(context, backend.Port());
+    cr_expect(answer.status == 502 && answer.body.find("the bytes") == std::string::npos,
+              "%s: %d %s", status.c_str(), answer.status, answer.body.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace cartsail
