An odd stream record in the store no longer ends the process

Callers: had another writer, or a node of another build, left a record of a stream with a number that its field can't hold (a key of -1 or 1e300, a start of 1700.5), each node would have ended at its first take-up, and again after each restart.

Cause: to_number() threw out of Read(), which coroutines that are started detached await. Times far out also overflowed points in time.

Change: a row whose numbers aren't whole or don't fit is skipped as other odd rows are, with a line in the log; a record's times are limited to those that a record can have.

--- a/libs/relay/src/streams/stream_store.cc
+++ b/libs/relay/src/streams/stream_store.cc
@@ -3,10 +3,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "cartsail/base/hash.h"
 #include "cartsail/base/json.h"
+#include "cartsail/base/log.h"
 #include "cartsail/base/status.h"
 
 namespace cartsail {
@@ -40,28 +42,69 @@
 bool IsRecord(const json::value& row) {
   if (!row.is_array() || row.as_array().size() != kFields) return false;
   const json::array& fields = row.as_array();
-  return fields[kConfirmed].is_bool() && fields[kKey].is_number() && fields[kVersion].is_string() &&
-         fields[kEngine].is_string() && fields[kStarted].is_number() && fields[kLeft].is_number() &&
-         fields[kBegun].is_number();
+  return fields[kConfirmed].is_bool() && fields[kVersion].is_string() &&
+         fields[kEngine].is_string();
 }
 
-// Skips rows that are not records.
-void DecodeRecords(const std::string& text, TimePoint now, std::vector<StreamRecord>* records) {
-  const absl::StatusOr<json::value> value = ParseJson(text);
-  if (!value.ok() || !value->is_array()) return;
-  for (const json::value& row : value->as_array()) {
-    if (!IsRecord(row)) continue;
-    const json::array& fields = row.as_array();
-    StreamRecord record;
-    record.key = fields[kKey].to_number<uint64_t>();
-    record.version = std::string(fields[kVersion].as_string());
-    record.engine = std::string(fields[kEngine].as_string());
-    record.started_ms = fields[kStarted].to_number<int64_t>();
-    record.is_confirmed = fields[kConfirmed].as_bool();
-    record.until = now + milliseconds(fields[kLeft].to_number<int64_t>());
-    record.begun = now - (WallNow() - milliseconds(fields[kBegun].to_number<int64_t>()));
-    records->push_back(std::move(record));
+// nullopt if the value is no whole number in the range of T.
+template <typename T>
+std::optional<T> WholeNumber(const json::value& value) {
+  boost::system::error_code error;
+  const T number = value.to_number<T>(error);
+  if (error) return std::nullopt;
+  return number;
+}
+
+// A time that no record has would overflow a point in time.
+Duration MillisWithin(int64_t millis, Duration limit) {
+  const auto bound = std::chrono::duration_cast<milliseconds>(limit).count();
+  return milliseconds(std::clamp<int64_t>(millis, -bound, bound));
+}
+
+// nullopt if the row is not a record.
+std::optional<StreamRecord> DecodeRecord(const json::value& row, TimePoint now) {
+  if (!IsRecord(row)) return std::nullopt;
+  const json::array& fields = row.as_array();
+  const std::optional<uint64_t> key = WholeNumber<uint64_t>(fields[kKey]);
+  const std::optional<int64_t> started = WholeNumber<int64_t>(fields[kStarted]);
+  const std::optional<int64_t> left = WholeNumber<int64_t>(fields[kLeft]);
+  const std::optional<int64_t> begun = WholeNumber<int64_t>(fields[kBegun]);
+  if (!key.has_value() || !started.has_value() || !left.has_value() || !begun.has_value()) {
+    return std::nullopt;
+  }
+  // The writer's time of day may be another one.
+  const int64_t wall = WallNow().count();
+  const auto most = std::chrono::duration_cast<milliseconds>(kVersionRetention).count();
+  const int64_t begun_near = std::clamp<int64_t>(*begun, wall - most, wall + most);
+  StreamRecord record;
+  record.key = *key;
+  record.version = std::string(fields[kVersion].as_string());
+  record.engine = std::string(fields[kEngine].as_string());
+  record.started_ms = *started;
+  record.is_confirmed = fields[kConfirmed].as_bool();
+  record.until = now + MillisWithin(*left, kMaxResumeTime);
+  record.begun = now - milliseconds(wall - begun_near);
+  return record;
+}
+
+// Skips rows that are not records: other builds and other writers may have left them.
+void DecodeRecords(const KeyValue& item, TimePoint now, std::vector<StreamRecord>* records) {
+  const absl::StatusOr<json::value> value = ParseJson(item.value);
+  const bool is_list = value.ok() && value->is_array();
+  size_t skipped = is_list ? 0 : 1;
+  if (is_list) {
+    for (const json::value& row : value->as_array()) {
+      std::optional<StreamRecord> record = DecodeRecord(row, now);
+      if (record.has_value()) {
+        records->push_back(std::move(*record));
+      } else {
+        ++skipped;
+      }
+    }
   }
+  if (skipped == 0) return;
+  Log(LogLevel::kWarning, "stream_records_invalid",
+      {{"key", item.key}, {"skipped", std::to_string(skipped)}});
 }
 
 }  // namespace
@@ -93,7 +136,7 @@
         stored.ledger = VersionLedger::Decode(item.value);
         stored.ledger_revision = item.mod_revision;
       } else if (name.starts_with(kRecordsName)) {
-        DecodeRecords(item.value, now, &stored.records);
+        DecodeRecords(item, now, &stored.records);
       }
     }
     if (!page->more || page->kvs.empty()) break;
