A caller's deadline that no duration can hold counts as a long one, not as one that is over

Change: FromSeconds(), and FromMillis() and Bounded() beside it, limit a duration to ten years; the numbers from outside that were multiplied by hand go through them.

--- a/libs/base/include/cartsail/base/clock.h
+++ b/libs/base/include/cartsail/base/clock.h
@@ -4,7 +4,10 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstdint>
 
 namespace cartsail {
 
@@ -46,8 +49,25 @@
 
 inline double ToMillis(Duration duration) { return ToSeconds(duration) * 1e3; }
 
+// Limit of durations made of numbers from outside: any sum of a few such durations and a point in
+// time still fits.
+inline constexpr Duration kLongestDuration = std::chrono::hours(24 * 365 * 10);
+
+// `value`, at most kLongestDuration in either direction: a larger one would overflow as a Duration.
+template <typename Rep, typename Period>
+constexpr Duration Bounded(std::chrono::duration<Rep, Period> value) {
+  using Unit = std::chrono::duration<Rep, Period>;
+  const Unit longest = std::chrono::duration_cast<Unit>(kLongestDuration);
+  return std::chrono::duration_cast<Duration>(std::clamp(value, -longest, longest));
+}
+
+// At most kLongestDuration in either direction.
+constexpr Duration FromMillis(int64_t value) { return Bounded(std::chrono::milliseconds(value)); }
+
+// At most kLongestDuration in either direction; 0 for a value that is not a number.
 inline Duration FromSeconds(double value) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+  if (std::isnan(value)) return Duration(0);
+  return Bounded(std::chrono::duration<double>(value));
 }
 
 }  // namespace cartsail
--- a/libs/peer/src/wire.cc
+++ b/libs/peer/src/wire.cc
@@ -47,7 +47,7 @@
   return std::chrono::duration_cast<microseconds>(duration).count();
 }
 
-Duration FromMicros(int64_t micros) { return microseconds(micros); }
+Duration FromMicros(int64_t micros) { return Bounded(microseconds(micros)); }
 
 void Encode(const WorkItem& item, wire::WorkItem::Builder out) {
   out.setId(item.id);
--- a/libs/relay/src/request/admission.cc
+++ b/libs/relay/src/request/admission.cc
@@ -101,7 +101,7 @@
   int64_t time_left_ms = 0;
   if (ParseInteger(head.time_left, &time_left_ms) && time_left_ms > 0) {
     admitted.caller_set_time = true;
-    admitted.time_left = std::min<Duration>(route->timeout, milliseconds(time_left_ms));
+    admitted.time_left = std::min<Duration>(route->timeout, FromMillis(time_left_ms));
   }
 
   RequestProfile& profile = admitted.profile;
--- a/libs/relay/src/upstream/upstream_connection.cc
+++ b/libs/relay/src/upstream/upstream_connection.cc
@@ -46,7 +46,7 @@
   digits = digits.substr(0, digits.find_first_not_of("0123456789"));
   int64_t value = 0;
   if (!ParseInteger(digits, &value)) return std::nullopt;
-  return seconds(value);
+  return Bounded(seconds(value));
 }
 
 }  // namespace
--- a/libs/relay/tests/relay_state_test.cc
+++ b/libs/relay/tests/relay_state_test.cc
@@ -72,6 +72,10 @@
   cr_assert(result.admitted.time_left == milliseconds(900));
   head.time_left = "999999";
   cr_assert(Admit(head, state, WireFormat(), kTrustedFor, kNow).admitted.time_left == seconds(4));
+  for (const char* more_than_a_duration_holds : {"9223372036855", "9223372036854775807"}) {
+    head.time_left = more_than_a_duration_holds;
+    cr_assert(Admit(head, state, WireFormat(), kTrustedFor, kNow).admitted.time_left == seconds(4));
+  }
   head.time_left = "soon";
   cr_assert(Admit(head, state, WireFormat(), kTrustedFor, kNow).admitted.time_left == seconds(4));
 }
