An odd key among the records of usage is no window to report

Whoever left a key among cartsail/usage/ with a number far ahead, or with text behind the number, had the next holder of the duty report that window to the platform; its end overflowed.

--- a/libs/duties/include/cartsail/duties/usage_record.h
+++ b/libs/duties/include/cartsail/duties/usage_record.h
@@ -3,6 +3,7 @@
 // compatible.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,8 +16,10 @@
 // Store key of a window's record.
 std::string UsageRecordKey(WindowNumber window);
 
-// The window of a record's key, which must begin with kUsageRecordPrefix; 0 if no number follows.
-WindowNumber UsageRecordWindow(std::string_view key);
+// The window of a record's key, which must begin with kUsageRecordPrefix. nullopt if no number
+// follows, or one that is not from `first` to `last`: others may write such keys.
+std::optional<WindowNumber> UsageRecordWindow(std::string_view key, WindowNumber first,
+                                              WindowNumber last);
 
 // Encodes one "tenant=count" line per tenant.
 std::string EncodeUsageRecord(const TenantCounts& counts);
--- a/libs/duties/src/usage_record.cc
+++ b/libs/duties/src/usage_record.cc
@@ -12,8 +12,12 @@
   return fmt::format("{}{}", kUsageRecordPrefix, window);
 }
 
-WindowNumber UsageRecordWindow(std::string_view key) {
-  return std::strtoll(std::string(key.substr(kUsageRecordPrefix.size())).c_str(), nullptr, 10);
+std::optional<WindowNumber> UsageRecordWindow(std::string_view key, WindowNumber first,
+                                              WindowNumber last) {
+  WindowNumber window = 0;
+  if (!ParseInteger(key.substr(kUsageRecordPrefix.size()), &window)) return std::nullopt;
+  if (window < first || window > last) return std::nullopt;
+  return window;
 }
 
 std::string EncodeUsageRecord(const TenantCounts& counts) {
--- a/libs/relay/src/duties/usage_reporter.cc
+++ b/libs/relay/src/duties/usage_reporter.cc
@@ -82,10 +82,11 @@
   const TimePoint now = Now();
   SkipEarlierWindows(now);
   const WindowNumber first = counting_.FirstKept(now);
+  const WindowNumber running = WindowAt(counting_.Clock().At(now), terms_);
   for (const KeyValue& item : result->kvs) {
-    const WindowNumber window = UsageRecordWindow(item.key);
-    if (window < first || finished_.contains(window)) continue;
-    reports_.emplace(window, WindowReport(DecodeUsageRecord(item.value), true));
+    const std::optional<WindowNumber> window = UsageRecordWindow(item.key, first, running);
+    if (!window.has_value() || finished_.contains(*window)) continue;
+    reports_.emplace(*window, WindowReport(DecodeUsageRecord(item.value), true));
   }
 }
 
--- a/libs/relay/tests/wire_compatibility_test.cc
+++ b/libs/relay/tests/wire_compatibility_test.cc
@@ -113,7 +113,7 @@
 Test(wire_compatibility, records_of_usage_are_read_and_written_alike) {
   const TenantCounts counts = {{"a=b", 3}, {"one", 7}};
   cr_assert(UsageRecordKey(360000000) == "cartsail/usage/360000000");
-  cr_assert(UsageRecordWindow("cartsail/usage/360000000") == 360000000);
+  cr_assert(UsageRecordWindow("cartsail/usage/360000000", 0, 400000000) == 360000000);
   cr_assert(EncodeUsageRecord(counts) == "a=b=3\none=7\n");
   cr_assert(DecodeUsageRecord("a=b=3\none=7\n\n") == counts);
 }
