cartsaild: a relay whose watch lacks a change reads the configuration at once

Callers: a relay that had noticed a gap before the configuration that its watch told of (as after one that was refused as invalid) read the configuration only once the watch ended, which it doesn't while the platform is well, and served by the old one until then.

Change: the watch is ended when a read is needed. config_gap_test failed before.

--- a/libs/daemon/src/config_service.cc
+++ b/libs/daemon/src/config_service.cc
@@ -133,7 +133,8 @@
   WatchCallback on_events = [this](const std::vector<WatchEvent>& events, int64_t /*revision*/) {
     last_contact_ = Now();
     OnWatchEvents(events);
-    return true;
+    // The branches that the watch lacked are read at once, not when it ends by itself.
+    return !refresh_needed_;
   };
   co_return co_await store_.Watch(std::string(kConfigPrefix), PrefixEnd(std::string(kConfigPrefix)),
                                   store_revision_ + 1, std::move(on_events));
