--- a/libs/relay/tests/support/schedule_fleet.cc
+++ b/libs/relay/tests/support/schedule_fleet.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr size_t kFewestNodes = 2;
-constexpr size_t kMostNodes = 5;
+constexpr size_t kMostNodes = 8;
 constexpr int kStepsStillAtMost = 60;
 constexpr int64_t kLongestDelayMs = 60;
 // Per step of 10 ms.
